--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Two commands for a fresh machine: `make demo` and `make test`; both do their own set-up.
+PY := .venv/bin/python
+SOURCES := src stand_ins bench tests examples
+
+.PHONY: demo test lint format setup clean
+
+setup: .venv/ready
+
+.venv/ready: requirements.lock pyproject.toml
+	python3 -m venv .venv
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/ready
+
+demo: setup
+	$(PY) -m bench demo
+
+test: lint
+	$(PY) -m pytest
+
+lint: setup
+	$(PY) -m black --check --quiet $(SOURCES)
+	$(PY) -m ruff check --quiet $(SOURCES)
+	$(PY) -m bench.layers
+	$(PY) -m mypy --no-error-summary src/merlinthread/coordination src/merlinthread/state
+
+format: setup
+	$(PY) -m black --quiet $(SOURCES)
+	$(PY) -m ruff check --fix --quiet $(SOURCES)
+
+clean:
+	rm -rf .venv run
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, the demo, and the harness that starts real processes."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,27 @@
+"""`python -m bench NAME`: run one bench; its last line of output is one JSON object."""
+
+import importlib
+import pkgutil
+import sys
+
+import bench
+
+HELPERS = ("__main__", "fleet", "layers", "links", "load")
+
+
+def names() -> list[str]:
+    """Return the benches there are."""
+    return sorted(m.name for m in pkgutil.iter_modules(bench.__path__) if m.name not in HELPERS)
+
+
+def main() -> int:
+    """Run the bench that the first argument names."""
+    if len(sys.argv) < 2 or sys.argv[1] not in names():
+        print(f"usage: python -m bench NAME, with NAME one of {', '.join(names())}")
+        return 2
+    module = importlib.import_module(f"bench.{sys.argv[1]}")
+    return module.main(sys.argv[2:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,258 @@
+"""The demo: a whole fleet on loopback, two bundles rolled, one rolled back, requests throughout."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+
+import msgspec
+
+from bench import fleet as fleets
+from merlinthread import errors
+from merlinthread.protocol import events
+from merlinthread.transport import http_client
+from stand_ins import engine
+
+OBJECT_BYTES = 4 * 1024 * 1024
+CHUNK_BYTES = 128 * 1024
+ACCOUNTS = ("a1", "a2", "b1")
+
+
+class Tally:
+    """Counts of what callers saw."""
+
+    def __init__(self) -> None:
+        self.answered = 0
+        self.refused = 0
+        self.lost = 0
+        self.last_refusal = ""
+
+
+class Demo:
+    """The steps of the demo."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.http = http_client.Client()
+        self.tally = Tally()
+        self.step = "start"
+        self.rows: list[tuple[str, str]] = []
+
+    def say(self, step: str) -> None:
+        """Begin a step."""
+        self.step = step
+        print(f"== {step}", flush=True)
+
+    def run(self) -> None:
+        """Run all steps; raise on the first that fails."""
+        started = time.monotonic()
+        self.say("start: 3 availability zones, 3 control VMs, entries, agents, stand-ins")
+        key = self.make_keys()
+        self.fleet.start()
+        self.say("publish weights at the origin")
+        digests = {
+            name: self.fleet.publish(name, OBJECT_BYTES, CHUNK_BYTES)
+            for name in ("hint-1", "assistant-1", "crosswords-1", "hint-2")
+        }
+        self.say("check, propose, sign and roll version 1")
+        self.roll(self.bundle(1, digests["hint-1"], digests), key)
+        self.note_replicas("version 1", digests)
+        self.say("streamed and plain requests through every entry")
+        self.ask_everywhere(rounds=4)
+        self.say("kill one target VM and go on asking")
+        self.kill_one()
+        self.ask_everywhere(rounds=4)
+        self.say("roll version 2")
+        self.roll(self.bundle(2, digests["hint-2"], digests), key)
+        self.note_replicas("version 2", digests)
+        self.ask_everywhere(rounds=2)
+        self.say("roll back to version 1")
+        self.live("bundle", "rollback", "1", "-o", "ana", "--wait")
+        self.note_replicas("after rollback", digests)
+        self.ask_everywhere(rounds=2)
+        self.report(started)
+
+    def make_keys(self) -> pathlib.Path:
+        """Make the operator's key with the command line."""
+        path = self.fleet.folder / "keys" / "ana.key"
+        made = self.fleet.operate("keys", "new", "--out", str(path))
+        self.fleet.operators["ana"] = made["public_key"]
+        return path
+
+    def bundle(self, version: int, hint: str, digests: dict[str, str]) -> dict:
+        """Return a bundle with two models and an adapter."""
+        bundle = fleets.simple_bundle(
+            version, {"hint": (hint, 50), "assistant": (digests["assistant-1"], 50)}
+        )
+        bundle["models"][0]["adapters"] = [
+            {"name": "crosswords", "version": "v1", "manifest": digests["crosswords-1"]}
+        ]
+        return bundle
+
+    def live(self, *arguments: str) -> None:
+        """Run a command and let its output be seen; raise RuntimeError if it fails."""
+        print("$ merlinthread " + " ".join(arguments), flush=True)
+        done = self.fleet.command(*arguments, is_shown=True)
+        if done.returncode:
+            raise RuntimeError(f"merlinthread {' '.join(arguments)} ended with {done.returncode}")
+
+    def roll(self, bundle: dict, key: pathlib.Path) -> None:
+        """Bring a bundle in force, step by step, with the command line."""
+        path = str(self.fleet.write_bundle(bundle))
+        version = str(bundle["version"])
+        self.live("bundle", "check", path)
+        self.live("bundle", "propose", path, "-o", "ana")
+        self.live("bundle", "sign", version, "-o", "ana", "-k", str(key))
+        self.live("bundle", "roll", version, "-o", "ana", "--wait")
+
+    def note_replicas(self, when: str, digests: dict[str, str]) -> None:
+        """Note how many replicas of each version serve."""
+        names = {digest: name for name, digest in digests.items()}
+        for model in ("hint", "assistant", "crosswords"):
+            counts = self.fleet.serving(model)
+            shown = ", ".join(f"{names[d]}: {n}" for d, n in sorted(counts.items()))
+            self.rows.append((f"replicas, {when}, {model}", shown or "none"))
+            if not counts:
+                raise RuntimeError(f"{when}: no engine serves {model}")
+
+    def kill_one(self) -> None:
+        """Kill one target VM: its engine and its agent."""
+        name = next(name for name in self.fleet.target_urls if name.startswith("engine"))
+        self.fleet.processes[f"{name}-target"].kill()
+        self.fleet.processes[name].kill()
+
+    def ask_everywhere(self, rounds: int) -> None:
+        """Ask every entry for streamed and whole answers and for plain calls."""
+        for number in range(rounds):
+            for vm in self.fleet.entries():
+                account = ACCOUNTS[number % len(ACCOUNTS)]
+                self.ask(vm.http, account, "hint", "crosswords", is_streamed=True)
+                self.ask(vm.http, account, "assistant", "", is_streamed=False)
+                self.draft(vm.http, account)
+
+    def ask(self, address: str, account: str, model: str, adapter: str, is_streamed: bool) -> None:
+        """Ask for a completion and check that the answer is whole and its own."""
+        prompt = f"explain clue {uuid.uuid4().hex}"
+        body = msgspec.json.encode(
+            {
+                "model": model,
+                "adapter": adapter,
+                "prompt": prompt,
+                "max_tokens": 8,
+                "stream": is_streamed,
+            }
+        )
+        try:
+            stream = self.http.open(
+                "POST", f"http://{address}/v1/completions", body, self.headers(account)
+            )
+            data = stream.read(1 << 20)
+        except errors.MerlinthreadError as error:
+            self.lose(error.message)
+            return
+        if stream.status != 200:
+            self.tally.refused += 1
+            self.tally.last_refusal = data.decode()
+            return
+        text, digest = read_stream(data) if is_streamed else read_whole(data)
+        if text != engine.whole_text(digest, prompt, 8):
+            self.lose(f"{model}: the answer is not whole: {text!r}")
+            return
+        self.tally.answered += 1
+
+    def draft(self, address: str, account: str) -> None:
+        """Draft a ticket, which must not be repeated, twice under one key."""
+        body = msgspec.json.encode({"lamp": uuid.uuid4().hex})
+        headers = self.headers(account) | {"Idempotency-Key": str(new_key())}
+        url = f"http://{address}/v1/services/tickets/draft"
+        tickets = []
+        for _ in range(2):
+            try:
+                reply = self.http.request("POST", url, body, headers)
+            except errors.MerlinthreadError as error:
+                self.lose(error.message)
+                return
+            if reply.status != 200:
+                self.tally.refused += 1
+                self.tally.last_refusal = reply.body.decode()
+                return
+            tickets.append(msgspec.json.decode(reply.body)["ticket"])
+        if tickets[0] != tickets[1]:
+            self.lose(f"one key, two tickets: {tickets}")
+            return
+        self.tally.answered += 1
+
+    def headers(self, account: str) -> dict[str, str]:
+        """Return a caller's headers."""
+        return {"X-Account": account, "Content-Type": "application/json"}
+
+    def lose(self, reason: str) -> None:
+        """Count a lost or wrong answer."""
+        self.tally.lost += 1
+        print(f"lost: {reason}", flush=True)
+
+    def report(self, started: float) -> None:
+        """Print the table; raise RuntimeError if an answer was lost."""
+        self.say("report")
+        stats = self.fleet.get(self.fleet.origin_url, "/stats")
+        for name, sent in sorted(stats["by_object"].items()):
+            self.rows.append((f"origin copies read, {name}", f"{sent / OBJECT_BYTES:.2f}"))
+        self.rows += [
+            ("requests answered", str(self.tally.answered)),
+            ("requests refused", f"{self.tally.refused} {self.tally.last_refusal}"),
+            ("requests lost", str(self.tally.lost)),
+            ("seconds", f"{time.monotonic() - started:.1f}"),
+        ]
+        width = max(len(name) for name, _ in self.rows)
+        for name, value in self.rows:
+            print(f"{name:<{width}}  {value}")
+        if self.tally.lost or self.tally.refused:
+            raise RuntimeError(f"{self.tally.lost} lost, {self.tally.refused} refused")
+
+
+def new_key() -> uuid.UUID:
+    """Return a new UUIDv7 (RFC 9562): 48 bits of milliseconds, the rest random."""
+    milliseconds = int(time.time() * 1000) & ((1 << 48) - 1)
+    rest = uuid.uuid4().int & ((1 << 80) - 1)
+    value = (milliseconds << 80) | rest
+    value = (value & ~(0xF << 76)) | (7 << 76)
+    return uuid.UUID(int=value)
+
+
+def read_stream(data: bytes) -> tuple[str, str]:
+    """Return text and digest of a streamed answer; the digest is empty if it has no end."""
+    texts, digest = [], ""
+    for event in events.decode(data.split(b"\n")):
+        if event.kind == events.TOKEN:
+            texts.append(msgspec.json.decode(event.data, type=events.Token).text)
+        elif event.kind == events.DONE:
+            digest = msgspec.json.decode(event.data, type=events.Done).digest
+    return "".join(texts), digest
+
+
+def read_whole(data: bytes) -> tuple[str, str]:
+    """Return text and digest of a whole answer."""
+    answer = msgspec.json.decode(data)
+    return answer["text"], answer["digest"]
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demo in a new folder; say which step failed and where its logs are."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="merlinthread-demo-"))
+    with fleets.Fleet(folder) as fleet:
+        demo = Demo(fleet)
+        try:
+            demo.run()
+        except KeyboardInterrupt:
+            print(f"stopped during: {demo.step}")
+            return 130
+        except (RuntimeError, TimeoutError, subprocess.TimeoutExpired) as error:
+            print(f"demo failed in step {demo.step!r}: {error}")
+            print(f"the logs are in {folder / 'logs'}")
+            return 1
+    print("demo: ok")
+    return 0
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,519 @@
+"""Start a whole fleet of real processes on loopback, disturb it, and end it.
+
+Used by the demo, the benches and the tests. Ends only processes that it started, by id.
+"""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors
+from merlinthread.protocol import signatures
+from merlinthread.state import manifests
+from merlinthread.transport import http_client
+from stand_ins import proxy as proxies
+
+FIRST_PORT = 20000
+LAST_PORT = 32000
+START_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class Ports:
+    """Gives out free loopback ports outside the range that the system gives to outgoing sockets."""
+
+    def __init__(self) -> None:
+        self.next = random.randrange(FIRST_PORT, LAST_PORT)
+
+    def take(self) -> int:
+        """Return a port that nobody listens on."""
+        while True:
+            self.next = self.next + 1 if self.next < LAST_PORT else FIRST_PORT
+            with contextlib.closing(socket.socket()) as probe:
+                try:
+                    probe.bind(("127.0.0.1", self.next))
+                except OSError:
+                    continue
+            return self.next
+
+
+def wait_for(what: str, check: Callable[[], Any], timeout_s: float = 20.0) -> Any:
+    """Return the first true result of `check`; raise TimeoutError naming `what` otherwise."""
+    stop_at = time.monotonic() + timeout_s
+    while True:
+        result = check()
+        if result:
+            return result
+        if time.monotonic() >= stop_at:
+            raise TimeoutError(f"waited {timeout_s} s for {what}")
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process that this module started."""
+
+    def __init__(self, name: str, arguments: list[str], log: pathlib.Path) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.log = log
+        self.handle: subprocess.Popen | None = None
+        self.is_frozen = False
+
+    def start(self) -> None:
+        """Start it; its output goes to its log."""
+        with open(self.log, "ab") as file:
+            self.handle = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdout=file,
+                stderr=file,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+            )
+
+    def is_running(self) -> bool:
+        """Return whether it runs."""
+        return self.handle is not None and self.handle.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, if it runs."""
+        if self.handle is not None and self.is_running():
+            self.handle.send_signal(number)
+
+    def freeze(self) -> None:
+        """Stop it in its tracks."""
+        self.signal(signal.SIGSTOP)
+        self.is_frozen = True
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+        self.is_frozen = False
+
+    def kill(self) -> None:
+        """End it without warning."""
+        self.signal(signal.SIGKILL)
+        self.wait(10)
+
+    def stop(self) -> None:
+        """Ask it to stop as planned."""
+        if self.is_frozen:
+            self.thaw()
+        self.signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Wait for its end; return its exit code, or None if it still runs."""
+        if self.handle is None:
+            return None
+        try:
+            return self.handle.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def events(self, name: str = "") -> list[dict]:
+        """Return its log lines, or those of one event."""
+        found = []
+        for line in self.log.read_text(encoding="utf-8", errors="replace").splitlines():
+            try:
+                event = json.loads(line)
+            except ValueError:
+                continue
+            if isinstance(event, dict) and (not name or event.get("event") == name):
+                found.append(event)
+        return found
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """One VM of the fleet: its daemon, its settings and its addresses."""
+
+    name: str
+    process: Process
+    settings: dict
+    http: str
+    bus: str
+
+
+@dataclasses.dataclass(slots=True)
+class Shape:
+    """How large the fleet is and how it behaves."""
+
+    zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
+    regions: tuple[str, ...] = ("region-1", "region-1", "region-2")
+    controls: int = 3
+    entries_per_zone: int = 1
+    engines_per_zone: int = 2
+    services: int = 1
+    engine_arguments: tuple[str, ...] = ()
+    origin_bytes_per_s: float = 1e9
+    link_bytes_per_s: int = 1 << 30
+    agent: dict = dataclasses.field(default_factory=dict)
+    entry: dict = dataclasses.field(default_factory=dict)
+    control: dict = dataclasses.field(default_factory=dict)
+    log_level: str = "info"
+    with_store_folder: bool = False
+    through_proxy: bool = False
+
+
+class Fleet:
+    """All processes of one demo, bench or test; a context manager that ends them."""
+
+    def __init__(self, folder: pathlib.Path, shape: Shape | None = None) -> None:
+        self.folder = folder
+        self.shape = shape or Shape()
+        self.ports = Ports()
+        self.processes: dict[str, Process] = {}
+        self.vms: dict[str, Vm] = {}
+        self.proxy = proxies.Proxy()
+        self.http = http_client.Client()
+        self.mesh_key = secrets.token_hex(32)
+        self.operators: dict[str, str] = {}
+        self.origin_url = ""
+        self.platform_url = ""
+        self.target_urls: dict[str, str] = {}
+        self.control_peers: list[dict] = []
+        self.entry_buses: dict[str, list[str]] = {}
+        for part in ("logs", "settings", "data", "origin/objects", "origin/manifests", "keys"):
+            (folder / part).mkdir(parents=True, exist_ok=True)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    # Starting
+
+    def add(self, name: str, arguments: list[str]) -> Process:
+        """Start a process and remember it."""
+        process = Process(name, arguments, self.folder / "logs" / f"{name}.log")
+        process.start()
+        self.processes[name] = process
+        return process
+
+    def add_stand_in(self, module: str, name: str, *arguments: str) -> str:
+        """Start a stand-in and return its URL."""
+        port = self.ports.take()
+        self.add(name, ["-m", f"stand_ins.{module}", "--port", str(port), *arguments])
+        return f"http://127.0.0.1:{port}"
+
+    def add_operator(self, name: str) -> pathlib.Path:
+        """Make an operator's key and return its file."""
+        path = self.folder / "keys" / f"{name}.key"
+        path.write_text(signatures.new_private_key())
+        self.operators[name] = signatures.public_of(path.read_text())
+        return path
+
+    def link(self, name: str, goal: str) -> str:
+        """Return the address to reach `goal` by: itself, or a proxy link called `name`."""
+        if not self.shape.through_proxy:
+            return goal
+        port = self.ports.take()
+        self.proxy.add(name, port, int(goal.rpartition(":")[2]))
+        return f"127.0.0.1:{port}"
+
+    def address(self) -> str:
+        """Return a free address."""
+        return f"127.0.0.1:{self.ports.take()}"
+
+    def start(self) -> None:
+        """Start everything and wait until it is ready."""
+        if not self.operators:
+            self.add_operator("ana")
+        self.start_outside()
+        self.plan_controls()
+        for number in range(self.shape.controls):
+            self.add_control(number)
+        for zone in self.shape.zones:
+            self.entry_buses[zone] = [self.address() for _ in range(self.shape.entries_per_zone)]
+        for zone in self.shape.zones:
+            for number in range(self.shape.entries_per_zone):
+                self.add_entry(zone, number)
+        for zone in self.shape.zones:
+            for number in range(self.shape.engines_per_zone):
+                self.add_engine(zone, number)
+        for number in range(self.shape.services):
+            self.add_service(number)
+        wait_for("a leader", self.leader, START_TIMEOUT_S)
+        expected = len(self.shape.zones) * self.shape.engines_per_zone + self.shape.services
+        wait_for(
+            f"{expected} agents",
+            lambda: len(self.status().get("agents", [])) >= expected,
+            START_TIMEOUT_S,
+        )
+
+    def start_outside(self) -> None:
+        """Start the stand-ins of the origin, the weight store and the platform."""
+        self.origin_url = self.add_stand_in(
+            "origin",
+            "origin",
+            "--folder",
+            str(self.folder / "origin"),
+            "--bytes-per-s",
+            str(self.shape.origin_bytes_per_s),
+        )
+        self.platform_url = self.add_stand_in("platform", "platform")
+
+    def region_of(self, zone: str) -> str:
+        """Return a zone's region."""
+        return self.shape.regions[self.shape.zones.index(zone) % len(self.shape.regions)]
+
+    def plan_controls(self) -> None:
+        """Choose the control VMs' addresses."""
+        self.control_peers = [
+            {"name": f"control-{number}", "log_bus": self.address(), "bus": self.address()}
+            for number in range(self.shape.controls)
+        ]
+
+    def common(self, name: str, zone: str, role: str) -> dict:
+        """Return the settings that every daemon has."""
+        return {
+            "name": name,
+            "availability_zone": zone,
+            "region": self.region_of(zone),
+            "roles": [role],
+            "http": {"address": "127.0.0.1", "port": self.ports.take()},
+            "bus": self.address(),
+            "mesh_keys": [self.mesh_key],
+            "log": {"level": self.shape.log_level},
+        }
+
+    def add_daemon(self, settings: dict) -> Vm:
+        """Write the settings of a daemon and start it."""
+        name = settings["name"]
+        path = self.folder / "settings" / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        process = self.add(name, ["-m", "merlinthread.daemon", "--config", str(path)])
+        http = f"127.0.0.1:{settings['http']['port']}"
+        self.vms[name] = Vm(name, process, settings, http, settings["bus"])
+        return self.vms[name]
+
+    def add_control(self, number: int, **changed: Any) -> Vm:
+        """Start a control VM."""
+        peer = self.control_peers[number]
+        zone = self.shape.zones[number % len(self.shape.zones)]
+        settings = self.common(peer["name"], zone, "control")
+        settings["bus"] = peer["bus"]
+        settings["control"] = {
+            "data_folder": str(self.folder / "data" / peer["name"]),
+            "members": [
+                (
+                    dict(
+                        other,
+                        log_bus=self.link(f"{peer['name']}>{other['name']}", other["log_bus"]),
+                    )
+                    if other is not peer
+                    else peer
+                )
+                for other in self.control_peers
+            ],
+            "operators": [
+                {"name": name, "public_key": key} for name, key in self.operators.items()
+            ],
+            **self.shape.control,
+            **changed,
+        }
+        return self.add_daemon(settings)
+
+    def add_entry(self, zone: str, number: int) -> Vm:
+        """Start an entry VM."""
+        name = f"entry-{zone}-{number}"
+        settings = self.common(name, zone, "entry")
+        settings["bus"] = self.entry_buses[zone][number]
+        others = [
+            self.link(f"{name}>{bus}", bus)
+            for buses in self.entry_buses.values()
+            for bus in buses
+            if bus != settings["bus"]
+        ]
+        settings["entry"] = {
+            "controls": [
+                self.link(f"{name}>{peer['name']}", peer["bus"]) for peer in self.control_peers
+            ],
+            "entries": others,
+            "platform_url": self.platform_url,
+            **self.shape.entry,
+        }
+        return self.add_daemon(settings)
+
+    def add_agent(self, name: str, zone: str, agent: dict) -> Vm:
+        """Start an agent."""
+        settings = self.common(name, zone, "agent")
+        settings["agent"] = {
+            "entries": [self.link(f"{name}>{bus}", bus) for bus in self.entry_buses[zone]],
+            **agent,
+            **self.shape.agent,
+        }
+        return self.add_daemon(settings)
+
+    def add_engine(self, zone: str, number: int) -> Vm:
+        """Start an engine's stand-in and its agent."""
+        name = f"engine-{zone}-{number}"
+        url = self.add_stand_in("engine", f"{name}-target", *self.shape.engine_arguments)
+        self.target_urls[name] = url
+        origin = self.link(f"{name}>origin", self.origin_url.removeprefix("http://"))
+        agent = {
+            "target_url": url,
+            "target_kind": "generate",
+            "origin_url": f"http://{origin}",
+            "weight_store_url": self.origin_url,
+            "link_bytes_per_s": self.shape.link_bytes_per_s,
+        }
+        if self.shape.with_store_folder:
+            agent["store_folder"] = str(self.folder / "data" / name)
+        return self.add_agent(name, zone, agent)
+
+    def add_service(self, number: int) -> Vm:
+        """Start a plain service's stand-in and its agent."""
+        name = f"tickets-{number}"
+        zone = self.shape.zones[number % len(self.shape.zones)]
+        self.target_urls[name] = self.add_stand_in("service", f"{name}-target")
+        return self.add_agent(
+            name,
+            zone,
+            {
+                "target_url": self.target_urls[name],
+                "target_kind": "service",
+                "service": "tickets",
+            },
+        )
+
+    def restart(self, name: str) -> None:
+        """Start an ended process again."""
+        self.processes[name].start()
+
+    # Asking
+
+    def get(self, address: str, path: str, timeout_s: float = 5.0) -> Any:
+        """Return the JSON that GET gives, or None if nobody answers well."""
+        url = address if address.startswith("http") else f"http://{address}"
+        try:
+            reply = self.http.request_ok("GET", url + path, timeout_s=timeout_s)
+        except errors.MerlinthreadError:
+            return None
+        return msgspec.json.decode(reply.body)
+
+    def controls(self) -> list[Vm]:
+        """Return the control VMs."""
+        return [vm for vm in self.vms.values() if "control" in vm.settings["roles"]]
+
+    def entries(self) -> list[Vm]:
+        """Return the entry VMs."""
+        return [vm for vm in self.vms.values() if "entry" in vm.settings["roles"]]
+
+    def agents(self) -> list[Vm]:
+        """Return the VMs with agents."""
+        return [vm for vm in self.vms.values() if "agent" in vm.settings["roles"]]
+
+    def status(self) -> dict:
+        """Return the leader's status, or nothing."""
+        for vm in self.controls():
+            if vm.process.is_running() and not vm.process.is_frozen:
+                found = self.get(vm.http, "/v1/status", 2.0)
+                if found:
+                    return found
+        return {}
+
+    def leader(self) -> Vm | None:
+        """Return the control VM that leads."""
+        name = self.status().get("leader")
+        return self.vms.get(name) if name else None
+
+    def serving(self, model: str) -> dict[str, int]:
+        """Return how many live engines serve each manifest of a model."""
+        counts: dict[str, int] = {}
+        for name, url in self.target_urls.items():
+            if name.startswith("engine") and self.processes[f"{name}-target"].is_running():
+                found = (self.get(url, "/v1/status") or {}).get("models", {})
+                if model in found:
+                    counts[found[model]] = counts.get(found[model], 0) + 1
+        return counts
+
+    # Weights and bundles
+
+    def publish(self, name: str, size_bytes: int, chunk_bytes: int, seed: int = 0) -> str:
+        """Put an object of random bytes at the origin and return its manifest's digest."""
+        path = self.folder / "origin" / "objects" / name
+        path.write_bytes(random.Random(f"{name} {seed}").randbytes(size_bytes))
+        manifest = manifests.make(path, name, chunk_bytes)
+        digest = manifests.digest_of(manifest)
+        (self.folder / "origin" / "manifests" / digest).write_bytes(manifests.encode(manifest))
+        return digest
+
+    def write_bundle(self, bundle: dict) -> pathlib.Path:
+        """Write a bundle file and return its path."""
+        path = self.folder / f"bundle-{bundle['version']}.json"
+        path.write_text(json.dumps(bundle, indent=2))
+        return path
+
+    def command(
+        self, *arguments: str, timeout_s: float = 120.0, is_shown: bool = False
+    ) -> subprocess.CompletedProcess:
+        """Run the operators' command line and return what came of it; show it or keep it."""
+        controls = ",".join(vm.http for vm in self.controls())
+        return subprocess.run(
+            [sys.executable, "-m", "merlinthread.cli.main", *arguments],
+            capture_output=not is_shown,
+            text=True,
+            timeout=timeout_s,
+            env=dict(os.environ, MERLINTHREAD_CONTROLS=controls),
+        )
+
+    def operate(self, *arguments: str, timeout_s: float = 120.0) -> dict:
+        """Run the operators' command line with --json; raise RuntimeError if it fails."""
+        done = self.command(*arguments, "--json", timeout_s=timeout_s)
+        if done.returncode:
+            raise RuntimeError(f"merlinthread {' '.join(arguments)}: {done.stdout}{done.stderr}")
+        return json.loads(done.stdout.splitlines()[0])
+
+    def roll(self, bundle: dict, wait: bool = True) -> dict:
+        """Propose, sign and roll a bundle as operator ana."""
+        version = str(bundle["version"])
+        key = str(self.folder / "keys" / "ana.key")
+        self.operate("bundle", "propose", str(self.write_bundle(bundle)), "-o", "ana")
+        self.operate("bundle", "sign", version, "-o", "ana", "-k", key)
+        more = ["--wait"] if wait else []
+        return self.operate("bundle", "roll", version, "-o", "ana", *more)
+
+    # Ending
+
+    def close(self) -> None:
+        """End everything that was started: planned first, then by force."""
+        for process in self.processes.values():
+            process.stop()
+        stop_at = time.monotonic() + 6
+        for process in self.processes.values():
+            if process.wait(max(0.1, stop_at - time.monotonic())) is None:
+                process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.wait(5)
+        self.proxy.close()
+
+
+def simple_bundle(version: int, models: dict[str, tuple[str, int]], **more: Any) -> dict:
+    """Return a bundle with models (name to manifest and share) and two groups."""
+    return {
+        "version": version,
+        "models": [
+            {"name": name, "version": f"v{version}", "manifest": digest, "share_percent": share}
+            for name, (digest, share) in models.items()
+        ],
+        "groups": [
+            {"name": "solvers", "share_percent": 60, "accounts": ["a1", "a2"], "priority": 0},
+            {"name": "crews", "share_percent": 40, "accounts": ["b1"]},
+        ],
+        "services": [{"name": "tickets", "repeatable": ["/lookup"]}],
+        **more,
+    }
--- /dev/null
+++ b/src/merlinthread/cli/main.py
@@ -0,0 +1,53 @@
+"""The entry point of `merlinthread`; commands are imported only when one runs."""
+
+import sys
+
+from cleo.application import Application
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+from merlinthread import __version__
+
+COMMANDS = {
+    "bundle check": ("bundle_commands", "Check"),
+    "bundle propose": ("bundle_commands", "Propose"),
+    "bundle sign": ("bundle_commands", "Sign"),
+    "bundle roll": ("bundle_commands", "Roll"),
+    "bundle rollback": ("bundle_commands", "Rollback"),
+    "bundle show": ("bundle_commands", "Show"),
+    "bundle history": ("bundle_commands", "History"),
+    "status": ("other_commands", "Status"),
+    "keys new": ("other_commands", "KeysNew"),
+    "weights manifest": ("other_commands", "WeightsManifest"),
+}
+
+
+def load(module: str, name: str) -> object:
+    """Import a command's module and make the command."""
+    import importlib
+
+    return getattr(importlib.import_module(f"merlinthread.cli.{module}"), name)()
+
+
+def make_application() -> Application:
+    """Return the application with all commands."""
+    application = Application("merlinthread", __version__)
+    application.set_command_loader(
+        FactoryCommandLoader(
+            {
+                name: lambda module=module, kind=kind: load(module, kind)
+                for name, (module, kind) in COMMANDS.items()
+            }
+        )
+    )
+    return application
+
+
+def main() -> int:
+    """Run the command line; return its exit code."""
+    application = make_application()
+    application.auto_exits(False)
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/merlinthread/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure parts: no sockets, no threads, the present time is an argument."""
--- /dev/null
+++ b/src/merlinthread/coordination/fetch.py
@@ -0,0 +1,379 @@
+"""Where a VM gets the chunks of a manifest from: policies over what is known of the other VMs.
+
+A `FetchPlan` belongs to one VM and one manifest. It answers one question, `next_action`: what to
+ask of whom now. Its owner carries the action out and tells it what came of it. Chunk sets are
+Python integers used as bit sets.
+"""
+
+import dataclasses
+import random
+
+import blake3
+
+from merlinthread import registry
+
+OWN_ZONE = 0
+OWN_REGION = 1
+FAR = 2
+
+BUSY_WAIT_MIN_S = 0.01
+BUSY_WAIT_MAX_S = 0.04
+EMPTY_WAIT_S = 0.05
+FAILED_WAIT_S = 1.0
+CORRUPT_WAIT_S = 30.0
+STALE_AFTER_S = 0.25
+ORIGIN_GRACE_S = 3.0
+CHUNKS_OFFERED = 4
+
+
+@dataclasses.dataclass(slots=True)
+class FromOrigin:
+    """Read the chunk `index` from the origin."""
+
+    index: int
+
+
+@dataclasses.dataclass(slots=True)
+class FromPeer:
+    """Ask `peer` for any one chunk of `wanted`."""
+
+    peer: str
+    wanted: int
+
+
+Action = FromOrigin | FromPeer
+
+
+@dataclasses.dataclass(slots=True)
+class PeerState:
+    """What is known of one other VM."""
+
+    name: str
+    distance: int
+    held: int = 0
+    heard_at: float = float("-inf")
+    not_before: float = float("-inf")
+    asked: int = 0
+    was_probed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What one fetch has cost so far, in chunks."""
+
+    from_origin: int = 0
+    from_peers: int = 0
+    corrupt: int = 0
+    failed: int = 0
+    doubled: int = 0
+
+
+def bits(value: int) -> list[int]:
+    """Return the positions of the set bits, lowest first."""
+    found = []
+    while value:
+        low = value & -value
+        found.append(low.bit_length() - 1)
+        value ^= low
+    return found
+
+
+def to_bytes(value: int, count: int) -> bytes:
+    """Return a bit set over `count` chunks as bytes, lowest first."""
+    return value.to_bytes((count + 7) // 8, "little")
+
+
+def from_bytes(data: bytes, count: int) -> int:
+    """Return the bit set in `data`, cut to `count` chunks."""
+    return int.from_bytes(data, "little") & ((1 << count) - 1)
+
+
+def weight(name: str, manifest: str, index: int) -> bytes:
+    """Return the rendezvous weight of VM `name` for a chunk (Thaler and Ravishankar 1998)."""
+    return blake3.blake3(f"{name} {manifest} {index}".encode()).digest(8)
+
+
+class FetchPlan:
+    """What all policies share: what is here, what is on its way, what the others have."""
+
+    def __init__(
+        self,
+        me: str,
+        manifest: str,
+        chunk_count: int,
+        held: int,
+        origin_slots: int,
+        now: float,
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.manifest = manifest
+        self.chunk_count = chunk_count
+        self.all = (1 << chunk_count) - 1
+        self.held = held
+        self.in_flight = 0
+        self.origin_slots = origin_slots
+        self.origin_busy = 0
+        self.origin_not_before = float("-inf")
+        self.peers: dict[str, PeerState] = {}
+        self.participants: list[str] = [me]
+        self.tally = Tally()
+        self.rng = rng
+        self.last_news_at = now
+
+    # What the owner tells
+
+    def set_peers(self, participants: list[str], distances: dict[str, int]) -> None:
+        """Set who fetches or holds the manifest, and how far the live ones are."""
+        self.participants = sorted(set(participants) | {self.me})
+        for name in set(self.peers) - set(distances):
+            del self.peers[name]
+        for name, distance in distances.items():
+            if name != self.me:
+                self.peers.setdefault(name, PeerState(name, distance)).distance = distance
+        self.on_participants()
+
+    def on_participants(self) -> None:
+        """Let a policy prepare for a changed set of VMs."""
+
+    def heard(self, peer: str, held: int, now: float) -> None:
+        """Note what a peer says it has."""
+        state = self.peers.get(peer)
+        if state is not None:
+            state.held = held
+            state.heard_at = now
+
+    def began(self, action: Action) -> None:
+        """Note that `action` is being carried out."""
+        if isinstance(action, FromOrigin):
+            self.in_flight |= 1 << action.index
+            self.origin_busy += 1
+        else:
+            self.in_flight |= action.wanted
+            if action.peer in self.peers:
+                self.peers[action.peer].asked += 1
+
+    def ended(self, action: Action) -> None:
+        """Note that `action` is over, whatever came of it."""
+        if isinstance(action, FromOrigin):
+            self.in_flight &= ~(1 << action.index)
+            self.origin_busy -= 1
+        else:
+            self.in_flight &= ~action.wanted
+            if action.peer in self.peers:
+                self.peers[action.peer].asked -= 1
+
+    def got(self, index: int, from_origin: bool, now: float) -> None:
+        """Note a verified chunk."""
+        if self.held >> index & 1:
+            self.tally.doubled += 1
+            return
+        self.held |= 1 << index
+        self.last_news_at = now
+        if from_origin:
+            self.tally.from_origin += 1
+        else:
+            self.tally.from_peers += 1
+
+    def peer_busy(self, peer: str, now: float) -> None:
+        """Note that a peer has no upload slot free."""
+        self.hold_off(peer, now + self.rng.uniform(BUSY_WAIT_MIN_S, BUSY_WAIT_MAX_S))
+
+    def peer_empty(self, peer: str, now: float) -> None:
+        """Note that a peer has nothing of what was asked."""
+        self.hold_off(peer, now + EMPTY_WAIT_S)
+
+    def peer_failed(self, peer: str, now: float) -> None:
+        """Note that a peer did not answer."""
+        self.tally.failed += 1
+        self.hold_off(peer, now + FAILED_WAIT_S)
+
+    def peer_corrupt(self, peer: str, now: float) -> None:
+        """Note that a peer gave bytes with a wrong digest, and set it aside."""
+        self.tally.corrupt += 1
+        self.hold_off(peer, now + CORRUPT_WAIT_S)
+
+    def origin_failed(self, now: float, wait_s: float) -> None:
+        """Note that the origin refused or broke off."""
+        self.tally.failed += 1
+        self.origin_not_before = now + wait_s
+
+    def hold_off(self, peer: str, until: float) -> None:
+        """Ask `peer` for nothing before `until`."""
+        if peer in self.peers:
+            self.peers[peer].not_before = until
+
+    # What the owner asks
+
+    def is_complete(self) -> bool:
+        """Return whether every chunk is here."""
+        return self.held == self.all
+
+    def needed(self) -> int:
+        """Return what is neither here nor on its way."""
+        return self.all & ~self.held & ~self.in_flight
+
+    def next_action(self, now: float) -> Action | None:
+        """Return what to do next, or None if there is nothing for the moment."""
+        raise NotImplementedError
+
+    # Parts for policies
+
+    def may_read_origin(self, now: float) -> bool:
+        """Return whether an origin slot is free."""
+        return self.origin_busy < self.origin_slots and now >= self.origin_not_before
+
+    def ask(self, peer: PeerState, now: float) -> FromPeer | None:
+        """Return a request for the rarest chunks that `peer` is known to have."""
+        useful = peer.held & self.needed()
+        if not useful:
+            return None
+        chosen = 0
+        for index in self.rarest(useful):
+            chosen |= 1 << index
+        return FromPeer(peer.name, chosen)
+
+    def rarest(self, useful: int) -> list[int]:
+        """Return up to CHUNKS_OFFERED chunks of `useful` that the fewest known VMs have."""
+        # Bit-parallel counting: levels[k] holds the chunks that at least k+1 peers have.
+        levels: list[int] = []
+        for peer in self.peers.values():
+            carry = peer.held & useful
+            for position in range(len(levels)):
+                levels[position], carry = levels[position] | carry, levels[position] & carry
+                if not carry:
+                    break
+            if carry and len(levels) < 8:
+                levels.append(carry)
+        chosen: list[int] = []
+        rest = useful
+        for level in levels[1:] + [0]:
+            few = bits(rest & ~level)
+            self.rng.shuffle(few)
+            chosen.extend(few[: CHUNKS_OFFERED - len(chosen)])
+            rest &= level
+            if len(chosen) >= CHUNKS_OFFERED:
+                break
+        return chosen
+
+    def askable(self, now: float) -> list[PeerState]:
+        """Return the peers that may be asked now, nearest first, in random order otherwise."""
+        found = [peer for peer in self.peers.values() if peer.not_before <= now and peer.asked == 0]
+        self.rng.shuffle(found)
+        found.sort(key=lambda peer: peer.distance)
+        return found
+
+
+Maker = type[FetchPlan]
+POLICIES: registry.Registry[Maker] = registry.Registry("fetch policy")
+
+
+@POLICIES.add("spread")
+class Spread(FetchPlan):
+    """Each chunk is read from the origin by one VM, its owner; the rest passes between VMs.
+
+    The owner is first in rendezvous order among the live participants. If a chunk is nowhere to be
+    had for `ORIGIN_GRACE_S`, the next in order reads it.
+    """
+
+    owned = 0
+
+    def on_participants(self) -> None:
+        """Find the chunks that this VM reads from the origin."""
+        live = [name for name in self.participants if name == self.me or name in self.peers]
+        self.owned = 0
+        for index in range(self.chunk_count):
+            best = max(live, key=lambda name: weight(name, self.manifest, index))
+            if best == self.me:
+                self.owned |= 1 << index
+
+    def next_action(self, now: float) -> Action | None:
+        """Read what is owned, else ask the nearest peer for what is rarest."""
+        needed = self.needed()
+        if not needed:
+            return None
+        known = 0
+        for peer in self.peers.values():
+            known |= peer.held
+        own = needed & self.owned & ~known
+        if own and self.may_read_origin(now):
+            return FromOrigin(self.rng.choice(bits(own)))
+        for peer in self.askable(now):
+            action = self.ask(peer, now)
+            if action is not None:
+                return action
+        probe = self.probe(needed, now)
+        if probe is not None:
+            return probe
+        return self.rescue(needed & ~known, now)
+
+    def probe(self, needed: int, now: float) -> FromPeer | None:
+        """Ask a peer of which nothing new is known for a part of what is needed."""
+        for peer in self.askable(now):
+            if now - peer.heard_at > STALE_AFTER_S:
+                indices = bits(needed)
+                part = self.rng.sample(indices, max(1, len(indices) // 4))
+                return FromPeer(peer.name, sum(1 << index for index in part))
+        return None
+
+    def rescue(self, missing: int, now: float) -> FromOrigin | None:
+        """Read a chunk whose owner does not deliver, in rendezvous order of the others."""
+        if not missing or not self.may_read_origin(now):
+            return None
+        waited = now - self.last_news_at
+        if waited < ORIGIN_GRACE_S:
+            return None
+        index = bits(missing)[0]
+        order = sorted(
+            self.participants,
+            key=lambda name: weight(name, self.manifest, index),
+            reverse=True,
+        )
+        rank = order.index(self.me)
+        if waited < ORIGIN_GRACE_S * max(1, rank):
+            return None
+        return FromOrigin(index)
+
+
+@POLICIES.add("tree")
+class Tree(FetchPlan):
+    """A binary tree over the participants: the root reads all, each VM asks only its parent.
+
+    A simple baseline; while the parent is lost, its parent is asked.
+    """
+
+    def parent(self) -> str:
+        """Return the nearest live VM above this one, or an empty string at the top."""
+        position = self.participants.index(self.me)
+        while position > 0:
+            position = (position - 1) // 2
+            if self.participants[position] in self.peers:
+                return self.participants[position]
+        return ""
+
+    def next_action(self, now: float) -> Action | None:
+        """Ask the parent, or the origin at the top."""
+        needed = self.needed()
+        if not needed:
+            return None
+        name = self.parent()
+        if not name:
+            if not self.may_read_origin(now):
+                return None
+            return FromOrigin(bits(needed)[0])
+        peer = self.peers[name]
+        if peer.not_before > now or peer.asked:
+            return None
+        return FromPeer(name, needed)
+
+
+@POLICIES.add("origin_only")
+class OriginOnly(FetchPlan):
+    """Every VM reads everything from the origin; a baseline that its link can't carry."""
+
+    def next_action(self, now: float) -> Action | None:
+        """Read the next chunk from the origin."""
+        needed = self.needed()
+        if not needed or not self.may_read_origin(now):
+            return None
+        return FromOrigin(bits(needed)[0])
--- /dev/null
+++ b/src/merlinthread/coordination/placement.py
@@ -0,0 +1,92 @@
+"""Which VMs hold which models: shares of each zone's engines, changed in few moves."""
+
+import dataclasses
+
+from merlinthread.coordination import agents, bundles
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Changes to make, by agent, and why."""
+
+    changes: dict[str, list[str]]
+    reason: str
+
+
+def wanted_counts(models: list[bundles.Model], engines: int) -> dict[str, int]:
+    """Return how many of a zone's `engines` each model gets.
+
+    Shares are rounded by largest remainder; each model gets `replicas_min` while engines last.
+    Engines beyond the shares' sum stay with whoever has them.
+    """
+    exact = {model.name: model.share_percent * engines / 100 for model in models}
+    counts = {name: int(value) for name, value in exact.items()}
+    budget = min(engines, round(sum(exact.values())))
+    by_remainder = sorted(models, key=lambda m: (counts[m.name] - exact[m.name], m.name))
+    for model in by_remainder:
+        if sum(counts.values()) < budget:
+            counts[model.name] += 1
+    for model in models:
+        raise_to_minimum(model, models, counts, engines)
+    return counts
+
+
+def raise_to_minimum(
+    model: bundles.Model, models: list[bundles.Model], counts: dict[str, int], engines: int
+) -> None:
+    """Give `model` its minimum from free engines, then from the models furthest over theirs."""
+    minimum = {m.name: m.replicas_min for m in models}
+    while counts[model.name] < model.replicas_min:
+        if sum(counts.values()) < engines:
+            counts[model.name] += 1
+            continue
+        donor = max(counts, key=lambda name: (counts[name] - minimum[name], name))
+        if donor == model.name or counts[donor] <= max(1, minimum[donor]):
+            return
+        counts[donor] -= 1
+        counts[model.name] += 1
+
+
+def plan_zone(
+    models: list[bundles.Model], names: list[str], present: dict[str, list[str]]
+) -> dict[str, list[str]]:
+    """Return the changes for one zone's engines `names`: keep what fits, move the fewest."""
+    counts = wanted_counts(models, len(names))
+    free: list[str] = []
+    for name in sorted(names):
+        held = present.get(name, [])
+        if len(held) == 1 and counts.get(held[0], 0) > 0:
+            counts[held[0]] -= 1
+        else:
+            free.append(name)
+    changes = {}
+    for name in free:
+        model = max(counts, key=lambda m: (counts[m], m), default="")
+        if not model or counts[model] <= 0:
+            break
+        counts[model] -= 1
+        changes[name] = [model]
+    return changes
+
+
+def plan(
+    bundle: bundles.Bundle, live: list[agents.AgentReport], present: dict[str, list[str]]
+) -> Plan:
+    """Return what to change so that every zone's live engines follow the bundle's shares.
+
+    VMs that are not live keep their models in the placement until another takes over: a zone that
+    is cut off goes on as it was.
+    """
+    zones: dict[str, list[str]] = {}
+    for report in live:
+        if report.kind == bundles.GENERATE and not report.is_leaving:
+            zones.setdefault(report.availability_zone, []).append(report.name)
+    changes: dict[str, list[str]] = {}
+    for names in zones.values():
+        changes.update(plan_zone(bundle.models, names, present))
+    known = {model.name for model in bundle.models}
+    for name, held in present.items():
+        if name not in changes and any(model not in known for model in held):
+            changes[name] = []
+    reason = f"{len(changes)} of {sum(len(names) for names in zones.values())} engines change"
+    return Plan(changes, reason)
--- /dev/null
+++ b/src/merlinthread/coordination/uploads.py
@@ -0,0 +1,49 @@
+"""Which chunk a VM gives to one that asks, and how fast: few uploads at once, on a paced link."""
+
+import dataclasses
+
+from merlinthread.coordination import fetch
+
+
+class UploadSlots:
+    """Bounds how many uploads run at once and gives out the chunk it gave least often so far."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.busy = 0
+        self.sent: dict[tuple[str, int], int] = {}
+
+    def take(self) -> bool:
+        """Take a slot; return whether there was one."""
+        if self.busy >= self.slots:
+            return False
+        self.busy += 1
+        return True
+
+    def release(self) -> None:
+        """Give a slot back."""
+        self.busy -= 1
+
+    def choose(self, manifest: str, offered: int) -> int:
+        """Return the chunk of `offered` that was sent least often, and count it."""
+        index = min(fetch.bits(offered), key=lambda i: self.sent.get((manifest, i), 0))
+        self.sent[(manifest, index)] = self.sent.get((manifest, index), 0) + 1
+        return index
+
+    def forget(self, manifest: str) -> None:
+        """Drop the counts of a manifest."""
+        self.sent = {key: count for key, count in self.sent.items() if key[0] != manifest}
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """A link's share: `reserve` says when a transfer may start so that the rate holds."""
+
+    bytes_per_s: float
+    free_at: float = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Return when the link is through with `size` more bytes."""
+        start = max(self.free_at, now)
+        self.free_at = start + size / self.bytes_per_s
+        return self.free_at
--- /dev/null
+++ b/src/merlinthread/metrics.py
@@ -0,0 +1,62 @@
+"""The Prometheus metrics of every role; `/metrics` gives them out."""
+
+import prometheus_client
+
+requests_total = prometheus_client.Counter(
+    "merlinthread_requests_total", "Requests answered by this entry.", ["kind", "outcome"]
+)
+request_seconds = prometheus_client.Histogram(
+    "merlinthread_request_seconds",
+    "Time from a request's arrival to the last byte of its answer.",
+    ["kind"],
+)
+first_token_seconds = prometheus_client.Histogram(
+    "merlinthread_first_token_seconds",
+    "Time from a request's arrival to the first byte of its answer.",
+)
+attempts_total = prometheus_client.Counter(
+    "merlinthread_attempts_total", "Attempts on targets by outcome.", ["outcome"]
+)
+late_answers_total = prometheus_client.Counter(
+    "merlinthread_late_answers_total", "Answers that belonged to no waiting attempt; dropped."
+)
+in_flight = prometheus_client.Gauge(
+    "merlinthread_requests_in_flight", "Requests that this process is working on."
+)
+queue_length = prometheus_client.Gauge(
+    "merlinthread_queue_length", "Requests that wait in this agent's fair queue."
+)
+generation = prometheus_client.Gauge(
+    "merlinthread_generation", "Generation of the bundle that this process enforces."
+)
+revision = prometheus_client.Gauge(
+    "merlinthread_revision", "Log index of the control state that this process enforces."
+)
+is_leader = prometheus_client.Gauge(
+    "merlinthread_control_is_leader", "1 if this control VM leads, else 0."
+)
+commands_total = prometheus_client.Counter(
+    "merlinthread_control_commands_total", "Commands applied, by kind.", ["kind"]
+)
+data_folder_bytes = prometheus_client.Gauge(
+    "merlinthread_control_data_folder_bytes", "Bytes of the live files in the data folder."
+)
+chunk_bytes_total = prometheus_client.Counter(
+    "merlinthread_chunk_bytes_total", "Bytes of chunks received, by source.", ["source"]
+)
+chunk_failures_total = prometheus_client.Counter(
+    "merlinthread_chunk_failures_total", "Chunks that were wrong or did not come.", ["reason"]
+)
+chunk_bytes_sent_total = prometheus_client.Counter(
+    "merlinthread_chunk_bytes_sent_total", "Bytes of chunks given to other agents."
+)
+orders_total = prometheus_client.Counter(
+    "merlinthread_orders_total",
+    "Orders to the target, by action and outcome.",
+    ["action", "outcome"],
+)
+
+
+def expose() -> bytes:
+    """Return all metrics in Prometheus' text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/src/merlinthread/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, their codec, the formats at the border, and answers to errors."""
--- /dev/null
+++ b/src/merlinthread/protocol/answers.py
@@ -0,0 +1,103 @@
+"""The table from error kind to answer: HTTP status, whether it ran, retry advice, exit code."""
+
+import dataclasses
+import math
+
+import msgspec
+
+from merlinthread import errors
+
+NO = "no"
+YES = "yes"
+UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """How one kind of error is told.
+
+    `ran` says whether the request or command took effect; `retry_after_s` is None where the same
+    call can't succeed later; `exit_code` is the command line's.
+    """
+
+    status: int
+    ran: str
+    retry_after_s: float | None
+    exit_code: int
+
+
+K = errors.ErrorKind
+TABLE: dict[errors.ErrorKind, Answer] = {
+    K.BAD_SETTINGS: Answer(500, NO, None, 2),
+    K.BAD_BUNDLE: Answer(400, NO, None, 3),
+    K.BAD_REQUEST: Answer(400, NO, None, 2),
+    K.BAD_SIGNATURE: Answer(403, NO, None, 4),
+    K.UNAUTHORISED: Answer(401, NO, None, 4),
+    K.TOO_LARGE: Answer(413, NO, None, 2),
+    K.UNKNOWN_VERSION: Answer(404, NO, None, 5),
+    K.UNKNOWN_MODEL: Answer(404, NO, None, 5),
+    K.UNKNOWN_ACCOUNT: Answer(403, NO, None, 4),
+    K.VERSION_CONFLICT: Answer(409, NO, None, 6),
+    K.NOT_SIGNED: Answer(409, NO, None, 7),
+    K.NOT_LEADER: Answer(503, NO, 0.5, 8),
+    K.NO_MAJORITY: Answer(503, NO, 2.0, 8),
+    K.MEMBERSHIP_CHANGE_REFUSED: Answer(409, NO, 1.0, 9),
+    K.NOT_RUN: Answer(503, NO, 1.0, 8),
+    K.OVERLOADED: Answer(429, NO, 1.0, 8),
+    K.NO_TARGET: Answer(503, NO, 1.0, 8),
+    K.LEAVING: Answer(503, NO, 1.0, 8),
+    K.DEADLINE_EXCEEDED: Answer(504, UNKNOWN, None, 10),
+    K.OUTCOME_UNKNOWN: Answer(502, UNKNOWN, None, 10),
+    K.KEY_REQUIRED: Answer(400, NO, None, 2),
+    K.KEY_CONFLICT: Answer(409, NO, None, 6),
+    K.KEY_EXPIRED: Answer(410, UNKNOWN, None, 10),
+    K.STREAM_BROKEN: Answer(502, YES, 1.0, 10),
+    K.ORIGIN_CHANGED: Answer(409, NO, None, 11),
+    K.CHUNK_CORRUPT: Answer(502, NO, 1.0, 11),
+    K.UNREACHABLE: Answer(503, UNKNOWN, 1.0, 8),
+    K.FENCED: Answer(409, NO, None, 12),
+    K.LOG_DAMAGED: Answer(500, NO, None, 13),
+    K.FOLDER_IN_USE: Answer(500, NO, None, 13),
+    K.DISK_FULL: Answer(507, NO, 10.0, 13),
+    K.INTERNAL: Answer(500, UNKNOWN, None, 1),
+}
+
+
+@dataclasses.dataclass(slots=True)
+class ErrorBody:
+    """The JSON body of every refusal."""
+
+    error: str
+    message: str
+    ran: str
+    field: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+
+
+def body_of(error: errors.MerlinthreadError) -> ErrorBody:
+    """Return the body that tells `error`."""
+    answer = TABLE[error.kind]
+    advice = error.retry_after_s if error.retry_after_s is not None else answer.retry_after_s
+    return ErrorBody(str(error.kind), error.message, answer.ran, error.field, advice)
+
+
+def headers_of(body: ErrorBody) -> dict[str, str]:
+    """Return the HTTP headers of a refusal; Retry-After is in whole seconds (RFC 9110)."""
+    if body.retry_after_s is None:
+        return {}
+    return {"Retry-After": str(max(1, math.ceil(body.retry_after_s)))}
+
+
+def error_from(data: bytes, status: int) -> errors.MerlinthreadError:
+    """Return the error that a refusal's body tells; an unreadable one is an unknown outcome."""
+    try:
+        body = msgspec.json.decode(data, type=ErrorBody)
+        kind = errors.ErrorKind(body.error)
+    except (msgspec.DecodeError, ValueError):
+        return errors.MerlinthreadError(
+            f"HTTP {status} without a body that can be read", kind=errors.ErrorKind.OUTCOME_UNKNOWN
+        )
+    return errors.MerlinthreadError(
+        body.message, kind=kind, field=body.field, retry_after_s=body.retry_after_s
+    )
--- /dev/null
+++ b/src/merlinthread/protocol/codec.py
@@ -0,0 +1,96 @@
+"""Bytes of the messages between our own processes: MessagePack behind a keyed checksum.
+
+A frame is an 8-byte key name, a 16-byte BLAKE3 keyed hash of the rest, and the MessagePack pair
+(message name, message). Without keys the two first parts are zeros and are not looked at.
+"""
+
+import dataclasses
+import hmac
+from typing import Any
+
+import blake3
+import msgspec
+
+from merlinthread import errors, registry
+
+KEY_NAME_BYTES = 8
+TAG_BYTES = 16
+KEY_BYTES = 32
+
+
+@dataclasses.dataclass(slots=True)
+class Key:
+    """A shared secret of 32 bytes; its name is derived from it."""
+
+    secret: bytes
+
+    def name(self) -> bytes:
+        """Return the name that frames carry."""
+        return blake3.blake3(self.secret).digest(KEY_NAME_BYTES)
+
+    def tag(self, body: bytes) -> bytes:
+        """Return the keyed hash of `body`."""
+        return blake3.blake3(body, key=self.secret).digest(TAG_BYTES)
+
+
+class Codec:
+    """Encode and decode messages of the given registries.
+
+    The first key signs, every key verifies: to rotate, add the new key last everywhere, then put it
+    first everywhere, then take the old one out.
+    """
+
+    def __init__(self, registries: list[registry.Registry[type]], keys: list[Key]) -> None:
+        self.types: dict[str, type] = {}
+        for entries in registries:
+            self.types.update(entries.entries)
+        self.names = {kind: name for name, kind in self.types.items()}
+        self.decoders = {name: msgspec.msgpack.Decoder(kind) for name, kind in self.types.items()}
+        self.pair = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+        self.set_keys(keys)
+
+    def set_keys(self, keys: list[Key]) -> None:
+        """Replace the keys; may be called at any time."""
+        self.keys = {key.name(): key for key in keys}
+        self.signer = keys[0] if keys else None
+
+    def encode(self, message: Any) -> bytes:
+        """Return the frame of `message`."""
+        body = msgspec.msgpack.encode((self.names[type(message)], message))
+        if self.signer is None:
+            return bytes(KEY_NAME_BYTES + TAG_BYTES) + body
+        return self.signer.name() + self.signer.tag(body) + body
+
+    def decode(self, frame: bytes) -> Any:
+        """Return the message in `frame`; raise ProtocolError if it is forged or malformed."""
+        body = frame[KEY_NAME_BYTES + TAG_BYTES :]
+        if self.keys:
+            self.verify(frame, body)
+        try:
+            name, raw = self.pair.decode(body)
+            return self.decoders[name].decode(raw)
+        except (msgspec.DecodeError, KeyError, RecursionError) as error:
+            raise errors.ProtocolError(f"a message of {len(frame)} bytes does not decode: {error}")
+
+    def verify(self, frame: bytes, body: bytes) -> None:
+        """Raise ProtocolError unless the frame's tag was made with one of the keys."""
+        key = self.keys.get(frame[:KEY_NAME_BYTES])
+        if key is None:
+            raise errors.ProtocolError(
+                "a message is signed with a key that is not in mesh_keys",
+                kind=errors.ErrorKind.UNAUTHORISED,
+            )
+        tag = frame[KEY_NAME_BYTES : KEY_NAME_BYTES + TAG_BYTES]
+        if not hmac.compare_digest(tag, key.tag(body)):
+            raise errors.ProtocolError(
+                "a message's checksum is wrong: it was changed on its way",
+                kind=errors.ErrorKind.UNAUTHORISED,
+            )
+
+
+def key_from_hex(text: str) -> Key:
+    """Return the key written as 64 hex digits; raise ValueError otherwise."""
+    secret = bytes.fromhex(text)
+    if len(secret) != KEY_BYTES:
+        raise ValueError(f"a mesh key has {KEY_BYTES} bytes, not {len(secret)}")
+    return Key(secret)
--- /dev/null
+++ b/src/merlinthread/protocol/messages.py
@@ -0,0 +1,174 @@
+"""Messages between our own processes, apart from those of the replicated log."""
+
+import dataclasses
+
+from merlinthread import registry
+from merlinthread.coordination import agents as agents_
+from merlinthread.coordination import control_state, raft
+from merlinthread.protocol import codec
+
+MESSAGES: registry.Registry[type] = registry.Registry("message")
+MESSAGES.add("agent_report")(agents_.AgentReport)
+
+
+@MESSAGES.add("refused")
+@dataclasses.dataclass(slots=True)
+class Refused:
+    """The receiver could not do what was asked; `kind` names an error kind."""
+
+    kind: str
+    message: str
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another agent that fetches or holds some of the same weights."""
+
+    name: str
+    availability_zone: str
+    region: str
+    bus: str
+
+
+@MESSAGES.add("heartbeat")
+@dataclasses.dataclass(slots=True)
+class Heartbeat:
+    """An agent's report to an entry of its zone; `wants_peers` lists manifests it fetches."""
+
+    report: agents_.AgentReport
+    wants_peers: list[str]
+
+
+@MESSAGES.add("heartbeat_reply")
+@dataclasses.dataclass(slots=True)
+class HeartbeatReply:
+    """An entry's answer to a heartbeat; `directive` is there only if the agent's is older.
+
+    For `lease_s` seconds from when the heartbeat was sent, no later incarnation of the agent gives
+    its target orders. `peers` are the live agents that fetch or hold the wanted manifests.
+    """
+
+    entry: str
+    lease_s: float
+    directive: control_state.Directive | None
+    peers: list[Peer]
+
+
+@MESSAGES.add("poll")
+@dataclasses.dataclass(slots=True)
+class Poll:
+    """An entry asks a control VM for news and reports the agents of its zone."""
+
+    entry: str
+    availability_zone: str
+    revision: int
+    agents: list[agents_.AgentReport]
+
+
+@MESSAGES.add("poll_reply")
+@dataclasses.dataclass(slots=True)
+class PollReply:
+    """A control VM's answer; `leader_age_s` says how long ago it heard from the leader."""
+
+    control: str
+    leader: str
+    leader_age_s: float
+    revision: int
+    directive: control_state.Directive | None
+
+
+@MESSAGES.add("exchange")
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One entry tells another what it knows of the agents, and asks for the same."""
+
+    entry: str
+    revision: int
+    agents: list[agents_.AgentReport]
+
+
+@MESSAGES.add("exchange_reply")
+@dataclasses.dataclass(slots=True)
+class ExchangeReply:
+    """The other entry's view."""
+
+    revision: int
+    directive: control_state.Directive | None
+    agents: list[agents_.AgentReport]
+
+
+@MESSAGES.add("reports")
+@dataclasses.dataclass(slots=True)
+class Reports:
+    """A control VM passes on to the leader what entries told it of agents."""
+
+    sender: str
+    agents: list[agents_.AgentReport]
+
+
+@MESSAGES.add("command")
+@dataclasses.dataclass(slots=True)
+class Submit:
+    """An entry asks the leading control VM to commit a claim or its completion."""
+
+    command: bytes
+
+
+@MESSAGES.add("command_answer")
+@dataclasses.dataclass(slots=True)
+class Submitted:
+    """What the committed command led to."""
+
+    answer: control_state.Answer
+
+
+@MESSAGES.add("manifest_wanted")
+@dataclasses.dataclass(slots=True)
+class ManifestWanted:
+    """An agent asks another for a manifest."""
+
+    digest: str
+
+
+@MESSAGES.add("manifest")
+@dataclasses.dataclass(slots=True)
+class ManifestFound:
+    """The manifest's bytes; empty if it is not here."""
+
+    data: bytes
+
+
+@MESSAGES.add("chunk_wanted")
+@dataclasses.dataclass(slots=True)
+class ChunkWanted:
+    """An agent asks another for any one chunk of `wanted` and says what it has itself.
+
+    Both are bit sets over the manifest's chunks, lowest first.
+    """
+
+    agent: str
+    manifest: str
+    wanted: bytes
+    held: bytes
+
+
+@MESSAGES.add("chunk")
+@dataclasses.dataclass(slots=True)
+class ChunkFound:
+    """One chunk; `index` is -1 if none of the wanted ones is here, -2 if all upload slots are busy.
+
+    `held` is a bit set of what the sender has, so that the asker knows whom to ask next.
+    """
+
+    index: int
+    data: bytes
+    held: bytes
+
+
+NOTHING = -1
+BUSY = -2
+
+
+def make_codec(keys: list[codec.Key]) -> codec.Codec:
+    """Return the codec of all messages between our own processes."""
+    return codec.Codec([MESSAGES, raft.MESSAGES, control_state.COMMANDS], keys)
--- /dev/null
+++ b/src/merlinthread/roles/agent.py
@@ -0,0 +1,244 @@
+"""The `agent` role: the small process beside a target."""
+
+import pathlib
+import threading
+
+from merlinthread import errors, logs, metrics
+from merlinthread.coordination import agents, bundles, control_state, switch
+from merlinthread.protocol import messages
+from merlinthread.roles import base, target, weights
+from merlinthread.state import chunks, manifests
+from merlinthread.transport import bus, http_server
+
+CALL_TIMEOUT_S = 0.5
+SWITCH_EVERY_S = 0.1
+STATUS_EVERY_S = 0.25
+REFUSED_WAIT_S = 1.0
+
+
+@base.ROLES.add("agent")
+class AgentRole(base.Role):
+    """An agent: heartbeats, weights, orders and requests of one target."""
+
+    def __init__(self, parts: base.Parts) -> None:
+        super().__init__(parts)
+        config = parts.settings.agent
+        assert config is not None
+        self.config = config
+        self.incarnation = int(parts.wall_clock() * 1000)
+        self.lock = threading.Lock()
+        self.counter = 0
+        self.directive = control_state.Directive()
+        self.floor = 0
+        self.lease_until = float("-inf")
+        self.orders_from = float("-inf")
+        self.is_replaced = False
+        self.trouble = ""
+        self.tried_at = float("-inf")
+        folder = pathlib.Path(config.store_folder) if config.store_folder else None
+        self.weights = weights.Weights(parts, config, chunks.ChunkStore(folder, config.store_bytes))
+        self.target = target.Target(parts, config, self.incarnation)
+        self.responder = bus.Responder(
+            parts.settings.bus,
+            parts.codec,
+            self.weights.handle,
+            workers=config.upload_slots + 2,
+        )
+        self.callers = {address: bus.Callers(parts.codec) for address in config.entries}
+        self.peers: dict[str, list[messages.Peer]] = {}
+        self.beats = [self.make_beat(address) for address in config.entries]
+        self.tasks = [
+            base.Task("status", STATUS_EVERY_S, self.target.refresh),
+            base.Task("switch", SWITCH_EVERY_S, self.change),
+        ]
+        parts.http.routes.add("GET", "/weights/", self.give_weights)
+        for method in ("GET", "POST"):
+            parts.http.routes.add(method, "/target/", self.target.on_request)
+
+    def make_beat(self, address: str) -> base.Task:
+        """Return the task that reports to one entry."""
+        return base.Task(
+            f"heartbeat {address}", self.config.heartbeat_every_s, lambda: self.beat(address)
+        )
+
+    def start(self) -> None:
+        """Learn what the target has obeyed so far, then start the tasks."""
+        self.target.refresh()
+        self.floor = self.target.fence.generation
+        if self.target.fence.epoch >= self.incarnation:
+            self.incarnation = self.target.fence.epoch + 1
+            self.target.incarnation = self.incarnation
+        self.responder.start()
+        self.weights.start()
+        for task in self.tasks + self.beats:
+            task.start()
+
+    # Heartbeats
+
+    def report(self) -> agents.AgentReport:
+        """Return this agent's report."""
+        line = self.target.line.queue
+        with self.lock:
+            self.counter += 1
+            counter = self.counter
+        own = self.parts.settings
+        return agents.AgentReport(
+            own.name,
+            self.incarnation,
+            counter,
+            own.availability_zone,
+            own.region,
+            own.bus,
+            f"http://{own.http.address}:{own.http.port}",
+            self.config.target_kind,
+            self.config.service,
+            dict(self.target.serving) if self.target.is_reached else {},
+            self.weights.progress(),
+            len(line.running),
+            line.count_waiting(),
+            line.waiting_tokens,
+            self.config.slots,
+            self.directive.revision,
+            self.directive.generation,
+            self.is_leaving(),
+            self.trouble or self.weights.trouble(),
+        )
+
+    def is_leaving(self) -> bool:
+        """Return whether the target takes no new work."""
+        return self.parts.in_flight.is_leaving or self.target.is_leaving or self.is_replaced
+
+    def beat(self, address: str) -> None:
+        """Report to one entry and take over what it says."""
+        sent_at = self.parts.clock()
+        heartbeat = messages.Heartbeat(self.report(), self.weights.unfinished())
+        try:
+            reply = self.callers[address].call(address, heartbeat, CALL_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            if error.kind == errors.ErrorKind.FENCED:
+                self.note_replaced(error.message)
+            logs.detail("entry_unreached", address=address, reason=error.message)
+            self.peers.pop(address, None)
+            return
+        if self.orders_from == float("-inf"):
+            # A target that checks no fences: wait until the agent before has lost its lease.
+            wait = 0.0 if self.config.checks_fences else reply.lease_s
+            self.orders_from = self.parts.clock() + wait
+        self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
+        self.adopt(reply.directive, reply.entry)
+        self.peers[address] = reply.peers
+        found = {peer.name: peer for peers in list(self.peers.values()) for peer in peers}
+        self.weights.set_peers(list(found.values()))
+
+    def note_replaced(self, reason: str) -> None:
+        """Take no more work and give no more orders: a later agent has this target."""
+        if not self.is_replaced:
+            logs.warn("replaced", reason=reason)
+        self.is_replaced = True
+
+    def adopt(self, directive: control_state.Directive | None, source: str) -> None:
+        """Take over a newer directive; never one below what the target has obeyed."""
+        with self.lock:
+            if directive is None or directive.revision <= self.directive.revision:
+                return
+            if directive.generation < max(self.floor, self.directive.generation):
+                logs.warn("directive_too_old", generation=directive.generation, floor=self.floor)
+                return
+            self.directive = directive
+        self.trouble = ""
+        self.weights.clear_trouble()
+        self.target.apply_shares(directive)
+        metrics.revision.set(directive.revision)
+        metrics.generation.set(directive.generation)
+        self.weights.want(self.participants(directive))
+        logs.event(
+            "directive_adopted",
+            revision=directive.revision,
+            generation=directive.generation,
+            source=source,
+            assigned=directive.placement.get(self.parts.settings.name, []),
+        )
+        self.beat_now()
+
+    def beat_now(self) -> None:
+        """Report without waiting for the next period."""
+        for task in self.beats:
+            task.wake.set()
+
+    def participants(self, directive: control_state.Directive) -> dict[str, list[str]]:
+        """Return the manifests wanted here, each with the VMs that should hold it."""
+        if self.config.target_kind == bundles.SERVICE:
+            return {}
+        own = switch.wanted_of(directive, self.parts.settings.name)
+        found: dict[str, list[str]] = {item.manifest: [] for item in own}
+        for name in directive.placement:
+            for item in switch.wanted_of(directive, name):
+                if item.manifest in found:
+                    found[item.manifest].append(name)
+        return found
+
+    # Orders
+
+    def change(self) -> None:
+        """Give the engine the next order that is due, under the lease."""
+        if self.config.target_kind == bundles.SERVICE or not self.target.is_reached:
+            return
+        now = self.parts.clock()
+        if now < self.orders_from or now >= self.lease_until or self.is_replaced:
+            return
+        if self.trouble and now < self.tried_at + REFUSED_WAIT_S:
+            return
+        directive = self.directive
+        wanted = switch.wanted_of(directive, self.parts.settings.name)
+        step = switch.next_step(
+            wanted, self.target.serving, self.weights.complete(), bool(directive.paused)
+        )
+        if step is None or directive.bundle is None:
+            return
+        self.tried_at = now
+        self.give(step, directive)
+
+    def give(self, step: switch.Step, directive: control_state.Directive) -> None:
+        """Give one order and note what came of it."""
+        layout = None
+        if isinstance(step, switch.Load):
+            layout = manifests.to_layout(self.weights.manifests[step.item.manifest])
+        try:
+            self.target.order(step, directive.generation, layout)
+            self.trouble = ""
+        except errors.MerlinthreadError as error:
+            logs.warn("order_failed", kind=str(error.kind), reason=error.message)
+            if error.kind == errors.ErrorKind.FENCED:
+                self.note_replaced(error.message)
+            elif not isinstance(error, errors.UnreachableError):
+                self.trouble = f"load refused: {error.message}"
+        self.target.refresh()
+        self.beat_now()
+
+    def give_weights(self, request: http_server.Request) -> http_server.Response:
+        """Give a whole manifest's bytes to the engine."""
+        pieces = self.weights.read_all(request.rest)
+        return http_server.Response(200, pieces, content_type="application/octet-stream")
+
+    # Life
+
+    def not_ready_because(self) -> str:
+        """Return why no requests come here, or nothing."""
+        if self.is_leaving():
+            return "leaving"
+        if not self.target.is_reached:
+            return f"the target at {self.config.target_url} does not answer"
+        return "" if self.target.serving else "the target serves nothing yet"
+
+    def begin_leaving(self) -> None:
+        """Tell the entries at once."""
+        self.beat_now()
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        for task in self.beats + self.tasks:
+            task.stop()
+        self.weights.stop()
+        self.responder.stop()
+        for callers in self.callers.values():
+            callers.close()
--- /dev/null
+++ b/src/merlinthread/roles/base.py
@@ -0,0 +1,87 @@
+"""What every role offers the composition root, and the registry of roles."""
+
+import dataclasses
+import threading
+import time
+from collections.abc import Callable
+
+from merlinthread import logs, registry, settings
+from merlinthread.protocol import codec
+from merlinthread.transport import http_server
+
+Clock = Callable[[], float]
+
+
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """What the composition root gives each role."""
+
+    settings: settings.Settings
+    codec: codec.Codec
+    http: http_server.Server
+    in_flight: http_server.InFlight
+    clock: Clock = time.monotonic
+    wall_clock: Clock = time.time
+
+
+class Role:
+    """One role of the daemon."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+
+    def start(self) -> None:
+        """Start the role's tasks; raise MerlinthreadError if it can't run."""
+
+    def not_ready_because(self) -> str:
+        """Return why the role can't serve yet, or an empty string."""
+        return ""
+
+    def broken_because(self) -> str:
+        """Return why the process must end, or an empty string."""
+        return ""
+
+    def begin_leaving(self) -> None:
+        """Tell others that this VM leaves; requests in progress go on."""
+
+    def stop(self) -> None:
+        """Stop the role's tasks; nothing is in progress any more."""
+
+    def reload(self, changed: settings.Settings) -> None:
+        """Take over what may change without a restart."""
+
+
+ROLES: registry.Registry[type[Role]] = registry.Registry("role")
+
+
+class Task:
+    """A thread that calls `work` every `every_s` seconds until stopped."""
+
+    def __init__(self, name: str, every_s: float, work: Callable[[], None]) -> None:
+        self.name = name
+        self.every_s = every_s
+        self.work = work
+        self.stopping = threading.Event()
+        self.wake = threading.Event()
+        self.thread = threading.Thread(target=self.run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def run(self) -> None:
+        """Work at once, then once a period or as soon as `wake` is set."""
+        while not self.stopping.is_set():
+            try:
+                self.work()
+            except Exception:
+                logs.failure("task_failed", task=self.name)
+            self.wake.wait(self.every_s)
+            self.wake.clear()
+
+    def stop(self) -> None:
+        """Ask the thread to end and wait for it."""
+        self.stopping.set()
+        self.wake.set()
+        if self.thread.ident is not None and self.thread is not threading.current_thread():
+            self.thread.join(timeout=10)
--- /dev/null
+++ b/src/merlinthread/roles/control.py
@@ -0,0 +1,494 @@
+"""The `control` role: a member of the replicated log that holds bundles, rolls and claims."""
+
+import dataclasses
+import pathlib
+import queue
+import threading
+from concurrent import futures
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors, logs, metrics
+from merlinthread import settings as settings_
+from merlinthread.coordination import agents, control_state, placement, raft
+from merlinthread.protocol import messages
+from merlinthread.roles import base, operators_api
+from merlinthread.state import folder, journal
+from merlinthread.transport import bus
+
+INBOX_BATCH = 512
+COMPACT_BYTES = 32 * 1024 * 1024
+EXPIRE_EVERY_S = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Proposal:
+    """A command on its way into the log, with the place for its answer."""
+
+    command: control_state.Command
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class VoterChange:
+    """A change of the log's members, with the place for its answer."""
+
+    add: str
+    promote: str
+    remove: str
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """A question about the state that only a leader with a lease may answer."""
+
+    read: Any
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class Standing:
+    """What others in this process may know of the log task; replaced whole, never changed."""
+
+    directive: control_state.Directive
+    leader: str
+    leader_seen_at: float
+    is_settled: bool
+
+
+class LogTask:
+    """The thread that owns the replicated log, its files and the state machine."""
+
+    def __init__(self, parts: base.Parts, config: settings_.Control) -> None:
+        self.parts = parts
+        self.config = config
+        self.name = parts.settings.name
+        self.inbox: queue.SimpleQueue = queue.SimpleQueue()
+        self.folder = folder.DataFolder(pathlib.Path(config.data_folder))
+        self.journal = journal.Journal(self.folder.path)
+        timing = raft.Timing(config.heartbeat_s, config.election_min_s, config.election_max_s)
+        self.raft = raft.Raft(
+            self.name, [peer.name for peer in config.members], self.journal, parts.clock(), timing
+        )
+        self.state = control_state.ControlState()
+        self.applied = 0
+        self.restore(self.journal.snapshot)
+        self.waiting: dict[int, tuple[int, futures.Future]] = {}
+        self.view = agents.AgentView(config.agent_lost_after_s)
+        self.fresh: dict[str, agents.AgentReport] = {}
+        self.senders = {
+            peer.name: bus.Sender(peer.log_bus, parts.codec)
+            for peer in config.members
+            if peer.name != self.name
+        }
+        now = parts.clock()
+        self.place_at = now
+        self.expire_at = now + EXPIRE_EVERY_S
+        self.full_until = float("-inf")
+        self.was_leader = False
+        self.standing = Standing(control_state.Directive(), "", float("-inf"), False)
+        self.publish()
+        self.thread = threading.Thread(target=self.run, name="log", daemon=True)
+        self.stopping = False
+        self.broken = ""
+
+    # The loop
+
+    def run(self) -> None:
+        """Take in messages, decide, make durable, send, apply; end on a broken disk."""
+        try:
+            while not self.stopping:
+                self.turn()
+        except Exception as error:
+            logs.failure("log_task_failed")
+            self.broken = repr(error)
+
+    def turn(self) -> None:
+        """Do one round."""
+        now = self.parts.clock()
+        wait = max(0.0, min(self.raft.next_tick_at(), self.place_at) - now)
+        items = self.receive(wait)
+        now = self.parts.clock()
+        for item in items:
+            self.take(item, now)
+        self.raft.tick(now)
+        self.raft.flush(now)
+        self.settle(now)
+        self.note_leadership()
+        self.lead(now)
+        self.publish()
+
+    def receive(self, wait_s: float) -> list[Any]:
+        """Return what is in the inbox, waiting for the first item."""
+        items: list[Any] = []
+        try:
+            items.append(self.inbox.get(timeout=max(0.0005, wait_s)))
+            while len(items) < INBOX_BATCH:
+                items.append(self.inbox.get_nowait())
+        except queue.Empty:
+            pass
+        return items
+
+    def take(self, item: Any, now: float) -> None:
+        """Handle one item of the inbox."""
+        if isinstance(item, Proposal):
+            self.guarded(item.answer, lambda: self.propose(item.command, item.answer, now))
+        elif isinstance(item, VoterChange):
+            self.guarded(item.answer, lambda: self.change_voters(item, now))
+        elif isinstance(item, Reading):
+            self.guarded(item.answer, lambda: self.read(item, now))
+        elif isinstance(item, messages.Reports):
+            for report in item.agents:
+                self.view.take(report, now)
+        elif isinstance(item, raft.Message):
+            self.raft.step(item, now)
+
+    def guarded(self, answer: futures.Future, work: Any) -> None:
+        """Do `work`, or give its refusal as the answer."""
+        try:
+            work()
+        except errors.MerlinthreadError as error:
+            answer.set_exception(error)
+
+    def propose(self, command: control_state.Command, answer: futures.Future, now: float) -> None:
+        """Put a command into the log; its answer comes when it is applied."""
+        if now < self.full_until:
+            raise errors.DiskFullError(f"{self.folder.path}: no room on the disk; free some space")
+        name = self.parts.codec.names[type(command)]
+        index = self.raft.propose(msgspec.msgpack.encode((name, command)), now)
+        self.waiting[index] = (self.raft.hard_state.term, answer)
+
+    def change_voters(self, change: VoterChange, now: float) -> None:
+        """Put a change of members into the log."""
+        index = self.raft.change_voters(change.add, change.promote, change.remove, now)
+        self.waiting[index] = (self.raft.hard_state.term, change.answer)
+
+    def read(self, reading: Reading, now: float) -> None:
+        """Answer a question if this member surely leads."""
+        if not self.raft.holds_lease(now):
+            raise errors.NotLeaderError(f"{self.name} does not lead", self.raft.leader)
+        reading.answer.set_result(reading.read(self))
+
+    # Durability
+
+    def settle(self, now: float) -> None:
+        """Save, send and apply until nothing is left to do."""
+        while not (ready := self.raft.ready()).is_empty():
+            try:
+                self.save(ready)
+            except errors.DiskFullError as error:
+                self.on_full_disk(error, now)
+                return
+            for receiver, message in ready.messages:
+                if receiver in self.senders:
+                    self.senders[receiver].send(message)
+            for entry in ready.committed:
+                self.apply(entry)
+            self.raft.saved(ready)
+            self.raft.flush(now)
+        if self.is_due_for_compaction() and now >= self.full_until:
+            self.compact(now)
+
+    def save(self, ready: raft.Ready) -> None:
+        """Make `ready` durable."""
+        if ready.snapshot is not None:
+            kept = self.raft.entries[: max(0, self.raft.stable - ready.snapshot.index)]
+            self.journal.compact(ready.snapshot, kept)
+            self.restore(ready.snapshot)
+        if ready.hard_state is not None or ready.entries:
+            self.journal.save(ready.hard_state, ready.entries)
+
+    def on_full_disk(self, error: errors.DiskFullError, now: float) -> None:
+        """Give up leading, refuse what was not accepted, and try again a little later."""
+        logs.warn("disk_full", message=error.message)
+        self.full_until = now + 1.0
+        self.raft.drop_unsaved(now)
+        for index, (_, answer) in list(self.waiting.items()):
+            if index > self.raft.stable:
+                self.waiting.pop(index)
+                answer.set_exception(error)
+
+    def is_due_for_compaction(self) -> bool:
+        """Return whether the log has grown enough for a snapshot."""
+        grown = self.applied - self.journal.snapshot.index
+        if grown >= self.config.compact_after_entries:
+            return True
+        return grown > 0 and self.journal.file.length > COMPACT_BYTES
+
+    def compact(self, now: float) -> None:
+        """Replace the applied part of the log by a snapshot."""
+        encoded = msgspec.msgpack.encode(self.state)
+        snapshot = self.raft.compact(self.applied, encoded)
+        kept = self.raft.entries[: self.raft.stable - snapshot.index]
+        try:
+            self.journal.compact(snapshot, kept)
+        except errors.DiskFullError as error:
+            self.full_until = now + 1.0
+            logs.warn("disk_full", message=error.message)
+            return
+        metrics.data_folder_bytes.set(self.journal.size_bytes())
+        logs.event("compacted", index=snapshot.index, state_bytes=len(encoded))
+
+    def restore(self, snapshot: journal.Snapshot) -> None:
+        """Take the state over from a snapshot."""
+        if snapshot.state:
+            self.state = msgspec.msgpack.decode(snapshot.state, type=control_state.ControlState)
+        self.applied = snapshot.index
+
+    def apply(self, entry: journal.Entry) -> None:
+        """Apply one committed entry and answer whoever waits for it."""
+        result = control_state.Answer(status="changed")
+        if entry.kind == "command":
+            name, raw = self.parts.codec.pair.decode(entry.data)
+            command = self.parts.codec.decoders[name].decode(raw)
+            result = self.state.apply(command, entry.index)
+            metrics.commands_total.labels(name).inc()
+            log_applied(name, command, result, entry.index)
+        self.applied = entry.index
+        term, answer = self.waiting.pop(entry.index, (0, None))
+        if answer is None:
+            return
+        if term == entry.term:
+            answer.set_result(result)
+        else:
+            answer.set_exception(lost_leadership())
+
+    # Leading
+
+    def note_leadership(self) -> None:
+        """Log a change of leader and fail what waits on a lost leadership."""
+        leads = self.raft.is_leader()
+        if leads == self.was_leader:
+            return
+        self.was_leader = leads
+        metrics.is_leader.set(1 if leads else 0)
+        logs.event("leading" if leads else "following", term=self.raft.hard_state.term)
+        if leads:
+            return
+        for index, (_, answer) in list(self.waiting.items()):
+            self.waiting.pop(index)
+            answer.set_exception(lost_leadership())
+
+    def lead(self, now: float) -> None:
+        """Do a leader's regular work; pass reports on to the leader otherwise."""
+        if now < self.place_at:
+            return
+        self.place_at = now + self.config.place_every_s
+        if not self.raft.is_leader():
+            self.pass_reports_on()
+            return
+        self.fresh.clear()
+        if not self.raft.holds_lease(now):
+            return
+        self.place(now)
+        if now >= self.expire_at:
+            self.expire_at = now + EXPIRE_EVERY_S
+            before = self.parts.wall_clock() - self.config.claims_kept_s
+            self.propose(control_state.Expire(before), futures.Future(), now)
+
+    def pass_reports_on(self) -> None:
+        """Send what was heard of agents to the leader."""
+        if self.fresh and self.raft.leader in self.senders:
+            reports = messages.Reports(self.name, list(self.fresh.values()))
+            self.senders[self.raft.leader].send(reports)
+        self.fresh.clear()
+
+    def place(self, now: float) -> None:
+        """Decide which VMs hold which models, and pause a roll that a target refuses."""
+        bundle = self.state.in_force()
+        if bundle is None or self.raft.last_index() > self.applied:
+            return
+        live = self.view.live(now)
+        plan = placement.plan(bundle, live, self.state.placement)
+        if plan.changes:
+            logs.event(
+                "placement_decided",
+                generation=self.state.generation,
+                reason=plan.reason,
+                candidates=len(live),
+                changes=plan.changes,
+            )
+            command = control_state.Place(self.state.generation, plan.changes, plan.reason)
+            self.propose(command, futures.Future(), now)
+            return
+        self.pause_if_troubled(live, now)
+
+    def pause_if_troubled(self, live: list[agents.AgentReport], now: float) -> None:
+        """Pause the roll if an agent of its generation says that it can't go on."""
+        for report in live:
+            is_current = report.generation == self.state.generation
+            if report.trouble and is_current and not self.state.paused:
+                reason = f"{report.name}: {report.trouble}"
+                logs.warn("roll_paused", generation=self.state.generation, reason=reason)
+                command = control_state.Pause(self.state.generation, reason)
+                self.propose(command, futures.Future(), now)
+                return
+
+    # What other threads see
+
+    def publish(self) -> None:
+        """Replace what other threads may read."""
+        old = self.standing
+        directive = old.directive
+        if self.state.revision != directive.revision:
+            directive = self.state.directive()
+            metrics.revision.set(directive.revision)
+            metrics.generation.set(directive.generation)
+        seen_at = self.raft.heard_leader_at
+        if self.raft.is_leader():
+            seen_at = self.raft.lease_until() - self.raft.timing.election_min_s
+        is_settled = self.raft.commit >= self.raft.term_start and bool(self.raft.leader)
+        self.standing = Standing(directive, self.raft.leader, seen_at, is_settled)
+
+    def stop(self) -> None:
+        """End the thread and let the folder go."""
+        self.stopping = True
+        self.inbox.put(None)
+        if self.thread.ident is not None:
+            self.thread.join(timeout=10)
+        for sender in self.senders.values():
+            sender.close()
+        self.journal.close()
+        self.folder.release()
+
+
+def lost_leadership() -> errors.ControlError:
+    """Return the error for a command whose leader lost its place meanwhile."""
+    return errors.ControlError(
+        "the leader changed before the command was committed; send it again with the same "
+        "request id to learn what became of it",
+        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+    )
+
+
+def log_applied(
+    name: str, command: control_state.Command, answer: control_state.Answer, index: int
+) -> None:
+    """Log commands that operators care for; claims are too many."""
+    if name in ("claim", "complete", "expire"):
+        return
+    logs.event(
+        f"applied_{name}",
+        index=index,
+        request_id=getattr(command, "request_id", ""),
+        generation=answer.generation,
+        version=answer.version,
+        error=answer.error,
+    )
+
+
+@base.ROLES.add("control")
+class ControlRole(base.Role):
+    """A control VM: the log task, its mailbox, the bus for entries, the operators' HTTP calls."""
+
+    def __init__(self, parts: base.Parts) -> None:
+        super().__init__(parts)
+        config = parts.settings.control
+        assert config is not None
+        self.config = config
+        self.task = LogTask(parts, config)
+        me = next((peer for peer in config.members if peer.name == parts.settings.name), None)
+        if me is None:
+            raise errors.SettingsError(
+                f"control.members: {parts.settings.name!r} (name) is not among them; add it",
+                field="control.members",
+            )
+        self.mailbox = bus.Mailbox(me.log_bus, parts.codec, self.task.inbox.put)
+        self.responder = bus.Responder(me.bus, parts.codec, self.handle, workers=8)
+        operators_api.add(parts.http.routes, self)
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self.task.thread.start()
+        self.mailbox.start()
+        self.responder.start()
+
+    def handle(self, message: Any) -> Any:
+        """Answer one call of an entry."""
+        if isinstance(message, messages.Poll):
+            return self.on_poll(message)
+        if isinstance(message, messages.Submit):
+            name, raw = self.parts.codec.pair.decode(message.command)
+            command = self.parts.codec.decoders[name].decode(raw)
+            return messages.Submitted(self.submit(command))
+        raise errors.ProtocolError(f"a control VM does not answer {type(message).__name__}")
+
+    def on_poll(self, poll: messages.Poll) -> messages.PollReply:
+        """Answer an entry that asks for news."""
+        if poll.agents:
+            self.task.fresh.update({report.name: report for report in poll.agents})
+            self.task.inbox.put(messages.Reports(poll.entry, poll.agents))
+        standing = self.task.standing
+        directive = standing.directive
+        return messages.PollReply(
+            self.parts.settings.name,
+            standing.leader,
+            min(1e9, max(0.0, self.parts.clock() - standing.leader_seen_at)),
+            directive.revision,
+            directive if directive.revision > poll.revision else None,
+        )
+
+    def submit(self, command: control_state.Command) -> control_state.Answer:
+        """Commit a command and return its answer.
+
+        Raises NotLeaderError elsewhere than on the leader, and ControlError (outcome_unknown) if no
+        majority confirmed it in time.
+        """
+        return self.wait(Proposal(command, futures.Future()))
+
+    def change_voters(self, add: str, promote: str, remove: str) -> control_state.Answer:
+        """Change the log's members; see `raft.Raft.change_voters`."""
+        known = {peer.name for peer in self.config.members}
+        if add and add not in known:
+            raise errors.ControlError(
+                f"{add!r} is not in control.members of {self.parts.settings.name}; add it there "
+                "on every control VM and send SIGHUP first",
+                kind=errors.ErrorKind.MEMBERSHIP_CHANGE_REFUSED,
+            )
+        return self.wait(VoterChange(add, promote, remove, futures.Future()))
+
+    def ask(self, read: Any) -> Any:
+        """Return `read(log task)`, run in its thread, if this member surely leads."""
+        return self.wait(Reading(read, futures.Future()))
+
+    def wait(self, item: Proposal | VoterChange | Reading) -> Any:
+        """Hand `item` to the log task and wait for its answer."""
+        self.task.inbox.put(item)
+        try:
+            return item.answer.result(self.config.commit_timeout_s)
+        except futures.TimeoutError:
+            raise errors.ControlError(
+                f"no majority confirmed it within {self.config.commit_timeout_s} s; send it again "
+                "with the same request id to learn what became of it",
+                kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+            )
+
+    def broken_because(self) -> str:
+        """Return why the log task ended, or nothing."""
+        return self.task.broken
+
+    def not_ready_because(self) -> str:
+        """Return why the log does not go on, or nothing."""
+        age = self.parts.clock() - self.task.standing.leader_seen_at
+        if not self.task.standing.leader or age > 5:
+            return "no leader: a majority of control VMs is not reached"
+        return ""
+
+    def reload(self, changed: settings_.Settings) -> None:
+        """Take over new members and operators."""
+        if changed.control is None:
+            return
+        self.config.operators = changed.control.operators
+        self.config.signatures_required = changed.control.signatures_required
+        self.config.members = changed.control.members
+        for peer in changed.control.members:
+            if peer.name not in self.task.senders and peer.name != self.parts.settings.name:
+                self.task.senders[peer.name] = bus.Sender(peer.log_bus, self.parts.codec)
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        self.responder.stop()
+        self.mailbox.stop()
+        self.task.stop()
--- /dev/null
+++ b/src/merlinthread/roles/entry.py
@@ -0,0 +1,320 @@
+"""The `entry` role: serves callers and looks after the agents of its availability zone."""
+
+import dataclasses
+import queue
+import threading
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors, logs, metrics
+from merlinthread import settings as settings_
+from merlinthread.coordination import agents, control_state, switch
+from merlinthread.protocol import messages
+from merlinthread.roles import base, request_path
+from merlinthread.transport import bus, http_client
+
+LEASE_S = 3.0
+CALL_TIMEOUT_S = 0.5
+STALE_CONTROL_S = 1.5
+PLATFORM_EVERY_S = 0.5
+SETTLE_EVERY_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """What request threads may read: replaced whole, never changed."""
+
+    directive: control_state.Directive
+    live: list[agents.AgentReport]
+    leaving: frozenset[str] = frozenset()
+
+
+class ZoneTask:
+    """Owns what this entry knows of agents and of the bundle in force.
+
+    Its handlers run in the bus's threads under one lock; what request threads read is replaced
+    whole, so they take no lock.
+    """
+
+    def __init__(self, parts: base.Parts, config: settings_.Entry) -> None:
+        self.parts = parts
+        self.name = parts.settings.name
+        self.zone = parts.settings.availability_zone
+        self.lock = threading.Lock()
+        self.view = agents.AgentView(config.agent_lost_after_s)
+        self.directive = control_state.Directive()
+        self.leaving: frozenset[str] = frozenset()
+        self.known = Known(self.directive, [])
+
+    def adopt(self, directive: control_state.Directive | None, source: str) -> None:
+        """Take over a newer directive; an older one is never taken."""
+        if directive is None:
+            return
+        with self.lock:
+            if directive.revision <= self.directive.revision:
+                return
+            self.directive = directive
+            metrics.revision.set(directive.revision)
+            metrics.generation.set(directive.generation)
+            self.publish()
+        logs.event(
+            "directive_adopted",
+            revision=directive.revision,
+            generation=directive.generation,
+            source=source,
+        )
+
+    def take(self, reports: list[agents.AgentReport]) -> None:
+        """Take in reports that other entries passed on."""
+        now = self.parts.clock()
+        with self.lock:
+            for report in reports:
+                self.view.take(report, now)
+            self.publish()
+
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Take over the platform's list of VMs that leave."""
+        with self.lock:
+            self.leaving = names
+            self.publish()
+
+    def refresh(self) -> None:
+        """Drop agents that were not heard of in time."""
+        with self.lock:
+            self.publish()
+
+    def publish(self) -> None:
+        """Replace what request threads read; the caller holds the lock."""
+        live = self.view.live(self.parts.clock())
+        self.known = Known(self.directive, live, self.leaving)
+
+    def reports_to_pass_on(self) -> list[agents.AgentReport]:
+        """Return the reports of this zone's live agents."""
+        return [report for report in self.known.live if report.availability_zone == self.zone]
+
+    def handle(self, message: Any) -> Any:
+        """Answer one call of an agent or of another entry."""
+        if isinstance(message, messages.Heartbeat):
+            return self.on_heartbeat(message)
+        if isinstance(message, messages.Exchange):
+            return self.on_exchange(message)
+        raise errors.ProtocolError(f"an entry does not answer {type(message).__name__}")
+
+    def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
+        """Take an agent's report and tell it what is new."""
+        report = heartbeat.report
+        with self.lock:
+            self.view.check_incarnation(report)
+            self.view.take(report, self.parts.clock())
+            self.publish()
+        directive = self.directive
+        return messages.HeartbeatReply(
+            self.name,
+            LEASE_S,
+            directive if directive.revision > report.revision else None,
+            self.peers_for(heartbeat),
+        )
+
+    def peers_for(self, heartbeat: messages.Heartbeat) -> list[messages.Peer]:
+        """Return the live agents that fetch or hold one of the wanted manifests."""
+        if not heartbeat.wants_peers:
+            return []
+        wanted = set(heartbeat.wants_peers)
+        directive = self.known.directive
+        return [
+            messages.Peer(report.name, report.availability_zone, report.region, report.bus)
+            for report in self.known.live
+            if report.name != heartbeat.report.name and takes_part(directive, report, wanted)
+        ]
+
+    def on_exchange(self, exchange: messages.Exchange) -> messages.ExchangeReply:
+        """Swap views with another entry."""
+        self.take(exchange.agents)
+        directive = self.directive
+        return messages.ExchangeReply(
+            directive.revision,
+            directive if directive.revision > exchange.revision else None,
+            self.reports_to_pass_on(),
+        )
+
+
+def takes_part(
+    directive: control_state.Directive, report: agents.AgentReport, wanted: set[str]
+) -> bool:
+    """Return whether the agent holds or should hold one of the wanted manifests."""
+    if not wanted.isdisjoint(report.fetched):
+        return True
+    items = switch.wanted_of(directive, report.name)
+    return any(item.manifest in wanted for item in items)
+
+
+class ControlLink:
+    """Polls the control VMs for news, and brings commands to the leader."""
+
+    def __init__(self, parts: base.Parts, config: settings_.Entry, zone: ZoneTask) -> None:
+        self.parts = parts
+        self.config = config
+        self.zone = zone
+        self.callers = bus.Callers(parts.codec)
+        self.position = 0
+        self.names: dict[str, str] = {}
+        self.leader = ""
+        self.commands: queue.SimpleQueue = queue.SimpleQueue()
+
+    def poll(self) -> None:
+        """Ask one control VM; turn to the next if it does not answer or has lost its leader."""
+        address = self.config.controls[self.position % len(self.config.controls)]
+        directive = self.zone.known.directive
+        poll = messages.Poll(
+            self.zone.name, self.zone.zone, directive.revision, self.zone.reports_to_pass_on()
+        )
+        try:
+            reply = self.callers.call(address, poll, CALL_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            self.position += 1
+            logs.detail("control_unreached", address=address, reason=error.message)
+            return
+        self.names[reply.control] = address
+        self.leader = reply.leader
+        self.zone.adopt(reply.directive, reply.control)
+        if reply.leader_age_s > STALE_CONTROL_S:
+            self.position += 1
+
+    def addresses(self) -> list[str]:
+        """Return the control VMs' addresses, the leader's first."""
+        first = self.names.get(self.leader)
+        rest = [address for address in self.config.controls if address != first]
+        return ([first] if first else []) + rest
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self.callers.close()
+
+
+class Submitter:
+    """Brings commands to the leading control VM; one per request thread."""
+
+    def __init__(self, parts: base.Parts, link: ControlLink) -> None:
+        self.parts = parts
+        self.link = link
+        self.local = threading.local()
+
+    def submit(self, command: control_state.Command, deadline: float) -> control_state.Answer:
+        """Return the committed command's answer.
+
+        Raises ControlError (no_majority) if no leader took it before `deadline`, and
+        outcome_unknown if one may have.
+        """
+        name = self.parts.codec.names[type(command)]
+        message = messages.Submit(msgspec.msgpack.encode((name, command)))
+        if not hasattr(self.local, "callers"):
+            self.local.callers = bus.Callers(self.parts.codec)
+        may_have_committed = False
+        for address in self.link.addresses():
+            left = deadline - self.parts.clock()
+            if left <= 0:
+                break
+            try:
+                return self.local.callers.call(address, message, min(left, 2.0)).answer
+            except errors.MerlinthreadError as error:
+                if error.kind not in (errors.ErrorKind.NOT_LEADER, errors.ErrorKind.OVERLOADED):
+                    may_have_committed = True
+        if may_have_committed:
+            raise errors.ControlError(
+                "no control VM confirmed the claim", kind=errors.ErrorKind.OUTCOME_UNKNOWN
+            )
+        raise errors.ControlError("no leader among the control VMs is reached")
+
+
+@base.ROLES.add("entry")
+class EntryRole(base.Role):
+    """An entry VM: callers' HTTP, the bus for agents and entries, links to the control VMs."""
+
+    def __init__(self, parts: base.Parts) -> None:
+        super().__init__(parts)
+        config = parts.settings.entry
+        assert config is not None
+        self.config = config
+        self.zone = ZoneTask(parts, config)
+        self.link = ControlLink(parts, config, self.zone)
+        self.responder = bus.Responder(parts.settings.bus, parts.codec, self.zone.handle, workers=4)
+        self.exchange_callers = bus.Callers(parts.codec)
+        self.client = http_client.Client()
+        self.tasks = [
+            base.Task("poll", config.poll_every_s, self.link.poll),
+            base.Task("exchange", config.exchange_every_s, self.exchange),
+            base.Task("refresh", 0.25, self.zone.refresh),
+        ]
+        if config.platform_url:
+            self.tasks.append(base.Task("platform", PLATFORM_EVERY_S, self.read_platform))
+        self.path = request_path.RequestPath(parts, config, self.zone, Submitter(parts, self.link))
+        self.path.add_routes(parts.http.routes)
+        self.tasks.append(base.Task("settle", SETTLE_EVERY_S, self.path.settler.work))
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self.responder.start()
+        for task in self.tasks:
+            task.start()
+
+    def exchange(self) -> None:
+        """Swap views with every other entry that the settings name."""
+        for address in self.config.entries:
+            message = messages.Exchange(
+                self.zone.name,
+                self.zone.known.directive.revision,
+                self.zone.reports_to_pass_on(),
+            )
+            try:
+                reply = self.exchange_callers.call(address, message, CALL_TIMEOUT_S)
+            except errors.MerlinthreadError as error:
+                logs.detail("entry_unreached", address=address, reason=error.message)
+                continue
+            self.zone.adopt(reply.directive, address)
+            self.zone.take(reply.agents)
+
+    def read_platform(self) -> None:
+        """Read the platform's list of VMs for those that leave."""
+        assert self.config.platform_url is not None
+        try:
+            reply = self.client.request("GET", f"{self.config.platform_url}/v1/vms", timeout_s=2.0)
+            listed = msgspec.json.decode(reply.body, type=PlatformList)
+        except (errors.MerlinthreadError, msgspec.DecodeError) as error:
+            logs.detail("platform_unreached", reason=str(error))
+            return
+        leaving = frozenset(vm.name for vm in listed.vms if vm.state == "leaving")
+        if leaving != self.zone.leaving:
+            logs.event("platform_leaving", names=sorted(leaving))
+            self.zone.set_leaving(leaving)
+
+    def not_ready_because(self) -> str:
+        """Return why callers can't be served, or nothing."""
+        if self.parts.in_flight.is_leaving:
+            return "leaving"
+        if self.zone.known.directive.bundle is None:
+            return "no bundle in force is known yet"
+        return ""
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        for task in self.tasks:
+            task.stop()
+        self.responder.stop()
+        self.link.close()
+        self.exchange_callers.close()
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformVm:
+    """A VM in the platform's list; `state` is "live" or "leaving"."""
+
+    name: str
+    state: str
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformList:
+    """The platform's list, which lags."""
+
+    vms: list[PlatformVm]
--- /dev/null
+++ b/src/merlinthread/roles/operators_api.py
@@ -0,0 +1,236 @@
+"""The operators' HTTP calls on a control VM: propose, sign, roll, roll back, and reading."""
+
+import typing
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors
+from merlinthread.coordination import agents, bundles, control_state, switch
+from merlinthread.protocol import bundle_file, operator_calls, signatures
+from merlinthread.transport import http_server
+
+if typing.TYPE_CHECKING:
+    from merlinthread.roles import control
+
+
+class OperatorsApi:
+    """Turns operators' calls into commands for the log."""
+
+    def __init__(self, role: "control.ControlRole") -> None:
+        self.role = role
+
+    def propose(self, request: http_server.Request) -> http_server.Response:
+        """Put a bundle forward."""
+        call = read_body(request, operator_calls.ProposeCall)
+        bundle = bundle_file.from_data(call.bundle, "bundle")
+        return self.commit(
+            control_state.Propose(call.request_id, call.operator, self.now(), bundle)
+        )
+
+    def sign(self, request: http_server.Request) -> http_server.Response:
+        """Add a signature, if it is an operator's and valid."""
+        call = read_body(request, operator_calls.SignCall)
+        known = {operator.name: operator.public_key for operator in self.role.config.operators}
+        if call.operator not in known:
+            raise errors.BundleError(
+                f"operator: {call.operator!r} is not in control.operators of this control VM",
+                kind=errors.ErrorKind.BAD_SIGNATURE,
+                field="operator",
+            )
+        if not signatures.is_valid(known[call.operator], call.signature, call.version, call.digest):
+            raise errors.BundleError(
+                f"signature: it is not {call.operator!r}'s over version {call.version} with digest "
+                f"{call.digest}; sign again with the right key",
+                kind=errors.ErrorKind.BAD_SIGNATURE,
+                field="signature",
+            )
+        return self.commit(
+            control_state.Sign(
+                call.request_id,
+                call.operator,
+                self.now(),
+                call.version,
+                call.digest,
+                call.signature,
+            )
+        )
+
+    def roll(self, request: http_server.Request) -> http_server.Response:
+        """Put a version in force."""
+        call = read_body(request, operator_calls.RollCall)
+        return self.commit(
+            control_state.Roll(
+                call.request_id,
+                call.operator,
+                self.now(),
+                call.version,
+                self.role.config.signatures_required,
+                call.is_back,
+            )
+        )
+
+    def resume(self, request: http_server.Request) -> http_server.Response:
+        """Let a paused roll go on."""
+        call = read_body(request, operator_calls.ResumeCall)
+        return self.commit(control_state.Pause(call.generation, ""))
+
+    def members(self, request: http_server.Request) -> http_server.Response:
+        """Change the log's members."""
+        call = read_body(request, operator_calls.MembersCall)
+        answer = self.role.change_voters(call.add, call.promote, call.remove)
+        return http_server.json_response(to_result(answer))
+
+    def show(self, request: http_server.Request) -> http_server.Response:
+        """Return one bundle whole."""
+        version = int(request.rest) if request.rest.isdigit() else -1
+        return http_server.json_response(
+            self.role.ask(lambda task: show_bundle(task.state, version, self.role))
+        )
+
+    def history(self, request: http_server.Request) -> http_server.Response:
+        """Return all bundles and rolls."""
+        return http_server.json_response(
+            self.role.ask(lambda task: history_of(task.state, self.role))
+        )
+
+    def status(self, request: http_server.Request) -> http_server.Response:
+        """Return what is in force and who enforces it."""
+        return http_server.json_response(self.role.ask(self.status_of))
+
+    def status_of(self, task: Any) -> operator_calls.Status:
+        """Return the status; runs in the log task."""
+        now = self.role.parts.clock()
+        state = task.state
+        raft = task.raft
+        members = []
+        for name in raft.voters.members():
+            progress = raft.progress.get(name)
+            members.append(
+                operator_calls.MemberStatus(
+                    name,
+                    "voter" if name in raft.voters.voters else "learner",
+                    name == raft.name,
+                    0 if progress is None else raft.last_index() - progress.match,
+                )
+            )
+        record = state.records.get(state.version)
+        return operator_calls.Status(
+            raft.name,
+            raft.hard_state.term,
+            state.revision,
+            state.generation,
+            state.version,
+            record.digest if record else "",
+            state.paused,
+            members,
+            [agent_status(state, report) for report in task.view.live(now)],
+            task.journal.size_bytes(),
+        )
+
+    def commit(self, command: control_state.Command) -> http_server.Response:
+        """Commit a command; a refusal that the state machine decided becomes an error answer."""
+        answer = self.role.submit(command)
+        if answer.error:
+            error = errors.ControlError(answer.message, kind=errors.ErrorKind(answer.error))
+            return http_server.error_response(error, answer.digest)
+        return http_server.json_response(to_result(answer))
+
+    def now(self) -> float:
+        """Return the wall clock, for records that operators read."""
+        return self.role.parts.wall_clock()
+
+
+def agent_status(
+    state: control_state.ControlState, report: agents.AgentReport
+) -> operator_calls.AgentStatus:
+    """Return what operators see of one target VM."""
+    wanted = switch.wanted_of(state.directive(), report.name)
+    is_done = report.kind == bundles.SERVICE or report.serving == {
+        item.name: item.manifest for item in wanted
+    }
+    return operator_calls.AgentStatus(
+        report.name,
+        report.availability_zone,
+        report.kind,
+        report.revision,
+        report.generation,
+        state.placement.get(report.name, []),
+        report.serving,
+        is_done,
+        report.is_leaving,
+        report.trouble,
+    )
+
+
+def to_result(answer: control_state.Answer) -> operator_calls.Result:
+    """Return what operators see of an answer."""
+    return operator_calls.Result(
+        answer.status, answer.version, answer.digest, answer.generation, answer.message
+    )
+
+
+def read_body(request: http_server.Request, kind: Any) -> Any:
+    """Return the JSON body as `kind`; raise RequestError naming what is wrong."""
+    try:
+        return msgspec.json.decode(request.body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.RequestError(f"the body is refused: {error}")
+
+
+def show_bundle(
+    state: control_state.ControlState, version: int, role: "control.ControlRole"
+) -> operator_calls.BundleShown:
+    """Return one bundle with its state; raise ControlError if there is none."""
+    record = state.records.get(version)
+    if record is None:
+        raise errors.ControlError(
+            f"no bundle has version {version}", kind=errors.ErrorKind.UNKNOWN_VERSION
+        )
+    return operator_calls.BundleShown(
+        line_of(state, record, role), msgspec.to_builtins(record.bundle)
+    )
+
+
+def line_of(
+    state: control_state.ControlState,
+    record: control_state.BundleRecord,
+    role: "control.ControlRole",
+) -> operator_calls.BundleLine:
+    """Return a bundle's line in the history."""
+    bundle: bundles.Bundle = record.bundle
+    return operator_calls.BundleLine(
+        bundle.version,
+        record.digest,
+        state.status_of(bundle.version, role.config.signatures_required),
+        record.proposed_by,
+        record.proposed_at,
+        sorted(record.signatures),
+        bundle.note,
+    )
+
+
+def history_of(
+    state: control_state.ControlState, role: "control.ControlRole"
+) -> operator_calls.History:
+    """Return all bundles, newest first, and the last rolls."""
+    lines = [line_of(state, record, role) for record in state.records.values()]
+    lines.sort(key=lambda line: -line.version)
+    rolls = [
+        operator_calls.RollLine(r.generation, r.version, r.operator, r.at, r.is_back)
+        for r in reversed(state.rolls[-100:])
+    ]
+    return operator_calls.History(lines, rolls)
+
+
+def add(routes: http_server.Routes, role: "control.ControlRole") -> None:
+    """Add the operators' calls to the listener."""
+    api = OperatorsApi(role)
+    routes.add("POST", "/v1/bundles", api.propose)
+    routes.add("POST", "/v1/signatures", api.sign)
+    routes.add("POST", "/v1/rolls", api.roll)
+    routes.add("POST", "/v1/resume", api.resume)
+    routes.add("POST", "/v1/members", api.members)
+    routes.add("GET", "/v1/bundles/", api.show)
+    routes.add("GET", "/v1/history", api.history)
+    routes.add("GET", "/v1/status", api.status)
--- /dev/null
+++ b/src/merlinthread/roles/target.py
@@ -0,0 +1,379 @@
+"""The target beside an agent: requests in fair order, and fenced orders to the engine."""
+
+import dataclasses
+import threading
+from collections.abc import Iterator
+
+import msgspec
+
+from merlinthread import errors, logs, metrics
+from merlinthread import settings as settings_
+from merlinthread.coordination import bundles, control_state, fair_queue, switch
+from merlinthread.protocol import answers, attempts, engine_calls, events
+from merlinthread.roles import base
+from merlinthread.transport import http_client, http_server
+
+STATUS_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 600.0
+UNLOAD_TIMEOUT_S = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class GenerateCall:
+    """What an agent reads of a completion's body."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    adapter: str = ""
+    resume_from: int = 0
+
+
+class Line:
+    """The fair queue with a place to wait in for each request thread."""
+
+    def __init__(self, slots: int, waiting_max: int, clock: base.Clock) -> None:
+        self.queue = fair_queue.FairQueue(slots, waiting_max)
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.turns: dict[str, threading.Event] = {}
+
+    def enter(self, ticket: fair_queue.Ticket, deadline: float) -> None:
+        """Wait for the engine.
+
+        Raises RequestError: overloaded if the line is full, not_run if the deadline passes first.
+        """
+        turn = threading.Event()
+        with self.lock:
+            self.queue.add(ticket)
+            self.turns[ticket.id] = turn
+            self.call_next()
+        if turn.wait(max(0.0, deadline - self.clock())):
+            return
+        with self.lock:
+            was_waiting = self.queue.cancel(ticket.id)
+            self.turns.pop(ticket.id, None)
+            estimate = self.queue.wait_estimate_s()
+        if was_waiting:
+            raise errors.RequestError(
+                "the deadline passed while the request waited in line; it was not run",
+                kind=errors.ErrorKind.NOT_RUN,
+                retry_after_s=estimate,
+            )
+
+    def call_next(self) -> None:
+        """Let those go who are due; the caller holds the lock."""
+        while (ticket := self.queue.next()) is not None:
+            self.turns.pop(ticket.id).set()
+        metrics.queue_length.set(self.queue.count_waiting())
+
+    def charge(self, ticket_id: str, tokens: float) -> None:
+        """Charge tokens that a running request used."""
+        with self.lock:
+            self.queue.charge(ticket_id, tokens)
+
+    def leave(self, ticket_id: str) -> None:
+        """Give the engine to the next."""
+        with self.lock:
+            self.queue.finish(ticket_id)
+            self.call_next()
+
+    def set_weights(self, weights: dict[str, float]) -> None:
+        """Set the accounts' weights."""
+        with self.lock:
+            self.queue.set_weights(weights)
+
+
+def weights_of(bundle: bundles.Bundle) -> dict[str, float]:
+    """Return each account's weight: its group's share, divided among the group's accounts."""
+    found = {}
+    for group in bundle.groups:
+        for account in group.accounts:
+            found[account] = group.share_percent / len(group.accounts)
+    return found
+
+
+class Target:
+    """One engine or service: what it serves, requests to it, orders to it."""
+
+    def __init__(self, parts: base.Parts, config: settings_.Agent, incarnation: int) -> None:
+        self.parts = parts
+        self.config = config
+        self.incarnation = incarnation
+        self.client = http_client.Client(connections=config.slots + 4)
+        self.line = Line(config.slots, config.queue_max, parts.clock)
+        self.serving: dict[str, str] = {}
+        self.fence = engine_calls.Fence()
+        self.is_reached = False
+        self.is_leaving = False
+
+    # Status
+
+    def refresh(self) -> None:
+        """Ask the target what it serves; what can't be asked counts as serving nothing."""
+        if self.config.target_kind == bundles.SERVICE:
+            self.refresh_service()
+            return
+        try:
+            reply = self.client.request_ok(
+                "GET", f"{self.config.target_url}/v1/status", timeout_s=STATUS_TIMEOUT_S
+            )
+            status = msgspec.json.decode(reply.body, type=engine_calls.EngineStatus)
+        except (errors.MerlinthreadError, msgspec.DecodeError) as error:
+            self.note_unreached(str(error))
+            return
+        self.is_reached = True
+        self.serving = status.models
+        self.fence = status.fence
+        self.is_leaving = status.is_leaving
+
+    def refresh_service(self) -> None:
+        """Ask a plain service whether it is well."""
+        try:
+            self.client.request_ok(
+                "GET", f"{self.config.target_url}/healthz", timeout_s=STATUS_TIMEOUT_S
+            )
+        except errors.MerlinthreadError as error:
+            self.note_unreached(error.message)
+            return
+        self.is_reached = True
+        self.serving = {self.config.service: ""}
+
+    def note_unreached(self, reason: str) -> None:
+        """Note that the target does not answer."""
+        if self.is_reached:
+            logs.warn("target_unreached", reason=reason)
+        self.is_reached = False
+        self.serving = {}
+
+    # Orders
+
+    def order(self, step: switch.Step, generation: int, layout: object) -> None:
+        """Carry out one step at the engine.
+
+        Raises MerlinthreadError (fenced) if a later agent ordered already, and WeightsError if the
+        engine refuses or reports another digest than was ordered.
+        """
+        order = self.order_of(step, generation, layout)
+        outcome = "refused"
+        try:
+            reply = self.client.request_ok(
+                "POST",
+                f"{self.config.target_url}/v1/orders",
+                msgspec.json.encode(order),
+                {"Content-Type": "application/json"},
+                ORDER_TIMEOUT_S,
+            )
+            answer = msgspec.json.decode(reply.body, type=engine_calls.OrderAnswer)
+            if answer.digest != order.manifest:
+                raise errors.WeightsError(
+                    f"the engine reports {answer.digest} for {order.name}, ordered was "
+                    f"{order.manifest}"
+                )
+            outcome = "done"
+        except msgspec.DecodeError as error:
+            raise errors.WeightsError(f"the engine's answer does not decode: {error}")
+        finally:
+            metrics.orders_total.labels(order.action, outcome).inc()
+            logs.event(
+                "ordered",
+                action=order.action,
+                name=order.name,
+                manifest=order.manifest,
+                generation=generation,
+                epoch=self.incarnation,
+                outcome=outcome,
+            )
+
+    def order_of(self, step: switch.Step, generation: int, layout: object) -> engine_calls.Order:
+        """Return the order for a step."""
+        if isinstance(step, switch.Unload):
+            return engine_calls.Order(engine_calls.UNLOAD, step.name, generation, self.incarnation)
+        own = self.parts.settings.http
+        return engine_calls.Order(
+            engine_calls.LOAD,
+            step.item.name,
+            generation,
+            self.incarnation,
+            step.item.version,
+            step.item.manifest,
+            step.item.base,
+            f"http://{own.address}:{own.port}/weights/{step.item.manifest}",
+            layout,
+        )
+
+    # Requests
+
+    def apply_shares(self, directive: control_state.Directive) -> None:
+        """Take over the accounts' weights."""
+        if directive.bundle is not None:
+            self.line.set_weights(weights_of(directive.bundle))
+
+    def admit(self, request: http_server.Request, path: str) -> attempts.Attempt:
+        """Return the attempt; raise RequestError if it is not for this incarnation or not ours."""
+        attempt = attempts.read_attempt(request.headers)
+        attempts.check_tag(self.parts.codec, attempt, path, request.body, request.headers)
+        if attempt.incarnation != self.incarnation:
+            raise errors.RequestError(
+                f"the attempt is for incarnation {attempt.incarnation}, this is {self.incarnation}",
+                kind=errors.ErrorKind.NOT_RUN,
+            )
+        return attempt
+
+    def on_request(self, request: http_server.Request) -> http_server.Response:
+        """Answer one attempt of an entry."""
+        self.parts.in_flight.enter()
+        try:
+            if request.rest == "v1/completions" and self.config.target_kind == bundles.GENERATE:
+                return self.generate(request)
+            return self.call_service(request)
+        except BaseException:
+            self.parts.in_flight.leave()
+            raise
+
+    def generate(self, request: http_server.Request) -> http_server.Response:
+        """Run a completion on the engine and stream its answer."""
+        attempt = self.admit(request, request.path)
+        call = msgspec.json.decode(request.body, type=GenerateCall)
+        self.check_digest(call, attempt)
+        deadline = self.parts.clock() + attempt.deadline_ms / 1000
+        ticket = fair_queue.Ticket(
+            attempt.id,
+            attempt.account,
+            attempt.priority,
+            len(call.prompt.split()),
+            call.max_tokens,
+            self.parts.clock(),
+        )
+        self.line.enter(ticket, deadline)
+        try:
+            stream = self.open_engine(request.body, attempt, deadline)
+        except BaseException:
+            self.line.leave(ticket.id)
+            raise
+        return http_server.Response(
+            200,
+            self.relay(stream, ticket),
+            {
+                attempts.ATTEMPT: attempt.id,
+                attempts.DIGEST: stream.headers.get(attempts.DIGEST, ""),
+            },
+            "text/event-stream",
+        )
+
+    def check_digest(self, call: GenerateCall, attempt: attempts.Attempt) -> None:
+        """Raise RequestError (not_run) if the weights to go on with are not served here."""
+        served = self.serving.get(call.model)
+        if served is None:
+            raise errors.RequestError(
+                f"model {call.model!r} is not served here", kind=errors.ErrorKind.NOT_RUN
+            )
+        if attempt.digest and served != attempt.digest:
+            raise errors.RequestError(
+                f"weights {attempt.digest} of {call.model!r} are not served here any more",
+                kind=errors.ErrorKind.NOT_RUN,
+            )
+
+    def open_engine(
+        self, body: bytes, attempt: attempts.Attempt, deadline: float
+    ) -> http_client.Stream:
+        """Send a completion to the engine; raise its refusal, or not_run if it was not reached."""
+        left = max(0.05, deadline - self.parts.clock())
+        headers = {
+            "Content-Type": "application/json",
+            attempts.ATTEMPT: attempt.id,
+            attempts.PRIORITY: str(attempt.priority),
+            attempts.DIGEST: attempt.digest,
+        }
+        try:
+            stream = self.client.open(
+                "POST", f"{self.config.target_url}/v1/completions", body, headers, left
+            )
+        except http_client.NotSentError as error:
+            raise errors.RequestError(
+                f"the engine was not reached: {error.message}", kind=errors.ErrorKind.NOT_RUN
+            )
+        if stream.status >= 400:
+            data = stream.read(65536)
+            raise answers.error_from(data, stream.status)
+        if stream.headers.get(attempts.ATTEMPT) != attempt.id:
+            metrics.late_answers_total.inc()
+            stream.close()
+            raise errors.RequestError(
+                "the engine answered another request", kind=errors.ErrorKind.STREAM_BROKEN
+            )
+        return stream
+
+    def relay(self, stream: http_client.Stream, ticket: fair_queue.Ticket) -> Iterator[bytes]:
+        """Give the engine's events on and charge its tokens."""
+        is_whole = False
+        try:
+            for event in events.decode(stream.lines()):
+                if event.kind == events.TOKEN:
+                    self.line.charge(ticket.id, 1)
+                is_whole = event.kind in (events.DONE, events.ERROR)
+                yield events.encode(event.kind, event.data)
+                if is_whole:
+                    return
+        except errors.MerlinthreadError as error:
+            logs.event("engine_broke_off", attempt=ticket.id, reason=error.message)
+        finally:
+            if is_whole:
+                stream.release()
+            else:
+                stream.close()
+                self.cancel(ticket.id)
+            self.line.leave(ticket.id)
+            self.parts.in_flight.leave()
+
+    def cancel(self, attempt: str) -> None:
+        """Free the engine's place of a request that nobody waits for any more."""
+        try:
+            self.client.request(
+                "POST",
+                f"{self.config.target_url}/v1/cancel",
+                msgspec.json.encode({"request_id": attempt}),
+                {"Content-Type": "application/json"},
+                STATUS_TIMEOUT_S,
+            )
+        except errors.MerlinthreadError as error:
+            logs.detail("cancel_failed", attempt=attempt, reason=error.message)
+
+    def call_service(self, request: http_server.Request) -> http_server.Response:
+        """Run one call on a plain service and return its whole answer."""
+        attempt = self.admit(request, request.path)
+        deadline = self.parts.clock() + attempt.deadline_ms / 1000
+        ticket = fair_queue.Ticket(
+            attempt.id, attempt.account, attempt.priority, 1, 0, self.parts.clock()
+        )
+        self.line.enter(ticket, deadline)
+        try:
+            reply = self.call_target(request, attempt, deadline)
+        finally:
+            self.line.leave(ticket.id)
+            self.parts.in_flight.leave()
+        kind = reply.headers.get("content-type", "application/json")
+        return http_server.Response(reply.status, reply.body, {attempts.ATTEMPT: attempt.id}, kind)
+
+    def call_target(
+        self, request: http_server.Request, attempt: attempts.Attempt, deadline: float
+    ) -> http_client.Reply:
+        """Send a call to the service; not_run only if it was not reached."""
+        left = max(0.05, deadline - self.parts.clock())
+        headers = {
+            "Content-Type": request.headers.get("content-type", "application/json"),
+            attempts.ATTEMPT: attempt.id,
+            attempts.ACCOUNT: attempt.account,
+        }
+        url = f"{self.config.target_url}/{request.rest}"
+        try:
+            return self.client.request(request.method, url, request.body, headers, left)
+        except http_client.NotSentError as error:
+            raise errors.RequestError(
+                f"the service was not reached: {error.message}", kind=errors.ErrorKind.NOT_RUN
+            )
+        except errors.UnreachableError as error:
+            raise errors.RequestError(
+                f"the service may have run it: {error.message}",
+                kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+            )
--- /dev/null
+++ b/src/merlinthread/roles/weights.py
@@ -0,0 +1,477 @@
+"""The weights on a target VM: fetch them, keep them, give them to other agents and the engine."""
+
+import dataclasses
+import random
+import threading
+import time
+import urllib.parse
+from collections.abc import Iterator
+
+from merlinthread import errors, logs, metrics
+from merlinthread import settings as settings_
+from merlinthread.coordination import fetch, uploads
+from merlinthread.protocol import messages
+from merlinthread.roles import base
+from merlinthread.state import chunks, manifests
+from merlinthread.transport import bus, http_client
+
+IDLE_WAIT_S = 0.02
+MANIFEST_RETRY_S = 0.5
+PEER_TIMEOUT_S = 10.0
+ORIGIN_TIMEOUT_S = 20.0
+ORIGIN_RETRY_S = 0.5
+SAME_WRONG_MAX = 2
+NEIGHBOURS_MAX = 40
+
+
+@dataclasses.dataclass(slots=True)
+class Download:
+    """One manifest on its way here."""
+
+    digest: str
+    plan: fetch.FetchPlan | None
+    not_before: float
+    started_at: float
+    wrong: dict[int, list[str]] = dataclasses.field(default_factory=dict)
+    trouble: str = ""
+
+    def manifest_and_plan(
+        self, known: dict[str, manifests.Manifest]
+    ) -> tuple[manifests.Manifest, fetch.FetchPlan]:
+        """Return both, once the manifest is known."""
+        assert self.plan is not None
+        return known[self.digest], self.plan
+
+
+class Weights:
+    """Owns the chunk store, the downloads and the uploads of one agent.
+
+    Download threads share the state under one lock and hold it only to decide.
+    """
+
+    def __init__(
+        self, parts: base.Parts, config: settings_.Agent, store: chunks.ChunkStore
+    ) -> None:
+        self.parts = parts
+        self.config = config
+        self.name = parts.settings.name
+        self.store = store
+        self.lock = threading.Condition()
+        self.downloads: dict[str, Download] = {}
+        self.manifests: dict[str, manifests.Manifest] = {}
+        self.participants: dict[str, list[str]] = {}
+        self.peers: dict[str, messages.Peer] = {}
+        self.slots = uploads.UploadSlots(config.upload_slots)
+        self.up = uploads.Pace(config.link_bytes_per_s)
+        self.down = uploads.Pace(config.link_bytes_per_s)
+        self.origin_pace = uploads.Pace(config.origin_bytes_per_s)
+        self.client = http_client.Client()
+        self.rng = random.Random()
+        self.stopping = False
+        self.threads = [
+            threading.Thread(target=self.work, name=f"download-{number}", daemon=True)
+            for number in range(config.download_slots)
+        ]
+
+    def start(self) -> None:
+        """Start the download threads."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Ask the download threads to end; one that waits for a peer ends with the process."""
+        with self.lock:
+            self.stopping = True
+            self.lock.notify_all()
+        for thread in self.threads:
+            thread.join(timeout=1)
+
+    # What should be here
+
+    def want(self, participants: dict[str, list[str]]) -> None:
+        """Fetch these manifests; each comes with the VMs that should hold it."""
+        now = self.parts.clock()
+        with self.lock:
+            self.participants = participants
+            for digest in participants:
+                if digest not in self.downloads:
+                    self.downloads[digest] = Download(digest, None, now, now)
+            for digest in set(self.downloads) - set(participants):
+                del self.downloads[digest]
+            self.repin()
+            self.share_peers()
+            self.lock.notify_all()
+
+    def set_peers(self, peers: list[messages.Peer]) -> None:
+        """Take over which live agents take part."""
+        with self.lock:
+            self.peers = {peer.name: peer for peer in peers}
+            self.share_peers()
+            self.lock.notify_all()
+
+    def share_peers(self) -> None:
+        """Tell each plan who takes part; the caller holds the lock."""
+        distances = {peer.name: self.distance(peer) for peer in self.peers.values()}
+        for download in self.downloads.values():
+            if download.plan is not None:
+                names = self.participants.get(download.digest, [])
+                download.plan.set_peers(names + list(distances), distances)
+
+    def distance(self, peer: messages.Peer) -> int:
+        """Return how far a peer is."""
+        if peer.availability_zone == self.parts.settings.availability_zone:
+            return fetch.OWN_ZONE
+        if peer.region == self.parts.settings.region:
+            return fetch.OWN_REGION
+        return fetch.FAR
+
+    def repin(self) -> None:
+        """Keep the chunks of what is wanted; others go when room is needed."""
+        kept: list[str] = []
+        for digest in self.downloads:
+            if digest in self.manifests:
+                kept.extend(self.manifests[digest].chunks)
+        self.store.pin(kept)
+
+    def complete(self) -> set[str]:
+        """Return the wanted manifests whose chunks are all here and verified."""
+        with self.lock:
+            return {
+                digest
+                for digest, download in self.downloads.items()
+                if download.plan is not None and download.plan.is_complete()
+            }
+
+    def progress(self) -> dict[str, int]:
+        """Return how many chunks of each wanted manifest are here."""
+        with self.lock:
+            return {
+                digest: 0 if download.plan is None else download.plan.held.bit_count()
+                for digest, download in self.downloads.items()
+            }
+
+    def unfinished(self) -> list[str]:
+        """Return the wanted manifests that are not complete."""
+        complete = self.complete()
+        with self.lock:
+            return [digest for digest in self.downloads if digest not in complete]
+
+    def trouble(self) -> str:
+        """Return why a wanted manifest can't be had, or nothing."""
+        with self.lock:
+            return next((d.trouble for d in self.downloads.values() if d.trouble), "")
+
+    def clear_trouble(self) -> None:
+        """Try again what was given up."""
+        with self.lock:
+            for download in self.downloads.values():
+                download.trouble = ""
+                download.wrong.clear()
+
+    # Downloading
+
+    def work(self) -> None:
+        """Carry out one action after another."""
+        callers = bus.Callers(self.parts.codec)
+        while True:
+            with self.lock:
+                if self.stopping:
+                    break
+                job = self.next_job()
+                if job is None:
+                    self.lock.wait(IDLE_WAIT_S if self.has_unfinished() else 1.0)
+                    continue
+            try:
+                self.carry_out(job, callers)
+            except Exception:
+                logs.failure("download_failed")
+                time.sleep(IDLE_WAIT_S)
+        callers.close()
+
+    def has_unfinished(self) -> bool:
+        """Return whether anything is left to fetch; the caller holds the lock."""
+        return any(d.plan is None or not d.plan.is_complete() for d in self.downloads.values())
+
+    def next_job(self) -> tuple[Download, fetch.Action | None] | None:
+        """Return what to do next; the caller holds the lock."""
+        now = self.parts.clock()
+        for download in self.downloads.values():
+            if download.trouble or now < download.not_before:
+                continue
+            if download.plan is None:
+                download.not_before = now + MANIFEST_RETRY_S
+                return download, None
+            action = download.plan.next_action(now)
+            if action is not None:
+                download.plan.began(action)
+                return download, action
+        return None
+
+    def carry_out(self, job: tuple[Download, fetch.Action | None], callers: bus.Callers) -> None:
+        """Do one job."""
+        download, action = job
+        if action is None:
+            self.fetch_manifest(download, callers)
+            return
+        try:
+            if isinstance(action, fetch.FromOrigin):
+                self.read_origin(download, action)
+            else:
+                self.ask_peer(download, action, callers)
+        finally:
+            with self.lock:
+                assert download.plan is not None
+                download.plan.ended(action)
+                self.lock.notify_all()
+
+    def fetch_manifest(self, download: Download, callers: bus.Callers) -> None:
+        """Get the manifest from here, a peer or the weight store, and make the plan."""
+        manifest = self.manifests.get(download.digest) or self.find_manifest(download, callers)
+        if manifest is None:
+            return
+        held = 0
+        for index, digest in enumerate(manifest.chunks):
+            if self.store.has(digest):
+                held |= 1 << index
+        with self.lock:
+            self.manifests[download.digest] = manifest
+            now = self.parts.clock()
+            download.plan = fetch.POLICIES.get(self.config.fetch_policy)(
+                self.name, download.digest, len(manifest.chunks), held, 2, now, self.rng
+            )
+            self.repin()
+            self.share_peers()
+            self.lock.notify_all()
+        logs.event(
+            "fetch_started",
+            manifest=download.digest,
+            chunks=len(manifest.chunks),
+            here=held.bit_count(),
+            policy=self.config.fetch_policy,
+        )
+
+    def find_manifest(self, download: Download, callers: bus.Callers) -> manifests.Manifest | None:
+        """Ask the weight store, then a few peers."""
+        stored = self.store.read(download.digest)
+        if stored is not None:
+            return manifests.decode(stored, download.digest)
+        try:
+            data = self.read_manifest(download.digest, callers)
+            manifest = manifests.decode(data, download.digest)
+        except errors.MerlinthreadError as error:
+            logs.warn("manifest_failed", manifest=download.digest, reason=error.message)
+            return None
+        self.store.add(download.digest, data)
+        return manifest
+
+    def read_manifest(self, digest: str, callers: bus.Callers) -> bytes:
+        """Return the manifest's bytes from a peer, else from the weight store."""
+        with self.lock:
+            peers = list(self.peers.values())
+        self.rng.shuffle(peers)
+        peers.sort(key=self.distance)
+        for peer in peers[:2]:
+            try:
+                found = callers.call(peer.bus, messages.ManifestWanted(digest), 1.0)
+            except errors.MerlinthreadError as error:
+                logs.detail("peer_failed", peer=peer.name, reason=error.message)
+                continue
+            if found.data:
+                return found.data
+        if self.config.weight_store_url is None:
+            raise errors.WeightsError(f"no peer has manifest {digest} and there is no weight store")
+        url = f"{self.config.weight_store_url}/manifests/{digest}"
+        return self.client.request_ok("GET", url, timeout_s=ORIGIN_TIMEOUT_S).body
+
+    def read_origin(self, download: Download, action: fetch.FromOrigin) -> None:
+        """Read one chunk from the origin."""
+        manifest, plan = download.manifest_and_plan(self.manifests)
+        size = manifest.chunk_size(action.index)
+        offset = manifest.chunk_offset(action.index)
+        self.sleep_until(self.origin_pace.reserve(size, self.parts.clock()))
+        name = urllib.parse.quote(manifest.object)
+        try:
+            if self.config.origin_url is None:
+                raise errors.WeightsError("agent.origin_url is not set")
+            reply = self.client.request_ok(
+                "GET",
+                f"{self.config.origin_url}/objects/{name}",
+                headers={"Range": f"bytes={offset}-{offset + size - 1}"},
+                timeout_s=ORIGIN_TIMEOUT_S,
+            )
+            data = reply.body
+        except errors.MerlinthreadError as error:
+            metrics.chunk_failures_total.labels("origin").inc()
+            logs.warn("origin_failed", manifest=download.digest, reason=error.message)
+            wait = error.retry_after_s or ORIGIN_RETRY_S
+            with self.lock:
+                plan.origin_failed(self.parts.clock(), wait)
+            return
+        metrics.chunk_bytes_total.labels("origin").inc(len(data))
+        if not self.keep(download, action.index, data, from_origin=True):
+            self.note_wrong_origin(download, action.index, data)
+
+    def note_wrong_origin(self, download: Download, index: int, data: bytes) -> None:
+        """Tell a chunk damaged on its way from an object that was changed at the origin.
+
+        Damage differs from try to try; the same wrong bytes twice are what the origin has now.
+        """
+        found = chunks.digest_of(data)
+        with self.lock:
+            seen = download.wrong.setdefault(index, [])
+            seen.append(found)
+            if seen.count(found) >= SAME_WRONG_MAX:
+                download.trouble = (
+                    f"origin_changed: chunk {index} of manifest {download.digest} is no longer "
+                    "what was signed; restore the object or roll back"
+                )
+        if download.trouble:
+            logs.warn("origin_changed", manifest=download.digest, index=index)
+
+    def ask_peer(self, download: Download, action: fetch.FromPeer, callers: bus.Callers) -> None:
+        """Ask another agent for a chunk."""
+        manifest, plan = download.manifest_and_plan(self.manifests)
+        count = len(manifest.chunks)
+        with self.lock:
+            peer = self.peers.get(action.peer)
+            held = plan.held
+        if peer is None:
+            return
+        wanted = messages.ChunkWanted(
+            self.name,
+            download.digest,
+            fetch.to_bytes(action.wanted, count),
+            fetch.to_bytes(held, count),
+        )
+        try:
+            found = callers.call(peer.bus, wanted, PEER_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            metrics.chunk_failures_total.labels("peer").inc()
+            logs.detail("peer_failed", peer=peer.name, reason=error.message)
+            with self.lock:
+                plan.peer_failed(peer.name, self.parts.clock())
+            return
+        self.take_answer(download, plan, peer, found, count)
+
+    def take_answer(
+        self,
+        download: Download,
+        plan: fetch.FetchPlan,
+        peer: messages.Peer,
+        found: messages.ChunkFound,
+        count: int,
+    ) -> None:
+        """Take what a peer answered."""
+        now = self.parts.clock()
+        with self.lock:
+            plan.heard(peer.name, fetch.from_bytes(found.held, count), now)
+            if found.index == messages.BUSY:
+                plan.peer_busy(peer.name, now)
+            elif found.index == messages.NOTHING:
+                plan.peer_empty(peer.name, now)
+        if found.index < 0 or found.index >= count:
+            return
+        self.sleep_until(self.down.reserve(len(found.data), now))
+        metrics.chunk_bytes_total.labels("peer").inc(len(found.data))
+        if not self.keep(download, found.index, found.data, from_origin=False):
+            logs.warn("chunk_corrupt", peer=peer.name, manifest=download.digest)
+            with self.lock:
+                plan.peer_corrupt(peer.name, self.parts.clock())
+
+    def keep(self, download: Download, index: int, data: bytes, from_origin: bool) -> bool:
+        """Store a chunk; return whether its digest was right."""
+        manifest, plan = download.manifest_and_plan(self.manifests)
+        try:
+            self.store.add(manifest.chunks[index], data)
+        except errors.WeightsError:
+            metrics.chunk_failures_total.labels("corrupt").inc()
+            return False
+        except errors.DiskFullError as error:
+            with self.lock:
+                download.trouble = f"disk_full: {error.message}"
+            logs.warn("disk_full", message=error.message)
+            return True
+        now = self.parts.clock()
+        with self.lock:
+            plan.got(index, from_origin, now)
+            is_complete = plan.is_complete()
+        if is_complete:
+            logs.event(
+                "fetch_complete",
+                manifest=download.digest,
+                seconds=round(now - download.started_at, 3),
+                **dataclasses.asdict(plan.tally),
+            )
+        return True
+
+    def sleep_until(self, when: float) -> None:
+        """Wait until the link's share allows more."""
+        wait = when - self.parts.clock()
+        if wait > 0:
+            time.sleep(wait)
+
+    # Giving
+
+    def handle(self, message: object) -> object:
+        """Answer another agent."""
+        if isinstance(message, messages.ManifestWanted):
+            return messages.ManifestFound(self.store.read(message.digest) or b"")
+        if isinstance(message, messages.ChunkWanted):
+            return self.on_chunk_wanted(message)
+        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
+
+    def on_chunk_wanted(self, wanted: messages.ChunkWanted) -> messages.ChunkFound:
+        """Give one of the wanted chunks, if an upload slot is free."""
+        manifest = self.manifests.get(wanted.manifest)
+        if manifest is None:
+            return messages.ChunkFound(messages.NOTHING, b"", b"")
+        count = len(manifest.chunks)
+        now = self.parts.clock()
+        with self.lock:
+            download = self.downloads.get(wanted.manifest)
+            plan = download.plan if download else None
+            held = plan.held if plan else self.held_of(manifest)
+            if plan is not None:
+                plan.heard(wanted.agent, fetch.from_bytes(wanted.held, count), now)
+            shown = fetch.to_bytes(held, count)
+            offered = held & fetch.from_bytes(wanted.wanted, count)
+            if not offered:
+                return messages.ChunkFound(messages.NOTHING, b"", shown)
+            if not self.slots.take():
+                return messages.ChunkFound(messages.BUSY, b"", shown)
+            index = self.slots.choose(wanted.manifest, offered)
+            ready_at = self.up.reserve(manifest.chunk_size(index), now)
+        try:
+            data = self.store.read(manifest.chunks[index])
+            if data is None:
+                return messages.ChunkFound(messages.NOTHING, b"", b"")
+            self.sleep_until(ready_at)
+            metrics.chunk_bytes_sent_total.inc(len(data))
+            return messages.ChunkFound(index, data, shown)
+        finally:
+            with self.lock:
+                self.slots.release()
+
+    def held_of(self, manifest: manifests.Manifest) -> int:
+        """Return which chunks of an older manifest are still here."""
+        return sum(1 << i for i, digest in enumerate(manifest.chunks) if digest in self.store.held)
+
+    def read_all(self, digest: str) -> Iterator[bytes]:
+        """Give the bytes of a whole manifest, for the engine.
+
+        Raises WeightsError before the first byte unless every chunk is here.
+        """
+        manifest = self.manifests.get(digest)
+        if manifest is None or not all(self.store.has(chunk) for chunk in manifest.chunks):
+            raise errors.WeightsError(
+                f"manifest {digest} is not whole here", kind=errors.ErrorKind.UNKNOWN_MODEL
+            )
+        return self.give_chunks(manifest)
+
+    def give_chunks(self, manifest: manifests.Manifest) -> Iterator[bytes]:
+        """Give one chunk after another."""
+        for chunk in manifest.chunks:
+            data = self.store.read(chunk)
+            if data is None:
+                raise errors.WeightsError(f"chunk {chunk} went while the engine read it")
+            yield data
--- /dev/null
+++ b/src/merlinthread/transport/bus.py
@@ -0,0 +1,204 @@
+"""Messages between our own processes over pynng.
+
+A call may reach the receiver twice (the library sends again after a lost connection), so every
+call must be safe to repeat. Receivers of calls name a handler; senders own one `Caller` a peer and
+task. One-way messages (`Mailbox`, `Sender`) may be lost.
+"""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import pynng
+
+from merlinthread import errors, logs
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import messages
+
+RECEIVE_BYTES_MAX = 64 * 1024 * 1024
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+SENDER_QUEUE = 64
+
+
+def address_url(address: str) -> str:
+    """Return the pynng URL of "IP:port"."""
+    return f"tcp://{address}"
+
+
+class Caller:
+    """Calls to one peer; owned by one thread."""
+
+    def __init__(self, address: str, codec: codecs.Codec) -> None:
+        self.address = address
+        self.codec = codec
+        self.socket = self.open()
+
+    def open(self) -> pynng.Req0:
+        """Return a socket that connects in the background."""
+        socket = pynng.Req0(
+            recv_max_size=RECEIVE_BYTES_MAX,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        socket.dial(address_url(self.address), block=False)
+        return socket
+
+    def call(self, message: Any, timeout_s: float) -> Any:
+        """Return the peer's answer.
+
+        Raises UnreachableError if none came in time, and what the peer refused with otherwise.
+        """
+        milliseconds = max(1, int(timeout_s * 1000))
+        self.socket.send_timeout = milliseconds
+        self.socket.recv_timeout = milliseconds
+        try:
+            self.socket.send(self.codec.encode(message))
+            answer = self.codec.decode(self.socket.recv())
+        except pynng.exceptions.NNGException as error:
+            raise errors.UnreachableError(f"{self.address}: {error}")
+        if isinstance(answer, messages.Refused):
+            raise errors.MerlinthreadError(answer.message, kind=errors.ErrorKind(answer.kind))
+        return answer
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+
+class Callers:
+    """One `Caller` for each address that a task talks to; owned by one thread."""
+
+    def __init__(self, codec: codecs.Codec) -> None:
+        self.codec = codec
+        self.open: dict[str, Caller] = {}
+
+    def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Call the peer at `address`; see `Caller.call`."""
+        if address not in self.open:
+            self.open[address] = Caller(address, self.codec)
+        return self.open[address].call(message, timeout_s)
+
+    def keep(self, addresses: set[str]) -> None:
+        """Close the sockets to all other addresses."""
+        for address in set(self.open) - addresses:
+            self.open.pop(address).close()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.keep(set())
+
+
+class Responder:
+    """Answers calls on `address` in `workers` threads with what `handler` returns."""
+
+    def __init__(
+        self,
+        address: str,
+        codec: codecs.Codec,
+        handler: Callable[[Any], Any],
+        workers: int,
+    ) -> None:
+        self.codec = codec
+        self.handler = handler
+        self.socket = pynng.Rep0(recv_max_size=RECEIVE_BYTES_MAX)
+        self.socket.listen(address_url(address))
+        self.threads = [
+            threading.Thread(target=self.serve, name=f"responder-{number}", daemon=True)
+            for number in range(workers)
+        ]
+
+    def start(self) -> None:
+        """Start answering."""
+        for thread in self.threads:
+            thread.start()
+
+    def serve(self) -> None:
+        """Answer one call after another until the socket is closed."""
+        with self.socket.new_context() as context:
+            while True:
+                try:
+                    frame = context.recv()
+                    context.send(self.answer(frame))
+                except pynng.exceptions.Closed:
+                    return
+                except pynng.exceptions.NNGException as error:
+                    logs.detail("bus_answer_failed", error=str(error))
+
+    def answer(self, frame: bytes) -> bytes:
+        """Return the encoded answer; an error becomes a refusal."""
+        try:
+            answer = self.handler(self.codec.decode(frame))
+        except errors.MerlinthreadError as error:
+            answer = messages.Refused(str(error.kind), error.message)
+        except Exception as error:
+            logs.failure("bus_handler_failed")
+            answer = messages.Refused(str(errors.ErrorKind.INTERNAL), repr(error))
+        return self.codec.encode(answer)
+
+    def stop(self) -> None:
+        """Close the socket and wait for the threads."""
+        self.socket.close()
+        for thread in self.threads:
+            if thread.ident is not None:
+                thread.join()
+
+
+class Mailbox:
+    """Receives one-way messages on `address` and hands them to `deliver` in a thread of its own."""
+
+    def __init__(self, address: str, codec: codecs.Codec, deliver: Callable[[Any], None]) -> None:
+        self.codec = codec
+        self.deliver = deliver
+        self.socket = pynng.Pull0(recv_max_size=RECEIVE_BYTES_MAX)
+        self.socket.listen(address_url(address))
+        self.thread = threading.Thread(target=self.receive, name="mailbox", daemon=True)
+
+    def start(self) -> None:
+        """Start receiving."""
+        self.thread.start()
+
+    def receive(self) -> None:
+        """Deliver one message after another until the socket is closed."""
+        while True:
+            try:
+                self.deliver(self.codec.decode(self.socket.recv()))
+            except pynng.exceptions.Closed:
+                return
+            except pynng.exceptions.NNGException as error:
+                logs.detail("mailbox_receive_failed", error=str(error))
+            except errors.ProtocolError as error:
+                logs.warn("message_refused", reason=error.message)
+
+    def stop(self) -> None:
+        """Close the socket and wait for the thread."""
+        self.socket.close()
+        if self.thread.ident is not None:
+            self.thread.join()
+
+
+class Sender:
+    """Sends one-way messages to one peer; a message that finds no room is dropped."""
+
+    def __init__(self, address: str, codec: codecs.Codec) -> None:
+        self.codec = codec
+        self.dropped = 0
+        self.socket = pynng.Push0(
+            send_buffer_size=SENDER_QUEUE,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self.socket.dial(address_url(address), block=False)
+
+    def send(self, message: Any) -> bool:
+        """Send without waiting; return whether there was room."""
+        try:
+            self.socket.send(self.codec.encode(message), block=False)
+        except pynng.exceptions.NNGException:
+            self.dropped += 1
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
--- /dev/null
+++ b/tests/calls.py
@@ -0,0 +1,72 @@
+"""What callers do, for tests: ask, stream, draft."""
+
+import dataclasses
+import uuid
+
+import msgspec
+
+from bench import demo
+from merlinthread.transport import http_client
+from stand_ins import engine
+
+CLIENT = http_client.Client()
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    text: str = ""
+    digest: str = ""
+    expected: str = ""
+
+    def error(self) -> dict:
+        return msgspec.json.decode(self.body)
+
+    def is_whole(self) -> bool:
+        return bool(self.digest) and self.text == self.expected
+
+
+def ask(
+    address: str,
+    model: str = "hint",
+    account: str = "a1",
+    tokens: int = 8,
+    is_streamed: bool = True,
+    prompt: str = "",
+    **headers: str,
+) -> Answer:
+    """Ask for a completion and return what came, with what should have come."""
+    prompt = prompt or f"explain {uuid.uuid4().hex}"
+    body = msgspec.json.encode(
+        {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": is_streamed}
+    )
+    all_headers = {"X-Account": account, "Content-Type": "application/json", **headers}
+    stream = CLIENT.open("POST", f"http://{address}/v1/completions", body, all_headers, 30)
+    data = stream.read(1 << 24)
+    answer = Answer(stream.status, stream.headers, data)
+    if stream.status == 200:
+        read = demo.read_stream if is_streamed else demo.read_whole
+        answer.text, answer.digest = read(data)
+        answer.expected = engine.whole_text(answer.digest, prompt, tokens)
+    return answer
+
+
+def call(
+    address: str, path: str, body: bytes = b"{}", method: str = "POST", **headers: str
+) -> Answer:
+    """Call a plain service."""
+    all_headers = {"X-Account": "a1", "Content-Type": "application/json"}
+    all_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
+    reply = CLIENT.request(
+        method, f"http://{address}/v1/services/tickets{path}", body, all_headers, 30
+    )
+    return Answer(reply.status, reply.headers, reply.body)
+
+
+def new_key() -> str:
+    """Return a new idempotency key."""
+    return str(demo.new_key())
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,38 @@
+"""Fixtures: one fleet of real processes for tests that only read, a new one for the others."""
+
+import pathlib
+from collections.abc import Iterator
+
+import pytest
+
+from bench import fleet as fleets
+
+OBJECT_BYTES = 512 * 1024
+CHUNK_BYTES = 64 * 1024
+
+
+@pytest.fixture
+def make_fleet(tmp_path: pathlib.Path) -> Iterator:
+    """Return a function that starts a fleet; all are ended after the test."""
+    started: list[fleets.Fleet] = []
+
+    def make(shape: fleets.Shape | None = None) -> fleets.Fleet:
+        fleet = fleets.Fleet(tmp_path / f"fleet-{len(started)}", shape)
+        started.append(fleet)
+        fleet.start()
+        return fleet
+
+    yield make
+    for fleet in started:
+        fleet.close()
+
+
+@pytest.fixture(scope="module")
+def rolled_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[fleets.Fleet]:
+    """Return a small fleet with one bundle in force; shared by a module's tests."""
+    shape = fleets.Shape(zones=("zone-a", "zone-b"), regions=("region-1",), engines_per_zone=2)
+    with fleets.Fleet(tmp_path_factory.mktemp("fleet"), shape) as fleet:
+        fleet.start()
+        digest = fleet.publish("hint-1", OBJECT_BYTES, CHUNK_BYTES)
+        fleet.roll(fleets.simple_bundle(1, {"hint": (digest, 100)}))
+        yield fleet
--- /dev/null
+++ b/tests/test_border.py
@@ -0,0 +1,203 @@
+"""Bad settings, bundles and commands get one clear line: file, field, value, remedy."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from merlinthread import errors, settings
+from merlinthread.protocol import answers, bundle_file, codec, messages
+
+DIGEST = "0" * 64
+GOOD_SETTINGS = {
+    "name": "entry-1",
+    "availability_zone": "cuyo",
+    "region": "west",
+    "roles": ["entry"],
+    "http": {"address": "127.0.0.1", "port": 8080},
+    "bus": "127.0.0.1:9000",
+    "entry": {"controls": ["127.0.0.1:9100"]},
+}
+GOOD_BUNDLE = {
+    "version": 1,
+    "models": [{"name": "hint", "version": "v1", "manifest": DIGEST, "share_percent": 60}],
+    "groups": [{"name": "solvers", "share_percent": 50, "accounts": ["a1"]}],
+}
+
+
+def changed(base: dict, path: str, value: object) -> dict:
+    """Return a copy with the value at a dotted path replaced; None removes it."""
+    copy = json.loads(json.dumps(base))
+    place = copy
+    *parents, last = path.split(".")
+    for part in parents:
+        place = place[int(part) if part.isdigit() else part]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return copy
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "expected"),
+    [
+        ("colour", "red", "colour: 'red' is refused: this key is unknown"),
+        ("http.address", "localhost", "http.address: 'localhost' is refused"),
+        ("http.port", 99999, "http.port: 99999 is refused"),
+        ("http.port", "80", "http.port: '80' is refused"),
+        ("bus", "entry.example:9000", "bus: 'entry.example:9000' is refused"),
+        ("entry.poll_every_s", "250ms", "entry.poll_every_s: '250ms' is refused"),
+        ("entry.poll_every_s", -1, "entry.poll_every_s: -1 is refused"),
+        ("entry", None, "role 'entry' needs a section 'entry'"),
+        ("region", None, "region: this key is missing; add it"),
+        ("roles", ["king"], "roles.0: 'king' is refused"),
+        ("mesh_keys", ["abc"], "mesh_keys.0: 'abc' is refused"),
+    ],
+)
+def test_bad_settings_name_file_key_value_and_remedy(path, value, expected):
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse(json.dumps(changed(GOOD_SETTINGS, path, value)), "entry.json")
+    assert caught.value.message.startswith("entry.json: ")
+    assert expected in caught.value.message
+
+
+def test_settings_may_have_comments():
+    text = "// the entry of Cuyo\n" + json.dumps(GOOD_SETTINGS)
+    assert settings.parse(text, "entry.json").availability_zone == "cuyo"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "field"),
+    [
+        ("models.0.share_percent", 101, "models.0.share_percent"),
+        ("models.0.manifest", None, "models.0.manifest"),
+        ("models.0.manifest", "abc", "models.0.manifest"),
+        ("groups.0.accounts", ["a1", "a1"], "groups.0.accounts"),
+        ("groups", [], "groups"),
+        ("version", 0, "version"),
+        ("modles", [], "modles"),
+        ("groups.0.share_percent", 50.5, "groups.0.share_percent"),
+    ],
+)
+def test_bad_bundles_name_the_field(path, value, field):
+    with pytest.raises(errors.BundleError) as caught:
+        bundle_file.from_data(changed(GOOD_BUNDLE, path, value), "bundle.json")
+    assert caught.value.field == field
+
+
+def test_shares_over_100_percent_are_refused():
+    more = [{"name": "crews", "share_percent": 51, "accounts": ["b1"]}]
+    with pytest.raises(errors.BundleError, match="adds up to 101"):
+        bundle_file.from_data(dict(GOOD_BUNDLE, groups=GOOD_BUNDLE["groups"] + more), "bundle.json")
+
+
+JSON_LIKE = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(
+        st.sampled_from(["version", "models", "groups", "name", "manifest", "roles", "x"]),
+        inner,
+        max_size=5,
+    ),
+    max_leaves=20,
+)
+
+
+@given(JSON_LIKE)
+def test_any_json_as_bundle_or_settings_gives_a_clear_error(data):
+    for read, kind in (
+        (lambda: bundle_file.from_data(data, "f"), errors.BundleError),
+        (lambda: settings.parse(json.dumps(data), "f"), errors.SettingsError),
+    ):
+        with pytest.raises(kind) as caught:
+            read()
+        assert "\n" not in caught.value.message
+
+
+@given(st.text(max_size=200))
+def test_any_text_as_bundle_or_settings_gives_a_clear_error(text):
+    with pytest.raises(errors.BundleError):
+        bundle_file.parse(text, "f")
+    with pytest.raises(errors.SettingsError):
+        settings.parse(text, "f")
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_as_a_message_give_a_protocol_error(data):
+    for keys in ([], [codec.Key(b"k" * 32)]):
+        with pytest.raises(errors.ProtocolError):
+            messages.make_codec(keys).decode(data)
+
+
+def test_a_changed_or_foreign_message_is_refused():
+    ours = messages.make_codec([codec.Key(b"k" * 32)])
+    frame = bytearray(ours.encode(messages.ManifestWanted("abc")))
+    assert ours.decode(bytes(frame)) == messages.ManifestWanted("abc")
+    frame[-1] ^= 1
+    with pytest.raises(errors.ProtocolError, match="checksum"):
+        ours.decode(bytes(frame))
+    foreign = messages.make_codec([codec.Key(b"f" * 32)])
+    with pytest.raises(errors.ProtocolError, match="mesh_keys"):
+        ours.decode(foreign.encode(messages.ManifestWanted("abc")))
+
+
+def test_keys_rotate_without_a_gap():
+    old, new = codec.Key(b"o" * 32), codec.Key(b"n" * 32)
+    before, both, after = (messages.make_codec(keys) for keys in ([old], [old, new], [new]))
+    wanted = messages.ManifestWanted("abc")
+    assert both.decode(before.encode(wanted)) == wanted
+    both.set_keys([new, old])
+    assert after.decode(both.encode(wanted)) == wanted
+    assert both.decode(after.encode(wanted)) == wanted
+
+
+def test_every_error_kind_has_an_answer_and_advice_when_it_may_pass():
+    assert set(answers.TABLE) == set(errors.ErrorKind)
+    for kind, answer in answers.TABLE.items():
+        body = answers.body_of(errors.MerlinthreadError("x", kind=kind))
+        if answer.retry_after_s is not None:
+            assert int(answers.headers_of(body)["Retry-After"]) >= answer.retry_after_s
+        assert answer.exit_code != 0
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-m", *arguments], capture_output=True, text=True, timeout=60
+    )
+
+
+def test_the_daemon_checks_and_explains_its_settings(tmp_path: pathlib.Path):
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps(GOOD_SETTINGS))
+    done = run("merlinthread.daemon", "--config", str(path), "--check")
+    assert done.returncode == 0
+    assert "entry.poll_every_s = 0.25" in done.stdout
+    path.write_text(json.dumps(changed(GOOD_SETTINGS, "http.port", 0)))
+    done = run("merlinthread.daemon", "--config", str(path), "--check")
+    assert done.returncode == 2
+    assert f"{path}: http.port: 0 is refused" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_the_command_line_refuses_a_bad_bundle_with_its_exit_code(tmp_path: pathlib.Path):
+    path = tmp_path / "bundle.json"
+    path.write_text(json.dumps(changed(GOOD_BUNDLE, "models.0.share_percent", 200)))
+    done = run("merlinthread.cli.main", "bundle", "check", str(path), "--json")
+    assert done.returncode == answers.TABLE[errors.ErrorKind.BAD_BUNDLE].exit_code
+    assert json.loads(done.stdout)["field"] == "models.0.share_percent"
+
+
+def test_the_command_line_starts_without_the_daemon_s_libraries():
+    done = run("merlinthread.cli.main", "list")
+    assert "bundle" in done.stdout
+    code = (
+        "import sys; from merlinthread.cli import main; main.make_application();"
+        "print([m for m in ('cherrypy', 'pynng', 'pydantic') if m in sys.modules])"
+    )
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert loaded.stdout.strip() == "[]"
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,22 @@
+import pathlib
+
+from bench import layers
+
+ROOT = pathlib.Path(layers.__file__).parent.parent / "src" / "merlinthread"
+
+
+def test_imports_go_down_the_layers():
+    assert layers.find_problems(ROOT) == []
+
+
+def test_an_upward_import_is_found(tmp_path):
+    (tmp_path / "state").mkdir()
+    (tmp_path / "state" / "bad.py").write_text("from merlinthread.transport import bus\n")
+    assert "imports 'transport'" in layers.find_problems(tmp_path)[0]
+
+
+def test_no_part_of_the_product_starts_a_process():
+    for path in ROOT.rglob("*.py"):
+        text = path.read_text()
+        for word in ("subprocess", "multiprocessing", "os.fork", "posix_spawn", "shared_memory"):
+            assert word not in text, f"{path} names {word}"
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,103 @@
+"""Requests and a roll through real processes, nothing disturbed."""
+
+import json
+
+import pytest
+
+from bench import fleet as fleets
+from tests import calls
+
+
+def test_every_entry_streams_whole_answers(rolled_fleet):
+    for vm in rolled_fleet.entries():
+        for is_streamed in (True, False):
+            answer = calls.ask(vm.http, is_streamed=is_streamed)
+            assert answer.status == 200, answer.body
+            assert answer.is_whole(), answer.text
+
+
+def test_a_decision_is_logged_for_each_request(rolled_fleet):
+    entry = rolled_fleet.entries()[0]
+    calls.ask(entry.http, **{"X-Request-Id": "logged-1"})
+    routed = [e for e in entry.process.events("routed") if e["request_id"] == "logged-1"]
+    assert len(routed) == 1
+    assert routed[0]["target"] and routed[0]["reason"] and routed[0]["candidates"] >= 1
+
+
+def test_a_call_under_one_key_runs_once_at_any_entry(rolled_fleet):
+    key = calls.new_key()
+    answers = [
+        calls.call(vm.http, "/draft", b'{"lamp": "once"}', Idempotency_Key=key)
+        for vm in rolled_fleet.entries()
+    ]
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.body for answer in answers}) == 1
+    runs = rolled_fleet.get(rolled_fleet.target_urls["tickets-0"], "/runs")["runs"]
+    assert runs['{"lamp": "once"}'] == 1
+
+
+@pytest.mark.parametrize(
+    ("headers", "error"),
+    [
+        ({}, "key_required"),
+        ({"Idempotency_Key": "123e4567-e89b-42d3-a456-426614174000"}, "key_required"),
+        ({"X_Account": "nobody"}, "unknown_account"),
+        ({"X_Deadline_Ms": "soon"}, "bad_request"),
+    ],
+)
+def test_refusals_say_what_to_do(rolled_fleet, headers, error):
+    answer = calls.call(rolled_fleet.entries()[0].http, "/draft", **headers)
+    assert answer.error()["error"] == error
+    assert answer.error()["ran"] == "no"
+
+
+def test_a_key_with_another_body_is_refused(rolled_fleet):
+    key = calls.new_key()
+    entry = rolled_fleet.entries()[0].http
+    assert calls.call(entry, "/draft", b'{"lamp": 1}', Idempotency_Key=key).status == 200
+    second = calls.call(entry, "/draft", b'{"lamp": 2}', Idempotency_Key=key)
+    assert second.error()["error"] == "key_conflict"
+
+
+def test_metrics_health_and_readiness(rolled_fleet):
+    for vm in [*rolled_fleet.entries(), *rolled_fleet.agents(), *rolled_fleet.controls()]:
+        assert rolled_fleet.get(vm.http, "/healthz") == {"alive": True}
+        ready = rolled_fleet.get(vm.http, "/readyz")
+        assert ready and ready["ready"], f"{vm.name}: {ready}"
+        text = calls.CLIENT.request("GET", f"http://{vm.http}/metrics").body.decode()
+        assert "merlinthread_generation 1.0" in text
+
+
+def test_a_resent_command_gives_the_first_answer(rolled_fleet):
+    fleet = rolled_fleet
+    bundle = fleets.simple_bundle(7, {"hint": ("a" * 64, 100)})
+    path = str(fleet.write_bundle(bundle))
+    first = fleet.operate("bundle", "propose", path, "-o", "ana", "--request-id", "r1")
+    assert fleet.operate("bundle", "propose", path, "-o", "ana", "--request-id", "r1") == first
+    other = fleets.simple_bundle(7, {"hint": ("b" * 64, 100)})
+    done = fleet.command("bundle", "propose", str(fleet.write_bundle(other)), "-o", "eva", "--json")
+    assert done.returncode == 6
+    refused = json.loads(done.stdout)
+    assert refused["error"] == "version_conflict"
+    assert first["digest"] in refused["message"]
+
+
+def test_an_unsigned_version_is_not_rolled(rolled_fleet):
+    bundle = fleets.simple_bundle(8, {"hint": ("a" * 64, 100)})
+    path = str(rolled_fleet.write_bundle(bundle))
+    rolled_fleet.operate("bundle", "propose", path, "-o", "ana")
+    done = rolled_fleet.command("bundle", "roll", "8", "-o", "ana", "--json")
+    assert done.returncode == 7
+    assert json.loads(done.stdout)["error"] == "not_signed"
+    wrong = rolled_fleet.add_operator("mallory")
+    done = rolled_fleet.command("bundle", "sign", "8", "-o", "ana", "-k", str(wrong), "--json")
+    assert done.returncode == 4
+    assert json.loads(done.stdout)["error"] == "bad_signature"
+
+
+def test_a_planned_stop_ends_every_process(rolled_fleet):
+    vm = rolled_fleet.entries()[-1]
+    vm.process.stop()
+    assert vm.process.wait(15) == 0
+    rolled_fleet.restart(vm.name)
+    fleets.wait_for("the entry", lambda: rolled_fleet.get(vm.http, "/readyz"))
