Control state proved by real processes: kills, freezes, cuts, lost disk, races, full disk

Cause: nothing had shown the control VMs under failure. 12 tests with real processes behind the fault proxy. Found: the command line gave up on a leader whose disk is full, though another leads a moment later (it tries on now).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 
 import bench
 
-HELPERS = ("__main__", "fleet", "layers", "links", "load")
+HELPERS = ("__main__", "fleet", "layers", "load", "measure", "operators")
 
 
 def names() -> list[str]:
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,249 @@
+"""How soon a change is in force everywhere, and what control costs each node, at several sizes."""
+
+import argparse
+import pathlib
+import tempfile
+import threading
+import time
+
+from bench import fleet as fleets
+from bench import measure, operators
+from merlinthread.coordination import control_state
+from merlinthread.protocol import codec, messages
+from merlinthread.transport import bus
+
+IDLE_S = 6.0
+ONE_WAY_S = 0.0015
+
+
+class Watch:
+    """Notes when each agent and entry logs that it adopted a generation."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.seen: dict[int, dict[str, float]] = {}
+
+    def read(self) -> None:
+        """Read all logs; times are the processes' own wall clocks on one machine."""
+        for vm in self.fleet.agents() + self.fleet.entries():
+            for event in vm.process.events("directive_adopted"):
+                at = fleets.seconds_of(event["at"])
+                self.seen.setdefault(event["generation"], {}).setdefault(vm.name, at)
+
+
+def shape_of(entries: int, agents: int) -> fleets.Shape:
+    """Return a fleet of three zones with so many entries and agents a zone, behind latency."""
+    return fleets.Shape(
+        entries_per_zone=entries,
+        engines_per_zone=0,
+        services=agents * 3,
+        through_proxy=False,
+        log_level="info",
+    )
+
+
+def start(folder: pathlib.Path, entries: int, agents: int) -> fleets.Fleet:
+    """Start a fleet and put a first bundle in force."""
+    fleet = fleets.Fleet(folder, shape_of(entries, agents))
+    fleet.start()
+    operators.Operator(fleet).bring_in(bundle(1))
+    return fleet
+
+
+def bundle(version: int) -> dict:
+    """Return a bundle of the size of today's."""
+    return fleets.simple_bundle(version, {"hint": ("a" * 64, 100)})
+
+
+def in_force_times(fleet: fleets.Fleet, changes: int) -> list[float]:
+    """Make changes and return for each how long the last VM took to enforce it."""
+    ana = operators.Operator(fleet)
+    asked: dict[int, float] = {}
+    for _ in range(changes):
+        before = time.time()
+        asked[ana.roll(1, is_back=True).generation] = before
+        time.sleep(0.15)
+    wait_everywhere(fleet, max(asked))
+    watch = Watch(fleet)
+    watch.read()
+    return [worst_of(watch, generation, at) for generation, at in asked.items()]
+
+
+def worst_of(watch: Watch, generation: int, asked_at: float) -> float:
+    """Return when the last VM enforced `generation` or a later one, in seconds after the asking."""
+    worst = 0.0
+    for vm in watch.fleet.agents() + watch.fleet.entries():
+        times = [
+            seen[vm.name] for g, seen in watch.seen.items() if g >= generation and vm.name in seen
+        ]
+        worst = max(worst, min(times) - asked_at)
+    return worst
+
+
+def wait_everywhere(fleet: fleets.Fleet, generation: int) -> None:
+    """Wait until every agent reports a generation."""
+    fleets.wait_for(
+        f"generation {generation} everywhere",
+        lambda: (agents := fleet.status().get("agents"))
+        and all(agent["generation"] >= generation for agent in agents),
+        20,
+    )
+    time.sleep(1.0)
+
+
+def through_trouble(fleet: fleets.Fleet, trouble: str) -> float:
+    """Disturb the leader, ask for a change at once, and return when it is in force everywhere."""
+    ana = operators.Operator(fleet)
+    leader = fleet.leader()
+    assert leader is not None
+    before = time.time()
+    if trouble == "kill":
+        leader.process.kill()
+    else:
+        leader.process.freeze()
+    generation = ana.roll(1, is_back=True).generation
+    wait_everywhere(fleet, generation)
+    watch = Watch(fleet)
+    watch.read()
+    took = worst_of(watch, generation, before)
+    if trouble == "kill":
+        fleet.restart(leader.name)
+    else:
+        leader.process.thaw()
+    fleets.wait_for("three members", lambda: len(fleet.status().get("members", [])) == 3)
+    time.sleep(2.0)
+    return took
+
+
+def node_costs(fleet: fleets.Fleet) -> dict[str, dict[str, float]]:
+    """Return what control costs each role while nothing happens: core share, memory, messages."""
+    groups = {"control": fleet.controls(), "entry": fleet.entries(), "agent": fleet.agents()}
+    before = {
+        vm.name: measure.cost_of(vm.process.handle.pid) for vms in groups.values() for vm in vms
+    }
+    traffic = {vm.name: bus_bytes(fleet, vm) for vms in groups.values() for vm in vms}
+    time.sleep(IDLE_S)
+    found: dict[str, dict[str, float]] = {}
+    for role, vms in groups.items():
+        shares, sizes, rates = [], [], []
+        for vm in vms:
+            after = measure.cost_of(vm.process.handle.pid)
+            shares.append((after.cpu_s - before[vm.name].cpu_s) / IDLE_S)
+            sizes.append(after.rss_bytes / 1e6)
+            rates.append((bus_bytes(fleet, vm) - traffic[vm.name]) / IDLE_S)
+        found[role] = {
+            "core_share_max": round(max(shares), 5),
+            "core_share_mean": round(sum(shares) / len(shares), 5),
+            "rss_mb_max": round(max(sizes), 1),
+            "bytes_per_s_max": round(max(rates), 1),
+            "bytes_per_s_mean": round(sum(rates) / len(rates), 1),
+        }
+    return found
+
+
+def bus_bytes(fleet: fleets.Fleet, vm: fleets.Vm) -> float:
+    """Return the bytes of messages that a daemon has sent and received, by its own metric."""
+    text = fleet.http.request("GET", f"http://{vm.http}/metrics").body.decode()
+    return sum(
+        float(line.split()[1])
+        for line in text.splitlines()
+        if line.startswith("merlinthread_bus_bytes_total{")
+    )
+
+
+def changes_per_s(fleet: fleets.Fleet, threads: int, seconds: float) -> float:
+    """Return how many claims a second the leader commits with a sync, from many callers at once."""
+    leader = fleet.leader()
+    assert leader is not None
+    mesh = messages.make_codec([codec.key_from_hex(fleet.mesh_key)])
+    counts = [0] * threads
+    stop_at = time.monotonic() + seconds
+
+    def work(number: int) -> None:
+        caller = bus.Caller(leader.bus, mesh)
+        while time.monotonic() < stop_at:
+            key = f"bench {number} {counts[number]}"
+            claim = control_state.Claim(key, "0" * 64, "attempt", time.time())
+            name = mesh.names[control_state.Claim]
+            command = codec.msgspec.msgpack.encode((name, claim))
+            caller.call(messages.Submit(command), 5.0)
+            counts[number] += 1
+        caller.close()
+
+    workers = [threading.Thread(target=work, args=(n,)) for n in range(threads)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    return sum(counts) / seconds
+
+
+def recovery(folder: pathlib.Path, changes: int) -> dict[str, float]:
+    """Make changes, restart every control VM, and return how long until one leads again."""
+    shape = fleets.Shape(zones=("zone-a",), regions=("region-1",), engines_per_zone=0, services=0)
+    with fleets.Fleet(folder, shape) as fleet:
+        fleet.start()
+        ana = operators.Operator(fleet)
+        ana.bring_in(bundle(1))
+        started = time.monotonic()
+        for _ in range(changes - 1):
+            ana.roll(1, is_back=True)
+        seconds = time.monotonic() - started
+        for vm in fleet.controls():
+            vm.process.kill()
+        size = max(folder_bytes(fleet, vm) for vm in fleet.controls())
+        started = time.monotonic()
+        for vm in fleet.controls():
+            fleet.restart(vm.name)
+        fleets.wait_for("a leader", lambda: fleet.leader(), 30)
+        took = time.monotonic() - started
+        assert ana.status().generation == changes
+        return {
+            "recovery_s": round(took, 3),
+            "data_folder_bytes": size,
+            "changes_per_s_one_operator": round((changes - 1) / seconds, 1),
+        }
+
+
+def folder_bytes(fleet: fleets.Fleet, vm: fleets.Vm) -> int:
+    """Return the size of a control VM's data folder."""
+    return sum(path.stat().st_size for path in (fleet.folder / "data" / vm.name).iterdir())
+
+
+def main(arguments: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="bench control")
+    parser.add_argument("--changes", type=int, default=100)
+    parser.add_argument("--sizes", default="2x4,3x8,4x16", help="entries x agents in each zone")
+    parser.add_argument("--histories", default="1000,3000")
+    options = parser.parse_args(arguments)
+    root = pathlib.Path(tempfile.mkdtemp(prefix="merlinthread-control-"))
+    figures: dict = {"machine": measure.machine(), "sizes": []}
+    for number, size in enumerate(options.sizes.split(",")):
+        entries, agents = (int(part) for part in size.split("x"))
+        with start(root / f"size-{number}", entries, agents) as fleet:
+            time.sleep(2.0)
+            row = {"entries": entries * 3, "agents": agents * 3, "controls": 3}
+            row["processes"] = len(fleet.controls() + fleet.entries() + fleet.agents())
+            row["costs"] = node_costs(fleet)
+            times = in_force_times(fleet, options.changes)
+            row["in_force_p50_s"] = round(measure.percentile(times, 0.5), 3)
+            row["in_force_p99_s"] = round(measure.percentile(times, 0.99), 3)
+            row["in_force_after_leader_kill_s"] = round(through_trouble(fleet, "kill"), 3)
+            row["in_force_after_leader_freeze_s"] = round(through_trouble(fleet, "freeze"), 3)
+            row["claims_per_s_with_sync"] = round(changes_per_s(fleet, 16, 4.0), 1)
+            figures["sizes"].append(row)
+            print(row, flush=True)
+    for changes in options.histories.split(","):
+        if changes:
+            figures[f"history_{changes}"] = recovery(root / f"history-{changes}", int(changes))
+    largest = figures["sizes"][-1]
+    for name in (
+        "in_force_p50_s",
+        "in_force_p99_s",
+        "in_force_after_leader_kill_s",
+        "in_force_after_leader_freeze_s",
+        "claims_per_s_with_sync",
+    ):
+        figures[name] = largest[name]
+    return measure.finish("control", figures)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,11 +5,13 @@
 
 import contextlib
 import dataclasses
+import datetime
 import json
 import os
 import pathlib
 import random
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -290,9 +292,9 @@
             "log": {"level": self.shape.log_level},
         }
 
-    def add_daemon(self, settings: dict) -> Vm:
+    def add_daemon(self, settings: dict, process_name: str = "") -> Vm:
         """Write the settings of a daemon and start it."""
-        name = settings["name"]
+        name = process_name or settings["name"]
         path = self.folder / "settings" / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
         process = self.add(name, ["-m", "merlinthread.daemon", "--config", str(path)])
@@ -327,6 +329,18 @@
         }
         return self.add_daemon(settings)
 
+    def replace_control(self, lost: str) -> Vm:
+        """Start a new control VM under a new name in place of a lost one."""
+        number = len(self.control_peers)
+        self.control_peers.append(
+            {"name": f"control-{number}", "log_bus": self.address(), "bus": self.address()}
+        )
+        return self.add_control(number, replaces=lost)
+
+    def remove_folder(self, name: str) -> None:
+        """Remove a control VM's data folder, as if its disk was lost."""
+        shutil.rmtree(self.folder / "data" / name)
+
     def add_entry(self, zone: str, number: int) -> Vm:
         """Start an entry VM."""
         name = f"entry-{zone}-{number}"
@@ -502,6 +516,11 @@
         self.proxy.close()
 
 
+def seconds_of(text: str) -> float:
+    """Return a log line's time as seconds since 1970."""
+    return datetime.datetime.fromisoformat(text).timestamp()
+
+
 def simple_bundle(version: int, models: dict[str, tuple[str, int]], **more: Any) -> dict:
     """Return a bundle with models (name to manifest and share) and two groups."""
     return {
--- a/src/merlinthread/cli/client.py
+++ b/src/merlinthread/cli/client.py
@@ -19,6 +19,7 @@
     errors.ErrorKind.OUTCOME_UNKNOWN,
     errors.ErrorKind.UNREACHABLE,
     errors.ErrorKind.OVERLOADED,
+    errors.ErrorKind.DISK_FULL,
 )
 
 
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -41,6 +41,11 @@
 data_folder_bytes = prometheus_client.Gauge(
     "merlinthread_control_data_folder_bytes", "Bytes of the live files in the data folder."
 )
+bus_bytes_total = prometheus_client.Counter(
+    "merlinthread_bus_bytes_total",
+    "Bytes of messages between our own processes, chunks among them.",
+    ["direction"],
+)
 chunk_bytes_total = prometheus_client.Counter(
     "merlinthread_chunk_bytes_total", "Bytes of chunks received, by source.", ["source"]
 )
--- a/src/merlinthread/transport/bus.py
+++ b/src/merlinthread/transport/bus.py
@@ -11,7 +11,7 @@
 
 import pynng
 
-from merlinthread import errors, logs
+from merlinthread import errors, logs, metrics
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import messages
 
@@ -19,6 +19,8 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 SENDER_QUEUE = 64
+SENT = metrics.bus_bytes_total.labels("sent")
+RECEIVED = metrics.bus_bytes_total.labels("received")
 
 
 def address_url(address: str) -> str:
@@ -53,8 +55,12 @@
         self.socket.send_timeout = milliseconds
         self.socket.recv_timeout = milliseconds
         try:
-            self.socket.send(self.codec.encode(message))
-            answer = self.codec.decode(self.socket.recv())
+            frame = self.codec.encode(message)
+            self.socket.send(frame)
+            SENT.inc(len(frame))
+            frame = self.socket.recv()
+            RECEIVED.inc(len(frame))
+            answer = self.codec.decode(frame)
         except pynng.exceptions.NNGException as error:
             raise errors.UnreachableError(f"{self.address}: {error}")
         if isinstance(answer, messages.Refused):
@@ -119,7 +125,10 @@
             while True:
                 try:
                     frame = context.recv()
-                    context.send(self.answer(frame))
+                    RECEIVED.inc(len(frame))
+                    frame = self.answer(frame)
+                    context.send(frame)
+                    SENT.inc(len(frame))
                 except pynng.exceptions.Closed:
                     return
                 except pynng.exceptions.NNGException as error:
@@ -162,7 +171,9 @@
         """Deliver one message after another until the socket is closed."""
         while True:
             try:
-                self.deliver(self.codec.decode(self.socket.recv()))
+                frame = self.socket.recv()
+                RECEIVED.inc(len(frame))
+                self.deliver(self.codec.decode(frame))
             except pynng.exceptions.Closed:
                 return
             except pynng.exceptions.NNGException as error:
@@ -193,7 +204,9 @@
     def send(self, message: Any) -> bool:
         """Send without waiting; return whether there was room."""
         try:
-            self.socket.send(self.codec.encode(message), block=False)
+            frame = self.codec.encode(message)
+            self.socket.send(frame, block=False)
+            SENT.inc(len(frame))
         except pynng.exceptions.NNGException:
             self.dropped += 1
             return False
--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -1,4 +1,4 @@
-"""A replicated log's members without sockets: messages, clocks and disks are in the test's hands."""
+"""A replicated log's members without sockets: messages, clock and disks are the test's."""
 
 import dataclasses
 import random
--- /dev/null
+++ b/tests/test_control_failures.py
@@ -0,0 +1,285 @@
+"""Bundles never revert, shown with real control VMs: kills, freezes, cuts, lost disks, races."""
+
+import concurrent.futures
+import resource
+import uuid
+
+import pytest
+
+from bench import fleet as fleets
+from bench import operators
+from merlinthread import errors
+
+SMALL = fleets.Shape(
+    zones=("zone-a", "zone-b", "zone-c"),
+    regions=("region-1",),
+    engines_per_zone=0,
+    services=0,
+    through_proxy=True,
+)
+
+
+def bundle(version: int, note: str = "") -> dict:
+    return fleets.simple_bundle(version, {"hint": ("a" * 64, 100)}, note=note)
+
+
+def entry_generations(fleet: fleets.Fleet) -> list[int]:
+    """Return the generation that each entry enforces, read from its metrics."""
+    found = []
+    for vm in fleet.entries():
+        text = fleet.http.request("GET", f"http://{vm.http}/metrics").body.decode()
+        line = next(x for x in text.splitlines() if x.startswith("merlinthread_generation "))
+        found.append(int(float(line.split()[1])))
+    return found
+
+
+def in_force(fleet: fleets.Fleet, generation: int, timeout_s: float = 5.0) -> None:
+    fleets.wait_for(
+        f"generation {generation} in force everywhere",
+        lambda: all(g >= generation for g in entry_generations(fleet)),
+        timeout_s,
+    )
+
+
+def test_a_bundle_s_life_goes_on_through_kills_of_the_leader_at_each_stage(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    generation = 0
+    for number, stage in enumerate(("propose", "sign", "roll")):
+        version = number + 1
+        for step in ("propose", "sign", "roll"):
+            result = {
+                "propose": lambda v=version: ana.propose(bundle(v)),
+                "sign": lambda v=version: ana.sign(bundle(v)),
+                "roll": lambda v=version: ana.roll(v),
+            }[step]()
+            generation = max(generation, result.generation)
+            if step == stage:
+                leader = fleet.leader()
+                leader.process.kill()
+                fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+                fleet.restart(leader.name)
+        in_force(fleet, generation)
+    history = ana.history()
+    assert [roll.generation for roll in history.rolls] == [3, 2, 1]
+    assert {line.version for line in history.bundles} == {1, 2, 3}
+
+
+def test_a_resend_after_a_lost_answer_and_a_new_leader_gives_the_first_answer(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    request_id = uuid.uuid4().hex
+    ana.propose(bundle(1))
+    ana.sign(bundle(1))
+    first = ana.roll(1, request_id=request_id)
+    fleet.leader().process.kill()
+    fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+    assert ana.roll(1, request_id=request_id) == first
+    assert ana.roll(1).generation == first.generation + 1
+
+
+def test_a_frozen_leader_that_wakes_can_neither_commit_nor_answer(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    ana.bring_in(bundle(1))
+    frozen = fleet.leader()
+    frozen.process.freeze()
+    fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+    result = ana.bring_in(bundle(2))
+    in_force(fleet, result.generation)
+    frozen.process.thaw()
+    stale = fleet.get(frozen.http, "/v1/status")
+    assert stale is None or stale["generation"] >= result.generation
+    fleets.wait_for(
+        "the woken control VM to follow",
+        lambda: frozen.process.events("following"),
+    )
+    in_force(fleet, result.generation)
+    assert ana.history().rolls[0].generation == result.generation
+
+
+@pytest.mark.parametrize("faults", [{"cut_forth": True}, {"cut_forth": True, "cut_back": True}])
+def test_a_cut_off_zone_keeps_what_it_has_and_catches_up(make_fleet, faults):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    first = ana.bring_in(bundle(1))
+    in_force(fleet, first.generation)
+    leader = fleet.leader()
+    cut = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] != "zone-a")
+    zone = cut.settings["availability_zone"]
+    inside = {vm.name for vm in fleet.vms.values() if vm.settings["availability_zone"] == zone}
+    buses = {fleet.vms[name].bus: name for name in inside}
+    buses |= {
+        peer["log_bus"]: peer["name"] for peer in fleet.control_peers if peer["name"] in inside
+    }
+    links = []
+    for name in fleet.proxy.links:
+        source, _, goal = name.partition(">")
+        goal_name = buses.get(goal, goal)
+        if (source in inside) != (goal_name in inside):
+            links.append(name)
+    fleet.proxy.set(links, **faults)
+    fleet.proxy.links[links[0]].reset_all()
+    if leader.name in inside:
+        fleets.wait_for(
+            "a leader outside",
+            lambda: (found := fleet.leader()) and found.name not in inside,
+            15,
+        )
+    outside = [vm.http for vm in fleet.controls() if vm.name not in inside]
+    ana.controls.controls = outside
+    result = ana.bring_in(bundle(2))
+    assert result.generation == 2
+    generations = dict(
+        zip([vm.name for vm in fleet.entries()], entry_generations(fleet), strict=True)
+    )
+    assert generations[cut.name] >= 1
+    fleet.proxy.set(links)
+    in_force(fleet, 2, 15)
+
+
+def test_a_lost_disk_is_repaired_and_then_a_second_loss_is_survived(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    ana.bring_in(bundle(1))
+    fleets.wait_for(
+        "identities",
+        lambda: any(vm.process.events("members_change") for vm in fleet.controls()),
+    )
+    leader = fleet.leader()
+    lost = next(vm for vm in fleet.controls() if vm.name != leader.name)
+    lost.process.kill()
+    fleet.remove_folder(lost.name)
+    fleet.restart(lost.name)
+    assert lost.process.wait(20) == 1, "a lost disk must not come back under its old name"
+    assert lost.process.events("identity_lost")
+
+    new = fleet.replace_control(lost.name)
+    fleets.wait_for(
+        "the new control VM to vote and the lost one to be gone",
+        lambda: {m["name"]: m["role"] for m in fleet.status().get("members", [])}
+        == {vm.name: "voter" for vm in fleet.controls() if vm.name != lost.name},
+        30,
+    )
+    second = next(
+        vm for vm in fleet.controls() if vm.name not in (lost.name, new.name, leader.name)
+    )
+    second.process.kill()
+    ana = operators.Operator(fleet)
+    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    assert [line.version for line in ana.history().bundles] == [1]
+    result = ana.bring_in(bundle(2))
+    in_force(fleet, result.generation, 10)
+
+
+def test_of_8_operators_with_one_version_number_exactly_one_wins(make_fleet):
+    fleet = make_fleet(SMALL)
+    for number in range(8):
+        fleet.add_operator(f"op-{number}")
+
+    def race(number: int) -> str:
+        operator = operators.Operator(fleet, f"op-{number}")
+        try:
+            return operator.propose(bundle(5, note=f"by {number}")).digest
+        except errors.MerlinthreadError as error:
+            assert error.kind == errors.ErrorKind.VERSION_CONFLICT
+            return "lost to " + error.message.split("digest ")[1].split(";")[0]
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        results = list(pool.map(race, range(8)))
+    winners = [result for result in results if not result.startswith("lost")]
+    assert len(winners) == 1
+    assert {r for r in results if r.startswith("lost")} == {f"lost to {winners[0]}"}
+
+
+def test_nothing_reverts_after_1000_changes_and_a_restart_of_all(make_fleet):
+    fleet = make_fleet(
+        fleets.Shape(
+            zones=("zone-a",),
+            regions=("region-1",),
+            engines_per_zone=0,
+            services=0,
+            control={"compact_after_entries": 200},
+        )
+    )
+    ana = operators.Operator(fleet)
+    ana.bring_in(bundle(1))
+    for _ in range(999):
+        last = ana.roll(1, is_back=True)
+    assert last.generation == 1000
+    for vm in fleet.controls():
+        vm.process.kill()
+    for entry in fleet.entries():
+        entry.process.kill()
+    for vm in [*fleet.controls(), *fleet.entries()]:
+        fleet.restart(vm.name)
+    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    in_force(fleet, 1000, 10)
+    assert ana.history().rolls[0].generation == 1000
+    for vm in fleet.controls():
+        folder = fleet.folder / "data" / vm.name
+        assert sum(path.stat().st_size for path in folder.iterdir()) < 2_000_000
+
+
+def test_a_flipped_byte_is_refused_and_the_others_go_on(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    ana.bring_in(bundle(1))
+    hurt = next(vm for vm in fleet.controls() if vm.name != fleet.leader().name)
+    hurt.process.kill()
+    path = next((fleet.folder / "data" / hurt.name).glob("log-*.bin"))
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 0x10
+    path.write_bytes(data)
+    fleet.restart(hurt.name)
+    assert hurt.process.wait(15) == 13
+    assert f"log_damaged: {path}" in hurt.process.log.read_text()
+    assert ana.bring_in(bundle(2)).generation == 2
+
+
+def test_a_full_disk_of_the_leader_is_a_clear_refusal_and_loses_nothing(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet)
+    ana.bring_in(bundle(1))
+    full = fleet.leader()
+    size = next((fleet.folder / "data" / full.name).glob("log-*.bin")).stat().st_size
+    limit = (size, resource.RLIM_INFINITY)
+    resource.prlimit(full.process.handle.pid, resource.RLIMIT_FSIZE, limit)
+    result = ana.bring_in(bundle(2))
+    assert result.generation == 2
+    assert fleet.leader().name != full.name
+    assert full.process.is_running()
+    unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+    resource.prlimit(full.process.handle.pid, resource.RLIMIT_FSIZE, unlimited)
+    in_force(fleet, 2, 10)
+    other = next(vm for vm in fleet.controls() if vm.name not in (full.name, fleet.leader().name))
+    other.process.kill()
+    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    assert ana.bring_in(bundle(3)).generation == 3
+
+
+def test_a_second_process_on_one_data_folder_is_refused(make_fleet):
+    fleet = make_fleet(SMALL)
+    vm = fleet.controls()[0]
+    settings = dict(vm.settings, http={"address": "127.0.0.1", "port": fleet.ports.take()})
+    second = fleet.add_daemon(dict(settings, name=vm.name), process_name="twin")
+    assert second.process.wait(15) == 13
+    assert "folder_in_use" in second.process.log.read_text()
+
+
+def test_without_a_majority_a_roll_is_refused_and_reading_too(make_fleet):
+    fleet = make_fleet(SMALL)
+    ana = operators.Operator(fleet, timeout_s=4.0)
+    ana.bring_in(bundle(1))
+    ana.propose(bundle(2))
+    ana.sign(bundle(2))
+    for vm in fleet.controls()[1:]:
+        vm.process.kill()
+    with pytest.raises(errors.MerlinthreadError) as caught:
+        ana.roll(2)
+    assert caught.value.kind in (
+        errors.ErrorKind.NOT_LEADER,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        errors.ErrorKind.UNREACHABLE,
+    )
+    assert entry_generations(fleet) == [1, 1, 1]
