--- /dev/null
+++ b/bench/rollout.py
@@ -0,0 +1,258 @@
+"""Time to N replicas and origin bytes, for each fetch policy, against the links' bound.
+
+Links as the brief says: in the window T the origin carries 4 copies and a VM's link 2 each way.
+With S a version's size, Ro and Rv the rates: bound = max(S/Ro, S/Rv, N*S/(Ro + N*Rv)). The agents
+are the product's own code, several in one process, each behind its own paced link; the load time of
+engines is left out (0) on both sides.
+"""
+
+import argparse
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+from bench import fleet as fleets
+from bench import measure
+
+WORKERS = 7
+POLL_S = 0.1
+ZONES = ("zone-a", "zone-b", "zone-c")
+LIMIT_OVER_BOUND = 12.0
+
+
+class Swarm:
+    """Workers with agents, and the origin."""
+
+    def __init__(self, folder: pathlib.Path, count: int, options: argparse.Namespace) -> None:
+        self.fleet = fleets.Fleet(folder)
+        self.options = options
+        self.size = options.chunks * options.chunk_bytes
+        self.rate = self.size / options.link_s
+        self.fleet.shape.origin_bytes_per_s = 2 * self.rate
+        self.fleet.start_outside()
+        self.handles = [
+            subprocess.Popen(
+                [sys.executable, "-m", "bench.swarm"],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for _ in range(min(WORKERS, count))
+        ]
+        self.names = [f"vm-{number:04d}" for number in range(count)]
+        self.peers = [
+            (name, ZONES[i % 3], "region-1", self.fleet.address())
+            for i, name in enumerate(self.names)
+        ]
+
+    def order(self, handle: subprocess.Popen, order: dict) -> dict:
+        """Give one worker an order and return its answer."""
+        assert handle.stdin is not None and handle.stdout is not None
+        handle.stdin.write(json.dumps(order) + "\n")
+        handle.stdin.flush()
+        return json.loads(handle.stdout.readline())
+
+    def order_all(self, order: dict) -> list[dict]:
+        """Give all workers an order and return their answers."""
+        return [self.order(handle, order) for handle in self.handles]
+
+    def start(self, policy: str, corrupt_share: float) -> None:
+        """Start the agents."""
+        for number, handle in enumerate(self.handles):
+            configs = [
+                {"settings": self.settings_of(peer, policy), "corrupt_share": corrupt_share}
+                for peer in self.peers[number :: len(self.handles)]
+            ]
+            self.order(handle, {"do": "start", "agents": configs})
+
+    def settings_of(self, peer: tuple, policy: str) -> dict:
+        """Return an agent's settings."""
+        name, zone, region, address = peer
+        return {
+            "name": name,
+            "availability_zone": zone,
+            "region": region,
+            "roles": ["agent"],
+            "http": {"address": "127.0.0.1", "port": 1},
+            "bus": address,
+            "agent": {
+                "entries": ["127.0.0.1:1"],
+                "target_url": "http://127.0.0.1:1",
+                "target_kind": "generate",
+                "origin_url": self.fleet.origin_url,
+                "weight_store_url": self.fleet.origin_url,
+                "link_bytes_per_s": int(self.rate),
+                "origin_bytes_per_s": int(self.rate),
+                "fetch_policy": policy,
+            },
+        }
+
+    def wait(self, manifest: str, started: float, faults: "Faults") -> dict:
+        """Wait until every live agent is complete or the limit is passed."""
+        bound = self.bound()
+        live = set(self.names)
+        while True:
+            elapsed = time.monotonic() - started
+            faults.act(self, manifest, elapsed / bound, live)
+            answers = self.order_all({"do": "poll"})
+            done = {
+                name: at[manifest] - started
+                for answer in answers
+                for name, at in answer["done"].items()
+                if manifest in at
+            }
+            if live <= set(done) or elapsed > LIMIT_OVER_BOUND * bound:
+                return {
+                    "times": sorted(done[name] for name in live if name in done),
+                    "missing": len(live - set(done)),
+                    "cpu_s": sum(answer["cpu_s"] for answer in answers),
+                    "rss_mb": sum(answer["rss_mb"] for answer in answers),
+                }
+            time.sleep(POLL_S)
+
+    def want(self, manifest: str, peers: list[tuple], cut: str = "") -> None:
+        """Let all agents fetch, with whom they reach."""
+        self.order_all({"do": "want", "manifest": manifest, "peers": peers, "cut": cut})
+
+    def bound(self) -> float:
+        """Return the least time that the links allow, in seconds."""
+        count = len(self.names)
+        origin, link = 2 * self.rate, self.rate
+        return max(
+            self.size / origin, self.size / link, count * self.size / (origin + count * link)
+        )
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for handle in self.handles:
+            assert handle.stdin is not None
+            handle.stdin.close()
+        for handle in self.handles:
+            try:
+                handle.wait(10)
+            except subprocess.TimeoutExpired:
+                handle.kill()
+                handle.wait(5)
+        self.fleet.close()
+
+
+class Faults:
+    """What goes wrong during a run, by the share of the bound that has passed."""
+
+    def __init__(self, is_on: bool) -> None:
+        self.is_on = is_on
+        self.killed: list[str] = []
+        self.is_cut = False
+        self.was_cut = False
+
+    def act(self, swarm: Swarm, manifest: str, share: float, live: set[str]) -> None:
+        """Kill a tenth at 0.4; cut a zone from 0.3 to 0.63."""
+        if not self.is_on:
+            return
+        if share >= 0.4 and not self.killed:
+            self.killed = random.Random(1).sample(swarm.names, max(1, len(swarm.names) // 10))
+            live -= set(self.killed)
+            swarm.order_all({"do": "kill", "names": self.killed})
+        wants_cut = 0.3 <= share < 0.63
+        if wants_cut != self.is_cut:
+            self.is_cut = wants_cut
+            peers = [peer for peer in swarm.peers if peer[0] not in self.killed]
+            cut = ZONES[2] if wants_cut else ""
+            swarm.want(manifest, peers, cut)
+
+
+def run(
+    folder: pathlib.Path, count: int, policy: str, with_faults: bool, options: argparse.Namespace
+) -> dict:
+    """Run one rollout and return its figures."""
+    swarm = Swarm(folder, count, options)
+    try:
+        manifest = swarm.fleet.publish("model-1", swarm.size, options.chunk_bytes)
+        swarm.start(policy, 0.01 if with_faults else 0.0)
+        fleets.wait_for("the origin", lambda: swarm.fleet.get(swarm.fleet.origin_url, "/stats"))
+        time.sleep(0.5)
+        started = time.monotonic()
+        swarm.want(manifest, swarm.peers)
+        found = swarm.wait(manifest, started, Faults(with_faults))
+        stats = swarm.fleet.get(swarm.fleet.origin_url, "/stats")
+        times = found["times"]
+        slowest = times[-1] if times and not found["missing"] else None
+        return {
+            "policy": policy,
+            "n": count,
+            "faults": with_faults,
+            "bound_s": round(swarm.bound(), 3),
+            "time_to_n_s": round(slowest, 3) if slowest else None,
+            "time_to_half_s": round(times[len(times) // 2], 3) if times else None,
+            "time_to_n_over_bound": round(slowest / swarm.bound(), 3) if slowest else None,
+            "missing": found["missing"],
+            "origin_copies": round(stats["sent_bytes"] / swarm.size, 3),
+            "agent_cpu_s_per_gb": round(found["cpu_s"] / (count * swarm.size / 1e9), 2),
+            "rss_mb_per_agent": round(found["rss_mb"] / count, 1),
+            "times": [round(value, 3) for value in times],
+        }
+    finally:
+        swarm.close()
+
+
+def plot(path: str, rows: list[dict]) -> None:
+    """Write a picture of replicas over time."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for row in rows:
+        label = f"{row['policy']}, N={row['n']}, {row['origin_copies']} copies"
+        counts = range(1, len(row["times"]) + 1)
+        axes.step([0, *row["times"]], [0, *counts], where="post", label=label)
+    axes.axvline(rows[0]["bound_s"], linestyle=":", color="grey", label="bound")
+    axes.set_xlabel("seconds since the roll")
+    axes.set_ylabel("VMs with the whole version")
+    axes.legend(fontsize=7)
+    figure.savefig(path, dpi=120)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="bench rollout")
+    parser.add_argument("--sizes", default="25,50,100")
+    parser.add_argument("--policies", default="spread,tree,origin_only")
+    parser.add_argument("--compare-at", type=int, default=25, help="N for the other policies")
+    parser.add_argument("--faults-at", type=int, default=50, help="N for the run with faults")
+    parser.add_argument("--chunks", type=int, default=128)
+    parser.add_argument("--chunk-bytes", type=int, default=65536)
+    parser.add_argument("--link-s", type=float, default=10.0, help="seconds a link takes for S")
+    parser.add_argument("--plot", default="")
+    options = parser.parse_args(arguments)
+    root = pathlib.Path(tempfile.mkdtemp(prefix="merlinthread-rollout-"))
+    first, *others = options.policies.split(",")
+    plans = [(int(size), first, False) for size in options.sizes.split(",")]
+    plans += [(options.compare_at, policy, False) for policy in others]
+    if options.faults_at:
+        plans.append((options.faults_at, first, True))
+    rows = []
+    for number, (count, policy, with_faults) in enumerate(plans):
+        row = run(root / str(number), count, policy, with_faults, options)
+        rows.append(row)
+        print({key: value for key, value in row.items() if key != "times"}, flush=True)
+    if options.plot:
+        plot(options.plot, rows)
+    for row in rows:
+        del row["times"]
+    largest = [row for row in rows if row["policy"] == first and not row["faults"]][-1]
+    figures = {
+        "machine": measure.machine(),
+        "time_to_n_over_bound": largest["time_to_n_over_bound"],
+        "origin_copies": largest["origin_copies"],
+        "time_to_n_s": largest["time_to_n_s"],
+        "n": largest["n"],
+        "size_bytes": options.chunks * options.chunk_bytes,
+        "rows": rows,
+    }
+    return measure.finish("rollout", figures)
--- /dev/null
+++ b/bench/swarm.py
@@ -0,0 +1,137 @@
+"""A worker of the rollout bench: many agents' weights in one process, without engines or HTTP.
+
+Reads its orders as JSON lines from standard input and answers on standard output. The agents are
+the product's own `Weights`, chunk store and bus; only heartbeats are replaced by the bench, which
+tells each agent its peers.
+"""
+
+import json
+import pathlib
+import random
+import sys
+import time
+
+from merlinthread import logs, settings
+from merlinthread.coordination import fetch
+from merlinthread.protocol import messages
+from merlinthread.roles import base, weights
+from merlinthread.state import chunks
+from merlinthread.transport import bus, http_server
+
+RESPONDERS = 6
+NOWHERE = "127.0.0.1:1"
+
+
+class CorruptingWeights(weights.Weights):
+    """Weights whose uploads are damaged now and then."""
+
+    corrupt_share = 0.0
+
+    def handle(self, message: object) -> object:
+        """Answer another agent, sometimes with a damaged chunk."""
+        answer = super().handle(message)
+        if isinstance(answer, messages.ChunkFound) and answer.data:
+            if random.random() < self.corrupt_share:
+                answer.data = bytes([answer.data[0] ^ 1]) + answer.data[1:]
+        return answer
+
+
+class SwarmAgent:
+    """One agent of the swarm."""
+
+    def __init__(self, config: dict) -> None:
+        checked = settings.parse(json.dumps(config["settings"]), "bench")
+        parts = base.Parts(
+            checked,
+            messages.make_codec([]),
+            http_server.Server("127.0.0.1", 1, 2),
+            http_server.InFlight(),
+        )
+        assert checked.agent is not None
+        folder = pathlib.Path(config["folder"]) if config.get("folder") else None
+        store = chunks.ChunkStore(folder, 1 << 34)
+        self.weights = CorruptingWeights(parts, checked.agent, store)
+        self.weights.corrupt_share = config.get("corrupt_share", 0.0)
+        self.responder = bus.Responder(
+            checked.bus, parts.codec, self.weights.handle, workers=RESPONDERS
+        )
+        self.responder.start()
+        self.weights.start()
+        self.done_at: dict[str, float] = {}
+        self.is_dead = False
+
+    def kill(self) -> None:
+        """Fall silent at once."""
+        self.is_dead = True
+        self.responder.socket.close()
+        with self.weights.lock:
+            self.weights.stopping = True
+
+
+class Worker:
+    """Carries out the bench's orders."""
+
+    def __init__(self) -> None:
+        self.agents: dict[str, SwarmAgent] = {}
+
+    def on_start(self, order: dict) -> dict:
+        """Start agents."""
+        for config in order["agents"]:
+            self.agents[config["settings"]["name"]] = SwarmAgent(config)
+        return {"started": len(self.agents)}
+
+    def on_want(self, order: dict) -> dict:
+        """Begin to fetch, or change with whom; across a cut zone's border nobody is reached."""
+        cut = order.get("cut", "")
+        for agent in self.agents.values():
+            if agent.is_dead:
+                continue
+            zone = agent.weights.parts.settings.availability_zone
+            peers = []
+            for name, other, _, address in order["peers"]:
+                if name == agent.weights.name:
+                    continue
+                is_reached = (other == cut) == (zone == cut)
+                distance = fetch.OWN_ZONE if other == zone else fetch.OWN_REGION
+                peers.append(fetch.Peer(name, address if is_reached else NOWHERE, distance))
+            agent.weights.want({order["manifest"]: peers})
+        return {}
+
+    def on_kill(self, order: dict) -> dict:
+        """Kill agents."""
+        for name in order["names"]:
+            if name in self.agents:
+                self.agents[name].kill()
+        return {}
+
+    def on_poll(self, order: dict) -> dict:
+        """Return when each agent was complete, on the machine's monotonic clock."""
+        for agent in self.agents.values():
+            for digest in agent.weights.complete():
+                agent.done_at.setdefault(digest, time.monotonic())
+        return {
+            "done": {name: agent.done_at for name, agent in self.agents.items()},
+            "cpu_s": time.process_time(),
+            "rss_mb": rss_mb(),
+        }
+
+    def run(self) -> None:
+        """Carry out orders until the input ends."""
+        for line in sys.stdin:
+            order = json.loads(line)
+            answer = getattr(self, f"on_{order['do']}")(order)
+            print(json.dumps(answer), flush=True)
+
+
+def rss_mb() -> float:
+    """Return this process's resident memory in MB."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * 4096 / 1e6
+
+
+if __name__ == "__main__":
+    logs.set_up("swarm", "error")
+    Worker().run()
+    import os
+
+    os._exit(0)
--- a/src/merlinthread/cli/client.py
+++ b/src/merlinthread/cli/client.py
@@ -13,6 +13,7 @@
 
 CONTROLS_VARIABLE = "MERLINTHREAD_CONTROLS"
 ROUND_WAIT_S = 0.3
+TRY_TIMEOUT_S = 1.5
 RETRIED = (
     errors.ErrorKind.NOT_LEADER,
     errors.ErrorKind.NO_MAJORITY,
@@ -53,7 +54,7 @@
         """Try each control VM once; return the answer or the last failure that may pass."""
         failure: errors.MerlinthreadError = errors.ControlError("no control VM was tried")
         for address in list(self.controls):
-            left = max(0.2, min(6.0, stop_at - time.monotonic()))
+            left = max(0.2, min(TRY_TIMEOUT_S, stop_at - time.monotonic()))
             try:
                 return self.http.request_ok(
                     method,
--- a/src/merlinthread/coordination/control_state.py
+++ b/src/merlinthread/coordination/control_state.py
@@ -12,7 +12,7 @@
 
 COMMANDS: registry.Registry[type] = registry.Registry("control command")
 
-ANSWERS_KEPT = 4096
+ANSWERS_KEPT = 1024
 SIGNED = "signed"
 PROPOSED = "proposed"
 IN_FORCE = "in force"
@@ -65,13 +65,23 @@
     reason: str
 
 
+@dataclasses.dataclass(slots=True)
+class Placed:
+    """What one VM should hold, and where its agent is reached by others ("IP:port")."""
+
+    models: list[str]
+    availability_zone: str
+    region: str
+    bus: str
+
+
 @COMMANDS.add("place")
 @dataclasses.dataclass(slots=True)
 class Place:
-    """Change which models some VMs hold; an empty list takes a VM out."""
+    """Change which models some VMs hold; an empty list of models takes a VM out."""
 
     generation: int
-    changes: dict[str, list[str]]
+    changes: dict[str, Placed]
     reason: str
 
 
@@ -170,7 +180,7 @@
     bundle: bundles.Bundle | None = None
     digest: str = ""
     signatures: dict[str, str] = dataclasses.field(default_factory=dict)
-    placement: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    placement: dict[str, Placed] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -187,7 +197,7 @@
     paused: str = ""
     records: dict[int, BundleRecord] = dataclasses.field(default_factory=dict)
     rolls: list[RollRecord] = dataclasses.field(default_factory=list)
-    placement: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    placement: dict[str, Placed] = dataclasses.field(default_factory=dict)
     answers: dict[str, Answer] = dataclasses.field(default_factory=dict)
     claims: dict[str, ClaimRecord] = dataclasses.field(default_factory=dict)
     claims_before: float = 0.0
@@ -333,9 +343,9 @@
         """Change the placement, if it was made for the present generation."""
         if command.generation != self.generation:
             return Answer(generation=self.generation, status="stale")
-        for agent, models in command.changes.items():
-            if models:
-                self.placement[agent] = models
+        for agent, placed in command.changes.items():
+            if placed.models:
+                self.placement[agent] = placed
             else:
                 self.placement.pop(agent, None)
         self.revision = index
--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -21,6 +21,9 @@
 EMPTY_WAIT_S = 0.05
 FAILED_WAIT_S = 1.0
 CORRUPT_WAIT_S = 30.0
+LOST_S = 4.0
+NEIGHBOURS_MAX = 40
+READERS_MAX = 32
 STALE_AFTER_S = 0.25
 ORIGIN_GRACE_S = 3.0
 CHUNKS_OFFERED = 4
@@ -44,6 +47,15 @@
 Action = FromOrigin | FromPeer
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Peer:
+    """Another VM that should hold the same manifest; `bus` is "IP:port"."""
+
+    name: str
+    bus: str
+    distance: int
+
+
 @dataclasses.dataclass(slots=True)
 class PeerState:
     """What is known of one other VM."""
@@ -53,8 +65,8 @@
     held: int = 0
     heard_at: float = float("-inf")
     not_before: float = float("-inf")
+    lost_until: float = float("-inf")
     asked: int = 0
-    was_probed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,22 +129,34 @@
         self.origin_not_before = float("-inf")
         self.peers: dict[str, PeerState] = {}
         self.participants: list[str] = [me]
+        self.near: set[str] = {me}
         self.tally = Tally()
         self.rng = rng
         self.last_news_at = now
 
     # What the owner tells
 
-    def set_peers(self, participants: list[str], distances: dict[str, int]) -> None:
-        """Set who fetches or holds the manifest, and how far the live ones are."""
-        self.participants = sorted(set(participants) | {self.me})
-        for name in set(self.peers) - set(distances):
+    def set_peers(self, peers: list[Peer]) -> None:
+        """Set which other VMs should hold the manifest; the nearest few are the ones to ask."""
+        self.participants = sorted({peer.name for peer in peers} | {self.me})
+        self.near = {peer.name for peer in peers if peer.distance == OWN_ZONE} | {self.me}
+        chosen = {peer.name: peer for peer in self.neighbours(peers)}
+        for name in set(self.peers) - set(chosen):
             del self.peers[name]
-        for name, distance in distances.items():
-            if name != self.me:
-                self.peers.setdefault(name, PeerState(name, distance)).distance = distance
+        for name, peer in chosen.items():
+            if name not in self.peers:
+                self.peers[name] = PeerState(name, peer.distance)
         self.on_participants()
 
+    def neighbours(self, peers: list[Peer]) -> list[Peer]:
+        """Return whom to ask: all of a small group, else some near, some far, always the same."""
+        if len(peers) <= NEIGHBOURS_MAX:
+            return peers
+        ordered = sorted(peers, key=lambda peer: weight(peer.name, self.me, 0))
+        near = [peer for peer in ordered if peer.distance == OWN_ZONE][: NEIGHBOURS_MAX * 2 // 3]
+        far = [peer for peer in ordered if peer.distance != OWN_ZONE]
+        return near + far[: NEIGHBOURS_MAX - len(near)]
+
     def on_participants(self) -> None:
         """Let a policy prepare for a changed set of VMs."""
 
@@ -187,6 +211,8 @@
         """Note that a peer did not answer."""
         self.tally.failed += 1
         self.hold_off(peer, now + FAILED_WAIT_S)
+        if peer in self.peers:
+            self.peers[peer].lost_until = now + LOST_S
 
     def peer_corrupt(self, peer: str, now: float) -> None:
         """Note that a peer gave bytes with a wrong digest, and set it aside."""
@@ -272,19 +298,21 @@
 class Spread(FetchPlan):
     """Each chunk is read from the origin by one VM, its owner; the rest passes between VMs.
 
-    The owner is first in rendezvous order among the live participants. If a chunk is nowhere to be
-    had for `ORIGIN_GRACE_S`, the next in order reads it.
+    The owner is first in rendezvous order among the readers, a few participants that are the same
+    for everybody. A chunk that is nowhere to be had for `ORIGIN_GRACE_S` is read by another VM.
     """
 
     owned = 0
 
     def on_participants(self) -> None:
         """Find the chunks that this VM reads from the origin."""
-        live = [name for name in self.participants if name == self.me or name in self.peers]
+        ordered = sorted(self.participants, key=lambda name: weight(name, self.manifest, -1))
+        readers = ordered[:READERS_MAX]
         self.owned = 0
+        if self.me not in readers:
+            return
         for index in range(self.chunk_count):
-            best = max(live, key=lambda name: weight(name, self.manifest, index))
-            if best == self.me:
+            if max(readers, key=lambda name: weight(name, self.manifest, index)) == self.me:
                 self.owned |= 1 << index
 
     def next_action(self, now: float) -> Action | None:
@@ -292,10 +320,7 @@
         needed = self.needed()
         if not needed:
             return None
-        known = 0
-        for peer in self.peers.values():
-            known |= peer.held
-        own = needed & self.owned & ~known
+        own = needed & self.owned
         if own and self.may_read_origin(now):
             return FromOrigin(self.rng.choice(bits(own)))
         for peer in self.askable(now):
@@ -305,7 +330,7 @@
         probe = self.probe(needed, now)
         if probe is not None:
             return probe
-        return self.rescue(needed & ~known, now)
+        return self.rescue(needed, now)
 
     def probe(self, needed: int, now: float) -> FromPeer | None:
         """Ask a peer of which nothing new is known for a part of what is needed."""
@@ -316,21 +341,22 @@
                 return FromPeer(peer.name, sum(1 << index for index in part))
         return None
 
-    def rescue(self, missing: int, now: float) -> FromOrigin | None:
-        """Read a chunk whose owner does not deliver, in rendezvous order of the others."""
-        if not missing or not self.may_read_origin(now):
+    def rescue(self, needed: int, now: float) -> FromOrigin | None:
+        """Read a chunk whose owner does not deliver.
+
+        The first VM of this zone in the chunk's rendezvous order does, the others wait longer; so a
+        zone that is cut off reads a chunk that it lacks about once.
+        """
+        if now - self.last_news_at < ORIGIN_GRACE_S or not self.may_read_origin(now):
             return None
-        waited = now - self.last_news_at
-        if waited < ORIGIN_GRACE_S:
+        for peer in self.peers.values():
+            if peer.lost_until < now:
+                needed &= ~peer.held
+        if not needed:
             return None
-        index = bits(missing)[0]
-        order = sorted(
-            self.participants,
-            key=lambda name: weight(name, self.manifest, index),
-            reverse=True,
-        )
-        rank = order.index(self.me)
-        if waited < ORIGIN_GRACE_S * max(1, rank):
+        index = self.rng.choice(bits(needed))
+        order = sorted(self.near, key=lambda name: weight(name, self.manifest, index), reverse=True)
+        if now - self.last_news_at < ORIGIN_GRACE_S * (1 + order.index(self.me)):
             return None
         return FromOrigin(index)
 
@@ -342,12 +368,17 @@
     A simple baseline; while the parent is lost, its parent is asked.
     """
 
-    def parent(self) -> str:
+    def neighbours(self, peers: list[Peer]) -> list[Peer]:
+        """Return everybody: any may become the parent."""
+        return peers
+
+    def parent(self, now: float) -> str:
         """Return the nearest live VM above this one, or an empty string at the top."""
         position = self.participants.index(self.me)
         while position > 0:
             position = (position - 1) // 2
-            if self.participants[position] in self.peers:
+            state = self.peers.get(self.participants[position])
+            if state is not None and state.lost_until < now:
                 return self.participants[position]
         return ""
 
@@ -356,7 +387,7 @@
         needed = self.needed()
         if not needed:
             return None
-        name = self.parent()
+        name = self.parent(now)
         if not name:
             if not self.may_read_origin(now):
                 return None
--- a/src/merlinthread/coordination/placement.py
+++ b/src/merlinthread/coordination/placement.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from merlinthread.coordination import agents, bundles
+from merlinthread.coordination import agents, bundles, control_state
 
 
 @dataclasses.dataclass(slots=True)
 class Plan:
     """Changes to make, by agent, and why."""
 
-    changes: dict[str, list[str]]
+    changes: dict[str, control_state.Placed]
     reason: str
 
 
@@ -70,7 +70,9 @@
 
 
 def plan(
-    bundle: bundles.Bundle, live: list[agents.AgentReport], present: dict[str, list[str]]
+    bundle: bundles.Bundle,
+    live: list[agents.AgentReport],
+    present: dict[str, control_state.Placed],
 ) -> Plan:
     """Return what to change so that every zone's live engines follow the bundle's shares.
 
@@ -78,15 +80,27 @@
     is cut off goes on as it was.
     """
     zones: dict[str, list[str]] = {}
+    engines: dict[str, agents.AgentReport] = {}
     for report in live:
         if report.kind == bundles.GENERATE and not report.is_leaving:
+            engines[report.name] = report
             zones.setdefault(report.availability_zone, []).append(report.name)
-    changes: dict[str, list[str]] = {}
+    held = {name: placed.models for name, placed in present.items()}
+    wanted: dict[str, list[str]] = {}
     for names in zones.values():
-        changes.update(plan_zone(bundle.models, names, present))
+        wanted.update(plan_zone(bundle.models, names, held))
+    changes = {name: placed_at(engines[name], models) for name, models in wanted.items()}
+    for name, report in engines.items():
+        if name not in changes and name in present and present[name].bus != report.bus:
+            changes[name] = placed_at(report, present[name].models)
     known = {model.name for model in bundle.models}
-    for name, held in present.items():
-        if name not in changes and any(model not in known for model in held):
-            changes[name] = []
-    reason = f"{len(changes)} of {sum(len(names) for names in zones.values())} engines change"
+    for name, placed in present.items():
+        if name not in changes and any(model not in known for model in placed.models):
+            changes[name] = dataclasses.replace(placed, models=[])
+    reason = f"{len(changes)} of {len(engines)} engines change"
     return Plan(changes, reason)
+
+
+def placed_at(report: agents.AgentReport, models: list[str]) -> control_state.Placed:
+    """Return what a VM should hold, with where it is."""
+    return control_state.Placed(models, report.availability_zone, report.region, report.bus)
--- a/src/merlinthread/coordination/switch.py
+++ b/src/merlinthread/coordination/switch.py
@@ -37,7 +37,8 @@
     if directive.bundle is None:
         return []
     found = []
-    for name in directive.placement.get(agent, []):
+    placed = directive.placement.get(agent)
+    for name in placed.models if placed else []:
         model = directive.bundle.model(name)
         if model is None:
             continue
--- a/src/merlinthread/protocol/attempts.py
+++ b/src/merlinthread/protocol/attempts.py
@@ -16,6 +16,7 @@
 INCARNATION = "x-incarnation"
 PRIORITY = "x-priority"
 DIGEST = "x-weights-digest"
+SERVICE = "x-service"
 KEY_NAME = "x-mesh-key"
 TAG = "x-mesh-tag"
 
@@ -30,6 +31,7 @@
     priority: int
     deadline_ms: int
     digest: str = ""
+    service: str = ""
 
     def headers(self) -> dict[str, str]:
         """Return the attempt as HTTP headers."""
@@ -40,6 +42,7 @@
             PRIORITY: str(self.priority),
             DEADLINE_MS: str(self.deadline_ms),
             DIGEST: self.digest,
+            SERVICE: self.service,
             "Content-Type": "application/json",
         }
 
@@ -54,6 +57,7 @@
             int(headers[PRIORITY]),
             int(headers[DEADLINE_MS]),
             headers.get(DIGEST, ""),
+            headers.get(SERVICE, ""),
         )
     except (KeyError, ValueError) as error:
         raise errors.RequestError(
--- a/src/merlinthread/protocol/messages.py
+++ b/src/merlinthread/protocol/messages.py
@@ -5,6 +5,7 @@
 from merlinthread import registry
 from merlinthread.coordination import agents as agents_
 from merlinthread.coordination import control_state, raft_messages
+from merlinthread.coordination import summaries as summaries_
 from merlinthread.protocol import codec
 
 MESSAGES: registry.Registry[type] = registry.Registry("message")
@@ -20,23 +21,13 @@
     message: str
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """Another agent that fetches or holds some of the same weights."""
-
-    name: str
-    availability_zone: str
-    region: str
-    bus: str
-
-
 @MESSAGES.add("heartbeat")
 @dataclasses.dataclass(slots=True)
 class Heartbeat:
-    """An agent's report to an entry of its zone; `wants_peers` lists manifests it fetches."""
+    """An agent's report to an entry; `is_home` for the one entry that tells the leader of it."""
 
     report: agents_.AgentReport
-    wants_peers: list[str]
+    is_home: bool
 
 
 @MESSAGES.add("heartbeat_reply")
@@ -45,24 +36,21 @@
     """An entry's answer to a heartbeat; `directive` is there only if the agent's is older.
 
     For `lease_s` seconds from when the heartbeat was sent, no later incarnation of the agent gives
-    its target orders. `peers` are the live agents that fetch or hold the wanted manifests.
+    its target orders.
     """
 
     entry: str
     lease_s: float
     directive: control_state.Directive | None
-    peers: list[Peer]
 
 
 @MESSAGES.add("poll")
 @dataclasses.dataclass(slots=True)
 class Poll:
-    """An entry asks a control VM for news and reports the agents of its zone."""
+    """An entry asks a control VM for news."""
 
     entry: str
-    availability_zone: str
     revision: int
-    agents: list[agents_.AgentReport]
 
 
 @MESSAGES.add("poll_reply")
@@ -85,11 +73,11 @@
 @MESSAGES.add("exchange")
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One entry tells another what it knows of the agents, and asks for the same."""
+    """One entry tells another what it and others reach, and asks for the same."""
 
     entry: str
     revision: int
-    agents: list[agents_.AgentReport]
+    summaries: list[summaries_.Summary]
 
 
 @MESSAGES.add("exchange_reply")
@@ -99,16 +87,27 @@
 
     revision: int
     directive: control_state.Directive | None
-    agents: list[agents_.AgentReport]
+    summaries: list[summaries_.Summary]
+
+
+@MESSAGES.add("tell")
+@dataclasses.dataclass(slots=True)
+class Tell:
+    """An entry tells the leader what changed among the agents whose home it is."""
+
+    entry: str
+    changed: list[agents_.AgentReport]
+    gone: list[str]
+    is_full: bool
 
 
-@MESSAGES.add("reports")
+@MESSAGES.add("told")
 @dataclasses.dataclass(slots=True)
-class Reports:
-    """A control VM passes on to the leader what entries told it of agents."""
+class Told:
+    """The leader's answer; `listener` changes when it has forgotten what it was told."""
 
-    sender: str
-    agents: list[agents_.AgentReport]
+    listener: str
+    wants_full: bool
 
 
 @MESSAGES.add("join")
--- a/src/merlinthread/roles/agent.py
+++ b/src/merlinthread/roles/agent.py
@@ -4,7 +4,7 @@
 import threading
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import agents, bundles, control_state, switch
+from merlinthread.coordination import agents, bundles, control_state, fetch, switch
 from merlinthread.protocol import messages
 from merlinthread.roles import base, target, weights
 from merlinthread.state import chunks, manifests
@@ -44,9 +44,10 @@
             self.weights.handle,
             workers=config.upload_slots + 2,
         )
-        self.callers = {address: bus.Callers(parts.codec) for address in config.entries}
-        self.peers: dict[str, list[messages.Peer]] = {}
-        self.beats = [self.make_beat(address) for address in config.entries]
+        self.entries = self.choose_entries()
+        self.callers = {address: bus.Callers(parts.codec) for address in self.entries}
+        self.home = self.entries[0]
+        self.beats = [self.make_beat(address) for address in self.entries]
         self.tasks = [
             base.Task("status", STATUS_EVERY_S, self.target.refresh),
             base.Task("switch", SWITCH_EVERY_S, self.change),
@@ -55,6 +56,14 @@
         for method in ("GET", "POST"):
             parts.http.routes.add(method, "/target/", self.target.on_request)
 
+    def choose_entries(self) -> list[str]:
+        """Return the entries to report to: a few of the zone's, others for other agents."""
+        ordered = sorted(
+            self.config.entries,
+            key=lambda address: fetch.weight(address, self.parts.settings.name, 0),
+        )
+        return ordered[: self.config.heartbeat_entries]
+
     def make_beat(self, address: str) -> base.Task:
         """Return the task that reports to one entry."""
         return base.Task(
@@ -111,14 +120,14 @@
     def beat(self, address: str) -> None:
         """Report to one entry and take over what it says."""
         sent_at = self.parts.clock()
-        heartbeat = messages.Heartbeat(self.report(), self.weights.unfinished())
+        heartbeat = messages.Heartbeat(self.report(), self.home == address)
         try:
             reply = self.callers[address].call(address, heartbeat, CALL_TIMEOUT_S)
         except errors.MerlinthreadError as error:
             if error.kind == errors.ErrorKind.FENCED:
                 self.note_replaced(error.message)
             logs.detail("entry_unreached", address=address, reason=error.message)
-            self.peers.pop(address, None)
+            self.leave_home(address)
             return
         if self.orders_from == float("-inf"):
             # A target that checks no fences: wait until the agent before has lost its lease.
@@ -126,9 +135,13 @@
             self.orders_from = self.parts.clock() + wait
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
         self.adopt(reply.directive, reply.entry)
-        self.peers[address] = reply.peers
-        found = {peer.name: peer for peers in list(self.peers.values()) for peer in peers}
-        self.weights.set_peers(list(found.values()))
+        if self.home == "":
+            self.home = address
+
+    def leave_home(self, address: str) -> None:
+        """Let the next entry that answers tell the leader of this agent."""
+        if self.home == address and len(self.entries) > 1:
+            self.home = ""
 
     def note_replaced(self, reason: str) -> None:
         """Take no more work and give no more orders: a later agent has this target."""
@@ -156,7 +169,7 @@
             revision=directive.revision,
             generation=directive.generation,
             source=source,
-            assigned=directive.placement.get(self.parts.settings.name, []),
+            assigned=[item.name for item in self.wanted(directive)],
         )
         self.beat_now()
 
@@ -165,18 +178,32 @@
         for task in self.beats:
             task.wake.set()
 
-    def participants(self, directive: control_state.Directive) -> dict[str, list[str]]:
-        """Return the manifests wanted here, each with the VMs that should hold it."""
+    def wanted(self, directive: control_state.Directive) -> list[switch.Wanted]:
+        """Return what the engine should serve."""
         if self.config.target_kind == bundles.SERVICE:
-            return {}
-        own = switch.wanted_of(directive, self.parts.settings.name)
-        found: dict[str, list[str]] = {item.manifest: [] for item in own}
-        for name in directive.placement:
+            return []
+        return switch.wanted_of(directive, self.parts.settings.name)
+
+    def participants(self, directive: control_state.Directive) -> dict[str, list[fetch.Peer]]:
+        """Return the manifests wanted here, each with the other VMs that should hold it."""
+        found: dict[str, list[fetch.Peer]] = {item.manifest: [] for item in self.wanted(directive)}
+        for name, placed in directive.placement.items():
+            if name == self.parts.settings.name:
+                continue
+            peer = fetch.Peer(name, placed.bus, self.distance(placed))
             for item in switch.wanted_of(directive, name):
                 if item.manifest in found:
-                    found[item.manifest].append(name)
+                    found[item.manifest].append(peer)
         return found
 
+    def distance(self, placed: control_state.Placed) -> int:
+        """Return how far another VM is."""
+        if placed.availability_zone == self.parts.settings.availability_zone:
+            return fetch.OWN_ZONE
+        if placed.region == self.parts.settings.region:
+            return fetch.OWN_REGION
+        return fetch.FAR
+
     # Orders
 
     def change(self) -> None:
--- a/src/merlinthread/roles/entry.py
+++ b/src/merlinthread/roles/entry.py
@@ -1,6 +1,7 @@
 """The `entry` role: serves callers and looks after the agents of its availability zone."""
 
 import dataclasses
+import random
 import threading
 from typing import Any
 
@@ -8,9 +9,9 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
-from merlinthread.coordination import agents, control_state, switch
+from merlinthread.coordination import agents, control_state, sessions, summaries
 from merlinthread.protocol import messages
-from merlinthread.roles import base, request_path
+from merlinthread.roles import base, forwarding, request_path
 from merlinthread.transport import bus, http_client
 
 LEASE_S = 3.0
@@ -26,6 +27,7 @@
 
     directive: control_state.Directive
     live: list[agents.AgentReport]
+    others: list[summaries.Summary] = dataclasses.field(default_factory=list)
     leaving: frozenset[str] = frozenset()
 
 
@@ -42,6 +44,10 @@
         self.zone = parts.settings.availability_zone
         self.lock = threading.Lock()
         self.view = agents.AgentView(config.agent_lost_after_s)
+        self.others = summaries.SummaryTable(config.summary_lost_after_s)
+        self.homes: dict[str, bool] = {}
+        self.incarnation = int(parts.wall_clock() * 1000)
+        self.counter = 0
         self.directive = control_state.Directive()
         self.leaving: frozenset[str] = frozenset()
         self.known = Known(self.directive, [])
@@ -64,12 +70,13 @@
             source=source,
         )
 
-    def take(self, reports: list[agents.AgentReport]) -> None:
-        """Take in reports that other entries passed on."""
+    def take(self, heard: list[summaries.Summary]) -> None:
+        """Take in what other entries reach."""
         now = self.parts.clock()
         with self.lock:
-            for report in reports:
-                self.view.take(report, now)
+            for summary in heard:
+                if summary.entry != self.name:
+                    self.others.take(summary, now)
             self.publish()
 
     def set_leaving(self, names: frozenset[str]) -> None:
@@ -85,12 +92,32 @@
 
     def publish(self) -> None:
         """Replace what request threads read; the caller holds the lock."""
-        live = self.view.live(self.parts.clock())
-        self.known = Known(self.directive, live, self.leaving)
+        now = self.parts.clock()
+        self.known = Known(self.directive, self.view.live(now), self.others.live(now), self.leaving)
+
+    def homed(self) -> list[agents.AgentReport]:
+        """Return the reports of agents that this entry tells the leader of."""
+        return [report for report in self.known.live if self.homes.get(report.name)]
 
-    def reports_to_pass_on(self) -> list[agents.AgentReport]:
-        """Return the reports of this zone's live agents."""
-        return [report for report in self.known.live if report.availability_zone == self.zone]
+    def summaries(self) -> list[summaries.Summary]:
+        """Return what this entry reaches, and what it heard of others."""
+        with self.lock:
+            self.counter += 1
+            counter = self.counter
+        own = self.parts.settings
+        known = self.known
+        summary = summaries.Summary(
+            own.name,
+            self.incarnation,
+            counter,
+            own.availability_zone,
+            own.region,
+            f"http://{own.http.address}:{own.http.port}",
+        )
+        if not self.parts.in_flight.is_leaving:
+            live = [report for report in known.live if report.name not in known.leaving]
+            summaries.fill(summary, live)
+        return [summary, *known.others]
 
     def handle(self, message: Any) -> Any:
         """Answer one call of an agent or of another entry."""
@@ -106,48 +133,26 @@
         with self.lock:
             self.view.check_incarnation(report)
             self.view.take(report, self.parts.clock())
+            self.homes[report.name] = heartbeat.is_home
             self.publish()
         directive = self.directive
         return messages.HeartbeatReply(
             self.name,
             LEASE_S,
             directive if directive.revision > report.revision else None,
-            self.peers_for(heartbeat),
         )
 
-    def peers_for(self, heartbeat: messages.Heartbeat) -> list[messages.Peer]:
-        """Return the live agents that fetch or hold one of the wanted manifests."""
-        if not heartbeat.wants_peers:
-            return []
-        wanted = set(heartbeat.wants_peers)
-        directive = self.known.directive
-        return [
-            messages.Peer(report.name, report.availability_zone, report.region, report.bus)
-            for report in self.known.live
-            if report.name != heartbeat.report.name and takes_part(directive, report, wanted)
-        ]
-
     def on_exchange(self, exchange: messages.Exchange) -> messages.ExchangeReply:
         """Swap views with another entry."""
-        self.take(exchange.agents)
+        self.take(exchange.summaries)
         directive = self.directive
         return messages.ExchangeReply(
             directive.revision,
             directive if directive.revision > exchange.revision else None,
-            self.reports_to_pass_on(),
+            self.summaries(),
         )
 
 
-def takes_part(
-    directive: control_state.Directive, report: agents.AgentReport, wanted: set[str]
-) -> bool:
-    """Return whether the agent holds or should hold one of the wanted manifests."""
-    if not wanted.isdisjoint(report.fetched):
-        return True
-    items = switch.wanted_of(directive, report.name)
-    return any(item.manifest in wanted for item in items)
-
-
 class ControlLink:
     """Polls the control VMs for news, and brings commands to the leader."""
 
@@ -160,15 +165,16 @@
         self.names: dict[str, str] = {}
         self.leader = ""
         self.joined: dict[str, str] = {}
+        self.outgoing = sessions.Outgoing()
+        self.listener = ""
+        self.tell_callers = bus.Callers(parts.codec)
 
     def poll(self) -> None:
         """Ask one control VM; turn to the next if it does not answer or has lost its leader."""
         known = self.known_addresses()
         address = known[self.position % len(known)]
         directive = self.zone.known.directive
-        poll = messages.Poll(
-            self.zone.name, self.zone.zone, directive.revision, self.zone.reports_to_pass_on()
-        )
+        poll = messages.Poll(self.zone.name, directive.revision)
         try:
             reply = self.callers.call(address, poll, CALL_TIMEOUT_S)
         except errors.MerlinthreadError as error:
@@ -182,6 +188,25 @@
         if reply.leader_age_s > STALE_CONTROL_S:
             self.position += 1
 
+    def tell(self) -> None:
+        """Tell the leader what changed among the agents whose home this entry is."""
+        if not self.leader:
+            return
+        changed, gone, is_full = self.outgoing.changes(self.zone.homed(), self.listener)
+        tell = messages.Tell(self.zone.name, changed, gone, is_full)
+        try:
+            told = self.tell_callers.call(self.addresses()[0], tell, CALL_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            logs.detail("leader_unreached", reason=error.message)
+            self.outgoing.forget()
+            return
+        if told.wants_full or told.listener != self.listener:
+            self.outgoing.forget()
+            self.listener = told.listener
+            if not is_full:
+                return
+        self.outgoing.confirm(changed, gone, self.listener)
+
     def known_addresses(self) -> list[str]:
         """Return the addresses in the settings and of control VMs that joined later."""
         return list(dict.fromkeys([*self.config.controls, *self.joined.values()]))
@@ -195,6 +220,7 @@
     def close(self) -> None:
         """Close the sockets."""
         self.callers.close()
+        self.tell_callers.close()
 
 
 class Submitter:
@@ -245,9 +271,11 @@
         self.link = ControlLink(parts, config, self.zone)
         self.responder = bus.Responder(parts.settings.bus, parts.codec, self.zone.handle, workers=4)
         self.exchange_callers = bus.Callers(parts.codec)
+        self.rng = random.Random()
         self.client = http_client.Client()
         self.tasks = [
             base.Task("poll", config.poll_every_s, self.link.poll),
+            base.Task("tell", config.tell_every_s, self.link.tell),
             base.Task("exchange", config.exchange_every_s, self.exchange),
             base.Task("refresh", 0.25, self.zone.refresh),
         ]
@@ -255,6 +283,9 @@
             self.tasks.append(base.Task("platform", PLATFORM_EVERY_S, self.read_platform))
         self.path = request_path.RequestPath(parts, config, self.zone, Submitter(parts, self.link))
         self.path.add_routes(parts.http.routes)
+        self.forwarder = forwarding.Forwarder(self.path)
+        for method in ("GET", "POST"):
+            parts.http.routes.add(method, forwarding.PREFIX, self.forwarder.on_request)
         self.tasks.append(base.Task("settle", SETTLE_EVERY_S, self.path.settler.work))
 
     def start(self) -> None:
@@ -264,20 +295,20 @@
             task.start()
 
     def exchange(self) -> None:
-        """Swap views with every other entry that the settings name."""
-        for address in self.config.entries:
-            message = messages.Exchange(
-                self.zone.name,
-                self.zone.known.directive.revision,
-                self.zone.reports_to_pass_on(),
-            )
-            try:
-                reply = self.exchange_callers.call(address, message, CALL_TIMEOUT_S)
-            except errors.MerlinthreadError as error:
-                logs.detail("entry_unreached", address=address, reason=error.message)
-                continue
-            self.zone.adopt(reply.directive, address)
-            self.zone.take(reply.agents)
+        """Swap views with one other entry, chosen at random, so that the cost does not grow."""
+        if not self.config.entries:
+            return
+        address = self.rng.choice(self.config.entries)
+        message = messages.Exchange(
+            self.zone.name, self.zone.known.directive.revision, self.zone.summaries()
+        )
+        try:
+            reply = self.exchange_callers.call(address, message, CALL_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            logs.detail("entry_unreached", address=address, reason=error.message)
+            return
+        self.zone.adopt(reply.directive, address)
+        self.zone.take(reply.summaries)
 
     def read_platform(self) -> None:
         """Read the platform's list of VMs for those that leave."""
--- /dev/null
+++ b/src/merlinthread/roles/forwarding.py
@@ -0,0 +1,87 @@
+"""Requests that entries of other zones send on: this entry chooses one of its own targets."""
+
+import typing
+from collections.abc import Iterator
+
+import msgspec
+
+from merlinthread import errors, logs
+from merlinthread.coordination import agents, bundles, routing
+from merlinthread.protocol import attempts
+from merlinthread.roles import completion
+from merlinthread.transport import http_client, http_server
+
+if typing.TYPE_CHECKING:
+    from merlinthread.roles import request_path
+
+PREFIX = "/target/"
+
+
+class Forwarder:
+    """Answers attempts of other entries like an agent would, by passing them to an agent."""
+
+    def __init__(self, path: "request_path.RequestPath") -> None:
+        self.path = path
+
+    def on_request(self, request: http_server.Request) -> http_server.Response:
+        """Pass one attempt on."""
+        attempt = attempts.read_attempt(request.headers)
+        attempts.check_tag(
+            self.path.parts.codec, attempt, request.path, request.body, request.headers
+        )
+        self.path.parts.in_flight.enter()
+        try:
+            report = self.choose(request, attempt)
+            stream = self.open_at(report, request, attempt)
+        except BaseException:
+            self.path.parts.in_flight.leave()
+            raise
+        headers = {name: stream.headers[name] for name in KEPT if name in stream.headers}
+        kind = stream.headers.get("content-type", "application/json")
+        return http_server.Response(stream.status, self.relay(stream, report), headers, kind)
+
+    def choose(self, request: http_server.Request, attempt: attempts.Attempt) -> agents.AgentReport:
+        """Choose one of this entry's own targets."""
+        if request.rest == "v1/completions":
+            body = msgspec.json.decode(request.body, type=completion.CompletionCall)
+            wanted = routing.Wanted(bundles.GENERATE, body.model, body.adapter)
+        else:
+            service = request.headers.get(attempts.SERVICE, "")
+            wanted = routing.Wanted(bundles.SERVICE, service)
+        return self.path.choose(attempt.id, wanted, frozenset(), is_local=True)
+
+    def open_at(
+        self, report: agents.AgentReport, request: http_server.Request, attempt: attempts.Attempt
+    ) -> http_client.Stream:
+        """Send the attempt to the chosen agent."""
+        attempt.incarnation = report.incarnation
+        self.path.outstanding.add(report.name, 1)
+        try:
+            return self.path.send_attempt(
+                report, request.method, request.path, request.body, attempt
+            )
+        except http_client.NotSentError as error:
+            self.path.outstanding.add(report.name, -1)
+            raise errors.RequestError(error.message, kind=errors.ErrorKind.NOT_RUN)
+        except errors.UnreachableError as error:
+            self.path.outstanding.add(report.name, -1)
+            raise errors.RequestError(error.message, kind=errors.ErrorKind.OUTCOME_UNKNOWN)
+        except BaseException:
+            self.path.outstanding.add(report.name, -1)
+            raise
+
+    def relay(self, stream: http_client.Stream, report: agents.AgentReport) -> Iterator[bytes]:
+        """Give the answer on as it comes; a broken one ends without its closing event."""
+        try:
+            yield from stream.pieces()
+            stream.release()
+        except errors.UnreachableError as error:
+            logs.event("forwarded_broke_off", target=report.name, reason=error.message)
+            raise
+        finally:
+            stream.close()
+            self.path.outstanding.add(report.name, -1)
+            self.path.parts.in_flight.leave()
+
+
+KEPT = (attempts.ATTEMPT, attempts.DIGEST, "content-length")
--- /dev/null
+++ b/src/merlinthread/roles/log_task.py
@@ -0,0 +1,450 @@
+"""The thread that owns a control VM's replicated log, its files and the state machine."""
+
+import dataclasses
+import pathlib
+import queue
+import threading
+from concurrent import futures
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors, logs, metrics
+from merlinthread import settings as settings_
+from merlinthread.coordination import (
+    agents,
+    control_state,
+    placement,
+    raft,
+    raft_members,
+    raft_messages,
+    sessions,
+)
+from merlinthread.protocol import messages
+from merlinthread.roles import base
+from merlinthread.state import folder, journal
+from merlinthread.transport import bus
+
+INBOX_BATCH = 512
+COMPACT_BYTES = 32 * 1024 * 1024
+EXPIRE_EVERY_S = 600.0
+JOIN_HEARD_S = 3.0
+SILENT_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Proposal:
+    """A command on its way into the log, with the place for its answer."""
+
+    command: control_state.Command
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class Telling:
+    """What an entry tells of its agents, with the place for the answer."""
+
+    tell: messages.Tell
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """A question about the state that only a leader with a lease may answer."""
+
+    read: Any
+    answer: futures.Future
+
+
+@dataclasses.dataclass(slots=True)
+class Standing:
+    """What others in this process may know of the log task; replaced whole, never changed."""
+
+    directive: control_state.Directive
+    leader: str
+    leader_seen_at: float
+    controls: dict[str, str]
+
+
+class LogTask:
+    """The thread that owns the replicated log, its files and the state machine."""
+
+    def __init__(self, parts: base.Parts, config: settings_.Control) -> None:
+        self.parts = parts
+        self.config = config
+        self.name = parts.settings.name
+        self.inbox: queue.SimpleQueue = queue.SimpleQueue()
+        self.folder = folder.DataFolder(pathlib.Path(config.data_folder))
+        self.journal = journal.Journal(self.folder.path)
+        timing = raft_messages.Timing(
+            config.heartbeat_s, config.election_min_s, config.election_max_s
+        )
+        self.raft = raft.Raft(
+            self.name,
+            [] if config.replaces else [peer.name for peer in config.members],
+            self.journal,
+            parts.clock(),
+            timing,
+            identity=self.journal.identity,
+        )
+        self.joiners: dict[str, tuple[messages.Join, float]] = {}
+        self.state = control_state.ControlState()
+        self.applied = 0
+        self.restore(self.journal.snapshot)
+        self.waiting: dict[int, tuple[int, futures.Future]] = {}
+        self.incoming = sessions.Incoming(config.agent_lost_after_s)
+        self.senders = {
+            peer.name: bus.Sender(peer.log_bus, parts.codec)
+            for peer in config.members
+            if peer.name != self.name
+        }
+        now = parts.clock()
+        self.place_at = now
+        self.placed_from = float("-inf")
+        self.expire_at = now + EXPIRE_EVERY_S
+        self.full_until = float("-inf")
+        self.was_leader = False
+        self.standing = Standing(control_state.Directive(), "", float("-inf"), {})
+        self.publish()
+        self.thread = threading.Thread(target=self.run, name="log", daemon=True)
+        self.stopping = False
+        self.broken = ""
+
+    # The loop
+
+    def run(self) -> None:
+        """Take in messages, decide, make durable, send, apply; end on a broken disk."""
+        try:
+            while not self.stopping:
+                self.turn()
+                if self.raft.replaced_by:
+                    self.broken = (
+                        f"the data folder of {self.name!r} was lost: it has another identity than "
+                        "the members know. Start this VM under a new name with control.replaces"
+                    )
+                    logs.warn("identity_lost", reason=self.broken)
+                    return
+        except Exception as error:
+            logs.failure("log_task_failed")
+            self.broken = repr(error)
+
+    def turn(self) -> None:
+        """Do one round."""
+        now = self.parts.clock()
+        wait = max(0.0, min(self.raft.next_tick_at(), self.place_at) - now)
+        items = self.receive(wait)
+        now = self.parts.clock()
+        for item in items:
+            self.take(item, now)
+        self.raft.tick(now)
+        self.raft.flush(now)
+        self.settle(now)
+        self.note_leadership()
+        self.lead(now)
+        self.publish()
+
+    def receive(self, wait_s: float) -> list[Any]:
+        """Return what is in the inbox, waiting for the first item."""
+        items: list[Any] = []
+        try:
+            items.append(self.inbox.get(timeout=max(0.0005, wait_s)))
+            while len(items) < INBOX_BATCH:
+                items.append(self.inbox.get_nowait())
+        except queue.Empty:
+            pass
+        return items
+
+    def take(self, item: Any, now: float) -> None:
+        """Handle one item of the inbox."""
+        if isinstance(item, Proposal):
+            self.guarded(item.answer, lambda: self.propose(item.command, item.answer, now))
+        elif isinstance(item, messages.Join):
+            self.joiners[item.name] = (item, now)
+        elif isinstance(item, Reading):
+            self.guarded(item.answer, lambda: self.read(item, now))
+        elif isinstance(item, Telling):
+            self.guarded(item.answer, lambda: self.listen(item, now))
+        elif isinstance(item, raft_messages.Message):
+            self.raft.step(item, now)
+
+    def guarded(self, answer: futures.Future, work: Any) -> None:
+        """Do `work`, or give its refusal as the answer."""
+        try:
+            work()
+        except errors.MerlinthreadError as error:
+            answer.set_exception(error)
+
+    def propose(self, command: control_state.Command, answer: futures.Future, now: float) -> None:
+        """Put a command into the log; its answer comes when it is applied."""
+        if now < self.full_until:
+            raise errors.DiskFullError(f"{self.folder.path}: no room on the disk; free some space")
+        name = self.parts.codec.names[type(command)]
+        index = self.raft.propose(msgspec.msgpack.encode((name, command)), now)
+        self.waiting[index] = (self.raft.hard_state.term, answer)
+
+    def listen(self, telling: Telling, now: float) -> None:
+        """Take in what an entry tells of its agents, if this member leads."""
+        self.raft.require_leader()
+        tell = telling.tell
+        is_taken = self.incoming.take(tell.entry, tell.changed, tell.gone, tell.is_full, now)
+        listener = f"{self.name} {self.raft.hard_state.term}"
+        telling.answer.set_result(messages.Told(listener, not is_taken))
+
+    def read(self, reading: Reading, now: float) -> None:
+        """Answer a question if this member surely leads."""
+        if not self.raft.holds_lease(now):
+            raise errors.NotLeaderError(f"{self.name} does not lead", self.raft.leader)
+        reading.answer.set_result(reading.read(self))
+
+    # Durability
+
+    def settle(self, now: float) -> None:
+        """Save, send and apply until nothing is left to do."""
+        while not (ready := self.raft.ready()).is_empty():
+            try:
+                self.save(ready)
+            except errors.DiskFullError as error:
+                self.on_full_disk(error, now)
+                return
+            for receiver, message in ready.messages:
+                if receiver in self.senders:
+                    self.senders[receiver].send(message)
+            for entry in ready.committed:
+                self.apply(entry)
+            self.raft.saved(ready)
+            self.raft.flush(now)
+            self.connect_members()
+        if self.is_due_for_compaction() and now >= self.full_until:
+            self.compact(now)
+
+    def save(self, ready: raft_messages.Ready) -> None:
+        """Make `ready` durable."""
+        if ready.snapshot is not None:
+            kept = self.raft.log.saved()
+            self.journal.compact(ready.snapshot, kept)
+            self.restore(ready.snapshot)
+        if ready.hard_state is not None or ready.entries:
+            self.journal.save(ready.hard_state, ready.entries)
+
+    def on_full_disk(self, error: errors.DiskFullError, now: float) -> None:
+        """Give up leading, refuse what was not accepted, and try again a little later."""
+        logs.warn("disk_full", message=error.message)
+        self.full_until = now + 1.0
+        self.raft.drop_unsaved(now)
+        for index, (_, answer) in list(self.waiting.items()):
+            if index > self.raft.log.stable:
+                self.waiting.pop(index)
+                answer.set_exception(error)
+
+    def is_due_for_compaction(self) -> bool:
+        """Return whether the log has grown enough for a snapshot."""
+        grown = self.applied - self.journal.snapshot.index
+        if grown >= self.config.compact_after_entries:
+            return True
+        return grown > 0 and self.journal.file.length > COMPACT_BYTES
+
+    def compact(self, now: float) -> None:
+        """Replace the applied part of the log by a snapshot."""
+        encoded = msgspec.msgpack.encode(self.state)
+        snapshot = self.raft.compact(self.applied, encoded)
+        kept = self.raft.log.saved()
+        try:
+            self.journal.compact(snapshot, kept)
+        except errors.DiskFullError as error:
+            self.full_until = now + 1.0
+            logs.warn("disk_full", message=error.message)
+            return
+        metrics.data_folder_bytes.set(self.journal.size_bytes())
+        logs.event("compacted", index=snapshot.index, state_bytes=len(encoded))
+
+    def restore(self, snapshot: journal.Snapshot) -> None:
+        """Take the state over from a snapshot."""
+        if snapshot.state:
+            self.state = msgspec.msgpack.decode(snapshot.state, type=control_state.ControlState)
+        self.applied = snapshot.index
+
+    def apply(self, entry: journal.Entry) -> None:
+        """Apply one committed entry and answer whoever waits for it."""
+        result = control_state.Answer(status="changed")
+        if entry.kind == "command":
+            name, raw = self.parts.codec.pair.decode(entry.data)
+            command = self.parts.codec.decoders[name].decode(raw)
+            result = self.state.apply(command, entry.index)
+            metrics.commands_total.labels(name).inc()
+            log_applied(name, command, result, entry.index)
+        self.applied = entry.index
+        term, answer = self.waiting.pop(entry.index, (0, None))
+        if answer is None:
+            return
+        if term == entry.term:
+            answer.set_result(result)
+        else:
+            answer.set_exception(lost_leadership())
+
+    # Leading
+
+    def note_leadership(self) -> None:
+        """Log a change of leader and fail what waits on a lost leadership."""
+        leads = self.raft.is_leader()
+        if leads == self.was_leader:
+            return
+        self.was_leader = leads
+        metrics.is_leader.set(1 if leads else 0)
+        logs.event("leading" if leads else "following", term=self.raft.hard_state.term)
+        self.incoming.clear()
+        self.placed_from = self.parts.clock() + SILENT_S
+        if leads:
+            return
+        for index, (_, answer) in list(self.waiting.items()):
+            self.waiting.pop(index)
+            answer.set_exception(lost_leadership())
+
+    def lead(self, now: float) -> None:
+        """Do a leader's regular work."""
+        if now < self.place_at:
+            return
+        self.place_at = now + self.config.place_every_s
+        if not self.raft.is_leader():
+            return
+        if not self.raft.holds_lease(now):
+            return
+        self.look_after_members(now)
+        self.place(now)
+        if now >= self.expire_at:
+            self.expire_at = now + EXPIRE_EVERY_S
+            before = self.parts.wall_clock() - self.config.claims_kept_s
+            self.propose(control_state.Expire(before), futures.Future(), now)
+
+    def look_after_members(self, now: float) -> None:
+        """Note members' identities, and take the next step of a repair."""
+        voters = self.raft.log.voters
+        unknown = {
+            name: identity
+            for name, identity in self.raft.identities_heard().items()
+            if name in voters.members() and name not in voters.identities
+        }
+        if unknown:
+            self.change_members(raft_members.Change(identities=unknown), now)
+            return
+        matches = {name: progress.match for name, progress in self.raft.progress.items()}
+        facts = raft_members.Facts(self.name, self.raft.commit, matches)
+        for name, (join, heard_at) in list(self.joiners.items()):
+            if now - heard_at > JOIN_HEARD_S:
+                del self.joiners[name]
+                continue
+            address = raft_messages.Address(join.log_bus, join.bus)
+            joiner = raft_members.Joiner(name, join.identity, address, join.replaces)
+            lost = self.raft.progress.get(join.replaces)
+            is_silent = lost is None or now - lost.heard_at > SILENT_S
+            change = raft_members.next_change(voters, joiner, facts, is_silent)
+            if change is not None:
+                self.change_members(change, now)
+                return
+
+    def change_members(self, change: raft_members.Change, now: float) -> None:
+        """Put a change of members into the log, if it is safe now."""
+        try:
+            index = self.raft.change_voters(change, now)
+        except errors.ControlError as error:
+            logs.detail("members_unchanged", reason=error.message)
+            return
+        logs.event(
+            "members_change",
+            index=index,
+            add=change.add,
+            promote=change.promote,
+            remove=change.remove,
+            identities=sorted(change.identities),
+        )
+
+    def connect_members(self) -> None:
+        """Open a sender to each member whose address came by the log."""
+        for name, address in self.raft.log.voters.addresses.items():
+            if name != self.name and name not in self.senders:
+                self.senders[name] = bus.Sender(address.log_bus, self.parts.codec)
+
+    def place(self, now: float) -> None:
+        """Decide which VMs hold which models, and pause a roll that a target refuses."""
+        bundle = self.state.in_force()
+        if bundle is None or self.raft.log.last_index() > self.applied:
+            return
+        if now < self.placed_from and self.state.placement:
+            # A new leader first lets the entries tell it of their agents.
+            return
+        live = self.incoming.live(now)
+        plan = placement.plan(bundle, live, self.state.placement)
+        if plan.changes:
+            logs.event(
+                "placement_decided",
+                generation=self.state.generation,
+                reason=plan.reason,
+                candidates=len(live),
+                changes={name: placed.models for name, placed in plan.changes.items()},
+            )
+            command = control_state.Place(self.state.generation, plan.changes, plan.reason)
+            self.propose(command, futures.Future(), now)
+            return
+        self.pause_if_troubled(live, now)
+
+    def pause_if_troubled(self, live: list[agents.AgentReport], now: float) -> None:
+        """Pause the roll if an agent of its generation says that it can't go on."""
+        for report in live:
+            is_current = report.generation == self.state.generation
+            if report.trouble and is_current and not self.state.paused:
+                reason = f"{report.name}: {report.trouble}"
+                logs.warn("roll_paused", generation=self.state.generation, reason=reason)
+                command = control_state.Pause(self.state.generation, reason)
+                self.propose(command, futures.Future(), now)
+                return
+
+    # What other threads see
+
+    def publish(self) -> None:
+        """Replace what other threads may read."""
+        old = self.standing
+        directive = old.directive
+        if self.state.revision != directive.revision:
+            directive = self.state.directive()
+            metrics.revision.set(directive.revision)
+            metrics.generation.set(directive.generation)
+        seen_at = self.raft.heard_leader_at
+        if self.raft.is_leader():
+            seen_at = self.raft.lease_until() - self.raft.timing.election_min_s
+        controls = {name: a.bus for name, a in self.raft.log.voters.addresses.items()}
+        self.standing = Standing(directive, self.raft.leader, seen_at, controls)
+
+    def stop(self) -> None:
+        """End the thread and let the folder go."""
+        self.stopping = True
+        self.inbox.put(None)
+        if self.thread.ident is not None:
+            self.thread.join(timeout=10)
+        for sender in self.senders.values():
+            sender.close()
+        self.journal.close()
+        self.folder.release()
+
+
+def lost_leadership() -> errors.ControlError:
+    """Return the error for a command whose leader lost its place meanwhile."""
+    return errors.ControlError(
+        "the leader changed before the command was committed; send it again with the same "
+        "request id to learn what became of it",
+        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+    )
+
+
+def log_applied(
+    name: str, command: control_state.Command, answer: control_state.Answer, index: int
+) -> None:
+    """Log commands that operators care for; claims are too many."""
+    if name in ("claim", "complete", "expire"):
+        return
+    logs.event(
+        f"applied_{name}",
+        index=index,
+        request_id=getattr(command, "request_id", ""),
+        generation=answer.generation,
+        version=answer.version,
+        error=answer.error,
+    )
--- a/src/merlinthread/roles/operators_api.py
+++ b/src/merlinthread/roles/operators_api.py
@@ -109,6 +109,7 @@
                 )
             )
         record = state.records.get(state.version)
+        directive = state.directive()
         return operator_calls.Status(
             raft.name,
             raft.hard_state.term,
@@ -118,7 +119,7 @@
             record.digest if record else "",
             state.paused,
             members,
-            [agent_status(state, report) for report in task.view.live(now)],
+            [agent_status(state, directive, report) for report in task.incoming.live(now)],
             task.journal.size_bytes(),
         )
 
@@ -136,10 +137,13 @@
 
 
 def agent_status(
-    state: control_state.ControlState, report: agents.AgentReport
+    state: control_state.ControlState,
+    directive: control_state.Directive,
+    report: agents.AgentReport,
 ) -> operator_calls.AgentStatus:
     """Return what operators see of one target VM."""
-    wanted = switch.wanted_of(state.directive(), report.name)
+    wanted = switch.wanted_of(directive, report.name)
+    placed = state.placement.get(report.name)
     is_done = report.kind == bundles.SERVICE or report.serving == {
         item.name: item.manifest for item in wanted
     }
@@ -149,7 +153,7 @@
         report.kind,
         report.revision,
         report.generation,
-        state.placement.get(report.name, []),
+        placed.models if placed else [],
         report.serving,
         is_done,
         report.is_leaving,
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -17,11 +17,10 @@
 
 IDLE_WAIT_S = 0.02
 MANIFEST_RETRY_S = 0.5
-PEER_TIMEOUT_S = 10.0
+PEER_TIMEOUT_S = 1.0
 ORIGIN_TIMEOUT_S = 20.0
 ORIGIN_RETRY_S = 0.5
 SAME_WRONG_MAX = 2
-NEIGHBOURS_MAX = 40
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,8 +58,7 @@
         self.lock = threading.Condition()
         self.downloads: dict[str, Download] = {}
         self.manifests: dict[str, manifests.Manifest] = {}
-        self.participants: dict[str, list[str]] = {}
-        self.peers: dict[str, messages.Peer] = {}
+        self.peers: dict[str, dict[str, fetch.Peer]] = {}
         self.slots = uploads.UploadSlots(config.upload_slots)
         self.up = uploads.Pace(config.link_bytes_per_s)
         self.down = uploads.Pace(config.link_bytes_per_s)
@@ -88,43 +86,24 @@
 
     # What should be here
 
-    def want(self, participants: dict[str, list[str]]) -> None:
-        """Fetch these manifests; each comes with the VMs that should hold it."""
+    def want(self, wanted: dict[str, list[fetch.Peer]]) -> None:
+        """Fetch these manifests; each comes with the other VMs that should hold it."""
         now = self.parts.clock()
         with self.lock:
-            self.participants = participants
-            for digest in participants:
+            self.peers = {
+                digest: {peer.name: peer for peer in peers} for digest, peers in wanted.items()
+            }
+            for digest in wanted:
                 if digest not in self.downloads:
                     self.downloads[digest] = Download(digest, None, now, now)
-            for digest in set(self.downloads) - set(participants):
+            for digest in set(self.downloads) - set(wanted):
                 del self.downloads[digest]
+            for download in self.downloads.values():
+                if download.plan is not None:
+                    download.plan.set_peers(wanted[download.digest])
             self.repin()
-            self.share_peers()
-            self.lock.notify_all()
-
-    def set_peers(self, peers: list[messages.Peer]) -> None:
-        """Take over which live agents take part."""
-        with self.lock:
-            self.peers = {peer.name: peer for peer in peers}
-            self.share_peers()
             self.lock.notify_all()
 
-    def share_peers(self) -> None:
-        """Tell each plan who takes part; the caller holds the lock."""
-        distances = {peer.name: self.distance(peer) for peer in self.peers.values()}
-        for download in self.downloads.values():
-            if download.plan is not None:
-                names = self.participants.get(download.digest, [])
-                download.plan.set_peers(names + list(distances), distances)
-
-    def distance(self, peer: messages.Peer) -> int:
-        """Return how far a peer is."""
-        if peer.availability_zone == self.parts.settings.availability_zone:
-            return fetch.OWN_ZONE
-        if peer.region == self.parts.settings.region:
-            return fetch.OWN_REGION
-        return fetch.FAR
-
     def repin(self) -> None:
         """Keep the chunks of what is wanted; others go when room is needed."""
         kept: list[str] = []
@@ -150,12 +129,6 @@
                 for digest, download in self.downloads.items()
             }
 
-    def unfinished(self) -> list[str]:
-        """Return the wanted manifests that are not complete."""
-        complete = self.complete()
-        with self.lock:
-            return [digest for digest in self.downloads if digest not in complete]
-
     def trouble(self) -> str:
         """Return why a wanted manifest can't be had, or nothing."""
         with self.lock:
@@ -239,8 +212,8 @@
             download.plan = fetch.POLICIES.get(self.config.fetch_policy)(
                 self.name, download.digest, len(manifest.chunks), held, 2, now, self.rng
             )
+            download.plan.set_peers(list(self.peers.get(download.digest, {}).values()))
             self.repin()
-            self.share_peers()
             self.lock.notify_all()
         logs.event(
             "fetch_started",
@@ -267,9 +240,9 @@
     def read_manifest(self, digest: str, callers: bus.Callers) -> bytes:
         """Return the manifest's bytes from a peer, else from the weight store."""
         with self.lock:
-            peers = list(self.peers.values())
+            peers = list(self.peers.get(digest, {}).values())
         self.rng.shuffle(peers)
-        peers.sort(key=self.distance)
+        peers.sort(key=lambda peer: peer.distance)
         for peer in peers[:2]:
             try:
                 found = callers.call(peer.bus, messages.ManifestWanted(digest), 1.0)
@@ -333,7 +306,7 @@
         manifest, plan = download.manifest_and_plan(self.manifests)
         count = len(manifest.chunks)
         with self.lock:
-            peer = self.peers.get(action.peer)
+            peer = self.peers.get(download.digest, {}).get(action.peer)
             held = plan.held
         if peer is None:
             return
@@ -344,7 +317,7 @@
             fetch.to_bytes(held, count),
         )
         try:
-            found = callers.call(peer.bus, wanted, PEER_TIMEOUT_S)
+            found = callers.call(peer.bus, wanted, self.peer_timeout_s(manifest))
         except errors.MerlinthreadError as error:
             metrics.chunk_failures_total.labels("peer").inc()
             logs.detail("peer_failed", peer=peer.name, reason=error.message)
@@ -353,11 +326,16 @@
             return
         self.take_answer(download, plan, peer, found, count)
 
+    def peer_timeout_s(self, manifest: manifests.Manifest) -> float:
+        """Return how long a busy peer may take over one chunk, its other uploads included."""
+        chunk_s = manifest.chunk_bytes / self.config.link_bytes_per_s
+        return PEER_TIMEOUT_S + 2 * self.config.upload_slots * chunk_s
+
     def take_answer(
         self,
         download: Download,
         plan: fetch.FetchPlan,
-        peer: messages.Peer,
+        peer: fetch.Peer,
         found: messages.ChunkFound,
         count: int,
     ) -> None:
--- a/src/merlinthread/settings.py
+++ b/src/merlinthread/settings.py
@@ -100,7 +100,7 @@
     election_min_s: Seconds = 0.6
     election_max_s: Seconds = 1.2
     commit_timeout_s: Seconds = 5.0
-    compact_after_entries: Count = 2000
+    compact_after_entries: Count = 500
     place_every_s: Seconds = 0.5
     agent_lost_after_s: Seconds = 5.0
     claims_kept_s: Seconds = 86400.0
@@ -114,7 +114,9 @@
     platform_url: Url | None = None
     policy: str = "least_loaded"
     poll_every_s: Seconds = 0.25
+    tell_every_s: Seconds = 0.5
     exchange_every_s: Seconds = 0.5
+    summary_lost_after_s: Seconds = 10.0
     agent_lost_after_s: Seconds = 2.0
     default_deadline_s: Seconds = 30.0
     attempts_max: Annotated[int, pydantic.Field(ge=1, le=10)] = 3
@@ -136,6 +138,7 @@
     slots: Annotated[int, pydantic.Field(ge=1, le=4096)] = 16
     queue_max: Count = 1024
     heartbeat_every_s: Seconds = 0.5
+    heartbeat_entries: Annotated[int, pydantic.Field(ge=1, le=8)] = 3
     link_bytes_per_s: Bytes = 1024**3
     origin_bytes_per_s: Bytes = 1024**3
     upload_slots: Annotated[int, pydantic.Field(ge=1, le=64)] = 4
