--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -20,11 +20,13 @@
 BUSY_WAIT_MAX_S = 0.04
 EMPTY_WAIT_S = 0.05
 FAILED_WAIT_S = 1.0
+FAILED_WAIT_MAX_S = 8.0
 CORRUPT_WAIT_S = 30.0
 LOST_S = 4.0
 NEIGHBOURS_MAX = 40
 READERS_MAX = 32
-STALE_AFTER_S = 0.25
+# How old a peer's word may get, by distance.
+STALE_AFTER_S = (0.25, 0.5, 0.75)
 ORIGIN_GRACE_S = 3.0
 CHUNKS_OFFERED = 4
 
@@ -66,7 +68,11 @@
     heard_at: float = float("-inf")
     not_before: float = float("-inf")
     lost_until: float = float("-inf")
-    asked: int = 0
+    failures: int = 0
+
+    def overdue(self, now: float) -> float:
+        """Return how old its word is, in units of how old it may get; a failure counts as word."""
+        return (now - self.heard_at) / STALE_AFTER_S[self.distance]
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +134,7 @@
         self.origin_busy = 0
         self.origin_not_before = float("-inf")
         self.peers: dict[str, PeerState] = {}
+        self.asking: set[str] = set()
         self.participants: list[str] = [me]
         self.near: set[str] = {me}
         self.tally = Tally()
@@ -166,6 +173,8 @@
         if state is not None:
             state.held = held
             state.heard_at = now
+            state.failures = 0
+            state.lost_until = float("-inf")
 
     def began(self, action: Action) -> None:
         """Note that `action` is being carried out."""
@@ -174,8 +183,7 @@
             self.origin_busy += 1
         else:
             self.in_flight |= action.wanted
-            if action.peer in self.peers:
-                self.peers[action.peer].asked += 1
+            self.asking.add(action.peer)
 
     def ended(self, action: Action) -> None:
         """Note that `action` is over, whatever came of it."""
@@ -184,8 +192,7 @@
             self.origin_busy -= 1
         else:
             self.in_flight &= ~action.wanted
-            if action.peer in self.peers:
-                self.peers[action.peer].asked -= 1
+            self.asking.discard(action.peer)
 
     def got(self, index: int, from_origin: bool, now: float) -> None:
         """Note a verified chunk."""
@@ -193,11 +200,11 @@
             self.tally.doubled += 1
             return
         self.held |= 1 << index
-        self.last_news_at = now
         if from_origin:
             self.tally.from_origin += 1
         else:
             self.tally.from_peers += 1
+            self.last_news_at = now
 
     def peer_busy(self, peer: str, now: float) -> None:
         """Note that a peer has no upload slot free."""
@@ -210,9 +217,14 @@
     def peer_failed(self, peer: str, now: float) -> None:
         """Note that a peer did not answer."""
         self.tally.failed += 1
-        self.hold_off(peer, now + FAILED_WAIT_S)
-        if peer in self.peers:
-            self.peers[peer].lost_until = now + LOST_S
+        state = self.peers.get(peer)
+        if state is None:
+            return
+        wait = min(FAILED_WAIT_MAX_S, FAILED_WAIT_S * 2**state.failures)
+        state.failures += 1
+        state.heard_at = now
+        state.not_before = now + wait
+        state.lost_until = now + wait + LOST_S
 
     def peer_corrupt(self, peer: str, now: float) -> None:
         """Note that a peer gave bytes with a wrong digest, and set it aside."""
@@ -284,7 +296,11 @@
 
     def askable(self, now: float) -> list[PeerState]:
         """Return the peers that may be asked now, nearest first, in random order otherwise."""
-        found = [peer for peer in self.peers.values() if peer.not_before <= now and peer.asked == 0]
+        found = [
+            peer
+            for peer in self.peers.values()
+            if peer.not_before <= now and peer.name not in self.asking
+        ]
         self.rng.shuffle(found)
         found.sort(key=lambda peer: peer.distance)
         return found
@@ -303,12 +319,14 @@
     """
 
     owned = 0
+    ranks: dict[int, int] = {}
 
     def on_participants(self) -> None:
         """Find the chunks that this VM reads from the origin."""
         ordered = sorted(self.participants, key=lambda name: weight(name, self.manifest, -1))
         readers = ordered[:READERS_MAX]
         self.owned = 0
+        self.ranks = {}
         if self.me not in readers:
             return
         for index in range(self.chunk_count):
@@ -327,38 +345,45 @@
             action = self.ask(peer, now)
             if action is not None:
                 return action
-        probe = self.probe(needed, now)
-        if probe is not None:
-            return probe
-        return self.rescue(needed, now)
+        return self.rescue(needed, now) or self.probe(needed, now)
 
     def probe(self, needed: int, now: float) -> FromPeer | None:
-        """Ask a peer of which nothing new is known for a part of what is needed."""
-        for peer in self.askable(now):
-            if now - peer.heard_at > STALE_AFTER_S:
-                indices = bits(needed)
-                part = self.rng.sample(indices, max(1, len(indices) // 4))
-                return FromPeer(peer.name, sum(1 << index for index in part))
-        return None
+        """Ask the peer whose word is most overdue for a part of what is needed.
+
+        Far peers are due less often, but they come: near ones may all lack the same chunks.
+        """
+        due = [peer for peer in self.askable(now) if peer.overdue(now) > 1]
+        if not due:
+            return None
+        peer = max(due, key=lambda peer: peer.overdue(now))
+        indices = bits(needed)
+        part = self.rng.sample(indices, max(1, len(indices) // 4))
+        return FromPeer(peer.name, sum(1 << index for index in part))
 
     def rescue(self, needed: int, now: float) -> FromOrigin | None:
-        """Read a chunk whose owner does not deliver.
+        """Read a chunk whose owner does not deliver, if this VM is next to do so.
 
-        The first VM of this zone in the chunk's rendezvous order does, the others wait longer; so a
+        Each VM of a zone waits longer the later it stands in the chunk's rendezvous order; so a
         zone that is cut off reads a chunk that it lacks about once.
         """
-        if now - self.last_news_at < ORIGIN_GRACE_S or not self.may_read_origin(now):
+        waited = now - self.last_news_at
+        if waited < ORIGIN_GRACE_S or not self.may_read_origin(now):
             return None
         for peer in self.peers.values():
             if peer.lost_until < now:
                 needed &= ~peer.held
-        if not needed:
-            return None
-        index = self.rng.choice(bits(needed))
-        order = sorted(self.near, key=lambda name: weight(name, self.manifest, index), reverse=True)
-        if now - self.last_news_at < ORIGIN_GRACE_S * (1 + order.index(self.me)):
+        due = [index for index in bits(needed) if waited >= ORIGIN_GRACE_S * (1 + self.rank(index))]
+        if not due:
             return None
-        return FromOrigin(index)
+        return FromOrigin(min(due, key=self.rank))
+
+    def rank(self, index: int) -> int:
+        """Return this VM's place in its zone's rendezvous order for a chunk, from 0."""
+        if index not in self.ranks:
+            mine = weight(self.me, self.manifest, index)
+            ahead = [name for name in self.near if weight(name, self.manifest, index) > mine]
+            self.ranks[index] = len(ahead)
+        return self.ranks[index]
 
 
 @POLICIES.add("tree")
@@ -393,7 +418,7 @@
                 return None
             return FromOrigin(bits(needed)[0])
         peer = self.peers[name]
-        if peer.not_before > now or peer.asked:
+        if peer.not_before > now or name in self.asking:
             return None
         return FromPeer(name, needed)
 
--- a/src/merlinthread/protocol/codec.py
+++ b/src/merlinthread/protocol/codec.py
@@ -1,11 +1,13 @@
 """Bytes of the messages between our own processes: MessagePack behind a keyed checksum.
 
-A frame is an 8-byte key name, a 16-byte BLAKE3 keyed hash of the rest, and the MessagePack pair
-(message name, message). Without keys the two first parts are zeros and are not looked at.
+A frame is an 8-byte key name, a 16-byte BLAKE3 keyed hash of the rest, one byte that says whether
+the rest is compressed (zlib), and the MessagePack pair (message name, message). Without keys the
+two first parts are zeros and are not looked at.
 """
 
 import dataclasses
 import hmac
+import zlib
 from typing import Any
 
 import blake3
@@ -16,6 +18,11 @@
 KEY_NAME_BYTES = 8
 TAG_BYTES = 16
 KEY_BYTES = 32
+PLAIN = b"\0"
+COMPRESSED = b"\1"
+COMPRESS_MIN_BYTES = 160
+PACK_MAX_BYTES = 32 * 1024
+COMPRESS_MAX_BYTES = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,20 +63,38 @@
 
     def encode(self, message: Any) -> bytes:
         """Return the frame of `message`."""
-        body = msgspec.msgpack.encode((self.names[type(message)], message))
+        body = self.pack(msgspec.msgpack.encode((self.names[type(message)], message)))
         if self.signer is None:
             return bytes(KEY_NAME_BYTES + TAG_BYTES) + body
         return self.signer.name() + self.signer.tag(body) + body
 
+    def pack(self, body: bytes) -> bytes:
+        """Return `body` compressed if that is worth it; chunks of weights are too long for that."""
+        if COMPRESS_MIN_BYTES <= len(body) <= PACK_MAX_BYTES:
+            return COMPRESSED + zlib.compress(body, 1)
+        return PLAIN + body
+
+    def unpack(self, body: bytes) -> bytes:
+        """Return what `pack` was given; raise ValueError for what it never makes."""
+        if body[:1] == PLAIN:
+            return body[1:]
+        if body[:1] != COMPRESSED:
+            raise ValueError(f"no frame starts with {body[:1]!r}")
+        inflater = zlib.decompressobj()
+        found = inflater.decompress(body[1:], COMPRESS_MAX_BYTES)
+        if not inflater.eof:
+            raise ValueError("the compressed part is cut off or too long")
+        return found
+
     def decode(self, frame: bytes) -> Any:
         """Return the message in `frame`; raise ProtocolError if it is forged or malformed."""
         body = frame[KEY_NAME_BYTES + TAG_BYTES :]
         if self.keys:
             self.verify(frame, body)
         try:
-            name, raw = self.pair.decode(body)
+            name, raw = self.pair.decode(self.unpack(body))
             return self.decoders[name].decode(raw)
-        except (msgspec.DecodeError, KeyError, RecursionError) as error:
+        except (msgspec.DecodeError, KeyError, ValueError, RecursionError, zlib.error) as error:
             raise errors.ProtocolError(f"a message of {len(frame)} bytes does not decode: {error}")
 
     def verify(self, frame: bytes, body: bytes) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,10 +3,15 @@
 import pathlib
 from collections.abc import Iterator
 
+import hypothesis
 import pytest
 
 from bench import fleet as fleets
 
+# The same examples every time, however busy the machine is.
+hypothesis.settings.register_profile("ci", deadline=None, derandomize=True, database=None)
+hypothesis.settings.load_profile("ci")
+
 OBJECT_BYTES = 512 * 1024
 CHUNK_BYTES = 64 * 1024
 
--- /dev/null
+++ b/tests/test_fetch_machine.py
@@ -0,0 +1,194 @@
+"""Fetch policies: any order of answers, losses and lies, and a fleet of plans in fast motion."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from merlinthread.coordination import fetch, uploads
+
+CHUNKS = 12
+PEERS = ["vm-a", "vm-b", "vm-c"]
+
+
+class FetchMachine(stateful.RuleBasedStateMachine):
+    """One plan against peers that answer, lie, fail and come back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 10.0
+        self.plan = fetch.Spread("me", "m", CHUNKS, 0, 2, self.now, random.Random(1))
+        self.plan.set_peers([fetch.Peer(name, "127.0.0.1:1", 0) for name in PEERS])
+        self.under_way: list[fetch.Action] = []
+
+    @stateful.rule()
+    def act(self) -> None:
+        action = self.plan.next_action(self.now)
+        if action is None:
+            return
+        if isinstance(action, fetch.FromPeer):
+            assert action.wanted and not action.wanted & (self.plan.held | self.plan.in_flight)
+            assert all(
+                other.peer != action.peer
+                for other in self.under_way
+                if isinstance(other, fetch.FromPeer)
+            )
+        else:
+            assert not (self.plan.held | self.plan.in_flight) >> action.index & 1
+        self.plan.began(action)
+        self.under_way.append(action)
+
+    @stateful.precondition(lambda self: self.under_way)
+    @stateful.rule(which=st.integers(0, 9), outcome=st.sampled_from("got empty fail lie".split()))
+    def finish(self, which: int, outcome: str) -> None:
+        action = self.under_way.pop(which % len(self.under_way))
+        if isinstance(action, fetch.FromOrigin):
+            if outcome == "got":
+                self.plan.got(action.index, True, self.now)
+            else:
+                self.plan.origin_failed(self.now, 0.5)
+        elif outcome == "got":
+            index = fetch.bits(action.wanted)[0]
+            self.plan.heard(action.peer, action.wanted, self.now)
+            self.plan.got(index, False, self.now)
+        elif outcome == "empty":
+            self.plan.heard(action.peer, 0, self.now)
+            self.plan.peer_empty(action.peer, self.now)
+        elif outcome == "fail":
+            self.plan.peer_failed(action.peer, self.now)
+        else:
+            self.plan.peer_corrupt(action.peer, self.now)
+            following = self.plan.next_action(self.now)
+            assert not isinstance(following, fetch.FromPeer) or following.peer != action.peer
+        self.plan.ended(action)
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 1.0, 5.0]))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @stateful.rule(names=st.sets(st.sampled_from(PEERS)))
+    def peers_change(self, names: set[str]) -> None:
+        self.plan.set_peers([fetch.Peer(name, "127.0.0.1:1", 0) for name in names])
+
+    @stateful.invariant()
+    def nothing_is_counted_twice(self) -> None:
+        tally = self.plan.tally
+        assert tally.from_origin + tally.from_peers == self.plan.held.bit_count()
+        assert self.plan.origin_busy >= 0
+
+    def teardown(self) -> None:
+        """With nobody else left, everything is read from the origin in the end."""
+        for action in self.under_way:
+            self.plan.ended(action)
+        self.plan.set_peers([])
+        for _ in range(10_000):
+            if self.plan.is_complete():
+                return
+            self.now += 0.5
+            action = self.plan.next_action(self.now)
+            if action is not None:
+                self.plan.began(action)
+                assert isinstance(action, fetch.FromOrigin)
+                self.plan.got(action.index, True, self.now)
+                self.plan.ended(action)
+        raise AssertionError(f"stuck with {self.plan.held:b}")
+
+
+FetchMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=50, deadline=None, derandomize=True, database=None
+)
+TestFetchMachine = FetchMachine.TestCase
+
+
+def spread_out(count: int, policy: str, cut_after: int = 0) -> list[fetch.FetchPlan]:
+    """Let a fleet of plans fetch in rounds, one chunk in and out a VM a round; return them."""
+    rng = random.Random(3)
+    names = [f"vm-{number:03d}" for number in range(count)]
+    peers = [fetch.Peer(n, "", 0 if i % 2 else 1) for i, n in enumerate(names)]
+    plans = {
+        name: fetch.POLICIES.get(policy)(name, "m", 40, 0, 2, 0.0, random.Random(number))
+        for number, name in enumerate(names)
+    }
+    sent = {name: uploads.UploadSlots(1) for name in names}
+    for name, plan in plans.items():
+        zone = names.index(name) % 2
+        plan.set_peers(
+            [
+                fetch.Peer(p.name, "", (names.index(p.name) % 2) ^ zone)
+                for p in peers
+                if p.name != name
+            ]
+        )
+    now = 0.0
+    for number in range(4000):
+        now += 0.1
+        busy: set[str] = set()
+        order = list(names)
+        rng.shuffle(order)
+        for name in order:
+            step(plans, sent, name, busy, now, is_cut=0 < cut_after <= number, names=names)
+        if all(plan.is_complete() for plan in plans.values()):
+            break
+    return list(plans.values())
+
+
+def step(plans, sent, name, busy, now, is_cut, names) -> None:
+    """One VM does one action."""
+    plan = plans[name]
+    action = plan.next_action(now)
+    if action is None:
+        return
+    plan.began(action)
+    if isinstance(action, fetch.FromOrigin):
+        plan.got(action.index, True, now)
+    else:
+        other = plans[action.peer]
+        crosses = (names.index(name) + names.index(action.peer)) % 2
+        if is_cut and crosses:
+            plan.peer_failed(action.peer, now)
+        else:
+            plan.heard(action.peer, other.held, now)
+            offered = other.held & action.wanted
+            if action.peer in busy or not offered:
+                plan.peer_empty(action.peer, now)
+            else:
+                busy.add(action.peer)
+                plan.got(sent[action.peer].choose("m", offered), False, now)
+    plan.ended(action)
+
+
+@pytest.mark.parametrize("policy", ["spread", "tree"])
+def test_a_fleet_reads_one_copy_from_the_origin(policy):
+    plans = spread_out(30, policy)
+    assert all(plan.is_complete() for plan in plans)
+    assert sum(plan.tally.from_origin for plan in plans) == 40
+
+
+def test_the_baseline_reads_a_copy_for_each_vm():
+    plans = spread_out(5, "origin_only")
+    assert sum(plan.tally.from_origin for plan in plans) == 5 * 40
+
+
+def test_a_zone_cut_off_before_it_has_anything_reads_about_one_more_copy():
+    plans = spread_out(20, "spread", cut_after=1)
+    assert all(plan.is_complete() for plan in plans)
+    copies = sum(plan.tally.from_origin for plan in plans) / 40
+    assert copies <= 2.1, f"{copies} copies for two sides"
+
+
+def test_rarest_first_takes_what_the_fewest_have():
+    plan = fetch.Spread("me", "m", 8, 0, 2, 0.0, random.Random(1))
+    plan.set_peers([fetch.Peer(name, "", 0) for name in PEERS])
+    plan.heard("vm-a", 0b1111, 0.0)
+    plan.heard("vm-b", 0b0111, 0.0)
+    plan.heard("vm-c", 0b0011, 0.0)
+    assert plan.rarest(0b1111)[:2] == [3, 2]
+
+
+def test_a_paced_link_keeps_its_rate():
+    pace = uploads.Pace(1000.0)
+    ends = [pace.reserve(100, now=5.0) for _ in range(10)]
+    assert ends[-1] == pytest.approx(6.0)
+    assert pace.reserve(100, now=20.0) == pytest.approx(20.1)
