--- a/src/merlinthread/coordination/uploads.py
+++ b/src/merlinthread/coordination/uploads.py
@@ -47,3 +47,13 @@
         start = max(self.free_at, now)
         self.free_at = start + size / self.bytes_per_s
         return self.free_at
+
+    def arrived(self, size: int, now: float) -> float:
+        """Return when the link is through with `size` bytes that were on it until `now`.
+
+        They occupied it while they came, so bytes that came no faster than the rate are through
+        at once.
+        """
+        start = max(self.free_at, now - size / self.bytes_per_s)
+        self.free_at = start + size / self.bytes_per_s
+        return self.free_at
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -66,6 +66,7 @@
         self.client = http_client.Client()
         self.rng = random.Random()
         self.stopping = False
+        self.idle_until = 0.0
         self.threads = [
             threading.Thread(target=self.work, name=f"download-{number}", daemon=True)
             for number in range(config.download_slots)
@@ -102,6 +103,7 @@
                 if download.plan is not None:
                     download.plan.set_peers(wanted[download.digest])
             self.repin()
+            self.idle_until = 0.0
             self.lock.notify_all()
 
     def repin(self) -> None:
@@ -168,6 +170,8 @@
     def next_job(self) -> tuple[Download, fetch.Action | None] | None:
         """Return what to do next; the caller holds the lock."""
         now = self.parts.clock()
+        if now < self.idle_until:
+            return None
         for download in self.downloads.values():
             if download.trouble or now < download.not_before:
                 continue
@@ -178,6 +182,8 @@
             if action is not None:
                 download.plan.began(action)
                 return download, action
+        # Nothing changes by asking again at once; whoever changes something resets this.
+        self.idle_until = now + IDLE_WAIT_S
         return None
 
     def carry_out(self, job: tuple[Download, fetch.Action | None], callers: bus.Callers) -> None:
@@ -195,6 +201,7 @@
             with self.lock:
                 assert download.plan is not None
                 download.plan.ended(action)
+                self.idle_until = 0.0
                 self.lock.notify()
 
     def fetch_manifest(self, download: Download, callers: bus.Callers) -> None:
@@ -214,6 +221,7 @@
             )
             download.plan.set_peers(list(self.peers.get(download.digest, {}).values()))
             self.repin()
+            self.idle_until = 0.0
             self.lock.notify_all()
         logs.event(
             "fetch_started",
@@ -261,7 +269,6 @@
         manifest, plan = download.manifest_and_plan(self.manifests)
         size = manifest.chunk_size(action.index)
         offset = manifest.chunk_offset(action.index)
-        self.sleep_until(self.origin_pace.reserve(size, self.parts.clock()))
         name = urllib.parse.quote(manifest.object)
         try:
             if self.config.origin_url is None:
@@ -281,6 +288,8 @@
                 plan.origin_failed(self.parts.clock(), wait)
             return
         metrics.chunk_bytes_total.labels("origin").inc(len(data))
+        now = self.parts.clock()
+        self.sleep_until(max(self.origin_pace.arrived(size, now), self.down.arrived(size, now)))
         if not self.keep(download, action.index, data, from_origin=True):
             self.note_wrong_origin(download, action.index, data)
 
@@ -349,7 +358,7 @@
                 plan.peer_empty(peer.name, now)
         if found.index < 0 or found.index >= count:
             return
-        self.sleep_until(self.down.reserve(len(found.data), now))
+        self.sleep_until(self.down.arrived(len(found.data), now))
         metrics.chunk_bytes_total.labels("peer").inc(len(found.data))
         if not self.keep(download, found.index, found.data, from_origin=False):
             logs.warn("chunk_corrupt", peer=peer.name, manifest=download.digest)
--- a/src/merlinthread/transport/bus.py
+++ b/src/merlinthread/transport/bus.py
@@ -121,18 +121,25 @@
 
     def serve(self) -> None:
         """Answer one call after another until the socket is closed."""
-        with self.socket.new_context() as context:
-            while True:
-                try:
-                    frame = context.recv()
-                    RECEIVED.inc(len(frame))
-                    frame = self.answer(frame)
-                    context.send(frame)
-                    SENT.inc(len(frame))
-                except pynng.exceptions.Closed:
-                    return
-                except pynng.exceptions.NNGException as error:
-                    logs.detail("bus_answer_failed", error=str(error))
+        try:
+            with self.socket.new_context() as context:
+                while True:
+                    self.serve_one(context)
+        except pynng.exceptions.Closed:
+            return
+
+    def serve_one(self, context: pynng.Context) -> None:
+        """Answer one call; raise Closed once the socket is closed."""
+        try:
+            frame = context.recv()
+            RECEIVED.inc(len(frame))
+            frame = self.answer(frame)
+            context.send(frame)
+            SENT.inc(len(frame))
+        except pynng.exceptions.Closed:
+            raise
+        except pynng.exceptions.NNGException as error:
+            logs.detail("bus_answer_failed", error=str(error))
 
     def answer(self, frame: bytes) -> bytes:
         """Return the encoded answer; an error becomes a refusal."""
