--- /dev/null
+++ b/tests/test_request_failures.py
@@ -0,0 +1,273 @@
+"""Requests under failure: whole, once, honestly refused, never cut off by a planned stop."""
+
+import concurrent.futures
+import threading
+import time
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from bench import fleet as fleets
+from bench import operators
+from tests import calls
+
+TOKENS = 150
+
+
+@pytest.fixture
+def fleet(make_fleet) -> Iterator[fleets.Fleet]:
+    shape = fleets.Shape(
+        zones=("zone-a", "zone-b"), regions=("region-1",), engines_per_zone=2, services=2
+    )
+    fleet = make_fleet(shape)
+    digest = fleet.publish("hint-1", 256 * 1024, 64 * 1024)
+    operators.Operator(fleet).bring_in(fleets.simple_bundle(1, {"hint": (digest, 100)}))
+    fleets.wait_for("4 engines", lambda: fleet.serving("hint").get(digest) == 4)
+    fleets.wait_for("entries", lambda: all(entry_sees(fleet, vm, 2) for vm in fleet.entries()))
+    return fleet
+
+
+def entry_sees(fleet: fleets.Fleet, vm: fleets.Vm, engines: int) -> bool:
+    """Return whether an entry routes to so many engines of its zone."""
+    return calls.ask(vm.http, tokens=1).status == 200 and bool(fleet.get(vm.http, "/readyz"))
+
+
+def runs(fleet: fleets.Fleet) -> dict[str, dict]:
+    """Return every run of every engine that still answers, by attempt."""
+    found = {}
+    for name, url in fleet.target_urls.items():
+        if name.startswith("engine"):
+            for run in (fleet.get(url, "/v1/runs") or {"runs": []})["runs"]:
+                found[run["attempt"]] = dict(run, engine=name)
+    return found
+
+
+def service_runs(fleet: fleets.Fleet, body: str) -> int:
+    total = 0
+    for name, url in fleet.target_urls.items():
+        if name.startswith("tickets"):
+            total += (fleet.get(url, "/runs") or {"runs": {}})["runs"].get(body, 0)
+    return total
+
+
+class Asked:
+    """A long answer that is asked for in the background."""
+
+    def __init__(self, address: str, request_id: str) -> None:
+        self.request_id = request_id
+        self.answer: calls.Answer | None = None
+        self.thread = threading.Thread(target=self.run, args=(address,))
+        self.thread.start()
+
+    def run(self, address: str) -> None:
+        self.answer = calls.ask(address, tokens=TOKENS, **{"X-Request-Id": self.request_id})
+
+    def wait(self) -> calls.Answer:
+        self.thread.join(40)
+        assert self.answer is not None
+        return self.answer
+
+    def engine(self, fleet: fleets.Fleet) -> str:
+        """Return the engine that has begun to answer."""
+
+        def find() -> str:
+            return next(
+                (
+                    run["engine"]
+                    for run in runs(fleet).values()
+                    if run["request_id"] == self.request_id and 5 < run["tokens"]
+                ),
+                "",
+            )
+
+        return fleets.wait_for("the answer to begin", find)
+
+
+@pytest.mark.parametrize("victim", ["-target", ""])
+def test_an_answer_whose_engine_or_agent_is_killed_is_resumed_whole(fleet, victim):
+    asked = Asked(fleet.entries()[0].http, "r-kill")
+    engine = asked.engine(fleet)
+    fleet.processes[engine + victim].kill()
+    answer = asked.wait()
+    assert answer.status == 200
+    assert answer.is_whole(), answer.text
+    entry = fleet.entries()[0].process
+    assert [e["relayed"] > 0 for e in entry.events("stream_broken")] == [True]
+
+
+def test_a_caller_that_leaves_frees_the_engine_s_place(fleet):
+    body = msgspec.json.encode(
+        {"model": "hint", "prompt": "gone", "max_tokens": 5000, "stream": True}
+    )
+    stream = calls.CLIENT.open(
+        "POST", f"http://{fleet.entries()[0].http}/v1/completions", body, {"X-Account": "a1"}
+    )
+    next(stream.pieces())
+    stream.close()
+    fleets.wait_for(
+        "the run to be cancelled",
+        lambda: [r["outcome"] for r in runs(fleet).values() if r["tokens"] > 0][-1:]
+        and all(r["outcome"] != "running" for r in runs(fleet).values()),
+    )
+    assert any(run["outcome"] == "cancelled" for run in runs(fleet).values())
+
+
+def test_a_leaving_vm_gets_no_new_work_and_finishes_what_it_has(fleet):
+    asked = Asked(fleet.entries()[0].http, "r-leave")
+    engine = asked.engine(fleet)
+    body = msgspec.json.encode({"name": engine, "state": "leaving"})
+    fleet.http.request_ok("POST", f"{fleet.platform_url}/v1/vms", body)
+    fleets.wait_for(
+        "the entries to know",
+        lambda: all(vm.process.events("platform_leaving") for vm in fleet.entries()),
+        5,
+    )
+    before = set(runs(fleet))
+    for _ in range(10):
+        for vm in fleet.entries():
+            assert calls.ask(vm.http, tokens=1).status == 200
+    new = {attempt: run for attempt, run in runs(fleet).items() if attempt not in before}
+    assert new and all(run["engine"] != engine for run in new.values())
+    assert asked.wait().is_whole()
+
+
+@pytest.mark.parametrize("role", ["agent", "entry"])
+def test_a_planned_stop_cuts_no_request_off(fleet, role):
+    entry = fleet.entries()[0]
+    asked = Asked(entry.http, "r-stop")
+    engine = asked.engine(fleet)
+    process = entry.process if role == "entry" else fleet.processes[engine]
+    process.stop()
+    assert asked.wait().is_whole()
+    assert process.wait(20) == 0
+    others = [vm for vm in fleet.entries() if vm.process is not process]
+    assert all(calls.ask(vm.http).is_whole() for vm in others)
+    broken = [e for vm in fleet.entries() for e in vm.process.events("stream_broken")]
+    assert broken == [], "a planned stop is no reason to resume"
+
+
+def test_one_key_at_all_entries_at_once_runs_once(fleet):
+    key = calls.new_key()
+    body = b'{"lamp": "race"}'
+
+    def draft(number: int) -> calls.Answer:
+        entries = fleet.entries()
+        return calls.call(entries[number % len(entries)].http, "/draft", body, Idempotency_Key=key)
+
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        answers = list(pool.map(draft, range(12)))
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.body for answer in answers}) == 1
+    assert service_runs(fleet, body.decode()) == 1
+
+
+def test_a_call_whose_target_dies_on_it_is_unknown_and_stays_so(fleet):
+    key = calls.new_key()
+    body = b'{"lamp": "dies"}'
+    slow = fleet.add_stand_in("service", "slow-target", "--delay-s", "5")
+    fleet.target_urls["tickets-slow"] = slow
+    for number in range(2):
+        fleet.processes[f"tickets-{number}"].kill()
+    fleet.add_agent(
+        "tickets-slow",
+        "zone-a",
+        {"target_url": slow, "target_kind": "service", "service": "tickets"},
+    )
+    fleets.wait_for(
+        "the slow service",
+        lambda: any(a["name"] == "tickets-slow" for a in fleet.status().get("agents", [])),
+    )
+    entry = fleet.entries()[0]
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        first = pool.submit(calls.call, entry.http, "/draft", body, Idempotency_Key=key)
+        fleets.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
+        fleet.processes["slow-target"].kill()
+        answer = first.result()
+    assert answer.error()["error"] == "outcome_unknown"
+    assert answer.error()["ran"] == "unknown"
+    second = calls.call(fleet.entries()[1].http, "/draft", body, Idempotency_Key=key)
+    assert second.error()["error"] == "outcome_unknown"
+
+
+def test_without_a_majority_a_call_is_refused_at_once_and_truly_did_not_run(fleet):
+    for vm in fleet.controls()[1:]:
+        vm.process.kill()
+    body = b'{"lamp": "nobody"}'
+    key = calls.new_key()
+    entry = fleet.entries()[0]
+    started = time.monotonic()
+    answer = calls.call(entry.http, "/draft", body, Idempotency_Key=key)
+    assert time.monotonic() - started < 6
+    assert answer.error()["error"] == "not_run"
+    assert answer.error()["ran"] == "no"
+    assert int(answer.headers["retry-after"]) >= 1
+    assert service_runs(fleet, body.decode()) == 0
+    assert calls.call(entry.http, "/lookup").status == 200
+    assert calls.ask(entry.http).is_whole()
+    for vm in fleet.controls()[1:]:
+        fleet.restart(vm.name)
+    fleets.wait_for("a leader", lambda: fleet.leader())
+    again = fleets.wait_for(
+        "the key to be free again",
+        lambda: (got := calls.call(entry.http, "/draft", body, Idempotency_Key=key)).status == 200
+        and got,
+        20,
+    )
+    assert again.status == 200
+    assert service_runs(fleet, body.decode()) == 1
+
+
+def test_a_killed_entry_leaves_one_run_and_an_honest_answer_elsewhere(fleet):
+    key = calls.new_key()
+    body = b'{"lamp": "entry dies"}'
+    first, second = fleet.entries()
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(calls.call, first.http, "/draft", body, Idempotency_Key=key)
+        fleets.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
+        first.process.kill()
+        waiting.exception(10)
+    answer = calls.call(second.http, "/draft", body, Idempotency_Key=key, X_Deadline_Ms="1500")
+    assert answer.status == 200 or answer.error()["error"] == "outcome_unknown"
+    assert service_runs(fleet, body.decode()) == 1
+
+
+def test_a_zone_whose_engines_are_gone_is_served_by_another_zone(fleet):
+    for name in ("engine-zone-a-0", "engine-zone-a-1"):
+        fleet.processes[f"{name}-target"].kill()
+        fleet.processes[name].kill()
+    entry = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] == "zone-a")
+    fleets.wait_for("an answer", lambda: calls.ask(entry.http).status == 200, 10)
+    for is_streamed in (True, False):
+        answer = calls.ask(entry.http, is_streamed=is_streamed)
+        assert answer.is_whole()
+    assert any(e["target"].startswith("entry-zone-b") for e in entry.process.events("routed"))
+
+
+def test_a_frozen_engine_does_not_hold_its_callers_beyond_their_deadline(fleet):
+    for name in ("engine-zone-a-0", "engine-zone-a-1"):
+        fleet.processes[f"{name}-target"].freeze()
+    entry = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] == "zone-a")
+    fleets.wait_for(
+        "answers from the other zone",
+        lambda: calls.ask(entry.http, **{"X-Deadline-Ms": "1000"}).status == 200,
+        20,
+    )
+    assert calls.ask(entry.http).is_whole()
+    for name in ("engine-zone-a-0", "engine-zone-a-1"):
+        fleet.processes[f"{name}-target"].thaw()
+
+
+def test_an_attempt_for_an_earlier_incarnation_or_from_a_stranger_is_not_run(fleet):
+    agent = next(vm for vm in fleet.agents() if vm.name.startswith("engine"))
+    body = msgspec.json.encode({"model": "hint", "prompt": "x"})
+    headers = {
+        "x-attempt": "forged",
+        "x-incarnation": "1",
+        "x-account": "a1",
+        "x-priority": "0",
+        "x-deadline-ms": "1000",
+    }
+    reply = fleet.http.request("POST", f"http://{agent.http}/target/v1/completions", body, headers)
+    assert reply.status == 401
+    assert "forged" not in runs(fleet)
