--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 
 import bench
 
-HELPERS = ("__main__", "fleet", "layers", "load", "measure", "operators", "swarm")
+HELPERS = ("__main__", "fleet", "layers", "load", "measure", "operators", "processes", "swarm")
 
 
 def names() -> list[str]:
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -96,7 +96,8 @@
         bundle, reports = synthetic(count)
         plan = placement.plan(bundle, reports, {})
         directive = control_state.Directive(1, 1, "", bundle, "0" * 64, {}, plan.changes)
-        frame = codec.encode(directive)
+        reply = messages.PollReply("control-1", "control-1", 0.0, 1, {}, directive)
+        frame = codec.encode(reply)
         candidates = [routing.Candidate(report, 0) for report in reports[: max(1, count // 100)]]
         peers = [
             fetch.Peer(r.name, r.bus, 0 if r.availability_zone == "zone-0" else 2) for r in reports
@@ -106,7 +107,7 @@
                 "vms": count,
                 "directive_bytes": len(frame),
                 "directive_decode_s": timed(lambda f=frame: codec.decode(f), 5),
-                "directive_encode_s": timed(lambda d=directive: codec.encode(d), 5),
+                "directive_encode_s": timed(lambda r=reply: codec.encode(r), 5),
                 "placement_s": timed(
                     lambda b=bundle, r=reports, c=plan.changes: placement.plan(b, r, c), 5
                 ),
--- a/bench/control.py
+++ b/bench/control.py
@@ -7,8 +7,8 @@
 import time
 
 from bench import fleet as fleets
-from bench import measure, operators
-from merlinthread.coordination import control_state
+from bench import measure, operators, processes
+from merlinthread.coordination import commands
 from merlinthread.protocol import codec, messages
 from merlinthread.transport import bus
 
@@ -27,7 +27,7 @@
         """Read all logs; times are the processes' own wall clocks on one machine."""
         for vm in self.fleet.agents() + self.fleet.entries():
             for event in vm.process.events("directive_adopted"):
-                at = fleets.seconds_of(event["at"])
+                at = processes.seconds_of(event["at"])
                 self.seen.setdefault(event["generation"], {}).setdefault(vm.name, at)
 
 
@@ -82,7 +82,7 @@
 
 def wait_everywhere(fleet: fleets.Fleet, generation: int) -> None:
     """Wait until every agent reports a generation."""
-    fleets.wait_for(
+    processes.wait_for(
         f"generation {generation} everywhere",
         lambda: (agents := fleet.status().get("agents"))
         and all(agent["generation"] >= generation for agent in agents),
@@ -110,7 +110,7 @@
         fleet.restart(leader.name)
     else:
         leader.process.thaw()
-    fleets.wait_for("three members", lambda: len(fleet.status().get("members", [])) == 3)
+    processes.wait_for("three members", lambda: len(fleet.status().get("members", [])) == 3)
     time.sleep(2.0)
     return took
 
@@ -163,8 +163,8 @@
         caller = bus.Caller(leader.bus, mesh)
         while time.monotonic() < stop_at:
             key = f"bench {number} {counts[number]}"
-            claim = control_state.Claim(key, "0" * 64, "attempt", time.time())
-            name = mesh.names[control_state.Claim]
+            claim = commands.Claim(key, "0" * 64, "attempt", time.time())
+            name = mesh.names[commands.Claim]
             command = codec.msgspec.msgpack.encode((name, claim))
             caller.call(messages.Submit(command), 5.0)
             counts[number] += 1
@@ -195,7 +195,7 @@
         started = time.monotonic()
         for vm in fleet.controls():
             fleet.restart(vm.name)
-        fleets.wait_for("a leader", lambda: fleet.leader(), 30)
+        processes.wait_for("a leader", lambda: fleet.leader(), 30)
         took = time.monotonic() - started
         assert ana.status().generation == changes
         return {
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,9 +3,7 @@
 Used by the demo, the benches and the tests. Ends only processes that it started, by id.
 """
 
-import contextlib
 import dataclasses
-import datetime
 import json
 import os
 import pathlib
@@ -13,128 +11,21 @@
 import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from bench import processes
 from merlinthread import errors
 from merlinthread.protocol import signatures
 from merlinthread.state import manifests
 from merlinthread.transport import http_client
 from stand_ins import proxy as proxies
 
-FIRST_PORT = 20000
-LAST_PORT = 32000
 START_TIMEOUT_S = 30.0
-POLL_S = 0.02
-
-
-class Ports:
-    """Gives out free loopback ports outside the range that the system gives to outgoing sockets."""
-
-    def __init__(self) -> None:
-        self.next = random.randrange(FIRST_PORT, LAST_PORT)
-
-    def take(self) -> int:
-        """Return a port that nobody listens on."""
-        while True:
-            self.next = self.next + 1 if self.next < LAST_PORT else FIRST_PORT
-            with contextlib.closing(socket.socket()) as probe:
-                try:
-                    probe.bind(("127.0.0.1", self.next))
-                except OSError:
-                    continue
-            return self.next
-
-
-def wait_for(what: str, check: Callable[[], Any], timeout_s: float = 20.0) -> Any:
-    """Return the first true result of `check`; raise TimeoutError naming `what` otherwise."""
-    stop_at = time.monotonic() + timeout_s
-    while True:
-        result = check()
-        if result:
-            return result
-        if time.monotonic() >= stop_at:
-            raise TimeoutError(f"waited {timeout_s} s for {what}")
-        time.sleep(POLL_S)
-
-
-class Process:
-    """One process that this module started."""
-
-    def __init__(self, name: str, arguments: list[str], log: pathlib.Path) -> None:
-        self.name = name
-        self.arguments = arguments
-        self.log = log
-        self.handle: subprocess.Popen | None = None
-        self.is_frozen = False
-
-    def start(self) -> None:
-        """Start it; its output goes to its log."""
-        with open(self.log, "ab") as file:
-            self.handle = subprocess.Popen(
-                [sys.executable, *self.arguments],
-                stdout=file,
-                stderr=file,
-                stdin=subprocess.DEVNULL,
-                start_new_session=True,
-            )
-
-    def is_running(self) -> bool:
-        """Return whether it runs."""
-        return self.handle is not None and self.handle.poll() is None
-
-    def signal(self, number: int) -> None:
-        """Send it a signal, if it runs."""
-        if self.handle is not None and self.is_running():
-            self.handle.send_signal(number)
-
-    def freeze(self) -> None:
-        """Stop it in its tracks."""
-        self.signal(signal.SIGSTOP)
-        self.is_frozen = True
-
-    def thaw(self) -> None:
-        """Let it go on."""
-        self.signal(signal.SIGCONT)
-        self.is_frozen = False
-
-    def kill(self) -> None:
-        """End it without warning."""
-        self.signal(signal.SIGKILL)
-        self.wait(10)
-
-    def stop(self) -> None:
-        """Ask it to stop as planned."""
-        if self.is_frozen:
-            self.thaw()
-        self.signal(signal.SIGTERM)
-
-    def wait(self, timeout_s: float) -> int | None:
-        """Wait for its end; return its exit code, or None if it still runs."""
-        if self.handle is None:
-            return None
-        try:
-            return self.handle.wait(timeout_s)
-        except subprocess.TimeoutExpired:
-            return None
-
-    def events(self, name: str = "") -> list[dict]:
-        """Return its log lines, or those of one event."""
-        found = []
-        for line in self.log.read_text(encoding="utf-8", errors="replace").splitlines():
-            try:
-                event = json.loads(line)
-            except ValueError:
-                continue
-            if isinstance(event, dict) and (not name or event.get("event") == name):
-                found.append(event)
-        return found
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,7 +33,7 @@
     """One VM of the fleet: its daemon, its settings and its addresses."""
 
     name: str
-    process: Process
+    process: processes.Process
     settings: dict
     http: str
     bus: str
@@ -175,8 +66,8 @@
     def __init__(self, folder: pathlib.Path, shape: Shape | None = None) -> None:
         self.folder = folder
         self.shape = shape or Shape()
-        self.ports = Ports()
-        self.processes: dict[str, Process] = {}
+        self.ports = processes.Ports()
+        self.processes: dict[str, processes.Process] = {}
         self.vms: dict[str, Vm] = {}
         self.proxy = proxies.Proxy()
         self.http = http_client.Client()
@@ -198,9 +89,9 @@
 
     # Starting
 
-    def add(self, name: str, arguments: list[str]) -> Process:
+    def add(self, name: str, arguments: list[str]) -> processes.Process:
         """Start a process and remember it."""
-        process = Process(name, arguments, self.folder / "logs" / f"{name}.log")
+        process = processes.Process(name, arguments, self.folder / "logs" / f"{name}.log")
         process.start()
         self.processes[name] = process
         return process
@@ -248,9 +139,9 @@
                 self.add_engine(zone, number)
         for number in range(self.shape.services):
             self.add_service(number)
-        wait_for("a leader", self.leader, START_TIMEOUT_S)
+        processes.wait_for("a leader", self.leader, START_TIMEOUT_S)
         expected = len(self.shape.zones) * self.shape.engines_per_zone + self.shape.services
-        wait_for(
+        processes.wait_for(
             f"{expected} agents",
             lambda: len(self.status().get("agents", [])) >= expected,
             START_TIMEOUT_S,
@@ -516,11 +407,6 @@
         self.proxy.close()
 
 
-def seconds_of(text: str) -> float:
-    """Return a log line's time as seconds since 1970."""
-    return datetime.datetime.fromisoformat(text).timestamp()
-
-
 def simple_bundle(version: int, models: dict[str, tuple[str, int]], **more: Any) -> dict:
     """Return a bundle with models (name to manifest and share) and two groups."""
     return {
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -13,7 +13,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from bench import demo, measure, operators
+from bench import demo, measure, operators, processes
 from bench import fleet as fleets
 from merlinthread import errors
 from merlinthread.coordination import fair_queue
@@ -318,7 +318,7 @@
         fleet.start()
         digest = fleet.publish("hint-1", 1 << 20, 1 << 16)
         operators.Operator(fleet).bring_in(fleets.simple_bundle(1, {"hint": (digest, 100)}))
-        fleets.wait_for("6 engines", lambda: fleet.serving("hint").get(digest) == 6)
+        processes.wait_for("6 engines", lambda: fleet.serving("hint").get(digest) == 6)
         time.sleep(2)
         figures |= overhead(fleet, 300)
         print(figures, flush=True)
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -16,7 +16,7 @@
 import time
 
 from bench import fleet as fleets
-from bench import measure
+from bench import measure, processes
 
 WORKERS = 7
 POLL_S = 0.1
@@ -177,7 +177,7 @@
     try:
         manifest = swarm.fleet.publish("model-1", swarm.size, options.chunk_bytes)
         swarm.start(policy, 0.01 if with_faults else 0.0)
-        fleets.wait_for("the origin", lambda: swarm.fleet.get(swarm.fleet.origin_url, "/stats"))
+        processes.wait_for("the origin", lambda: swarm.fleet.get(swarm.fleet.origin_url, "/stats"))
         time.sleep(0.5)
         started = time.monotonic()
         swarm.want(manifest, swarm.peers)
--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -16,7 +16,7 @@
 from merlinthread import logs, settings
 from merlinthread.coordination import fetch
 from merlinthread.protocol import messages
-from merlinthread.roles import base, weights
+from merlinthread.roles import base, chunk_giver, weights
 from merlinthread.state import chunks
 from merlinthread.transport import bus, http_server
 
@@ -24,8 +24,8 @@
 NOWHERE = "127.0.0.1:1"
 
 
-class CorruptingWeights(weights.Weights):
-    """Weights whose uploads are damaged now and then."""
+class CorruptingGiver(chunk_giver.ChunkGiver):
+    """A giver whose chunks are damaged now and then."""
 
     corrupt_share = 0.0
 
@@ -52,10 +52,11 @@
         assert checked.agent is not None
         folder = pathlib.Path(config["folder"]) if config.get("folder") else None
         store = chunks.ChunkStore(folder, 1 << 34)
-        self.weights = CorruptingWeights(parts, checked.agent, store)
-        self.weights.corrupt_share = config.get("corrupt_share", 0.0)
+        self.weights = weights.Weights(parts, checked.agent, store)
+        self.giver = CorruptingGiver(self.weights)
+        self.giver.corrupt_share = config.get("corrupt_share", 0.0)
         self.responder = bus.Responder(
-            checked.bus, parts.codec, self.weights.handle, workers=RESPONDERS
+            checked.bus, parts.codec, self.giver.handle, workers=RESPONDERS
         )
         self.responder.start()
         self.weights.start()
--- a/src/merlinthread/coordination/placement.py
+++ b/src/merlinthread/coordination/placement.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from merlinthread.coordination import agents, bundles, control_state
+from merlinthread.coordination import agents, bundles, commands
 
 
 @dataclasses.dataclass(slots=True)
 class Plan:
     """Changes to make, by agent, and why."""
 
-    changes: dict[str, control_state.Placed]
+    changes: dict[str, commands.Placed]
     reason: str
 
 
@@ -72,7 +72,7 @@
 def plan(
     bundle: bundles.Bundle,
     live: list[agents.AgentReport],
-    present: dict[str, control_state.Placed],
+    present: dict[str, commands.Placed],
 ) -> Plan:
     """Return what to change so that every zone's live engines follow the bundle's shares.
 
@@ -101,6 +101,6 @@
     return Plan(changes, reason)
 
 
-def placed_at(report: agents.AgentReport, models: list[str]) -> control_state.Placed:
+def placed_at(report: agents.AgentReport, models: list[str]) -> commands.Placed:
     """Return what a VM should hold, with where it is."""
-    return control_state.Placed(models, report.availability_zone, report.region, report.bus)
+    return commands.Placed(models, report.availability_zone, report.region, report.bus)
--- a/src/merlinthread/logs.py
+++ b/src/merlinthread/logs.py
@@ -56,8 +56,10 @@
     logging.get_absl_handler().setFormatter(JsonFormatter(process_name))
     logging.set_verbosity(LEVELS[level])
     logging.set_stderrthreshold(LEVELS[level])
-    for name in ("cherrypy", "urllib3"):
-        standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
+    for name in ("cherrypy.access", "cherrypy.error", "urllib3", "pynng"):
+        quiet = standard_logging.getLogger(name)
+        quiet.setLevel(standard_logging.CRITICAL)
+        quiet.propagate = False
 
 
 def event(name: str, /, **fields: Any) -> None:
--- a/src/merlinthread/protocol/messages.py
+++ b/src/merlinthread/protocol/messages.py
@@ -4,7 +4,7 @@
 
 from merlinthread import registry
 from merlinthread.coordination import agents as agents_
-from merlinthread.coordination import control_state, raft_messages
+from merlinthread.coordination import commands, control_state, raft_messages
 from merlinthread.coordination import summaries as summaries_
 from merlinthread.protocol import codec
 
@@ -135,7 +135,7 @@
 class Submitted:
     """What the committed command led to."""
 
-    answer: control_state.Answer
+    answer: commands.Answer
 
 
 @MESSAGES.add("manifest_wanted")
@@ -187,4 +187,4 @@
 
 def make_codec(keys: list[codec.Key]) -> codec.Codec:
     """Return the codec of all messages between our own processes."""
-    return codec.Codec([MESSAGES, raft_messages.MESSAGES, control_state.COMMANDS], keys)
+    return codec.Codec([MESSAGES, raft_messages.MESSAGES, commands.COMMANDS], keys)
--- a/src/merlinthread/roles/agent.py
+++ b/src/merlinthread/roles/agent.py
@@ -4,9 +4,9 @@
 import threading
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import agents, bundles, control_state, fetch, switch
+from merlinthread.coordination import agents, bundles, commands, control_state, fetch, switch
 from merlinthread.protocol import messages
-from merlinthread.roles import base, target, weights
+from merlinthread.roles import base, chunk_giver, target, weights
 from merlinthread.state import chunks, manifests
 from merlinthread.transport import bus, http_server
 
@@ -37,11 +37,12 @@
         self.tried_at = float("-inf")
         folder = pathlib.Path(config.store_folder) if config.store_folder else None
         self.weights = weights.Weights(parts, config, chunks.ChunkStore(folder, config.store_bytes))
+        self.giver = chunk_giver.ChunkGiver(self.weights)
         self.target = target.Target(parts, config, self.incarnation)
         self.responder = bus.Responder(
             parts.settings.bus,
             parts.codec,
-            self.weights.handle,
+            self.giver.handle,
             workers=config.upload_slots + 2,
         )
         self.entries = self.choose_entries()
@@ -196,7 +197,7 @@
                     found[item.manifest].append(peer)
         return found
 
-    def distance(self, placed: control_state.Placed) -> int:
+    def distance(self, placed: commands.Placed) -> int:
         """Return how far another VM is."""
         if placed.availability_zone == self.parts.settings.availability_zone:
             return fetch.OWN_ZONE
@@ -244,7 +245,7 @@
 
     def give_weights(self, request: http_server.Request) -> http_server.Response:
         """Give a whole manifest's bytes to the engine."""
-        pieces = self.weights.read_all(request.rest)
+        pieces = self.giver.read_all(request.rest)
         return http_server.Response(200, pieces, content_type="application/octet-stream")
 
     # Life
--- /dev/null
+++ b/src/merlinthread/roles/chunk_giver.py
@@ -0,0 +1,87 @@
+"""The giving half of an agent's weights: chunks for other agents, whole versions for the engine."""
+
+import typing
+from collections.abc import Iterator
+
+from merlinthread import errors, metrics
+from merlinthread.coordination import fetch, uploads
+from merlinthread.protocol import messages
+from merlinthread.state import manifests
+
+if typing.TYPE_CHECKING:
+    from merlinthread.roles import weights
+
+
+class ChunkGiver:
+    """Answers other agents within the upload slots and the link's share."""
+
+    def __init__(self, held: "weights.Weights") -> None:
+        self.weights = held
+        self.slots = uploads.UploadSlots(held.config.upload_slots)
+        self.up = uploads.Pace(held.config.link_bytes_per_s)
+
+    def handle(self, message: object) -> object:
+        """Answer another agent."""
+        if isinstance(message, messages.ManifestWanted):
+            return messages.ManifestFound(self.weights.store.read(message.digest) or b"")
+        if isinstance(message, messages.ChunkWanted):
+            return self.on_chunk_wanted(message)
+        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
+
+    def on_chunk_wanted(self, wanted: messages.ChunkWanted) -> messages.ChunkFound:
+        """Give one of the wanted chunks, if an upload slot is free."""
+        manifest = self.weights.manifests.get(wanted.manifest)
+        if manifest is None:
+            return messages.ChunkFound(messages.NOTHING, b"", b"")
+        count = len(manifest.chunks)
+        now = self.weights.parts.clock()
+        with self.weights.lock:
+            download = self.weights.downloads.get(wanted.manifest)
+            plan = download.plan if download else None
+            held = plan.held if plan else self.held_of(manifest)
+            if plan is not None:
+                plan.heard(wanted.agent, fetch.from_bytes(wanted.held, count), now)
+            shown = fetch.to_bytes(held, count)
+            offered = held & fetch.from_bytes(wanted.wanted, count)
+            if not offered:
+                return messages.ChunkFound(messages.NOTHING, b"", shown)
+            if not self.slots.take():
+                return messages.ChunkFound(messages.BUSY, b"", shown)
+            index = self.slots.choose(wanted.manifest, offered)
+            ready_at = self.up.reserve(manifest.chunk_size(index), now)
+        try:
+            data = self.weights.store.read(manifest.chunks[index])
+            if data is None:
+                return messages.ChunkFound(messages.NOTHING, b"", b"")
+            self.weights.sleep_until(ready_at)
+            metrics.chunk_bytes_sent_total.inc(len(data))
+            return messages.ChunkFound(index, data, shown)
+        finally:
+            with self.weights.lock:
+                self.slots.release()
+
+    def held_of(self, manifest: manifests.Manifest) -> int:
+        """Return which chunks of an older manifest are still here."""
+        return sum(
+            1 << i for i, digest in enumerate(manifest.chunks) if digest in self.weights.store.held
+        )
+
+    def read_all(self, digest: str) -> Iterator[bytes]:
+        """Give the bytes of a whole manifest, for the engine.
+
+        Raises WeightsError before the first byte unless every chunk is here.
+        """
+        manifest = self.weights.manifests.get(digest)
+        if manifest is None or not all(self.weights.store.has(chunk) for chunk in manifest.chunks):
+            raise errors.WeightsError(
+                f"manifest {digest} is not whole here", kind=errors.ErrorKind.UNKNOWN_MODEL
+            )
+        return self.give_chunks(manifest)
+
+    def give_chunks(self, manifest: manifests.Manifest) -> Iterator[bytes]:
+        """Give one chunk after another."""
+        for chunk in manifest.chunks:
+            data = self.weights.store.read(chunk)
+            if data is None:
+                raise errors.WeightsError(f"chunk {chunk} went while the engine read it")
+            yield data
--- a/src/merlinthread/roles/control.py
+++ b/src/merlinthread/roles/control.py
@@ -5,7 +5,7 @@
 
 from merlinthread import errors
 from merlinthread import settings as settings_
-from merlinthread.coordination import control_state
+from merlinthread.coordination import commands
 from merlinthread.protocol import messages
 from merlinthread.roles import base, log_task, operators_api
 from merlinthread.transport import bus
@@ -83,7 +83,7 @@
             directive if directive.revision > poll.revision else None,
         )
 
-    def submit(self, command: control_state.Command) -> control_state.Answer:
+    def submit(self, command: commands.Command) -> commands.Answer:
         """Commit a command and return its answer.
 
         Raises NotLeaderError elsewhere than on the leader, and ControlError (outcome_unknown) if no
--- a/src/merlinthread/roles/entry.py
+++ b/src/merlinthread/roles/entry.py
@@ -9,7 +9,7 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
-from merlinthread.coordination import agents, control_state, sessions, summaries
+from merlinthread.coordination import agents, commands, control_state, sessions, summaries
 from merlinthread.protocol import messages
 from merlinthread.roles import base, forwarding, request_path
 from merlinthread.transport import bus, http_client
@@ -167,6 +167,7 @@
         self.joined: dict[str, str] = {}
         self.outgoing = sessions.Outgoing()
         self.listener = ""
+        self.leader_address = ""
         self.tell_callers = bus.Callers(parts.codec)
 
     def poll(self) -> None:
@@ -190,14 +191,9 @@
 
     def tell(self) -> None:
         """Tell the leader what changed among the agents whose home this entry is."""
-        if not self.leader:
-            return
         changed, gone, is_full = self.outgoing.changes(self.zone.homed(), self.listener)
-        tell = messages.Tell(self.zone.name, changed, gone, is_full)
-        try:
-            told = self.tell_callers.call(self.addresses()[0], tell, CALL_TIMEOUT_S)
-        except errors.MerlinthreadError as error:
-            logs.detail("leader_unreached", reason=error.message)
+        told = self.find_leader(messages.Tell(self.zone.name, changed, gone, is_full))
+        if told is None:
             self.outgoing.forget()
             return
         if told.wants_full or told.listener != self.listener:
@@ -207,13 +203,25 @@
                 return
         self.outgoing.confirm(changed, gone, self.listener)
 
+    def find_leader(self, tell: messages.Tell) -> messages.Told | None:
+        """Return the leader's answer, whichever control VM it is, or None."""
+        for address in self.addresses():
+            try:
+                told = self.tell_callers.call(address, tell, CALL_TIMEOUT_S)
+            except errors.MerlinthreadError as error:
+                logs.detail("not_told", address=address, reason=error.message)
+                continue
+            self.leader_address = address
+            return told
+        return None
+
     def known_addresses(self) -> list[str]:
         """Return the addresses in the settings and of control VMs that joined later."""
         return list(dict.fromkeys([*self.config.controls, *self.joined.values()]))
 
     def addresses(self) -> list[str]:
         """Return the control VMs' addresses, the leader's first."""
-        first = self.names.get(self.leader) or self.joined.get(self.leader)
+        first = self.names.get(self.leader) or self.joined.get(self.leader) or self.leader_address
         rest = [address for address in self.known_addresses() if address != first]
         return ([first] if first else []) + rest
 
@@ -231,7 +239,7 @@
         self.link = link
         self.local = threading.local()
 
-    def submit(self, command: control_state.Command, deadline: float) -> control_state.Answer:
+    def submit(self, command: commands.Command, deadline: float) -> commands.Answer:
         """Return the committed command's answer.
 
         Raises ControlError (no_majority) if no leader took it before `deadline`, and
--- /dev/null
+++ b/src/merlinthread/roles/leader_duties.py
@@ -0,0 +1,103 @@
+"""What only the leading control VM does: repairs of the log's members, and placement."""
+
+import typing
+from concurrent import futures
+
+from merlinthread import errors, logs
+from merlinthread.coordination import agents, commands, placement, raft_members, raft_messages
+from merlinthread.protocol import messages
+
+if typing.TYPE_CHECKING:
+    from merlinthread.roles import log_task
+
+JOIN_HEARD_S = 3.0
+SILENT_S = 5.0
+
+
+class LeaderDuties:
+    """Runs in the log task's thread, while it leads under a lease."""
+
+    def __init__(self, task: "log_task.LogTask") -> None:
+        self.task = task
+        self.joiners: dict[str, tuple[messages.Join, float]] = {}
+        self.placed_from = float("-inf")
+
+    def begin(self, now: float) -> None:
+        """Note that leadership changed: entries must tell of their agents first."""
+        self.placed_from = now + SILENT_S
+
+    def look_after_members(self, now: float) -> None:
+        """Note members' identities, and take the next step of a repair."""
+        voters = self.task.raft.log.voters
+        unknown = {
+            name: identity
+            for name, identity in self.task.raft.identities_heard().items()
+            if name in voters.members() and name not in voters.identities
+        }
+        if unknown:
+            self.change_members(raft_members.Change(identities=unknown), now)
+            return
+        matches = {name: progress.match for name, progress in self.task.raft.progress.items()}
+        facts = raft_members.Facts(self.task.name, self.task.raft.commit, matches)
+        for name, (join, heard_at) in list(self.joiners.items()):
+            if now - heard_at > JOIN_HEARD_S:
+                del self.joiners[name]
+                continue
+            address = raft_messages.Address(join.log_bus, join.bus)
+            joiner = raft_members.Joiner(name, join.identity, address, join.replaces)
+            lost = self.task.raft.progress.get(join.replaces)
+            is_silent = lost is None or now - lost.heard_at > SILENT_S
+            change = raft_members.next_change(voters, joiner, facts, is_silent)
+            if change is not None:
+                self.change_members(change, now)
+                return
+
+    def change_members(self, change: raft_members.Change, now: float) -> None:
+        """Put a change of members into the log, if it is safe now."""
+        try:
+            index = self.task.raft.change_voters(change, now)
+        except errors.ControlError as error:
+            logs.detail("members_unchanged", reason=error.message)
+            return
+        logs.event(
+            "members_change",
+            index=index,
+            add=change.add,
+            promote=change.promote,
+            remove=change.remove,
+            identities=sorted(change.identities),
+        )
+
+    def place(self, now: float) -> None:
+        """Decide which VMs hold which models, and pause a roll that a target refuses."""
+        bundle = self.task.state.in_force()
+        if bundle is None or self.task.raft.log.last_index() > self.task.applied:
+            return
+        if now < self.placed_from and self.task.state.placement:
+            # A new leader first lets the entries tell it of their agents.
+            return
+        live = self.task.incoming.live(now)
+        plan = placement.plan(bundle, live, self.task.state.placement)
+        if plan.changes:
+            logs.event(
+                "placement_decided",
+                generation=self.task.state.generation,
+                reason=plan.reason,
+                candidates=len(live),
+                changes={name: placed.models for name, placed in plan.changes.items()},
+            )
+            command = commands.Place(self.task.state.generation, plan.changes, plan.reason)
+            self.task.propose(command, futures.Future(), now)
+            return
+        self.pause_if_troubled(live, now)
+
+    def pause_if_troubled(self, live: list[agents.AgentReport], now: float) -> None:
+        """Pause the roll if an agent of its generation says that it can't go on."""
+        for report in live:
+            is_current = report.generation == self.task.state.generation
+            if report.trouble and is_current and not self.task.state.paused:
+                reason = f"{report.name}: {report.trouble}"
+                logs.warn("roll_paused", generation=self.task.state.generation, reason=reason)
+                command = commands.Pause(self.task.state.generation, reason)
+                self.task.propose(command, futures.Future(), now)
+                return
--- a/src/merlinthread/roles/log_task.py
+++ b/src/merlinthread/roles/log_task.py
@@ -12,31 +12,27 @@
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
 from merlinthread.coordination import (
-    agents,
+    commands,
     control_state,
-    placement,
     raft,
-    raft_members,
     raft_messages,
     sessions,
 )
 from merlinthread.protocol import messages
-from merlinthread.roles import base
+from merlinthread.roles import base, leader_duties
 from merlinthread.state import folder, journal
 from merlinthread.transport import bus
 
 INBOX_BATCH = 512
 COMPACT_BYTES = 32 * 1024 * 1024
 EXPIRE_EVERY_S = 600.0
-JOIN_HEARD_S = 3.0
-SILENT_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
 class Proposal:
     """A command on its way into the log, with the place for its answer."""
 
-    command: control_state.Command
+    command: commands.Command
     answer: futures.Future
 
 
@@ -87,7 +83,6 @@
             timing,
             identity=self.journal.identity,
         )
-        self.joiners: dict[str, tuple[messages.Join, float]] = {}
         self.state = control_state.ControlState()
         self.applied = 0
         self.restore(self.journal.snapshot)
@@ -100,7 +95,7 @@
         }
         now = parts.clock()
         self.place_at = now
-        self.placed_from = float("-inf")
+        self.duties = leader_duties.LeaderDuties(self)
         self.expire_at = now + EXPIRE_EVERY_S
         self.full_until = float("-inf")
         self.was_leader = False
@@ -159,7 +154,7 @@
         if isinstance(item, Proposal):
             self.guarded(item.answer, lambda: self.propose(item.command, item.answer, now))
         elif isinstance(item, messages.Join):
-            self.joiners[item.name] = (item, now)
+            self.duties.joiners[item.name] = (item, now)
         elif isinstance(item, Reading):
             self.guarded(item.answer, lambda: self.read(item, now))
         elif isinstance(item, Telling):
@@ -174,7 +169,7 @@
         except errors.MerlinthreadError as error:
             answer.set_exception(error)
 
-    def propose(self, command: control_state.Command, answer: futures.Future, now: float) -> None:
+    def propose(self, command: commands.Command, answer: futures.Future, now: float) -> None:
         """Put a command into the log; its answer comes when it is applied."""
         if now < self.full_until:
             raise errors.DiskFullError(f"{self.folder.path}: no room on the disk; free some space")
@@ -265,7 +260,7 @@
 
     def apply(self, entry: journal.Entry) -> None:
         """Apply one committed entry and answer whoever waits for it."""
-        result = control_state.Answer(status="changed")
+        result = commands.Answer(status="changed")
         if entry.kind == "command":
             name, raw = self.parts.codec.pair.decode(entry.data)
             command = self.parts.codec.decoders[name].decode(raw)
@@ -292,7 +287,7 @@
         metrics.is_leader.set(1 if leads else 0)
         logs.event("leading" if leads else "following", term=self.raft.hard_state.term)
         self.incoming.clear()
-        self.placed_from = self.parts.clock() + SILENT_S
+        self.duties.begin(self.parts.clock())
         if leads:
             return
         for index, (_, answer) in list(self.waiting.items()):
@@ -308,54 +303,12 @@
             return
         if not self.raft.holds_lease(now):
             return
-        self.look_after_members(now)
-        self.place(now)
+        self.duties.look_after_members(now)
+        self.duties.place(now)
         if now >= self.expire_at:
             self.expire_at = now + EXPIRE_EVERY_S
             before = self.parts.wall_clock() - self.config.claims_kept_s
-            self.propose(control_state.Expire(before), futures.Future(), now)
-
-    def look_after_members(self, now: float) -> None:
-        """Note members' identities, and take the next step of a repair."""
-        voters = self.raft.log.voters
-        unknown = {
-            name: identity
-            for name, identity in self.raft.identities_heard().items()
-            if name in voters.members() and name not in voters.identities
-        }
-        if unknown:
-            self.change_members(raft_members.Change(identities=unknown), now)
-            return
-        matches = {name: progress.match for name, progress in self.raft.progress.items()}
-        facts = raft_members.Facts(self.name, self.raft.commit, matches)
-        for name, (join, heard_at) in list(self.joiners.items()):
-            if now - heard_at > JOIN_HEARD_S:
-                del self.joiners[name]
-                continue
-            address = raft_messages.Address(join.log_bus, join.bus)
-            joiner = raft_members.Joiner(name, join.identity, address, join.replaces)
-            lost = self.raft.progress.get(join.replaces)
-            is_silent = lost is None or now - lost.heard_at > SILENT_S
-            change = raft_members.next_change(voters, joiner, facts, is_silent)
-            if change is not None:
-                self.change_members(change, now)
-                return
-
-    def change_members(self, change: raft_members.Change, now: float) -> None:
-        """Put a change of members into the log, if it is safe now."""
-        try:
-            index = self.raft.change_voters(change, now)
-        except errors.ControlError as error:
-            logs.detail("members_unchanged", reason=error.message)
-            return
-        logs.event(
-            "members_change",
-            index=index,
-            add=change.add,
-            promote=change.promote,
-            remove=change.remove,
-            identities=sorted(change.identities),
-        )
+            self.propose(commands.Expire(before), futures.Future(), now)
 
     def connect_members(self) -> None:
         """Open a sender to each member whose address came by the log."""
@@ -363,40 +316,6 @@
             if name != self.name and name not in self.senders:
                 self.senders[name] = bus.Sender(address.log_bus, self.parts.codec)
 
-    def place(self, now: float) -> None:
-        """Decide which VMs hold which models, and pause a roll that a target refuses."""
-        bundle = self.state.in_force()
-        if bundle is None or self.raft.log.last_index() > self.applied:
-            return
-        if now < self.placed_from and self.state.placement:
-            # A new leader first lets the entries tell it of their agents.
-            return
-        live = self.incoming.live(now)
-        plan = placement.plan(bundle, live, self.state.placement)
-        if plan.changes:
-            logs.event(
-                "placement_decided",
-                generation=self.state.generation,
-                reason=plan.reason,
-                candidates=len(live),
-                changes={name: placed.models for name, placed in plan.changes.items()},
-            )
-            command = control_state.Place(self.state.generation, plan.changes, plan.reason)
-            self.propose(command, futures.Future(), now)
-            return
-        self.pause_if_troubled(live, now)
-
-    def pause_if_troubled(self, live: list[agents.AgentReport], now: float) -> None:
-        """Pause the roll if an agent of its generation says that it can't go on."""
-        for report in live:
-            is_current = report.generation == self.state.generation
-            if report.trouble and is_current and not self.state.paused:
-                reason = f"{report.name}: {report.trouble}"
-                logs.warn("roll_paused", generation=self.state.generation, reason=reason)
-                command = control_state.Pause(self.state.generation, reason)
-                self.propose(command, futures.Future(), now)
-                return
-
     # What other threads see
 
     def publish(self) -> None:
@@ -434,9 +353,7 @@
     )
 
 
-def log_applied(
-    name: str, command: control_state.Command, answer: control_state.Answer, index: int
-) -> None:
+def log_applied(name: str, command: commands.Command, answer: commands.Answer, index: int) -> None:
     """Log commands that operators care for; claims are too many."""
     if name in ("claim", "complete", "expire"):
         return
--- a/src/merlinthread/roles/operators_api.py
+++ b/src/merlinthread/roles/operators_api.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import agents, bundles, control_state, switch
+from merlinthread.coordination import agents, bundles, commands, control_state, switch
 from merlinthread.protocol import bundle_file, operator_calls, signatures
 from merlinthread.transport import http_server
 
@@ -24,9 +24,7 @@
         """Put a bundle forward."""
         call = read_body(request, operator_calls.ProposeCall)
         bundle = bundle_file.from_data(call.bundle, "bundle")
-        return self.commit(
-            control_state.Propose(call.request_id, call.operator, self.now(), bundle)
-        )
+        return self.commit(commands.Propose(call.request_id, call.operator, self.now(), bundle))
 
     def sign(self, request: http_server.Request) -> http_server.Response:
         """Add a signature, if it is an operator's and valid."""
@@ -46,7 +44,7 @@
                 field="signature",
             )
         return self.commit(
-            control_state.Sign(
+            commands.Sign(
                 call.request_id,
                 call.operator,
                 self.now(),
@@ -60,7 +58,7 @@
         """Put a version in force."""
         call = read_body(request, operator_calls.RollCall)
         return self.commit(
-            control_state.Roll(
+            commands.Roll(
                 call.request_id,
                 call.operator,
                 self.now(),
@@ -73,7 +71,7 @@
     def resume(self, request: http_server.Request) -> http_server.Response:
         """Let a paused roll go on."""
         call = read_body(request, operator_calls.ResumeCall)
-        return self.commit(control_state.Pause(call.generation, ""))
+        return self.commit(commands.Pause(call.generation, ""))
 
     def show(self, request: http_server.Request) -> http_server.Response:
         """Return one bundle whole."""
@@ -123,7 +121,7 @@
             task.journal.size_bytes(),
         )
 
-    def commit(self, command: control_state.Command) -> http_server.Response:
+    def commit(self, command: commands.Command) -> http_server.Response:
         """Commit a command; a refusal that the state machine decided becomes an error answer."""
         answer = self.role.submit(command)
         if answer.error:
@@ -161,7 +159,7 @@
     )
 
 
-def to_result(answer: control_state.Answer) -> operator_calls.Result:
+def to_result(answer: commands.Answer) -> operator_calls.Result:
     """Return what operators see of an answer."""
     return operator_calls.Result(
         answer.status, answer.version, answer.digest, answer.generation, answer.message
--- a/src/merlinthread/roles/service_call.py
+++ b/src/merlinthread/roles/service_call.py
@@ -9,7 +9,7 @@
 import blake3
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import agents, bundles, control_state, routing
+from merlinthread.coordination import agents, bundles, commands, routing
 from merlinthread.protocol import answers, attempts
 from merlinthread.roles import base
 from merlinthread.transport import http_client, http_server
@@ -37,11 +37,9 @@
         self.parts = parts
         self.submitter = submitter
         self.lock = threading.Lock()
-        self.waiting: collections.deque[control_state.Complete] = collections.deque(
-            maxlen=UNSETTLED_MAX
-        )
+        self.waiting: collections.deque[commands.Complete] = collections.deque(maxlen=UNSETTLED_MAX)
 
-    def add(self, complete: control_state.Complete) -> None:
+    def add(self, complete: commands.Complete) -> None:
         """Put an outcome in line."""
         with self.lock:
             self.waiting.append(complete)
@@ -161,11 +159,11 @@
         key, issued_at = self.read_key()
         attempt = uuid.uuid4().hex
         digest = blake3.blake3(self.service_path.encode() + b"\n" + self.request.body).hexdigest()
-        claim = control_state.Claim(key, digest, attempt, issued_at)
+        claim = commands.Claim(key, digest, attempt, issued_at)
         granted = self.claim(claim)
         if granted.status == "done":
             return self.replay(granted)
-        complete = control_state.Complete(key, attempt, 0, b"")
+        complete = commands.Complete(key, attempt, 0, b"")
         try:
             reply = self.try_targets()
         except errors.MerlinthreadError as error:
@@ -201,7 +199,7 @@
             )
         return f"{self.call.account} {key}", issued_at
 
-    def claim(self, claim: control_state.Claim) -> control_state.Answer:
+    def claim(self, claim: commands.Claim) -> commands.Answer:
         """Return "granted" or "done"; wait while another attempt runs.
 
         Raises RequestError: not_run if no majority took the claim, outcome_unknown if another
@@ -226,7 +224,7 @@
                 )
             time.sleep(RUNNING_POLL_S)
 
-    def submit_claim(self, claim: control_state.Claim) -> control_state.Answer:
+    def submit_claim(self, claim: commands.Claim) -> commands.Answer:
         """Bring the claim to the leader.
 
         If that may have failed the call was surely not run, and the key is freed in the background.
@@ -235,7 +233,7 @@
         try:
             return self.path.submitter.submit(claim, deadline)
         except errors.MerlinthreadError as error:
-            freed = control_state.Complete(claim.key, claim.attempt, 0, b"", not_run=True)
+            freed = commands.Complete(claim.key, claim.attempt, 0, b"", not_run=True)
             self.path.settler.add(freed)
             raise errors.RequestError(
                 f"the call was not run, since its key could not be claimed: {error.message}",
@@ -243,7 +241,7 @@
                 retry_after_s=2.0,
             )
 
-    def replay(self, kept: control_state.Answer) -> http_server.Response:
+    def replay(self, kept: commands.Answer) -> http_server.Response:
         """Return the first call's answer."""
         if kept.http_status >= 500 and not kept.body:
             raise errors.RequestError(
@@ -253,9 +251,7 @@
         headers = {"X-Request-Id": self.call.request_id, "X-Replayed": "true"}
         return http_server.Response(kept.http_status, kept.body, headers)
 
-    def settle_failure(
-        self, complete: control_state.Complete, error: errors.MerlinthreadError
-    ) -> None:
+    def settle_failure(self, complete: commands.Complete, error: errors.MerlinthreadError) -> None:
         """Free the key if nothing ran; otherwise keep that the outcome is unknown."""
         if error.kind in SURELY_NOT_RUN:
             complete.not_run = True
@@ -263,7 +259,7 @@
             complete.status = answers.TABLE[errors.ErrorKind.OUTCOME_UNKNOWN].status
         self.settle(complete)
 
-    def settle(self, complete: control_state.Complete) -> None:
+    def settle(self, complete: commands.Complete) -> None:
         """Bring what became of the call to the leader, now or as soon as one is reached."""
         try:
             self.path.submitter.submit(complete, self.path.parts.clock() + CLAIM_WAIT_S)
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -5,7 +5,6 @@
 import threading
 import time
 import urllib.parse
-from collections.abc import Iterator
 
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
@@ -59,8 +58,6 @@
         self.downloads: dict[str, Download] = {}
         self.manifests: dict[str, manifests.Manifest] = {}
         self.peers: dict[str, dict[str, fetch.Peer]] = {}
-        self.slots = uploads.UploadSlots(config.upload_slots)
-        self.up = uploads.Pace(config.link_bytes_per_s)
         self.down = uploads.Pace(config.link_bytes_per_s)
         self.origin_pace = uploads.Pace(config.origin_bytes_per_s)
         self.client = http_client.Client()
@@ -398,69 +395,3 @@
         wait = when - self.parts.clock()
         if wait > 0:
             time.sleep(wait)
-
-    # Giving
-
-    def handle(self, message: object) -> object:
-        """Answer another agent."""
-        if isinstance(message, messages.ManifestWanted):
-            return messages.ManifestFound(self.store.read(message.digest) or b"")
-        if isinstance(message, messages.ChunkWanted):
-            return self.on_chunk_wanted(message)
-        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
-
-    def on_chunk_wanted(self, wanted: messages.ChunkWanted) -> messages.ChunkFound:
-        """Give one of the wanted chunks, if an upload slot is free."""
-        manifest = self.manifests.get(wanted.manifest)
-        if manifest is None:
-            return messages.ChunkFound(messages.NOTHING, b"", b"")
-        count = len(manifest.chunks)
-        now = self.parts.clock()
-        with self.lock:
-            download = self.downloads.get(wanted.manifest)
-            plan = download.plan if download else None
-            held = plan.held if plan else self.held_of(manifest)
-            if plan is not None:
-                plan.heard(wanted.agent, fetch.from_bytes(wanted.held, count), now)
-            shown = fetch.to_bytes(held, count)
-            offered = held & fetch.from_bytes(wanted.wanted, count)
-            if not offered:
-                return messages.ChunkFound(messages.NOTHING, b"", shown)
-            if not self.slots.take():
-                return messages.ChunkFound(messages.BUSY, b"", shown)
-            index = self.slots.choose(wanted.manifest, offered)
-            ready_at = self.up.reserve(manifest.chunk_size(index), now)
-        try:
-            data = self.store.read(manifest.chunks[index])
-            if data is None:
-                return messages.ChunkFound(messages.NOTHING, b"", b"")
-            self.sleep_until(ready_at)
-            metrics.chunk_bytes_sent_total.inc(len(data))
-            return messages.ChunkFound(index, data, shown)
-        finally:
-            with self.lock:
-                self.slots.release()
-
-    def held_of(self, manifest: manifests.Manifest) -> int:
-        """Return which chunks of an older manifest are still here."""
-        return sum(1 << i for i, digest in enumerate(manifest.chunks) if digest in self.store.held)
-
-    def read_all(self, digest: str) -> Iterator[bytes]:
-        """Give the bytes of a whole manifest, for the engine.
-
-        Raises WeightsError before the first byte unless every chunk is here.
-        """
-        manifest = self.manifests.get(digest)
-        if manifest is None or not all(self.store.has(chunk) for chunk in manifest.chunks):
-            raise errors.WeightsError(
-                f"manifest {digest} is not whole here", kind=errors.ErrorKind.UNKNOWN_MODEL
-            )
-        return self.give_chunks(manifest)
-
-    def give_chunks(self, manifest: manifests.Manifest) -> Iterator[bytes]:
-        """Give one chunk after another."""
-        for chunk in manifest.chunks:
-            data = self.store.read(chunk)
-            if data is None:
-                raise errors.WeightsError(f"chunk {chunk} went while the engine read it")
-            yield data
--- a/src/merlinthread/transport/http_server.py
+++ b/src/merlinthread/transport/http_server.py
@@ -161,8 +161,13 @@
                 "engine.autoreload.on": False,
                 "checker.on": False,
                 "log.screen": False,
+                "log.access_file": "",
+                "log.error_file": "",
             }
         )
+        # The daemon logs its own lines; cherrypy's would double them.
+        cherrypy.log.access_log.disabled = True
+        cherrypy.log.error_log.disabled = True
         cherrypy.tree.mount(
             Application(self.routes, self.body_bytes_max),
             "/",
--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench import fleet as fleets
-from bench import operators
+from bench import operators, processes
 from merlinthread import errors
 
 SMALL = fleets.Shape(
@@ -34,7 +34,7 @@
 
 
 def in_force(fleet: fleets.Fleet, generation: int, timeout_s: float = 5.0) -> None:
-    fleets.wait_for(
+    processes.wait_for(
         f"generation {generation} in force everywhere",
         lambda: all(g >= generation for g in entry_generations(fleet)),
         timeout_s,
@@ -57,7 +57,7 @@
             if step == stage:
                 leader = fleet.leader()
                 leader.process.kill()
-                fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+                processes.wait_for("a new leader", lambda: fleet.leader(), 10)
                 fleet.restart(leader.name)
         in_force(fleet, generation)
     history = ana.history()
@@ -65,6 +65,19 @@
     assert {line.version for line in history.bundles} == {1, 2, 3}
 
 
+def test_every_leader_learns_of_all_agents_whichever_control_vm_leads(make_fleet):
+    fleet = make_fleet(fleets.dataclasses.replace(SMALL, services=3))
+    led = set()
+    for _ in range(3):
+        leader = processes.wait_for("a leader", lambda: fleet.leader(), 10)
+        led.add(leader.name)
+        processes.wait_for("three agents", lambda: len(fleet.status().get("agents", [])) == 3, 15)
+        leader.process.kill()
+        processes.wait_for("another leader", lambda: fleet.leader(), 10)
+        fleet.restart(leader.name)
+    assert len(led) >= 2
+
+
 def test_a_resend_after_a_lost_answer_and_a_new_leader_gives_the_first_answer(make_fleet):
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet)
@@ -73,7 +86,7 @@
     ana.sign(bundle(1))
     first = ana.roll(1, request_id=request_id)
     fleet.leader().process.kill()
-    fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+    processes.wait_for("a new leader", lambda: fleet.leader(), 10)
     assert ana.roll(1, request_id=request_id) == first
     assert ana.roll(1).generation == first.generation + 1
 
@@ -84,13 +97,13 @@
     ana.bring_in(bundle(1))
     frozen = fleet.leader()
     frozen.process.freeze()
-    fleets.wait_for("a new leader", lambda: fleet.leader(), 10)
+    processes.wait_for("a new leader", lambda: fleet.leader(), 10)
     result = ana.bring_in(bundle(2))
     in_force(fleet, result.generation)
     frozen.process.thaw()
     stale = fleet.get(frozen.http, "/v1/status")
     assert stale is None or stale["generation"] >= result.generation
-    fleets.wait_for(
+    processes.wait_for(
         "the woken control VM to follow",
         lambda: frozen.process.events("following"),
     )
@@ -121,7 +134,7 @@
     fleet.proxy.set(links, **faults)
     fleet.proxy.links[links[0]].reset_all()
     if leader.name in inside:
-        fleets.wait_for(
+        processes.wait_for(
             "a leader outside",
             lambda: (found := fleet.leader()) and found.name not in inside,
             15,
@@ -142,7 +155,7 @@
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet)
     ana.bring_in(bundle(1))
-    fleets.wait_for(
+    processes.wait_for(
         "identities",
         lambda: any(vm.process.events("members_change") for vm in fleet.controls()),
     )
@@ -155,7 +168,7 @@
     assert lost.process.events("identity_lost")
 
     new = fleet.replace_control(lost.name)
-    fleets.wait_for(
+    processes.wait_for(
         "the new control VM to vote and the lost one to be gone",
         lambda: {m["name"]: m["role"] for m in fleet.status().get("members", [])}
         == {vm.name: "voter" for vm in fleet.controls() if vm.name != lost.name},
@@ -166,7 +179,7 @@
     )
     second.process.kill()
     ana = operators.Operator(fleet)
-    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    processes.wait_for("a leader", lambda: fleet.leader(), 15)
     assert [line.version for line in ana.history().bundles] == [1]
     result = ana.bring_in(bundle(2))
     in_force(fleet, result.generation, 10)
@@ -213,7 +226,7 @@
         entry.process.kill()
     for vm in [*fleet.controls(), *fleet.entries()]:
         fleet.restart(vm.name)
-    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    processes.wait_for("a leader", lambda: fleet.leader(), 15)
     in_force(fleet, 1000, 10)
     assert ana.history().rolls[0].generation == 1000
     for vm in fleet.controls():
@@ -254,7 +267,7 @@
     in_force(fleet, 2, 10)
     other = next(vm for vm in fleet.controls() if vm.name not in (full.name, fleet.leader().name))
     other.process.kill()
-    fleets.wait_for("a leader", lambda: fleet.leader(), 15)
+    processes.wait_for("a leader", lambda: fleet.leader(), 15)
     assert ana.bring_in(bundle(3)).generation == 3
 
 
--- a/tests/test_deciders.py
+++ b/tests/test_deciders.py
@@ -11,6 +11,7 @@
 from merlinthread.coordination import (
     agents,
     bundles,
+    commands,
     control_state,
     fair_queue,
     placement,
@@ -311,7 +312,7 @@
         super().__init__()
         self.state = control_state.ControlState()
         self.index = 0
-        self.pending: list[control_state.Command] = []
+        self.pending: list[commands.Command] = []
         self.given_up: set[str] = set()
         self.ran: dict[str, list[str]] = {}
         self.answers: dict[str, set[bytes]] = {}
@@ -320,7 +321,7 @@
     @stateful.rule(key=st.sampled_from(["k1", "k2"]))
     def an_entry_claims(self, key: str) -> None:
         self.number += 1
-        self.pending.append(control_state.Claim(key, "body", f"t{self.number}", 100.0))
+        self.pending.append(commands.Claim(key, "body", f"t{self.number}", 100.0))
 
     @stateful.precondition(lambda self: self.pending)
     @stateful.rule(
@@ -332,13 +333,13 @@
         command = self.pending.pop(which % len(self.pending))
         self.index += 1
         answer = self.state.apply(command, self.index)
-        if not isinstance(command, control_state.Claim):
+        if not isinstance(command, commands.Claim):
             return
         if not hears:
             # The entry gives up: it does not run the call and frees the key when it can.
             self.given_up.add(command.attempt)
             self.pending.append(
-                control_state.Complete(command.key, command.attempt, 0, b"", not_run=True)
+                commands.Complete(command.key, command.attempt, 0, b"", not_run=True)
             )
             return
         if answer.status == "granted":
@@ -346,21 +347,21 @@
         elif answer.status == "done" and answer.http_status == 200:
             self.answers.setdefault(command.key, set()).add(answer.body)
 
-    def run(self, command: control_state.Claim, ends: str) -> None:
+    def run(self, command: commands.Claim, ends: str) -> None:
         if ends == "not_run":
-            done = control_state.Complete(command.key, command.attempt, 0, b"", not_run=True)
+            done = commands.Complete(command.key, command.attempt, 0, b"", not_run=True)
         else:
             self.ran.setdefault(command.key, []).append(command.attempt)
             body = command.attempt.encode()
             status = 200 if ends == "answer" else 502
-            done = control_state.Complete(command.key, command.attempt, status, body)
+            done = commands.Complete(command.key, command.attempt, status, body)
         self.pending.append(done)
 
     @stateful.precondition(lambda self: self.pending)
     @stateful.rule(which=st.integers(0, 9))
     def a_command_is_committed_twice(self, which: int) -> None:
         command = self.pending[which % len(self.pending)]
-        if isinstance(command, control_state.Complete):
+        if isinstance(command, commands.Complete):
             self.index += 1
             self.state.apply(command, self.index)
 
@@ -381,21 +382,21 @@
 @pytest.mark.parametrize("gives_up_first", [True, False])
 def test_a_claim_that_was_given_up_frees_its_key_in_either_order(gives_up_first):
     state = control_state.ControlState()
-    claim = control_state.Claim("k", "body", "t1", 100.0)
-    give_up = control_state.Complete("k", "t1", 0, b"", not_run=True)
+    claim = commands.Claim("k", "body", "t1", 100.0)
+    give_up = commands.Complete("k", "t1", 0, b"", not_run=True)
     for index, command in enumerate([give_up, claim] if gives_up_first else [claim, give_up]):
         state.apply(command, index)
-    again = state.apply(control_state.Claim("k", "body", "t2", 100.0), 9)
+    again = state.apply(commands.Claim("k", "body", "t2", 100.0), 9)
     assert again.status == "granted"
 
 
 def test_a_key_past_its_retention_is_refused_not_forgotten():
     state = control_state.ControlState()
-    state.apply(control_state.Claim("k", "body", "t1", 100.0), 1)
-    state.apply(control_state.Complete("k", "t1", 200, b"x"), 2)
-    state.apply(control_state.Expire(200.0), 3)
+    state.apply(commands.Claim("k", "body", "t1", 100.0), 1)
+    state.apply(commands.Complete("k", "t1", 200, b"x"), 2)
+    state.apply(commands.Expire(200.0), 3)
     assert state.claims == {}
-    again = state.apply(control_state.Claim("k", "body", "t2", 100.0), 4)
+    again = state.apply(commands.Claim("k", "body", "t2", 100.0), 4)
     assert again.error == errors.ErrorKind.KEY_EXPIRED
 
 
@@ -406,16 +407,14 @@
     state = control_state.ControlState()
     for version in (1, 2):
         bundle = bundles.Bundle(version, models(100), [])
-        state.apply(control_state.Propose("", "ana", 0.0, bundle), version)
-        state.apply(
-            control_state.Sign("", "ana", 0.0, version, bundles.digest(bundle), "s"), version
-        )
-    assert state.apply(control_state.Roll("r1", "ana", 0.0, 1, 1), 10).generation == 1
-    refused = state.apply(control_state.Roll("", "ana", 0.0, 2, 1, is_back=True), 11)
+        state.apply(commands.Propose("", "ana", 0.0, bundle), version)
+        state.apply(commands.Sign("", "ana", 0.0, version, bundles.digest(bundle), "s"), version)
+    assert state.apply(commands.Roll("r1", "ana", 0.0, 1, 1), 10).generation == 1
+    refused = state.apply(commands.Roll("", "ana", 0.0, 2, 1, is_back=True), 11)
     assert refused.error == errors.ErrorKind.UNKNOWN_VERSION
-    assert state.apply(control_state.Roll("", "ana", 0.0, 2, 1), 12).generation == 2
-    assert state.apply(control_state.Roll("", "ana", 0.0, 1, 1, is_back=True), 13).generation == 3
-    assert state.apply(control_state.Roll("r1", "ana", 0.0, 1, 1), 14).generation == 1
+    assert state.apply(commands.Roll("", "ana", 0.0, 2, 1), 12).generation == 2
+    assert state.apply(commands.Roll("", "ana", 0.0, 1, 1, is_back=True), 13).generation == 3
+    assert state.apply(commands.Roll("r1", "ana", 0.0, 1, 1), 14).generation == 1
     assert (state.generation, state.version, state.revision) == (3, 1, 13)
 
 
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench import fleet as fleets
-from bench import operators
+from bench import operators, processes
 from tests import calls
 
 TOKENS = 150
@@ -23,8 +23,8 @@
     fleet = make_fleet(shape)
     digest = fleet.publish("hint-1", 256 * 1024, 64 * 1024)
     operators.Operator(fleet).bring_in(fleets.simple_bundle(1, {"hint": (digest, 100)}))
-    fleets.wait_for("4 engines", lambda: fleet.serving("hint").get(digest) == 4)
-    fleets.wait_for("entries", lambda: all(entry_sees(fleet, vm, 2) for vm in fleet.entries()))
+    processes.wait_for("4 engines", lambda: fleet.serving("hint").get(digest) == 4)
+    processes.wait_for("entries", lambda: all(entry_sees(fleet, vm, 2) for vm in fleet.entries()))
     return fleet
 
 
@@ -82,7 +82,7 @@
                 "",
             )
 
-        return fleets.wait_for("the answer to begin", find)
+        return processes.wait_for("the answer to begin", find)
 
 
 @pytest.mark.parametrize("victim", ["-target", ""])
@@ -106,7 +106,7 @@
     )
     next(stream.pieces())
     stream.close()
-    fleets.wait_for(
+    processes.wait_for(
         "the run to be cancelled",
         lambda: [r["outcome"] for r in runs(fleet).values() if r["tokens"] > 0][-1:]
         and all(r["outcome"] != "running" for r in runs(fleet).values()),
@@ -119,7 +119,7 @@
     engine = asked.engine(fleet)
     body = msgspec.json.encode({"name": engine, "state": "leaving"})
     fleet.http.request_ok("POST", f"{fleet.platform_url}/v1/vms", body)
-    fleets.wait_for(
+    processes.wait_for(
         "the entries to know",
         lambda: all(vm.process.events("platform_leaving") for vm in fleet.entries()),
         5,
@@ -178,14 +178,14 @@
         "zone-a",
         {"target_url": slow, "target_kind": "service", "service": "tickets"},
     )
-    fleets.wait_for(
+    processes.wait_for(
         "the slow service",
         lambda: any(a["name"] == "tickets-slow" for a in fleet.status().get("agents", [])),
     )
     entry = fleet.entries()[0]
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         first = pool.submit(calls.call, entry.http, "/draft", body, Idempotency_Key=key)
-        fleets.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
+        processes.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
         fleet.processes["slow-target"].kill()
         answer = first.result()
     assert answer.error()["error"] == "outcome_unknown"
@@ -214,8 +214,8 @@
     assert calls.ask(entry.http).is_whole()
     for vm in others:
         fleet.restart(vm.name)
-    fleets.wait_for("a leader", lambda: fleet.leader())
-    again = fleets.wait_for(
+    processes.wait_for("a leader", lambda: fleet.leader())
+    again = processes.wait_for(
         "the key to be free again",
         lambda: (got := calls.call(entry.http, "/draft", body, Idempotency_Key=key)).status == 200
         and got,
@@ -231,7 +231,7 @@
     first, second = fleet.entries()
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         waiting = pool.submit(calls.call, first.http, "/draft", body, Idempotency_Key=key)
-        fleets.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
+        processes.wait_for("the run", lambda: service_runs(fleet, body.decode()) == 1)
         first.process.kill()
         waiting.exception(10)
     answer = calls.call(second.http, "/draft", body, Idempotency_Key=key, X_Deadline_Ms="1500")
@@ -244,7 +244,7 @@
         fleet.processes[f"{name}-target"].kill()
         fleet.processes[name].kill()
     entry = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] == "zone-a")
-    fleets.wait_for("an answer", lambda: calls.ask(entry.http).status == 200, 10)
+    processes.wait_for("an answer", lambda: calls.ask(entry.http).status == 200, 10)
     for is_streamed in (True, False):
         answer = calls.ask(entry.http, is_streamed=is_streamed)
         assert answer.is_whole()
@@ -255,7 +255,7 @@
     for name in ("engine-zone-a-0", "engine-zone-a-1"):
         fleet.processes[f"{name}-target"].freeze()
     entry = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] == "zone-a")
-    fleets.wait_for(
+    processes.wait_for(
         "answers from the other zone",
         lambda: calls.ask(entry.http, **{"X-Deadline-Ms": "1000"}).status == 200,
         20,
--- a/tests/test_weights_failures.py
+++ b/tests/test_weights_failures.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench import fleet as fleets
-from bench import operators
+from bench import operators, processes
 from tests import calls
 
 OBJECT_BYTES = 2 * 1024 * 1024
@@ -45,7 +45,7 @@
 
 
 def all_serve(fleet: fleets.Fleet, digest: str, count: int, timeout_s: float = 30.0) -> None:
-    fleets.wait_for(
+    processes.wait_for(
         f"{count} engines with {digest[:8]}",
         lambda: fleet.serving("hint").get(digest, 0) >= count,
         timeout_s,
@@ -90,7 +90,9 @@
     ana = operators.Operator(fleet)
     ana.bring_in(fleets.simple_bundle(1, {"hint": (one, 100)}))
     all_serve(fleet, one, 6)
-    fleets.wait_for("entries", lambda: all(fleet.get(v.http, "/readyz") for v in fleet.entries()))
+    processes.wait_for(
+        "entries", lambda: all(fleet.get(v.http, "/readyz") for v in fleet.entries())
+    )
     with Asking(fleet) as asking:
         ana.bring_in(fleets.simple_bundle(2, {"hint": (two, 100)}))
         all_serve(fleet, two, 6)
@@ -124,11 +126,11 @@
     all_serve(fleet, one, 6)
     disturb(fleet, fleet.origin_url, bytes_per_s=OBJECT_BYTES / 2)
     ana.bring_in(fleets.simple_bundle(2, {"hint": (two, 100)}))
-    fleets.wait_for("a first part", lambda: copies(fleet, "hint-2") > 0.2)
+    processes.wait_for("a first part", lambda: copies(fleet, "hint-2") > 0.2)
     path = fleet.folder / "origin" / "objects" / "hint-2"
     path.write_bytes(bytes(OBJECT_BYTES))
     disturb(fleet, fleet.origin_url, bytes_per_s=1e9)
-    paused = fleets.wait_for("a pause", lambda: fleet.status().get("paused"), 20)
+    paused = processes.wait_for("a pause", lambda: fleet.status().get("paused"), 20)
     assert "origin_changed" in paused
     assert fleet.serving("hint") == {one: 6}
     answer = calls.ask(fleet.entries()[0].http)
@@ -149,7 +151,7 @@
     disturb(fleet, fleet.target_urls[bad], refuse_loads="no memory left")
     done = fleet.roll(fleets.simple_bundle(2, {"hint": (two, 100)}), wait=False)
     assert done["generation"] == 2
-    paused = fleets.wait_for("a pause", lambda: fleet.status().get("paused"), 20)
+    paused = processes.wait_for("a pause", lambda: fleet.status().get("paused"), 20)
     assert bad in paused and "no memory left" in paused
     assert fleet.serving("hint").get(one, 0) >= 1
 
@@ -160,7 +162,7 @@
     disturb(fleet, fleet.origin_url, bytes_per_s=OBJECT_BYTES / 3)
     names = [name for name in fleet.target_urls if name.startswith("engine")]
     operators.Operator(fleet).bring_in(fleets.simple_bundle(1, {"hint": (digest, 100)}))
-    fleets.wait_for("a first part", lambda: copies(fleet, "hint-1") > 0.1)
+    processes.wait_for("a first part", lambda: copies(fleet, "hint-1") > 0.1)
     fleet.processes[names[0]].kill()
     fleet.processes[names[3]].freeze()
     joined = fleet.add_engine("zone-a", 3)
@@ -199,7 +201,7 @@
     fleet.http.request_ok("POST", f"{url}/v1/orders", msgspec.json.encode(order))
     fleet.processes[name].kill()
     fleet.restart(name)
-    fleets.wait_for(
+    processes.wait_for(
         "a refusal of the old directive",
         lambda: fleet.processes[name].events("directive_too_old"),
     )
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench import fleet as fleets
+from bench import processes
 from tests import calls
 
 
@@ -100,4 +101,4 @@
     vm.process.stop()
     assert vm.process.wait(15) == 0
     rolled_fleet.restart(vm.name)
-    fleets.wait_for("the entry", lambda: rolled_fleet.get(vm.http, "/readyz"))
+    processes.wait_for("the entry", lambda: rolled_fleet.get(vm.http, "/readyz"))
