Directives are compressed whatever their length

Only chunks of weights are left as they are now. Ruled out for now: sending differences (more state, and not needed at this size).

--- a/src/merlinthread/protocol/codec.py
+++ b/src/merlinthread/protocol/codec.py
@@ -21,7 +21,8 @@
 PLAIN = b"\0"
 COMPRESSED = b"\1"
 COMPRESS_MIN_BYTES = 160
-PACK_MAX_BYTES = 32 * 1024
+# Weights do not get shorter, and there are many of them.
+INCOMPRESSIBLE = frozenset({"chunk"})
 COMPRESS_MAX_BYTES = 4 * 1024 * 1024
 
 
@@ -63,14 +64,16 @@
 
     def encode(self, message: Any) -> bytes:
         """Return the frame of `message`."""
-        body = self.pack(msgspec.msgpack.encode((self.names[type(message)], message)))
+        name = self.names[type(message)]
+        body = msgspec.msgpack.encode((name, message))
+        body = PLAIN + body if name in INCOMPRESSIBLE else self.pack(body)
         if self.signer is None:
             return bytes(KEY_NAME_BYTES + TAG_BYTES) + body
         return self.signer.name() + self.signer.tag(body) + body
 
     def pack(self, body: bytes) -> bytes:
-        """Return `body` compressed if that is worth it; chunks of weights are too long for that."""
-        if COMPRESS_MIN_BYTES <= len(body) <= PACK_MAX_BYTES:
+        """Return `body` compressed if it is neither too short nor too long for that."""
+        if COMPRESS_MIN_BYTES <= len(body) <= COMPRESS_MAX_BYTES:
             return COMPRESSED + zlib.compress(body, 1)
         return PLAIN + body
 
