Heartbeats carry only the load unless something else changed

An agent sends a beat (load only) when its last full report is known there; the entry asks for the full one otherwise. Ruled out: a slower heartbeat (costs time until a change is in force).

--- a/src/merlinthread/coordination/agents.py
+++ b/src/merlinthread/coordination/agents.py
@@ -69,12 +69,34 @@
         self.seen[report.name] = Seen(report, now)
         return True
 
-    def check_incarnation(self, report: AgentReport) -> None:
+    def take_load(
+        self,
+        name: str,
+        order: tuple[int, int],
+        load: tuple[int, int, int],
+        now: float,
+    ) -> AgentReport | None:
+        """Take in a report that differs from the last only in its load; return it whole.
+
+        `load` is running, queued and queued tokens. Returns None if the last report of that
+        incarnation is not known here.
+        """
+        known = self.seen.get(name)
+        if known is None or known.report.incarnation != order[0]:
+            return None
+        running, queued, tokens = load
+        report = dataclasses.replace(
+            known.report, counter=order[1], running=running, queued=queued, queued_tokens=tokens
+        )
+        self.take(report, now)
+        return report
+
+    def check_incarnation(self, name: str, incarnation: int) -> None:
         """Raise MerlinthreadError (fenced) for an agent that a later start has replaced."""
-        known = self.seen.get(report.name)
-        if known and known.report.incarnation > report.incarnation:
+        known = self.seen.get(name)
+        if known and known.report.incarnation > incarnation:
             raise errors.MerlinthreadError(
-                f"agent {report.name!r}: incarnation {report.incarnation} was replaced by "
+                f"agent {name!r}: incarnation {incarnation} was replaced by "
                 f"{known.report.incarnation}",
                 kind=errors.ErrorKind.FENCED,
             )
--- a/src/merlinthread/protocol/messages.py
+++ b/src/merlinthread/protocol/messages.py
@@ -30,11 +30,27 @@
     is_home: bool
 
 
+@MESSAGES.add("beat")
+@dataclasses.dataclass(slots=True)
+class Beat:
+    """A heartbeat of an agent that has only its load to tell since its last full one."""
+
+    name: str
+    incarnation: int
+    counter: int
+    running: int
+    queued: int
+    queued_tokens: int
+    is_home: bool
+
+
 @MESSAGES.add("heartbeat_reply")
 @dataclasses.dataclass(slots=True)
 class HeartbeatReply:
     """An entry's answer to a heartbeat; `directive` is there only if the agent's is older.
 
+    `wants_full` if the entry lacks the report that a beat builds on.
+
     For `lease_s` seconds from when the heartbeat was sent, no later incarnation of the agent gives
     its target orders.
     """
@@ -42,6 +58,7 @@
     entry: str
     lease_s: float
     directive: control_state.Directive | None
+    wants_full: bool = False
 
 
 @MESSAGES.add("poll")
--- a/src/merlinthread/roles/agent.py
+++ b/src/merlinthread/roles/agent.py
@@ -4,7 +4,15 @@
 import threading
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import agents, bundles, commands, control_state, fetch, switch
+from merlinthread.coordination import (
+    agents,
+    bundles,
+    commands,
+    control_state,
+    fetch,
+    sessions,
+    switch,
+)
 from merlinthread.protocol import messages
 from merlinthread.roles import base, chunk_giver, target, weights
 from merlinthread.state import chunks, manifests
@@ -48,6 +56,7 @@
         self.entries = self.choose_entries()
         self.callers = {address: bus.Callers(parts.codec) for address in self.entries}
         self.home = self.entries[0]
+        self.told: dict[str, tuple[object, ...]] = {}
         self.beats = [self.make_beat(address) for address in self.entries]
         self.tasks = [
             base.Task("status", STATUS_EVERY_S, self.target.refresh),
@@ -121,13 +130,14 @@
     def beat(self, address: str) -> None:
         """Report to one entry and take over what it says."""
         sent_at = self.parts.clock()
-        heartbeat = messages.Heartbeat(self.report(), self.home == address)
+        report = self.report()
         try:
-            reply = self.callers[address].call(address, heartbeat, CALL_TIMEOUT_S)
+            reply = self.tell(address, report)
         except errors.MerlinthreadError as error:
             if error.kind == errors.ErrorKind.FENCED:
                 self.note_replaced(error.message)
             logs.detail("entry_unreached", address=address, reason=error.message)
+            self.told.pop(address, None)
             self.leave_home(address)
             return
         if self.orders_from == float("-inf"):
@@ -139,6 +149,28 @@
         if self.home == "":
             self.home = address
 
+    def tell(self, address: str, report: agents.AgentReport) -> messages.HeartbeatReply:
+        """Send an entry the whole report, or only the load if nothing else has changed for it."""
+        is_home = self.home == address
+        shape = sessions.shape(report)
+        callers = self.callers[address]
+        if self.told.get(address) == shape:
+            beat = messages.Beat(
+                report.name,
+                report.incarnation,
+                report.counter,
+                report.running,
+                report.queued,
+                report.queued_tokens,
+                is_home,
+            )
+            reply = callers.call(address, beat, CALL_TIMEOUT_S)
+            if not reply.wants_full:
+                return reply
+        reply = callers.call(address, messages.Heartbeat(report, is_home), CALL_TIMEOUT_S)
+        self.told[address] = shape
+        return reply
+
     def leave_home(self, address: str) -> None:
         """Let the next entry that answers tell the leader of this agent."""
         if self.home == address and len(self.entries) > 1:
--- a/src/merlinthread/roles/entry.py
+++ b/src/merlinthread/roles/entry.py
@@ -123,6 +123,8 @@
         """Answer one call of an agent or of another entry."""
         if isinstance(message, messages.Heartbeat):
             return self.on_heartbeat(message)
+        if isinstance(message, messages.Beat):
+            return self.on_beat(message)
         if isinstance(message, messages.Exchange):
             return self.on_exchange(message)
         raise errors.ProtocolError(f"an entry does not answer {type(message).__name__}")
@@ -131,10 +133,27 @@
         """Take an agent's report and tell it what is new."""
         report = heartbeat.report
         with self.lock:
-            self.view.check_incarnation(report)
+            self.view.check_incarnation(report.name, report.incarnation)
             self.view.take(report, self.parts.clock())
             self.homes[report.name] = heartbeat.is_home
             self.publish()
+        return self.reply_to(report)
+
+    def on_beat(self, beat: messages.Beat) -> messages.HeartbeatReply:
+        """Take an agent's load, if its last full report is known here."""
+        order = (beat.incarnation, beat.counter)
+        load = (beat.running, beat.queued, beat.queued_tokens)
+        with self.lock:
+            self.view.check_incarnation(beat.name, beat.incarnation)
+            report = self.view.take_load(beat.name, order, load, self.parts.clock())
+            if report is None:
+                return messages.HeartbeatReply(self.name, 0.0, None, wants_full=True)
+            self.homes[beat.name] = beat.is_home
+            self.publish()
+        return self.reply_to(report)
+
+    def reply_to(self, report: agents.AgentReport) -> messages.HeartbeatReply:
+        """Return the lease and what is new."""
         directive = self.directive
         return messages.HeartbeatReply(
             self.name,
--- a/tests/test_deciders.py
+++ b/tests/test_deciders.py
@@ -217,6 +217,19 @@
 TestReportsMachine = ReportsMachine.TestCase
 
 
+def test_a_beat_needs_the_full_report_of_its_incarnation():
+    view = agents.AgentView(2.0)
+    assert view.take_load("vm", (1, 2), (3, 4, 5), 0.0) is None
+    view.take(report("vm", incarnation=1, counter=1, serving={"m": A}), 0.0)
+    merged = view.take_load("vm", (1, 2), (3, 4, 5), 0.0)
+    assert merged.serving == {"m": A} and (merged.running, merged.queued) == (3, 4)
+    assert view.live(0.0) == [merged]
+    assert view.take_load("vm", (2, 1), (0, 0, 0), 0.0) is None
+    with pytest.raises(errors.MerlinthreadError, match="replaced"):
+        view.take(report("vm", incarnation=2), 0.0)
+        view.check_incarnation("vm", 1)
+
+
 class SessionsMachine(stateful.RuleBasedStateMachine):
     """What is told by change arrives as if told whole, through lost answers and new leaders."""
 
