--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -150,7 +150,8 @@
 MODELS = {
     "entry": (["agents_per_entry", "entries"], [WORKERS * REPORTS_TO / ENTRIES, 32.0]),
     "agent": (["reports_to"], [float(REPORTS_TO)]),
-    "control": (["entries", "agents"], [float(ENTRIES), float(WORKERS)]),
+    # A control VM of the target serves the polls of its part of the entries.
+    "control": (["entries", "agents"], [ENTRIES / CONTROLS, WORKERS / CONTROLS]),
 }
 FIGURES = {"core_share": "core_share_max", "rss_mb": "rss_mb_max", "bytes_per_s": "bytes_per_s_max"}
 
--- a/src/merlinthread/roles/entry.py
+++ b/src/merlinthread/roles/entry.py
@@ -19,6 +19,7 @@
 STALE_CONTROL_S = 1.5
 PLATFORM_EVERY_S = 0.5
 SETTLE_EVERY_S = 0.5
+KEEP_ALIVE_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -187,6 +188,7 @@
         self.outgoing = sessions.Outgoing()
         self.listener = ""
         self.leader_address = ""
+        self.told_at = float("-inf")
         self.tell_callers = bus.Callers(parts.codec)
 
     def poll(self) -> None:
@@ -211,6 +213,9 @@
     def tell(self) -> None:
         """Tell the leader what changed among the agents whose home this entry is."""
         changed, gone, is_full = self.outgoing.changes(self.zone.homed(), self.listener)
+        now = self.parts.clock()
+        if not (changed or gone or is_full) and now < self.told_at + KEEP_ALIVE_S:
+            return
         told = self.find_leader(messages.Tell(self.zone.name, changed, gone, is_full))
         if told is None:
             self.outgoing.forget()
@@ -220,6 +225,7 @@
             self.listener = told.listener
             if not is_full:
                 return
+        self.told_at = now
         self.outgoing.confirm(changed, gone, self.listener)
 
     def find_leader(self, tell: messages.Tell) -> messages.Told | None:
