--- a/tests/test_fetch_machine.py
+++ b/tests/test_fetch_machine.py
@@ -7,9 +7,10 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from merlinthread.coordination import fetch, uploads
+from merlinthread.coordination import fetch, fetch_baselines, uploads
 
 CHUNKS = 12
+BASELINES = fetch_baselines
 PEERS = ["vm-a", "vm-b", "vm-c"]
 
 
