HTTP client: nothing is left on a connection that goes back to the pool

A released stream left its closing chunk on the connection; the next request read '0' as a status line. Ruled out: keep-alive limits of the listener (answers say close).

--- a/src/merlinthread/transport/http_client.py
+++ b/src/merlinthread/transport/http_client.py
@@ -75,7 +75,16 @@
         self.response.close()
 
     def release(self) -> None:
-        """Give the connection back for the next call, once the body is read."""
+        """Give the connection back for the next call, once what matters of the body is read.
+
+        What is left (the closing chunk at least) is read first: it would be taken for the beginning
+        of the next answer.
+        """
+        try:
+            self.response.drain_conn()
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            self.close()
+            return
         self.response.release_conn()
 
 
