The bus begins anew when a connection stalls while it is set up

A debug line with the log's state showed both as candidates that never heard each other: the connection between them had stalled in its handshake, for which the library waits 10 s, and nothing needed it before. Ruled out: votes and identities (both asked for the right term with equal logs), dropped messages (0), the log's task (alive). Change: a sender without a connection for 1 s, and a caller after a time-out, open a new socket. Two tests with a link that stalls fail without it within 5 s and pass with it. The proxy closes a link whose ends can't be set up.

--- a/src/merlinthread/roles/log_task.py
+++ b/src/merlinthread/roles/log_task.py
@@ -99,6 +99,7 @@
         self.expire_at = now + EXPIRE_EVERY_S
         self.full_until = float("-inf")
         self.was_leader = False
+        self.state_logged_at = float("-inf")
         self.standing = Standing(control_state.Directive(), "", float("-inf"), {})
         self.publish()
         self.thread = threading.Thread(target=self.run, name="log", daemon=True)
@@ -136,6 +137,7 @@
         self.settle(now)
         self.note_leadership()
         self.lead(now)
+        self.log_state(now)
         self.publish()
 
     def receive(self, wait_s: float) -> list[Any]:
@@ -316,6 +318,26 @@
             if name != self.name and name not in self.senders:
                 self.senders[name] = bus.Sender(address.log_bus, self.parts.codec)
 
+    def log_state(self, now: float) -> None:
+        """Log where this member stands, once a second, for whoever looks for why nobody leads."""
+        if now < self.state_logged_at + 1.0:
+            return
+        self.state_logged_at = now
+        logs.detail(
+            "log_state",
+            role=self.raft.role,
+            term=self.raft.hard_state.term,
+            last=self.raft.log.last_index(),
+            last_term=self.raft.log.last_term(),
+            stable=self.raft.log.stable,
+            votes=sorted(self.raft.votes),
+            is_trial=self.raft.is_trial,
+            identities=self.raft.log.voters.identities,
+            identity=self.raft.identity,
+            dropped={name: sender.dropped for name, sender in self.senders.items()},
+            reopened={name: sender.reopened for name, sender in self.senders.items()},
+        )
+
     # What other threads see
 
     def publish(self) -> None:
--- a/src/merlinthread/transport/bus.py
+++ b/src/merlinthread/transport/bus.py
@@ -6,6 +6,7 @@
 """
 
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 SENDER_QUEUE = 64
+REOPEN_AFTER_S = 1.0
 SENT = metrics.bus_bytes_total.labels("sent")
 RECEIVED = metrics.bus_bytes_total.labels("received")
 
@@ -62,6 +64,9 @@
             RECEIVED.inc(len(frame))
             answer = self.codec.decode(frame)
         except pynng.exceptions.NNGException as error:
+            # A connection that stalled while it was set up would never come: begin anew.
+            self.socket.close()
+            self.socket = self.open()
             raise errors.UnreachableError(f"{self.address}: {error}")
         if isinstance(answer, messages.Refused):
             raise errors.MerlinthreadError(answer.message, kind=errors.ErrorKind(answer.kind))
@@ -196,20 +201,43 @@
 
 
 class Sender:
-    """Sends one-way messages to one peer; a message that finds no room is dropped."""
+    """Sends one-way messages to one peer; a message that finds no room is dropped.
+
+    The library waits 10 s for a connection that stalls while it is set up. A sender that has had
+    none for `REOPEN_AFTER_S` begins anew.
+    """
 
     def __init__(self, address: str, codec: codecs.Codec) -> None:
         self.codec = codec
+        self.address = address
         self.dropped = 0
-        self.socket = pynng.Push0(
+        self.reopened = 0
+        self.connected_at = time.monotonic()
+        self.socket = self.open()
+
+    def open(self) -> pynng.Push0:
+        """Return a socket that connects in the background."""
+        socket = pynng.Push0(
             send_buffer_size=SENDER_QUEUE,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        self.socket.dial(address_url(address), block=False)
+        socket.dial(address_url(self.address), block=False)
+        return socket
+
+    def revive(self, now: float) -> None:
+        """Begin anew if there has been no connection for long."""
+        if self.socket.pipes:
+            self.connected_at = now
+        elif now - self.connected_at > REOPEN_AFTER_S:
+            self.socket.close()
+            self.socket = self.open()
+            self.connected_at = now
+            self.reopened += 1
 
     def send(self, message: Any) -> bool:
         """Send without waiting; return whether there was room."""
+        self.revive(time.monotonic())
         try:
             frame = self.codec.encode(message)
             self.socket.send(frame, block=False)
--- a/stand_ins/proxy.py
+++ b/stand_ins/proxy.py
@@ -62,9 +62,14 @@
         except OSError:
             reset(near)
             return
-        for end in (near, far):
-            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            end.settimeout(None)
+        try:
+            for end in (near, far):
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                end.settimeout(None)
+        except OSError:
+            reset(near)
+            reset(far)
+            return
         pair = (near, far)
         with self.lock:
             self.pairs.add(pair)
--- /dev/null
+++ b/tests/test_bus.py
@@ -0,0 +1,61 @@
+"""The bus through a link that stalls while a connection is set up."""
+
+import socket
+
+from bench import processes
+from merlinthread.protocol import messages
+from merlinthread.transport import bus
+
+CODEC = messages.make_codec([])
+WANTED = messages.ManifestWanted("abc")
+
+
+class Stalling:
+    """Accepts one connection and says nothing; then the place is free for a real listener."""
+
+    def __init__(self) -> None:
+        self.address = f"127.0.0.1:{processes.Ports().take()}"
+        host, port = self.address.split(":")
+        self.listener = socket.create_server((host, int(port)))
+        self.held: list[socket.socket] = []
+
+    def hold_one(self) -> None:
+        self.held.append(self.listener.accept()[0])
+        self.listener.close()
+
+
+def test_a_sender_whose_connection_stalled_at_its_start_gets_through_later():
+    """Found by real control VMs: two members that never connected could not elect a leader."""
+    stalling = Stalling()
+    sender = bus.Sender(stalling.address, CODEC)
+    stalling.hold_one()
+    received: list[object] = []
+    mailbox = bus.Mailbox(stalling.address, CODEC, received.append)
+    mailbox.start()
+
+    def send() -> bool:
+        sender.send(WANTED)
+        return bool(received)
+
+    processes.wait_for("a message", send, 5)
+    assert sender.reopened >= 1
+    sender.close()
+    mailbox.stop()
+
+
+def test_a_caller_whose_connection_stalled_at_its_start_gets_through_later():
+    stalling = Stalling()
+    caller = bus.Caller(stalling.address, CODEC)
+    stalling.hold_one()
+    responder = bus.Responder(stalling.address, CODEC, lambda message: message, workers=1)
+    responder.start()
+
+    def call() -> bool:
+        try:
+            return caller.call(WANTED, 0.3) == WANTED
+        except bus.errors.UnreachableError:
+            return False
+
+    processes.wait_for("an answer", call, 5)
+    caller.close()
+    responder.stop()
