Benches end what they started, also when the start fails or on SIGTERM

A fleet whose start fails is ended, and SIGTERM ends every bench through its context managers. Found by looking for orphans after a bench was stopped.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,6 +2,7 @@
 
 import importlib
 import pkgutil
+import signal
 import sys
 
 import bench
@@ -19,6 +20,8 @@
     if len(sys.argv) < 2 or sys.argv[1] not in names():
         print(f"usage: python -m bench NAME, with NAME one of {', '.join(names())}")
         return 2
+    # So that context managers end what they started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     module = importlib.import_module(f"bench.{sys.argv[1]}")
     return module.main(sys.argv[2:])
 
--- a/bench/control.py
+++ b/bench/control.py
@@ -46,7 +46,11 @@
     """Start a fleet and put a first bundle in force."""
     fleet = fleets.Fleet(folder, shape_of(entries, agents))
     fleet.start()
-    operators.Operator(fleet).bring_in(bundle(1))
+    try:
+        operators.Operator(fleet).bring_in(bundle(1))
+    except BaseException:
+        fleet.close()
+        raise
     return fleet
 
 
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,9 +1,7 @@
 """The demo: a whole fleet on loopback, two bundles rolled, one rolled back, requests throughout."""
 
 import pathlib
-import signal
 import subprocess
-import sys
 import tempfile
 import time
 import uuid
@@ -241,7 +239,6 @@
 
 def main(arguments: list[str]) -> int:
     """Run the demo in a new folder; say which step failed and where its logs are."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     folder = pathlib.Path(tempfile.mkdtemp(prefix="merlinthread-demo-"))
     with fleets.Fleet(folder) as fleet:
         demo = Demo(fleet)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -122,6 +122,14 @@
         return f"127.0.0.1:{self.ports.take()}"
 
     def start(self) -> None:
+        """Start everything and wait until it is ready; end everything if that fails."""
+        try:
+            self.start_all()
+        except BaseException:
+            self.close()
+            raise
+
+    def start_all(self) -> None:
         """Start everything and wait until it is ready."""
         if not self.operators:
             self.add_operator("ana")
