--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,10 @@
+"""Start a node of merlinthread on the users' platform, from what the build laid under target/."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "target" / "app"))
+
+from merlinthread.platform import main  # noqa: E402
+
+sys.exit(main.main(sys.argv[1:]))
--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -142,6 +142,7 @@
         self.busy_wait_s = BUSY_WAIT_S
         self.rng = rng
         self.last_news_at = now
+        self.origin_grace_s = ORIGIN_GRACE_S
 
     # What the owner tells
 
@@ -322,7 +323,7 @@
     """Each chunk is read from the origin by one VM, its owner; the rest passes between VMs.
 
     The owner is first in rendezvous order among the readers, a few participants that are the same
-    for everybody. A chunk that is nowhere to be had for `ORIGIN_GRACE_S` is read by another VM.
+    for everybody. A chunk that is nowhere to be had for `origin_grace_s` is read by another VM.
     """
 
     owned = 0
@@ -374,12 +375,12 @@
         zone that is cut off reads a chunk that it lacks about once.
         """
         waited = now - self.last_news_at
-        if waited < ORIGIN_GRACE_S or not self.may_read_origin(now):
+        if waited < self.origin_grace_s or not self.may_read_origin(now):
             return None
         for peer in self.peers.values():
             if peer.lost_until < now:
                 needed &= ~peer.held
-        due = [index for index in bits(needed) if waited >= ORIGIN_GRACE_S * (1 + self.rank(index))]
+        due = [index for index in bits(needed) if waited >= self.origin_grace_s * (1 + self.rank(index))]
         if not due:
             return None
         return FromOrigin(min(due, key=self.rank))
--- /dev/null
+++ b/src/merlinthread/coordination/instances.py
@@ -0,0 +1,123 @@
+"""The registry of back ends, fed by their own heartbeats.
+
+Readiness and load are soft: any control VM may take a heartbeat, and passes it on. What must
+survive is that an instance leaves or has left (`coordination.fleet_state`): it is acknowledged only
+once the replicated log holds it.
+"""
+
+import collections
+import dataclasses
+
+from merlinthread.protocol import fleet, node_messages
+
+GONE_KEPT = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """One instance and when it was last heard of; `position` is that of its last change."""
+
+    heartbeat: fleet.Heartbeat
+    heard_at: float
+    position: int
+
+
+class Instances:
+    """The back ends that one control VM knows.
+
+    Each change gets a `position`, so that whoever knows what was true at one position can be told
+    what has changed since.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[str, Known] = {}
+        self.gone: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self.forgotten_position = 0
+        self.position = 0
+
+    def take(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+        """Take a heartbeat in; return whether anything but its age has changed.
+
+        A late one (a lower `sequence`) and one of an instance that has left are ignored. An instance
+        that is leaving never becomes ready again.
+        """
+        if heartbeat.instance in self.gone:
+            return False
+        known = self.known.get(heartbeat.instance)
+        if known is None:
+            self.evict_address(heartbeat)
+            self.known[heartbeat.instance] = Known(heartbeat, now, self.advance())
+            return True
+        if heartbeat.sequence <= known.heartbeat.sequence:
+            return False
+        if known.heartbeat.state == fleet.DRAINING:
+            heartbeat = dataclasses.replace(heartbeat, state=fleet.DRAINING)
+        is_changed = differs(known.heartbeat, heartbeat)
+        known.heartbeat = heartbeat
+        known.heard_at = now
+        if is_changed:
+            known.position = self.advance()
+        return is_changed
+
+    def evict_address(self, heartbeat: fleet.Heartbeat) -> None:
+        """Drop instances that had the address of a new one: their processes have ended."""
+        for instance, known in list(self.known.items()):
+            if known.heartbeat.address == heartbeat.address:
+                self.remove(instance)
+
+    def drain(self, instance: str) -> None:
+        """Note that an instance takes no new work."""
+        known = self.known.get(instance)
+        if known is None or known.heartbeat.state == fleet.DRAINING:
+            return
+        known.heartbeat = dataclasses.replace(known.heartbeat, state=fleet.DRAINING)
+        known.position = self.advance()
+
+    def remove(self, instance: str) -> None:
+        """Note that an instance has left for good."""
+        self.known.pop(instance, None)
+        if instance in self.gone:
+            return
+        self.gone[instance] = self.advance()
+        while len(self.gone) > GONE_KEPT:
+            _, self.forgotten_position = self.gone.popitem(last=False)
+
+    def expire(self, now: float, silent_s: float) -> list[str]:
+        """Drop instances that were silent for `silent_s`; return their ids.
+
+        They are not noted as gone: one that was only cut off may come back.
+        """
+        silent = [
+            instance for instance, known in self.known.items() if now - known.heard_at > silent_s
+        ]
+        for instance in silent:
+            del self.known[instance]
+        if silent:
+            # Who holds an older position can't learn of this by changes: it is told all.
+            self.forgotten_position = self.advance()
+        return silent
+
+    def advance(self) -> int:
+        """Return the next position."""
+        self.position += 1
+        return self.position
+
+    def since(
+        self, position: int, now: float
+    ) -> tuple[bool, list[node_messages.Instance], list[str]]:
+        """Return whether all is told, the instances changed since `position`, and those gone."""
+        is_full = position < self.forgotten_position or position > self.position or position == 0
+        after = 0 if is_full else position
+        changed = [
+            node_messages.Instance(known.heartbeat, round(now - known.heard_at, 3))
+            for known in self.known.values()
+            if known.position > after
+        ]
+        gone = [] if is_full else [name for name, at in self.gone.items() if at > after]
+        return is_full, changed, gone
+
+
+def differs(old: fleet.Heartbeat, new: fleet.Heartbeat) -> bool:
+    """Return whether anything differs that decides where requests go."""
+    same_sequence = dataclasses.replace(new, sequence=old.sequence, cold_s=old.cold_s)
+    return same_sequence != old or (new.cold_s > 0) != (old.cold_s > 0)
--- /dev/null
+++ b/src/merlinthread/coordination/waiting_room.py
@@ -0,0 +1,53 @@
+"""Requests that wait a moment for a place, most urgent first, within a bound."""
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+
+
+@dataclasses.dataclass(slots=True, order=True)
+class Waiter:
+    """A request that waits; `urgency` 0 goes first, then the earliest arrival."""
+
+    urgency: int
+    arrived: float
+    number: int
+    woken: asyncio.Future = dataclasses.field(compare=False)
+
+
+class WaitingRoom:
+    """The waiting requests of one service."""
+
+    def __init__(self) -> None:
+        self.waiters: list[Waiter] = []
+        self.numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self.waiters)
+
+    async def wait(self, urgency: int, arrived: float, timeout_s: float) -> bool:
+        """Wait until it is this request's turn to look again; return False after `timeout_s`."""
+        woken = asyncio.get_running_loop().create_future()
+        waiter = Waiter(urgency, arrived, next(self.numbers), woken)
+        heapq.heappush(self.waiters, waiter)
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await woken
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            self.remove(waiter)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a waiter out."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            heapq.heapify(self.waiters)
+
+    def wake(self, count: int = 1) -> None:
+        """Let the first `count` waiters look again."""
+        for waiter in heapq.nsmallest(count, self.waiters):
+            if not waiter.woken.done():
+                waiter.woken.set_result(None)
--- a/src/merlinthread/errors.py
+++ b/src/merlinthread/errors.py
@@ -8,11 +8,13 @@
 
     BAD_SETTINGS = "bad_settings"
     BAD_BUNDLE = "bad_bundle"
+    BAD_CONFIGURATION = "bad_configuration"
     BAD_REQUEST = "bad_request"
     BAD_SIGNATURE = "bad_signature"
     UNAUTHORISED = "unauthorised"
     TOO_LARGE = "too_large"
     UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_ACCOUNT = "unknown_account"
     VERSION_CONFLICT = "version_conflict"
@@ -77,6 +79,12 @@
     kind = ErrorKind.BAD_BUNDLE
 
 
+class ConfigurationError(MerlinthreadError):
+    """A configuration can't be read whole or contradicts itself."""
+
+    kind = ErrorKind.BAD_CONFIGURATION
+
+
 class StateError(MerlinthreadError):
     """Durable state can't be read or written."""
 
--- a/src/merlinthread/logs.py
+++ b/src/merlinthread/logs.py
@@ -4,10 +4,15 @@
 import datetime
 import json
 import logging as standard_logging
+import os
+import time
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
 
+LINES_PER_S = 200.0
+UNWRITTEN_BYTES_MAX = 64 * 1024
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -62,6 +67,68 @@
         quiet.propagate = False
 
 
+class StreamHandler(standard_logging.Handler):
+    """Write lines to a file descriptor without ever waiting for its reader.
+
+    At most `lines_per_s` lines a second are written (with a short burst above it); what is left out
+    is counted and told with the next line that is written.
+    """
+
+    def __init__(
+        self, descriptor: int, lines_per_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.clock = clock
+        self.tokens = lines_per_s
+        self.filled_at = clock()
+        self.left_out = 0
+        self.unwritten = b""
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Write one record, or count it as left out."""
+        now = self.clock()
+        self.tokens += (now - self.filled_at) * self.lines_per_s
+        self.tokens = min(self.tokens, self.lines_per_s)
+        self.filled_at = now
+        if self.tokens < 1 and record.levelno < standard_logging.WARNING:
+            self.left_out += 1
+            return
+        self.tokens -= 1
+        if self.left_out and isinstance(record.msg, Event):
+            record.msg.fields["lines_left_out"] = self.left_out
+        self.write(self.format(record).encode("utf-8", "replace") + b"\n")
+
+    def write(self, line: bytes) -> None:
+        """Write a line whole, or not at all; the rest of a cut one goes before the next."""
+        try:
+            data = self.unwritten + line
+            written = os.write(self.descriptor, data)
+            self.unwritten = data[written:]
+            self.left_out = 0
+            if len(self.unwritten) > UNWRITTEN_BYTES_MAX:
+                self.unwritten = b""
+        except BlockingIOError:
+            self.left_out += 1
+        except OSError:
+            self.left_out += 1
+
+
+def set_up_stream(process_name: str, level: str, descriptor: int = 1) -> None:
+    """Send all logs of this process to standard output as JSON lines, never waiting for it."""
+    logging.use_absl_handler()
+    logger = logging.get_absl_logger()
+    handler = StreamHandler(descriptor, LINES_PER_S)
+    handler.setFormatter(JsonFormatter(process_name))
+    root = standard_logging.getLogger()
+    root.removeHandler(logging.get_absl_handler())
+    logger.handlers = [handler]
+    logger.propagate = False
+    logging.set_verbosity(LEVELS[level])
+
+
 def event(name: str, /, **fields: Any) -> None:
     """Log what happened or was decided, with the reason among the fields."""
     logging.info(Event(name, fields))
--- /dev/null
+++ b/src/merlinthread/nodes/agent_node.py
@@ -0,0 +1,113 @@
+"""An agent: it stands beside one engine, tells entries its load and brings weights to it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from merlinthread import errors, logs
+from merlinthread.nodes import engine_client, news_watcher, node_settings, weights_task
+from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import fleet, node_messages
+from merlinthread.transport import node_bus
+
+REPORT_EVERY_S = 0.1
+TELL_EVERY_S = 0.4
+SUBSCRIBED_S = 3.5
+
+
+class AgentNode:
+    """One agent."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        codec: codecs.Codec,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.caller = node_bus.Caller(codec)
+        self.watcher = news_watcher.NewsWatcher(
+            settings, dialect, self.caller, clock, lambda: None
+        )
+        self.engine = engine_client.EngineClient(dialect, settings.engine)
+        self.weights = weights_task.WeightsTask(
+            settings, self.watcher, self.engine, self.caller, clock, rng
+        )
+        self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
+        self.listener = node_bus.Listener(codec, self.on_message)
+        self.subscribers: dict[str, float] = {}
+        self.told: fleet.EngineReport | None = None
+        self.told_at = float("-inf")
+        self.sequence = 0
+        self.is_engine_lost = False
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Listen and start the tasks."""
+        await self.datagrams.listen(self.settings.ip, self.settings.agent_port)
+        await self.listener.listen(self.settings.ip, self.settings.agent_port)
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.watcher.run()),
+            loop.create_task(self.report()),
+            loop.create_task(self.weights.run()),
+        ]
+
+    def reload(self, settings: node_settings.NodeSettings) -> None:
+        """Take other control VMs to start from."""
+        self.settings.control_ips = settings.control_ips
+
+    async def leave(self) -> None:
+        """Stop to answer peers."""
+        self.listener.server.stop_accepting()
+
+    def on_datagram(self, message: Any) -> None:
+        """Note an entry that wants this engine's load."""
+        if isinstance(message, node_messages.Subscribe):
+            self.subscribers[message.address] = self.clock() + SUBSCRIBED_S
+
+    async def on_message(self, message: Any) -> Any:
+        """Answer another agent."""
+        if isinstance(message, node_messages.PieceRequest):
+            return await self.weights.give(message)
+        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
+
+    async def report(self) -> None:
+        """Read the engine's report again and again, and tell it."""
+        while True:
+            try:
+                report = await self.engine.report()
+                self.note_engine(True, "")
+                self.weights.report = report
+                self.tell(report)
+            except errors.MerlinthreadError as error:
+                self.note_engine(False, error.message)
+                self.weights.report = None
+            await asyncio.sleep(REPORT_EVERY_S)
+
+    def note_engine(self, is_there: bool, reason: str) -> None:
+        """Log that the engine was lost or is back."""
+        if self.is_engine_lost == (not is_there):
+            return
+        self.is_engine_lost = not is_there
+        logs.event("engine_back" if is_there else "engine_lost", reason=reason)
+
+    def tell(self, report: fleet.EngineReport) -> None:
+        """Tell entries the load if it has changed or was told long ago."""
+        now = self.clock()
+        if report == self.told and now - self.told_at < TELL_EVERY_S:
+            return
+        self.told = report
+        self.told_at = now
+        self.sequence += 1
+        load = node_messages.Load(self.settings.engine, self.sequence, report)
+        for address, until in list(self.subscribers.items()):
+            if until < now:
+                del self.subscribers[address]
+                continue
+            self.datagrams.send(address, load)
--- /dev/null
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -0,0 +1,218 @@
+"""The back ends of an entry: what is known of each, its connections, and who waits for a place."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from collections.abc import Callable
+
+from merlinthread import errors, logs
+from merlinthread.coordination import dispatch, retry_budget, route_table, waiting_room
+from merlinthread.nodes import news_watcher, node_settings
+from merlinthread.protocol import fleet, node_messages
+from merlinthread.transport import http_stream
+
+KEEP_S = 20.0
+CONNECT_TIMEOUT_S = 0.3
+USER_TIMEOUT_S = 2.0
+UNSAFE_IDLE_S_MAX = 1.0
+SAFE_IDLE_S_MAX = 20.0
+WAKE_AT_ONCE = 4
+# Of the whole budget, what entries use; the rest is a margin for those that leave and come.
+BUDGET_SHARE = 0.75
+FREE_REPEATS = 3
+VERSION_MARGIN_SHARE = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class Place:
+    """An attempt on a back end; `unread_tokens` are those of a prompt that is still to be read."""
+
+    backend: dispatch.Backend
+    unread_tokens: float
+
+
+class BackendPool:
+    """Chooses back ends and counts what runs on them."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        watcher: news_watcher.NewsWatcher,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.watcher = watcher
+        self.clock = clock
+        self.rng = rng
+        self.backends: dict[str, dispatch.Backend] = {}
+        self.by_service: dict[str, list[dispatch.Backend]] = {}
+        self.by_address: dict[str, dispatch.Backend] = {}
+        self.rooms: dict[str, waiting_room.WaitingRoom] = {}
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.connections = http_stream.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+
+    # What is known
+
+    def update(self) -> None:
+        """Take over what the control VMs tell of back ends."""
+        for instance in set(self.backends) - set(self.watcher.instances):
+            self.connections.drop(instance)
+            del self.backends[instance]
+        for instance, heartbeat in self.watcher.instances.items():
+            self.update_one(instance, heartbeat)
+        self.by_service = {}
+        self.by_address = {}
+        for backend in self.backends.values():
+            self.by_service.setdefault(backend.service, []).append(backend)
+            self.by_address[backend.address] = backend
+        for room in self.rooms.values():
+            room.wake(WAKE_AT_ONCE)
+
+    def update_one(self, instance: str, heartbeat: fleet.Heartbeat) -> None:
+        """Take over one back end."""
+        backend = self.backends.get(instance)
+        if backend is None:
+            backend = dispatch.Backend(
+                instance,
+                heartbeat.service,
+                heartbeat.address,
+                heartbeat.zone,
+                self.settings.distance(heartbeat.zone),
+                heartbeat.slots,
+            )
+            self.backends[instance] = backend
+        backend.slots = heartbeat.slots
+        backend.is_draining = heartbeat.state != fleet.READY
+        backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
+        if self.clock() - backend.reported_at > dispatch.REPORT_FRESH_S:
+            backend.weights = heartbeat.weights
+
+    def take_load(self, load: node_messages.Load) -> None:
+        """Take an agent's report of its engine."""
+        backend = self.by_address.get(load.address)
+        if backend is None:
+            return
+        backend.take_report(load.report, self.clock())
+        room = self.rooms.get(backend.service)
+        if room is not None and len(room):
+            room.wake(WAKE_AT_ONCE)
+
+    def required_version(self, model: str, now: float) -> int:
+        """Return the lowest version of a model's weights that may serve a request sent now.
+
+        The newest one named is required some time before its bound, since a request may wait at the
+        back end.
+        """
+        named = self.watcher.named.get(model, 0)
+        age = now - self.watcher.named_at.get(model, now)
+        bound = self.settings.bounds.version_s * (1 - VERSION_MARGIN_SHARE)
+        return named if age > bound else 0
+
+    def newest_version(self, model: str) -> int:
+        """Return the newest version of a model's weights that was named, or 0."""
+        return self.watcher.named.get(model, 0)
+
+    # Places
+
+    def room(self, service: str) -> waiting_room.WaitingRoom:
+        """Return the waiting room of a service."""
+        return self.rooms.setdefault(service, waiting_room.WaitingRoom())
+
+    def choose(self, demand: dispatch.Demand) -> dispatch.Choice | None:
+        """Return the best back end now."""
+        table = self.watcher.table
+        service = table.services.get(demand.service) if table else None
+        engine = service.engine if service else None
+        backends = self.by_service.get(demand.service, ())
+        return dispatch.choose(backends, demand, engine, self.clock(), self.rng)
+
+    def occupy(self, backend: dispatch.Backend, tokens: float) -> Place:
+        """Count an attempt on a back end."""
+        backend.in_flight += 1
+        backend.unread_tokens += tokens
+        return Place(backend, tokens)
+
+    def note_first(self, place: Place) -> None:
+        """Note that an attempt's prompt was read."""
+        place.backend.unread_tokens -= place.unread_tokens
+        place.unread_tokens = 0.0
+
+    def release(self, place: Place) -> None:
+        """Note that an attempt is over, and let a waiting request look again."""
+        self.note_first(place)
+        place.backend.in_flight -= 1
+        room = self.rooms.get(place.backend.service)
+        if room is not None:
+            room.wake()
+
+    # Budget
+
+    def budget(self, service: str) -> retry_budget.RetryBudget:
+        """Return the budget of a service."""
+        if service not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[service] = retry_budget.RetryBudget(
+                bounds.retry_ratio * BUDGET_SHARE, bounds.retry_window_s, FREE_REPEATS
+            )
+        return self.budgets[service]
+
+    # Connections
+
+    async def connect(
+        self, backend: dispatch.Backend, may_repeat: bool
+    ) -> http_stream.ClientConnection:
+        """Return a connection to a back end; raise UnreachableError, nothing was sent then.
+
+        A request that may run only once does not use a connection that rested for long: its server
+        may be closing it just now.
+        """
+        idle_s = SAFE_IDLE_S_MAX if may_repeat else UNSAFE_IDLE_S_MAX
+        kept = self.connections.take(backend.instance, self.clock(), idle_s)
+        if kept is not None:
+            return kept
+        return await http_stream.connect(backend.address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+
+    def give_back(
+        self,
+        backend: dispatch.Backend,
+        connection: http_stream.ClientConnection,
+        headers: http_stream.Headers,
+    ) -> None:
+        """Keep a connection for the next request."""
+        keep_s = http_stream.kept_for(headers, KEEP_S)
+        self.connections.give_back(backend.instance, connection, self.clock(), keep_s)
+
+    async def subscribe(self, send: Callable[[str], None], every_s: float) -> None:
+        """Ask the agents beside engines for their load, again and again."""
+        while True:
+            table = self.watcher.table
+            for backend in list(self.backends.values()):
+                service = table.services.get(backend.service) if table else None
+                if service is not None and service.engine is not None:
+                    host, _ = node_settings.split_address(backend.address)
+                    with contextlib.suppress(OSError):
+                        send(f"{host}:{self.settings.agent_port}")
+            await asyncio.sleep(every_s)
+
+
+def find_route(
+    table: route_table.RouteTable | None, call: fleet.Call
+) -> tuple[fleet.Route, fleet.Account | None]:
+    """Return a call's route and account; raise RequestError with the kind of refusal."""
+    if table is None:
+        raise errors.RequestError(
+            "no configuration is known here yet", kind=errors.ErrorKind.NO_TARGET
+        )
+    path = call.path.decode("latin-1").split("?")[0]
+    route = table.find(call.host, path)
+    if route is None:
+        raise errors.RequestError(
+            f"no route for {call.host}{path}", kind=errors.ErrorKind.UNKNOWN_ROUTE
+        )
+    account = table.account_of(call.key) if call.key else None
+    if table.has_accounts and not route.is_public and account is None:
+        logs.detail("key_unknown", request=call.request_id)
+        raise errors.RequestError("the key is unknown", kind=errors.ErrorKind.UNAUTHORISED)
+    return route, account
--- /dev/null
+++ b/src/merlinthread/nodes/control_node.py
@@ -0,0 +1,365 @@
+"""A control VM: configurations, named weights and the registry of back ends, for all nodes."""
+
+import asyncio
+import contextlib
+import secrets
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from merlinthread import errors, logs
+from merlinthread.coordination import fleet_state, instances
+from merlinthread.nodes import dialect as dialects
+from merlinthread.nodes import log_member, node_settings
+from merlinthread.protocol import answers, fleet, node_messages
+from merlinthread.protocol import codec as codecs
+from merlinthread.transport import http_stream, node_bus
+
+BEATS_EVERY_S = 0.1
+FORWARD_TIMEOUT_S = 0.9
+WATCH_WAIT_MAX_S = 1.0
+SILENT_AFTER_BEATS = 8
+EXPIRE_EVERY_S = 1.0
+LONG_AGO_S = 1e6
+BODY_BYTES_MAX = 8 * 1024 * 1024
+COMPRESSION = 6
+
+
+class ControlNode:
+    """One control VM: the log member, the operators' and back ends' calls, the feed of news."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        codec: codecs.Codec,
+        clock: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.caller = node_bus.Caller(codec)
+        self.registry = instances.Instances()
+        self.named_at: dict[str, float] = {}
+        self.feed = secrets.token_hex(8)
+        self.changed = asyncio.Event()
+        self.outgoing: list[fleet.Heartbeat] = []
+        self.member = log_member.LogMember(
+            settings, codec, self.caller, clock, self.on_applied, self.on_restored
+        )
+        self.listener = node_bus.Listener(codec, self.on_message)
+        limits = http_stream.Limits(body_bytes=BODY_BYTES_MAX, idle_timeout_s=60.0)
+        self.server = http_stream.Server(self.serve, limits)
+        self.pending: dict[bytes, asyncio.Task] = {}
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Listen and start the tasks."""
+        await self.listener.listen(self.settings.ip, self.settings.control_port)
+        host, port = node_settings.split_address(self.settings.control_address)
+        await self.server.listen(host, port)
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.member.run()),
+            loop.create_task(self.pass_beats_on()),
+            loop.create_task(self.expire()),
+        ]
+
+    def reload(self, settings: node_settings.NodeSettings) -> None:
+        """Take other control VMs to start from."""
+        self.settings.control_ips = settings.control_ips
+
+    async def leave(self) -> None:
+        """Stop to accept calls and wait for those in progress."""
+        self.server.stop_accepting()
+        for _ in range(20):
+            if not self.server.count_busy():
+                break
+            await asyncio.sleep(0.05)
+        self.member.close()
+
+    # The log's side
+
+    def on_applied(self, command: fleet_state.Command, is_live: bool) -> None:
+        """Take a committed command into what is told to nodes."""
+        if isinstance(command, fleet_state.Depart):
+            self.depart(command.instance, command.state)
+        elif isinstance(command, fleet_state.NameVersion):
+            self.named_at[command.model] = self.clock() - (0.0 if is_live else LONG_AGO_S)
+            self.registry.advance()
+        name = self.member.command_names[type(command)]
+        logs.event("applied", command=name, **described(command))
+        self.tell()
+
+    def on_restored(self) -> None:
+        """Take a snapshot's state into what is told to nodes."""
+        for instance, state in self.member.state.departed.items():
+            self.depart(instance, state)
+        for model in self.member.state.named:
+            self.named_at.setdefault(model, self.clock() - LONG_AGO_S)
+        self.tell()
+
+    def depart(self, instance: str, state: str) -> None:
+        """Take over that an instance leaves."""
+        if state == fleet.GONE:
+            self.registry.remove(instance)
+        else:
+            self.registry.drain(instance)
+
+    def tell(self) -> None:
+        """Wake those who wait for news."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def submit(self, command: fleet_state.Command) -> bool:
+        """Commit a command here or at the leader; return whether it changed anything.
+
+        Calls for the same command share one entry. Raises NotLeaderError, UnreachableError or
+        ControlError if it is not known to be committed.
+        """
+        encoded = self.member.encode_command(command)
+        answer = self.pending.get(encoded)
+        if answer is None:
+            loop = asyncio.get_running_loop()
+            answer = loop.create_task(self.commit(encoded))
+            self.pending[encoded] = answer
+            answer.add_done_callback(lambda done: self.forget(encoded, done))
+        return await asyncio.shield(answer)
+
+    def forget(self, encoded: bytes, done: asyncio.Future) -> None:
+        """Forget a command that is decided."""
+        self.pending.pop(encoded, None)
+        if not done.cancelled():
+            done.exception()
+
+    async def commit(self, encoded: bytes) -> bool:
+        """Commit an encoded command here or at the leader."""
+        async with asyncio.timeout(FORWARD_TIMEOUT_S):
+            if self.member.raft.is_leader():
+                return await self.member.propose(encoded)
+            leader = self.member.leader_address()
+            if not leader or leader == self.member.address:
+                raise errors.NotLeaderError("no leader is known", "")
+            reply = await self.caller.call(
+                leader, node_messages.Submit(encoded), FORWARD_TIMEOUT_S
+            )
+            return reply.is_applied
+
+    # Nodes
+
+    async def on_message(self, message: Any) -> Any:
+        """Answer one call of another node."""
+        if isinstance(message, node_messages.LogMessages):
+            self.member.receive(message.frames)
+            return node_messages.Ok()
+        if isinstance(message, node_messages.Watch):
+            return await self.on_watch(message)
+        if isinstance(message, node_messages.Beats):
+            for heartbeat in message.heartbeats:
+                self.take(heartbeat)
+            return node_messages.Ok()
+        if isinstance(message, node_messages.Submit):
+            async with asyncio.timeout(FORWARD_TIMEOUT_S):
+                is_changed = await self.member.propose(message.command)
+            return node_messages.Submitted(is_changed, self.member.state.version)
+        if isinstance(message, node_messages.Read):
+            return self.read_here()
+        if isinstance(message, node_messages.Join):
+            return self.member.on_join(message)
+        raise errors.ProtocolError(f"a control VM does not answer {type(message).__name__}")
+
+    async def on_watch(self, watch: node_messages.Watch) -> node_messages.News:
+        """Answer with what is new, at once or as soon as there is something."""
+        deadline = self.clock() + min(watch.wait_s, WATCH_WAIT_MAX_S)
+        while not self.has_news(watch):
+            left = deadline - self.clock()
+            if left <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+        return self.news(watch)
+
+    def has_news(self, watch: node_messages.Watch) -> bool:
+        """Return whether there is anything that the asker does not know."""
+        if watch.feed != self.feed or watch.position < self.registry.position:
+            return True
+        return watch.configuration < self.member.state.version
+
+    def news(self, watch: node_messages.Watch) -> node_messages.News:
+        """Return what the asker does not know."""
+        now = self.clock()
+        position = watch.position if watch.feed == self.feed else 0
+        is_full, changed, gone = self.registry.since(position, now)
+        state = self.member.state
+        is_newer = state.version > watch.configuration
+        return node_messages.News(
+            self.feed,
+            self.registry.position,
+            is_full,
+            changed,
+            gone,
+            [
+                node_messages.NamedVersion(model, version, now - self.named_at.get(model, now))
+                for model, version in state.named.items()
+            ],
+            state.version,
+            state.body if is_newer else b"",
+            self.member.member_addresses(),
+            self.member.majority_age(now),
+        )
+
+    # Heartbeats
+
+    def take(self, heartbeat: fleet.Heartbeat) -> None:
+        """Take a heartbeat in; what has left stays so."""
+        state = self.member.state.departed.get(heartbeat.instance)
+        if state == fleet.GONE:
+            return
+        is_new = heartbeat.instance not in self.registry.known
+        if self.registry.take(heartbeat, self.clock()):
+            if state == fleet.DRAINING:
+                self.registry.drain(heartbeat.instance)
+            if is_new:
+                logs.event(
+                    "instance_new",
+                    instance=heartbeat.instance,
+                    service=heartbeat.service,
+                    address=heartbeat.address,
+                )
+            self.tell()
+
+    async def pass_beats_on(self) -> None:
+        """Pass heartbeats on to the other control VMs, many at a time."""
+        while True:
+            await asyncio.sleep(BEATS_EVERY_S)
+            if not self.outgoing:
+                continue
+            heartbeats, self.outgoing = self.outgoing, []
+            message = node_messages.Beats(self.settings.name, heartbeats)
+            for address in self.member.member_addresses():
+                if address != self.member.address:
+                    asyncio.get_running_loop().create_task(self.pass_on(address, message))
+
+    async def pass_on(self, address: str, message: node_messages.Beats) -> None:
+        """Send heartbeats to one control VM; the next beat makes good for a lost one."""
+        with contextlib.suppress(errors.MerlinthreadError):
+            await self.caller.call(address, message, FORWARD_TIMEOUT_S)
+
+    async def expire(self) -> None:
+        """Drop back ends that were silent for long."""
+        while True:
+            await asyncio.sleep(EXPIRE_EVERY_S)
+            silent_s = SILENT_AFTER_BEATS * self.settings.heartbeat_s
+            silent = self.registry.expire(self.clock(), silent_s)
+            if silent:
+                logs.event("instances_silent", instances=silent, silent_s=silent_s)
+                self.tell()
+
+    # Operators and back ends
+
+    async def serve(self, exchange: http_stream.Exchange) -> None:
+        """Answer one call over HTTP."""
+        request = exchange.request
+        try:
+            call = self.dialect.control_call(request)
+            answer = await self.handle(call)
+        except TimeoutError:
+            answer = refusal(errors.ControlError("no majority answered in time; send it again"))
+        except errors.MerlinthreadError as error:
+            answer = refusal(error)
+        if answer.status >= 300:
+            logs.event(
+                "control_refused",
+                method=request.method.decode("ascii", "replace"),
+                path=request.target.decode("ascii", "replace"),
+                status=answer.status,
+                body=answer.body.decode("utf-8", "replace"),
+            )
+        await exchange.respond(answer)
+
+    async def handle(self, call: dialects.ControlCall) -> http_stream.Answer:
+        """Do what a call asks for; return its answer."""
+        if isinstance(call, dialects.TakeHeartbeat):
+            return await self.on_heartbeat(call.heartbeat)
+        if isinstance(call, dialects.Leave):
+            await self.depart_for_good(call.instance, fleet.GONE)
+            return ok()
+        if isinstance(call, dialects.PutConfiguration):
+            return await self.on_put(call)
+        if isinstance(call, dialects.NameVersion):
+            if call.version > self.member.state.named.get(call.model, 0):
+                await self.submit(fleet_state.NameVersion(call.model, call.version))
+            return ok()
+        return await self.on_get()
+
+    async def on_heartbeat(self, heartbeat: fleet.Heartbeat) -> http_stream.Answer:
+        """Take a heartbeat; that it drains is acknowledged once a majority holds it."""
+        self.take(heartbeat)
+        self.outgoing.append(heartbeat)
+        if heartbeat.state == fleet.DRAINING:
+            await self.depart_for_good(heartbeat.instance, fleet.DRAINING)
+        return ok()
+
+    async def depart_for_good(self, instance: str, state: str) -> None:
+        """Commit that an instance leaves, unless that is known to be committed."""
+        known = self.member.state.departed.get(instance)
+        if known == state or known == fleet.GONE:
+            return
+        await self.submit(fleet_state.Depart(instance, state))
+
+    async def on_put(self, call: dialects.PutConfiguration) -> http_stream.Answer:
+        """Commit a configuration, or acknowledge one that was overtaken."""
+        version = call.configuration.version
+        if version > self.member.state.version:
+            body = zlib.compress(call.body, COMPRESSION)
+            await self.submit(fleet_state.Configure(version, body))
+        return ok()
+
+    async def on_get(self) -> http_stream.Answer:
+        """Answer with the newest configuration, if that is sure."""
+        reply = await self.read()
+        if not reply.version:
+            raise errors.ControlError("no configuration was put yet", retry_after_s=0.5)
+        body = zlib.decompress(reply.body)
+        return http_stream.Answer(200, [(b"content-type", b"application/json")], body)
+
+    async def read(self) -> node_messages.ReadReply:
+        """Return the newest configuration, from the leader."""
+        if self.member.raft.is_leader():
+            return self.read_here()
+        leader = self.member.leader_address()
+        if not leader or leader == self.member.address:
+            raise errors.NotLeaderError("no leader is known", "")
+        return await self.caller.call(leader, node_messages.Read(), FORWARD_TIMEOUT_S)
+
+    def read_here(self) -> node_messages.ReadReply:
+        """Return the newest configuration if this member surely leads."""
+        if not self.member.holds_lease():
+            raise errors.NotLeaderError("this member does not surely lead", "")
+        return node_messages.ReadReply(self.member.state.version, self.member.state.body)
+
+
+def ok() -> http_stream.Answer:
+    """Return an acknowledgement."""
+    return http_stream.Answer(200, [(b"content-type", b"application/json")], b"{}")
+
+
+def refusal(error: errors.MerlinthreadError) -> http_stream.Answer:
+    """Return the answer that tells `error`."""
+    body = answers.body_of(error)
+    headers = [(b"content-type", b"application/json")]
+    if body.retry_after_s is not None:
+        headers.append((b"retry-after", b"%g" % body.retry_after_s))
+    return http_stream.Answer(answers.TABLE[error.kind].status, headers, msgspec.json.encode(body))
+
+
+def described(command: fleet_state.Command) -> dict[str, Any]:
+    """Return a command's fields for the log, without its body."""
+    if isinstance(command, fleet_state.Configure):
+        return {"version": command.version, "bytes": len(command.body)}
+    if isinstance(command, fleet_state.NameVersion):
+        return {"model": command.model, "version": command.version}
+    return {"instance": command.instance, "state": command.state}
--- /dev/null
+++ b/src/merlinthread/nodes/entry_node.py
@@ -0,0 +1,123 @@
+"""An entry: it answers clients with what back ends give, as the configuration in force says."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from merlinthread import logs
+from merlinthread.nodes import (
+    backend_pool,
+    news_watcher,
+    node_settings,
+    request_task,
+)
+from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import node_messages
+from merlinthread.transport import http_stream, node_bus
+
+SUBSCRIBE_EVERY_S = 1.0
+# The platform asks every second and takes a node out after two misses.
+UNREADY_BEFORE_CLOSE_S = 2.6
+LEAVE_MARGIN_S = 0.6
+
+
+class EntryNode:
+    """One entry."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        codec: codecs.Codec,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.caller = node_bus.Caller(codec)
+        self.watcher = news_watcher.NewsWatcher(
+            settings, dialect, self.caller, clock, self.on_news
+        )
+        self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng)
+        self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
+        self.server = http_stream.Server(self.serve)
+        self.ready_server = http_stream.Server(self.serve_ready)
+        self.address = f"{settings.ip}:{settings.entry_port}"
+        self.is_leaving = False
+        self.was_ready = False
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Listen and start the tasks."""
+        await self.datagrams.listen(self.settings.ip, self.settings.entry_port)
+        await self.server.listen(*node_settings.split_address(self.settings.client_address))
+        await self.ready_server.listen(*node_settings.split_address(self.settings.ready_address))
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.watcher.run()),
+            loop.create_task(self.pool.subscribe(self.subscribe, SUBSCRIBE_EVERY_S)),
+        ]
+
+    def reload(self, settings: node_settings.NodeSettings) -> None:
+        """Take other control VMs to start from."""
+        self.settings.control_ips = settings.control_ips
+
+    def subscribe(self, agent: str) -> None:
+        """Ask one agent for its engine's load."""
+        self.datagrams.send(agent, node_messages.Subscribe(self.address))
+
+    def on_datagram(self, message: Any) -> None:
+        """Take an agent's report."""
+        if isinstance(message, node_messages.Load):
+            self.pool.take_load(message)
+
+    def on_news(self) -> None:
+        """Take over what the control VMs tell."""
+        self.pool.update()
+        table = self.watcher.table
+        if table is not None:
+            limits = table.limits
+            self.server.limits = http_stream.Limits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+
+    def is_ready(self) -> bool:
+        """Return whether this entry can serve anything."""
+        is_ready = not self.is_leaving and self.watcher.table is not None
+        if is_ready != self.was_ready:
+            self.was_ready = is_ready
+            logs.event("ready" if is_ready else "not_ready", configuration=self.watcher.version)
+        return is_ready
+
+    async def serve_ready(self, exchange: http_stream.Exchange) -> None:
+        """Answer whether this entry is ready."""
+        is_known = self.dialect.is_ready_call(exchange.request)
+        status = 404 if not is_known else 200 if self.is_ready() else 503
+        await exchange.respond(http_stream.Answer(status, []))
+
+    async def serve(self, exchange: http_stream.Exchange) -> None:
+        """Serve one client's request."""
+        task = request_task.RequestTask(
+            exchange, self.dialect, self.pool, self.watcher.table, self.clock()
+        )
+        await task.run()
+
+    async def leave(self) -> None:
+        """Say that this entry is not ready, finish what is in progress, and stop."""
+        deadline = self.clock() + self.settings.bounds.grace_s - LEAVE_MARGIN_S
+        self.is_leaving = True
+        self.is_ready()
+        self.server.begin_leaving()
+        await asyncio.sleep(UNREADY_BEFORE_CLOSE_S)
+        self.server.stop_accepting()
+        while self.server.count_busy() and self.clock() < deadline:
+            await asyncio.sleep(0.05)
+        if self.server.count_busy():
+            logs.warn("cut_off", requests=self.server.count_busy())
+
--- /dev/null
+++ b/src/merlinthread/nodes/log_member.py
@@ -0,0 +1,448 @@
+"""One member of a deployment's replicated log: it owns the log, its files and the state machine.
+
+A member's name holds its address. A machine that comes back with an empty disk is another member:
+it has lost what the first one promised, so it joins anew and takes the first one's place.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import shutil
+from collections.abc import Callable
+
+import msgspec
+
+from merlinthread import errors, logs
+from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
+from merlinthread.nodes import node_settings
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import node_messages
+from merlinthread.state import journal, records
+from merlinthread.transport import node_bus
+
+TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
+SEND_TIMEOUT_S = 0.6
+SEND_QUEUE_MAX = 64
+COMPACT_ENTRIES = 1500
+COMPACT_BYTES = 16 * 1024 * 1024
+JOIN_EVERY_S = 0.4
+JOIN_AFTER_SILENCE_S = 2.0
+JOINER_KEPT_S = 2.0
+DUTIES_EVERY_S = 0.2
+DISK_RETRY_S = 0.5
+MEMBER_FILE = "member.json"
+
+
+@dataclasses.dataclass(slots=True)
+class Membership:
+    """Who this member is, kept beside its journal."""
+
+    name: str
+    first_voters: list[str]
+
+
+def address_of(name: str) -> str:
+    """Return the node address in a member's name."""
+    return name.split("#")[0]
+
+
+class LogMember:
+    """The owner of the log; all calls are made on its event loop.
+
+    `on_applied(command, is_live)` is called for each applied command; `on_restored()` after a
+    snapshot has replaced the state.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        codec: codecs.Codec,
+        caller: node_bus.Caller,
+        clock: Callable[[], float],
+        on_applied: Callable[[fleet_state.Command, bool], None],
+        on_restored: Callable[[], None],
+    ) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.caller = caller
+        self.clock = clock
+        self.on_applied = on_applied
+        self.on_restored = on_restored
+        self.address = f"{settings.ip}:{settings.control_port}"
+        self.folder = pathlib.Path(settings.data_folder)
+        self.command_decoders = {
+            name: msgspec.msgpack.Decoder(kind)
+            for name, kind in fleet_state.COMMANDS.entries.items()
+        }
+        self.command_names = {kind: name for name, kind in fleet_state.COMMANDS.entries.items()}
+        self.pair = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+        self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
+        self.inbox: list[raft_messages.Message] = []
+        self.wakeup = asyncio.Event()
+        self.queues: dict[str, list[raft_messages.Message]] = {}
+        self.senders: dict[str, asyncio.Task] = {}
+        self.sender_events: dict[str, asyncio.Event] = {}
+        self.joiners: dict[str, tuple[node_messages.Join, float]] = {}
+        self.duties_at = 0.0
+        self.full_until = float("-inf")
+        self.was_leader = False
+        self.last_leader = ""
+        self.is_live = False
+        self.open(settings.is_first_start)
+
+    # Files
+
+    def open(self, is_first_start: bool) -> None:
+        """Open the files and take up where they end."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.journal = journal.Journal(self.folder)
+        self.membership = self.load_membership(is_first_start)
+        self.name = self.membership.name
+        self.raft = raft.Raft(
+            self.name, self.membership.first_voters, self.journal, self.clock(), TIMING
+        )
+        self.state = fleet_state.FleetState()
+        self.applied = 0
+        self.restore(self.journal.snapshot)
+
+    def load_membership(self, is_first_start: bool) -> Membership:
+        """Return who this member is; decided at its first start and kept."""
+        path = self.folder / MEMBER_FILE
+        if path.exists():
+            return msgspec.json.decode(records.read_whole(path), type=Membership)
+        seeds = self.settings.control_nodes()
+        if is_first_start:
+            voters = seeds if self.address in seeds else []
+            membership = Membership(self.address, voters)
+        else:
+            membership = Membership(f"{self.address}#{self.journal.identity[:12]}", [])
+        records.write_whole(path, msgspec.json.encode(membership))
+        return membership
+
+    def start_anew(self) -> None:
+        """Give up this member's identity: the others have removed it. Join as a new one."""
+        logs.warn("member_removed", member=self.name)
+        self.journal.close()
+        for path in list(self.folder.iterdir()):
+            if path.is_dir():
+                shutil.rmtree(path)
+            else:
+                path.unlink()
+        self.fail_waiting("this member was removed")
+        self.open(is_first_start=False)
+        self.on_restored()
+
+    def restore(self, snapshot: journal.Snapshot) -> None:
+        """Take the state over from a snapshot."""
+        if snapshot.state:
+            self.state = msgspec.msgpack.decode(snapshot.state, type=fleet_state.FleetState)
+        self.applied = snapshot.index
+
+    # The loop
+
+    async def run(self) -> None:
+        """Take in messages, decide, make durable, send and apply, for ever."""
+        join_at = self.clock() + JOIN_AFTER_SILENCE_S
+        while True:
+            now = self.clock()
+            self.turn(now)
+            if now >= join_at:
+                join_at = now + JOIN_EVERY_S
+                self.ask_to_join(now)
+            self.wakeup.clear()
+            if not self.inbox:
+                due = min(self.raft.next_tick_at(), self.duties_at, join_at)
+                await self.sleep(max(0.001, due - self.clock()))
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for a message, at most `seconds`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.wakeup.wait()
+
+    def turn(self, now: float) -> None:
+        """Do one round."""
+        messages, self.inbox = self.inbox, []
+        for message in messages:
+            self.raft.step(message, now)
+        self.raft.tick(now)
+        self.raft.flush(now)
+        self.settle(now)
+        self.note_leadership()
+        if now >= self.duties_at:
+            self.duties_at = now + DUTIES_EVERY_S
+            self.look_after_members(now)
+
+    def receive(self, frames: list[bytes]) -> None:
+        """Take messages of another member."""
+        for frame in frames:
+            self.inbox.append(self.codec.decode(frame))
+        self.wakeup.set()
+
+    # Durability
+
+    def settle(self, now: float) -> None:
+        """Save, send and apply until nothing is left to do."""
+        while not (ready := self.raft.ready()).is_empty():
+            try:
+                self.save(ready)
+            except errors.DiskFullError as error:
+                self.on_full_disk(error, now)
+                return
+            for receiver, message in ready.messages:
+                self.send(receiver, message)
+            for entry in ready.committed:
+                self.apply(entry)
+            self.raft.saved(ready)
+            self.raft.flush(now)
+        if self.is_due_for_compaction() and now >= self.full_until:
+            self.compact(now)
+
+    def save(self, ready: raft_messages.Ready) -> None:
+        """Make `ready` durable."""
+        if ready.snapshot is not None:
+            self.journal.compact(ready.snapshot, self.raft.log.saved())
+            self.restore(ready.snapshot)
+            self.on_restored()
+        if ready.hard_state is not None or ready.entries:
+            self.journal.save(ready.hard_state, ready.entries)
+
+    def on_full_disk(self, error: errors.DiskFullError, now: float) -> None:
+        """Give up leading, refuse what was not accepted, and try again a little later."""
+        if now >= self.full_until:
+            logs.warn("disk_full", message=error.message)
+        self.full_until = now + DISK_RETRY_S
+        self.raft.drop_unsaved(now)
+        for index, (_, answer) in list(self.waiting.items()):
+            if index > self.raft.log.stable:
+                del self.waiting[index]
+                set_error(answer, error)
+
+    def is_due_for_compaction(self) -> bool:
+        """Return whether the log has grown enough for a snapshot."""
+        grown = self.applied - self.journal.snapshot.index
+        return grown >= COMPACT_ENTRIES or (grown > 0 and self.journal.file.length > COMPACT_BYTES)
+
+    def compact(self, now: float) -> None:
+        """Replace the applied part of the log by a snapshot."""
+        snapshot = self.raft.compact(self.applied, msgspec.msgpack.encode(self.state))
+        try:
+            self.journal.compact(snapshot, self.raft.log.saved())
+        except errors.DiskFullError as error:
+            self.full_until = now + DISK_RETRY_S
+            logs.warn("disk_full", message=error.message)
+            return
+        logs.event("compacted", index=snapshot.index)
+
+    def apply(self, entry: journal.Entry) -> None:
+        """Apply one committed entry and answer whoever waits for it."""
+        is_changed = False
+        if entry.kind == "command":
+            command = self.decode_command(entry.data)
+            is_changed = self.state.apply(command)
+            self.on_applied(command, self.is_live)
+        self.applied = entry.index
+        term, answer = self.waiting.pop(entry.index, (0, None))
+        if answer is None:
+            return
+        if term == entry.term:
+            if not answer.done():
+                answer.set_result(is_changed)
+        else:
+            set_error(answer, lost_leadership())
+
+    def decode_command(self, data: bytes) -> fleet_state.Command:
+        """Return the command in an entry."""
+        name, raw = self.pair.decode(data)
+        return self.command_decoders[name].decode(raw)
+
+    def encode_command(self, command: fleet_state.Command) -> bytes:
+        """Return the bytes of a command in an entry."""
+        return msgspec.msgpack.encode((self.command_names[type(command)], command))
+
+    # Leading
+
+    def propose(self, command: bytes) -> asyncio.Future:
+        """Put a command into the log; the result tells whether it changed anything.
+
+        Raises NotLeaderError on a follower and DiskFullError on a full disk.
+        """
+        now = self.clock()
+        if now < self.full_until:
+            raise errors.DiskFullError(f"{self.folder}: no room on the disk; free some space")
+        index = self.raft.propose(command, now)
+        answer = asyncio.get_running_loop().create_future()
+        self.waiting[index] = (self.raft.hard_state.term, answer)
+        self.wakeup.set()
+        return answer
+
+    def holds_lease(self) -> bool:
+        """Return whether this member surely leads now."""
+        return self.raft.holds_lease(self.clock())
+
+    def majority_age(self, now: float) -> float:
+        """Return how long ago this member was surely joined to a majority, in seconds."""
+        if self.raft.is_leader():
+            seen_at = self.raft.lease_until() - TIMING.election_min_s * TIMING.lease_share
+        else:
+            seen_at = self.raft.heard_leader_at
+        return min(1e6, max(0.0, now - seen_at))
+
+    def leader_address(self) -> str:
+        """Return the address of the leader, or nothing."""
+        return address_of(self.raft.leader)
+
+    def member_addresses(self) -> list[str]:
+        """Return the addresses of all members."""
+        return [address_of(name) for name in self.raft.log.voters.members()]
+
+    def note_leadership(self) -> None:
+        """Log a change of leader; fail what waits on a lost leadership."""
+        leads = self.raft.is_leader()
+        if self.raft.leader != self.last_leader:
+            self.last_leader = self.raft.leader
+            self.is_live = self.is_live or bool(self.raft.leader)
+            logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
+        if leads == self.was_leader:
+            return
+        self.was_leader = leads
+        self.joiners.clear()
+        if not leads:
+            self.fail_waiting("the leader changed")
+
+    def fail_waiting(self, reason: str) -> None:
+        """Tell all who wait that the outcome is unknown."""
+        waiting, self.waiting = self.waiting, {}
+        for _, answer in waiting.values():
+            set_error(answer, lost_leadership())
+        if waiting:
+            logs.event("commands_unknown", count=len(waiting), reason=reason)
+
+    # Members
+
+    def ask_to_join(self, now: float) -> None:
+        """Ask to be taken in, if this member is none or has not heard a leader for long."""
+        is_member = self.name in self.raft.log.voters.voters
+        if is_member and self.majority_age(now) < JOIN_AFTER_SILENCE_S:
+            return
+        join = node_messages.Join(self.name, self.journal.identity, self.address)
+        for address in set(self.settings.control_nodes()) | set(self.member_addresses()):
+            if address != self.address:
+                asyncio.get_running_loop().create_task(self.send_join(address, join))
+
+    async def send_join(self, address: str, join: node_messages.Join) -> None:
+        """Ask one control VM."""
+        try:
+            reply = await self.caller.call(address, join, SEND_TIMEOUT_S)
+        except errors.MerlinthreadError:
+            return
+        if isinstance(reply, node_messages.Submitted) and reply.version < 0:
+            if join.name == self.name:
+                self.start_anew()
+
+    def on_join(self, join: node_messages.Join) -> node_messages.Submitted:
+        """Note a joiner; a negative version tells it that it was removed for good."""
+        if self.raft.holds_lease(self.clock()):
+            if join.name in self.raft.log.voters.retired:
+                return node_messages.Submitted(False, -1)
+            self.joiners[join.name] = (join, self.clock())
+        return node_messages.Submitted(True, 0)
+
+    def look_after_members(self, now: float) -> None:
+        """Do the next step of taking joiners in and of removing lost members."""
+        if not self.raft.holds_lease(now):
+            return
+        matches = {name: progress.match for name, progress in self.raft.progress.items()}
+        facts = raft_members.Facts(self.name, self.raft.commit, matches)
+        change = self.next_change(facts, now)
+        if change is None:
+            return
+        with contextlib.suppress(errors.ControlError):
+            self.raft.change_voters(change, now)
+            self.wakeup.set()
+            logs.event("members_change", change=msgspec.to_builtins(change))
+
+    def next_change(self, facts: raft_members.Facts, now: float) -> raft_members.Change | None:
+        """Return the next change of members, or None."""
+        voters = self.raft.log.voters
+        for name, (join, heard_at) in list(self.joiners.items()):
+            if now - heard_at > JOINER_KEPT_S:
+                del self.joiners[name]
+                continue
+            replaced = self.namesake(name)
+            joiner = raft_members.Joiner(name, "", raft_messages.Address("", ""), replaced)
+            change = raft_members.next_change(voters, joiner, facts, bool(replaced))
+            if change is not None:
+                return change
+        return self.removal(voters, now)
+
+    def namesake(self, name: str) -> str:
+        """Return the member that had the same address before its disk was lost, or nothing."""
+        for other in self.raft.log.voters.members():
+            if other != name and address_of(other) == address_of(name):
+                return other
+        return ""
+
+    def removal(self, voters: raft_messages.Voters, now: float) -> raft_members.Change | None:
+        """Return the removal of a member that was silent for long and is not needed."""
+        for learner in voters.learners:
+            if now - self.raft.progress[learner].heard_at > self.silence_s():
+                return raft_members.Change(remove=learner)
+        if len(voters.voters) <= 2 * self.settings.members_lost_max + 1:
+            return None
+        others = [name for name in voters.voters if name != self.name]
+        silent = max(others, key=lambda name: now - self.raft.progress[name].heard_at)
+        if now - self.raft.progress[silent].heard_at > self.silence_s():
+            return raft_members.Change(remove=silent)
+        return None
+
+    def silence_s(self) -> float:
+        """Return how long a member must be silent before it may be removed."""
+        return 2 * self.settings.bounds.catch_up_s
+
+    # Sending
+
+    def send(self, receiver: str, message: raft_messages.Message) -> None:
+        """Queue a message for another member; the oldest gives way when many wait."""
+        queue = self.queues.setdefault(receiver, [])
+        queue.append(message)
+        del queue[:-SEND_QUEUE_MAX]
+        if receiver not in self.senders or self.senders[receiver].done():
+            self.sender_events[receiver] = asyncio.Event()
+            loop = asyncio.get_running_loop()
+            self.senders[receiver] = loop.create_task(self.send_queued(receiver))
+        self.sender_events[receiver].set()
+
+    async def send_queued(self, receiver: str) -> None:
+        """Send what is queued for one member, many messages a call, while it is a member."""
+        event = self.sender_events[receiver]
+        while True:
+            await event.wait()
+            event.clear()
+            messages, self.queues[receiver] = self.queues[receiver], []
+            frames = [self.codec.encode(message) for message in messages]
+            if not frames:
+                continue
+            with contextlib.suppress(errors.MerlinthreadError):
+                await self.caller.call(
+                    address_of(receiver), node_messages.LogMessages(frames), SEND_TIMEOUT_S
+                )
+
+    def close(self) -> None:
+        """Close the files."""
+        self.journal.close()
+
+
+def set_error(answer: asyncio.Future, error: Exception) -> None:
+    """Give an error to whoever still waits."""
+    if not answer.done():
+        answer.set_exception(error)
+
+
+def lost_leadership() -> errors.ControlError:
+    """Return the error for a command whose leader lost its place meanwhile."""
+    return errors.ControlError(
+        "the leader changed before the command was committed; send it again",
+        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+    )
--- /dev/null
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -0,0 +1,236 @@
+"""What an entry or agent knows from the control VMs: configuration, back ends, named weights.
+
+It keeps one question open at one control VM and goes to another when that one is silent or is cut
+off from the majority. What it holds never goes back: versions only grow, and an instance that left
+stays so. When no control VM answers it goes on with what it holds.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+from merlinthread import errors, logs
+from merlinthread.coordination import route_table
+from merlinthread.nodes import dialect as dialects
+from merlinthread.nodes import node_settings
+from merlinthread.protocol import fleet, node_messages
+from merlinthread.transport import node_bus
+
+WATCH_WAIT_S = 0.6
+WATCH_TIMEOUT_S = 1.1
+FIRST_TIMEOUT_S = 0.4
+PAUSE_S = 0.1
+STALE_S = 1.6
+MISSING_BEATS = 4
+
+
+class NewsWatcher:
+    """The state and the task of watching."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        dialect: dialects.Dialect,
+        caller: node_bus.Caller,
+        clock: Callable[[], float],
+        on_news: Callable[[], None],
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.caller = caller
+        self.clock = clock
+        self.on_news = on_news
+        self.table: route_table.RouteTable | None = None
+        self.version = 0
+        self.instances: dict[str, fleet.Heartbeat] = {}
+        self.cold_until: dict[str, float] = {}
+        self.heard_at: dict[str, float] = {}
+        self.gone: set[str] = set()
+        self.missing: dict[str, float] = {}
+        self.named: dict[str, int] = {}
+        self.named_at: dict[str, float] = {}
+        self.controls: list[str] = settings.control_nodes()
+        self.current = ""
+        self.feed = ""
+        self.position = 0
+        self.fresh_at = float("-inf")
+        self.is_fresh = False
+
+    async def run(self) -> None:
+        """Watch for ever."""
+        while True:
+            if not self.current:
+                self.current = await self.find_control()
+            if not self.current:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            await self.watch_once()
+
+    async def find_control(self) -> str:
+        """Return the control VM that answers first and is joined to a majority.
+
+        If none is joined, return any that answers, else an empty string.
+        """
+        known = list(dict.fromkeys([*self.controls, *self.settings.control_nodes()]))
+        asked = {
+            asyncio.get_running_loop().create_task(self.ask(address, 0.0, FIRST_TIMEOUT_S)): address
+            for address in known
+        }
+        second = ""
+        pending = set(asked)
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                news = task.result()
+                if news is None:
+                    continue
+                if news.leader_age_s < STALE_S:
+                    for other in pending:
+                        other.cancel()
+                    self.take(news)
+                    return asked[task]
+                second = second or asked[task]
+                self.take(news)
+        return second
+
+    async def ask(
+        self, address: str, wait_s: float, timeout_s: float
+    ) -> node_messages.News | None:
+        """Return a control VM's news, or None if it does not answer."""
+        is_same = address == self.current
+        watch = node_messages.Watch(
+            self.settings.name,
+            self.feed if is_same else "",
+            self.position if is_same else 0,
+            self.version,
+            wait_s,
+        )
+        try:
+            return await self.caller.call(address, watch, timeout_s)
+        except errors.MerlinthreadError as error:
+            logs.detail("control_silent", control=address, reason=error.message)
+            return None
+
+    async def watch_once(self) -> None:
+        """Ask the present control VM and take what it tells."""
+        news = await self.ask(self.current, WATCH_WAIT_S, WATCH_TIMEOUT_S)
+        if news is None:
+            self.lose("no answer")
+            return
+        self.take(news)
+        if news.leader_age_s > STALE_S:
+            self.lose("cut off from the majority")
+            await asyncio.sleep(PAUSE_S)
+
+    def lose(self, reason: str) -> None:
+        """Leave the present control VM."""
+        if self.is_fresh:
+            logs.event("control_lost", control=self.current, reason=reason)
+        self.is_fresh = False
+        self.current = ""
+        self.feed = ""
+        self.position = 0
+
+    # Taking news
+
+    def take(self, news: node_messages.News) -> None:
+        """Take news in; what is older than what is held changes nothing."""
+        now = self.clock()
+        if news.leader_age_s <= STALE_S:
+            self.fresh_at = now
+            if not self.is_fresh:
+                self.is_fresh = True
+                version = news.configuration_version
+                logs.event("control_found", leader_age_s=news.leader_age_s, version=version)
+        if news.controls:
+            self.controls = news.controls
+        self.take_configuration(news)
+        self.take_versions(news, now)
+        self.take_instances(news, now)
+        self.feed = news.feed
+        self.position = news.position
+        self.on_news()
+
+    def take_configuration(self, news: node_messages.News) -> None:
+        """Take a newer configuration over."""
+        if news.configuration_version <= self.version or not news.configuration:
+            return
+        try:
+            body = zlib.decompress(news.configuration)
+            self.table = route_table.RouteTable(self.dialect.configuration(body))
+        except (errors.MerlinthreadError, zlib.error) as error:
+            logs.warn("configuration_unreadable", reason=str(error))
+            return
+        old, self.version = self.version, news.configuration_version
+        logs.event("configuration", version=self.version, before=old)
+
+    def take_versions(self, news: node_messages.News, now: float) -> None:
+        """Take newly named weights over, with the time at which they were acknowledged."""
+        for named in news.named:
+            if named.version <= self.named.get(named.model, 0):
+                continue
+            self.named[named.model] = named.version
+            self.named_at[named.model] = now - named.age_s
+            logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
+
+    def take_instances(self, news: node_messages.News, now: float) -> None:
+        """Take changes of back ends over."""
+        for instance in news.gone:
+            self.forget(instance)
+        for told in news.instances:
+            self.take_instance(told, now)
+        if news.is_full:
+            present = {told.heartbeat.instance for told in news.instances}
+            for instance in set(self.instances) - present:
+                self.missing.setdefault(instance, now)
+        self.drop_missing(now)
+
+    def take_instance(self, told: node_messages.Instance, now: float) -> None:
+        """Take one back end over."""
+        heartbeat = told.heartbeat
+        if heartbeat.instance in self.gone:
+            return
+        self.missing.pop(heartbeat.instance, None)
+        known = self.instances.get(heartbeat.instance)
+        if known is not None and known.sequence > heartbeat.sequence:
+            if heartbeat.state == fleet.DRAINING:
+                known.state = fleet.DRAINING
+            return
+        if known is not None and known.state == fleet.DRAINING:
+            heartbeat.state = fleet.DRAINING
+        if known is None or known.state != heartbeat.state:
+            logs.event(
+                "instance",
+                instance=heartbeat.instance,
+                service=heartbeat.service,
+                address=heartbeat.address,
+                state=heartbeat.state,
+                age_s=told.age_s,
+            )
+        self.heard_at[heartbeat.instance] = now - told.age_s
+        for other in list(self.instances.values()):
+            if other.address != heartbeat.address or other.instance == heartbeat.instance:
+                continue
+            # Two instances at one address: the one heard of last is there.
+            if self.heard_at[other.instance] > now - told.age_s:
+                return
+            self.forget(other.instance)
+        self.instances[heartbeat.instance] = heartbeat
+        self.cold_until[heartbeat.instance] = now + heartbeat.cold_s - told.age_s
+
+    def forget(self, instance: str) -> None:
+        """Note that a back end has left for good."""
+        self.gone.add(instance)
+        self.missing.pop(instance, None)
+        self.cold_until.pop(instance, None)
+        if self.instances.pop(instance, None) is not None:
+            logs.event("instance", instance=instance, state=fleet.GONE)
+
+    def drop_missing(self, now: float) -> None:
+        """Drop back ends that no control VM has told of for long; they may come back."""
+        grace_s = MISSING_BEATS * self.settings.heartbeat_s
+        for instance, since in list(self.missing.items()):
+            if now - since > grace_s:
+                del self.missing[instance]
+                self.instances.pop(instance, None)
+                logs.event("instance", instance=instance, state="missing", since_s=now - since)
--- /dev/null
+++ b/src/merlinthread/nodes/node_daemon.py
@@ -0,0 +1,115 @@
+"""The life of a node's process: start, reload, planned stop. The composition root wires it."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import time
+from collections.abc import Callable
+
+from merlinthread import __version__, errors, logs, registry
+from merlinthread.coordination import raft_messages
+from merlinthread.nodes import agent_node, control_node, entry_node, node_settings
+from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import node_messages
+
+WATCH_SETTINGS_EVERY_S = 1.0
+
+Node = agent_node.AgentNode | control_node.ControlNode | entry_node.EntryNode
+Maker = Callable[[node_settings.NodeSettings, dialects.Dialect, codecs.Codec], Node]
+Loader = Callable[[pathlib.Path], node_settings.NodeSettings]
+
+NODES: registry.Registry[Maker] = registry.Registry("node")
+
+
+@NODES.add("entry")
+def make_entry(
+    settings: node_settings.NodeSettings, dialect: dialects.Dialect, codec: codecs.Codec
+) -> Node:
+    """Return an entry."""
+    return entry_node.EntryNode(settings, dialect, codec, time.monotonic, random.Random())
+
+
+@NODES.add("agent")
+def make_agent(
+    settings: node_settings.NodeSettings, dialect: dialects.Dialect, codec: codecs.Codec
+) -> Node:
+    """Return an agent."""
+    return agent_node.AgentNode(settings, dialect, codec, time.monotonic, random.Random())
+
+
+@NODES.add("control")
+def make_control(
+    settings: node_settings.NodeSettings, dialect: dialects.Dialect, codec: codecs.Codec
+) -> Node:
+    """Return a control VM."""
+    return control_node.ControlNode(settings, dialect, codec, time.monotonic)
+
+
+class NodeDaemon:
+    """One node's process."""
+
+    def __init__(
+        self, role: str, path: pathlib.Path, load: Loader, dialect: dialects.Dialect
+    ) -> None:
+        self.role = role
+        self.path = path
+        self.load = load
+        self.settings = load(path)
+        codec = codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+        self.node = NODES.get(role)(self.settings, dialect, codec)
+        self.stop_asked = asyncio.Event()
+        self.seen = self.stamp()
+
+    def stamp(self) -> tuple[int, int]:
+        """Return what changes when the settings file does."""
+        with contextlib.suppress(OSError):
+            status = os.stat(self.path)
+            return (status.st_mtime_ns, status.st_size)
+        return (0, 0)
+
+    async def run(self) -> None:
+        """Serve until a planned stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop_asked.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.node.start()
+        logs.event("started", role=self.role, version=__version__, ip=self.settings.ip)
+        await self.watch()
+        logs.event("stopping", role=self.role)
+        await self.node.leave()
+        logs.event("stopped", role=self.role)
+
+    async def watch(self) -> None:
+        """Wait for the stop; notice a changed settings file, also without a signal."""
+        while not self.stop_asked.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_SETTINGS_EVERY_S):
+                    await self.stop_asked.wait()
+            if self.stamp() != self.seen:
+                self.reload()
+            for task in self.node.tasks:
+                if task.done() and not task.cancelled() and task.exception() is not None:
+                    logs.warn("task_ended", reason=repr(task.exception()))
+                    raise task.exception()  # type: ignore[misc]
+
+    def reload(self) -> None:
+        """Take over what may change without a restart; refuse a file that can't be used."""
+        self.seen = self.stamp()
+        try:
+            changed = self.load(self.path)
+        except errors.SettingsError as error:
+            logs.warn("reload_refused", reason=error.message)
+            return
+        self.node.reload(changed)
+        logs.event("reloaded", controls=changed.control_ips)
+
+
+def run(role: str, path: pathlib.Path, load: Loader, dialect: dialects.Dialect) -> int:
+    """Run a node's process; return its exit code."""
+    asyncio.run(NodeDaemon(role, path, load, dialect).run())
+    return 0
--- /dev/null
+++ b/src/merlinthread/nodes/node_settings.py
@@ -0,0 +1,66 @@
+"""What a node is told at its start, and the bounds that its timers derive from."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Bounds:
+    """What the deployment promises, in seconds; every timer of a node derives from these."""
+
+    contact_s: float = 3.0
+    acknowledge_s: float = 4.0
+    catch_up_s: float = 4.0
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    apply_s: float = 2.0
+    version_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: int = 100
+    pass_s: float = 0.12
+
+
+@dataclasses.dataclass(slots=True)
+class NodeSettings:
+    """One node: its place, its addresses ("IP:port"), the control VMs it starts from.
+
+    `control_port`, `agent_port` and `entry_port` are those of nodes among themselves, alike on all
+    machines. `engine` is the address of the engine beside an agent.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    regions: dict[str, str]
+    control_port: int
+    agent_port: int
+    entry_port: int
+    control_ips: list[str]
+    client_address: str = ""
+    ready_address: str = ""
+    control_address: str = ""
+    engine: str = ""
+    engine_service: str = ""
+    data_folder: str = ""
+    is_first_start: bool = False
+    members_lost_max: int = 1
+    heartbeat_s: float = 1.2
+    memory_bytes: int = 256 * 1024 * 1024
+    bounds: Bounds = dataclasses.field(default_factory=Bounds)
+
+    def control_nodes(self) -> list[str]:
+        """Return the addresses at which control VMs answer nodes."""
+        return [f"{ip}:{self.control_port}" for ip in self.control_ips]
+
+    def distance(self, zone: str) -> int:
+        """Return 0 for this node's zone, 1 for its region, 2 for any other."""
+        if zone == self.zone:
+            return 0
+        return 1 if self.regions.get(zone) == self.region else 2
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the parts of "IP:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/merlinthread/nodes/request_task.py
@@ -0,0 +1,446 @@
+"""One client's request: its route, its attempts on back ends, and its one final answer.
+
+What is known of each attempt is typed: whether it was sent, whether it surely did not run, whether
+its answer has begun. Only from that follows what may be repeated and what is told to the client.
+"""
+
+import asyncio
+import dataclasses
+import enum
+
+import h11
+
+from merlinthread import errors, logs, metrics
+from merlinthread.coordination import dispatch, route_table
+from merlinthread.nodes import backend_pool
+from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import answers, event_bytes, fleet
+from merlinthread.transport import http_stream
+
+# Share of a route's objective that a request may wait for a place before it is refused.
+PATIENCE_SHARE = 0.22
+# Share of the objective within which the first byte must be expected for a place to be taken.
+ADMIT_SHARE = 0.85
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_MAX_S = 2.0
+CONNECT_FAILURES_MAX = 4
+DEADLINE_MARGIN_S = 0.03
+FIRST_EVENT_OBJECTIVES = 2.0
+FIRST_EVENT_MIN_S = 0.8
+GAP_SHARE = 2.0
+SILENCE_MIN_S = 0.6
+URGENCY_MAX = 9
+
+
+class State(enum.Enum):
+    """How far an attempt came."""
+
+    UNSENT = "unsent"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What came of one attempt; `answer` is the back end's where there is a whole one."""
+
+    state: State
+    reason: str
+    answer: http_stream.Answer | None = None
+
+
+class RequestTask:
+    """Serves one request."""
+
+    def __init__(
+        self,
+        exchange: http_stream.Exchange,
+        dialect: dialects.Dialect,
+        pool: backend_pool.BackendPool,
+        table: route_table.RouteTable | None,
+        arrived: float,
+    ) -> None:
+        self.exchange = exchange
+        self.dialect = dialect
+        self.pool = pool
+        self.table = table
+        self.clock = pool.clock
+        self.arrived = arrived
+        self.call: fleet.Call | None = None
+        self.route: fleet.Route | None = None
+        self.account: fleet.Account | None = None
+        self.service = ""
+        self.deadline = arrived
+        self.tried: set[str] = set()
+        self.sent = 0
+        self.may_have_run = False
+        self.reasons: list[str] = []
+        self.last_event_id = ""
+        self.has_head = False
+
+    async def run(self) -> None:
+        """Serve the request; its final answer is sent once."""
+        try:
+            self.begin()
+            await self.serve()
+        except errors.MerlinthreadError as error:
+            await self.refuse(error)
+        except asyncio.CancelledError:
+            self.log("left", 0)
+            raise
+
+    def begin(self) -> None:
+        """Find out what the request is and where it belongs."""
+        self.call = self.dialect.client_call(self.exchange.request)
+        self.route, self.account = backend_pool.find_route(self.table, self.call)
+        self.service = route_table.choose_service(self.route, self.pool.rng)
+        self.last_event_id = self.call.last_event_id
+        limit = self.route.timeout_s
+        if self.call.deadline_s is not None:
+            limit = min(limit, self.call.deadline_s - DEADLINE_MARGIN_S)
+        self.deadline = self.arrived + max(0.0, limit)
+        self.pool.budget(self.service).note_first(self.arrived)
+
+    # Attempts
+
+    async def serve(self) -> None:
+        """Make attempts until there is a final answer."""
+        failures = 0
+        while True:
+            backend = await self.find_place()
+            outcome = await self.attempt(backend)
+            self.reasons.append(f"{backend.instance}: {outcome.reason}")
+            if outcome.state is State.DONE:
+                return
+            if outcome.state in (State.UNKNOWN, State.FAILED):
+                self.may_have_run = True
+            if outcome.state is State.UNSENT:
+                failures += 1
+                if failures >= CONNECT_FAILURES_MAX:
+                    raise self.no_place("back ends can't be reached")
+                continue
+            if not self.may_repeat(outcome):
+                await self.give_up(outcome)
+                return
+
+    def may_repeat(self, outcome: Outcome) -> bool:
+        """Return whether another attempt is allowed; it is taken out of the budget."""
+        assert self.route is not None
+        if self.sent >= self.route.attempts or self.clock() >= self.deadline:
+            return False
+        if outcome.state is not State.NOT_RUN and not self.is_idempotent():
+            return False
+        if self.exchange.is_started and not self.route.is_resumable:
+            return False
+        return self.pool.budget(self.service).spend(self.clock())
+
+    def is_idempotent(self) -> bool:
+        """Return whether the request may run more than once."""
+        assert self.route is not None
+        return self.route.kind == fleet.SAFE or (
+            self.route.kind == fleet.STREAMING and self.route.is_resumable
+        )
+
+    async def give_up(self, outcome: Outcome) -> None:
+        """Send the final answer after the last attempt."""
+        if self.exchange.is_started:
+            self.log("broken_off", 0)
+            self.exchange.abort()
+            return
+        if outcome.state is State.FAILED and outcome.answer is not None:
+            await self.relay(outcome.answer)
+            return
+        if outcome.state is State.NOT_RUN:
+            raise self.no_place("back ends are full")
+        if self.clock() >= self.deadline:
+            raise errors.RequestError(
+                "the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED
+            )
+        raise errors.RequestError(
+            "the back end gave no whole answer", kind=errors.ErrorKind.OUTCOME_UNKNOWN
+        )
+
+    def no_place(self, reason: str, wait_s: float = 0.0) -> errors.RequestError:
+        """Return the refusal of a request that has not run, with when to come back.
+
+        If an earlier attempt may have run, it is no promise.
+        """
+        if self.may_have_run:
+            return errors.RequestError(reason, kind=errors.ErrorKind.OUTCOME_UNKNOWN)
+        wait_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+        return errors.RequestError(
+            reason, kind=errors.ErrorKind.NO_TARGET, retry_after_s=round(wait_s, 3)
+        )
+
+    # Places
+
+    def demand(self) -> dispatch.Demand:
+        """Return what an attempt needs now."""
+        assert self.call is not None
+        model = self.call.model
+        version = self.pool.required_version(model, self.clock()) if model else 0
+        return dispatch.Demand(
+            self.service, model, version, self.call.prompt_tokens, set(self.tried)
+        )
+
+    async def find_place(self) -> dispatch.Backend:
+        """Return a back end whose first byte is expected in time, waiting a moment for one.
+
+        Raises RequestError if there is none.
+        """
+        assert self.route is not None
+        patience_until = self.arrived + PATIENCE_SHARE * self.route.objective_s
+        room = self.pool.room(self.service)
+        while True:
+            now = self.clock()
+            choice = self.pool.choose(self.demand())
+            if choice is None and self.tried and self.is_idempotent():
+                self.tried.clear()
+                choice = self.pool.choose(self.demand())
+            left_s = self.admit_until() - now
+            if choice is not None and choice.first_s <= left_s:
+                return choice.backend
+            if now >= self.deadline:
+                raise errors.RequestError(
+                    "the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED
+                )
+            if now >= patience_until:
+                return self.late_place(choice, left_s)
+            timeout_s = min(patience_until - now, 0.05)
+            await room.wait(self.urgency(), self.arrived, timeout_s)
+
+    def admit_until(self) -> float:
+        """Return when the first byte must be there for the place to be worth taking."""
+        assert self.route is not None
+        if self.exchange.is_started:
+            return self.deadline
+        return self.arrived + ADMIT_SHARE * self.route.objective_s
+
+    def late_place(self, choice: dispatch.Choice | None, left_s: float) -> dispatch.Backend:
+        """Return a back end although it will be late, or raise RequestError."""
+        assert self.route is not None
+        if choice is None:
+            raise self.no_place("no back end is free", 0.5)
+        has_begun = self.sent > 0 or self.exchange.is_started
+        if has_begun or self.route.kind != fleet.STREAMING:
+            return choice.backend
+        raise self.no_place("every back end is busy", choice.first_s - left_s)
+
+    def urgency(self) -> int:
+        """Return the request's rank, 0 first: its account's before its route's."""
+        assert self.route is not None
+        rank = self.route.priority
+        if self.account is not None and self.account.priority is not None:
+            rank = self.account.priority
+        return max(0, min(URGENCY_MAX, rank))
+
+    # One attempt
+
+    async def attempt(self, backend: dispatch.Backend) -> Outcome:
+        """Send the request to one back end and relay its answer if it is whole."""
+        assert self.call is not None
+        self.tried.add(backend.instance)
+        place = self.pool.occupy(backend, self.call.prompt_tokens)
+        started = self.clock()
+        connection: http_stream.ClientConnection | None = None
+        is_sent = False
+        try:
+            connection = await self.pool.connect(backend, self.is_idempotent())
+            connection.send(self.request_for(backend))
+            is_sent = True
+            self.sent += 1
+            async with asyncio.timeout_at(self.loop_time(self.deadline)):
+                outcome, headers = await self.converse(connection, place)
+            if outcome.state in (State.DONE, State.FAILED, State.NOT_RUN):
+                self.pool.give_back(backend, connection, headers)
+                connection = None
+            self.judge(backend, outcome, started)
+            return outcome
+        except TimeoutError:
+            return Outcome(State.UNKNOWN, "the time is over")
+        except errors.MerlinthreadError as error:
+            dispatch.note_failure(backend, self.clock())
+            if is_sent:
+                return Outcome(State.UNKNOWN, error.message)
+            return Outcome(State.UNSENT, f"unsent: {error.message}")
+        finally:
+            self.pool.release(place)
+            if connection is not None:
+                connection.close()
+
+    def loop_time(self, at: float) -> float:
+        """Return `at` as a time of the event loop."""
+        return asyncio.get_running_loop().time() + (at - self.clock())
+
+    def judge(self, backend: dispatch.Backend, outcome: Outcome, started: float) -> None:
+        """Note what an attempt tells of its back end."""
+        now = self.clock()
+        if outcome.state is State.DONE:
+            dispatch.note_success(backend, now - started)
+        elif outcome.state is State.NOT_RUN:
+            dispatch.note_full(backend, now)
+
+    def request_for(self, backend: dispatch.Backend) -> http_stream.Request:
+        """Return the request as this back end gets it."""
+        assert self.call is not None
+        remaining_s = None
+        if self.call.deadline_s is not None:
+            remaining_s = self.deadline - self.clock()
+        version = self.pool.required_version(self.call.model, self.clock())
+        target = fleet.Target(
+            backend.instance,
+            self.account.name if self.account else "",
+            remaining_s,
+            self.account is not None,
+            version or None,
+            self.last_event_id,
+            self.urgency(),
+        )
+        return self.dialect.target_request(self.exchange.request, target)
+
+    async def converse(
+        self, connection: http_stream.ClientConnection, place: backend_pool.Place
+    ) -> tuple[Outcome, http_stream.Headers]:
+        """Read the answer, and relay it if it counts; return what came of it and its headers."""
+        head = await self.read_head(connection)
+        headers = list(head.headers.raw_items())
+        facts = self.dialect.answer_facts(head.status_code, headers)
+        assert self.call is not None and self.route is not None
+        if facts.request_id is not None and facts.request_id != self.call.request_id:
+            raise errors.ProtocolError(f"an answer to another request: {facts.request_id}")
+        is_success = 200 <= head.status_code < 300
+        if is_success and (not facts.is_signed or facts.is_encoded):
+            raise errors.ProtocolError("a success without a signature, or encoded")
+        if is_success and self.route.kind == fleet.STREAMING:
+            answer = http_stream.Answer(head.status_code, headers)
+            return await self.relay_stream(connection, answer, place), headers
+        body = await self.read_body(connection)
+        answer = http_stream.Answer(head.status_code, headers, body)
+        if facts.is_not_run:
+            return Outcome(State.NOT_RUN, f"{head.status_code} not run", answer), headers
+        if not is_success:
+            return Outcome(State.FAILED, f"status {head.status_code}", answer), headers
+        await self.relay(answer)
+        return Outcome(State.DONE, "answered", answer), headers
+
+    async def read_head(self, connection: http_stream.ClientConnection) -> h11.Response:
+        """Return the head of the answer; a stream's must come within bounds."""
+        assert self.route is not None
+        limit = None
+        if self.route.kind == fleet.STREAMING and self.is_idempotent():
+            limit = max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
+        event = await self.next_event(connection, limit)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event(connection, limit)
+        if not isinstance(event, h11.Response):
+            raise errors.ProtocolError(f"{type(event).__name__} came before an answer's head")
+        return event
+
+    async def next_event(
+        self, connection: http_stream.ClientConnection, limit_s: float | None
+    ) -> h11.Event:
+        """Return the next event of the answer; raise UnreachableError after `limit_s`."""
+        if limit_s is None:
+            return await connection.next_event()
+        timeout = asyncio.timeout(limit_s)
+        try:
+            async with timeout:
+                return await connection.next_event()
+        except TimeoutError:
+            if timeout.expired():
+                raise errors.UnreachableError(f"silent for {limit_s:.2f} s")
+            raise
+
+    async def read_body(self, connection: http_stream.ClientConnection) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while isinstance(event := await connection.next_event(), h11.Data):
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    async def relay(self, answer: http_stream.Answer) -> None:
+        """Send a back end's whole answer on."""
+        headers = without_length(http_stream.forwarded_headers(answer.headers))
+        self.log("answered", answer.status)
+        await self.exchange.respond(http_stream.Answer(answer.status, headers, answer.body))
+
+    async def relay_stream(
+        self,
+        connection: http_stream.ClientConnection,
+        head: http_stream.Answer,
+        place: backend_pool.Place,
+    ) -> Outcome:
+        """Send events on as they come, whole ones only; go on after a break elsewhere."""
+        assert self.route is not None
+        splitter = event_bytes.EventSplitter()
+        limit = None
+        if self.is_idempotent():
+            limit = max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
+        while isinstance(event := await self.next_event(connection, limit), h11.Data):
+            for item in splitter.feed(bytes(event.data)):
+                self.pool.note_first(place)
+                if self.is_idempotent() and self.route.gap_s:
+                    limit = max(SILENCE_MIN_S, GAP_SHARE * self.route.gap_s)
+                await self.relay_event(item, head)
+        if splitter.rest.strip():
+            raise errors.ProtocolError("the stream ended inside an event")
+        self.start_stream(head)
+        self.log("answered", head.status)
+        await self.exchange.finish()
+        return Outcome(State.DONE, "answered", head)
+
+    async def relay_event(self, item: event_bytes.RawEvent, head: http_stream.Answer) -> None:
+        """Send one event on, unless the client has it already."""
+        if item.event_id and not event_bytes.is_after(item.event_id, self.last_event_id):
+            return
+        self.start_stream(head)
+        await self.exchange.send(item.data)
+        self.last_event_id = item.event_id or self.last_event_id
+
+    def start_stream(self, head: http_stream.Answer) -> None:
+        """Send the head of the first back end that gave an event; later ones keep it."""
+        if self.exchange.is_started:
+            return
+        headers = without_length(http_stream.forwarded_headers(head.headers))
+        metrics.first_token_seconds.observe(self.clock() - self.arrived)
+        self.exchange.start(head.status, headers)
+
+    # The end
+
+    async def refuse(self, error: errors.MerlinthreadError) -> None:
+        """Send an answer of this node's own."""
+        entry = answers.TABLE[error.kind]
+        if self.exchange.is_started:
+            self.log("broken_off", 0)
+            self.exchange.abort()
+            return
+        headers = self.dialect.refusal_headers(self.call)
+        wait_s = error.retry_after_s if error.retry_after_s is not None else entry.retry_after_s
+        if wait_s is not None:
+            headers.append((b"retry-after", b"%g" % wait_s))
+        self.reasons.append(error.message)
+        self.log(str(error.kind), entry.status)
+        await self.exchange.respond(http_stream.Answer(entry.status, headers))
+
+    def log(self, outcome: str, status: int) -> None:
+        """Log the decision on this request, with what it was based on."""
+        metrics.requests_total.labels(self.route.kind if self.route else "unknown", outcome).inc()
+        logs.event(
+            "request",
+            request=self.call.request_id if self.call else "",
+            outcome=outcome,
+            status=status,
+            route=self.route.name if self.route else "",
+            configuration=self.table.version if self.table else 0,
+            service=self.service,
+            sent=self.sent,
+            ms=round(1000 * (self.clock() - self.arrived)),
+            attempts=self.reasons,
+        )
+
+
+def without_length(headers: http_stream.Headers) -> http_stream.Headers:
+    """Return the headers without the body's length, which is set anew."""
+    return [(key, value) for key, value in headers if key.lower() != b"content-length"]
--- /dev/null
+++ b/src/merlinthread/nodes/weights_task.py
@@ -0,0 +1,296 @@
+"""An agent's weights: it brings its engine to the version named, and gives pieces to its peers.
+
+Pieces are kept where the engine stages them, never twice. Each is checked against the manifest
+before it is staged, before it is given on, and once more before the engine is ordered to take them.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from merlinthread import errors, logs
+from merlinthread.coordination import fetch
+from merlinthread.nodes import engine_client, news_watcher, node_settings
+from merlinthread.protocol import fleet, node_messages
+from merlinthread.transport import node_bus
+
+LOOK_EVERY_S = 0.1
+PARALLEL = 4
+ORIGIN_SLOTS = 2
+ORIGIN_WAIT_S = 0.3
+ORIGIN_GRACE_S = 0.8
+UPLOADS_MAX = 4
+PEER_TIMEOUT_S = 1.5
+IDLE_WAIT_S = 0.02
+ORDER_WAIT_S = 0.2
+
+
+class WeightsTask:
+    """The weights of one engine."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        watcher: news_watcher.NewsWatcher,
+        engine: engine_client.EngineClient,
+        caller: node_bus.Caller,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.watcher = watcher
+        self.engine = engine
+        self.caller = caller
+        self.clock = clock
+        self.rng = rng
+        self.me = f"{settings.ip}:{settings.agent_port}"
+        self.manifest: fleet.Manifest | None = None
+        self.plan: fetch.FetchPlan | None = None
+        self.report: fleet.EngineReport | None = None
+        self.uploads = 0
+        self.wakeup = asyncio.Event()
+
+    # What is wanted
+
+    def service(self) -> fleet.Service | None:
+        """Return the service of the engine beside this agent."""
+        table = self.watcher.table
+        return table.services.get(self.settings.engine_service) if table else None
+
+    def origin(self) -> str:
+        """Return the origin's address, or nothing."""
+        table = self.watcher.table
+        service = table.origin() if table else None
+        return service.origin if service else ""
+
+    def model(self) -> str:
+        """Return the model that this engine runs, or nothing."""
+        service = self.service()
+        if service is None or service.engine is None or not service.engine.chunks:
+            return ""
+        return service.engine.models[0] if service.engine.models else ""
+
+    def holds(self, model: str, version: int) -> bool:
+        """Return whether the engine holds a version whole."""
+        service = self.service()
+        if self.report is None or service is None or service.engine is None:
+            return False
+        layers = service.engine.layers
+        return any(
+            held.model == model and held.version == version and held.is_whole(layers)
+            for held in self.report.weights
+        )
+
+    async def run(self) -> None:
+        """Bring the engine to the version named, for ever."""
+        while True:
+            try:
+                await self.step()
+            except errors.MerlinthreadError as error:
+                logs.event("weights_delayed", reason=error.message)
+                await asyncio.sleep(ORIGIN_WAIT_S)
+            await asyncio.sleep(LOOK_EVERY_S)
+
+    async def step(self) -> None:
+        """Do what is due: read the manifest, fetch, order."""
+        model = self.model()
+        if not model or self.report is None or not self.origin():
+            return
+        named = self.watcher.named.get(model, 0)
+        wanted = named or (self.manifest.version if self.manifest else 0)
+        if self.manifest is None or (wanted and self.manifest.version != wanted):
+            await self.begin(model, wanted)
+        assert self.manifest is not None
+        if self.holds(model, self.manifest.version):
+            return
+        await self.fetch_pieces()
+        await self.order_load()
+
+    async def begin(self, model: str, version: int) -> None:
+        """Read a version's manifest and find out which of its pieces lie here."""
+        manifest = await self.engine.manifest(self.origin(), model, version)
+        plan = fetch.POLICIES.get("spread")(
+            self.me,
+            f"{model}@{manifest.version}",
+            len(manifest.digests),
+            0,
+            ORIGIN_SLOTS,
+            self.clock(),
+            self.rng,
+        )
+        plan.origin_grace_s = ORIGIN_GRACE_S
+        plan.held = await self.find_staged(manifest)
+        self.manifest = manifest
+        self.plan = plan
+        logs.event(
+            "weights_wanted",
+            model=model,
+            version=manifest.version,
+            pieces=len(manifest.digests),
+            held=plan.held.bit_count(),
+        )
+
+    async def find_staged(self, manifest: fleet.Manifest) -> int:
+        """Return the bit set of the pieces that lie sound at the engine."""
+        held = 0
+        for index in range(len(manifest.digests)):
+            if await self.engine.staged(manifest, index) is not None:
+                held |= 1 << index
+        return held
+
+    # Fetching
+
+    def peers(self) -> list[fetch.Peer]:
+        """Return the other agents whose engines run the same service."""
+        found = []
+        for heartbeat in self.watcher.instances.values():
+            if heartbeat.service != self.settings.engine_service:
+                continue
+            host, _ = node_settings.split_address(heartbeat.address)
+            bus = f"{host}:{self.settings.agent_port}"
+            if bus != self.me:
+                found.append(fetch.Peer(bus, bus, self.settings.distance(heartbeat.zone)))
+        return found
+
+    async def fetch_pieces(self) -> None:
+        """Fetch what is missing, some pieces at a time, until all are here or others are named."""
+        assert self.plan is not None and self.manifest is not None
+        plan, manifest = self.plan, self.manifest
+        started = self.clock()
+        running: set[asyncio.Task] = set()
+        loop = asyncio.get_running_loop()
+        try:
+            while not plan.is_complete() and not self.is_overtaken(manifest):
+                plan.set_peers(self.peers())
+                while len(running) < PARALLEL:
+                    action = plan.next_action(self.clock())
+                    if action is None:
+                        break
+                    plan.began(action)
+                    running.add(loop.create_task(self.carry_out(plan, manifest, action)))
+                if not running:
+                    await asyncio.sleep(IDLE_WAIT_S)
+                    continue
+                done, running = await asyncio.wait(
+                    running, timeout=IDLE_WAIT_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    task.result()
+        finally:
+            for task in running:
+                task.cancel()
+        logs.event(
+            "weights_fetched",
+            version=manifest.version,
+            is_whole=plan.is_complete(),
+            seconds=round(self.clock() - started, 3),
+            origin=plan.tally.from_origin,
+            peers=plan.tally.from_peers,
+            corrupt=plan.tally.corrupt,
+            failed=plan.tally.failed,
+        )
+
+    def is_overtaken(self, manifest: fleet.Manifest) -> bool:
+        """Return whether a newer version was named meanwhile."""
+        return self.watcher.named.get(manifest.model, 0) > manifest.version
+
+    async def carry_out(
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.Action
+    ) -> None:
+        """Get one piece, check it and stage it; tell the plan what came of it."""
+        try:
+            if isinstance(action, fetch.FromOrigin):
+                await self.from_origin(plan, manifest, action)
+            else:
+                await self.from_peer(plan, manifest, action)
+        finally:
+            plan.ended(action)
+
+    async def from_origin(
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.FromOrigin
+    ) -> None:
+        """Get a piece from the origin."""
+        try:
+            data = await self.engine.piece(self.origin(), manifest, action.index)
+            await self.engine.stage(manifest.model, action.index, data)
+        except errors.MerlinthreadError as error:
+            plan.origin_failed(self.clock(), ORIGIN_WAIT_S)
+            logs.detail("piece_failed", index=action.index, source="origin", reason=error.message)
+            return
+        plan.got(action.index, True, self.clock())
+
+    async def from_peer(
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.FromPeer
+    ) -> None:
+        """Get one of the wanted pieces from a peer."""
+        count = len(manifest.digests)
+        request = node_messages.PieceRequest(
+            manifest.model, manifest.version, fetch.to_bytes(action.wanted, count)
+        )
+        try:
+            reply = await self.caller.call(action.peer, request, PEER_TIMEOUT_S)
+        except errors.MerlinthreadError:
+            plan.peer_failed(action.peer, self.clock())
+            return
+        now = self.clock()
+        plan.heard(action.peer, fetch.from_bytes(reply.held, count), now)
+        if reply.is_busy:
+            plan.peer_busy(action.peer, now)
+            return
+        if reply.index < 0:
+            plan.peer_empty(action.peer, now)
+            return
+        if engine_client.digest_of(reply.data) != manifest.digests[reply.index]:
+            plan.peer_corrupt(action.peer, now)
+            return
+        try:
+            await self.engine.stage(manifest.model, reply.index, reply.data)
+        except errors.MerlinthreadError:
+            return
+        plan.got(reply.index, False, self.clock())
+
+    # Ordering
+
+    async def order_load(self) -> None:
+        """Check all pieces once more, then order the engine to take them."""
+        assert self.plan is not None and self.manifest is not None
+        plan, manifest = self.plan, self.manifest
+        if not plan.is_complete() or self.is_overtaken(manifest):
+            return
+        held = await self.find_staged(manifest)
+        if held != plan.all:
+            logs.event("pieces_rotten", count=(plan.all & ~held).bit_count())
+            plan.held = held
+            return
+        status = await self.engine.load(manifest.model, manifest.version, False)
+        logs.event("engine_ordered", version=manifest.version, status=status)
+        await asyncio.sleep(ORDER_WAIT_S)
+
+    # Giving
+
+    async def give(self, request: node_messages.PieceRequest) -> node_messages.PieceReply:
+        """Answer a peer that asks for a piece."""
+        plan, manifest = self.plan, self.manifest
+        if (
+            plan is None
+            or manifest is None
+            or (manifest.model, manifest.version) != (request.model, request.version)
+        ):
+            return node_messages.PieceReply(-1, b"", b"")
+        count = len(manifest.digests)
+        held = fetch.to_bytes(plan.held, count)
+        if self.uploads >= UPLOADS_MAX:
+            return node_messages.PieceReply(-1, b"", held, True)
+        wanted = fetch.bits(fetch.from_bytes(request.wanted, count) & plan.held)
+        if not wanted:
+            return node_messages.PieceReply(-1, b"", held)
+        index = self.rng.choice(wanted)
+        self.uploads += 1
+        try:
+            data = await self.engine.staged(manifest, index)
+        finally:
+            self.uploads -= 1
+        if data is None:
+            plan.held &= ~(1 << index)
+            return node_messages.PieceReply(-1, b"", held)
+        return node_messages.PieceReply(index, data, held)
--- /dev/null
+++ b/src/merlinthread/platform/main.py
@@ -0,0 +1,31 @@
+"""The composition root on the users' platform: `node.py ROLE`."""
+
+import gc
+import os
+import pathlib
+import sys
+
+from merlinthread import errors, logs
+from merlinthread.nodes import node_daemon
+from merlinthread.platform import dialect, names, settings_file
+from merlinthread.protocol import answers
+
+
+def main(arguments: list[str]) -> int:
+    """Run the node that the arguments and the settings name; return the exit code."""
+    if len(arguments) != 1 or arguments[0] not in node_daemon.NODES.entries:
+        print(f"usage: node.py {'|'.join(node_daemon.NODES)}", file=sys.stderr)
+        return 2
+    path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
+    try:
+        settings = settings_file.load(path)
+        logs.set_up_stream(settings.name, "info")
+        gc.freeze()
+        return node_daemon.run(arguments[0], path, settings_file.load, dialect.PlatformDialect())
+    except errors.MerlinthreadError as error:
+        print(f"merlinthread: {error.kind}: {error.message}", file=sys.stderr)
+        return answers.TABLE[error.kind].exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/merlinthread/platform/names.py
@@ -0,0 +1,36 @@
+"""The platform's header names and paths; lower case, as they are compared."""
+
+REQUEST_ID = b"x-merlinthread-request-id"
+DEADLINE = b"x-merlinthread-deadline-ms"
+API_KEY = b"api-key"
+TENANT = b"x-merlinthread-tenant"
+MODEL = b"x-merlinthread-model"
+TOKEN_USAGE = b"x-merlinthread-token-usage"
+PROMPT_PREFIX = b"x-merlinthread-prompt-prefix"
+LENGTH_HINT = b"x-merlinthread-length-hint"
+LAST_EVENT_ID = b"last-event-id"
+EXPECT_INSTANCE = b"x-merlinthread-expect-instance"
+EXPECT_VERSION = b"x-merlinthread-expect-version"
+REQUEST_PRIORITY = b"x-merlinthread-request-priority"
+INSTANCE = b"x-merlinthread-instance-id"
+STAMP = b"x-merlinthread-response-stamp"
+NOT_RUN = b"x-merlinthread-not-run"
+CONTENT_ENCODING = b"content-encoding"
+
+READY_PATH = b"/readyz"
+CONFIGURATION_PATH = b"/config"
+INSTANCES_PATH = b"/instances/"
+VERSION_PATH = b"/version-put"
+REPORT_PATH = b"/report"
+ORDER_PATH = b"/order"
+MANIFEST_PATH = "/manifest/{model}"
+PIECE_PATH = "/piece/{model}"
+STAGE_PUT_PATH = "/stage-put/{model}"
+STAGE_GET_PATH = "/stage-get/{model}"
+
+# Headers that the system sets itself, whatever a client sent, or that concern the client alone.
+SET_BY_SYSTEM = frozenset(
+    {API_KEY, TENANT, EXPECT_INSTANCE, EXPECT_VERSION, REQUEST_PRIORITY, DEADLINE}
+)
+SETTINGS_VARIABLE = "MERLINTHREAD_CONFIG"
+STATUS_MISDIRECTED = 421
--- /dev/null
+++ b/src/merlinthread/platform/settings_file.py
@@ -0,0 +1,113 @@
+"""The platform's settings file, translated into `nodes.node_settings`."""
+
+import pathlib
+
+import msgspec
+
+from merlinthread import errors
+from merlinthread.nodes import node_settings
+
+MS = 1000.0
+MEGABYTE = 1024 * 1024
+
+
+class BoundsBody(msgspec.Struct):
+    """The deployment's bounds."""
+
+    contact_ms: float = 3000.0
+    ack_ms: float = 4000.0
+    catch_up_s: float = 4.0
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_apply_ms: float = 2000.0
+    version_ms: float = 8000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: int = 100
+    pass_ms: float = 120.0
+
+
+class LimitsBody(msgspec.Struct):
+    """The machine's limits."""
+
+    memory_mb: float = 256.0
+
+
+class ToleranceBody(msgspec.Struct):
+    """What may be lost at once."""
+
+    machines: int = 1
+
+
+class SettingsBody(msgspec.Struct):
+    """The settings file; unknown fields are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    seeds: list[str]
+    region: str = ""
+    zones: dict[str, str] = {}
+    listen: dict[str, str] = {}
+    bootstrap: bool = False
+    limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+    data_dir: str | None = None
+    heartbeat_ms: float = 1200.0
+    fault_tolerance: ToleranceBody = msgspec.field(default_factory=ToleranceBody)
+    bounds: BoundsBody = msgspec.field(default_factory=BoundsBody)
+    app: str = ""
+    service: str = ""
+
+
+def load(path: pathlib.Path) -> node_settings.NodeSettings:
+    """Read the settings file; raise SettingsError naming what is wrong."""
+    try:
+        body = msgspec.json.decode(path.read_bytes(), type=SettingsBody)
+    except OSError as error:
+        raise errors.SettingsError(f"{path}: {error.strerror}; name a file that can be read")
+    except msgspec.DecodeError as error:
+        raise errors.SettingsError(f"{path}: {error}; correct the field")
+    return translate(body)
+
+
+def translate(body: SettingsBody) -> node_settings.NodeSettings:
+    """Return the settings in the product's terms."""
+    first = body.port_range[0]
+    if body.port_range[1] < first + 2:
+        raise errors.SettingsError("port_range: needs three ports; widen it", field="port_range")
+    bounds = body.bounds
+    return node_settings.NodeSettings(
+        body.node_name,
+        body.ip,
+        body.zone,
+        body.region,
+        body.zones,
+        first,
+        first + 1,
+        first + 2,
+        [node_settings.split_address(seed)[0] for seed in body.seeds],
+        body.listen.get("front", ""),
+        body.listen.get("ready", ""),
+        body.listen.get("control", ""),
+        body.app,
+        body.service,
+        body.data_dir or "",
+        body.bootstrap,
+        body.fault_tolerance.machines,
+        body.heartbeat_ms / MS,
+        int(body.limits.memory_mb * MEGABYTE),
+        node_settings.Bounds(
+            bounds.contact_ms / MS,
+            bounds.ack_ms / MS,
+            bounds.catch_up_s,
+            bounds.drain_ms / MS,
+            bounds.grace_s,
+            bounds.config_apply_ms / MS,
+            bounds.version_ms / MS,
+            bounds.retry_budget_ratio,
+            bounds.budget_window_s,
+            bounds.budget_slack,
+            bounds.pass_ms / MS,
+        ),
+    )
--- a/src/merlinthread/protocol/answers.py
+++ b/src/merlinthread/protocol/answers.py
@@ -30,11 +30,13 @@
 TABLE: dict[errors.ErrorKind, Answer] = {
     K.BAD_SETTINGS: Answer(500, NO, None, 2),
     K.BAD_BUNDLE: Answer(400, NO, None, 3),
+    K.BAD_CONFIGURATION: Answer(400, NO, None, 3),
     K.BAD_REQUEST: Answer(400, NO, None, 2),
     K.BAD_SIGNATURE: Answer(403, NO, None, 4),
     K.UNAUTHORISED: Answer(401, NO, None, 4),
     K.TOO_LARGE: Answer(413, NO, None, 2),
     K.UNKNOWN_VERSION: Answer(404, NO, None, 5),
+    K.UNKNOWN_ROUTE: Answer(404, NO, None, 5),
     K.UNKNOWN_MODEL: Answer(404, NO, None, 5),
     K.UNKNOWN_ACCOUNT: Answer(403, NO, None, 4),
     K.VERSION_CONFLICT: Answer(409, NO, None, 6),
--- /dev/null
+++ b/src/merlinthread/protocol/node_messages.py
@@ -0,0 +1,180 @@
+"""Messages between the nodes of one deployment: entries, agents and control VMs."""
+
+import dataclasses
+
+from merlinthread import registry
+from merlinthread.protocol import fleet
+
+MESSAGES: registry.Registry[type] = registry.Registry("node message")
+
+
+@MESSAGES.add("node.ok")
+@dataclasses.dataclass(slots=True)
+class Ok:
+    """Acknowledge a message that needs no other answer."""
+
+
+@MESSAGES.add("node.failed")
+@dataclasses.dataclass(slots=True)
+class Failed:
+    """Refuse a message: an error kind and its message."""
+
+    kind: str
+    message: str
+
+
+@MESSAGES.add("node.instance")
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One back end as the control VMs know it; `age_s` is how old its last heartbeat is."""
+
+    heartbeat: fleet.Heartbeat
+    age_s: float = 0.0
+
+
+@MESSAGES.add("node.named_version")
+@dataclasses.dataclass(slots=True)
+class NamedVersion:
+    """The newest version named of a model's weights, acknowledged `age_s` ago or a little more."""
+
+    model: str
+    version: int
+    age_s: float
+
+
+@MESSAGES.add("node.watch")
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """Ask a control VM for what is newer than what the asker holds; waits up to `wait_s`.
+
+    `feed` names the run of the control VM whose `position` the asker holds.
+    """
+
+    node: str
+    feed: str
+    position: int
+    configuration: int
+    wait_s: float
+
+
+@MESSAGES.add("node.news")
+@dataclasses.dataclass(slots=True)
+class News:
+    """What has changed since the asker's position.
+
+    With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago this
+    control VM was surely joined to a majority. `configuration` is empty if the asker's is the
+    newest here.
+    """
+
+    feed: str
+    position: int
+    is_full: bool
+    instances: list[Instance]
+    gone: list[str]
+    named: list[NamedVersion]
+    configuration_version: int
+    configuration: bytes
+    controls: list[str]
+    leader_age_s: float
+
+
+@MESSAGES.add("node.beats")
+@dataclasses.dataclass(slots=True)
+class Beats:
+    """Heartbeats that a control VM took in, for the others."""
+
+    sender: str
+    heartbeats: list[fleet.Heartbeat]
+
+
+@MESSAGES.add("node.submit")
+@dataclasses.dataclass(slots=True)
+class Submit:
+    """Pass a command on to the leader."""
+
+    command: bytes
+
+
+@MESSAGES.add("node.submitted")
+@dataclasses.dataclass(slots=True)
+class Submitted:
+    """What became of a command: applied, and the version in force afterwards."""
+
+    is_applied: bool
+    version: int
+
+
+@MESSAGES.add("node.read")
+@dataclasses.dataclass(slots=True)
+class Read:
+    """Ask the leader for the newest configuration."""
+
+
+@MESSAGES.add("node.read_reply")
+@dataclasses.dataclass(slots=True)
+class ReadReply:
+    """The newest configuration as it was sent; version 0 if there is none."""
+
+    version: int
+    body: bytes
+
+
+@MESSAGES.add("node.join")
+@dataclasses.dataclass(slots=True)
+class Join:
+    """Ask to be taken in as a member of the replicated log."""
+
+    name: str
+    identity: str
+    address: str
+
+
+@MESSAGES.add("node.log")
+@dataclasses.dataclass(slots=True)
+class LogMessages:
+    """Messages of the replicated log, encoded one by one, in the order they were sent."""
+
+    frames: list[bytes]
+
+
+@MESSAGES.add("node.subscribe")
+@dataclasses.dataclass(slots=True)
+class Subscribe:
+    """Ask an agent for its engine's load, for the next few seconds."""
+
+    address: str
+
+
+@MESSAGES.add("node.load")
+@dataclasses.dataclass(slots=True)
+class Load:
+    """An engine's load, fresh from its agent; `sequence` grows with every one."""
+
+    address: str
+    sequence: int
+    report: fleet.EngineReport
+
+
+@MESSAGES.add("node.piece_request")
+@dataclasses.dataclass(slots=True)
+class PieceRequest:
+    """Ask an agent for one piece out of `wanted` (a bit set, lowest first)."""
+
+    model: str
+    version: int
+    wanted: bytes
+
+
+@MESSAGES.add("node.piece_reply")
+@dataclasses.dataclass(slots=True)
+class PieceReply:
+    """A piece, or none (`index` -1): the asked one has none of them, or is busy.
+
+    `held` is the bit set of what it has.
+    """
+
+    index: int
+    data: bytes
+    held: bytes
+    is_busy: bool = False
--- /dev/null
+++ b/src/merlinthread/transport/node_bus.py
@@ -0,0 +1,116 @@
+"""Calls between nodes: one message and its answer by HTTP POST, encoded by the product's codec.
+
+A call may reach the receiver twice when its answer was lost, so every message must be safe to
+repeat. Calls to a node that is cut off without a reset end by their own time limit.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from merlinthread import errors, logs
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import node_messages
+from merlinthread.transport import http_stream
+
+PATH = b"/node"
+MEDIA_TYPE = b"application/msgpack"
+MESSAGE_BYTES_MAX = 16 * 1024 * 1024
+KEEP_S = 10.0
+CONNECT_TIMEOUT_S = 0.5
+USER_TIMEOUT_S = 1.5
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class Caller:
+    """Calls to other nodes over pooled connections."""
+
+    def __init__(self, codec: codecs.Codec) -> None:
+        self.codec = codec
+        self.pool = http_stream.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Return the answer of the node at `address`.
+
+        Raises UnreachableError or ProtocolError, and what the node refused the call with.
+        """
+        body = self.codec.encode(message)
+        headers = [
+            (b"host", address.encode("ascii")),
+            (b"content-type", MEDIA_TYPE),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        request = http_stream.Request(b"POST", PATH, headers, body)
+        answer = await self.pool.call(address, request, timeout_s)
+        if answer.status != 200:
+            raise errors.UnreachableError(f"{address}: HTTP status {answer.status}")
+        reply = self.codec.decode(answer.body)
+        if isinstance(reply, node_messages.Failed):
+            raise errors.MerlinthreadError(reply.message, kind=errors.ErrorKind(reply.kind))
+        return reply
+
+
+class Listener:
+    """Answers calls of other nodes with what `handler` returns."""
+
+    def __init__(self, codec: codecs.Codec, handler: Handler) -> None:
+        self.codec = codec
+        self.handler = handler
+        limits = http_stream.Limits(body_bytes=MESSAGE_BYTES_MAX, idle_timeout_s=2 * KEEP_S)
+        self.server = http_stream.Server(self.serve, limits)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Start to answer."""
+        await self.server.listen(host, port)
+
+    async def serve(self, exchange: http_stream.Exchange) -> None:
+        """Answer one call."""
+        reply = await self.answer(exchange.request.body)
+        headers = [(b"content-type", MEDIA_TYPE)]
+        await exchange.respond(http_stream.Answer(200, headers, self.codec.encode(reply)))
+
+    async def answer(self, body: bytes) -> Any:
+        """Return the answer; an error becomes a refusal."""
+        try:
+            return await self.handler(self.codec.decode(body))
+        except errors.MerlinthreadError as error:
+            return node_messages.Failed(str(error.kind), error.message)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            logs.failure("node_call_failed")
+            return node_messages.Failed(str(errors.ErrorKind.INTERNAL), repr(error))
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Sends and receives single messages that may be lost."""
+
+    def __init__(self, codec: codecs.Codec, deliver: Callable[[Any], None]) -> None:
+        self.codec = codec
+        self.deliver = deliver
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Start to receive."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport."""
+        self.transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Deliver one message; what does not decode is dropped."""
+        try:
+            message = self.codec.decode(data)
+        except errors.ProtocolError as error:
+            logs.detail("datagram_refused", reason=error.message)
+            return
+        self.deliver(message)
+
+    def send(self, address: str, message: Any) -> None:
+        """Send one message to "IP:port"."""
+        host, _, port = address.rpartition(":")
+        if self.transport is not None:
+            self.transport.sendto(self.codec.encode(message), (host, int(port)))
