Pieces paced below the link, each crossing into a zone once, engines change over in halves

Ruled out: stale load reports (age 50 to 80 ms) and full engines. Change: pacers both ways, requests reserve the pace, two questions a peer, policy 'zoned'.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -52,9 +52,11 @@
 
     def load(self, now: float) -> int:
         """Return how many requests run or wait there."""
-        if now - self.reported_at > REPORT_FRESH_S:
-            return self.in_flight
-        return self.in_flight + self.others
+        return self.in_flight + (self.others if self.others_known(now) else 0)
+
+    def others_known(self, now: float) -> bool:
+        """Return whether a fresh report tells of the requests of other entries."""
+        return now - self.reported_at <= REPORT_FRESH_S
 
     def take_report(self, report: fleet.EngineReport, now: float) -> None:
         """Take a fresh report of its load and weights."""
--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -5,6 +5,7 @@
 Python integers used as bit sets.
 """
 
+import collections
 import dataclasses
 import random
 
@@ -135,9 +136,11 @@
         self.origin_busy = 0
         self.origin_not_before = float("-inf")
         self.peers: dict[str, PeerState] = {}
-        self.asking: set[str] = set()
+        self.asking: collections.Counter[str] = collections.Counter()
+        self.asks_per_peer = 1
         self.participants: list[str] = [me]
         self.near: set[str] = {me}
+        self.ranks: dict[int, int] = {}
         self.tally = Tally()
         self.busy_wait_s = BUSY_WAIT_S
         self.rng = rng
@@ -149,7 +152,10 @@
     def set_peers(self, peers: list[Peer]) -> None:
         """Set which other VMs should hold the manifest; the nearest few are the ones to ask."""
         self.participants = sorted({peer.name for peer in peers} | {self.me})
-        self.near = {peer.name for peer in peers if peer.distance == OWN_ZONE} | {self.me}
+        near = {peer.name for peer in peers if peer.distance == OWN_ZONE} | {self.me}
+        if near != self.near:
+            self.near = near
+            self.ranks = {}
         chosen = {peer.name: peer for peer in self.neighbours(peers)}
         for name in set(self.peers) - set(chosen):
             del self.peers[name]
@@ -186,7 +192,7 @@
             self.origin_busy += 1
         else:
             self.in_flight |= action.wanted
-            self.asking.add(action.peer)
+            self.asking[action.peer] += 1
 
     def ended(self, action: Action) -> None:
         """Note that `action` is over, whatever came of it."""
@@ -195,7 +201,7 @@
             self.origin_busy -= 1
         else:
             self.in_flight &= ~action.wanted
-            self.asking.discard(action.peer)
+            self.asking[action.peer] -= 1
 
     def got(self, index: int, from_origin: bool, now: float) -> None:
         """Note a verified chunk."""
@@ -307,7 +313,7 @@
         found = [
             peer
             for peer in self.peers.values()
-            if peer.not_before <= now and peer.name not in self.asking
+            if peer.not_before <= now and self.asking[peer.name] < self.asks_per_peer
         ]
         self.rng.shuffle(found)
         found.sort(key=lambda peer: peer.distance)
@@ -327,14 +333,12 @@
     """
 
     owned = 0
-    ranks: dict[int, int] = {}
 
     def on_participants(self) -> None:
         """Find the chunks that this VM reads from the origin."""
         ordered = sorted(self.participants, key=lambda name: weight(name, self.manifest, -1))
         readers = ordered[:READERS_MAX]
         self.owned = 0
-        self.ranks = {}
         if self.me not in readers:
             return
         for index in range(self.chunk_count):
@@ -392,3 +396,40 @@
             ahead = [name for name in self.near if weight(name, self.manifest, index) > mine]
             self.ranks[index] = len(ahead)
         return self.ranks[index]
+
+
+@POLICIES.add("zoned")
+class Zoned(Spread):
+    """As `Spread`, but each chunk crosses into a zone about once.
+
+    A chunk is asked of a far peer only by the VM that is first for it in its zone; the others get
+    it from that one. The longer a VM has heard nothing new, the more chunks it may ask for itself.
+    """
+
+    def ask(self, peer: PeerState, now: float) -> FromPeer | None:
+        """Return a request; of a far peer only for what this VM is to bring into its zone."""
+        if peer.distance == OWN_ZONE:
+            return super().ask(peer, now)
+        allowed = self.to_bring(now)
+        if not allowed & peer.held:
+            return None
+        held, peer.held = peer.held, peer.held & allowed
+        try:
+            return super().ask(peer, now)
+        finally:
+            peer.held = held
+
+    def probe(self, needed: int, now: float) -> FromPeer | None:
+        """Ask the peer whose word is most overdue; a far one only for what is to be brought."""
+        due = [peer for peer in self.askable(now) if peer.overdue(now) > 1]
+        if not due:
+            return None
+        peer = max(due, key=lambda peer: peer.overdue(now))
+        wanted = needed if peer.distance == OWN_ZONE else needed & self.to_bring(now)
+        return FromPeer(peer.name, wanted) if wanted else None
+
+    def to_bring(self, now: float) -> int:
+        """Return the chunks that this VM may ask far peers for."""
+        waited = now - self.last_news_at
+        steps = int(waited / self.origin_grace_s)
+        return sum(1 << index for index in bits(self.needed()) if self.rank(index) <= steps)
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -36,7 +36,7 @@
         )
         self.engine = engine_client.EngineClient(dialect, settings.engine)
         self.weights = weights_task.WeightsTask(
-            settings, self.watcher, self.engine, self.caller, clock, rng
+            settings, self.watcher, self.engine, self.caller, clock, rng, self.tell
         )
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
         self.listener = node_bus.Listener(codec, self.on_message)
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -21,7 +21,8 @@
 # Of the whole budget, what entries use; the rest is a margin for those that leave and come.
 BUDGET_SHARE = 0.75
 FREE_REPEATS = 3
-VERSION_MARGIN_SHARE = 0.3
+# A request sent to the old version may wait this long at the back end before it begins.
+VERSION_MARGIN_S = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,8 +108,7 @@
         """
         named = self.watcher.named.get(model, 0)
         age = now - self.watcher.named_at.get(model, now)
-        bound = self.settings.bounds.version_s * (1 - VERSION_MARGIN_SHARE)
-        return named if age > bound else 0
+        return named if age > self.settings.bounds.version_s - VERSION_MARGIN_S else 0
 
     def newest_version(self, model: str) -> int:
         """Return the newest version of a model's weights that was named, or 0."""
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -47,6 +47,7 @@
     members_lost_max: int = 1
     heartbeat_s: float = 1.2
     memory_bytes: int = 256 * 1024 * 1024
+    link_bytes_per_s: float = 125e6
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
 
     def control_nodes(self) -> list[str]:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -78,7 +78,7 @@
         self.may_have_run = False
         self.reasons: list[str] = []
         self.last_event_id = ""
-        self.has_head = False
+        self.first_at: float | None = None
 
     async def run(self) -> None:
         """Serve the request; its final answer is sent once."""
@@ -110,8 +110,9 @@
         failures = 0
         while True:
             backend = await self.find_place()
+            self.reasons.append(self.belief(backend))
             outcome = await self.attempt(backend)
-            self.reasons.append(f"{backend.instance}: {outcome.reason}")
+            self.reasons[-1] += f": {outcome.reason}"
             if outcome.state is State.DONE:
                 return
             if outcome.state in (State.UNKNOWN, State.FAILED):
@@ -125,6 +126,13 @@
                 await self.give_up(outcome)
                 return
 
+    def belief(self, backend: dispatch.Backend) -> str:
+        """Return what was believed of a back end when it was chosen, for the log."""
+        now = self.clock()
+        age_ms = round(1000 * (now - backend.reported_at)) if backend.others_known(now) else -1
+        waited_ms = round(1000 * (now - self.arrived))
+        return f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, age {age_ms} ms"
+
     def may_repeat(self, outcome: Outcome) -> bool:
         """Return whether another attempt is allowed; it is taken out of the budget."""
         assert self.route is not None
@@ -404,7 +412,8 @@
         if self.exchange.is_started:
             return
         headers = without_length(http_stream.forwarded_headers(head.headers))
-        metrics.first_token_seconds.observe(self.clock() - self.arrived)
+        self.first_at = self.clock()
+        metrics.first_token_seconds.observe(self.first_at - self.arrived)
         self.exchange.start(head.status, headers)
 
     # The end
@@ -437,6 +446,7 @@
             service=self.service,
             sent=self.sent,
             ms=round(1000 * (self.clock() - self.arrived)),
+            first_ms=round(1000 * (self.first_at - self.arrived)) if self.first_at else None,
             attempts=self.reasons,
         )
 
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -9,20 +9,28 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import fetch
+from merlinthread.coordination import fetch, pacing
 from merlinthread.nodes import engine_client, news_watcher, node_settings
 from merlinthread.protocol import fleet, node_messages
 from merlinthread.transport import node_bus
 
 LOOK_EVERY_S = 0.1
-PARALLEL = 4
-ORIGIN_SLOTS = 2
+PARALLEL = 8
+ASKS_PER_PEER = 2
+ORIGIN_SLOTS = 1
+# Share of the link that pieces may take each way: the engine's requests and answers share it.
+IN_SHARE = 0.93
+OUT_SHARE = 0.85
+AHEAD_S = 0.03
+UPLOAD_WAIT_S_MAX = 0.15
 ORIGIN_WAIT_S = 0.3
 ORIGIN_GRACE_S = 0.8
-UPLOADS_MAX = 4
 PEER_TIMEOUT_S = 1.5
 IDLE_WAIT_S = 0.02
 ORDER_WAIT_S = 0.2
+# How long before the bound the second half of the engines changes over.
+CHANGE_OVER_S = 0.7
+PROGRESS_EVERY_S = 1.0
 
 
 class WeightsTask:
@@ -36,8 +44,10 @@
         caller: node_bus.Caller,
         clock: Callable[[], float],
         rng: random.Random,
+        on_change: Callable[[fleet.EngineReport], None],
     ) -> None:
         self.settings = settings
+        self.on_change = on_change
         self.watcher = watcher
         self.engine = engine
         self.caller = caller
@@ -47,8 +57,9 @@
         self.manifest: fleet.Manifest | None = None
         self.plan: fetch.FetchPlan | None = None
         self.report: fleet.EngineReport | None = None
-        self.uploads = 0
-        self.wakeup = asyncio.Event()
+        rate = settings.link_bytes_per_s
+        self.incoming = pacing.Pacer(IN_SHARE * rate, AHEAD_S)
+        self.outgoing = pacing.Pacer(OUT_SHARE * rate, 0.0)
 
     # What is wanted
 
@@ -108,8 +119,9 @@
 
     async def begin(self, model: str, version: int) -> None:
         """Read a version's manifest and find out which of its pieces lie here."""
+        is_first = self.manifest is None
         manifest = await self.engine.manifest(self.origin(), model, version)
-        plan = fetch.POLICIES.get("spread")(
+        plan = fetch.POLICIES.get("zoned")(
             self.me,
             f"{model}@{manifest.version}",
             len(manifest.digests),
@@ -119,7 +131,9 @@
             self.rng,
         )
         plan.origin_grace_s = ORIGIN_GRACE_S
-        plan.held = await self.find_staged(manifest)
+        plan.asks_per_peer = ASKS_PER_PEER
+        # What lies there after a restart may be of this version; later it is of the one before.
+        plan.held = await self.find_staged(manifest) if is_first else 0
         self.manifest = manifest
         self.plan = plan
         logs.event(
@@ -157,12 +171,16 @@
         assert self.plan is not None and self.manifest is not None
         plan, manifest = self.plan, self.manifest
         started = self.clock()
+        told_at = started
         running: set[asyncio.Task] = set()
         loop = asyncio.get_running_loop()
         try:
             while not plan.is_complete() and not self.is_overtaken(manifest):
                 plan.set_peers(self.peers())
-                while len(running) < PARALLEL:
+                if self.clock() >= told_at + PROGRESS_EVERY_S:
+                    told_at = self.clock()
+                    self.log_progress("weights_progress", plan, manifest, started)
+                while len(running) < PARALLEL and not self.incoming.wait_s(self.clock()):
                     action = plan.next_action(self.clock())
                     if action is None:
                         break
@@ -179,15 +197,25 @@
         finally:
             for task in running:
                 task.cancel()
+        self.log_progress("weights_fetched", plan, manifest, started)
+
+    def log_progress(
+        self, name: str, plan: fetch.FetchPlan, manifest: fleet.Manifest, started: float
+    ) -> None:
+        """Log how far a fetch is and where its pieces came from."""
         logs.event(
-            "weights_fetched",
+            name,
             version=manifest.version,
-            is_whole=plan.is_complete(),
+            held=plan.held.bit_count(),
+            pieces=plan.chunk_count,
             seconds=round(self.clock() - started, 3),
             origin=plan.tally.from_origin,
             peers=plan.tally.from_peers,
             corrupt=plan.tally.corrupt,
             failed=plan.tally.failed,
+            busy=plan.tally.busy,
+            empty=plan.tally.empty,
+            doubled=plan.tally.doubled,
         )
 
     def is_overtaken(self, manifest: fleet.Manifest) -> bool:
@@ -198,6 +226,9 @@
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.Action
     ) -> None:
         """Get one piece, check it and stage it; tell the plan what came of it."""
+        size = self.piece_bytes()
+        self.incoming.reserve(size, self.clock())
+        held = plan.held
         try:
             if isinstance(action, fetch.FromOrigin):
                 await self.from_origin(plan, manifest, action)
@@ -205,6 +236,13 @@
                 await self.from_peer(plan, manifest, action)
         finally:
             plan.ended(action)
+            if plan.held == held:
+                self.incoming.give_back(size)
+
+    def piece_bytes(self) -> int:
+        """Return the size of a piece."""
+        service = self.service()
+        return service.engine.chunk_bytes if service is not None and service.engine else 0
 
     async def from_origin(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.FromOrigin
@@ -225,7 +263,11 @@
         """Get one of the wanted pieces from a peer."""
         count = len(manifest.digests)
         request = node_messages.PieceRequest(
-            manifest.model, manifest.version, fetch.to_bytes(action.wanted, count)
+            manifest.model,
+            manifest.version,
+            fetch.to_bytes(action.wanted, count),
+            self.me,
+            fetch.to_bytes(plan.held, count),
         )
         try:
             reply = await self.caller.call(action.peer, request, PEER_TIMEOUT_S)
@@ -262,9 +304,50 @@
             logs.event("pieces_rotten", count=(plan.all & ~held).bit_count())
             plan.held = held
             return
+        await self.await_turn(manifest)
+        if self.is_overtaken(manifest):
+            return
         status = await self.engine.load(manifest.model, manifest.version, False)
         logs.event("engine_ordered", version=manifest.version, status=status)
-        await asyncio.sleep(ORDER_WAIT_S)
+        if self.report is not None and status == engine_client.STATUS_ACCEPTED:
+            self.report.is_busy = True
+            self.on_change(self.report)
+        await self.await_loaded(manifest)
+
+    def serves_older(self) -> bool:
+        """Return whether the engine serves an older version meanwhile."""
+        service = self.service()
+        if self.report is None or service is None or service.engine is None:
+            return False
+        layers = service.engine.layers
+        return any(held.version and held.is_whole(layers) for held in self.report.weights)
+
+    def is_second(self) -> bool:
+        """Return whether this engine changes over in the second half.
+
+        Half of the engines go on with the old version while the others change over. Those that
+        serve nothing yet do not wait.
+        """
+        peers = sorted([peer.name for peer in self.peers()] + [self.me])
+        return self.serves_older() and peers.index(self.me) % 2 == 1
+
+    async def await_turn(self, manifest: fleet.Manifest) -> None:
+        """Wait until this engine may change over."""
+        if not self.is_second():
+            return
+        named_at = self.watcher.named_at.get(manifest.model, self.clock())
+        turn_at = named_at + self.settings.bounds.version_s - CHANGE_OVER_S
+        await asyncio.sleep(max(0.0, turn_at - self.clock()))
+
+    async def await_loaded(self, manifest: fleet.Manifest) -> None:
+        """Wait until the engine tells that it holds the version, or is not at it any more."""
+        deadline = self.clock() + ORDER_WAIT_S
+        while not self.holds(manifest.model, manifest.version):
+            if self.report is not None and self.report.is_busy:
+                deadline = self.clock() + ORDER_WAIT_S
+            if self.clock() >= deadline:
+                return
+            await asyncio.sleep(IDLE_WAIT_S)
 
     # Giving
 
@@ -279,18 +362,18 @@
             return node_messages.PieceReply(-1, b"", b"")
         count = len(manifest.digests)
         held = fetch.to_bytes(plan.held, count)
-        if self.uploads >= UPLOADS_MAX:
-            return node_messages.PieceReply(-1, b"", held, True)
+        if request.sender:
+            plan.heard(request.sender, fetch.from_bytes(request.held, count), self.clock())
         wanted = fetch.bits(fetch.from_bytes(request.wanted, count) & plan.held)
         if not wanted:
             return node_messages.PieceReply(-1, b"", held)
+        now = self.clock()
+        if self.outgoing.wait_s(now) > UPLOAD_WAIT_S_MAX:
+            return node_messages.PieceReply(-1, b"", held, True)
         index = self.rng.choice(wanted)
-        self.uploads += 1
-        try:
-            data = await self.engine.staged(manifest, index)
-        finally:
-            self.uploads -= 1
+        data = await self.engine.staged(manifest, index)
         if data is None:
             plan.held &= ~(1 << index)
             return node_messages.PieceReply(-1, b"", held)
+        await asyncio.sleep(self.outgoing.reserve(len(data), now))
         return node_messages.PieceReply(index, data, held)
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -9,6 +9,7 @@
 
 MS = 1000.0
 MEGABYTE = 1024 * 1024
+BYTES_PER_MEGABIT = 125_000.0
 
 
 class BoundsBody(msgspec.Struct):
@@ -31,6 +32,7 @@
     """The machine's limits."""
 
     memory_mb: float = 256.0
+    link_mbps: float = 1000.0
 
 
 class ToleranceBody(msgspec.Struct):
@@ -97,6 +99,7 @@
         body.fault_tolerance.machines,
         body.heartbeat_ms / MS,
         int(body.limits.memory_mb * MEGABYTE),
+        body.limits.link_mbps * BYTES_PER_MEGABIT,
         node_settings.Bounds(
             bounds.contact_ms / MS,
             bounds.ack_ms / MS,
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -159,11 +159,16 @@
 @MESSAGES.add("node.piece_request")
 @dataclasses.dataclass(slots=True)
 class PieceRequest:
-    """Ask an agent for one piece out of `wanted` (a bit set, lowest first)."""
+    """Ask an agent for one piece out of `wanted`; tell it what the asker holds.
+
+    Both are bit sets, lowest first.
+    """
 
     model: str
     version: int
     wanted: bytes
+    sender: str = ""
+    held: bytes = b""
 
 
 @MESSAGES.add("node.piece_reply")
