Each version of weights keeps its own bound; a member without its disk leaves before its successor votes

Change: a time for each version. Second cause, found by a test with a second loss right after a repair: the successor voted beside the lost member, two of four were left; the lost one is removed first now.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -12,7 +12,7 @@
 from merlinthread.protocol import fleet, node_messages
 from merlinthread.transport import node_bus
 
-REPORT_EVERY_S = 0.1
+REPORT_EVERY_S = 0.2
 TELL_EVERY_S = 0.4
 SUBSCRIBED_S = 3.5
 
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -106,13 +106,8 @@
         The newest one named is required some time before its bound, since a request may wait at the
         back end.
         """
-        named = self.watcher.named.get(model, 0)
-        age = now - self.watcher.named_at.get(model, now)
-        return named if age > self.settings.bounds.version_s - VERSION_MARGIN_S else 0
-
-    def newest_version(self, model: str) -> int:
-        """Return the newest version of a model's weights that was named, or 0."""
-        return self.watcher.named.get(model, 0)
+        bound_s = self.settings.bounds.version_s - VERSION_MARGIN_S
+        return self.watcher.version_due(model, now, bound_s)
 
     # Places
 
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -370,9 +370,13 @@
             if now - heard_at > JOINER_KEPT_S:
                 del self.joiners[name]
                 continue
-            replaced = self.namesake(name)
-            joiner = raft_members.Joiner(name, "", raft_messages.Address("", ""), replaced)
-            change = raft_members.next_change(voters, joiner, facts, bool(replaced))
+            lost = self.namesake(name)
+            if lost and lost != self.name:
+                # Its disk is gone, so it can't come back: out with it before the new one votes, or
+                # a second loss right after would leave two of four.
+                return raft_members.Change(remove=lost)
+            joiner = raft_members.Joiner(name, "", raft_messages.Address("", ""), "")
+            change = raft_members.next_change(voters, joiner, facts, False)
             if change is not None:
                 return change
         return self.removal(voters, now)
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -48,7 +48,7 @@
         self.gone: set[str] = set()
         self.missing: dict[str, float] = {}
         self.named: dict[str, int] = {}
-        self.named_at: dict[str, float] = {}
+        self.named_at: dict[str, dict[int, float]] = {}
         self.controls: list[str] = settings.control_nodes()
         self.current = ""
         self.feed = ""
@@ -170,9 +170,17 @@
             if named.version <= self.named.get(named.model, 0):
                 continue
             self.named[named.model] = named.version
-            self.named_at[named.model] = now - named.age_s
+            self.named_at.setdefault(named.model, {})[named.version] = now - named.age_s
             logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
 
+    def version_due(self, model: str, now: float, bound_s: float) -> int:
+        """Return the newest version of a model's weights named `bound_s` ago or earlier, or 0.
+
+        Each version has its own bound: a newer one does not put off the one before it.
+        """
+        named_at = self.named_at.get(model, {})
+        return max((version for version, at in named_at.items() if now - at >= bound_s), default=0)
+
     def take_instances(self, news: node_messages.News, now: float) -> None:
         """Take changes of back ends over."""
         for instance in news.gone:
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -335,7 +335,8 @@
         """Wait until this engine may change over."""
         if not self.is_second():
             return
-        named_at = self.watcher.named_at.get(manifest.model, self.clock())
+        stamps = self.watcher.named_at.get(manifest.model, {})
+        named_at = stamps.get(manifest.version, self.clock())
         turn_at = named_at + self.settings.bounds.version_s - CHANGE_OVER_S
         await asyncio.sleep(max(0.0, turn_at - self.clock()))
 
--- a/src/merlinthread/transport/http_stream.py
+++ b/src/merlinthread/transport/http_stream.py
@@ -380,6 +380,11 @@
         if data and self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
+    def write_raw(self, data: bytes) -> None:
+        """Send bytes that are no event of the protocol; stand-ins misbehave with it."""
+        if self.transport is not None:
+            self.transport.write(data)
+
     def set_timer(self, delay_s: float | None, action: Callable[[], None] | None) -> None:
         """Replace the timer of this connection."""
         if self.timer is not None:
--- /dev/null
+++ b/stand_ins/fleet_worker.py
@@ -0,0 +1,227 @@
+"""A stand-in for a worker of the users' platform, written from its published protocol.
+
+It answers plain requests and event streams, says what it did not run, and misbehaves on demand. It
+runs on the event loop of whoever starts it; ports are chosen by the system.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+
+from merlinthread.transport import http_stream
+
+EVENTS_DEFAULT = 5
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """What a worker does; every field may be changed at any time."""
+
+    work_s: float = 0.0
+    gap_s: float = 0.0
+    events: int = EVENTS_DEFAULT
+    status: int = 200
+    is_full: bool = False
+    cut_after_events: int | None = None
+    closes_without_answer: bool = False
+    wrong_request_id: bool = False
+    is_unsigned: bool = False
+    is_mute: bool = False
+    order_status: int = 202
+
+
+@dataclasses.dataclass
+class Run:
+    """One request that the worker ran."""
+
+    request_id: str
+    headers: dict[str, str]
+    body: bytes
+    target: str
+
+
+class Worker:
+    """One worker with its own address."""
+
+    def __init__(self, instance: str, model: str = "", version: int = 1) -> None:
+        self.instance = instance
+        self.model = model
+        self.version = version
+        self.behaviour = Behaviour()
+        self.runs: list[Run] = []
+        self.cancelled: list[str] = []
+        self.staged: dict[int, bytes] = {}
+        self.orders: list[dict] = []
+        self.server = http_stream.Server(self.serve)
+        self.address = ""
+        self.running = 0
+
+    async def start(self) -> str:
+        """Listen on a free port; return the address."""
+        await self.server.listen("127.0.0.1", 0)
+        assert self.server.listener is not None
+        port = self.server.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    def stop(self) -> None:
+        """End as a crashed process does: connections are reset."""
+        if self.server.listener is not None:
+            self.server.listener.close()
+        for connection in list(self.server.connections):
+            connection.abort()
+
+    async def serve(self, exchange: http_stream.Exchange) -> None:
+        """Answer one request."""
+        path = exchange.request.target.split(b"?")[0].decode()
+        if path == "/report":
+            await self.report(exchange)
+        elif path.startswith(("/stage-put/", "/stage-get/")):
+            await self.stage(exchange, path)
+        elif path == "/order":
+            await self.order(exchange)
+        else:
+            await self.run(exchange)
+
+    async def run(self, exchange: http_stream.Exchange) -> None:
+        """Run a request, or say that it was not run."""
+        headers = {k.decode().lower(): v.decode() for k, v in exchange.request.headers}
+        request_id = headers.get("x-merlinthread-request-id", "")
+        if headers.get("x-merlinthread-expect-instance", self.instance) != self.instance:
+            await self.refuse(exchange, 421)
+            return
+        if self.behaviour.is_full:
+            await self.refuse(exchange, 503)
+            return
+        target = exchange.request.target.decode()
+        self.runs.append(Run(request_id, headers, exchange.request.body, target))
+        self.running += 1
+        try:
+            await self.answer(exchange, headers, request_id)
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+        finally:
+            self.running -= 1
+
+    async def answer(
+        self, exchange: http_stream.Exchange, headers: dict[str, str], request_id: str
+    ) -> None:
+        """Give the answer, as the behaviour says."""
+        if self.behaviour.is_mute:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.behaviour.work_s)
+        if self.behaviour.closes_without_answer:
+            exchange.abort()
+            return
+        shown = "0000" if self.behaviour.wrong_request_id else request_id
+        answer_headers = [(b"X-Merlinthread-Request-Id", shown.encode())]
+        if not self.behaviour.is_unsigned:
+            stamp = f"{self.instance}.{request_id}".encode()
+            answer_headers.append((b"X-Merlinthread-Response-Stamp", stamp))
+        if "x-merlinthread-model" in headers and self.behaviour.status == 200:
+            await self.stream(exchange, answer_headers, headers)
+            return
+        body = f"answer of {self.instance} to {request_id}".encode()
+        await exchange.respond(http_stream.Answer(self.behaviour.status, answer_headers, body))
+
+    async def stream(
+        self,
+        exchange: http_stream.Exchange,
+        answer_headers: http_stream.Headers,
+        headers: dict[str, str],
+    ) -> None:
+        """Give events with rising ids, from after the last one that the client has."""
+        first = int(headers.get("last-event-id", "0")) + 1
+        exchange.start(200, [*answer_headers, (b"Content-Type", b"text/event-stream")])
+        for given, number in enumerate(range(first, self.behaviour.events + 1)):
+            if given == self.behaviour.cut_after_events:
+                exchange.connection.write_raw(b"10\r\nid: 9")
+                exchange.abort()
+                return
+            await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+            await asyncio.sleep(self.behaviour.gap_s)
+        await exchange.finish()
+
+    async def refuse(self, exchange: http_stream.Exchange, status: int) -> None:
+        """Say that a request was not run."""
+        headers = [(b"X-Merlinthread-Not-Run", b"1")]
+        await exchange.respond(http_stream.Answer(status, headers))
+
+    async def report(self, exchange: http_stream.Exchange) -> None:
+        """Tell the load and the weights."""
+        body = {
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "layers": {
+                "from": 0,
+                "target_version": 16 if self.version else 0,
+                "version": self.version,
+            },
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued": 0,
+            "running": self.running,
+        }
+        await exchange.respond(http_stream.Answer(200, [], json.dumps(body).encode()))
+
+    async def stage(self, exchange: http_stream.Exchange, path: str) -> None:
+        """Take or give a staged piece."""
+        index = int(exchange.request.target.split(b"sample_count=")[1].split(b"&")[0])
+        if path.startswith("/stage-put/"):
+            self.staged[index] = exchange.request.body
+            await exchange.respond(http_stream.Answer(200, []))
+        elif index in self.staged:
+            await exchange.respond(http_stream.Answer(200, [], self.staged[index]))
+        else:
+            await exchange.respond(http_stream.Answer(404, []))
+
+    async def order(self, exchange: http_stream.Exchange) -> None:
+        """Take an order and carry it out at once."""
+        order = json.loads(exchange.request.body)
+        self.orders.append(order)
+        if self.behaviour.order_status == 202:
+            self.version = order["version"]
+        await exchange.respond(http_stream.Answer(self.behaviour.order_status, []))
+
+
+class WeightOrigin:
+    """A stand-in for the origin of weights."""
+
+    def __init__(self, pieces: dict[int, list[bytes]]) -> None:
+        self.pieces = pieces
+        self.given: list[tuple[int, int]] = []
+        self.corrupt: set[int] = set()
+        self.server = http_stream.Server(self.serve)
+        self.address = ""
+
+    async def start(self) -> str:
+        """Listen on a free port; return the address."""
+        await self.server.listen("127.0.0.1", 0)
+        assert self.server.listener is not None
+        port = self.server.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    async def serve(self, exchange: http_stream.Exchange) -> None:
+        """Give a manifest or a piece."""
+        path, _, query = exchange.request.target.decode().partition("?")
+        fields = dict(part.split("=") for part in query.split("&") if part)
+        version = int(fields.get("version", max(self.pieces)))
+        if version not in self.pieces:
+            await exchange.respond(http_stream.Answer(410, []))
+            return
+        pieces = self.pieces[version]
+        if path.startswith("/manifest/"):
+            body = {
+                "model": path.split("/")[-1],
+                "version": version,
+                "layers": 16,
+                "digests": [hashlib.sha256(piece).hexdigest() for piece in pieces],
+            }
+            await exchange.respond(http_stream.Answer(200, [], json.dumps(body).encode()))
+            return
+        index = int(fields["sample_count"])
+        self.given.append((version, index))
+        data = b"x" * len(pieces[index]) if index in self.corrupt else pieces[index]
+        await exchange.respond(http_stream.Answer(200, [], data))
--- /dev/null
+++ b/tests/fleet_nodes.py
@@ -0,0 +1,246 @@
+"""Nodes of a fed deployment on this process's event loop, over loopback, for tests."""
+
+import asyncio
+import json
+import pathlib
+import random
+import socket
+import time
+
+from merlinthread.coordination import raft_messages
+from merlinthread.nodes import control_node, entry_node, node_settings
+from merlinthread.platform import dialect
+from merlinthread.protocol import codec as codecs
+from merlinthread.protocol import node_messages
+from merlinthread.transport import http_stream
+from stand_ins import fleet_worker
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_codec() -> codecs.Codec:
+    """Return the codec of nodes."""
+    return codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+
+
+def make_settings(name: str, ip: str = "127.0.0.1", **changes) -> node_settings.NodeSettings:
+    """Return settings on loopback; each control VM has a loopback address of its own."""
+    fields = {
+        "name": name,
+        "ip": ip,
+        "zone": "zone-a",
+        "region": "region",
+        "regions": {"zone-a": "region", "zone-b": "region"},
+        "control_port": 0,
+        "agent_port": 0,
+        "entry_port": 0,
+        "control_ips": [],
+    }
+    return node_settings.NodeSettings(**(fields | changes))
+
+
+class Controls:
+    """Control VMs at 127.0.0.11, .12, ... with ports alike on all."""
+
+    def __init__(self, folder: pathlib.Path, count: int = 3) -> None:
+        self.folder = folder
+        self.port, self.public_port = free_port(), free_port()
+        self.ips = [f"127.0.0.{11 + number}" for number in range(count)]
+        self.nodes: dict[str, control_node.ControlNode] = {}
+
+    async def start(self, ip: str, is_first: bool = False, folder: str = "") -> None:
+        """Start one control VM."""
+        settings = make_settings(
+            f"control-{ip}",
+            ip,
+            control_port=self.port,
+            control_ips=self.ips[:3],
+            control_address=f"{ip}:{self.public_port}",
+            data_folder=str(self.folder / (folder or ip)),
+            is_first_start=is_first,
+        )
+        node = control_node.ControlNode(
+            settings, dialect.PlatformDialect(), make_codec(), time.monotonic
+        )
+        self.nodes[ip] = node
+        await node.start()
+
+    async def start_all(self) -> None:
+        """Start all for the first time."""
+        for ip in self.ips:
+            await self.start(ip, is_first=True)
+
+    def kill(self, ip: str) -> None:
+        """End one as a killed process does; its files stay."""
+        node = self.nodes.pop(ip)
+        for task in node.tasks + list(node.member.senders.values()):
+            task.cancel()
+        for server in (node.server, node.listener.server):
+            if server.listener is not None:
+                server.listener.close()
+            for connection in list(server.connections):
+                connection.abort()
+        node.member.close()
+
+    def leader(self) -> str:
+        """Return the IP of the VM that surely leads, or nothing."""
+        for ip, node in self.nodes.items():
+            if node.member.holds_lease():
+                return ip
+        return ""
+
+    async def call(
+        self, ip: str, method: str, path: str, body: dict | None = None
+    ) -> http_stream.Answer:
+        """Make one call of an operator or worker."""
+        data = json.dumps(body).encode() if body is not None else b""
+        headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
+        request = http_stream.Request(method.encode(), path.encode(), headers, data)
+        pool = http_stream.Pool(1.0, 1.0, 2.0)
+        return await pool.call(f"{ip}:{self.public_port}", request, 3.0)
+
+    async def until_acknowledged(
+        self, method: str, path: str, body: dict | None = None
+    ) -> http_stream.Answer:
+        """Make a call again, at any VM, until it is acknowledged."""
+        for attempt in range(400):
+            ips = list(self.nodes)
+            try:
+                answer = await self.call(ips[attempt % len(ips)], method, path, body)
+            except Exception:
+                answer = None
+            if answer is not None and answer.status == 200:
+                return answer
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"{method} {path} was never acknowledged")
+
+
+async def until(condition, seconds: float = 10.0) -> None:
+    """Wait until `condition()` is true."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def configuration(
+    version: int, services: list[str], model_service: str = "", origin: str = ""
+) -> dict:
+    """Return a configuration with a route for each service; "safe" or "unsafe" by its name."""
+    routes = []
+    for name in services:
+        kind = "unsafe" if name.startswith("unsafe") else "safe"
+        routes.append(route_body(name, kind))
+    bodies = [{"name": name, "health_check_path": "/healthz"} for name in services]
+    if model_service:
+        route = route_body(model_service, "streaming")
+        route |= {"resumable": True, "target_gap_ms": 200}
+        routes.append(route)
+        engine = {
+            "slots": 4,
+            "models": [{"name": "m"}],
+            "layers": 16,
+            "chunks": 24,
+            "chunk_bytes": 64,
+            "step_ms": 1,
+            "stride": 1,
+            "read_per_s": 100000,
+        }
+        bodies.append({"name": model_service, "engine": engine})
+    if origin:
+        bodies.append({"name": "origin", "origin": origin, "zone": "zone-a"})
+    tenants = [{"name": "account-1", "api_keys": ["key-1"]}]
+    return {"version": version, "routes": routes, "services": bodies, "tenants": tenants}
+
+
+def route_body(service: str, kind: str) -> dict:
+    """Return a route of one service at the prefix of its name."""
+    return {
+        "name": f"r-{service}",
+        "hostname": "h.example",
+        "path_prefix": f"/{service}/",
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+
+
+class Entry:
+    """An entry that is fed by hand, without control VMs."""
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        settings = make_settings(
+            "entry", client_address=f"127.0.0.1:{self.port}", ready_address="127.0.0.1:0"
+        )
+        self.node = entry_node.EntryNode(
+            settings, dialect.PlatformDialect(), make_codec(), time.monotonic, random.Random(1)
+        )
+        self.sequence = 0
+
+    async def start(self) -> None:
+        """Listen for clients only."""
+        await self.node.server.listen("127.0.0.1", self.port)
+
+    def feed(self, body: dict, workers: dict[fleet_worker.Worker, str], gone=()) -> None:
+        """Tell the entry a configuration and its workers with their services."""
+        import zlib
+
+        self.sequence += 1
+        instances = [
+            node_messages.Instance(
+                dialect.bodies.heartbeat(
+                    worker.instance,
+                    json.dumps(
+                        {
+                            "service": service,
+                            "address": worker.address,
+                            "zone": "zone-a",
+                            "slots": 4,
+                            "state": "ready",
+                            "sequence": self.sequence,
+                            "models": [{"name": worker.model, "version": worker.version}],
+                        }
+                    ).encode(),
+                )
+            )
+            for worker, service in workers.items()
+        ]
+        news = node_messages.News(
+            "feed",
+            self.sequence,
+            False,
+            instances,
+            list(gone),
+            [],
+            body["version"],
+            zlib.compress(json.dumps(body).encode()),
+            [],
+            0.0,
+        )
+        self.node.watcher.take(news)
+
+    async def ask(self, path: str, request_id: str, **headers) -> http_stream.Answer:
+        """Send one client's request and return its answer."""
+        connection = await self.send(path, request_id, **headers)
+        return await connection.receive()
+
+    async def send(self, path: str, request_id: str, **headers) -> http_stream.ClientConnection:
+        """Send one client's request."""
+        sent = {
+            "Host": "h.example",
+            "X-Merlinthread-Request-Id": request_id,
+            "X-Merlinthread-Deadline-Ms": "2500",
+            "Api-Key": "key-1",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        raw = [(key.encode(), value.encode()) for key, value in sent.items()]
+        connection = await http_stream.connect(f"127.0.0.1:{self.port}", 1.0, 2.0)
+        connection.send(http_stream.Request(b"POST", path.encode(), [*raw, (b"content-length", b"0")]))
+        return connection
--- /dev/null
+++ b/tests/test_control_nodes.py
@@ -0,0 +1,262 @@
+"""Control VMs over loopback with files: what was acknowledged stays, through kills and lost disks."""
+
+import asyncio
+import json
+
+import pytest
+
+from merlinthread import errors
+from merlinthread.nodes import news_watcher
+from merlinthread.platform import dialect
+from merlinthread.protocol import fleet, node_messages
+from merlinthread.transport import node_bus
+from tests import fleet_nodes
+
+
+def run(tmp_path, scenario, count=3):
+    async def whole():
+        controls = fleet_nodes.Controls(tmp_path, count)
+        await controls.start_all()
+        await fleet_nodes.until(controls.leader)
+        await scenario(controls)
+        for ip in list(controls.nodes):
+            controls.kill(ip)
+
+    asyncio.run(whole())
+
+
+async def put(controls, version: int) -> None:
+    await controls.until_acknowledged(
+        "PUT", "/config", fleet_nodes.configuration(version, ["safe"])
+    )
+
+
+async def read(controls) -> int:
+    answer = await controls.until_acknowledged("GET", "/config")
+    return json.loads(answer.body)["version"]
+
+
+def heartbeat(instance="i-1", state="ready", sequence=1, address="1.2.3.4:80") -> dict:
+    return {
+        "service": "safe",
+        "address": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": sequence,
+    }
+
+
+def test_an_acknowledged_configuration_survives_the_kill_of_the_leader(tmp_path):
+    async def scenario(controls):
+        await put(controls, 3)
+        controls.kill(controls.leader())
+        assert await read(controls) == 3
+        await put(controls, 7)
+        assert await read(controls) == 7
+
+    run(tmp_path, scenario)
+
+
+def test_all_killed_at_once_come_back_with_what_was_acknowledged(tmp_path):
+    async def scenario(controls):
+        await put(controls, 4)
+        for ip in controls.ips:
+            controls.kill(ip)
+        for ip in controls.ips:
+            await controls.start(ip)
+        assert await read(controls) == 4
+
+    run(tmp_path, scenario)
+
+
+def test_a_disk_lost_right_after_an_acknowledgement_loses_nothing(tmp_path):
+    async def scenario(controls):
+        await put(controls, 5)
+        lost = controls.leader()
+        controls.kill(lost)
+        await controls.start(lost, folder=f"{lost}-empty")
+        assert await read(controls) == 5
+        new = controls.nodes[lost].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters, 15)
+        assert len(new.raft.log.voters.voters) == 3
+        # The second loss, right after the repair, of another one.
+        other = next(ip for ip in controls.ips if ip != lost)
+        controls.kill(other)
+        assert await read(controls) == 5
+
+    run(tmp_path, scenario)
+
+
+def test_a_member_replaced_at_another_address_is_removed_and_the_new_one_votes(tmp_path):
+    async def scenario(controls):
+        await put(controls, 2)
+        for node in controls.nodes.values():
+            node.settings.bounds.catch_up_s = 0.5
+        gone = next(ip for ip in controls.ips if ip != controls.leader())
+        controls.kill(gone)
+        await controls.start("127.0.0.19")
+        new = controls.nodes["127.0.0.19"].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters, 15)
+        await fleet_nodes.until(lambda: len(new.raft.log.voters.voters) == 3, 15)
+        assert await read(controls) == 2
+
+    run(tmp_path, scenario)
+
+
+def test_an_older_or_equal_configuration_is_acknowledged_and_changes_nothing(tmp_path):
+    async def scenario(controls):
+        await put(controls, 9)
+        await put(controls, 8)
+        other = fleet_nodes.configuration(9, ["safe", "unsafe"])
+        await controls.until_acknowledged("PUT", "/config", other)
+        answer = await controls.until_acknowledged("GET", "/config")
+        found = json.loads(answer.body)
+        assert found == fleet_nodes.configuration(9, ["safe"])
+
+    run(tmp_path, scenario)
+
+
+def test_an_invalid_configuration_is_refused_by_name_also_under_an_old_version(tmp_path):
+    async def scenario(controls):
+        await put(controls, 9)
+        for version in (1, 9, 20):
+            body = fleet_nodes.configuration(version, ["safe"])
+            body["routes"][0]["service"] = "nowhere"
+            answer = await controls.call(controls.ips[0], "PUT", "/config", body)
+            assert answer.status == 400
+            assert b"nowhere" in answer.body
+        assert await read(controls) == 9
+
+    run(tmp_path, scenario)
+
+
+def test_a_cut_off_minority_neither_acknowledges_nor_answers_reads(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        left = controls.leader()
+        for ip in controls.ips:
+            if ip != left:
+                controls.kill(ip)
+        await fleet_nodes.until(lambda: not controls.nodes[left].member.holds_lease())
+        for _ in range(2):
+            body = fleet_nodes.configuration(2, ["safe"])
+            assert (await controls.call(left, "PUT", "/config", body)).status >= 500
+            assert (await controls.call(left, "GET", "/config")).status >= 500
+
+    run(tmp_path, scenario)
+
+
+def test_a_drain_that_was_acknowledged_is_known_after_the_loss_of_the_leader(tmp_path):
+    async def scenario(controls):
+        await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
+        await controls.until_acknowledged(
+            "PUT", "/instances/i-1", heartbeat(state="draining", sequence=2)
+        )
+        controls.kill(controls.leader())
+        await fleet_nodes.until(controls.leader)
+        # A late heartbeat from before does not undo it.
+        await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat(sequence=1))
+        for node in controls.nodes.values():
+            states = [known.heartbeat.state for known in node.registry.known.values()]
+            assert set(states) <= {fleet.DRAINING}
+
+    run(tmp_path, scenario)
+
+
+def test_a_watcher_learns_of_changes_and_goes_on_when_its_control_vm_dies(tmp_path):
+    async def scenario(controls):
+        settings = fleet_nodes.make_settings(
+            "entry", control_port=controls.port, control_ips=controls.ips
+        )
+        loop = asyncio.get_running_loop()
+        watcher = news_watcher.NewsWatcher(
+            settings,
+            dialect.PlatformDialect(),
+            node_bus.Caller(fleet_nodes.make_codec()),
+            loop.time,
+            lambda: None,
+        )
+        task = loop.create_task(watcher.run())
+        await put(controls, 1)
+        await fleet_nodes.until(lambda: watcher.version == 1)
+        controls.kill(watcher.current.split(":")[0])
+        await put(controls, 2)
+        await fleet_nodes.until(lambda: watcher.version == 2)
+        await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
+        await fleet_nodes.until(lambda: "i-1" in watcher.instances)
+        await controls.until_acknowledged("DELETE", "/instances/i-1")
+        await fleet_nodes.until(lambda: "i-1" not in watcher.instances)
+        await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
+        await fleet_nodes.until(lambda: watcher.named == {"m": 2})
+        task.cancel()
+
+    run(tmp_path, scenario)
+
+
+def test_a_watcher_does_not_go_back_when_an_older_control_vm_answers():
+    settings = fleet_nodes.make_settings("entry")
+    watcher = news_watcher.NewsWatcher(
+        settings, dialect.PlatformDialect(), None, lambda: 0.0, lambda: None
+    )
+    entry = fleet_nodes.Entry()
+    entry.node.watcher = watcher
+    entry.feed(fleet_nodes.configuration(5, ["safe"]), {})
+    entry.feed(fleet_nodes.configuration(4, ["safe"]), {})
+    assert watcher.version == 5
+
+
+def test_a_removed_member_joins_anew_under_another_name(tmp_path):
+    async def scenario(controls):
+        ip = controls.ips[0]
+        member = controls.nodes[ip].member
+        old = member.name
+        member.start_anew()
+        assert member.name != old
+        await fleet_nodes.until(lambda: member.name in member.raft.log.voters.voters, 15)
+        await fleet_nodes.until(lambda: old not in member.raft.log.voters.voters, 15)
+
+    run(tmp_path, scenario)
+
+
+def test_a_full_disk_refuses_what_is_new_and_keeps_what_was_acknowledged(tmp_path, monkeypatch):
+    async def scenario(controls):
+        await put(controls, 1)
+        leader = controls.nodes[controls.leader()].member
+
+        def full(hard_state, entries):
+            raise errors.DiskFullError("no room")
+
+        monkeypatch.setattr(leader.journal, "save", full)
+        await put(controls, 2)
+        monkeypatch.undo()
+        assert await read(controls) == 2
+        await fleet_nodes.until(lambda: leader.state.version == 2)
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("count", [1, 5])
+def test_other_numbers_of_control_vms_work_from_three_seeds(tmp_path, count):
+    async def scenario(controls):
+        await put(controls, 3)
+        for node in controls.nodes.values():
+            voters = node.member.raft.log.voters
+            await fleet_nodes.until(lambda voters=voters, n=node: n.member.applied > 0, 15)
+        leader = controls.nodes[controls.leader()].member
+        await fleet_nodes.until(lambda: len(leader.raft.log.voters.voters) == count, 15)
+        assert await read(controls) == 3
+
+    run(tmp_path, scenario, count)
+
+
+def test_messages_that_do_not_belong_to_a_control_vm_are_refused(tmp_path):
+    async def scenario(controls):
+        caller = node_bus.Caller(fleet_nodes.make_codec())
+        address = f"{controls.ips[0]}:{controls.port}"
+        with pytest.raises(errors.MerlinthreadError):
+            await caller.call(address, node_messages.Subscribe("x"), 1.0)
+
+    run(tmp_path, scenario)
--- /dev/null
+++ b/tests/test_entry_node.py
@@ -0,0 +1,215 @@
+"""What clients and workers see of an entry when workers misbehave."""
+
+import asyncio
+
+import pytest
+
+from merlinthread import errors
+from merlinthread.transport import http_stream
+from stand_ins import fleet_worker
+from tests import fleet_nodes
+
+STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
+
+
+async def make(service: str, count: int, model: str = "") -> tuple:
+    entry = fleet_nodes.Entry()
+    await entry.start()
+    workers = [fleet_worker.Worker(f"i-{number}", model) for number in range(count)]
+    for worker in workers:
+        await worker.start()
+    services = [] if model else [service]
+    body = fleet_nodes.configuration(1, services, service if model else "")
+    entry.feed(body, {worker: service for worker in workers})
+    return entry, workers, body
+
+
+def runs(workers) -> int:
+    return sum(len(worker.runs) for worker in workers)
+
+
+def test_a_request_reaches_a_worker_unchanged_but_for_what_the_system_sets():
+    async def scenario():
+        entry, (worker,), _ = await make("safe", 1)
+        answer = await entry.ask("/safe/x?q=1", "id-1", X_Other="kept", X_Merlinthread_Tenant="me")
+        assert (answer.status, answer.body) == (200, b"answer of i-0 to id-1")
+        run = worker.runs[0]
+        assert (run.target, run.headers["x-other"]) == ("/safe/x?q=1", "kept")
+        assert run.headers["x-merlinthread-tenant"] == "account-1"
+        assert run.headers["x-merlinthread-expect-instance"] == "i-0"
+        assert "api-key" not in run.headers
+        assert int(run.headers["x-merlinthread-deadline-ms"]) <= 2500
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_may_run_once_is_not_sent_again_after_a_lost_answer():
+    async def scenario():
+        entry, workers, _ = await make("unsafe", 2)
+        for worker in workers:
+            worker.behaviour.closes_without_answer = True
+        answer = await entry.ask("/unsafe/", "id-1")
+        assert (answer.status, runs(workers)) == (502, 1)
+
+    asyncio.run(scenario())
+
+
+def test_a_repeatable_request_is_sent_to_another_worker_after_a_lost_answer():
+    async def scenario():
+        entry, workers, _ = await make("safe", 2)
+        workers[0].behaviour.closes_without_answer = True
+        for number in range(4):
+            assert (await entry.ask("/safe/", f"id-{number}")).status == 200
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("service", ["safe", "unsafe"])
+def test_what_no_worker_ran_is_refused_at_once_with_when_to_come_back(service):
+    async def scenario():
+        entry, workers, _ = await make(service, 2)
+        for worker in workers:
+            worker.behaviour.is_full = True
+        answer = await entry.ask(f"/{service}/", "id-1")
+        assert (answer.status, runs(workers)) == (503, 0)
+        assert float(http_stream.header(answer.headers, b"retry-after")) > 0
+
+    asyncio.run(scenario())
+
+
+def test_a_refusal_is_no_promise_once_an_attempt_may_have_run():
+    async def scenario():
+        entry, workers, _ = await make("unsafe", 1)
+        workers[0].behaviour.closes_without_answer = True
+        answer = await entry.ask("/unsafe/", "id-1")
+        assert answer.status not in (408, 421, 429, 503)
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_to_another_request_or_without_a_signature_is_not_given_on():
+    async def scenario():
+        for field in ("wrong_request_id", "is_unsigned"):
+            entry, workers, _ = await make("unsafe", 1)
+            setattr(workers[0].behaviour, field, True)
+            assert (await entry.ask("/unsafe/", "id-1")).status == 502
+
+    asyncio.run(scenario())
+
+
+def test_a_workers_failure_is_given_on_with_its_signature():
+    async def scenario():
+        entry, workers, _ = await make("unsafe", 1)
+        workers[0].behaviour.status = 500
+        answer = await entry.ask("/unsafe/", "id-1")
+        assert answer.status == 500
+        assert http_stream.header(answer.headers, b"x-merlinthread-response-stamp")
+
+    asyncio.run(scenario())
+
+
+def test_unknown_keys_and_routes_are_refused():
+    async def scenario():
+        entry, workers, _ = await make("safe", 1)
+        assert (await entry.ask("/safe/", "id-1", Api_Key="wrong")).status == 401
+        assert (await entry.ask("/nowhere/", "id-2")).status == 404
+        assert runs(workers) == 0
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_that_knows_no_configuration_answers_503():
+    async def scenario():
+        entry = fleet_nodes.Entry()
+        await entry.start()
+        assert (await entry.ask("/safe/", "id-1")).status == 503
+
+    asyncio.run(scenario())
+
+
+def event_ids(body: bytes) -> list[int]:
+    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+
+
+def test_a_stream_that_breaks_off_goes_on_elsewhere_without_a_gap_or_a_double():
+    async def scenario():
+        entry, workers, _ = await make("model", 2, "m")
+        for worker in workers:
+            worker.behaviour.events = 8
+            worker.behaviour.cut_after_events = 3
+            worker.behaviour.gap_s = 0.05
+        connection = await entry.send("/model/", "id-1", **STREAM)
+        await fleet_nodes.until(lambda: runs(workers) == 1)
+        for worker in workers:
+            if not worker.runs:
+                worker.behaviour.cut_after_events = None
+        answer = await connection.receive()
+        assert event_ids(answer.body) == list(range(1, 9))
+        assert runs(workers) == 2
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_that_can_not_go_on_does_not_look_complete():
+    async def scenario():
+        entry, workers, _ = await make("model", 1, "m")
+        workers[0].behaviour.cut_after_events = 2
+        with pytest.raises((errors.ProtocolError, errors.UnreachableError)):
+            await entry.ask("/model/", "id-1", **STREAM)
+
+    asyncio.run(scenario())
+
+
+def test_a_client_that_leaves_is_left_by_the_worker_too():
+    async def scenario():
+        entry, workers, _ = await make("safe", 1)
+        workers[0].behaviour.is_mute = True
+        connection = await entry.send("/safe/", "id-1")
+        await fleet_nodes.until(lambda: runs(workers) == 1)
+        connection.close()
+        await fleet_nodes.until(lambda: workers[0].cancelled == ["id-1"], 2.0)
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_worker_is_left_for_another_where_the_request_may_be_repeated():
+    async def scenario():
+        entry, workers, _ = await make("model", 2, "m")
+        workers[0].behaviour.is_mute = True
+        workers[1].behaviour.is_mute = True
+        connection = await entry.send("/model/", "id-1", **STREAM)
+        await fleet_nodes.until(lambda: runs(workers) == 1)
+        for worker in workers:
+            worker.behaviour.is_mute = False
+        answer = await connection.receive()
+        assert answer.status == 200 and len(event_ids(answer.body)) == 5
+
+    asyncio.run(scenario())
+
+
+def test_a_draining_worker_gets_nothing_new():
+    async def scenario():
+        entry, workers, body = await make("safe", 2)
+        entry.feed(body, {}, gone=["i-0"])
+        for number in range(6):
+            await entry.ask("/safe/", f"id-{number}")
+        assert (len(workers[0].runs), len(workers[1].runs)) == (0, 6)
+
+    asyncio.run(scenario())
+
+
+def test_another_process_at_a_workers_address_does_not_run_its_requests():
+    async def scenario():
+        entry, (worker,), _ = await make("unsafe", 1)
+        worker.instance = "i-other"
+        answer = await entry.ask("/unsafe/", "id-1")
+        assert (answer.status, runs([worker])) == (503, 0)
+
+    asyncio.run(scenario())
+
+
+def test_each_version_of_weights_is_due_by_its_own_naming():
+    entry = fleet_nodes.Entry()
+    watcher = entry.node.watcher
+    watcher.named_at = {"m": {2: 100.0, 3: 102.0}}
+    assert [watcher.version_due("m", now, 7.0) for now in (106.0, 107.5, 109.5)] == [0, 2, 3]
--- /dev/null
+++ b/tests/test_fleet_deciders.py
@@ -0,0 +1,230 @@
+"""The pure parts of a fed deployment: routes, registry of back ends, budgets, places, pace."""
+
+import random
+
+import pytest
+
+from merlinthread import errors
+from merlinthread.coordination import (
+    dispatch,
+    fetch,
+    fleet_state,
+    instances,
+    pacing,
+    retry_budget,
+    route_table,
+)
+from merlinthread.protocol import event_bytes, fleet
+
+
+def make_route(name="r", host="h", prefix="/a/", **changes) -> fleet.Route:
+    shares = changes.pop("shares", [fleet.Share("s")])
+    return fleet.Route(name, host, prefix, "safe", 2.0, 0.4, 1, shares, **changes)
+
+
+def make_configuration(routes=None, accounts=None, version=1) -> fleet.Configuration:
+    routes = [make_route()] if routes is None else routes
+    return fleet.Configuration(version, routes, [fleet.Service("s")], accounts or [])
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    table = route_table.RouteTable(
+        make_configuration([make_route("short", prefix="/a/"), make_route("long", prefix="/a/b/")])
+    )
+    assert table.find("h", "/a/b/c").name == "long"
+    assert table.find("h", "/a/c").name == "short"
+    assert table.find("h", "/b/") is None
+    assert table.find("other", "/a/b/") is None
+
+
+@pytest.mark.parametrize(
+    "configuration",
+    [
+        make_configuration([make_route(shares=[fleet.Share("unknown")])]),
+        make_configuration([make_route("x"), make_route("y")]),
+        make_configuration([make_route(shares=[fleet.Share("s", 0.0)])]),
+        make_configuration([make_route(shares=[])]),
+        make_configuration(
+            [fleet.Route("r", "h", "/", "safe", 0.0, 0.4, 1, [fleet.Share("s")])]
+        ),
+        make_configuration(accounts=[fleet.Account("a", ["k"]), fleet.Account("b", ["k"])]),
+        make_configuration(version=0),
+    ],
+)
+def test_a_configuration_that_contradicts_itself_is_refused_with_its_field(configuration):
+    with pytest.raises(errors.ConfigurationError) as raised:
+        route_table.check(configuration)
+    assert raised.value.field
+
+
+def beat(instance="i", address="1.1.1.1:1", sequence=1, state=fleet.READY) -> fleet.Heartbeat:
+    return fleet.Heartbeat(instance, "s", address, "z", 4, state, sequence)
+
+
+def test_a_late_heartbeat_does_not_undo_a_drain():
+    registry = instances.Instances()
+    registry.take(beat(sequence=5, state=fleet.DRAINING), 0.0)
+    registry.take(beat(sequence=4), 0.1)
+    registry.take(beat(sequence=6), 0.2)
+    assert registry.known["i"].heartbeat.state == fleet.DRAINING
+
+
+def test_an_instance_that_left_does_not_come_back():
+    registry = instances.Instances()
+    registry.take(beat(), 0.0)
+    registry.remove("i")
+    registry.take(beat(sequence=9), 0.1)
+    assert registry.known == {}
+
+
+def test_a_new_instance_at_an_address_takes_the_place_of_the_old_one():
+    registry = instances.Instances()
+    registry.take(beat("old"), 0.0)
+    registry.take(beat("new"), 1.0)
+    registry.take(beat("old", sequence=2), 1.1)
+    assert list(registry.known) == ["new"]
+
+
+def test_who_knows_a_position_is_told_what_changed_after_it():
+    registry = instances.Instances()
+    registry.take(beat("a", "1.1.1.1:1"), 0.0)
+    position = registry.position
+    registry.take(beat("b", "1.1.1.1:2"), 0.0)
+    registry.take(beat("a", "1.1.1.1:1", sequence=2), 0.5)
+    is_full, changed, gone = registry.since(position, 0.5)
+    assert (is_full, [told.heartbeat.instance for told in changed], gone) == (False, ["b"], [])
+    registry.remove("a")
+    assert registry.since(position, 0.5)[2] == ["a"]
+
+
+def test_silent_instances_are_dropped_and_all_is_told_anew():
+    registry = instances.Instances()
+    registry.take(beat("a", "1.1.1.1:1"), 0.0)
+    registry.take(beat("b", "1.1.1.1:2"), 9.0)
+    position = registry.position
+    assert registry.expire(10.0, 5.0) == ["a"]
+    is_full, changed, _ = registry.since(position, 10.0)
+    assert is_full and [told.heartbeat.instance for told in changed] == ["b"]
+
+
+def test_the_highest_version_wins_whatever_the_order():
+    state = fleet_state.FleetState()
+    assert state.apply(fleet_state.Configure(5, b"five"))
+    assert not state.apply(fleet_state.Configure(4, b"four"))
+    assert not state.apply(fleet_state.Configure(5, b"other"))
+    assert (state.version, state.body) == (5, b"five")
+
+
+def test_gone_is_final():
+    state = fleet_state.FleetState()
+    assert state.apply(fleet_state.Depart("i", fleet.GONE))
+    assert not state.apply(fleet_state.Depart("i", fleet.DRAINING))
+    assert state.departed == {"i": fleet.GONE}
+
+
+def test_all_entries_together_keep_to_the_budget():
+    entries = [retry_budget.RetryBudget(0.15, 10.0, 3) for _ in range(7)]
+    now, spent, requests = 0.0, 0, 0
+    for step in range(2000):
+        now = step * 0.01
+        entry = entries[step % 7]
+        entry.note_first(now)
+        requests += now > 10.0
+        for _ in range(3):
+            spent += entry.spend(now) and now > 10.0
+    assert spent <= 0.2 * requests + 7 * 3
+
+
+def backend(name="b", **changes) -> dispatch.Backend:
+    fields = {"service": "s", "address": "x", "zone": "z", "distance": 0, "slots": 16}
+    return dispatch.Backend(name, **(fields | changes))
+
+
+ENGINE = fleet.Engine(16, ["m"], 16, 96, 100, 0.009, 5, 20000.0, 900.0, 90.0)
+
+
+def test_the_less_loaded_back_end_is_chosen():
+    busy, idle = backend("busy", in_flight=12, unread_tokens=4000.0), backend("idle")
+    for one in (busy, idle):
+        one.weights = [fleet.Weights("m", 1, 16)]
+    choice = dispatch.choose(
+        [busy, idle], dispatch.Demand("s", "m", 0, 900.0), ENGINE, 0.0, random.Random(1)
+    )
+    assert choice.backend is idle
+
+
+def test_only_whole_weights_of_the_required_version_are_chosen():
+    held = {
+        "empty": [],
+        "part": [fleet.Weights("m", 2, 8)],
+        "old": [fleet.Weights("m", 1, 16)],
+        "new": [fleet.Weights("m", 2, 16)],
+    }
+    backends = [backend(name, weights=weights) for name, weights in held.items()]
+    demand = dispatch.Demand("s", "m", 2)
+    able = [b.instance for b in backends if dispatch.is_able(b, demand, ENGINE, 0.0)]
+    assert able == ["new"]
+
+
+def test_a_failed_back_end_is_set_aside_longer_each_time_and_comes_back():
+    one = backend()
+    waits = []
+    for _ in range(3):
+        dispatch.note_failure(one, 100.0)
+        waits.append(one.aside_until - 100.0)
+    assert waits == sorted(set(waits))
+    demand = dispatch.Demand("s")
+    assert not dispatch.is_able(one, demand, None, 100.0)
+    assert dispatch.is_able(one, demand, None, 110.0)
+    dispatch.note_success(one, 0.1)
+    assert one.failures == 0
+
+
+def test_an_old_report_is_not_believed():
+    one = backend(in_flight=2)
+    one.take_report(fleet.EngineReport(running=9), 0.0)
+    assert one.load(0.5) == 9
+    assert one.load(5.0) == 2
+
+
+def test_a_pace_spreads_transfers_and_takes_back_what_did_not_happen():
+    pacer = pacing.Pacer(100.0, 0.0)
+    assert [pacer.reserve(50, 0.0) for _ in range(3)] == [0.0, 0.5, 1.0]
+    pacer.give_back(50)
+    assert pacer.reserve(50, 0.0) == 1.0
+
+
+def test_events_are_given_whole_whatever_the_pieces():
+    text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+    for size in range(1, len(text)):
+        splitter = event_bytes.EventSplitter()
+        found = []
+        for start in range(0, len(text), size):
+            found += splitter.feed(text[start : start + size])
+        assert [event.event_id for event in found] == ["1", "2"]
+        assert b"".join(event.data for event in found) + splitter.rest == text
+
+
+def make_zoned(me: str, names: dict[str, int]) -> fetch.FetchPlan:
+    plan = fetch.POLICIES.get("zoned")(me, "m@2", 24, 0, 1, 0.0, random.Random(1))
+    plan.set_peers([fetch.Peer(name, name, distance) for name, distance in names.items()])
+    return plan
+
+
+def test_a_chunk_is_asked_of_a_far_zone_by_one_vm_of_the_zone():
+    zone = ["a", "b", "c"]
+    asked = []
+    for me in zone:
+        names = {name: fetch.OWN_ZONE for name in zone if name != me} | {"far": fetch.FAR}
+        plan = make_zoned(me, names)
+        plan.heard("far", plan.all, 0.0)
+        asked.append(plan.to_bring(0.0))
+    assert asked[0] | asked[1] | asked[2] == make_zoned("a", {}).all
+    assert asked[0] & asked[1] == asked[0] & asked[2] == asked[1] & asked[2] == 0
+
+
+def test_a_vm_without_news_asks_far_zones_for_all_it_lacks():
+    names = {"b": fetch.OWN_ZONE, "far": fetch.FAR}
+    plan = make_zoned("a", names)
+    assert plan.to_bring(0.0) != plan.all
+    assert plan.to_bring(3 * plan.origin_grace_s) == plan.all
--- /dev/null
+++ b/tests/test_http_stream.py
@@ -0,0 +1,208 @@
+"""The event-loop HTTP: whole answers only, clients that leave, bounds on what they send."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from merlinthread import errors
+from merlinthread.transport import http_stream
+
+
+async def serve(handler, limits=None) -> tuple[http_stream.Server, str]:
+    server = http_stream.Server(handler, limits)
+    await server.listen("127.0.0.1", 0)
+    port = server.listener.sockets[0].getsockname()[1]
+    return server, f"127.0.0.1:{port}"
+
+
+async def raw_server(reply: bytes, then_reset: bool = False) -> str:
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(reply)
+        await writer.drain()
+        if then_reset:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def get(path: bytes = b"/") -> http_stream.Request:
+    return http_stream.Request(b"GET", path, [(b"host", b"a")])
+
+
+async def call(address: str) -> http_stream.Answer:
+    pool = http_stream.Pool(5.0, 1.0, 2.0)
+    return await pool.call(address, get(), 2.0)
+
+
+def test_an_answer_comes_back_whole_and_the_connection_is_used_again():
+    async def scenario():
+        peers = []
+
+        async def handler(exchange):
+            peers.append(id(exchange.connection))
+            await exchange.respond(http_stream.Answer(200, [], b"hello"))
+
+        _, address = await serve(handler)
+        pool = http_stream.Pool(5.0, 1.0, 2.0)
+        bodies = [(await pool.call(address, get(), 2.0)).body for _ in range(3)]
+        assert bodies == [b"hello"] * 3
+        assert len(set(peers)) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+    ],
+)
+def test_an_answer_that_ends_early_is_never_whole(reply):
+    async def scenario():
+        address = await raw_server(reply)
+        with pytest.raises((errors.ProtocolError, errors.UnreachableError)):
+            await call(address)
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_until_close_is_whole_only_without_a_reset():
+    async def scenario():
+        whole = await raw_server(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+        assert (await call(whole)).body == b"all of it"
+        reset = await raw_server(b"HTTP/1.1 200 OK\r\n\r\nall of it", then_reset=True)
+        with pytest.raises(errors.UnreachableError):
+            await call(reset)
+
+    asyncio.run(scenario())
+
+
+def test_bytes_after_an_answer_spoil_the_connection():
+    async def scenario():
+        reply = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n"
+        address = await raw_server(reply)
+        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection.send(get())
+        assert (await connection.receive()).body == b"a"
+        assert not connection.finish(0.0, 5.0)
+
+    asyncio.run(scenario())
+
+
+def test_a_client_that_leaves_cancels_the_work_for_it():
+    async def scenario():
+        began, cancelled = asyncio.Event(), asyncio.Event()
+
+        async def handler(exchange):
+            began.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        _, address = await serve(handler)
+        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection.send(get())
+        await began.wait()
+        connection.close()
+        async with asyncio.timeout(2):
+            await cancelled.wait()
+
+    asyncio.run(scenario())
+
+
+async def send_raw(address: str, data: bytes) -> bytes:
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    async with asyncio.timeout(3):
+        reply = await reader.read()
+    writer.close()
+    return reply
+
+
+async def never(exchange):
+    raise AssertionError("the handler was called")
+
+
+def test_a_body_over_the_limit_gets_413():
+    async def scenario():
+        _, address = await serve(never, http_stream.Limits(body_bytes=10))
+        length = await send_raw(
+            address, b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\n"
+        )
+        assert length.startswith(b"HTTP/1.1 413")
+        chunked = await send_raw(
+            address,
+            b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"b\r\nhello world\r\n0\r\n\r\n",
+        )
+        assert chunked.startswith(b"HTTP/1.1 413")
+
+    asyncio.run(scenario())
+
+
+def test_a_head_that_comes_byte_by_byte_gets_408_when_its_time_is_over():
+    async def scenario():
+        _, address = await serve(never, http_stream.Limits(header_timeout_s=0.2))
+        reply = await send_raw(address, b"GET / HTTP/1.1\r\nho")
+        assert reply.startswith(b"HTTP/1.1 408")
+
+    asyncio.run(scenario())
+
+
+def test_a_head_over_the_limit_gets_431():
+    async def scenario():
+        _, address = await serve(never, http_stream.Limits(header_bytes=512))
+        reply = await send_raw(address, b"GET / HTTP/1.1\r\nx: " + b"y" * 2000)
+        assert reply.startswith(b"HTTP/1.1 431")
+
+    asyncio.run(scenario())
+
+
+def test_a_broken_off_answer_does_not_look_complete():
+    async def scenario():
+        async def handler(exchange):
+            exchange.start(200, [])
+            await exchange.send(b"part")
+            exchange.abort()
+
+        _, address = await serve(handler)
+        with pytest.raises((errors.ProtocolError, errors.UnreachableError)):
+            await call(address)
+
+    asyncio.run(scenario())
+
+
+def test_a_leaving_server_finishes_answers_and_asks_clients_to_go():
+    async def scenario():
+        release = asyncio.Event()
+
+        async def handler(exchange):
+            await release.wait()
+            await exchange.respond(http_stream.Answer(200, [], b"late"))
+
+        server, address = await serve(handler)
+        task = asyncio.create_task(call(address))
+        while not server.count_busy():
+            await asyncio.sleep(0)
+        server.stop_accepting()
+        release.set()
+        answer = await task
+        assert answer.body == b"late"
+        assert http_stream.header(answer.headers, b"connection") == b"close"
+
+    asyncio.run(scenario())
