A torn last write of the log is left out; an append is one record

Cause: the platform tears writes that were not synced, in any way; a whole but unsound last record was taken for rot and kept a control VM from starting. Change: one record an append; an unsound last record is a torn write, an unsound one that a sound one follows is still refused with file and offset. Also: the types of a deployment lie below the messages, so that imports go down the layers.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable
 
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet
 
 REPORT_FRESH_S = 1.0
 DISTANCE_COST_S = (0.0, 0.004, 0.012)
@@ -70,9 +70,7 @@
     def version_of(self, model: str, layers: int) -> int:
         """Return the version of a model's weights that it holds whole, or 0."""
         whole = [
-            held.version
-            for held in self.weights
-            if held.model == model and held.is_whole(layers)
+            held.version for held in self.weights if held.model == model and held.is_whole(layers)
         ]
         return max(whole, default=0)
 
--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -384,7 +384,11 @@
         for peer in self.peers.values():
             if peer.lost_until < now:
                 needed &= ~peer.held
-        due = [index for index in bits(needed) if waited >= self.origin_grace_s * (1 + self.rank(index))]
+        due = [
+            index
+            for index in bits(needed)
+            if waited >= self.origin_grace_s * (1 + self.rank(index))
+        ]
         if not due:
             return None
         return FromOrigin(min(due, key=self.rank))
--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from merlinthread import registry
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet
 
 COMMANDS: registry.Registry[type] = registry.Registry("fleet command")
 
--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -8,11 +8,19 @@
 import collections
 import dataclasses
 
-from merlinthread.protocol import fleet, node_messages
+from merlinthread.coordination import fleet
 
 GONE_KEPT = 4096
 
 
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One back end as it is told to nodes; `age_s` is how old its last heartbeat is."""
+
+    heartbeat: fleet.Heartbeat
+    age_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Known:
     """One instance and when it was last heard of; `position` is that of its last change."""
@@ -38,8 +46,8 @@
     def take(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
         """Take a heartbeat in; return whether anything but its age has changed.
 
-        A late one (a lower `sequence`) and one of an instance that has left are ignored. An instance
-        that is leaving never becomes ready again.
+        A late one (a lower `sequence`) and one of an instance that has left are ignored. An
+        instance that is leaving never becomes ready again.
         """
         if heartbeat.instance in self.gone:
             return False
@@ -102,14 +110,12 @@
         self.position += 1
         return self.position
 
-    def since(
-        self, position: int, now: float
-    ) -> tuple[bool, list[node_messages.Instance], list[str]]:
+    def since(self, position: int, now: float) -> tuple[bool, list[Instance], list[str]]:
         """Return whether all is told, the instances changed since `position`, and those gone."""
         is_full = position < self.forgotten_position or position > self.position or position == 0
         after = 0 if is_full else position
         changed = [
-            node_messages.Instance(known.heartbeat, round(now - known.heard_at, 3))
+            Instance(known.heartbeat, round(now - known.heard_at, 3))
             for known in self.known.values()
             if known.position > after
         ]
--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -3,7 +3,7 @@
 import random
 
 from merlinthread import errors
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet
 
 ROUTES_MAX = 100_000
 
@@ -16,9 +16,7 @@
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
         self.has_accounts = bool(configuration.accounts)
-        self.accounts = {
-            key: account for account in configuration.accounts for key in account.keys
-        }
+        self.accounts = {key: account for account in configuration.accounts for key in account.keys}
         self.hosts: dict[str, list[fleet.Route]] = {}
         for route in configuration.routes:
             self.hosts.setdefault(route.host, []).append(route)
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from merlinthread import errors, logs
-from merlinthread.nodes import engine_client, news_watcher, node_settings, weights_task
+from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
+from merlinthread.nodes import engine_client, news_watcher, node_settings, weights_task
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import fleet, node_messages
+from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
 REPORT_EVERY_S = 0.2
@@ -31,9 +32,7 @@
         self.settings = settings
         self.clock = clock
         self.caller = node_bus.Caller(codec)
-        self.watcher = news_watcher.NewsWatcher(
-            settings, dialect, self.caller, clock, lambda: None
-        )
+        self.watcher = news_watcher.NewsWatcher(settings, dialect, self.caller, clock, lambda: None)
         self.engine = engine_client.EngineClient(dialect, settings.engine)
         self.weights = weights_task.WeightsTask(
             settings, self.watcher, self.engine, self.caller, clock, rng, self.tell
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import dispatch, retry_budget, route_table, waiting_room
+from merlinthread.coordination import dispatch, fleet, retry_budget, route_table, waiting_room
 from merlinthread.nodes import news_watcher, node_settings
-from merlinthread.protocol import fleet, node_messages
+from merlinthread.protocol import node_messages
 from merlinthread.transport import http_stream
 
 KEEP_S = 20.0
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from merlinthread import errors, logs
-from merlinthread.coordination import fleet_state, instances
+from merlinthread.coordination import fleet, fleet_state, instances
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import log_member, node_settings
-from merlinthread.protocol import answers, fleet, node_messages
+from merlinthread.protocol import answers, node_messages
 from merlinthread.protocol import codec as codecs
 from merlinthread.transport import http_stream, node_bus
 
@@ -142,9 +142,7 @@
             leader = self.member.leader_address()
             if not leader or leader == self.member.address:
                 raise errors.NotLeaderError("no leader is known", "")
-            reply = await self.caller.call(
-                leader, node_messages.Submit(encoded), FORWARD_TIMEOUT_S
-            )
+            reply = await self.caller.call(leader, node_messages.Submit(encoded), FORWARD_TIMEOUT_S)
             return reply.is_applied
 
     # Nodes
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -7,7 +7,7 @@
 import dataclasses
 from typing import Protocol
 
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet
 from merlinthread.transport import http_stream
 
 
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -3,8 +3,8 @@
 import hashlib
 
 from merlinthread import errors
+from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
-from merlinthread.protocol import fleet
 from merlinthread.transport import http_stream
 
 KEEP_S = 2.0
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -38,9 +38,7 @@
         self.dialect = dialect
         self.clock = clock
         self.caller = node_bus.Caller(codec)
-        self.watcher = news_watcher.NewsWatcher(
-            settings, dialect, self.caller, clock, self.on_news
-        )
+        self.watcher = news_watcher.NewsWatcher(settings, dialect, self.caller, clock, self.on_news)
         self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng)
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
         self.server = http_stream.Server(self.serve)
@@ -120,4 +118,3 @@
             await asyncio.sleep(0.05)
         if self.server.count_busy():
             logs.warn("cut_off", requests=self.server.count_busy())
-
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -83,7 +83,7 @@
         self.queues: dict[str, list[raft_messages.Message]] = {}
         self.senders: dict[str, asyncio.Task] = {}
         self.sender_events: dict[str, asyncio.Event] = {}
-        self.joiners: dict[str, tuple[node_messages.Join, float]] = {}
+        self.joiners: dict[str, float] = {}
         self.duties_at = 0.0
         self.full_until = float("-inf")
         self.was_leader = False
@@ -346,7 +346,7 @@
         if self.raft.holds_lease(self.clock()):
             if join.name in self.raft.log.voters.retired:
                 return node_messages.Submitted(False, -1)
-            self.joiners[join.name] = (join, self.clock())
+            self.joiners[join.name] = self.clock()
         return node_messages.Submitted(True, 0)
 
     def look_after_members(self, now: float) -> None:
@@ -366,7 +366,7 @@
     def next_change(self, facts: raft_members.Facts, now: float) -> raft_members.Change | None:
         """Return the next change of members, or None."""
         voters = self.raft.log.voters
-        for name, (join, heard_at) in list(self.joiners.items()):
+        for name, heard_at in list(self.joiners.items()):
             if now - heard_at > JOINER_KEPT_S:
                 del self.joiners[name]
                 continue
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import route_table
+from merlinthread.coordination import fleet, instances, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import node_settings
-from merlinthread.protocol import fleet, node_messages
+from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
 WATCH_WAIT_S = 0.6
@@ -93,9 +93,7 @@
                 self.take(news)
         return second
 
-    async def ask(
-        self, address: str, wait_s: float, timeout_s: float
-    ) -> node_messages.News | None:
+    async def ask(self, address: str, wait_s: float, timeout_s: float) -> node_messages.News | None:
         """Return a control VM's news, or None if it does not answer."""
         is_same = address == self.current
         watch = node_messages.Watch(
@@ -193,7 +191,7 @@
                 self.missing.setdefault(instance, now)
         self.drop_missing(now)
 
-    def take_instance(self, told: node_messages.Instance, now: float) -> None:
+    def take_instance(self, told: instances.Instance, now: float) -> None:
         """Take one back end over."""
         heartbeat = told.heartbeat
         if heartbeat.instance in self.gone:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -11,10 +11,10 @@
 import h11
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import dispatch, route_table
+from merlinthread.coordination import dispatch, fleet, route_table
 from merlinthread.nodes import backend_pool
 from merlinthread.nodes import dialect as dialects
-from merlinthread.protocol import answers, event_bytes, fleet
+from merlinthread.protocol import answers, event_bytes
 from merlinthread.transport import http_stream
 
 # Share of a route's objective that a request may wait for a place before it is refused.
@@ -163,9 +163,7 @@
         if outcome.state is State.NOT_RUN:
             raise self.no_place("back ends are full")
         if self.clock() >= self.deadline:
-            raise errors.RequestError(
-                "the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED
-            )
+            raise errors.RequestError("the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED)
         raise errors.RequestError(
             "the back end gave no whole answer", kind=errors.ErrorKind.OUTCOME_UNKNOWN
         )
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import fetch, pacing
+from merlinthread.coordination import fetch, fleet, pacing
 from merlinthread.nodes import engine_client, news_watcher, node_settings
-from merlinthread.protocol import fleet, node_messages
+from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
 LOOK_EVERY_S = 0.1
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet
 
 MS = 1000.0
 Version = Annotated[int, msgspec.Meta(ge=0)]
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -5,10 +5,9 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import route_table
+from merlinthread.coordination import fleet, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
-from merlinthread.protocol import fleet
 from merlinthread.transport import http_stream
 
 JSON_TYPE = (b"content-type", b"application/json")
@@ -132,9 +131,7 @@
     def manifest_request(self, address: str, model: str, version: int) -> http_stream.Request:
         """Return the request for a version's manifest; version 0 is the newest."""
         query = {"version": version} if version else {}
-        return http_stream.Request(
-            b"GET", target(names.MANIFEST_PATH, model, query), host(address)
-        )
+        return http_stream.Request(b"GET", target(names.MANIFEST_PATH, model, query), host(address))
 
     def manifest(self, body: bytes) -> fleet.Manifest:
         """Read a manifest; raise ProtocolError."""
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from merlinthread import registry
-from merlinthread.protocol import fleet
+from merlinthread.coordination import fleet, instances
 
 MESSAGES: registry.Registry[type] = registry.Registry("node message")
 
@@ -23,15 +23,6 @@
     message: str
 
 
-@MESSAGES.add("node.instance")
-@dataclasses.dataclass(slots=True)
-class Instance:
-    """One back end as the control VMs know it; `age_s` is how old its last heartbeat is."""
-
-    heartbeat: fleet.Heartbeat
-    age_s: float = 0.0
-
-
 @MESSAGES.add("node.named_version")
 @dataclasses.dataclass(slots=True)
 class NamedVersion:
@@ -62,15 +53,15 @@
 class News:
     """What has changed since the asker's position.
 
-    With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago this
-    control VM was surely joined to a majority. `configuration` is empty if the asker's is the
+    With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago
+    this control VM was surely joined to a majority. `configuration` is empty if the asker's is the
     newest here.
     """
 
     feed: str
     position: int
     is_full: bool
-    instances: list[Instance]
+    instances: list[instances.Instance]
     gone: list[str]
     named: list[NamedVersion]
     configuration_version: int
--- a/src/merlinthread/state/journal.py
+++ b/src/merlinthread/state/journal.py
@@ -51,6 +51,14 @@
     entries: list[Entry]
 
 
+@dataclasses.dataclass(slots=True)
+class Append:
+    """What one append makes durable: a changed vote, new entries, or both."""
+
+    hard_state: HardState | None
+    entries: list[Entry]
+
+
 class Journal:
     """Entries, votes and snapshots under `folder`; every method returns only after a sync."""
 
@@ -103,13 +111,13 @@
     def replay(self, payload: bytes) -> None:
         """Apply one record that was read back."""
         try:
-            name, body = msgspec.msgpack.decode(payload, type=tuple[str, msgspec.Raw])
-            if name == "vote":
-                self.hard_state = msgspec.msgpack.decode(body, type=HardState)
-            else:
-                self.place(msgspec.msgpack.decode(body, type=Entry))
+            append = msgspec.msgpack.decode(payload, type=Append)
         except msgspec.DecodeError as error:
             raise errors.LogDamagedError(f"{self.file.path}: a record does not decode: {error}")
+        if append.hard_state is not None:
+            self.hard_state = append.hard_state
+        for entry in append.entries:
+            self.place(entry)
 
     def place(self, entry: Entry) -> None:
         """Put `entry` at its index and drop what a former leader had put there and after it."""
@@ -124,12 +132,7 @@
 
     def save(self, hard_state: HardState | None, entries: list[Entry]) -> None:
         """Append a changed vote and new entries with one sync; raise DiskFullError."""
-        payloads = []
-        if hard_state is not None:
-            payloads.append(msgspec.msgpack.encode(("vote", hard_state)))
-        for entry in entries:
-            payloads.append(msgspec.msgpack.encode(("entry", entry)))
-        self.file.append(payloads)
+        self.file.append(msgspec.msgpack.encode(Append(hard_state, entries)))
         if hard_state is not None:
             self.hard_state = dataclasses.replace(hard_state)
         for entry in entries:
--- a/src/merlinthread/state/records.py
+++ b/src/merlinthread/state/records.py
@@ -9,7 +9,6 @@
 import pathlib
 import struct
 import zlib
-from collections.abc import Iterable
 
 from merlinthread import errors
 
@@ -27,33 +26,48 @@
 def scan(data: bytes, path: pathlib.Path) -> tuple[list[bytes], int]:
     """Return the payloads of `data` and the length of its sound part.
 
-    A tail that was never synced (cut short, or zeros to the end) is left out. A whole record with a
-    wrong checksum was synced once: raises LogDamagedError with file and offset, because dropping it
-    could drop an acknowledged entry.
+    Each append is one record and is synced before the next. So an unsound last record is a write
+    that a loss of power tore, and is left out; an unsound one that a sound one follows was synced
+    once: raises LogDamagedError with file and offset, because dropping it could drop an
+    acknowledged entry.
     """
     payloads: list[bytes] = []
     offset = 0
     while offset < len(data):
-        header = data[offset : offset + HEADER.size]
-        if len(header) < HEADER.size:
+        part, body = read_record(data, offset)
+        if part:
+            if has_sound_record(data, offset + 1):
+                raise damaged(path, offset, part)
             break
-        magic, length, body_sum, head_sum = HEADER.unpack(header)
-        if head_sum != zlib.crc32(header[:12]) or magic != MAGIC:
-            if not any(data[offset:]):
-                break
-            raise damaged(path, offset, "header")
-        body = data[offset + HEADER.size : offset + HEADER.size + length]
-        if len(body) < length:
-            break
-        if zlib.crc32(body) != body_sum:
-            if not any(body):
-                break
-            raise damaged(path, offset, "payload")
         payloads.append(body)
-        offset += HEADER.size + length
+        offset += HEADER.size + len(body)
     return payloads, offset
 
 
+def read_record(data: bytes, offset: int) -> tuple[str, bytes]:
+    """Return the payload at `offset`, or the part that is not sound ("header" or "payload")."""
+    header = data[offset : offset + HEADER.size]
+    if len(header) < HEADER.size:
+        return "header", b""
+    magic, length, body_sum, head_sum = HEADER.unpack(header)
+    if head_sum != zlib.crc32(header[:12]) or magic != MAGIC:
+        return "header", b""
+    body = data[offset + HEADER.size : offset + HEADER.size + length]
+    if len(body) < length or zlib.crc32(body) != body_sum:
+        return "payload", b""
+    return "", body
+
+
+def has_sound_record(data: bytes, start: int) -> bool:
+    """Return whether a whole record lies anywhere from `start` on."""
+    offset = data.find(MAGIC, start)
+    while offset >= 0:
+        if not read_record(data, offset)[0]:
+            return True
+        offset = data.find(MAGIC, offset + 1)
+    return False
+
+
 def damaged(path: pathlib.Path, offset: int, part: str) -> errors.LogDamagedError:
     """Return the error for a record whose `part` fails its checksum."""
     return errors.LogDamagedError(
@@ -107,7 +121,7 @@
 
 
 class RecordFile:
-    """An append-only file of records; each `append` is one write and one sync."""
+    """An append-only file of records; each `append` is one record, one write and one sync."""
 
     def __init__(self, path: pathlib.Path) -> None:
         self.path = path
@@ -123,13 +137,13 @@
         if not existed:
             sync_folder(path.parent)
 
-    def append(self, payloads: Iterable[bytes]) -> None:
-        """Write and sync `payloads`.
+    def append(self, payload: bytes) -> None:
+        """Write and sync one record.
 
         Raises DiskFullError after taking back what was written of them. A failed sync leaves the
         file's state unknown, so that error is passed on and the owner must stop.
         """
-        data = b"".join(frame(payload) for payload in payloads)
+        data = frame(payload)
         written = 0
         try:
             while written < len(data):
--- a/src/merlinthread/transport/http_stream.py
+++ b/src/merlinthread/transport/http_stream.py
@@ -590,9 +590,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 if connection is None:
-                    connection = await connect(
-                        address, self.connect_timeout_s, self.user_timeout_s
-                    )
+                    connection = await connect(address, self.connect_timeout_s, self.user_timeout_s)
                 connection.send(request)
                 answer = await connection.receive()
         except TimeoutError:
