Followers learn of a commit at once; refusals say a later time when nothing can serve

Change: the leader sends one after each commit. Retry-After is 1.8 s where no back end can serve at all, at least 0.3 s where they are busy (was 0.5 and 0.1).

--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -196,6 +196,10 @@
                 self.apply(entry)
             self.raft.saved(ready)
             self.raft.flush(now)
+            if self.raft.is_leader() and any(entry.data for entry in ready.committed):
+                # The others learn at once, not with the next heartbeat, that it is committed.
+                self.raft.heartbeat_at = now
+                self.raft.tick(now)
         if self.is_due_for_compaction() and now >= self.full_until:
             self.compact(now)
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -21,7 +21,8 @@
 PATIENCE_SHARE = 0.22
 # Share of the objective within which the first byte must be expected for a place to be taken.
 ADMIT_SHARE = 0.85
-RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_MIN_S = 0.3
+NONE_FREE_WAIT_S = 1.8
 RETRY_AFTER_MAX_S = 2.0
 CONNECT_FAILURES_MAX = 4
 DEADLINE_MARGIN_S = 0.03
@@ -228,7 +229,7 @@
         """Return a back end although it will be late, or raise RequestError."""
         assert self.route is not None
         if choice is None:
-            raise self.no_place("no back end is free", 0.5)
+            raise self.no_place("no back end is free", NONE_FREE_WAIT_S)
         has_begun = self.sent > 0 or self.exchange.is_started
         if has_begun or self.route.kind != fleet.STREAMING:
             return choice.backend
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -222,6 +222,11 @@
         """Return whether a newer version was named meanwhile."""
         return self.watcher.named.get(manifest.model, 0) > manifest.version
 
+    def due_at(self, model: str, version: int) -> float:
+        """Return by when engines must have changed over to a version."""
+        named_at = self.watcher.named_at.get(model, {}).get(version, self.clock())
+        return named_at + self.settings.bounds.version_s - CHANGE_OVER_S
+
     async def carry_out(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.Action
     ) -> None:
@@ -335,9 +340,7 @@
         """Wait until this engine may change over."""
         if not self.is_second():
             return
-        stamps = self.watcher.named_at.get(manifest.model, {})
-        named_at = stamps.get(manifest.version, self.clock())
-        turn_at = named_at + self.settings.bounds.version_s - CHANGE_OVER_S
+        turn_at = self.due_at(manifest.model, manifest.version)
         await asyncio.sleep(max(0.0, turn_at - self.clock()))
 
     async def await_loaded(self, manifest: fleet.Manifest) -> None:
