The better of two back ends drawn by lot; waits admitted without the request's own prompt; stops wait for answers

Change: the better of two drawn by lot; a place is taken if the wait before the request's own prompt is within 0.45 of the objective. A half-read request was closed at a planned stop: mended, with a test that failed first.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -21,7 +21,7 @@
 FULL_WAIT_S = 0.08
 USUAL_WORK_S = 0.1
 WORK_SMOOTHING = 0.1
-SPREAD_S = 0.003
+DRAWN = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,10 +93,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Choice:
-    """A back end with the expected time to its first byte, in seconds."""
+    """A back end with the expected time to its first byte, in seconds.
+
+    `wait_s` is the part of it that does not depend on the size of the request's own prompt;
+    `cost_s` also weighs how far away it is and whether it has just started.
+    """
 
     backend: Backend
     first_s: float
+    wait_s: float
+    cost_s: float
 
 
 def expected_first_s(
@@ -114,11 +120,18 @@
     unread = backend.unread_tokens
     if backend.others_known(now):
         unread += backend.others_queued * engine.usual_prompt
-    reading_s = (unread + tokens) / engine.read_tokens_per_s
+    unread_s = reading_s(engine, unread + tokens)
     waiting = max(0, load - backend.slots + 1)
     request_s = engine.usual_answer * engine.step_s * 1.5
     waiting_s = waiting / max(1, backend.slots) * request_s
-    return BASE_S + pass_s + reading_s + waiting_s + load * RUNNING_COST_S
+    return BASE_S + pass_s + unread_s + waiting_s + load * RUNNING_COST_S
+
+
+def reading_s(engine: fleet.Engine | None, tokens: float) -> float:
+    """Return how long an engine reads `tokens` of prompts."""
+    if engine is None or not engine.read_tokens_per_s:
+        return 0.0
+    return tokens / engine.read_tokens_per_s
 
 
 def is_able(backend: Backend, demand: Demand, engine: fleet.Engine | None, now: float) -> bool:
@@ -141,23 +154,34 @@
     engine: fleet.Engine | None,
     now: float,
     rng: random.Random,
+    wait_s_max: float = math.inf,
 ) -> Choice | None:
-    """Return the best back end for an attempt, or None if there is none."""
-    best: Choice | None = None
-    best_cost = math.inf
-    for backend in backends:
-        if not is_able(backend, demand, engine, now):
-            continue
-        first_s = expected_first_s(backend, engine, demand.prompt_tokens, now)
-        cost = first_s + DISTANCE_COST_S[backend.distance] + rng.uniform(0, SPREAD_S)
-        if now < backend.cold_until:
-            cost += first_s
-        if cost < best_cost:
-            best = Choice(backend, first_s)
-            best_cost = cost
+    """Return a good back end for an attempt, or None if there is none.
+
+    One whose wait is over `wait_s_max` is returned only if all others would be worse.
+    """
+    able = [backend for backend in backends if is_able(backend, demand, engine, now)]
+    choices = [rate(backend, demand, engine, now) for backend in able]
+    if not choices:
+        return None
+    # Entries decide apart on reports of some age: if all took the best one, it would be flooded. Of
+    # two drawn by lot the better one is nearly as good (Mitzenmacher 2001).
+    drawn = rng.sample(choices, min(DRAWN, len(choices)))
+    best = min(drawn, key=lambda choice: choice.cost_s)
+    if best.wait_s > wait_s_max:
+        best = min(choices, key=lambda choice: choice.cost_s)
     return best
 
 
+def rate(backend: Backend, demand: Demand, engine: fleet.Engine | None, now: float) -> Choice:
+    """Return what choosing a back end would mean."""
+    first_s = expected_first_s(backend, engine, demand.prompt_tokens, now)
+    cost_s = first_s + DISTANCE_COST_S[backend.distance]
+    if now < backend.cold_until:
+        cost_s += first_s
+    return Choice(backend, first_s, first_s - reading_s(engine, demand.prompt_tokens), cost_s)
+
+
 def note_failure(backend: Backend, now: float) -> None:
     """Set a back end aside after a failure, longer each time."""
     wait = min(FAILED_WAIT_MAX_S, FAILED_WAIT_S * 2**backend.failures)
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -116,13 +116,13 @@
         """Return the waiting room of a service."""
         return self.rooms.setdefault(service, waiting_room.WaitingRoom())
 
-    def choose(self, demand: dispatch.Demand) -> dispatch.Choice | None:
-        """Return the best back end now."""
+    def choose(self, demand: dispatch.Demand, wait_s_max: float) -> dispatch.Choice | None:
+        """Return a good back end now, if possible one with a wait up to `wait_s_max`."""
         table = self.watcher.table
         service = table.services.get(demand.service) if table else None
         engine = service.engine if service else None
         backends = self.by_service.get(demand.service, ())
-        return dispatch.choose(backends, demand, engine, self.clock(), self.rng)
+        return dispatch.choose(backends, demand, engine, self.clock(), self.rng, wait_s_max)
 
     def occupy(self, backend: dispatch.Backend, tokens: float) -> Place:
         """Count an attempt on a back end."""
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -114,7 +114,8 @@
         self.server.begin_leaving()
         await asyncio.sleep(UNREADY_BEFORE_CLOSE_S)
         self.server.stop_accepting()
-        while self.server.count_busy() and self.clock() < deadline:
+        # Also connections whose last answer has not left yet are waited for.
+        while self.server.connections and self.clock() < deadline:
             await asyncio.sleep(0.05)
         if self.server.count_busy():
             logs.warn("cut_off", requests=self.server.count_busy())
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -19,8 +19,9 @@
 
 # Share of a route's objective that a request may wait for a place before it is refused.
 PATIENCE_SHARE = 0.22
-# Share of the objective within which the first byte must be expected for a place to be taken.
-ADMIT_SHARE = 0.85
+# Share of the objective within which the first byte must be expected for a place to be taken. The
+# request's own prompt is left out, so that large requests are not refused more often.
+ADMIT_SHARE = 0.45
 RETRY_AFTER_MIN_S = 0.3
 NONE_FREE_WAIT_S = 1.8
 RETRY_AFTER_MAX_S = 2.0
@@ -208,12 +209,12 @@
         room = self.pool.room(self.service)
         while True:
             now = self.clock()
-            choice = self.pool.choose(self.demand())
+            left_s = self.admit_until() - now
+            choice = self.pool.choose(self.demand(), left_s)
             if choice is None and self.tried and self.is_idempotent():
                 self.tried.clear()
-                choice = self.pool.choose(self.demand())
-            left_s = self.admit_until() - now
-            if choice is not None and choice.first_s <= left_s:
+                choice = self.pool.choose(self.demand(), left_s)
+            if choice is not None and choice.wait_s <= left_s:
                 return choice
             if now >= self.deadline:
                 raise errors.RequestError(
--- a/src/merlinthread/transport/http_stream.py
+++ b/src/merlinthread/transport/http_stream.py
@@ -188,7 +188,7 @@
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
-            if connection.task is None:
+            if connection.is_between_requests():
                 connection.close()
 
     def count_busy(self) -> int:
@@ -220,6 +220,10 @@
         """Return whether the server asks its clients to leave."""
         return self.server.is_leaving
 
+    def is_between_requests(self) -> bool:
+        """Return whether nothing of a request has come that is not answered."""
+        return self.task is None and self.request is None and not self.is_head_due
+
     # Events of the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_http_stream.py
+++ b/tests/test_http_stream.py
@@ -206,3 +206,23 @@
         assert http_stream.header(answer.headers, b"connection") == b"close"
 
     asyncio.run(scenario())
+
+
+def test_a_leaving_server_still_answers_a_request_that_is_half_read():
+    async def scenario():
+        async def handler(exchange):
+            await exchange.respond(http_stream.Answer(200, [], exchange.request.body))
+
+        server, address = await serve(handler)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab")
+        while not any(connection.parts for connection in server.connections):
+            await asyncio.sleep(0)
+        server.stop_accepting()
+        writer.write(b"cd")
+        async with asyncio.timeout(2):
+            assert (await reader.read()).endswith(b"abcd")
+        writer.close()
+
+    asyncio.run(scenario())
