Late pieces are read from the origin

Change: an agent whose pieces would come after the bound at the rate seen reads what is missing from the origin. The baseline policies asked the new counter for presence.

--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -408,8 +408,18 @@
 
     A chunk is asked of a far peer only by the VM that is first for it in its zone; the others get
     it from that one. The longer a VM has heard nothing new, the more chunks it may ask for itself.
+    With `is_late`, which the owner sets, the origin is read for whatever is missing.
     """
 
+    is_late = False
+
+    def next_action(self, now: float) -> Action | None:
+        """Read what is owned, or what is missing if time presses; else as `Spread`."""
+        needed = self.needed()
+        if self.is_late and needed and self.may_read_origin(now):
+            return FromOrigin(self.rng.choice(bits(needed & self.owned or needed)))
+        return super().next_action(now)
+
     def ask(self, peer: PeerState, now: float) -> FromPeer | None:
         """Return a request; of a far peer only for what this VM is to bring into its zone."""
         if peer.distance == OWN_ZONE:
--- a/src/merlinthread/coordination/fetch_baselines.py
+++ b/src/merlinthread/coordination/fetch_baselines.py
@@ -35,7 +35,7 @@
                 return None
             return fetch.FromOrigin(fetch.bits(needed)[0])
         peer = self.peers[name]
-        if peer.not_before > now or name in self.asking:
+        if peer.not_before > now or self.asking[name]:
             return None
         return fetch.FromPeer(name, needed)
 
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -31,6 +31,7 @@
 # How long before the bound the second half of the engines changes over.
 CHANGE_OVER_S = 0.7
 PROGRESS_EVERY_S = 1.0
+RATE_AFTER_S = 1.0
 
 
 class WeightsTask:
@@ -177,6 +178,7 @@
         try:
             while not plan.is_complete() and not self.is_overtaken(manifest):
                 plan.set_peers(self.peers())
+                plan.is_late = self.is_late(plan, manifest, started)
                 if self.clock() >= told_at + PROGRESS_EVERY_S:
                     told_at = self.clock()
                     self.log_progress("weights_progress", plan, manifest, started)
@@ -218,6 +220,15 @@
             doubled=plan.tally.doubled,
         )
 
+    def is_late(self, plan: fetch.FetchPlan, manifest: fleet.Manifest, started: float) -> bool:
+        """Return whether the pieces would come too late at the rate seen so far."""
+        now = self.clock()
+        if not self.watcher.named.get(manifest.model) or now - started < RATE_AFTER_S:
+            return False
+        rate = plan.held.bit_count() / (now - started)
+        missing = plan.chunk_count - plan.held.bit_count()
+        return now + missing / max(rate, 1.0) > self.due_at(manifest.model, manifest.version)
+
     def is_overtaken(self, manifest: fleet.Manifest) -> bool:
         """Return whether a newer version was named meanwhile."""
         return self.watcher.named.get(manifest.model, 0) > manifest.version
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -227,3 +227,12 @@
     plan = make_zoned("a", names)
     assert plan.to_bring(0.0) != plan.all
     assert plan.to_bring(3 * plan.origin_grace_s) == plan.all
+
+
+def test_the_origin_is_read_for_what_is_missing_only_when_time_presses():
+    plan = make_zoned("a", {"b": fetch.OWN_ZONE, "c": fetch.OWN_ZONE})
+    plan.held = plan.owned
+    assert not isinstance(plan.next_action(0.0), fetch.FromOrigin)
+    plan.is_late = True
+    action = plan.next_action(0.0)
+    assert isinstance(action, fetch.FromOrigin) and not plan.held >> action.index & 1
