A connection takes no further request once its entry has stopped accepting

Ruled out: answers not flushed at exit (the request was cut while its worker ran it). Change: an answer after the stop is the last on its connection.

--- a/src/merlinthread/transport/http_stream.py
+++ b/src/merlinthread/transport/http_stream.py
@@ -168,6 +168,7 @@
         self.limits = limits or Limits()
         self.connections: set[ServerConnection] = set()
         self.is_leaving = False
+        self.has_stopped = False
         self.listener: asyncio.Server | None = None
         self.buffered_bytes = 0
 
@@ -183,8 +184,9 @@
         self.is_leaving = True
 
     def stop_accepting(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Accept no more connections, close the idle ones, and the others after their answer."""
         self.begin_leaving()
+        self.has_stopped = True
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
@@ -358,7 +360,8 @@
             return
         if self.transport is None or self.transport.is_closing():
             return
-        if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+        is_over = self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE
+        if is_over or self.server.has_stopped:
             self.close()
             return
         self.parser.start_next_cycle()
--- a/tests/test_http_stream.py
+++ b/tests/test_http_stream.py
@@ -226,3 +226,27 @@
         writer.close()
 
     asyncio.run(scenario())
+
+
+def test_a_stream_that_began_before_the_stop_is_the_last_answer_on_its_connection():
+    async def scenario():
+        release = asyncio.Event()
+
+        async def handler(exchange):
+            exchange.start(200, [])
+            await exchange.send(b"first")
+            await release.wait()
+            await exchange.finish()
+
+        server, address = await serve(handler)
+        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection.send(get())
+        await connection.next_event()
+        server.stop_accepting()
+        release.set()
+        async with asyncio.timeout(2):
+            while not connection.is_lost:
+                await asyncio.sleep(0.01)
+        assert server.connections == set()
+
+    asyncio.run(scenario())
