--- a/src/merlinthread/cli/main.py
+++ b/src/merlinthread/cli/main.py
@@ -16,6 +16,7 @@
     "bundle show": ("bundle_commands", "Show"),
     "bundle history": ("bundle_commands", "History"),
     "status": ("other_commands", "Status"),
+    "explain": ("explain", "Explain"),
     "keys new": ("other_commands", "KeysNew"),
     "weights manifest": ("other_commands", "WeightsManifest"),
 }
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -22,6 +22,7 @@
 USUAL_WORK_S = 0.1
 WORK_SMOOTHING = 0.1
 DRAWN = 2
+UNHEARD_COST_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +64,10 @@
         """Return whether a fresh report tells of the requests of other entries."""
         return now - self.reported_at <= REPORT_FRESH_S
 
+    def is_unheard(self, now: float) -> bool:
+        """Return whether reports came once and come no more: its machine may stand still."""
+        return self.reported_at > float("-inf") and not self.others_known(now)
+
     def take_report(self, report: fleet.EngineReport, now: float) -> None:
         """Take a fresh report of its load and weights."""
         total = report.running + report.queued
@@ -179,6 +184,8 @@
     cost_s = first_s + DISTANCE_COST_S[backend.distance]
     if now < backend.cold_until:
         cost_s += first_s
+    if backend.is_unheard(now):
+        cost_s += UNHEARD_COST_S
     return Choice(backend, first_s, first_s - reading_s(engine, demand.prompt_tokens), cost_s)
 
 
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import time
+import zlib
 
 from merlinthread.coordination import instances as instance_records
 from merlinthread.coordination import raft_messages
@@ -24,6 +25,16 @@
         return sock.getsockname()[1]
 
 
+def is_free(ip: str, port: int) -> bool:
+    """Return whether a datagram socket can be bound to an address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def make_codec() -> codecs.Codec:
     """Return the codec of nodes."""
     return codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
@@ -192,8 +203,6 @@
 
     def feed(self, body: dict, workers: dict[fleet_worker.Worker, str], gone=()) -> None:
         """Tell the entry a configuration and its workers with their services."""
-        import zlib
-
         self.sequence += 1
         instances = [
             instance_records.Instance(
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,39 @@
+"""From a failed request's id to its cause, over log lines kept from a played day."""
+
+import pathlib
+
+import pytest
+
+from merlinthread.cli import explain
+
+LOGS = pathlib.Path(__file__).parent / "data" / "explain"
+
+
+def read_all() -> list[explain.Line]:
+    return [line for path in sorted(LOGS.iterdir()) for line in explain.read(path)]
+
+
+@pytest.mark.parametrize(
+    ("request_id", "cause"),
+    [
+        ("aa4e4ef02377dcb0", "silent for 0.81 s"),
+        ("59595bc069a2e844", "Connection reset by peer"),
+        ("8a2ef589cfc4761f", "the time is over"),
+        ("935a9952f119acf8", "every back end is busy"),
+    ],
+)
+def test_the_cause_stands_in_what_is_shown(request_id, cause):
+    found = explain.explain(read_all(), request_id)
+    text = "\n".join(explain.sentence(line) for line in found)
+    assert found[-1].fields["request"] == request_id
+    assert cause in text
+
+
+def test_what_the_entry_came_to_believe_before_is_shown_first():
+    found = explain.explain(read_all(), "59595bc069a2e844")
+    assert {line.fields["process"] for line in found} == {"front-nbo-c-1"}
+    assert [line.at for line in found] == sorted(line.at for line in found)
+
+
+def test_an_unknown_request_explains_nothing():
+    assert explain.explain(read_all(), "0000") == []
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -186,6 +186,16 @@
     assert one.load(5.0) == 2
 
 
+def test_a_back_end_whose_reports_have_stopped_is_chosen_last():
+    silent, heard = backend("silent"), backend("heard", in_flight=8)
+    for one, at in ((silent, 0.0), (heard, 9.5)):
+        one.take_report(fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)]), at)
+    demand = dispatch.Demand("s", "m", 0, 900.0)
+    choice = dispatch.choose([silent, heard], demand, ENGINE, 10.0, random.Random(1))
+    assert choice.backend is heard
+    assert dispatch.choose([silent], demand, ENGINE, 10.0, random.Random(1)).backend is silent
+
+
 def test_a_pace_spreads_transfers_and_takes_back_what_did_not_happen():
     pacer = pacing.Pacer(100.0, 0.0)
     assert [pacer.reserve(50, 0.0) for _ in range(3)] == [0.0, 0.5, 1.0]
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,119 @@
+"""The platform's folder: only it knows the platform's names; bodies and settings are checked."""
+
+import json
+import pathlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies as st
+
+from merlinthread import errors
+from merlinthread.nodes import dialect as dialects
+from merlinthread.platform import bodies, dialect, names, settings_file
+from merlinthread.transport import http_stream
+from tests import fleet_nodes
+
+SOURCES = pathlib.Path(names.__file__).parent.parent
+PLATFORM_WORDS = (
+    [value for value in vars(names).values() if isinstance(value, bytes) and len(value) > 8]
+    + [b"path_prefix", b"api_keys", b"traffic_split", b"target_latency_ms", b"sample_count"]
+    + [b"cold_remaining_ms", b"heartbeat_url", b"MERLINTHREAD_CONFIG", b"port_range"]
+)
+# Words of HTTP and of the field that the product uses on its own.
+COMMON = {b"last-event-id", b"content-encoding", b"/instances/"}
+
+
+def test_nothing_outside_the_folder_knows_the_platforms_names():
+    for path in SOURCES.rglob("*.py"):
+        if "platform" in path.parts[len(SOURCES.parts) :]:
+            continue
+        text = path.read_bytes().lower()
+        for word in PLATFORM_WORDS:
+            assert word in COMMON or word.lower() not in text, f"{path} names {word!r}"
+
+
+def test_the_folder_is_imported_by_nothing_of_the_product():
+    for path in SOURCES.rglob("*.py"):
+        if "platform" in path.parts[len(SOURCES.parts) :]:
+            continue
+        assert "merlinthread.platform" not in path.read_text().replace(
+            "`merlinthread.platform`", ""
+        )
+
+
+SETTINGS = {
+    "node_name": "n",
+    "ip": "10.1.0.1",
+    "zone": "z",
+    "region": "r",
+    "zones": {"z": "r"},
+    "port_range": [7700, 7715],
+    "seeds": ["10.1.0.2:8000", "10.2.0.2:8000"],
+    "listen": {"front": "10.1.0.1:80", "ready": "10.1.0.1:81"},
+    "limits": {"memory_mb": 100, "link_mbps": 8},
+    "bounds": {"drain_ms": 1500, "version_ms": 9000, "grace_s": 6},
+    "a_field_of_tomorrow": 1,
+}
+
+
+def test_settings_are_translated_and_unknown_fields_ignored():
+    found = settings_file.translate(
+        msgspec.json.decode(json.dumps(SETTINGS), type=settings_file.SettingsBody)
+    )
+    assert found.control_nodes() == ["10.1.0.2:7700", "10.2.0.2:7700"]
+    assert (found.bounds.drain_s, found.bounds.version_s, found.bounds.grace_s) == (1.5, 9.0, 6.0)
+    assert found.link_bytes_per_s == 1e6
+
+
+@pytest.mark.parametrize("change", [{"ip": None}, {"seeds": "x"}, {"port_range": [1]}])
+def test_settings_that_can_not_be_used_are_refused_by_field(tmp_path, change):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(SETTINGS | change))
+    with pytest.raises(errors.SettingsError) as raised:
+        settings_file.load(path)
+    assert next(iter(change)) in raised.value.message
+
+
+def test_a_configuration_keeps_what_decides():
+    body = fleet_nodes.configuration(7, ["safe"], "model", "10.0.0.1:90")
+    found = bodies.configuration(json.dumps(body).encode())
+    route = found.routes[-1]
+    assert (found.version, route.is_resumable, route.gap_s) == (7, True, 0.2)
+    assert found.services[1].engine.chunks == 24
+    assert found.accounts[0].keys == ["key-1"]
+
+
+@hypothesis.given(st.binary(max_size=300))
+def test_any_body_is_read_or_refused_clearly(data):
+    for read in (bodies.configuration, bodies.report, bodies.manifest):
+        try:
+            read(data)
+        except errors.MerlinthreadError:
+            pass
+
+
+@hypothesis.given(st.integers(0, 2000))
+def test_a_configuration_cut_short_anywhere_is_refused(cut):
+    whole = json.dumps(fleet_nodes.configuration(7, ["safe", "unsafe"], "model")).encode()
+    with pytest.raises(errors.ConfigurationError):
+        bodies.configuration(whole[: min(cut, len(whole) - 1)])
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "kind"),
+    [
+        ("GET", "/config", dialects.GetConfiguration),
+        ("POST", "/version-put", dialects.NameVersion),
+        ("DELETE", "/instances/i-1", dialects.Leave),
+    ],
+)
+def test_calls_of_operators_and_workers_are_told_apart(method, path, kind):
+    body = b'{"model":"m","version":2}'
+    request = http_stream.Request(method.encode(), path.encode(), [], body)
+    assert isinstance(dialect.PlatformDialect().control_call(request), kind)
+
+
+def test_an_unknown_call_is_refused():
+    with pytest.raises(errors.RequestError):
+        dialect.PlatformDialect().control_call(http_stream.Request(b"GET", b"/x", [], b""))
--- /dev/null
+++ b/tests/test_weights_task.py
@@ -0,0 +1,208 @@
+"""Agents bring weights to their engines, whatever is corrupt, rotten, lost or overtaken."""
+
+import asyncio
+import json
+import random
+
+from merlinthread.nodes import agent_node, engine_client
+from merlinthread.platform import dialect
+from stand_ins import fleet_worker
+from tests import fleet_nodes
+
+PIECES = 24
+
+
+def make_pieces(version: int) -> list[bytes]:
+    rng = random.Random(version)
+    return [rng.randbytes(64) for _ in range(PIECES)]
+
+
+class Fleet:
+    """Agents at 127.0.0.21, .22, ... each beside an engine, fed by hand."""
+
+    def __init__(self, count: int) -> None:
+        self.origin = fleet_worker.WeightOrigin({1: make_pieces(1), 2: make_pieces(2)})
+        self.engines = [fleet_worker.Worker(f"i-{n}", "m", version=0) for n in range(count)]
+        self.port = fleet_nodes.free_port()
+        self.agents: list[agent_node.AgentNode] = []
+        self.fed = 0
+
+    async def start(self) -> None:
+        await self.origin.start()
+        for number, engine in enumerate(self.engines):
+            await engine.start()
+            await self.start_agent(number)
+        self.feed(1)
+
+    async def start_agent(self, number: int) -> None:
+        engine = self.engines[number]
+        settings = fleet_nodes.make_settings(
+            f"agent-{number}",
+            f"127.0.0.{21 + number}",
+            agent_port=self.port,
+            engine=engine.address,
+            engine_service="model",
+            link_bytes_per_s=1e6,
+        )
+        settings.bounds.version_s = 2.0
+        agent = agent_node.AgentNode(
+            settings,
+            dialect.PlatformDialect(),
+            fleet_nodes.make_codec(),
+            asyncio.get_running_loop().time,
+            random.Random(number),
+        )
+        await agent.start()
+        self.agents.insert(number, agent)
+
+    def feed(self, version: int) -> None:
+        """Tell every agent the configuration, the engines and the version named."""
+        self.fed += 1
+        body = fleet_nodes.configuration(self.fed, [], "model", self.origin.address)
+        for agent in self.agents:
+            entry = fleet_nodes.Entry()
+            entry.node.watcher = agent.watcher
+            entry.sequence = self.fed
+            entry.feed(body, {})
+            for number, engine in enumerate(self.engines):
+                # The peers' agents are found beside their engines.
+                heartbeat = {
+                    "service": "model",
+                    "address": f"127.0.0.{21 + number}:1",
+                    "zone": "zone-a",
+                    "slots": 4,
+                    "state": "ready",
+                    "sequence": self.fed,
+                }
+                agent.watcher.instances[engine.instance] = dialect.bodies.heartbeat(
+                    engine.instance, json.dumps(heartbeat).encode()
+                )
+            agent.watcher.named["m"] = version
+            agent.watcher.named_at["m"] = {version: asyncio.get_running_loop().time()}
+
+    def stop_agent(self, number: int) -> None:
+        """End an agent as a killed process does."""
+        agent = self.agents.pop(number)
+        for task in agent.tasks:
+            task.cancel()
+        agent.listener.server.listener.close()
+        for connection in list(agent.listener.server.connections):
+            connection.abort()
+        agent.datagrams.transport.close()
+
+    async def until_all_hold(self, version: int) -> None:
+        """Wait until every engine was ordered to take a version whole and sound."""
+        await fleet_nodes.until(
+            lambda: all(engine.version == version for engine in self.engines), 20
+        )
+        for engine in self.engines:
+            assert [engine.staged[index] for index in range(PIECES)] == make_pieces(version)
+
+
+def run(count: int, scenario) -> None:
+    async def whole():
+        fleet = Fleet(count)
+        await fleet.start()
+        await scenario(fleet)
+        for number in reversed(range(len(fleet.agents))):
+            fleet.stop_agent(number)
+
+    asyncio.run(whole())
+
+
+def test_every_engine_gets_the_version_and_the_origin_is_read_about_once():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        assert len([given for given in fleet.origin.given if given[0] == 1]) <= PIECES * 1.5
+
+    run(4, scenario)
+
+
+def test_a_new_version_replaces_the_old_one_everywhere():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        fleet.feed(2)
+        await fleet.until_all_hold(2)
+
+    run(3, scenario)
+
+
+def test_a_version_that_is_overtaken_is_left_for_the_newer_one():
+    async def scenario(fleet):
+        await asyncio.sleep(0)
+        fleet.feed(2)
+        await fleet.until_all_hold(2)
+        assert all(order["version"] == 2 for e in fleet.engines for order in e.orders)
+
+    run(2, scenario)
+
+
+def test_corrupt_pieces_are_never_staged_or_given_on():
+    async def scenario(fleet):
+        fleet.origin.corrupt = {3, 17}
+        await fleet_nodes.until(
+            lambda: all(len(engine.staged) == PIECES - 2 for engine in fleet.engines), 20
+        )
+        assert not any(engine.orders for engine in fleet.engines)
+        fleet.origin.corrupt = set()
+        await fleet.until_all_hold(1)
+
+    run(2, scenario)
+
+
+def test_a_piece_that_rots_before_the_order_is_fetched_again(monkeypatch):
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        found = fleet.agents[0].weights.find_staged
+        calls = []
+
+        async def rot_first(manifest):
+            if len(engine.staged) == PIECES and not calls:
+                calls.append(1)
+                engine.staged[5] = b"rotten"
+            return await found(manifest)
+
+        monkeypatch.setattr(fleet.agents[0].weights, "find_staged", rot_first)
+        await fleet.until_all_hold(1)
+        assert calls
+
+    run(2, scenario)
+
+
+def test_an_agent_that_is_killed_goes_on_with_what_lies_there():
+    async def scenario(fleet):
+        await fleet_nodes.until(lambda: len(fleet.engines[0].staged) >= PIECES // 2, 20)
+        before = dict(fleet.engines[0].staged)
+        fleet.stop_agent(0)
+        await fleet_nodes.until(lambda: fleet_nodes.is_free("127.0.0.21", fleet.port))
+        await fleet.start_agent(0)
+        fleet.feed(1)
+        await fleet.until_all_hold(1)
+        assert all(fleet.engines[0].staged[index] == piece for index, piece in before.items())
+
+    run(2, scenario)
+
+
+def test_a_lost_peer_does_not_hold_the_others_up():
+    async def scenario(fleet):
+        fleet.stop_agent(2)
+        engine = fleet.engines.pop(2)
+        await fleet.until_all_hold(1)
+        assert engine.version == 0
+
+    run(3, scenario)
+
+
+def test_a_manifest_that_is_gone_from_the_origin_is_told_apart():
+    async def scenario():
+        origin = fleet_worker.WeightOrigin({2: make_pieces(2)})
+        address = await origin.start()
+        client = engine_client.EngineClient(dialect.PlatformDialect(), "127.0.0.1:1")
+        try:
+            await client.manifest(address, "m", 1)
+        except engine_client.errors.WeightsError as error:
+            assert error.kind is engine_client.errors.ErrorKind.ORIGIN_CHANGED
+            return
+        raise AssertionError("a version that is gone was given")
+
+    asyncio.run(scenario())
