--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -65,3 +65,27 @@
 def expose() -> bytes:
     """Return all metrics in Prometheus' text format."""
     return prometheus_client.generate_latest()
+
+
+configuration_version = prometheus_client.Gauge(
+    "merlinthread_configuration_version", "Version of the configuration that this node holds."
+)
+backends = prometheus_client.Gauge(
+    "merlinthread_backends", "Back ends that this node knows, by state.", ["state"]
+)
+control_age_seconds = prometheus_client.Gauge(
+    "merlinthread_control_age_seconds",
+    "How long ago this node heard a control VM that was joined to a majority.",
+)
+log_index = prometheus_client.Gauge(
+    "merlinthread_log_index", "Index of the last entry that this control VM has applied."
+)
+leader_changes_total = prometheus_client.Counter(
+    "merlinthread_leader_changes_total", "Changes of leader that this control VM has seen."
+)
+pieces_total = prometheus_client.Counter(
+    "merlinthread_pieces_total", "Pieces of weights that this agent got, by source.", ["source"]
+)
+refusals_total = prometheus_client.Counter(
+    "merlinthread_refusals_total", "Requests that this entry refused, by kind.", ["kind"]
+)
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from merlinthread import errors, logs
+from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
 from merlinthread.nodes import node_settings
 from merlinthread.protocol import codec as codecs
@@ -247,6 +247,7 @@
             is_changed = self.state.apply(command)
             self.on_applied(command, self.is_live)
         self.applied = entry.index
+        metrics.log_index.set(entry.index)
         term, answer = self.waiting.pop(entry.index, (0, None))
         if answer is None:
             return
@@ -306,6 +307,7 @@
         leads = self.raft.is_leader()
         if self.raft.leader != self.last_leader:
             self.last_leader = self.raft.leader
+            metrics.leader_changes_total.inc()
             self.is_live = self.is_live or bool(self.raft.leader)
             logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
         if leads == self.was_leader:
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -9,7 +9,7 @@
 import zlib
 from collections.abc import Callable
 
-from merlinthread import errors, logs
+from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet, instances, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import node_settings
@@ -147,8 +147,17 @@
         self.take_instances(news, now)
         self.feed = news.feed
         self.position = news.position
+        self.count()
         self.on_news()
 
+    def count(self) -> None:
+        """Set the figures that operators see."""
+        metrics.configuration_version.set(self.version)
+        metrics.control_age_seconds.set(self.clock() - self.fresh_at)
+        for state in (fleet.READY, fleet.DRAINING):
+            number = sum(1 for known in self.instances.values() if known.state == state)
+            metrics.backends.labels(state).set(number)
+
     def take_configuration(self, news: node_messages.News) -> None:
         """Take a newer configuration over."""
         if news.configuration_version <= self.version or not news.configuration:
--- a/src/merlinthread/nodes/node_daemon.py
+++ b/src/merlinthread/nodes/node_daemon.py
@@ -9,14 +9,16 @@
 import time
 from collections.abc import Callable
 
-from merlinthread import __version__, errors, logs, registry
+from merlinthread import __version__, errors, logs, metrics, registry
 from merlinthread.coordination import raft_messages
 from merlinthread.nodes import agent_node, control_node, entry_node, node_settings
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
+from merlinthread.transport import http_stream
 
 WATCH_SETTINGS_EVERY_S = 1.0
+METRICS_PATH = b"/metrics"
 
 Node = agent_node.AgentNode | control_node.ControlNode | entry_node.EntryNode
 Maker = Callable[[node_settings.NodeSettings, dialects.Dialect, codecs.Codec], Node]
@@ -53,9 +55,15 @@
     """One node's process."""
 
     def __init__(
-        self, role: str, path: pathlib.Path, load: Loader, dialect: dialects.Dialect
+        self,
+        role: str,
+        path: pathlib.Path,
+        load: Loader,
+        dialect: dialects.Dialect,
+        metrics_port: int = 0,
     ) -> None:
         self.role = role
+        self.metrics_port = metrics_port
         self.path = path
         self.load = load
         self.settings = load(path)
@@ -63,6 +71,7 @@
         self.node = NODES.get(role)(self.settings, dialect, codec)
         self.stop_asked = asyncio.Event()
         self.seen = self.stamp()
+        self.metrics_server = http_stream.Server(serve_metrics)
 
     def stamp(self) -> tuple[int, int]:
         """Return what changes when the settings file does."""
@@ -78,12 +87,22 @@
         loop.add_signal_handler(signal.SIGINT, self.stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.node.start()
+        await self.listen_for_metrics()
         logs.event("started", role=self.role, version=__version__, ip=self.settings.ip)
         await self.watch()
         logs.event("stopping", role=self.role)
         await self.node.leave()
         logs.event("stopped", role=self.role)
 
+    async def listen_for_metrics(self) -> None:
+        """Serve the figures, if a port is set; a port that is taken is no reason to end."""
+        if not self.metrics_port:
+            return
+        try:
+            await self.metrics_server.listen(self.settings.ip, self.metrics_port)
+        except OSError as error:
+            logs.warn("metrics_not_served", port=self.metrics_port, reason=str(error))
+
     async def watch(self) -> None:
         """Wait for the stop; notice a changed settings file, also without a signal."""
         while not self.stop_asked.is_set():
@@ -109,7 +128,22 @@
         logs.event("reloaded", controls=changed.control_ips)
 
 
-def run(role: str, path: pathlib.Path, load: Loader, dialect: dialects.Dialect) -> int:
+async def serve_metrics(exchange: http_stream.Exchange) -> None:
+    """Answer with the process's figures as text."""
+    if exchange.request.target != METRICS_PATH:
+        await exchange.respond(http_stream.Answer(404, []))
+        return
+    headers = [(b"content-type", b"text/plain; version=0.0.4")]
+    await exchange.respond(http_stream.Answer(200, headers, metrics.expose()))
+
+
+def run(
+    role: str,
+    path: pathlib.Path,
+    load: Loader,
+    dialect: dialects.Dialect,
+    metrics_port: int = 0,
+) -> int:
     """Run a node's process; return its exit code."""
-    asyncio.run(NodeDaemon(role, path, load, dialect).run())
+    asyncio.run(NodeDaemon(role, path, load, dialect, metrics_port).run())
     return 0
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -436,6 +436,7 @@
         if wait_s is not None:
             headers.append((b"retry-after", b"%g" % wait_s))
         self.reasons.append(error.message)
+        metrics.refusals_total.labels(str(error.kind)).inc()
         self.log(str(error.kind), entry.status)
         await self.exchange.respond(http_stream.Answer(entry.status, headers))
 
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable
 
-from merlinthread import errors, logs
+from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fetch, fleet, pacing
 from merlinthread.nodes import engine_client, news_watcher, node_settings
 from merlinthread.protocol import node_messages
@@ -272,6 +272,7 @@
             logs.detail("piece_failed", index=action.index, source="origin", reason=error.message)
             return
         plan.got(action.index, True, self.clock())
+        metrics.pieces_total.labels("origin").inc()
 
     async def from_peer(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.FromPeer
@@ -306,6 +307,7 @@
         except errors.MerlinthreadError:
             return
         plan.got(reply.index, False, self.clock())
+        metrics.pieces_total.labels("peer").inc()
 
     # Ordering
 
--- a/src/merlinthread/platform/main.py
+++ b/src/merlinthread/platform/main.py
@@ -1,4 +1,4 @@
-"""The composition root on the users' platform: `node.py ROLE`."""
+"""The composition root on the users' platform: `node.py ROLE [METRICS_PORT]`."""
 
 import gc
 import os
@@ -13,15 +13,18 @@
 
 def main(arguments: list[str]) -> int:
     """Run the node that the arguments and the settings name; return the exit code."""
-    if len(arguments) != 1 or arguments[0] not in node_daemon.NODES.entries:
-        print(f"usage: node.py {'|'.join(node_daemon.NODES)}", file=sys.stderr)
+    role, port = (arguments + ["", ""])[0], (arguments + ["", "0"])[1] or "0"
+    if role not in node_daemon.NODES.entries or not port.isdigit():
+        roles = "|".join(node_daemon.NODES)
+        print(f"usage: node.py {roles} [METRICS_PORT]", file=sys.stderr)
         return 2
     path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
         settings = settings_file.load(path)
         logs.set_up_stream(settings.name, "info")
         gc.freeze()
-        return node_daemon.run(arguments[0], path, settings_file.load, dialect.PlatformDialect())
+        wire = dialect.PlatformDialect()
+        return node_daemon.run(role, path, settings_file.load, wire, int(port))
     except errors.MerlinthreadError as error:
         print(f"merlinthread: {error.kind}: {error.message}", file=sys.stderr)
         return answers.TABLE[error.kind].exit_code
