--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,15 @@
 import numpy
 
 from bench import control, measure
-from merlinthread.coordination import agents, bundles, control_state, fetch, placement, routing
+from merlinthread.coordination import (
+    agents,
+    bundles,
+    control_state,
+    fetch,
+    fetch_policies,
+    placement,
+    routing,
+)
 from merlinthread.protocol import messages
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
@@ -122,7 +130,7 @@
 
 def new_plan(peers: list[fetch.Peer]) -> fetch.FetchPlan:
     """Return a plan over 1,000 chunks that has been told its peers."""
-    plan = fetch.Spread("me", "m", 1000, 0, 2, 0.0, fetch.random.Random(1))
+    plan = fetch_policies.Spread("me", "m", 1000, 0, 2, 0.0, fetch.random.Random(1))
     plan.set_peers(peers)
     return plan
 
--- /dev/null
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -0,0 +1,128 @@
+"""The policies of `fetch` in force: `spread`, and `zoned` where links between zones are dear."""
+
+from merlinthread.coordination import fetch
+
+
+@fetch.POLICIES.add("spread")
+class Spread(fetch.FetchPlan):
+    """Each chunk is read from the origin by one VM, its owner; the rest passes between VMs.
+
+    The owner is first in rendezvous order among the readers, a few participants that are the same
+    for everybody. A chunk that is nowhere to be had for `origin_grace_s` is read by another VM.
+    """
+
+    owned = 0
+
+    def on_participants(self) -> None:
+        """Find the chunks that this VM reads from the origin."""
+        ordered = sorted(self.participants, key=lambda name: fetch.weight(name, self.manifest, -1))
+        readers = ordered[: fetch.READERS_MAX]
+        self.owned = 0
+        if self.me not in readers:
+            return
+        for index in range(self.chunk_count):
+            if max(readers, key=lambda name: fetch.weight(name, self.manifest, index)) == self.me:
+                self.owned |= 1 << index
+
+    def next_action(self, now: float) -> fetch.Action | None:
+        """Read what is owned, else ask the nearest peer for what is rarest."""
+        needed = self.needed()
+        if not needed:
+            return None
+        own = needed & self.owned
+        if own and self.may_read_origin(now):
+            return fetch.FromOrigin(self.rng.choice(fetch.bits(own)))
+        for peer in self.askable(now):
+            action = self.ask(peer, now)
+            if action is not None:
+                return action
+        return self.rescue(needed, now) or self.probe(needed, now)
+
+    def probe(self, needed: int, now: float) -> fetch.FromPeer | None:
+        """Ask the peer whose word is most overdue for a part of what is needed.
+
+        Far peers are due less often, but they come: near ones may all lack the same chunks.
+        """
+        due = [peer for peer in self.askable(now) if peer.overdue(now) > 1]
+        if not due:
+            return None
+        peer = max(due, key=lambda peer: peer.overdue(now))
+        indices = fetch.bits(needed)
+        part = self.rng.sample(indices, max(1, len(indices) // 4))
+        return fetch.FromPeer(peer.name, sum(1 << index for index in part))
+
+    def rescue(self, needed: int, now: float) -> fetch.FromOrigin | None:
+        """Read a chunk whose owner does not deliver, if this VM is next to do so.
+
+        Each VM of a zone waits longer the later it stands in the chunk's rendezvous order; so a
+        zone that is cut off reads a chunk that it lacks about once.
+        """
+        waited = now - self.last_news_at
+        if waited < self.origin_grace_s or not self.may_read_origin(now):
+            return None
+        for peer in self.peers.values():
+            if peer.lost_until < now:
+                needed &= ~peer.held
+        due = [
+            index
+            for index in fetch.bits(needed)
+            if waited >= self.origin_grace_s * (1 + self.rank(index))
+        ]
+        if not due:
+            return None
+        return fetch.FromOrigin(min(due, key=self.rank))
+
+    def rank(self, index: int) -> int:
+        """Return this VM's place in its zone's rendezvous order for a chunk, from 0."""
+        if index not in self.ranks:
+            mine = fetch.weight(self.me, self.manifest, index)
+            ahead = [name for name in self.near if fetch.weight(name, self.manifest, index) > mine]
+            self.ranks[index] = len(ahead)
+        return self.ranks[index]
+
+
+@fetch.POLICIES.add("zoned")
+class Zoned(Spread):
+    """As `Spread`, but each chunk crosses into a zone about once.
+
+    A chunk is asked of a far peer only by the VM that is first for it in its zone; the others get
+    it from that one. The longer a VM has heard nothing new, the more chunks it may ask for itself.
+    With `is_late`, which the owner sets, the origin is read for whatever is missing.
+    """
+
+    is_late = False
+
+    def next_action(self, now: float) -> fetch.Action | None:
+        """Read what is owned, or what is missing if time presses; else as `Spread`."""
+        needed = self.needed()
+        if self.is_late and needed and self.may_read_origin(now):
+            return fetch.FromOrigin(self.rng.choice(fetch.bits(needed & self.owned or needed)))
+        return super().next_action(now)
+
+    def ask(self, peer: fetch.PeerState, now: float) -> fetch.FromPeer | None:
+        """Return a request; of a far peer only for what this VM is to bring into its zone."""
+        if peer.distance == fetch.OWN_ZONE:
+            return super().ask(peer, now)
+        allowed = self.to_bring(now)
+        if not allowed & peer.held:
+            return None
+        held, peer.held = peer.held, peer.held & allowed
+        try:
+            return super().ask(peer, now)
+        finally:
+            peer.held = held
+
+    def probe(self, needed: int, now: float) -> fetch.FromPeer | None:
+        """Ask the peer whose word is most overdue; a far one only for what is to be brought."""
+        due = [peer for peer in self.askable(now) if peer.overdue(now) > 1]
+        if not due:
+            return None
+        peer = max(due, key=lambda peer: peer.overdue(now))
+        wanted = needed if peer.distance == fetch.OWN_ZONE else needed & self.to_bring(now)
+        return fetch.FromPeer(peer.name, wanted) if wanted else None
+
+    def to_bring(self, now: float) -> int:
+        """Return the chunks that this VM may ask far peers for."""
+        waited = now - self.last_news_at
+        steps = int(waited / self.origin_grace_s)
+        return sum(1 << index for index in fetch.bits(self.needed()) if self.rank(index) <= steps)
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -10,7 +10,7 @@
 from merlinthread.coordination import dispatch, fleet, retry_budget, route_table, waiting_room
 from merlinthread.nodes import news_watcher, node_settings
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client
 
 KEEP_S = 20.0
 CONNECT_TIMEOUT_S = 0.3
@@ -53,7 +53,7 @@
         self.by_address: dict[str, dispatch.Backend] = {}
         self.rooms: dict[str, waiting_room.WaitingRoom] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
-        self.connections = http_stream.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.connections = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     # What is known
 
@@ -162,7 +162,7 @@
 
     async def connect(
         self, backend: dispatch.Backend, may_repeat: bool
-    ) -> http_stream.ClientConnection:
+    ) -> stream_client.ClientConnection:
         """Return a connection to a back end; raise UnreachableError, nothing was sent then.
 
         A request that may run only once does not use a connection that rested for long: its server
@@ -172,16 +172,16 @@
         kept = self.connections.take(backend.instance, self.clock(), idle_s)
         if kept is not None:
             return kept
-        return await http_stream.connect(backend.address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        return await stream_client.connect(backend.address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     def give_back(
         self,
         backend: dispatch.Backend,
-        connection: http_stream.ClientConnection,
-        headers: http_stream.Headers,
+        connection: stream_client.ClientConnection,
+        headers: http_messages.Headers,
     ) -> None:
         """Keep a connection for the next request."""
-        keep_s = http_stream.kept_for(headers, KEEP_S)
+        keep_s = stream_client.kept_for(headers, KEEP_S)
         self.connections.give_back(backend.instance, connection, self.clock(), keep_s)
 
     async def subscribe(self, send: Callable[[str], None], every_s: float) -> None:
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -15,7 +15,7 @@
 from merlinthread.nodes import log_member, node_settings
 from merlinthread.protocol import answers, node_messages
 from merlinthread.protocol import codec as codecs
-from merlinthread.transport import http_stream, node_bus
+from merlinthread.transport import http_messages, node_bus, stream_server
 
 BEATS_EVERY_S = 0.1
 FORWARD_TIMEOUT_S = 0.9
@@ -50,8 +50,8 @@
             settings, codec, self.caller, clock, self.on_applied, self.on_restored
         )
         self.listener = node_bus.Listener(codec, self.on_message)
-        limits = http_stream.Limits(body_bytes=BODY_BYTES_MAX, idle_timeout_s=60.0)
-        self.server = http_stream.Server(self.serve, limits)
+        limits = http_messages.Limits(body_bytes=BODY_BYTES_MAX, idle_timeout_s=60.0)
+        self.server = stream_server.Server(self.serve, limits)
         self.pending: dict[bytes, asyncio.Task] = {}
         self.tasks: list[asyncio.Task] = []
 
@@ -258,7 +258,7 @@
 
     # Operators and back ends
 
-    async def serve(self, exchange: http_stream.Exchange) -> None:
+    async def serve(self, exchange: stream_server.Exchange) -> None:
         """Answer one call over HTTP."""
         request = exchange.request
         try:
@@ -278,7 +278,7 @@
             )
         await exchange.respond(answer)
 
-    async def handle(self, call: dialects.ControlCall) -> http_stream.Answer:
+    async def handle(self, call: dialects.ControlCall) -> http_messages.Answer:
         """Do what a call asks for; return its answer."""
         if isinstance(call, dialects.TakeHeartbeat):
             return await self.on_heartbeat(call.heartbeat)
@@ -293,7 +293,7 @@
             return ok()
         return await self.on_get()
 
-    async def on_heartbeat(self, heartbeat: fleet.Heartbeat) -> http_stream.Answer:
+    async def on_heartbeat(self, heartbeat: fleet.Heartbeat) -> http_messages.Answer:
         """Take a heartbeat; that it drains is acknowledged once a majority holds it."""
         self.take(heartbeat)
         self.outgoing.append(heartbeat)
@@ -308,7 +308,7 @@
             return
         await self.submit(fleet_state.Depart(instance, state))
 
-    async def on_put(self, call: dialects.PutConfiguration) -> http_stream.Answer:
+    async def on_put(self, call: dialects.PutConfiguration) -> http_messages.Answer:
         """Commit a configuration, or acknowledge one that was overtaken."""
         version = call.configuration.version
         if version > self.member.state.version:
@@ -316,13 +316,13 @@
             await self.submit(fleet_state.Configure(version, body))
         return ok()
 
-    async def on_get(self) -> http_stream.Answer:
+    async def on_get(self) -> http_messages.Answer:
         """Answer with the newest configuration, if that is sure."""
         reply = await self.read()
         if not reply.version:
             raise errors.ControlError("no configuration was put yet", retry_after_s=0.5)
         body = zlib.decompress(reply.body)
-        return http_stream.Answer(200, [(b"content-type", b"application/json")], body)
+        return http_messages.Answer(200, [(b"content-type", b"application/json")], body)
 
     async def read(self) -> node_messages.ReadReply:
         """Return the newest configuration, from the leader."""
@@ -340,18 +340,20 @@
         return node_messages.ReadReply(self.member.state.version, self.member.state.body)
 
 
-def ok() -> http_stream.Answer:
+def ok() -> http_messages.Answer:
     """Return an acknowledgement."""
-    return http_stream.Answer(200, [(b"content-type", b"application/json")], b"{}")
+    return http_messages.Answer(200, [(b"content-type", b"application/json")], b"{}")
 
 
-def refusal(error: errors.MerlinthreadError) -> http_stream.Answer:
+def refusal(error: errors.MerlinthreadError) -> http_messages.Answer:
     """Return the answer that tells `error`."""
     body = answers.body_of(error)
     headers = [(b"content-type", b"application/json")]
     if body.retry_after_s is not None:
         headers.append((b"retry-after", b"%g" % body.retry_after_s))
-    return http_stream.Answer(answers.TABLE[error.kind].status, headers, msgspec.json.encode(body))
+    return http_messages.Answer(
+        answers.TABLE[error.kind].status, headers, msgspec.json.encode(body)
+    )
 
 
 def described(command: fleet_state.Command) -> dict[str, Any]:
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from merlinthread.coordination import fleet
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,33 +55,33 @@
     def configuration(self, body: bytes) -> fleet.Configuration:
         """Read a configuration; raise ConfigurationError."""
 
-    def control_call(self, request: http_stream.Request) -> ControlCall:
+    def control_call(self, request: http_messages.Request) -> ControlCall:
         """Read a call of an operator or back end; raise MerlinthreadError."""
 
-    def client_call(self, request: http_stream.Request) -> fleet.Call:
+    def client_call(self, request: http_messages.Request) -> fleet.Call:
         """Read the head of a client's request; raise RequestError."""
 
-    def is_ready_call(self, request: http_stream.Request) -> bool:
+    def is_ready_call(self, request: http_messages.Request) -> bool:
         """Return whether a request asks if the node is ready."""
 
     def target_request(
-        self, request: http_stream.Request, target: fleet.Target
-    ) -> http_stream.Request:
+        self, request: http_messages.Request, target: fleet.Target
+    ) -> http_messages.Request:
         """Return the request as a back end gets it."""
 
-    def answer_facts(self, status: int, headers: http_stream.Headers) -> fleet.AnswerFacts:
+    def answer_facts(self, status: int, headers: http_messages.Headers) -> fleet.AnswerFacts:
         """Read the head of a back end's answer."""
 
-    def refusal_headers(self, call: fleet.Call | None) -> http_stream.Headers:
+    def refusal_headers(self, call: fleet.Call | None) -> http_messages.Headers:
         """Return the headers of an answer of the node's own."""
 
-    def report_request(self, address: str) -> http_stream.Request:
+    def report_request(self, address: str) -> http_messages.Request:
         """Return the request for an engine's report."""
 
     def report(self, body: bytes) -> fleet.EngineReport:
         """Read an engine's report; raise ProtocolError."""
 
-    def manifest_request(self, address: str, model: str, version: int) -> http_stream.Request:
+    def manifest_request(self, address: str, model: str, version: int) -> http_messages.Request:
         """Return the request for a version's manifest."""
 
     def manifest(self, body: bytes) -> fleet.Manifest:
@@ -89,18 +89,18 @@
 
     def piece_request(
         self, address: str, model: str, version: int, index: int
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the request for a piece from the origin."""
 
     def stage_request(
         self, address: str, model: str, index: int, data: bytes
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the request that lays a piece at an engine."""
 
-    def staged_request(self, address: str, model: str, index: int) -> http_stream.Request:
+    def staged_request(self, address: str, model: str, index: int) -> http_messages.Request:
         """Return the request for a piece that lies at an engine."""
 
     def load_request(
         self, address: str, model: str, version: int, cuts_streams: bool
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the order that makes an engine take the staged weights."""
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -5,7 +5,7 @@
 from merlinthread import errors
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client
 
 KEEP_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
@@ -29,7 +29,7 @@
     def __init__(self, dialect: dialects.Dialect, engine: str) -> None:
         self.dialect = dialect
         self.engine = engine
-        self.pool = http_stream.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.pool = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     async def report(self) -> fleet.EngineReport:
         """Return the engine's report."""
@@ -82,7 +82,7 @@
         return answer.status
 
 
-def whole(answer: http_stream.Answer) -> http_stream.Answer:
+def whole(answer: http_messages.Answer) -> http_messages.Answer:
     """Return an answer that is a success; raise ProtocolError otherwise."""
     if not 200 <= answer.status < 300:
         raise errors.ProtocolError(f"HTTP status {answer.status}")
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -15,7 +15,7 @@
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_stream, node_bus
+from merlinthread.transport import http_messages, node_bus, stream_server
 
 SUBSCRIBE_EVERY_S = 1.0
 # The platform asks every second and takes a node out after two misses.
@@ -41,8 +41,8 @@
         self.watcher = news_watcher.NewsWatcher(settings, dialect, self.caller, clock, self.on_news)
         self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng)
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
-        self.server = http_stream.Server(self.serve)
-        self.ready_server = http_stream.Server(self.serve_ready)
+        self.server = stream_server.Server(self.serve)
+        self.ready_server = stream_server.Server(self.serve_ready)
         self.address = f"{settings.ip}:{settings.entry_port}"
         self.is_leaving = False
         self.was_ready = False
@@ -78,7 +78,7 @@
         table = self.watcher.table
         if table is not None:
             limits = table.limits
-            self.server.limits = http_stream.Limits(
+            self.server.limits = http_messages.Limits(
                 limits.header_bytes,
                 limits.body_bytes,
                 limits.header_timeout_s,
@@ -93,13 +93,13 @@
             logs.event("ready" if is_ready else "not_ready", configuration=self.watcher.version)
         return is_ready
 
-    async def serve_ready(self, exchange: http_stream.Exchange) -> None:
+    async def serve_ready(self, exchange: stream_server.Exchange) -> None:
         """Answer whether this entry is ready."""
         is_known = self.dialect.is_ready_call(exchange.request)
         status = 404 if not is_known else 200 if self.is_ready() else 503
-        await exchange.respond(http_stream.Answer(status, []))
+        await exchange.respond(http_messages.Answer(status, []))
 
-    async def serve(self, exchange: http_stream.Exchange) -> None:
+    async def serve(self, exchange: stream_server.Exchange) -> None:
         """Serve one client's request."""
         task = request_task.RequestTask(
             exchange, self.dialect, self.pool, self.watcher.table, self.clock()
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -15,15 +15,13 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
-from merlinthread.nodes import node_settings
+from merlinthread.nodes import log_sender, node_settings
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.state import journal, records
 from merlinthread.transport import node_bus
 
 TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
-SEND_TIMEOUT_S = 0.6
-SEND_QUEUE_MAX = 64
 COMPACT_ENTRIES = 1500
 COMPACT_BYTES = 16 * 1024 * 1024
 JOIN_EVERY_S = 0.4
@@ -42,11 +40,6 @@
     first_voters: list[str]
 
 
-def address_of(name: str) -> str:
-    """Return the node address in a member's name."""
-    return name.split("#")[0]
-
-
 class LogMember:
     """The owner of the log; all calls are made on its event loop.
 
@@ -80,9 +73,7 @@
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
-        self.queues: dict[str, list[raft_messages.Message]] = {}
-        self.senders: dict[str, asyncio.Task] = {}
-        self.sender_events: dict[str, asyncio.Event] = {}
+        self.sender = log_sender.LogSender(codec, caller)
         self.joiners: dict[str, float] = {}
         self.duties_at = 0.0
         self.full_until = float("-inf")
@@ -191,7 +182,7 @@
                 self.on_full_disk(error, now)
                 return
             for receiver, message in ready.messages:
-                self.send(receiver, message)
+                self.sender.send(receiver, message)
             for entry in ready.committed:
                 self.apply(entry)
             self.raft.saved(ready)
@@ -296,11 +287,11 @@
 
     def leader_address(self) -> str:
         """Return the address of the leader, or nothing."""
-        return address_of(self.raft.leader)
+        return log_sender.address_of(self.raft.leader)
 
     def member_addresses(self) -> list[str]:
         """Return the addresses of all members."""
-        return [address_of(name) for name in self.raft.log.voters.members()]
+        return [log_sender.address_of(name) for name in self.raft.log.voters.members()]
 
     def note_leadership(self) -> None:
         """Log a change of leader; fail what waits on a lost leadership."""
@@ -340,7 +331,7 @@
     async def send_join(self, address: str, join: node_messages.Join) -> None:
         """Ask one control VM."""
         try:
-            reply = await self.caller.call(address, join, SEND_TIMEOUT_S)
+            reply = await self.caller.call(address, join, log_sender.SEND_TIMEOUT_S)
         except errors.MerlinthreadError:
             return
         if isinstance(reply, node_messages.Submitted) and reply.version < 0:
@@ -390,7 +381,7 @@
     def namesake(self, name: str) -> str:
         """Return the member that had the same address before its disk was lost, or nothing."""
         for other in self.raft.log.voters.members():
-            if other != name and address_of(other) == address_of(name):
+            if other != name and log_sender.address_of(other) == log_sender.address_of(name):
                 return other
         return ""
 
@@ -411,34 +402,6 @@
         """Return how long a member must be silent before it may be removed."""
         return 2 * self.settings.bounds.catch_up_s
 
-    # Sending
-
-    def send(self, receiver: str, message: raft_messages.Message) -> None:
-        """Queue a message for another member; the oldest gives way when many wait."""
-        queue = self.queues.setdefault(receiver, [])
-        queue.append(message)
-        del queue[:-SEND_QUEUE_MAX]
-        if receiver not in self.senders or self.senders[receiver].done():
-            self.sender_events[receiver] = asyncio.Event()
-            loop = asyncio.get_running_loop()
-            self.senders[receiver] = loop.create_task(self.send_queued(receiver))
-        self.sender_events[receiver].set()
-
-    async def send_queued(self, receiver: str) -> None:
-        """Send what is queued for one member, many messages a call, while it is a member."""
-        event = self.sender_events[receiver]
-        while True:
-            await event.wait()
-            event.clear()
-            messages, self.queues[receiver] = self.queues[receiver], []
-            frames = [self.codec.encode(message) for message in messages]
-            if not frames:
-                continue
-            with contextlib.suppress(errors.MerlinthreadError):
-                await self.caller.call(
-                    address_of(receiver), node_messages.LogMessages(frames), SEND_TIMEOUT_S
-                )
-
     def close(self) -> None:
         """Close the files."""
         self.journal.close()
--- a/src/merlinthread/nodes/node_daemon.py
+++ b/src/merlinthread/nodes/node_daemon.py
@@ -15,7 +15,7 @@
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_server
 
 WATCH_SETTINGS_EVERY_S = 1.0
 METRICS_PATH = b"/metrics"
@@ -71,7 +71,7 @@
         self.node = NODES.get(role)(self.settings, dialect, codec)
         self.stop_asked = asyncio.Event()
         self.seen = self.stamp()
-        self.metrics_server = http_stream.Server(serve_metrics)
+        self.metrics_server = stream_server.Server(serve_metrics)
 
     def stamp(self) -> tuple[int, int]:
         """Return what changes when the settings file does."""
@@ -128,13 +128,13 @@
         logs.event("reloaded", controls=changed.control_ips)
 
 
-async def serve_metrics(exchange: http_stream.Exchange) -> None:
+async def serve_metrics(exchange: stream_server.Exchange) -> None:
     """Answer with the process's figures as text."""
     if exchange.request.target != METRICS_PATH:
-        await exchange.respond(http_stream.Answer(404, []))
+        await exchange.respond(http_messages.Answer(404, []))
         return
     headers = [(b"content-type", b"text/plain; version=0.0.4")]
-    await exchange.respond(http_stream.Answer(200, headers, metrics.expose()))
+    await exchange.respond(http_messages.Answer(200, headers, metrics.expose()))
 
 
 def run(
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -15,7 +15,7 @@
 from merlinthread.nodes import backend_pool
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import answers, event_bytes
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client, stream_server
 
 # Share of a route's objective that a request may wait for a place before it is refused.
 PATIENCE_SHARE = 0.22
@@ -50,7 +50,7 @@
 
     state: State
     reason: str
-    answer: http_stream.Answer | None = None
+    answer: http_messages.Answer | None = None
 
 
 class RequestTask:
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        exchange: http_stream.Exchange,
+        exchange: stream_server.Exchange,
         dialect: dialects.Dialect,
         pool: backend_pool.BackendPool,
         table: route_table.RouteTable | None,
@@ -258,7 +258,7 @@
         self.tried.add(backend.instance)
         place = self.pool.occupy(backend, self.call.prompt_tokens)
         started = self.clock()
-        connection: http_stream.ClientConnection | None = None
+        connection: stream_client.ClientConnection | None = None
         is_sent = False
         try:
             connection = await self.pool.connect(backend, self.is_idempotent())
@@ -296,7 +296,7 @@
         elif outcome.state is State.NOT_RUN:
             dispatch.note_full(backend, now)
 
-    def request_for(self, backend: dispatch.Backend) -> http_stream.Request:
+    def request_for(self, backend: dispatch.Backend) -> http_messages.Request:
         """Return the request as this back end gets it."""
         assert self.call is not None
         remaining_s = None
@@ -315,8 +315,8 @@
         return self.dialect.target_request(self.exchange.request, target)
 
     async def converse(
-        self, connection: http_stream.ClientConnection, place: backend_pool.Place
-    ) -> tuple[Outcome, http_stream.Headers]:
+        self, connection: stream_client.ClientConnection, place: backend_pool.Place
+    ) -> tuple[Outcome, http_messages.Headers]:
         """Read the answer, and relay it if it counts; return what came of it and its headers."""
         head = await self.read_head(connection)
         headers = list(head.headers.raw_items())
@@ -328,10 +328,10 @@
         if is_success and (not facts.is_signed or facts.is_encoded):
             raise errors.ProtocolError("a success without a signature, or encoded")
         if is_success and self.route.kind == fleet.STREAMING:
-            answer = http_stream.Answer(head.status_code, headers)
+            answer = http_messages.Answer(head.status_code, headers)
             return await self.relay_stream(connection, answer, place), headers
         body = await self.read_body(connection)
-        answer = http_stream.Answer(head.status_code, headers, body)
+        answer = http_messages.Answer(head.status_code, headers, body)
         if facts.is_not_run:
             return Outcome(State.NOT_RUN, f"{head.status_code} not run", answer), headers
         if not is_success:
@@ -339,7 +339,7 @@
         await self.relay(answer)
         return Outcome(State.DONE, "answered", answer), headers
 
-    async def read_head(self, connection: http_stream.ClientConnection) -> h11.Response:
+    async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
         """Return the head of the answer; a stream's must come within bounds."""
         assert self.route is not None
         limit = None
@@ -353,7 +353,7 @@
         return event
 
     async def next_event(
-        self, connection: http_stream.ClientConnection, limit_s: float | None
+        self, connection: stream_client.ClientConnection, limit_s: float | None
     ) -> h11.Event:
         """Return the next event of the answer; raise UnreachableError after `limit_s`."""
         if limit_s is None:
@@ -367,23 +367,23 @@
                 raise errors.UnreachableError(f"silent for {limit_s:.2f} s")
             raise
 
-    async def read_body(self, connection: http_stream.ClientConnection) -> bytes:
+    async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
         """Return the whole body."""
         parts = []
         while isinstance(event := await connection.next_event(), h11.Data):
             parts.append(bytes(event.data))
         return b"".join(parts)
 
-    async def relay(self, answer: http_stream.Answer) -> None:
+    async def relay(self, answer: http_messages.Answer) -> None:
         """Send a back end's whole answer on."""
-        headers = without_length(http_stream.forwarded_headers(answer.headers))
+        headers = without_length(http_messages.forwarded_headers(answer.headers))
         self.log("answered", answer.status)
-        await self.exchange.respond(http_stream.Answer(answer.status, headers, answer.body))
+        await self.exchange.respond(http_messages.Answer(answer.status, headers, answer.body))
 
     async def relay_stream(
         self,
-        connection: http_stream.ClientConnection,
-        head: http_stream.Answer,
+        connection: stream_client.ClientConnection,
+        head: http_messages.Answer,
         place: backend_pool.Place,
     ) -> Outcome:
         """Send events on as they come, whole ones only; go on after a break elsewhere."""
@@ -405,7 +405,7 @@
         await self.exchange.finish()
         return Outcome(State.DONE, "answered", head)
 
-    async def relay_event(self, item: event_bytes.RawEvent, head: http_stream.Answer) -> None:
+    async def relay_event(self, item: event_bytes.RawEvent, head: http_messages.Answer) -> None:
         """Send one event on, unless the client has it already."""
         if item.event_id and not event_bytes.is_after(item.event_id, self.last_event_id):
             return
@@ -413,11 +413,11 @@
         await self.exchange.send(item.data)
         self.last_event_id = item.event_id or self.last_event_id
 
-    def start_stream(self, head: http_stream.Answer) -> None:
+    def start_stream(self, head: http_messages.Answer) -> None:
         """Send the head of the first back end that gave an event; later ones keep it."""
         if self.exchange.is_started:
             return
-        headers = without_length(http_stream.forwarded_headers(head.headers))
+        headers = without_length(http_messages.forwarded_headers(head.headers))
         self.first_at = self.clock()
         metrics.first_token_seconds.observe(self.first_at - self.arrived)
         self.exchange.start(head.status, headers)
@@ -438,7 +438,7 @@
         self.reasons.append(error.message)
         metrics.refusals_total.labels(str(error.kind)).inc()
         self.log(str(error.kind), entry.status)
-        await self.exchange.respond(http_stream.Answer(entry.status, headers))
+        await self.exchange.respond(http_messages.Answer(entry.status, headers))
 
     def log(self, outcome: str, status: int) -> None:
         """Log the decision on this request, with what it was based on."""
@@ -458,6 +458,6 @@
         )
 
 
-def without_length(headers: http_stream.Headers) -> http_stream.Headers:
+def without_length(headers: http_messages.Headers) -> http_messages.Headers:
     """Return the headers without the body's length, which is set anew."""
     return [(key, value) for key, value in headers if key.lower() != b"content-length"]
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import fetch, fleet, pacing
+from merlinthread.coordination import fetch, fetch_policies, fleet, pacing
 from merlinthread.nodes import engine_client, news_watcher, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -122,7 +122,7 @@
         """Read a version's manifest and find out which of its pieces lie here."""
         is_first = self.manifest is None
         manifest = await self.engine.manifest(self.origin(), model, version)
-        plan = fetch.POLICIES.get("zoned")(
+        plan = fetch_policies.Zoned(
             self.me,
             f"{model}@{manifest.version}",
             len(manifest.digests),
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -8,7 +8,7 @@
 from merlinthread.coordination import fleet, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages
 
 JSON_TYPE = (b"content-type", b"application/json")
 
@@ -22,7 +22,7 @@
 
     # Operators and workers
 
-    def control_call(self, request: http_stream.Request) -> dialects.ControlCall:
+    def control_call(self, request: http_messages.Request) -> dialects.ControlCall:
         """Read a call of an operator or worker; raise MerlinthreadError."""
         path = request.target.split(b"?")[0]
         if path == names.CONFIGURATION_PATH and request.method == b"GET":
@@ -45,13 +45,13 @@
             kind=errors.ErrorKind.UNKNOWN_ROUTE,
         )
 
-    def is_ready_call(self, request: http_stream.Request) -> bool:
+    def is_ready_call(self, request: http_messages.Request) -> bool:
         """Return whether a request asks if the node is ready."""
         return request.target.split(b"?")[0] == names.READY_PATH
 
     # Clients
 
-    def client_call(self, request: http_stream.Request) -> fleet.Call:
+    def client_call(self, request: http_messages.Request) -> fleet.Call:
         """Read the head of a client's request; raise RequestError."""
         found = {key.lower(): value for key, value in request.headers}
         host = found.get(b"host", b"").decode("latin-1").lower().split(":")[0]
@@ -70,7 +70,7 @@
             found.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
         )
 
-    def refusal_headers(self, call: fleet.Call | None) -> http_stream.Headers:
+    def refusal_headers(self, call: fleet.Call | None) -> http_messages.Headers:
         """Return the headers of an answer of the node's own."""
         if call is None or not call.request_id:
             return []
@@ -79,10 +79,10 @@
     # Workers' answers
 
     def target_request(
-        self, request: http_stream.Request, target: fleet.Target
-    ) -> http_stream.Request:
+        self, request: http_messages.Request, target: fleet.Target
+    ) -> http_messages.Request:
         """Return the request as a worker gets it."""
-        kept = http_stream.forwarded_headers(request.headers)
+        kept = http_messages.forwarded_headers(request.headers)
         headers = [
             (key, value)
             for key, value in kept
@@ -103,35 +103,37 @@
             headers.append((names.EXPECT_VERSION, b"%d" % target.weights_version))
         if target.urgency is not None:
             headers.append((names.REQUEST_PRIORITY, b"%d" % target.urgency))
-        return http_stream.Request(request.method, request.target, headers, request.body)
+        return http_messages.Request(request.method, request.target, headers, request.body)
 
-    def answer_facts(self, status: int, headers: http_stream.Headers) -> fleet.AnswerFacts:
+    def answer_facts(self, status: int, headers: http_messages.Headers) -> fleet.AnswerFacts:
         """Read the head of a worker's answer."""
-        request_id = http_stream.header(headers, names.REQUEST_ID)
-        not_run = http_stream.header(headers, names.NOT_RUN) is not None
-        instance = http_stream.header(headers, names.INSTANCE) or b""
+        request_id = http_messages.header(headers, names.REQUEST_ID)
+        not_run = http_messages.header(headers, names.NOT_RUN) is not None
+        instance = http_messages.header(headers, names.INSTANCE) or b""
         return fleet.AnswerFacts(
             request_id.decode("latin-1") if request_id is not None else None,
             not_run or status == names.STATUS_MISDIRECTED,
-            http_stream.header(headers, names.STAMP) is not None,
-            http_stream.header(headers, names.CONTENT_ENCODING) is not None,
+            http_messages.header(headers, names.STAMP) is not None,
+            http_messages.header(headers, names.CONTENT_ENCODING) is not None,
             instance.decode("latin-1"),
         )
 
     # Engines and the origin
 
-    def report_request(self, address: str) -> http_stream.Request:
+    def report_request(self, address: str) -> http_messages.Request:
         """Return the request for an engine's report."""
-        return http_stream.Request(b"GET", names.REPORT_PATH, host(address))
+        return http_messages.Request(b"GET", names.REPORT_PATH, host(address))
 
     def report(self, body: bytes) -> fleet.EngineReport:
         """Read an engine's report; raise ProtocolError."""
         return bodies.report(body)
 
-    def manifest_request(self, address: str, model: str, version: int) -> http_stream.Request:
+    def manifest_request(self, address: str, model: str, version: int) -> http_messages.Request:
         """Return the request for a version's manifest; version 0 is the newest."""
         query = {"version": version} if version else {}
-        return http_stream.Request(b"GET", target(names.MANIFEST_PATH, model, query), host(address))
+        return http_messages.Request(
+            b"GET", target(names.MANIFEST_PATH, model, query), host(address)
+        )
 
     def manifest(self, body: bytes) -> fleet.Manifest:
         """Read a manifest; raise ProtocolError."""
@@ -139,26 +141,26 @@
 
     def piece_request(
         self, address: str, model: str, version: int, index: int
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the request for a piece from the origin."""
         query = {"sample_count": index, "version": version}
-        return http_stream.Request(b"GET", target(names.PIECE_PATH, model, query), host(address))
+        return http_messages.Request(b"GET", target(names.PIECE_PATH, model, query), host(address))
 
     def stage_request(
         self, address: str, model: str, index: int, data: bytes
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the request that lays a piece at an engine."""
         path = target(names.STAGE_PUT_PATH, model, {"sample_count": index})
-        return http_stream.Request(b"PUT", path, with_body(address, data), data)
+        return http_messages.Request(b"PUT", path, with_body(address, data), data)
 
-    def staged_request(self, address: str, model: str, index: int) -> http_stream.Request:
+    def staged_request(self, address: str, model: str, index: int) -> http_messages.Request:
         """Return the request for a piece that lies at an engine."""
         path = target(names.STAGE_GET_PATH, model, {"sample_count": index})
-        return http_stream.Request(b"GET", path, host(address))
+        return http_messages.Request(b"GET", path, host(address))
 
     def load_request(
         self, address: str, model: str, version: int, cuts_streams: bool
-    ) -> http_stream.Request:
+    ) -> http_messages.Request:
         """Return the order that makes an engine take the staged weights."""
         order = {
             "operation": "start",
@@ -168,15 +170,15 @@
         }
         body = msgspec.json.encode(order)
         headers = [*with_body(address, body), JSON_TYPE]
-        return http_stream.Request(b"POST", names.ORDER_PATH, headers, body)
+        return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
 
 
-def host(address: str) -> http_stream.Headers:
+def host(address: str) -> http_messages.Headers:
     """Return the header that names the server."""
     return [(b"host", address.encode("ascii"))]
 
 
-def with_body(address: str, body: bytes) -> http_stream.Headers:
+def with_body(address: str, body: bytes) -> http_messages.Headers:
     """Return the headers of a request with a body."""
     return [*host(address), (b"content-length", b"%d" % len(body))]
 
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -8,14 +8,14 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
-from merlinthread.coordination import fetch, fetch_baselines, uploads
+from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, uploads
 from merlinthread.protocol import messages
 from merlinthread.roles import base
 from merlinthread.state import chunks, manifests
 from merlinthread.transport import bus, http_client
 
 # Importing a module of policies files them in the registry.
-BUILT_IN_POLICIES = (fetch, fetch_baselines)
+BUILT_IN_POLICIES = (fetch_baselines, fetch_policies)
 IDLE_WAIT_S = 0.1
 MANIFEST_RETRY_S = 0.5
 PEER_TIMEOUT_S = 1.0
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -11,7 +11,7 @@
 from merlinthread import errors, logs
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client, stream_server
 
 PATH = b"/node"
 MEDIA_TYPE = b"application/msgpack"
@@ -28,7 +28,7 @@
 
     def __init__(self, codec: codecs.Codec) -> None:
         self.codec = codec
-        self.pool = http_stream.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.pool = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     async def call(self, address: str, message: Any, timeout_s: float) -> Any:
         """Return the answer of the node at `address`.
@@ -41,7 +41,7 @@
             (b"content-type", MEDIA_TYPE),
             (b"content-length", b"%d" % len(body)),
         ]
-        request = http_stream.Request(b"POST", PATH, headers, body)
+        request = http_messages.Request(b"POST", PATH, headers, body)
         answer = await self.pool.call(address, request, timeout_s)
         if answer.status != 200:
             raise errors.UnreachableError(f"{address}: HTTP status {answer.status}")
@@ -57,18 +57,18 @@
     def __init__(self, codec: codecs.Codec, handler: Handler) -> None:
         self.codec = codec
         self.handler = handler
-        limits = http_stream.Limits(body_bytes=MESSAGE_BYTES_MAX, idle_timeout_s=2 * KEEP_S)
-        self.server = http_stream.Server(self.serve, limits)
+        limits = http_messages.Limits(body_bytes=MESSAGE_BYTES_MAX, idle_timeout_s=2 * KEEP_S)
+        self.server = stream_server.Server(self.serve, limits)
 
     async def listen(self, host: str, port: int) -> None:
         """Start to answer."""
         await self.server.listen(host, port)
 
-    async def serve(self, exchange: http_stream.Exchange) -> None:
+    async def serve(self, exchange: stream_server.Exchange) -> None:
         """Answer one call."""
         reply = await self.answer(exchange.request.body)
         headers = [(b"content-type", MEDIA_TYPE)]
-        await exchange.respond(http_stream.Answer(200, headers, self.codec.encode(reply)))
+        await exchange.respond(http_messages.Answer(200, headers, self.codec.encode(reply)))
 
     async def answer(self, body: bytes) -> Any:
         """Return the answer; an error becomes a refusal."""
--- a/src/merlinthread/transport/http_stream.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -1,95 +1,19 @@
-"""HTTP/1.1 on one event loop: a server and a client connection around the `h11` library.
+"""An HTTP/1.1 server on one event loop, around the `h11` library.
 
-`h11` parses and frames; this module moves its bytes. One server connection answers one request at
-a time. A client that leaves cancels the task that answers it, so that nothing works for nobody.
+`h11` parses and frames; this module moves its bytes. One connection answers one request at a time.
+A client that leaves cancels the task that answers it, so that nothing works for nobody.
 """
 
 import asyncio
-import collections
-import contextlib
-import dataclasses
-import socket
 from collections.abc import Awaitable, Callable
 
 import h11
 
-from merlinthread import errors, logs
-
-Headers = list[tuple[bytes, bytes]]
+from merlinthread import logs
+from merlinthread.transport import http_messages, sockets
 
 READ_AHEAD_BYTES_MAX = 256 * 1024
-HEADER_BYTES_DEFAULT = 16 * 1024
-BODY_BYTES_DEFAULT = 4 * 1024 * 1024
 BACKLOG = 1024
-CONNECTION_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
-
-
-@dataclasses.dataclass(slots=True)
-class Limits:
-    """What a client may send and how long it may take; bytes and seconds."""
-
-    header_bytes: int = HEADER_BYTES_DEFAULT
-    body_bytes: int = BODY_BYTES_DEFAULT
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A whole request; `target` is the path with its query as it was sent."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes = b""
-
-
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """A whole answer."""
-
-    status: int
-    headers: Headers
-    body: bytes = b""
-
-
-def header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of `name` (lower case), or None."""
-    for key, value in headers:
-        if key.lower() == name:
-            return value
-    return None
-
-
-def forwarded_headers(headers: Headers) -> Headers:
-    """Return the headers that concern more than one connection (RFC 9110, section 7.6.1)."""
-    named = header(headers, b"connection") or b""
-    dropped = CONNECTION_HEADERS | {part.strip().lower() for part in named.split(b",")}
-    return [(key, value) for key, value in headers if key.lower() not in dropped]
-
-
-def set_socket_options(transport: asyncio.BaseTransport, user_timeout_s: float) -> None:
-    """Send small writes at once, and end a connection whose peer acknowledges nothing."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        milliseconds = int(user_timeout_s * 1000)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
 class FlowControl:
@@ -119,13 +43,13 @@
 class Exchange:
     """One request on a server connection, and the means to answer it."""
 
-    def __init__(self, connection: "ServerConnection", request: Request) -> None:
+    def __init__(self, connection: "ServerConnection", request: http_messages.Request) -> None:
         self.connection = connection
         self.request = request
         self.is_started = False
         self.is_finished = False
 
-    async def respond(self, answer: Answer) -> None:
+    async def respond(self, answer: http_messages.Answer) -> None:
         """Send a whole answer with its length."""
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         self.start(answer.status, headers)
@@ -133,7 +57,7 @@
             self.connection.write(h11.Data(data=answer.body))
         await self.finish()
 
-    def start(self, status: int, headers: Headers) -> None:
+    def start(self, status: int, headers: http_messages.Headers) -> None:
         """Send the head; without a content length the body goes out in chunks."""
         if self.connection.is_leaving:
             headers = [*headers, (b"connection", b"close")]
@@ -163,9 +87,9 @@
 class Server:
     """Listens on one address and hands whole requests to `handler`."""
 
-    def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
+    def __init__(self, handler: Handler, limits: http_messages.Limits | None = None) -> None:
         self.handler = handler
-        self.limits = limits or Limits()
+        self.limits = limits or http_messages.Limits()
         self.connections: set[ServerConnection] = set()
         self.is_leaving = False
         self.has_stopped = False
@@ -209,7 +133,7 @@
         self.transport: asyncio.Transport | None = None
         self.flow = FlowControl()
         self.task: asyncio.Task | None = None
-        self.request: Request | None = None
+        self.request: http_messages.Request | None = None
         self.parts: list[bytes] = []
         self.size = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -231,7 +155,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read."""
         self.transport = transport  # type: ignore[assignment]
-        set_socket_options(transport, self.server.limits.idle_timeout_s)
+        sockets.set_socket_options(transport, self.server.limits.idle_timeout_s)
         self.server.connections.add(self)
         self.set_timer(self.server.limits.idle_timeout_s, self.close)
 
@@ -303,10 +227,12 @@
     def take_head(self, event: h11.Request) -> bool:
         """Take a request's head."""
         self.is_head_due = False
-        self.request = Request(event.method, event.target, list(event.headers.raw_items()))
+        self.request = http_messages.Request(
+            event.method, event.target, list(event.headers.raw_items())
+        )
         self.parts = []
         self.size = 0
-        length = header(self.request.headers, b"content-length")
+        length = http_messages.header(self.request.headers, b"content-length")
         if length is not None and int(length) > self.server.limits.body_bytes:
             self.refuse(413)
             return False
@@ -349,7 +275,7 @@
             if exchange.is_started:
                 self.abort()
                 return
-            await exchange.respond(Answer(500, []))
+            await exchange.respond(http_messages.Answer(500, []))
         self.next_request(exchange)
 
     def next_request(self, exchange: Exchange) -> None:
@@ -411,215 +337,3 @@
         self.set_timer(None, None)
         if self.transport is not None:
             self.transport.abort()
-
-
-class ClientConnection(asyncio.Protocol):
-    """A connection to one server; it carries one request at a time."""
-
-    def __init__(self) -> None:
-        self.parser = h11.Connection(h11.CLIENT)
-        self.transport: asyncio.Transport | None = None
-        self.waiter: asyncio.Future | None = None
-        self.is_lost = False
-        self.error: Exception | None = None
-        self.is_ended = False
-        self.idle_since = 0.0
-        self.keep_until = 0.0
-        self.has_stray_bytes = False
-        self.is_idle = True
-        self.pending: collections.deque[bytes] = collections.deque()
-
-    # Events of the transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Note the transport."""
-        self.transport = transport  # type: ignore[assignment]
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes in; bytes that nobody asked for spoil the connection."""
-        if self.is_idle:
-            self.has_stray_bytes = True
-            self.close()
-            return
-        self.pending.append(data)
-        self.wake()
-
-    def eof_received(self) -> bool:
-        """Note that the server has ended its side."""
-        self.is_ended = True
-        self.wake()
-        return False
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Note that the connection is gone."""
-        self.is_lost = True
-        self.error = error
-        self.wake()
-
-    def wake(self) -> None:
-        """Let a reader look again."""
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
-
-    # Use
-
-    def send(self, request: Request) -> None:
-        """Send a whole request."""
-        self.is_idle = False
-        head = h11.Request(method=request.method, target=request.target, headers=request.headers)
-        data = self.parser.send(head)
-        if request.body:
-            data += self.parser.send(h11.Data(data=request.body)) or b""
-        data += self.parser.send(h11.EndOfMessage()) or b""
-        if self.transport is not None:
-            self.transport.write(data)
-
-    async def next_event(self) -> h11.Event:
-        """Return the next event of the answer.
-
-        Raises UnreachableError if the connection was lost first, and ProtocolError if what came is
-        no answer or ended early.
-        """
-        while True:
-            try:
-                event = self.parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise errors.ProtocolError(f"no whole answer: {error}")
-            if event is h11.PAUSED:
-                raise errors.ProtocolError("the answer is over")
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            await self.read()
-
-    async def read(self) -> None:
-        """Feed the parser; wait if there is nothing to feed."""
-        if self.pending:
-            self.parser.receive_data(self.pending.popleft())
-            return
-        if self.is_lost and (self.error is not None or not self.is_ended):
-            raise errors.UnreachableError(f"the connection was lost: {self.error}")
-        if self.is_ended:
-            self.parser.receive_data(b"")
-            return
-        self.waiter = asyncio.get_running_loop().create_future()
-        await self.waiter
-
-    async def receive(self) -> Answer:
-        """Return the whole answer; raises as `next_event` does."""
-        head = await self.next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self.next_event()
-        if not isinstance(head, h11.Response):
-            raise errors.ProtocolError(f"{type(head).__name__} came before an answer's head")
-        parts = []
-        while isinstance(event := await self.next_event(), h11.Data):
-            parts.append(bytes(event.data))
-        return Answer(head.status_code, list(head.headers.raw_items()), b"".join(parts))
-
-    def finish(self, now: float, keep_s: float) -> bool:
-        """Make ready for another request; return whether the connection can take one."""
-        is_clean = (
-            not self.is_lost
-            and not self.is_ended
-            and not self.pending
-            and not self.parser.trailing_data[0]
-            and self.parser.our_state is h11.DONE
-            and self.parser.their_state is h11.DONE
-        )
-        if not is_clean:
-            self.close()
-            return False
-        self.parser.start_next_cycle()
-        self.is_idle = True
-        self.idle_since = now
-        self.keep_until = now + keep_s
-        return True
-
-    def is_usable(self, now: float) -> bool:
-        """Return whether an idle connection may take another request."""
-        return not (self.is_lost or self.is_ended or self.has_stray_bytes) and now < self.keep_until
-
-    def close(self) -> None:
-        """Close at once; the server drops what it still does for it."""
-        if self.transport is not None:
-            self.transport.abort()
-
-
-async def connect(address: str, timeout_s: float, user_timeout_s: float) -> ClientConnection:
-    """Return a new connection to "IP:port"; raise UnreachableError."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_s):
-            transport, connection = await loop.create_connection(ClientConnection, host, int(port))
-    except (OSError, TimeoutError) as error:
-        raise errors.UnreachableError(f"{address}: {error!r}")
-    set_socket_options(transport, user_timeout_s)
-    return connection
-
-
-class Pool:
-    """Idle connections to servers, by address."""
-
-    def __init__(self, keep_s: float, connect_timeout_s: float, user_timeout_s: float) -> None:
-        self.keep_s = keep_s
-        self.connect_timeout_s = connect_timeout_s
-        self.user_timeout_s = user_timeout_s
-        self.idle: dict[str, list[ClientConnection]] = {}
-
-    def take(self, key: str, now: float, idle_s_max: float) -> ClientConnection | None:
-        """Return an idle connection that was used within `idle_s_max`, or None."""
-        kept = self.idle.get(key, [])
-        while kept:
-            connection = kept.pop()
-            if connection.is_usable(now) and now - connection.idle_since <= idle_s_max:
-                return connection
-            connection.close()
-        return None
-
-    def give_back(self, key: str, connection: ClientConnection, now: float, keep_s: float) -> None:
-        """Keep a connection whose answer was taken whole, or close it."""
-        if connection.finish(now, min(keep_s, self.keep_s)):
-            self.idle.setdefault(key, []).append(connection)
-
-    def drop(self, key: str) -> None:
-        """Close the idle connections of one server."""
-        for connection in self.idle.pop(key, []):
-            connection.close()
-
-    async def call(self, address: str, request: Request, timeout_s: float) -> Answer:
-        """Send a request that may be repeated and return its answer.
-
-        Raises UnreachableError (nothing came in time) or ProtocolError (no whole answer).
-        """
-        loop = asyncio.get_running_loop()
-        connection = self.take(address, loop.time(), self.keep_s)
-        try:
-            async with asyncio.timeout(timeout_s):
-                if connection is None:
-                    connection = await connect(address, self.connect_timeout_s, self.user_timeout_s)
-                connection.send(request)
-                answer = await connection.receive()
-        except TimeoutError:
-            self.discard(connection)
-            raise errors.UnreachableError(f"{address}: no answer within {timeout_s:.2f} s")
-        except BaseException:
-            self.discard(connection)
-            raise
-        self.give_back(address, connection, loop.time(), kept_for(answer.headers, self.keep_s))
-        return answer
-
-    def discard(self, connection: ClientConnection | None) -> None:
-        """Close a connection that can't be used again."""
-        if connection is not None:
-            connection.close()
-
-
-def kept_for(headers: Headers, default_s: float) -> float:
-    """Return how long a server keeps an idle connection, with a second to spare."""
-    value = header(headers, b"keep-alive") or b""
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return max(0.0, int(number) - 1.0)
-    return default_s
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -9,7 +9,7 @@
 import hashlib
 import json
 
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_server
 
 EVENTS_DEFAULT = 5
 
@@ -53,7 +53,7 @@
         self.cancelled: list[str] = []
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
-        self.server = http_stream.Server(self.serve)
+        self.server = stream_server.Server(self.serve)
         self.address = ""
         self.running = 0
 
@@ -72,7 +72,7 @@
         for connection in list(self.server.connections):
             connection.abort()
 
-    async def serve(self, exchange: http_stream.Exchange) -> None:
+    async def serve(self, exchange: stream_server.Exchange) -> None:
         """Answer one request."""
         path = exchange.request.target.split(b"?")[0].decode()
         if path == "/report":
@@ -84,7 +84,7 @@
         else:
             await self.run(exchange)
 
-    async def run(self, exchange: http_stream.Exchange) -> None:
+    async def run(self, exchange: stream_server.Exchange) -> None:
         """Run a request, or say that it was not run."""
         headers = {k.decode().lower(): v.decode() for k, v in exchange.request.headers}
         request_id = headers.get("x-merlinthread-request-id", "")
@@ -106,7 +106,7 @@
             self.running -= 1
 
     async def answer(
-        self, exchange: http_stream.Exchange, headers: dict[str, str], request_id: str
+        self, exchange: stream_server.Exchange, headers: dict[str, str], request_id: str
     ) -> None:
         """Give the answer, as the behaviour says."""
         if self.behaviour.is_mute:
@@ -124,12 +124,12 @@
             await self.stream(exchange, answer_headers, headers)
             return
         body = f"answer of {self.instance} to {request_id}".encode()
-        await exchange.respond(http_stream.Answer(self.behaviour.status, answer_headers, body))
+        await exchange.respond(http_messages.Answer(self.behaviour.status, answer_headers, body))
 
     async def stream(
         self,
-        exchange: http_stream.Exchange,
-        answer_headers: http_stream.Headers,
+        exchange: stream_server.Exchange,
+        answer_headers: http_messages.Headers,
         headers: dict[str, str],
     ) -> None:
         """Give events with rising ids, from after the last one that the client has."""
@@ -144,12 +144,12 @@
             await asyncio.sleep(self.behaviour.gap_s)
         await exchange.finish()
 
-    async def refuse(self, exchange: http_stream.Exchange, status: int) -> None:
+    async def refuse(self, exchange: stream_server.Exchange, status: int) -> None:
         """Say that a request was not run."""
         headers = [(b"X-Merlinthread-Not-Run", b"1")]
-        await exchange.respond(http_stream.Answer(status, headers))
+        await exchange.respond(http_messages.Answer(status, headers))
 
-    async def report(self, exchange: http_stream.Exchange) -> None:
+    async def report(self, exchange: stream_server.Exchange) -> None:
         """Tell the load and the weights."""
         body = {
             "models": [{"name": self.model, "version": self.version, "adapters": []}],
@@ -163,26 +163,26 @@
             "queued": 0,
             "running": self.running,
         }
-        await exchange.respond(http_stream.Answer(200, [], json.dumps(body).encode()))
+        await exchange.respond(http_messages.Answer(200, [], json.dumps(body).encode()))
 
-    async def stage(self, exchange: http_stream.Exchange, path: str) -> None:
+    async def stage(self, exchange: stream_server.Exchange, path: str) -> None:
         """Take or give a staged piece."""
         index = int(exchange.request.target.split(b"sample_count=")[1].split(b"&")[0])
         if path.startswith("/stage-put/"):
             self.staged[index] = exchange.request.body
-            await exchange.respond(http_stream.Answer(200, []))
+            await exchange.respond(http_messages.Answer(200, []))
         elif index in self.staged:
-            await exchange.respond(http_stream.Answer(200, [], self.staged[index]))
+            await exchange.respond(http_messages.Answer(200, [], self.staged[index]))
         else:
-            await exchange.respond(http_stream.Answer(404, []))
+            await exchange.respond(http_messages.Answer(404, []))
 
-    async def order(self, exchange: http_stream.Exchange) -> None:
+    async def order(self, exchange: stream_server.Exchange) -> None:
         """Take an order and carry it out at once."""
         order = json.loads(exchange.request.body)
         self.orders.append(order)
         if self.behaviour.order_status == 202:
             self.version = order["version"]
-        await exchange.respond(http_stream.Answer(self.behaviour.order_status, []))
+        await exchange.respond(http_messages.Answer(self.behaviour.order_status, []))
 
 
 class WeightOrigin:
@@ -192,7 +192,7 @@
         self.pieces = pieces
         self.given: list[tuple[int, int]] = []
         self.corrupt: set[int] = set()
-        self.server = http_stream.Server(self.serve)
+        self.server = stream_server.Server(self.serve)
         self.address = ""
 
     async def start(self) -> str:
@@ -203,13 +203,13 @@
         self.address = f"127.0.0.1:{port}"
         return self.address
 
-    async def serve(self, exchange: http_stream.Exchange) -> None:
+    async def serve(self, exchange: stream_server.Exchange) -> None:
         """Give a manifest or a piece."""
         path, _, query = exchange.request.target.decode().partition("?")
         fields = dict(part.split("=") for part in query.split("&") if part)
         version = int(fields.get("version", max(self.pieces)))
         if version not in self.pieces:
-            await exchange.respond(http_stream.Answer(410, []))
+            await exchange.respond(http_messages.Answer(410, []))
             return
         pieces = self.pieces[version]
         if path.startswith("/manifest/"):
@@ -219,9 +219,9 @@
                 "layers": 16,
                 "digests": [hashlib.sha256(piece).hexdigest() for piece in pieces],
             }
-            await exchange.respond(http_stream.Answer(200, [], json.dumps(body).encode()))
+            await exchange.respond(http_messages.Answer(200, [], json.dumps(body).encode()))
             return
         index = int(fields["sample_count"])
         self.given.append((version, index))
         data = b"x" * len(pieces[index]) if index in self.corrupt else pieces[index]
-        await exchange.respond(http_stream.Answer(200, [], data))
+        await exchange.respond(http_messages.Answer(200, [], data))
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -14,7 +14,7 @@
 from merlinthread.platform import dialect
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client
 from stand_ins import fleet_worker
 
 
@@ -90,7 +90,7 @@
     def kill(self, ip: str) -> None:
         """End one as a killed process does; its files stay."""
         node = self.nodes.pop(ip)
-        for task in node.tasks + list(node.member.senders.values()):
+        for task in node.tasks + node.member.sender.tasks():
             task.cancel()
         for server in (node.server, node.listener.server):
             if server.listener is not None:
@@ -108,17 +108,17 @@
 
     async def call(
         self, ip: str, method: str, path: str, body: dict | None = None
-    ) -> http_stream.Answer:
+    ) -> http_messages.Answer:
         """Make one call of an operator or worker."""
         data = json.dumps(body).encode() if body is not None else b""
         headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
-        request = http_stream.Request(method.encode(), path.encode(), headers, data)
-        pool = http_stream.Pool(1.0, 1.0, 2.0)
+        request = http_messages.Request(method.encode(), path.encode(), headers, data)
+        pool = stream_client.Pool(1.0, 1.0, 2.0)
         return await pool.call(f"{ip}:{self.public_port}", request, 3.0)
 
     async def until_acknowledged(
         self, method: str, path: str, body: dict | None = None
-    ) -> http_stream.Answer:
+    ) -> http_messages.Answer:
         """Make a call again, at any VM, until it is acknowledged."""
         for attempt in range(400):
             ips = list(self.nodes)
@@ -237,12 +237,12 @@
         )
         self.node.watcher.take(news)
 
-    async def ask(self, path: str, request_id: str, **headers) -> http_stream.Answer:
+    async def ask(self, path: str, request_id: str, **headers) -> http_messages.Answer:
         """Send one client's request and return its answer."""
         connection = await self.send(path, request_id, **headers)
         return await connection.receive()
 
-    async def send(self, path: str, request_id: str, **headers) -> http_stream.ClientConnection:
+    async def send(self, path: str, request_id: str, **headers) -> stream_client.ClientConnection:
         """Send one client's request."""
         sent = {
             "Host": "h.example",
@@ -251,8 +251,8 @@
             "Api-Key": "key-1",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         raw = [(key.encode(), value.encode()) for key, value in sent.items()]
-        connection = await http_stream.connect(f"127.0.0.1:{self.port}", 1.0, 2.0)
+        connection = await stream_client.connect(f"127.0.0.1:{self.port}", 1.0, 2.0)
         connection.send(
-            http_stream.Request(b"POST", path.encode(), [*raw, (b"content-length", b"0")])
+            http_messages.Request(b"POST", path.encode(), [*raw, (b"content-length", b"0")])
         )
         return connection
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -5,7 +5,7 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
 
@@ -72,7 +72,7 @@
             worker.behaviour.is_full = True
         answer = await entry.ask(f"/{service}/", "id-1")
         assert (answer.status, runs(workers)) == (503, 0)
-        assert float(http_stream.header(answer.headers, b"retry-after")) > 0
+        assert float(http_messages.header(answer.headers, b"retry-after")) > 0
 
     asyncio.run(scenario())
 
@@ -103,7 +103,7 @@
         workers[0].behaviour.status = 500
         answer = await entry.ask("/unsafe/", "id-1")
         assert answer.status == 500
-        assert http_stream.header(answer.headers, b"x-merlinthread-response-stamp")
+        assert http_messages.header(answer.headers, b"x-merlinthread-response-stamp")
 
     asyncio.run(scenario())
 
--- a/tests/test_fetch_machine.py
+++ b/tests/test_fetch_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from merlinthread.coordination import fetch, fetch_baselines, uploads
+from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, uploads
 
 CHUNKS = 12
 BASELINES = fetch_baselines
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 10.0
-        self.plan = fetch.Spread("me", "m", CHUNKS, 0, 2, self.now, random.Random(1))
+        self.plan = fetch_policies.Spread("me", "m", CHUNKS, 0, 2, self.now, random.Random(1))
         self.plan.set_peers([fetch.Peer(name, "127.0.0.1:1", 0) for name in PEERS])
         self.under_way: list[fetch.Action] = []
 
@@ -180,7 +180,7 @@
 
 
 def test_rarest_first_takes_what_the_fewest_have():
-    plan = fetch.Spread("me", "m", 8, 0, 2, 0.0, random.Random(1))
+    plan = fetch_policies.Spread("me", "m", 8, 0, 2, 0.0, random.Random(1))
     plan.set_peers([fetch.Peer(name, "", 0) for name in PEERS])
     plan.heard("vm-a", 0b1111, 0.0)
     plan.heard("vm-b", 0b0111, 0.0)
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -8,6 +8,7 @@
 from merlinthread.coordination import (
     dispatch,
     fetch,
+    fetch_policies,
     fleet,
     fleet_state,
     instances,
@@ -215,7 +216,7 @@
 
 
 def make_zoned(me: str, names: dict[str, int]) -> fetch.FetchPlan:
-    plan = fetch.POLICIES.get("zoned")(me, "m@2", 24, 0, 1, 0.0, random.Random(1))
+    plan = fetch_policies.Zoned(me, "m@2", 24, 0, 1, 0.0, random.Random(1))
     plan.set_peers([fetch.Peer(name, name, distance) for name, distance in names.items()])
     return plan
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 from merlinthread import errors
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, dialect, names, settings_file
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages
 from tests import fleet_nodes
 
 SOURCES = pathlib.Path(names.__file__).parent.parent
@@ -112,10 +112,10 @@
 )
 def test_calls_of_operators_and_workers_are_told_apart(method, path, kind):
     body = b'{"model":"m","version":2}'
-    request = http_stream.Request(method.encode(), path.encode(), [], body)
+    request = http_messages.Request(method.encode(), path.encode(), [], body)
     assert isinstance(dialect.PlatformDialect().control_call(request), kind)
 
 
 def test_an_unknown_call_is_refused():
     with pytest.raises(errors.RequestError):
-        dialect.PlatformDialect().control_call(http_stream.Request(b"GET", b"/x", [], b""))
+        dialect.PlatformDialect().control_call(http_messages.Request(b"GET", b"/x", [], b""))
--- a/tests/test_http_stream.py
+++ b/tests/test_stream_connections.py
@@ -7,11 +7,11 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.transport import http_stream
+from merlinthread.transport import http_messages, stream_client, stream_server
 
 
-async def serve(handler, limits=None) -> tuple[http_stream.Server, str]:
-    server = http_stream.Server(handler, limits)
+async def serve(handler, limits=None) -> tuple[stream_server.Server, str]:
+    server = stream_server.Server(handler, limits)
     await server.listen("127.0.0.1", 0)
     port = server.listener.sockets[0].getsockname()[1]
     return server, f"127.0.0.1:{port}"
@@ -34,12 +34,12 @@
     return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
-def get(path: bytes = b"/") -> http_stream.Request:
-    return http_stream.Request(b"GET", path, [(b"host", b"a")])
+def get(path: bytes = b"/") -> http_messages.Request:
+    return http_messages.Request(b"GET", path, [(b"host", b"a")])
 
 
-async def call(address: str) -> http_stream.Answer:
-    pool = http_stream.Pool(5.0, 1.0, 2.0)
+async def call(address: str) -> http_messages.Answer:
+    pool = stream_client.Pool(5.0, 1.0, 2.0)
     return await pool.call(address, get(), 2.0)
 
 
@@ -49,10 +49,10 @@
 
         async def handler(exchange):
             peers.append(id(exchange.connection))
-            await exchange.respond(http_stream.Answer(200, [], b"hello"))
+            await exchange.respond(http_messages.Answer(200, [], b"hello"))
 
         _, address = await serve(handler)
-        pool = http_stream.Pool(5.0, 1.0, 2.0)
+        pool = stream_client.Pool(5.0, 1.0, 2.0)
         bodies = [(await pool.call(address, get(), 2.0)).body for _ in range(3)]
         assert bodies == [b"hello"] * 3
         assert len(set(peers)) == 1
@@ -93,7 +93,7 @@
     async def scenario():
         reply = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n"
         address = await raw_server(reply)
-        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection = await stream_client.connect(address, 1.0, 2.0)
         connection.send(get())
         assert (await connection.receive()).body == b"a"
         assert not connection.finish(0.0, 5.0)
@@ -114,7 +114,7 @@
                 raise
 
         _, address = await serve(handler)
-        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection = await stream_client.connect(address, 1.0, 2.0)
         connection.send(get())
         await began.wait()
         connection.close()
@@ -140,7 +140,7 @@
 
 def test_a_body_over_the_limit_gets_413():
     async def scenario():
-        _, address = await serve(never, http_stream.Limits(body_bytes=10))
+        _, address = await serve(never, http_messages.Limits(body_bytes=10))
         length = await send_raw(
             address, b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\n"
         )
@@ -157,7 +157,7 @@
 
 def test_a_head_that_comes_byte_by_byte_gets_408_when_its_time_is_over():
     async def scenario():
-        _, address = await serve(never, http_stream.Limits(header_timeout_s=0.2))
+        _, address = await serve(never, http_messages.Limits(header_timeout_s=0.2))
         reply = await send_raw(address, b"GET / HTTP/1.1\r\nho")
         assert reply.startswith(b"HTTP/1.1 408")
 
@@ -166,7 +166,7 @@
 
 def test_a_head_over_the_limit_gets_431():
     async def scenario():
-        _, address = await serve(never, http_stream.Limits(header_bytes=512))
+        _, address = await serve(never, http_messages.Limits(header_bytes=512))
         reply = await send_raw(address, b"GET / HTTP/1.1\r\nx: " + b"y" * 2000)
         assert reply.startswith(b"HTTP/1.1 431")
 
@@ -193,7 +193,7 @@
 
         async def handler(exchange):
             await release.wait()
-            await exchange.respond(http_stream.Answer(200, [], b"late"))
+            await exchange.respond(http_messages.Answer(200, [], b"late"))
 
         server, address = await serve(handler)
         task = asyncio.create_task(call(address))
@@ -203,7 +203,7 @@
         release.set()
         answer = await task
         assert answer.body == b"late"
-        assert http_stream.header(answer.headers, b"connection") == b"close"
+        assert http_messages.header(answer.headers, b"connection") == b"close"
 
     asyncio.run(scenario())
 
@@ -211,7 +211,7 @@
 def test_a_leaving_server_still_answers_a_request_that_is_half_read():
     async def scenario():
         async def handler(exchange):
-            await exchange.respond(http_stream.Answer(200, [], exchange.request.body))
+            await exchange.respond(http_messages.Answer(200, [], exchange.request.body))
 
         server, address = await serve(handler)
         host, port = address.split(":")
@@ -239,7 +239,7 @@
             await exchange.finish()
 
         server, address = await serve(handler)
-        connection = await http_stream.connect(address, 1.0, 2.0)
+        connection = await stream_client.connect(address, 1.0, 2.0)
         connection.send(get())
         await connection.next_event()
         server.stop_accepting()
