--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -27,6 +27,7 @@
     closes_without_answer: bool = False
     wrong_request_id: bool = False
     is_unsigned: bool = False
+    ignores_last_event_id: bool = False
     is_mute: bool = False
     order_status: int = 202
 
@@ -134,6 +135,8 @@
     ) -> None:
         """Give events with rising ids, from after the last one that the client has."""
         first = int(headers.get("last-event-id", "0")) + 1
+        if self.behaviour.ignores_last_event_id:
+            first = 1
         exchange.start(200, [*answer_headers, (b"Content-Type", b"text/event-stream")])
         for given, number in enumerate(range(first, self.behaviour.events + 1)):
             if given == self.behaviour.cut_after_events:
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -261,3 +261,25 @@
             await caller.call(address, node_messages.Subscribe("x"), 1.0)
 
     run(tmp_path, scenario)
+
+
+def test_a_member_without_its_disk_does_not_help_a_member_that_is_behind_to_lead(tmp_path):
+    async def scenario(controls):
+        first, second, behind = controls.ips
+        await put(controls, 1)
+        controls.kill(behind)
+        await fleet_nodes.until(controls.leader)
+        await put(controls, 2)
+        for ip in (first, second):
+            controls.kill(ip)
+        await controls.start(second, folder="empty")
+        await controls.start(behind)
+        for _ in range(100):
+            for ip in (second, behind):
+                answer = await controls.call(ip, "GET", "/config")
+                assert answer.status != 200, "an older configuration was read back"
+            await asyncio.sleep(0.02)
+        await controls.start(first)
+        assert await read(controls) == 2
+
+    run(tmp_path, scenario)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -146,6 +146,8 @@
         answer = await connection.receive()
         assert event_ids(answer.body) == list(range(1, 9))
         assert runs(workers) == 2
+        told = [run.headers.get("last-event-id") for worker in workers for run in worker.runs]
+        assert sorted(told, key=str) == ["3", None]
 
     asyncio.run(scenario())
 
@@ -213,3 +215,42 @@
     watcher = entry.node.watcher
     watcher.named_at = {"m": {2: 100.0, 3: 102.0}}
     assert [watcher.version_due("m", now, 7.0) for now in (106.0, 107.5, 109.5)] == [0, 2, 3]
+
+
+def test_events_that_the_client_has_are_not_given_twice():
+    async def scenario():
+        entry, workers, _ = await make("model", 2, "m")
+        for worker in workers:
+            worker.behaviour.events = 6
+            worker.behaviour.cut_after_events = 3
+            worker.behaviour.gap_s = 0.05
+            worker.behaviour.ignores_last_event_id = True
+        connection = await entry.send("/model/", "id-1", **STREAM)
+        await fleet_nodes.until(lambda: runs(workers) == 1)
+        for worker in workers:
+            if not worker.runs:
+                worker.behaviour.cut_after_events = None
+        assert event_ids((await connection.receive()).body) == list(range(1, 7))
+
+    asyncio.run(scenario())
+
+
+def test_a_repeatable_request_that_may_have_run_is_not_told_that_it_has_not():
+    async def scenario():
+        entry, workers, _ = await make("safe", 2)
+        answers = set()
+        for number in range(6):
+            for worker in workers:
+                worker.behaviour.closes_without_answer = True
+                worker.behaviour.is_full = False
+            before = runs(workers)
+            connection = await entry.send("/safe/", f"id-{number}")
+            await fleet_nodes.until(lambda before=before: runs(workers) > before)
+            for worker in workers:
+                worker.behaviour.is_full = True
+            answers.add((await connection.receive()).status)
+            for backend in entry.node.pool.backends.values():
+                backend.aside_until = backend.full_until = 0.0
+        assert 503 not in answers
+
+    asyncio.run(scenario())
