A randomized soak of the real nodes, with a short seeded run among the tests

Three control VMs and two entries as processes; kills, freezes, planned stops, all control VMs killed at once, workers that misbehave or are replaced; promises checked from outside. Its connections are not yet led through a proxy.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,457 @@
+"""A randomized soak: the real nodes as processes, faults by signals, promises checked meanwhile.
+
+`python -m bench soak --seed N --seconds S --seeds COUNT`. Control VMs and entries are processes of
+their own; clients, workers and the operator live in this one. The seed decides faults and requests,
+not the machine's timing. Faults: kills, freezes, planned stops of nodes, all control VMs killed at
+once, workers that misbehave or leave. Not here yet: connections through a proxy, clocks, disks.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+
+from bench import measure
+from merlinthread import errors
+from merlinthread.transport import http_messages, stream_client
+from stand_ins import fleet_worker
+
+CONTROL_IPS = ("127.0.6.1", "127.0.6.2", "127.0.6.3")
+ENTRY_IPS = ("127.0.6.11", "127.0.6.12")
+CONTROL, FRONT, READY = 8000, 8005, 8002
+NODE_PORTS = (7700, 7703)
+STARTER = "import sys; from merlinthread.platform import main; sys.exit(main.main(sys.argv[1:]))"
+NOT_RUN = (408, 421, 429, 503)
+APPLY_S = 2.0
+RECOVER_S = 12.0
+EVENTS = 6
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One process of the system."""
+
+    name: str
+    role: str
+    ip: str
+    is_first: bool = True
+    process: subprocess.Popen | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What was seen."""
+
+    asked: int = 0
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    acknowledged: int = 0
+    reads: int = 0
+    faults: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+class Soak:
+    """One run with one seed."""
+
+    def __init__(self, seed: int, seconds: float, folder: pathlib.Path) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.folder = folder
+        self.nodes = [Node(f"control-{ip}", "control", ip) for ip in CONTROL_IPS]
+        self.nodes += [Node(f"entry-{ip}", "entry", ip) for ip in ENTRY_IPS]
+        self.workers = {
+            fleet_worker.Worker(f"i-{n}", model): service
+            for n, (service, model) in enumerate(
+                [
+                    ("safe", ""),
+                    ("safe", ""),
+                    ("unsafe", ""),
+                    ("unsafe", ""),
+                    ("model", "m"),
+                    ("model", "m"),
+                ]
+            )
+        }
+        self.beats: collections.Counter = collections.Counter()
+        self.tally = Tally()
+        self.version = 0
+        self.acknowledged: list[tuple[float, int]] = []
+        self.pool = stream_client.Pool(0.0, 0.5, 1.0)
+        self.unsafe_not_run: set[str] = set()
+        self.requests = 0
+
+    # Processes
+
+    def start(self, node: Node) -> None:
+        """Start a process, for the first time or again."""
+        path = self.folder / f"{node.name}.json"
+        body = {
+            "node_name": node.name,
+            "ip": node.ip,
+            "zone": "zone-a",
+            "zones": {"zone-a": "region"},
+            "port_range": NODE_PORTS,
+            "seeds": [f"{ip}:{CONTROL}" for ip in CONTROL_IPS],
+            "listen": {
+                "control": f"{node.ip}:{CONTROL}",
+                "front": f"{node.ip}:{FRONT}",
+                "ready": f"{node.ip}:{READY}",
+            },
+            "bootstrap": node.is_first,
+            "data_dir": str(self.folder / node.name),
+            "heartbeat_ms": 400,
+            "bounds": {"grace_s": 4},
+        }
+        path.write_text(json.dumps(body))
+        log = open(self.folder / f"{node.name}.log", "ab")
+        node.process = subprocess.Popen(
+            [sys.executable, "-c", STARTER, node.role],
+            env=os.environ | {"MERLINTHREAD_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+            cwd=ROOT,
+        )
+        log.close()
+        node.is_first = False
+
+    def end(self, node: Node, how: int = signal.SIGKILL) -> None:
+        """Send a signal to a process of this run."""
+        if node.process is not None and node.process.poll() is None:
+            node.process.send_signal(how)
+
+    # Faults
+
+    async def faults(self) -> None:
+        """Inject one fault after another; some overlap."""
+        kinds = [self.kill, self.freeze, self.stop, self.kill_controls, self.misbehave, self.leave]
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.3, 1.2))
+            kind = self.rng.choice(kinds)
+            self.tally.faults[kind.__name__] += 1
+            task = asyncio.create_task(kind())
+            if self.rng.random() < 0.7:
+                await task
+
+    def pick(self, role: str = "") -> Node:
+        """Return a node by lot."""
+        return self.rng.choice([node for node in self.nodes if role in ("", node.role)])
+
+    async def kill(self) -> None:
+        """Kill one node and start it again."""
+        node = self.pick()
+        self.end(node)
+        await self.again(node)
+
+    async def again(self, node: Node) -> None:
+        """Start a node again once it has ended."""
+        if node.process is not None:
+            await asyncio.to_thread(node.process.wait)
+        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+        if node.process is None or node.process.poll() is not None:
+            self.start(node)
+
+    async def freeze(self) -> None:
+        """Let one node stand still for a while."""
+        node = self.pick()
+        self.end(node, signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        self.end(node, signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """Stop an entry as planned and start it again."""
+        node = self.pick("entry")
+        self.end(node, signal.SIGTERM)
+        await self.again(node)
+
+    async def kill_controls(self) -> None:
+        """Kill all control VMs at the same moment."""
+        nodes = [node for node in self.nodes if node.role == "control"]
+        for node in nodes:
+            self.end(node)
+        await asyncio.gather(*(self.again(node) for node in nodes))
+
+    async def misbehave(self) -> None:
+        """Let one worker misbehave for a while."""
+        worker = self.rng.choice(list(self.workers))
+        faults = [
+            {"is_full": True},
+            {"closes_without_answer": True},
+            {"is_mute": True},
+            {"wrong_request_id": True},
+            {"is_unsigned": True},
+            {"status": 500},
+            {"cut_after_events": self.rng.randrange(EVENTS)},
+        ]
+        worker.behaviour = fleet_worker.Behaviour(events=EVENTS, **self.rng.choice(faults))
+        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        worker.behaviour = fleet_worker.Behaviour(events=EVENTS)
+
+    async def leave(self) -> None:
+        """Replace a worker by a new instance, without a word about the old one."""
+        old = self.rng.choice(list(self.workers))
+        service = self.workers.pop(old)
+        old.stop()
+        self.requests += 1
+        new = fleet_worker.Worker(f"{old.instance}x", old.model)
+        new.behaviour.events = EVENTS
+        new.runs = old.runs
+        await new.start()
+        self.workers[new] = service
+
+    # Load
+
+    async def heartbeats(self) -> None:
+        """Let every worker tell that it lives."""
+        while True:
+            await asyncio.gather(*(self.beat(worker) for worker in list(self.workers)))
+            await asyncio.sleep(0.3)
+
+    async def beat(self, worker: fleet_worker.Worker) -> None:
+        """Send one worker's heartbeat to a control VM."""
+        self.beats[worker.instance] += 1
+        body = {
+            "service": self.workers.get(worker, "safe"),
+            "address": worker.address,
+            "zone": "zone-a",
+            "slots": 8,
+            "state": "ready",
+            "sequence": self.beats[worker.instance],
+            "models": [{"name": "m", "version": 1}] if worker.model else [],
+        }
+        await self.call("PUT", f"/instances/{worker.instance}", body)
+
+    async def call(self, method: str, path: str, body: dict | None = None) -> tuple[int, bytes]:
+        """Call a control VM by lot; return status 0 if there is no clear answer."""
+        data = json.dumps(body).encode() if body is not None else b""
+        headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
+        request = http_messages.Request(method.encode(), path.encode(), headers, data)
+        address = f"{self.rng.choice(CONTROL_IPS)}:{CONTROL}"
+        try:
+            answer = await self.pool.call(address, request, 1.0)
+        except errors.MerlinthreadError:
+            return 0, b""
+        return answer.status, answer.body
+
+    async def operator(self) -> None:
+        """Put one configuration after another in force, and read back meanwhile."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.version += self.rng.randrange(1, 4)
+            body = make_configuration(self.version)
+            for _ in range(self.rng.randrange(1, 12)):
+                status, _ = await self.call("PUT", "/config", body)
+                if 400 <= status < 500:
+                    self.break_rule(f"a valid configuration was refused: {status}")
+                if status == 200:
+                    self.acknowledged.append((loop.time(), self.version))
+                    self.tally.acknowledged += 1
+                    break
+                await asyncio.sleep(0.1)
+            await self.read()
+            await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+
+    async def read(self) -> bool:
+        """Read the configuration; it must not be older than what was acknowledged for long."""
+        due_at = asyncio.get_running_loop().time() - APPLY_S
+        due = max((version for at, version in self.acknowledged if at <= due_at), default=0)
+        status, body = await self.call("GET", "/config")
+        if status != 200:
+            return False
+        self.tally.reads += 1
+        found = json.loads(body)
+        if found["version"] < due:
+            self.break_rule(f"version {found['version']} was read, {due} was acknowledged")
+        if found != make_configuration(found["version"]):
+            self.break_rule(f"version {found['version']} is not what was sent under its number")
+        return True
+
+    async def clients(self) -> None:
+        """Send requests all the time, a few at once."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.0, 0.02))
+            asyncio.create_task(self.ask(self.rng.choice(["safe", "unsafe", "model"])))
+
+    async def ask(self, service: str) -> bool:
+        """Send one request and check its answer; return whether it was served."""
+        self.requests += 1
+        request_id = f"r{self.requests}"
+        headers = [
+            (b"Host", b"h.example"),
+            (b"X-Merlinthread-Request-Id", request_id.encode()),
+            (b"X-Merlinthread-Deadline-Ms", b"2500"),
+            (b"Api-Key", b"key-1"),
+            (b"content-length", b"0"),
+        ]
+        if service == "model":
+            headers.append((b"X-Merlinthread-Model", b"m"))
+            headers.append((b"X-Merlinthread-Token-Usage", b"100,20"))
+        request = http_messages.Request(b"POST", f"/{service}/".encode(), headers)
+        address = f"{self.rng.choice(ENTRY_IPS)}:{FRONT}"
+        self.tally.asked += 1
+        try:
+            answer = await self.pool.call(address, request, 4.0)
+        except errors.MerlinthreadError:
+            self.tally.failed += 1
+            return False
+        return self.check(service, request_id, answer)
+
+    def check(self, service: str, request_id: str, answer: http_messages.Answer) -> bool:
+        """Check one whole answer against what the workers ran."""
+        if answer.status in NOT_RUN:
+            self.tally.refused += 1
+            if service == "unsafe":
+                self.unsafe_not_run.add(request_id)
+            return False
+        if answer.status != 200:
+            self.tally.failed += 1
+            return False
+        self.tally.answered += 1
+        if service == "model":
+            ids = [int(x[4:]) for x in answer.body.split(b"\n") if x.startswith(b"id: ")]
+            if ids != list(range(1, EVENTS + 1)):
+                self.break_rule(f"the stream of {request_id} has events {ids}")
+        elif not answer.body.endswith(f"to {request_id}".encode()):
+            self.break_rule(f"{request_id} got {answer.body!r}")
+        return True
+
+    def break_rule(self, text: str) -> None:
+        """Note a broken promise."""
+        self.tally.broken.append(text)
+
+    # The run
+
+    async def run(self) -> Tally:
+        """Run the soak, heal everything, and check what must hold at the end."""
+        for worker in self.workers:
+            worker.behaviour.events = EVENTS
+            await worker.start()
+        for node in self.nodes:
+            self.start(node)
+        try:
+            await self.run_faults()
+        finally:
+            for node in self.nodes:
+                self.end(node)
+                if node.process is not None:
+                    node.process.wait()
+        return self.tally
+
+    async def run_faults(self) -> None:
+        """Run load and faults together, then only load."""
+        load = [asyncio.create_task(self.heartbeats()), asyncio.create_task(self.operator())]
+        await self.until_served("at the start")
+        load.append(asyncio.create_task(self.clients()))
+        faults = asyncio.create_task(self.faults())
+        await asyncio.sleep(self.seconds)
+        faults.cancel()
+        for node in self.nodes:
+            self.end(node, signal.SIGCONT)
+            await self.revive(node)
+        await self.until_served("after the last fault")
+        for task in load:
+            task.cancel()
+        self.check_runs()
+
+    async def revive(self, node: Node) -> None:
+        """Start a node that is down; one that is stopping ends first."""
+        if node.process is not None and node.process.poll() is None:
+            return
+        self.start(node)
+
+    async def until_served(self, when: str) -> None:
+        """Wait until reads and requests are served again; too late is a broken promise."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + RECOVER_S
+        wanted = {"safe", "unsafe", "model"}
+        has_read = False
+        while (wanted or not has_read) and loop.time() < deadline:
+            has_read = has_read or await self.read()
+            for service in sorted(wanted):
+                if await self.ask(service):
+                    wanted.discard(service)
+            for node in self.nodes:
+                await self.revive(node)
+            await asyncio.sleep(0.05)
+        if wanted or not has_read:
+            self.break_rule(f"{when}: not served within {RECOVER_S} s: {sorted(wanted)}")
+
+    def check_runs(self) -> None:
+        """Check that nothing ran twice or after it was refused."""
+        runs: collections.Counter = collections.Counter()
+        for worker, service in self.workers.items():
+            if service == "unsafe":
+                runs.update(run.request_id for run in worker.runs)
+        for request_id, count in runs.items():
+            if count > 1:
+                self.break_rule(f"{request_id} ran {count} times")
+            if request_id in self.unsafe_not_run:
+                self.break_rule(f"{request_id} was refused and ran")
+
+
+def make_configuration(version: int) -> dict:
+    """Return the configuration of one version."""
+    routes = [
+        {
+            "name": f"r-{service}",
+            "hostname": "h.example",
+            "path_prefix": f"/{service}/",
+            "route_type": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+            "resumable": kind == "streaming",
+            "target_gap_ms": 200,
+        }
+        for service, kind in (("safe", "safe"), ("unsafe", "unsafe"), ("model", "streaming"))
+    ]
+    engine = {"slots": 8, "models": [{"name": "m"}], "layers": 16, "read_per_s": 100000}
+    services = [{"name": "safe"}, {"name": "unsafe"}, {"name": "model", "engine": engine}]
+    tenants = [{"name": "account-1", "api_keys": ["key-1"]}]
+    return {"version": version, "routes": routes, "services": services, "tenants": tenants}
+
+
+def run_seed(seed: int, seconds: float, keep: pathlib.Path | None = None) -> Tally:
+    """Run one seed; with `keep`, the logs of a run that broke a promise go there."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        tally = asyncio.run(Soak(seed, seconds, folder).run())
+        if tally.broken and keep is not None:
+            shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
+    return tally
+
+
+def main(arguments: list[str]) -> int:
+    """Run some seeds; return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="python -m bench soak")
+    parser.add_argument("--seed", type=int, default=random.randrange(10**6))
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs of seeds that failed")
+    options = parser.parse_args(arguments)
+    broken: dict[int, list[str]] = {}
+    for seed in range(options.seed, options.seed + options.seeds):
+        tally = run_seed(seed, options.seconds, options.keep)
+        print(
+            f"seed {seed}: {tally.answered} of {tally.asked} answered, {tally.refused} refused,"
+            f" {tally.failed} failed, {tally.acknowledged} configurations, {tally.reads} reads,"
+            f" faults {dict(tally.faults)}, broken {tally.broken}",
+            flush=True,
+        )
+        if tally.broken:
+            broken[seed] = tally.broken
+    figures = {"seeds": options.seeds, "first": options.seed, "broken": broken}
+    return measure.finish("soak", figures) or (1 if broken else 0)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,15 @@
+"""A short seeded run of the soak, and the seeds that ever failed."""
+
+import pytest
+
+from bench import soak
+
+# Seeds that once broke a promise, each with a line on the cause.
+FAILED_ONCE: dict[int, str] = {}
+
+
+@pytest.mark.parametrize("seed", [1, 2, *FAILED_ONCE])
+def test_no_promise_is_broken_under_random_faults(seed, tmp_path):
+    tally = soak.run_seed(seed, 4.0, tmp_path)
+    assert tally.broken == [], f"logs are in {tmp_path}"
+    assert tally.answered > 20 and tally.acknowledged > 2 and tally.reads > 2
