--- a/bench/soak.py
+++ b/bench/soak.py
@@ -3,7 +3,8 @@
 `python -m bench soak --seed N --seconds S --seeds COUNT`. Control VMs and entries are processes of
 their own; clients, workers and the operator live in this one. The seed decides faults and requests,
 not the machine's timing. Faults: kills, freezes, planned stops of nodes, all control VMs killed at
-once, workers that misbehave or leave. Not here yet: connections through a proxy, clocks, disks.
+once, workers that misbehave or leave, links to workers that are delayed, stalled, cut one way,
+refused or reset by a proxy. Not here yet: links between nodes, clocks, disks, agents.
 """
 
 import argparse
@@ -23,10 +24,12 @@
 from bench import measure
 from merlinthread import errors
 from merlinthread.transport import http_messages, stream_client
-from stand_ins import fleet_worker
+from stand_ins import fleet_worker, proxy
 
-CONTROL_IPS = ("127.0.6.1", "127.0.6.2", "127.0.6.3")
-ENTRY_IPS = ("127.0.6.11", "127.0.6.12")
+# Loopback addresses of this process alone, so that several soaks may run at once.
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
+CONTROL_IPS = tuple(f"{NETWORK}.{number}" for number in (1, 2, 3))
+ENTRY_IPS = tuple(f"{NETWORK}.{number}" for number in (11, 12))
 CONTROL, FRONT, READY = 8000, 8005, 8002
 NODE_PORTS = (7700, 7703)
 STARTER = "import sys; from merlinthread.platform import main; sys.exit(main.main(sys.argv[1:]))"
@@ -84,6 +87,7 @@
                 ]
             )
         }
+        self.links: dict[fleet_worker.Worker, proxy.Link] = {}
         self.beats: collections.Counter = collections.Counter()
         self.tally = Tally()
         self.version = 0
@@ -135,7 +139,15 @@
 
     async def faults(self) -> None:
         """Inject one fault after another; some overlap."""
-        kinds = [self.kill, self.freeze, self.stop, self.kill_controls, self.misbehave, self.leave]
+        kinds = [
+            self.kill,
+            self.freeze,
+            self.stop,
+            self.kill_controls,
+            self.misbehave,
+            self.leave,
+            self.harm_link,
+        ]
         while True:
             await asyncio.sleep(self.rng.uniform(0.3, 1.2))
             kind = self.rng.choice(kinds)
@@ -198,16 +210,40 @@
         await asyncio.sleep(self.rng.uniform(0.3, 1.5))
         worker.behaviour = fleet_worker.Behaviour(events=EVENTS)
 
+    async def start_worker(self, worker: fleet_worker.Worker) -> None:
+        """Start a worker behind a link of its own; callers know the link's address."""
+        worker.behaviour.events = EVENTS
+        host, port = (await worker.start()).split(":")
+        link = proxy.Link((host, 0), (host, int(port)))
+        worker.address = f"{host}:{link.listener.getsockname()[1]}"
+        self.links[worker] = link
+
+    async def harm_link(self) -> None:
+        """Delay, stall, cut or refuse one worker's link for a while, or reset it."""
+        link = self.links[self.rng.choice(list(self.workers))]
+        harms = [
+            proxy.Faults(latency_s=0.1),
+            proxy.Faults(stall=True),
+            proxy.Faults(cut_forth=True),
+            proxy.Faults(cut_back=True),
+            proxy.Faults(refuse=True),
+            proxy.Faults(),
+        ]
+        link.faults = self.rng.choice(harms)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        # Bytes that were dropped must not be followed by later ones of the same connection.
+        link.reset_all()
+        link.faults = proxy.Faults()
+
     async def leave(self) -> None:
         """Replace a worker by a new instance, without a word about the old one."""
         old = self.rng.choice(list(self.workers))
         service = self.workers.pop(old)
         old.stop()
-        self.requests += 1
+        self.links.pop(old).close()
         new = fleet_worker.Worker(f"{old.instance}x", old.model)
-        new.behaviour.events = EVENTS
         new.runs = old.runs
-        await new.start()
+        await self.start_worker(new)
         self.workers[new] = service
 
     # Load
@@ -335,8 +371,7 @@
     async def run(self) -> Tally:
         """Run the soak, heal everything, and check what must hold at the end."""
         for worker in self.workers:
-            worker.behaviour.events = EVENTS
-            await worker.start()
+            await self.start_worker(worker)
         for node in self.nodes:
             self.start(node)
         try:
@@ -346,6 +381,8 @@
                 self.end(node)
                 if node.process is not None:
                     node.process.wait()
+            for link in self.links.values():
+                link.close()
         return self.tally
 
     async def run_faults(self) -> None:
--- a/tests/test_node_daemon.py
+++ b/tests/test_node_daemon.py
@@ -16,7 +16,8 @@
 
 
 # An address of its own for each process: nothing else listens there.
-ADDRESSES = (f"127.0.5.{number}" for number in range(1, 250))
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
+ADDRESSES = (f"{NETWORK}.{number}" for number in range(100, 250))
 FRONT, READY, METRICS = 8005, 8002, 9464
 
 
