Requests held up on their way no longer begin on an old version; silent plain back ends draw nothing more

Ruled out: a late naming (the entry held it). Change: from 2.5 s before the bound the old version is used only where reports are fresh and no first byte was slow. Change: a request in flight costs the next one at least 50 ms, and a deadline that passes without a first byte counts as a failure. The soak now lets a fault heal before it ends.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -87,6 +87,7 @@
                 ]
             )
         }
+        self.open_faults: set[asyncio.Task] = set()
         self.links: dict[fleet_worker.Worker, proxy.Link] = {}
         self.beats: collections.Counter = collections.Counter()
         self.tally = Tally()
@@ -153,8 +154,11 @@
             kind = self.rng.choice(kinds)
             self.tally.faults[kind.__name__] += 1
             task = asyncio.create_task(kind())
+            self.open_faults.add(task)
+            task.add_done_callback(self.open_faults.discard)
             if self.rng.random() < 0.7:
-                await task
+                # The end of the run must not cut a fault off before it has healed.
+                await asyncio.shield(task)
 
     def pick(self, role: str = "") -> Node:
         """Return a node by lot."""
@@ -393,6 +397,7 @@
         faults = asyncio.create_task(self.faults())
         await asyncio.sleep(self.seconds)
         faults.cancel()
+        await asyncio.gather(*self.open_faults)
         for node in self.nodes:
             self.end(node, signal.SIGCONT)
             await self.revive(node)
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -23,6 +23,12 @@
 WORK_SMOOTHING = 0.1
 DRAWN = 2
 UNHEARD_COST_S = 0.3
+# What a request that runs on a plain back end costs the next one at least; silent ones count too.
+PLAIN_RUNNING_COST_S = 0.05
+# A first byte later than this after sending tells that requests reach the back end late.
+SLOW_FIRST_S = 0.6
+SLOW_FOR_S = 3.0
+PROMPT_REPORT_S = 0.45
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +59,7 @@
     failures: int = 0
     aside_until: float = float("-inf")
     full_until: float = float("-inf")
+    slow_until: float = float("-inf")
     work_s: float = USUAL_WORK_S
     missing_since: float | None = None
 
@@ -68,6 +75,15 @@
         """Return whether reports came once and come no more: its machine may stand still."""
         return self.reported_at > float("-inf") and not self.others_known(now)
 
+    def is_prompt(self, now: float) -> bool:
+        """Return whether a request sent now surely reaches it soon."""
+        return now >= self.slow_until and now - self.reported_at <= PROMPT_REPORT_S
+
+    def note_first(self, took_s: float, now: float) -> None:
+        """Note how long an attempt waited for its first byte, or for its end without one."""
+        if took_s > SLOW_FIRST_S:
+            self.slow_until = now + SLOW_FOR_S
+
     def take_report(self, report: fleet.EngineReport, now: float) -> None:
         """Take a fresh report of its load and weights."""
         total = report.running + report.queued
@@ -87,11 +103,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Demand:
-    """What one attempt needs; `version` is the lowest that may serve it."""
+    """What one attempt needs; `version` is the lowest that may serve it.
+
+    `version_soon` falls due so soon that an older one may serve only where requests arrive
+    promptly: one that is held up on its way would begin too late.
+    """
 
     service: str
     model: str = ""
     version: int = 0
+    version_soon: int = 0
     prompt_tokens: float = 0.0
     tried: set[str] = dataclasses.field(default_factory=set)
 
@@ -120,7 +141,8 @@
     load = backend.load(now)
     if engine is None or not engine.read_tokens_per_s:
         waiting = max(0, load - backend.slots + 1)
-        return backend.work_s * (1 + waiting / max(1, backend.slots))
+        running_s = load * max(backend.work_s, PLAIN_RUNNING_COST_S)
+        return backend.work_s * (1 + waiting / max(1, backend.slots)) + running_s
     pass_s = engine.step_s * engine.steps_per_pass
     unread = backend.unread_tokens
     if backend.others_known(now):
@@ -150,6 +172,8 @@
     if not demand.model or engine is None:
         return True
     held = backend.version_of(demand.model, engine.layers)
+    if held < demand.version_soon and not backend.is_prompt(now):
+        return False
     return held > 0 and held >= demand.version
 
 
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -23,6 +23,8 @@
 FREE_REPEATS = 3
 # A request sent to the old version may wait this long at the back end before it begins.
 VERSION_MARGIN_S = 0.7
+# From this long before the bound, the old version is used only where requests arrive promptly.
+VERSION_SOON_S = 2.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +33,7 @@
 
     backend: dispatch.Backend
     tokens: float
+    started: float
     is_read: bool = False
 
 
@@ -110,6 +113,10 @@
         bound_s = self.settings.bounds.version_s - VERSION_MARGIN_S
         return self.watcher.version_due(model, now, bound_s)
 
+    def version_soon(self, model: str, now: float) -> int:
+        """Return the newest version of a model's weights that is due soon, or 0."""
+        return self.watcher.version_due(model, now, self.settings.bounds.version_s - VERSION_SOON_S)
+
     # Places
 
     def room(self, service: str) -> waiting_room.WaitingRoom:
@@ -129,13 +136,15 @@
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
-        return Place(backend, tokens)
+        return Place(backend, tokens, self.clock())
 
     def note_first(self, place: Place) -> None:
         """Note that an attempt's prompt was read."""
         if place.is_read:
             return
         place.is_read = True
+        now = self.clock()
+        place.backend.note_first(now - place.started, now)
         place.backend.unread -= 1
         place.backend.unread_tokens -= place.tokens
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -194,9 +194,14 @@
         """Return what an attempt needs now."""
         assert self.call is not None
         model = self.call.model
-        version = self.pool.required_version(model, self.clock()) if model else 0
+        now = self.clock()
         return dispatch.Demand(
-            self.service, model, version, self.call.prompt_tokens, set(self.tried)
+            self.service,
+            model,
+            self.pool.required_version(model, now) if model else 0,
+            self.pool.version_soon(model, now) if model else 0,
+            self.call.prompt_tokens,
+            set(self.tried),
         )
 
     async def find_place(self) -> dispatch.Choice:
@@ -273,6 +278,8 @@
             self.judge(backend, outcome, started)
             return outcome
         except TimeoutError:
+            if not self.exchange.is_started:
+                dispatch.note_failure(backend, self.clock())
             return Outcome(State.UNKNOWN, "the time is over")
         except errors.MerlinthreadError as error:
             dispatch.note_failure(backend, self.clock())
