--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -47,7 +47,9 @@
         self.replaced_by = ""
         self.hard_state = dataclasses.replace(saved.hard_state) if saved else journal.HardState()
         self.log = raft_log.RaftLog(saved, first_voters)
-        self.commit = self.log.snapshot.index
+        # What was known to be committed needs no leader to be applied again after a restart.
+        known = min(saved.commit, self.log.last_index()) if saved else 0
+        self.commit = max(self.log.snapshot.index, known)
         self.handed_out = self.log.snapshot.index
         self.role = FOLLOWER
         self.leader = ""
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -57,6 +57,7 @@
 
     async def start(self) -> None:
         """Listen and start the tasks."""
+        self.on_restored()
         await self.listener.listen(self.settings.ip, self.settings.control_port)
         host, port = node_settings.split_address(self.settings.control_address)
         await self.server.listen(host, port)
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -201,7 +201,7 @@
             self.restore(ready.snapshot)
             self.on_restored()
         if ready.hard_state is not None or ready.entries:
-            self.journal.save(ready.hard_state, ready.entries)
+            self.journal.save(ready.hard_state, ready.entries, self.raft.commit)
 
     def on_full_disk(self, error: errors.DiskFullError, now: float) -> None:
         """Give up leading, refuse what was not accepted, and try again a little later."""
--- a/src/merlinthread/state/journal.py
+++ b/src/merlinthread/state/journal.py
@@ -44,19 +44,27 @@
 
 @dataclasses.dataclass(slots=True)
 class Image:
-    """All that a snapshot file holds: the snapshot, the vote, and the entries that follow it."""
+    """All that a snapshot file holds: the snapshot, the vote, and the entries that follow it.
+
+    `commit` is an index known to be committed; the entries up to it may be applied at a restart.
+    """
 
     snapshot: Snapshot
     hard_state: HardState
     entries: list[Entry]
+    commit: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Append:
-    """What one append makes durable: a changed vote, new entries, or both."""
+    """What one append makes durable: a changed vote, new entries, or both.
+
+    `commit` is an index that was known to be committed when it was written.
+    """
 
     hard_state: HardState | None
     entries: list[Entry]
+    commit: int = 0
 
 
 class Journal:
@@ -68,6 +76,7 @@
         self.hard_state = HardState()
         self.snapshot = Snapshot()
         self.entries: list[Entry] = []
+        self.commit = 0
         self.sequence = self.latest_sequence()
         self.load_image()
         self.file = records.RecordFile(self.log_path(self.sequence))
@@ -107,6 +116,7 @@
         self.snapshot = image.snapshot
         self.hard_state = image.hard_state
         self.entries = image.entries
+        self.commit = image.commit
 
     def replay(self, payload: bytes) -> None:
         """Apply one record that was read back."""
@@ -118,6 +128,7 @@
             self.hard_state = append.hard_state
         for entry in append.entries:
             self.place(entry)
+        self.commit = max(self.commit, append.commit)
 
     def place(self, entry: Entry) -> None:
         """Put `entry` at its index and drop what a former leader had put there and after it."""
@@ -130,9 +141,14 @@
         del self.entries[keep:]
         self.entries.append(entry)
 
-    def save(self, hard_state: HardState | None, entries: list[Entry]) -> None:
-        """Append a changed vote and new entries with one sync; raise DiskFullError."""
-        self.file.append(msgspec.msgpack.encode(Append(hard_state, entries)))
+    def save(self, hard_state: HardState | None, entries: list[Entry], commit: int = 0) -> None:
+        """Append a changed vote and new entries with one sync; raise DiskFullError.
+
+        `commit` is what is known to be committed now, or 0.
+        """
+        commit = max(commit, self.commit)
+        self.file.append(msgspec.msgpack.encode(Append(hard_state, entries, commit)))
+        self.commit = commit
         if hard_state is not None:
             self.hard_state = dataclasses.replace(hard_state)
         for entry in entries:
@@ -140,13 +156,15 @@
 
     def compact(self, snapshot: Snapshot, follows: list[Entry]) -> None:
         """Replace the log by `snapshot` and the entries that follow it; raise DiskFullError."""
-        image = Image(snapshot, self.hard_state, follows)
+        commit = max(self.commit, snapshot.index)
+        image = Image(snapshot, self.hard_state, follows, commit)
         following = self.sequence + 1
         records.write_whole(self.image_path(following), msgspec.msgpack.encode(image))
         self.file.close()
         self.file = records.RecordFile(self.log_path(following))
         self.sequence = following
         self.snapshot = snapshot
+        self.commit = commit
         self.entries = list(follows)
         self.remove_older()
 
--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -19,6 +19,7 @@
     hard_state: journal.HardState = dataclasses.field(default_factory=journal.HardState)
     snapshot: journal.Snapshot = dataclasses.field(default_factory=journal.Snapshot)
     entries: list[journal.Entry] = dataclasses.field(default_factory=list)
+    commit: int = 0
 
     def place(self, entry: journal.Entry) -> None:
         keep = entry.index - self.snapshot.index - 1
@@ -57,6 +58,8 @@
             self.applied = msgspec.msgpack.decode(ready.snapshot.state, type=list[bytes])
         if ready.hard_state is not None:
             self.disk.hard_state = dataclasses.replace(ready.hard_state)
+        if ready.hard_state is not None or ready.entries:
+            self.disk.commit = max(self.disk.commit, self.raft.commit)
         for entry in ready.entries:
             self.disk.place(entry)
 
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -73,6 +73,25 @@
     run(tmp_path, scenario)
 
 
+def test_a_member_that_starts_alone_tells_at_once_what_it_knew_to_be_committed(tmp_path):
+    async def scenario(controls):
+        await put(controls, 4)
+        await put(controls, 7)
+        for ip in controls.ips:
+            controls.kill(ip)
+        alone = controls.ips[0]
+        await controls.start(alone)
+        watch = node_messages.Watch("entry", "", 0, 0, 0.5)
+        await fleet_nodes.until(
+            lambda: controls.nodes[alone].news(watch).configuration_version >= 4, 3.0
+        )
+        assert not controls.leader()
+        answer = await controls.call(alone, "GET", "/config")
+        assert answer.status == 503, "a member alone is not sure of the newest configuration"
+
+    run(tmp_path, scenario)
+
+
 def test_a_disk_lost_right_after_an_acknowledgement_loses_nothing(tmp_path):
     async def scenario(controls):
         await put(controls, 5)
@@ -227,7 +246,7 @@
         await put(controls, 1)
         leader = controls.nodes[controls.leader()].member
 
-        def full(hard_state, entries):
+        def full(hard_state, entries, commit):
             raise errors.DiskFullError("no room")
 
         monkeypatch.setattr(leader.journal, "save", full)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -41,6 +41,19 @@
     assert len(journal.Journal(path).entries) == kept + 1
 
 
+def test_what_was_known_to_be_committed_is_known_after_a_restart_and_a_compaction(tmp_path):
+    found = journal.Journal(tmp_path)
+    found.save(journal.HardState(1, "c0"), [entry(1)])
+    found.save(None, [entry(2), entry(3)], commit=1)
+    found.save(None, [entry(4)])
+    found.close()
+    found = journal.Journal(tmp_path)
+    assert found.commit == 1
+    found.compact(journal.Snapshot(2, 1, b"", b"s"), found.entries[2:])
+    found.close()
+    assert journal.Journal(tmp_path).commit == 2
+
+
 @given(seed=st.integers(0, 10_000))
 def test_a_flipped_bit_before_the_last_record_is_refused_with_file_and_offset(
     tmp_path_factory, seed
