An attempt on an old version that has not begun at its bound is given up and goes elsewhere

Ruled out: late news of the naming (entries held it), the order to the engine. Change: an attempt at an engine that holds an older version is left at bound - 0.1 s if nothing of it has come; the margin for sending is 0.45 s. Test failed first.

--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -22,7 +22,9 @@
 BUDGET_SHARE = 0.75
 FREE_REPEATS = 3
 # A request sent to the old version may wait this long at the back end before it begins.
-VERSION_MARGIN_S = 0.7
+VERSION_MARGIN_S = 0.45
+# An attempt on the old version that has not begun this long before the bound is given up.
+BEGIN_MARGIN_S = 0.1
 # From this long before the bound, the old version is used only where requests arrive promptly.
 VERSION_SOON_S = 2.5
 
@@ -117,6 +119,16 @@
         """Return the newest version of a model's weights that is due soon, or 0."""
         return self.watcher.version_due(model, now, self.settings.bounds.version_s - VERSION_SOON_S)
 
+    def begin_by(self, backend: dispatch.Backend, model: str) -> float:
+        """Return by when an attempt on a back end must have begun with the weights it holds."""
+        table = self.watcher.table
+        service = table.services.get(backend.service) if table else None
+        if not model or service is None or service.engine is None:
+            return float("inf")
+        held = backend.version_of(model, service.engine.layers)
+        bound_s = self.settings.bounds.version_s - BEGIN_MARGIN_S
+        return self.watcher.usable_until(model, held, bound_s)
+
     # Places
 
     def room(self, service: str) -> waiting_room.WaitingRoom:
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -188,6 +188,15 @@
         named_at = self.named_at.get(model, {})
         return max((version for version, at in named_at.items() if now - at >= bound_s), default=0)
 
+    def usable_until(self, model: str, version: int, bound_s: float) -> float:
+        """Return until when a request may begin on `version` of a model's weights.
+
+        That is `bound_s` after the first newer version was named.
+        """
+        named_at = self.named_at.get(model, {})
+        newer = [at for named, at in named_at.items() if named > version]
+        return min(newer, default=float("inf")) + bound_s
+
     def take_instances(self, news: node_messages.News, now: float) -> None:
         """Take changes of back ends over."""
         for instance in news.gone:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 
 import h11
 
@@ -34,6 +35,14 @@
 URGENCY_MAX = 9
 
 
+class SilentError(errors.UnreachableError):
+    """A back end said nothing for too long."""
+
+
+class OverdueError(errors.UnreachableError):
+    """An attempt has not begun by the time after which its version may not begin any more."""
+
+
 class State(enum.Enum):
     """How far an attempt came."""
 
@@ -282,7 +291,8 @@
                 dispatch.note_failure(backend, self.clock())
             return Outcome(State.UNKNOWN, "the time is over")
         except errors.MerlinthreadError as error:
-            dispatch.note_failure(backend, self.clock())
+            if not isinstance(error, OverdueError):
+                dispatch.note_failure(backend, self.clock())
             if is_sent:
                 return Outcome(State.UNKNOWN, error.message)
             return Outcome(State.UNSENT, f"unsent: {error.message}")
@@ -325,7 +335,7 @@
         self, connection: stream_client.ClientConnection, place: backend_pool.Place
     ) -> tuple[Outcome, http_messages.Headers]:
         """Read the answer, and relay it if it counts; return what came of it and its headers."""
-        head = await self.read_head(connection)
+        head = await self.read_head(connection, place)
         headers = list(head.headers.raw_items())
         facts = self.dialect.answer_facts(head.status_code, headers)
         assert self.call is not None and self.route is not None
@@ -346,24 +356,55 @@
         await self.relay(answer)
         return Outcome(State.DONE, "answered", answer), headers
 
-    async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
+    async def read_head(
+        self, connection: stream_client.ClientConnection, place: backend_pool.Place
+    ) -> h11.Response:
         """Return the head of the answer; a stream's must come within bounds."""
-        assert self.route is not None
-        limit = None
-        if self.route.kind == fleet.STREAMING and self.is_idempotent():
-            limit = max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
-        event = await self.next_event(connection, limit)
+        event = await self.first_event(connection, place)
         while isinstance(event, h11.InformationalResponse):
-            event = await self.next_event(connection, limit)
+            event = await self.first_event(connection, place)
         if not isinstance(event, h11.Response):
             raise errors.ProtocolError(f"{type(event).__name__} came before an answer's head")
         return event
 
+    async def first_event(
+        self, connection: stream_client.ClientConnection, place: backend_pool.Place
+    ) -> h11.Event:
+        """Return the next event of an answer whose stream has not begun yet.
+
+        Raises OverdueError if the back end holds an old version and its bound comes before.
+        """
+        assert self.route is not None and self.call is not None
+        if self.route.kind != fleet.STREAMING:
+            return await connection.next_event()
+        limit_s = self.first_limit_s()
+        overdue_s = self.pool.begin_by(place.backend, self.call.model) - self.clock()
+        if limit_s <= overdue_s:
+            return await self.next_event(connection, limit_s)
+        try:
+            return await self.next_event(connection, max(0.0, overdue_s))
+        except SilentError:
+            raise OverdueError("not begun when the bound of its old version came")
+
+    def first_limit_s(self) -> float:
+        """Return how long a back end may be silent before its first event."""
+        assert self.route is not None
+        if not self.is_idempotent():
+            return math.inf
+        return max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
+
+    def pause_limit_s(self) -> float:
+        """Return how long a back end may be silent between two events."""
+        assert self.route is not None
+        if not self.is_idempotent() or not self.route.gap_s:
+            return self.first_limit_s()
+        return max(SILENCE_MIN_S, GAP_SHARE * self.route.gap_s)
+
     async def next_event(
-        self, connection: stream_client.ClientConnection, limit_s: float | None
+        self, connection: stream_client.ClientConnection, limit_s: float
     ) -> h11.Event:
-        """Return the next event of the answer; raise UnreachableError after `limit_s`."""
-        if limit_s is None:
+        """Return the next event of the answer; raise SilentError after `limit_s`."""
+        if limit_s == math.inf:
             return await connection.next_event()
         timeout = asyncio.timeout(limit_s)
         try:
@@ -371,7 +412,7 @@
                 return await connection.next_event()
         except TimeoutError:
             if timeout.expired():
-                raise errors.UnreachableError(f"silent for {limit_s:.2f} s")
+                raise SilentError(f"silent for {limit_s:.2f} s")
             raise
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
@@ -396,14 +437,9 @@
         """Send events on as they come, whole ones only; go on after a break elsewhere."""
         assert self.route is not None
         splitter = event_bytes.EventSplitter()
-        limit = None
-        if self.is_idempotent():
-            limit = max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
-        while isinstance(event := await self.next_event(connection, limit), h11.Data):
+        while isinstance(event := await self.stream_event(connection, place), h11.Data):
             for item in splitter.feed(bytes(event.data)):
                 self.pool.note_first(place)
-                if self.is_idempotent() and self.route.gap_s:
-                    limit = max(SILENCE_MIN_S, GAP_SHARE * self.route.gap_s)
                 await self.relay_event(item, head)
         if splitter.rest.strip():
             raise errors.ProtocolError("the stream ended inside an event")
@@ -412,6 +448,14 @@
         await self.exchange.finish()
         return Outcome(State.DONE, "answered", head)
 
+    async def stream_event(
+        self, connection: stream_client.ClientConnection, place: backend_pool.Place
+    ) -> h11.Event:
+        """Return the next event of a stream; raise UnreachableError if it is silent for long."""
+        if not place.is_read:
+            return await self.first_event(connection, place)
+        return await self.next_event(connection, self.pause_limit_s())
+
     async def relay_event(self, item: event_bytes.RawEvent, head: http_messages.Answer) -> None:
         """Send one event on, unless the client has it already."""
         if item.event_id and not event_bytes.is_after(item.event_id, self.last_event_id):
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -5,6 +5,7 @@
 import pytest
 
 from merlinthread import errors
+from merlinthread.coordination import fleet
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -217,6 +218,30 @@
     assert [watcher.version_due("m", now, 7.0) for now in (106.0, 107.5, 109.5)] == [0, 2, 3]
 
 
+def test_an_attempt_that_has_not_begun_at_the_bound_of_its_old_version_goes_elsewhere():
+    async def scenario():
+        entry, (old, new), _ = await make("model", 2, "m")
+        entry.node.settings.bounds.version_s = 0.8
+        old.behaviour.is_mute = True
+        watcher, pool = entry.node.watcher, entry.node.pool
+        now = pool.clock()
+        for backend in pool.backends.values():
+            held = 1 if backend.instance == old.instance else 2
+            backend.take_report(fleet.EngineReport(weights=[fleet.Weights("m", held, 16)]), now)
+        pool.backends[new.instance].is_draining = True
+        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        connection = await entry.send("/model/", "id-1", **STREAM)
+        await fleet_nodes.until(lambda: runs([old]) == 1)
+        pool.backends[new.instance].is_draining = False
+        await fleet_nodes.until(lambda: runs([new]) == 1)
+        assert pool.clock() - now < 0.8, "the old engine might have begun after the bound"
+        await fleet_nodes.until(lambda: old.cancelled == ["id-1"])
+        assert (await connection.receive()).status == 200
+        assert pool.backends[old.instance].failures == 0
+
+    asyncio.run(scenario())
+
+
 def test_events_that_the_client_has_are_not_given_twice():
     async def scenario():
         entry, workers, _ = await make("model", 2, "m")
