Agents read the origin within their share of its link where no peer can serve; late by the recent rate

Ruled out: the link of agents (17 pieces/s once under way), peers that did not answer (2 in 25). Change: late is judged by the rate of the last second, not before 2 s; scarce chunks first, by rendezvous rank; one spare chunk per VM in the time that the origin's link takes for one to each.

--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -1,5 +1,7 @@
 """The policies of `fetch` in force: `spread`, and `zoned` where links between zones are dear."""
 
+import math
+
 from merlinthread.coordination import fetch
 
 
@@ -87,18 +89,44 @@
 
     A chunk is asked of a far peer only by the VM that is first for it in its zone; the others get
     it from that one. The longer a VM has heard nothing new, the more chunks it may ask for itself.
-    With `is_late`, which the owner sets, the origin is read for whatever is missing.
+    Two bounds let it read the origin for what is not its own, and the owner sets both: one chunk
+    each `spare_every_s`, its share of the origin's link, if no peer can serve it now; and with
+    `is_late` as fast as the origin gives.
     """
 
     is_late = False
+    spare_every_s = math.inf
+    spare_at = float("-inf")
 
     def next_action(self, now: float) -> fetch.Action | None:
         """Read what is owned, or what is missing if time presses; else as `Spread`."""
         needed = self.needed()
         if self.is_late and needed and self.may_read_origin(now):
-            return fetch.FromOrigin(self.rng.choice(fetch.bits(needed & self.owned or needed)))
+            return fetch.FromOrigin(self.scarcest(needed & self.owned or needed))
         return super().next_action(now)
 
+    def rescue(self, needed: int, now: float) -> fetch.FromOrigin | None:
+        """Read a chunk whose owner does not deliver, or one within this VM's share."""
+        return super().rescue(needed, now) or self.spare(needed, now)
+
+    def spare(self, needed: int, now: float) -> fetch.FromOrigin | None:
+        """Read a chunk of another owner within this VM's share of the origin's link."""
+        if self.spare_every_s == math.inf or now < self.spare_at or not self.may_read_origin(now):
+            return None
+        self.spare_at = now + self.spare_every_s
+        return fetch.FromOrigin(self.scarcest(needed))
+
+    def scarcest(self, needed: int) -> int:
+        """Return a chunk of `needed` that no VM of the zone is known to have, if there is one.
+
+        Of several it is the one for which this VM is first, so that VMs do not read the same.
+        """
+        missing = needed
+        for peer in self.peers.values():
+            if peer.distance == fetch.OWN_ZONE:
+                missing &= ~peer.held
+        return min(fetch.bits(missing or needed), key=self.rank)
+
     def ask(self, peer: fetch.PeerState, now: float) -> fetch.FromPeer | None:
         """Return a request; of a far peer only for what this VM is to bring into its zone."""
         if peer.distance == fetch.OWN_ZONE:
--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -63,7 +63,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Service:
-    """A set of back ends that run the same requests, or an origin of weights (`origin`)."""
+    """A set of back ends that run the same requests, or an origin of weights (`origin`).
+
+    `link_bytes_per_s` is what the origin's link carries; 0 if that is not told.
+    """
 
     name: str
     health_path: str = ""
@@ -71,6 +74,7 @@
     engine: Engine | None = None
     origin: str = ""
     zone: str = ""
+    link_bytes_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -29,9 +30,11 @@
 IDLE_WAIT_S = 0.02
 ORDER_WAIT_S = 0.2
 # How long before the bound the second half of the engines changes over.
-CHANGE_OVER_S = 0.7
+CHANGE_OVER_S = 0.5
 PROGRESS_EVERY_S = 1.0
-RATE_AFTER_S = 1.0
+# Whether a fetch will be late is judged by its rate of late, once it has got going.
+RATE_AFTER_S = 2.0
+RATE_WINDOW_S = 1.0
 
 
 class WeightsTask:
@@ -58,6 +61,7 @@
         self.manifest: fleet.Manifest | None = None
         self.plan: fetch.FetchPlan | None = None
         self.report: fleet.EngineReport | None = None
+        self.rate = pacing.RecentRate(RATE_WINDOW_S)
         rate = settings.link_bytes_per_s
         self.incoming = pacing.Pacer(IN_SHARE * rate, AHEAD_S)
         self.outgoing = pacing.Pacer(OUT_SHARE * rate, 0.0)
@@ -173,11 +177,14 @@
         plan, manifest = self.plan, self.manifest
         started = self.clock()
         told_at = started
+        self.rate = pacing.RecentRate(RATE_WINDOW_S)
         running: set[asyncio.Task] = set()
         loop = asyncio.get_running_loop()
         try:
             while not plan.is_complete() and not self.is_overtaken(manifest):
                 plan.set_peers(self.peers())
+                plan.spare_every_s = self.spare_every_s(plan)
+                self.rate.note(plan.held.bit_count(), self.clock())
                 plan.is_late = self.is_late(plan, manifest, started)
                 if self.clock() >= told_at + PROGRESS_EVERY_S:
                     told_at = self.clock()
@@ -220,14 +227,23 @@
             doubled=plan.tally.doubled,
         )
 
+    def spare_every_s(self, plan: fetch.FetchPlan) -> float:
+        """Return how long the origin's link takes for one piece to each VM that may read it."""
+        table = self.watcher.table
+        origin = table.origin() if table else None
+        if origin is None or not origin.link_bytes_per_s:
+            return math.inf
+        return len(plan.participants) * self.piece_bytes() / origin.link_bytes_per_s
+
     def is_late(self, plan: fetch.FetchPlan, manifest: fleet.Manifest, started: float) -> bool:
         """Return whether the pieces would come too late at the rate seen so far."""
         now = self.clock()
         if not self.watcher.named.get(manifest.model) or now - started < RATE_AFTER_S:
             return False
-        rate = plan.held.bit_count() / (now - started)
         missing = plan.chunk_count - plan.held.bit_count()
-        return now + missing / max(rate, 1.0) > self.due_at(manifest.model, manifest.version)
+        return now + missing / max(self.rate.per_s(), 1.0) > self.due_at(
+            manifest.model, manifest.version
+        )
 
     def is_overtaken(self, manifest: fleet.Manifest) -> bool:
         """Return whether a newer version was named meanwhile."""
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -8,6 +8,7 @@
 from merlinthread.coordination import fleet
 
 MS = 1000.0
+BYTES_PER_MEGABIT = 125_000.0
 Version = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -72,6 +73,7 @@
     engine: EngineBody | None = None
     origin: str = ""
     zone: str = ""
+    link_mbps: float = 0.0
 
 
 class LimitsBody(msgspec.Struct):
@@ -233,6 +235,7 @@
         engine,
         body.origin,
         body.zone,
+        body.link_mbps * BYTES_PER_MEGABIT,
     )
 
 
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -6,10 +6,10 @@
 
 from merlinthread import errors
 from merlinthread.nodes import node_settings
+from merlinthread.platform import bodies
 
-MS = 1000.0
+MS = bodies.MS
 MEGABYTE = 1024 * 1024
-BYTES_PER_MEGABIT = 125_000.0
 
 
 class BoundsBody(msgspec.Struct):
@@ -99,7 +99,7 @@
         body.fault_tolerance.machines,
         body.heartbeat_ms / MS,
         int(body.limits.memory_mb * MEGABYTE),
-        body.limits.link_mbps * BYTES_PER_MEGABIT,
+        body.limits.link_mbps * bodies.BYTES_PER_MEGABIT,
         node_settings.Bounds(
             bounds.contact_ms / MS,
             bounds.ack_ms / MS,
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -249,6 +249,30 @@
     assert isinstance(action, fetch.FromOrigin) and not plan.held >> action.index & 1
 
 
+def test_the_origins_spare_link_is_shared_among_vms_for_what_the_zone_lacks():
+    plan = make_zoned("a", {"b": fetch.OWN_ZONE, "far": fetch.FAR})
+    plan.held = plan.owned
+    plan.spare_every_s = 0.5
+    plan.heard("b", plan.all & ~plan.owned & ~(1 << 7 | 1 << 9), 0.0)
+    plan.hold_off("b", 9.0)
+    found = []
+    for now in (0.0, 0.3, 0.6, 0.9):
+        action = plan.next_action(now)
+        if isinstance(action, fetch.FromOrigin):
+            found.append((now, action.index))
+            plan.got(action.index, True, now)
+    assert [now for now, _ in found] == [0.0, 0.6]
+    assert {index for _, index in found} <= {7, 9} - set(fetch.bits(plan.owned))
+
+
+def test_a_rate_is_that_of_the_last_moment():
+    rate = pacing.RecentRate(1.0)
+    assert rate.per_s() == 0.0
+    for tenth in range(30):
+        rate.note(tenth if tenth < 15 else 15 + 3 * (tenth - 15), tenth / 10)
+    assert rate.per_s() == pytest.approx(30.0, rel=0.2)
+
+
 def test_a_back_end_that_answers_nothing_does_not_go_on_drawing_requests():
     silent, idle = backend("silent", in_flight=3, work_s=0.005), backend("idle")
     choice = dispatch.choose([silent, idle], dispatch.Demand("s"), None, 0.0, random.Random(1))
