Entries note attempts at agents and ask the likeliest two for their load before each choice

Ruled out: age of the reports alone (error alike at 50 and 150 ms), the running count. Change: an agent keeps a ledger of the attempts that entries note at it by datagram; before a choice the best two are asked (15 ms at most) and their answers decide; an agent that is silent costs 60 ms, a slow engine's pace counts; admission up to 0.7 of the objective; no place is awaited beyond 0.15 of it. At the target's size this is two questions and three notes a request, whatever the number of entries.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -7,13 +7,13 @@
 import dataclasses
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from merlinthread.coordination import fleet
+from merlinthread.coordination import fleet, load_ledger
 
 REPORT_FRESH_S = 1.0
-DISTANCE_COST_S = (0.0, 0.004, 0.012)
-RUNNING_COST_S = 0.004
+DISTANCE_COST_S = (0.0, 0.008, 0.025)
+RUNNING_COST_S = 0.002
 # What the sum of the other parts lacks at the median (ingoma-live quiet-1, 1,863 first events).
 BASE_S = 0.06
 FAILED_WAIT_S = 0.5
@@ -22,7 +22,10 @@
 USUAL_WORK_S = 0.1
 WORK_SMOOTHING = 0.1
 DRAWN = 2
+SAMPLED = 48
 UNHEARD_COST_S = 0.3
+# An agent that did not answer at once: requests to its machine may be held up too.
+SILENT_COST_S = 0.06
 # What a request that runs on a plain back end costs the next one at least; silent ones count too.
 PLAIN_RUNNING_COST_S = 0.05
 # A first byte later than this after sending tells that requests reach the back end late.
@@ -37,7 +40,9 @@
 
     `unread` counts this entry's attempts whose prompt is still to be read, `unread_tokens` their
     tokens. `others` is the load that is not this entry's own, as of the last report, and
-    `others_queued` the part of it whose prompts were still to be read.
+    `others_queued` the part of it that waited for a slot; `others_unread_tokens` are the tokens of
+    others' prompts that were still to be read, None if its agent does not know. `is_silent` is set
+    while its agent has not answered the last question.
     """
 
     instance: str
@@ -54,6 +59,10 @@
     unread_tokens: float = 0.0
     others: int = 0
     others_queued: int = 0
+    others_unread_tokens: float | None = None
+    pace: float = 1.0
+    is_silent: bool = False
+    answered_at: float = float("-inf")
     is_busy: bool = False
     reported_at: float = float("-inf")
     failures: int = 0
@@ -69,7 +78,11 @@
 
     def others_known(self, now: float) -> bool:
         """Return whether a fresh report tells of the requests of other entries."""
-        return now - self.reported_at <= REPORT_FRESH_S
+        return now - self.heard_at() <= REPORT_FRESH_S
+
+    def heard_at(self) -> float:
+        """Return when its agent last told its load, in a report or an answer."""
+        return max(self.reported_at, self.answered_at)
 
     def is_unheard(self, now: float) -> bool:
         """Return whether reports came once and come no more: its machine may stand still."""
@@ -84,15 +97,34 @@
         if took_s > SLOW_FIRST_S:
             self.slow_until = now + SLOW_FOR_S
 
-    def take_report(self, report: fleet.EngineReport, now: float) -> None:
-        """Take a fresh report of its load and weights."""
+    def take_report(
+        self,
+        report: fleet.EngineReport,
+        now: float,
+        others: load_ledger.Outstanding | None = None,
+    ) -> None:
+        """Take a fresh report of its load and weights, and its agent's account of the others."""
         total = report.running + report.queued
         self.others = max(0, total - self.in_flight)
         self.others_queued = max(0, report.queued - self.unread)
+        self.others_unread_tokens = None
+        if others is not None:
+            self.others = others.attempts
+            self.others_unread_tokens = others.unread_tokens
+        self.pace = max(1.0, report.pace)
+        self.is_silent = False
         self.is_busy = report.is_busy
         self.weights = report.weights
         self.reported_at = now
 
+    def take_answer(self, others: load_ledger.Outstanding | None, now: float) -> None:
+        """Take its agent's answer to a question, or note that there was none."""
+        self.is_silent = others is None
+        if others is not None:
+            self.others = others.attempts
+            self.others_unread_tokens = others.unread_tokens
+            self.answered_at = now
+
     def version_of(self, model: str, layers: int) -> int:
         """Return the version of a model's weights that it holds whole, or 0."""
         whole = [
@@ -146,12 +178,19 @@
     pass_s = engine.step_s * engine.steps_per_pass
     unread = backend.unread_tokens
     if backend.others_known(now):
-        unread += backend.others_queued * engine.usual_prompt
+        unread += others_unread(backend, engine)
     unread_s = reading_s(engine, unread + tokens)
     waiting = max(0, load - backend.slots + 1)
     request_s = engine.usual_answer * engine.step_s * 1.5
     waiting_s = waiting / max(1, backend.slots) * request_s
-    return BASE_S + pass_s + unread_s + waiting_s + load * RUNNING_COST_S
+    return BASE_S + backend.pace * (pass_s + unread_s + waiting_s + load * RUNNING_COST_S)
+
+
+def others_unread(backend: Backend, engine: fleet.Engine) -> float:
+    """Return the tokens of other entries' prompts that are still to be read, as far as known."""
+    if backend.others_unread_tokens is None:
+        return backend.others_queued * engine.usual_prompt
+    return backend.others_unread_tokens
 
 
 def reading_s(engine: fleet.Engine | None, tokens: float) -> float:
@@ -202,6 +241,33 @@
     return best
 
 
+def shortlist(
+    backends: Sequence[Backend],
+    demand: Demand,
+    engine: fleet.Engine | None,
+    now: float,
+    rng: random.Random,
+    count: int,
+    skipped: int = 0,
+) -> list[Backend]:
+    """Return the `count` back ends that look best after the `skipped` best, of a sample."""
+    if len(backends) > SAMPLED:
+        backends = rng.sample(backends, SAMPLED)
+    able = [backend for backend in backends if is_able(backend, demand, engine, now)]
+    rated = [(rate(backend, demand, engine, now).cost_s, rng.random(), backend) for backend in able]
+    rated.sort(key=lambda entry: entry[:2])
+    return [backend for _, _, backend in rated[skipped : skipped + count]]
+
+
+def best_of(
+    backends: Iterable[Backend], demand: Demand, engine: fleet.Engine | None, now: float
+) -> Choice | None:
+    """Return the best of the back ends that may get an attempt, or None."""
+    able = [backend for backend in backends if is_able(backend, demand, engine, now)]
+    choices = [rate(backend, demand, engine, now) for backend in able]
+    return min(choices, key=lambda choice: choice.cost_s, default=None)
+
+
 def rate(backend: Backend, demand: Demand, engine: fleet.Engine | None, now: float) -> Choice:
     """Return what choosing a back end would mean."""
     first_s = expected_first_s(backend, engine, demand.prompt_tokens, now)
@@ -210,6 +276,8 @@
         cost_s += first_s
     if backend.is_unheard(now):
         cost_s += UNHEARD_COST_S
+    if backend.is_silent:
+        cost_s += SILENT_COST_S
     return Choice(backend, first_s, first_s - reading_s(engine, demand.prompt_tokens), cost_s)
 
 
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from merlinthread import errors, logs
-from merlinthread.coordination import fleet
+from merlinthread.coordination import fleet, load_ledger
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import engine_client, news_watcher, node_settings, weights_task
 from merlinthread.protocol import codec as codecs
@@ -39,6 +39,7 @@
         )
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
         self.listener = node_bus.Listener(codec, self.on_message)
+        self.ledger = load_ledger.LoadLedger()
         self.subscribers: dict[str, float] = {}
         self.told: fleet.EngineReport | None = None
         self.told_at = float("-inf")
@@ -66,9 +67,32 @@
         self.listener.server.stop_accepting()
 
     def on_datagram(self, message: Any) -> None:
-        """Note an entry that wants this engine's load."""
+        """Take an entry's note, or answer its question."""
         if isinstance(message, node_messages.Subscribe):
             self.subscribers[message.address] = self.clock() + SUBSCRIBED_S
+        elif isinstance(message, node_messages.AttemptNote):
+            self.on_attempt(message)
+        elif isinstance(message, node_messages.LoadQuery) and self.told is not None:
+            others = self.ledger.outstanding(message.address, self.clock())
+            answer = node_messages.LoadAnswer(
+                message.number, others.attempts, others.unread, others.unread_tokens
+            )
+            self.datagrams.send(message.address, answer)
+
+    def on_attempt(self, note: node_messages.AttemptNote) -> None:
+        """Keep account of an attempt on the engine."""
+        if note.stage is node_messages.Stage.SENT:
+            self.ledger.began(note.entry, note.number, note.tokens, self.clock())
+        elif note.stage is node_messages.Stage.READ:
+            self.ledger.read(note.entry, note.number)
+        else:
+            self.ledger.ended(note.entry, note.number)
+
+    def load(self, report: fleet.EngineReport, entry: str) -> node_messages.Load:
+        """Return the load as an entry is told it."""
+        self.sequence += 1
+        others = self.ledger.outstanding(entry, self.clock())
+        return node_messages.Load(self.settings.engine, self.sequence, report, others)
 
     async def on_message(self, message: Any) -> Any:
         """Answer another agent."""
@@ -83,10 +107,12 @@
                 report = await self.engine.report()
                 self.note_engine(True, "")
                 self.weights.report = report
+                self.ledger.take_report(report.running + report.queued, self.clock())
                 self.tell(report)
             except errors.MerlinthreadError as error:
                 self.note_engine(False, error.message)
                 self.weights.report = None
+                self.told = None
             await asyncio.sleep(REPORT_EVERY_S)
 
     def note_engine(self, is_there: bool, reason: str) -> None:
@@ -103,10 +129,8 @@
             return
         self.told = report
         self.told_at = now
-        self.sequence += 1
-        load = node_messages.Load(self.settings.engine, self.sequence, report)
         for address, until in list(self.subscribers.items()):
             if until < now:
                 del self.subscribers[address]
                 continue
-            self.datagrams.send(address, load)
+            self.datagrams.send(address, self.load(report, address))
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 from collections.abc import Callable
 
 from merlinthread import errors, logs
 from merlinthread.coordination import dispatch, fleet, retry_budget, route_table, waiting_room
-from merlinthread.nodes import news_watcher, node_settings
+from merlinthread.nodes import load_prober, news_watcher, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import http_messages, stream_client
 
@@ -18,6 +19,9 @@
 UNSAFE_IDLE_S_MAX = 1.0
 SAFE_IDLE_S_MAX = 20.0
 WAKE_AT_ONCE = 4
+# How many agents a decision asks, and how long it waits for their answers.
+PROBED = 2
+PROBE_WAIT_S = 0.015
 # Of the whole budget, what entries use; the rest is a margin for those that leave and come.
 BUDGET_SHARE = 0.75
 FREE_REPEATS = 3
@@ -31,11 +35,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Place:
-    """An attempt on a back end, with the tokens of its prompt and whether they were read."""
+    """An attempt on a back end, with the tokens of its prompt and whether they were read.
+
+    `agent` is where it is noted, if an agent stands beside the back end.
+    """
 
     backend: dispatch.Backend
     tokens: float
     started: float
+    number: int = 0
+    agent: str = ""
     is_read: bool = False
 
 
@@ -48,8 +57,10 @@
         watcher: news_watcher.NewsWatcher,
         clock: Callable[[], float],
         rng: random.Random,
+        prober: load_prober.LoadProber,
     ) -> None:
         self.settings = settings
+        self.prober = prober
         self.watcher = watcher
         self.clock = clock
         self.rng = rng
@@ -58,6 +69,7 @@
         self.by_address: dict[str, dispatch.Backend] = {}
         self.rooms: dict[str, waiting_room.WaitingRoom] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.place_numbers = itertools.count(1)
         self.connections = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     # What is known
@@ -101,7 +113,7 @@
         backend = self.by_address.get(load.address)
         if backend is None:
             return
-        backend.take_report(load.report, self.clock())
+        backend.take_report(load.report, self.clock(), load.others)
         room = self.rooms.get(backend.service)
         if room is not None and len(room):
             room.wake(WAKE_AT_ONCE)
@@ -121,11 +133,10 @@
 
     def begin_by(self, backend: dispatch.Backend, model: str) -> float:
         """Return by when an attempt on a back end must have begun with the weights it holds."""
-        table = self.watcher.table
-        service = table.services.get(backend.service) if table else None
-        if not model or service is None or service.engine is None:
+        engine = self.engine_of(backend.service)
+        if not model or engine is None:
             return float("inf")
-        held = backend.version_of(model, service.engine.layers)
+        held = backend.version_of(model, engine.layers)
         bound_s = self.settings.bounds.version_s - BEGIN_MARGIN_S
         return self.watcher.usable_until(model, held, bound_s)
 
@@ -135,26 +146,63 @@
         """Return the waiting room of a service."""
         return self.rooms.setdefault(service, waiting_room.WaitingRoom())
 
-    def choose(self, demand: dispatch.Demand, wait_s_max: float) -> dispatch.Choice | None:
-        """Return a good back end now, if possible one with a wait up to `wait_s_max`."""
+    async def choose(self, demand: dispatch.Demand, wait_s_max: float) -> dispatch.Choice | None:
+        """Return a good back end now, if possible one with a wait up to `wait_s_max`.
+
+        Of engines the few that look best are asked for their load first: what the other entries
+        have sent them since the last report decides when a first byte comes.
+        """
+        engine = self.engine_of(demand.service)
+        backends = self.by_service.get(demand.service, [])
+        if engine is None or not self.settings.agent_port:
+            return dispatch.choose(backends, demand, engine, self.clock(), self.rng, wait_s_max)
+        asked = dispatch.shortlist(backends, demand, engine, self.clock(), self.rng, PROBED)
+        await self.ask_loads(asked)
+        choice = dispatch.best_of(asked, demand, engine, self.clock())
+        if choice is not None and choice.wait_s <= wait_s_max:
+            return choice
+        return dispatch.best_of(backends, demand, engine, self.clock())
+
+    async def ask_loads(self, asked: list[dispatch.Backend]) -> None:
+        """Ask the agents beside some engines what other entries have there now."""
+        agents = {self.agent_of(backend): backend for backend in asked}
+        answers = await self.prober.ask(list(agents), PROBE_WAIT_S)
+        for agent, backend in agents.items():
+            backend.take_answer(answers[agent], self.clock())
+
+    def engine_of(self, service_name: str) -> fleet.Engine | None:
+        """Return the engine that a service's back ends run, or None for a plain service."""
         table = self.watcher.table
-        service = table.services.get(demand.service) if table else None
-        engine = service.engine if service else None
-        backends = self.by_service.get(demand.service, ())
-        return dispatch.choose(backends, demand, engine, self.clock(), self.rng, wait_s_max)
+        service = table.services.get(service_name) if table else None
+        return service.engine if service else None
+
+    def agent_of(self, backend: dispatch.Backend) -> str:
+        """Return the address of the agent beside a back end."""
+        host, _ = node_settings.split_address(backend.address)
+        return f"{host}:{self.settings.agent_port}"
 
     def occupy(self, backend: dispatch.Backend, tokens: float) -> Place:
         """Count an attempt on a back end."""
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
-        return Place(backend, tokens, self.clock())
+        place = Place(backend, tokens, self.clock(), next(self.place_numbers))
+        if self.engine_of(backend.service) is not None:
+            place.agent = self.agent_of(backend)
+        self.tell_agent(place, node_messages.Stage.SENT)
+        return place
+
+    def tell_agent(self, place: Place, stage: node_messages.Stage) -> None:
+        """Tell the agent beside a back end how far an attempt on it is."""
+        if place.agent:
+            self.prober.note(place.agent, place.number, stage, place.tokens)
 
     def note_first(self, place: Place) -> None:
         """Note that an attempt's prompt was read."""
         if place.is_read:
             return
         place.is_read = True
+        self.tell_agent(place, node_messages.Stage.READ)
         now = self.clock()
         place.backend.note_first(now - place.started, now)
         place.backend.unread -= 1
@@ -163,6 +211,7 @@
     def release(self, place: Place) -> None:
         """Note that an attempt is over, and let a waiting request look again."""
         self.note_first(place)
+        self.tell_agent(place, node_messages.Stage.ENDED)
         place.backend.in_flight -= 1
         room = self.rooms.get(place.backend.service)
         if room is not None:
@@ -208,13 +257,10 @@
     async def subscribe(self, send: Callable[[str], None], every_s: float) -> None:
         """Ask the agents beside engines for their load, again and again."""
         while True:
-            table = self.watcher.table
             for backend in list(self.backends.values()):
-                service = table.services.get(backend.service) if table else None
-                if service is not None and service.engine is not None:
-                    host, _ = node_settings.split_address(backend.address)
+                if self.engine_of(backend.service) is not None:
                     with contextlib.suppress(OSError):
-                        send(f"{host}:{self.settings.agent_port}")
+                        send(self.agent_of(backend))
             await asyncio.sleep(every_s)
 
 
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -8,6 +8,7 @@
 from merlinthread import logs
 from merlinthread.nodes import (
     backend_pool,
+    load_prober,
     news_watcher,
     node_settings,
     request_task,
@@ -39,11 +40,12 @@
         self.clock = clock
         self.caller = node_bus.Caller(codec)
         self.watcher = news_watcher.NewsWatcher(settings, dialect, self.caller, clock, self.on_news)
-        self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng)
+        self.address = f"{settings.ip}:{settings.entry_port}"
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
+        self.prober = load_prober.LoadProber(self.address, self.datagrams.send)
+        self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng, self.prober)
         self.server = stream_server.Server(self.serve)
         self.ready_server = stream_server.Server(self.serve_ready)
-        self.address = f"{settings.ip}:{settings.entry_port}"
         self.is_leaving = False
         self.was_ready = False
         self.tasks: list[asyncio.Task] = []
@@ -71,6 +73,8 @@
         """Take an agent's report."""
         if isinstance(message, node_messages.Load):
             self.pool.take_load(message)
+        elif isinstance(message, node_messages.LoadAnswer):
+            self.prober.take(message)
 
     def on_news(self) -> None:
         """Take over what the control VMs tell."""
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -19,10 +19,10 @@
 from merlinthread.transport import http_messages, stream_client, stream_server
 
 # Share of a route's objective that a request may wait for a place before it is refused.
-PATIENCE_SHARE = 0.22
+PATIENCE_SHARE = 0.15
 # Share of the objective within which the first byte must be expected for a place to be taken. The
 # request's own prompt is left out, so that large requests are not refused more often.
-ADMIT_SHARE = 0.45
+ADMIT_SHARE = 0.7
 RETRY_AFTER_MIN_S = 0.3
 NONE_FREE_WAIT_S = 1.8
 RETRY_AFTER_MAX_S = 2.0
@@ -139,14 +139,16 @@
                 return
 
     def belief(self, choice: dispatch.Choice) -> str:
-        """Return what was believed of a back end when it was chosen, for the log."""
+        """Return what is believed of a back end, for the log."""
         backend = choice.backend
         now = self.clock()
-        age_ms = round(1000 * (now - backend.reported_at)) if backend.others_known(now) else -1
+        age_ms = round(1000 * (now - backend.heard_at())) if backend.others_known(now) else -1
         waited_ms = round(1000 * (now - self.arrived))
         expected_ms = round(1000 * choice.first_s)
+        unread = round(backend.unread_tokens + (backend.others_unread_tokens or 0.0))
         return (
-            f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, age {age_ms} ms, "
+            f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, "
+            f"unread {unread}, pace {backend.pace:.2g}, age {age_ms} ms, "
             f"first byte expected in {expected_ms} ms"
         )
 
@@ -224,10 +226,10 @@
         while True:
             now = self.clock()
             left_s = self.admit_until() - now
-            choice = self.pool.choose(self.demand(), left_s)
+            choice = await self.pool.choose(self.demand(), left_s)
             if choice is None and self.tried and self.is_idempotent():
                 self.tried.clear()
-                choice = self.pool.choose(self.demand(), left_s)
+                choice = await self.pool.choose(self.demand(), left_s)
             if choice is not None and choice.wait_s <= left_s:
                 return choice
             if now >= self.deadline:
@@ -254,7 +256,9 @@
         has_begun = self.sent > 0 or self.exchange.is_started
         if has_begun or self.route.kind != fleet.STREAMING:
             return choice
-        raise self.no_place("every back end is busy", choice.first_s - left_s)
+        raise self.no_place(
+            f"every back end is busy: {self.belief(choice)}", choice.first_s - left_s
+        )
 
     def urgency(self) -> int:
         """Return the request's rank, 0 first: its account's before its route's."""
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -1,9 +1,10 @@
 """Messages between the nodes of one deployment: entries, agents and control VMs."""
 
 import dataclasses
+import enum
 
 from merlinthread import registry
-from merlinthread.coordination import fleet, instances
+from merlinthread.coordination import fleet, instances, load_ledger
 
 MESSAGES: registry.Registry[type] = registry.Registry("node message")
 
@@ -140,11 +141,57 @@
 @MESSAGES.add("node.load")
 @dataclasses.dataclass(slots=True)
 class Load:
-    """An engine's load, fresh from its agent; `sequence` grows with every one."""
+    """An engine's load, fresh from its agent; `sequence` grows with every one.
+
+    `others` is what entries other than the receiver have there now.
+    """
 
     address: str
     sequence: int
     report: fleet.EngineReport
+    others: load_ledger.Outstanding | None = None
+
+
+@MESSAGES.add("node.query")
+@dataclasses.dataclass(slots=True)
+class LoadQuery:
+    """Ask an agent for its engine's load now; `address` is where to answer."""
+
+    address: str
+    number: int
+
+
+@MESSAGES.add("node.pulse")
+@dataclasses.dataclass(slots=True)
+class LoadAnswer:
+    """Answer the question `number`: what others than the asker have on the engine now.
+
+    It is kept short, since there is one or more for each request.
+    """
+
+    number: int
+    attempts: int
+    unread: int
+    tokens: float
+
+
+class Stage(enum.StrEnum):
+    """How far an attempt on an engine is."""
+
+    SENT = "sent"
+    READ = "read"
+    ENDED = "ended"
+
+
+@MESSAGES.add("node.attempt")
+@dataclasses.dataclass(slots=True)
+class AttemptNote:
+    """Tell an agent of an attempt on its engine; `tokens` are those of the prompt."""
+
+    entry: str
+    number: int
+    stage: Stage
+    tokens: float = 0.0
 
 
 @MESSAGES.add("node.piece_request")
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -12,6 +12,7 @@
     fleet,
     fleet_state,
     instances,
+    load_ledger,
     pacing,
     retry_budget,
     route_table,
@@ -249,6 +250,55 @@
     assert isinstance(action, fetch.FromOrigin) and not plan.held >> action.index & 1
 
 
+def test_a_ledger_tells_each_entry_what_the_others_have_to_be_read():
+    ledger = load_ledger.LoadLedger()
+    ledger.began("entry-1", 1, 900.0, 10.0)
+    ledger.began("entry-2", 1, 500.0, 10.0)
+    ledger.began("entry-2", 2, 700.0, 10.1)
+    assert ledger.outstanding("entry-1", 10.2) == load_ledger.Outstanding(2, 2, 1200.0)
+    ledger.read("entry-2", 1)
+    ledger.ended("entry-2", 2)
+    assert ledger.outstanding("entry-1", 10.2) == load_ledger.Outstanding(1, 0, 0.0)
+    assert ledger.outstanding("entry-3", 10.2) == load_ledger.Outstanding(2, 1, 900.0)
+
+
+def test_lost_notes_are_forgotten_and_unknown_load_counts():
+    ledger = load_ledger.LoadLedger()
+    ledger.began("entry-1", 1, 900.0, 10.0)
+    late = 10.0 + load_ledger.UNREAD_S_MAX + 0.1
+    assert ledger.outstanding("entry-2", late) == load_ledger.Outstanding(1, 0, 0.0)
+    ledger.take_report(4, late)
+    assert ledger.outstanding("entry-2", late).attempts == 4
+    ledger.take_report(0, late)
+    assert ledger.outstanding("entry-2", late).attempts == 0
+    ledger.take_report(0, 10.0 + load_ledger.OPEN_S_MAX + 0.1)
+    assert not ledger.open
+
+
+def test_prompts_that_others_have_sent_put_the_first_byte_off():
+    busy, idle = backend("busy"), backend("idle")
+    for one, tokens in ((busy, 5000.0), (idle, 0.0)):
+        one.take_report(fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)]), 9.95)
+        one.take_answer(load_ledger.Outstanding(3, 2, tokens), 10.0)
+    demand = dispatch.Demand("s", "m", prompt_tokens=1000.0)
+    choices = [dispatch.rate(one, demand, ENGINE, 10.0) for one in (busy, idle)]
+    expected = 5000.0 / ENGINE.read_tokens_per_s
+    assert choices[0].first_s - choices[1].first_s == pytest.approx(expected)
+    best = dispatch.best_of([busy, idle], demand, ENGINE, 10.0)
+    assert best is not None and best.backend is idle
+
+
+def test_an_engine_whose_agent_is_silent_or_which_is_slow_looks_worse():
+    prompt, silent, slow = backend("prompt"), backend("silent"), backend("slow")
+    for one, pace in ((prompt, 1.0), (silent, 1.0), (slow, 4.0)):
+        report = fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)], pace=pace)
+        one.take_report(report, 9.95)
+    silent.take_answer(None, 10.0)
+    demand = dispatch.Demand("s", "m", prompt_tokens=1000.0)
+    asked = dispatch.shortlist([slow, silent, prompt], demand, ENGINE, 10.0, random.Random(1), 3)
+    assert asked[0] is prompt
+
+
 def test_the_origins_spare_link_is_shared_among_vms_for_what_the_zone_lacks():
     plan = make_zoned("a", {"b": fetch.OWN_ZONE, "far": fetch.FAR})
     plan.held = plan.owned
--- /dev/null
+++ b/tests/test_load_prober.py
@@ -0,0 +1,44 @@
+"""Questions to agents by datagram: answers in time, late, lost."""
+
+import asyncio
+
+from merlinthread.coordination import load_ledger
+from merlinthread.nodes import load_prober
+from merlinthread.protocol import node_messages
+
+
+def run(scenario):
+    sent = []
+    prober = load_prober.LoadProber("entry:1", lambda agent, message: sent.append((agent, message)))
+    asyncio.run(scenario(prober, sent))
+
+
+def answer(query: node_messages.LoadQuery, tokens: float) -> node_messages.LoadAnswer:
+    return node_messages.LoadAnswer(query.number, 2, 1, tokens)
+
+
+def test_all_answers_end_the_wait_and_each_goes_to_its_agent():
+    async def scenario(prober, sent):
+        task = asyncio.ensure_future(prober.ask(["a", "b"], 60.0))
+        while len(sent) < 2:
+            await asyncio.sleep(0)
+        for agent, query in reversed(sent):
+            prober.take(answer(query, 10.0 if agent == "a" else 20.0))
+        assert await asyncio.wait_for(task, 5.0) == {
+            "a": load_ledger.Outstanding(2, 1, 10.0),
+            "b": load_ledger.Outstanding(2, 1, 20.0),
+        }
+        assert not prober.waiting
+
+    run(scenario)
+
+
+def test_an_agent_that_does_not_answer_is_told_as_unknown_and_its_late_answer_dropped():
+    async def scenario(prober, sent):
+        found = await prober.ask(["a"], 0.01)
+        assert found == {"a": None}
+        prober.take(answer(sent[0][1], 10.0))
+        assert not prober.waiting
+        assert await prober.ask([], 60.0) == {}
+
+    run(scenario)
