Refused clients are told to come back late and apart; second tries are admitted longer

Ruled out: the place of the refusal (at once). Change: the time to come back is 0.6 to 1.0 of a third of what is left (2 s at most), drawn by lot; a client that has under 0.8 of the route's time left was probably refused before and is admitted up to the whole objective.

--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -23,9 +23,15 @@
 # Share of the objective within which the first byte must be expected for a place to be taken. The
 # request's own prompt is left out, so that large requests are not refused more often.
 ADMIT_SHARE = 0.7
+# The same for a client that was probably refused before, having so little of its time left.
+ADMIT_AGAIN_SHARE = 1.0
+SECOND_TRY_SHARE = 0.8
 RETRY_AFTER_MIN_S = 0.3
 NONE_FREE_WAIT_S = 1.8
 RETRY_AFTER_MAX_S = 2.0
+# Clients wait as told up to this share of the time that they have left.
+RETURN_SHARE = 0.33
+RETURN_SPREAD = 0.6
 CONNECT_FAILURES_MAX = 4
 DEADLINE_MARGIN_S = 0.03
 FIRST_EVENT_OBJECTIVES = 2.0
@@ -237,7 +243,7 @@
                     "the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED
                 )
             if now >= patience_until:
-                return self.late_place(choice, left_s)
+                return self.late_place(choice)
             timeout_s = min(patience_until - now, 0.05)
             await room.wait(self.urgency(), self.arrived, timeout_s)
 
@@ -246,9 +252,19 @@
         assert self.route is not None
         if self.exchange.is_started:
             return self.deadline
-        return self.arrived + ADMIT_SHARE * self.route.objective_s
+        share = ADMIT_AGAIN_SHARE if self.is_second_try() else ADMIT_SHARE
+        return self.arrived + share * self.route.objective_s
 
-    def late_place(self, choice: dispatch.Choice | None, left_s: float) -> dispatch.Choice:
+    def is_second_try(self) -> bool:
+        """Return whether the client has used up so much time that it was refused before.
+
+        Being refused twice costs it more than a late answer.
+        """
+        assert self.call is not None and self.route is not None
+        left_s = self.call.deadline_s
+        return left_s is not None and left_s < SECOND_TRY_SHARE * self.route.timeout_s
+
+    def late_place(self, choice: dispatch.Choice | None) -> dispatch.Choice:
         """Return a back end although it will be late, or raise RequestError."""
         assert self.route is not None
         if choice is None:
@@ -256,9 +272,15 @@
         has_begun = self.sent > 0 or self.exchange.is_started
         if has_begun or self.route.kind != fleet.STREAMING:
             return choice
-        raise self.no_place(
-            f"every back end is busy: {self.belief(choice)}", choice.first_s - left_s
-        )
+        raise self.no_place(f"every back end is busy: {self.belief(choice)}", self.return_after_s())
+
+    def return_after_s(self) -> float:
+        """Return when to come back: as late as it still helps, and not all at once.
+
+        An overload lasts seconds; who comes back at once only meets it again.
+        """
+        latest_s = min(RETRY_AFTER_MAX_S, (self.deadline - self.clock()) * RETURN_SHARE)
+        return latest_s * self.pool.rng.uniform(RETURN_SPREAD, 1.0)
 
     def urgency(self) -> int:
         """Return the request's rank, 0 first: its account's before its route's."""
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -5,7 +5,7 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.coordination import fleet
+from merlinthread.coordination import dispatch, fleet
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -109,6 +109,28 @@
     asyncio.run(scenario())
 
 
+def test_an_overloaded_service_tells_clients_to_come_back_apart_and_admits_second_tries_first():
+    async def scenario():
+        entry, (worker,), _ = await make("model", 1, "m")
+        backend = entry.node.pool.backends[worker.instance]
+        # An expected first byte of 0.33 s: over 0.7 of the objective of 0.4 s, under the whole.
+        unread = 100_000 * (0.33 - dispatch.BASE_S)
+        report = fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)])
+        waits = []
+        for number in range(8):
+            backend.take_report(report, entry.node.clock())
+            backend.unread_tokens = unread
+            answer = await entry.ask("/model/", f"id-{number}", **STREAM)
+            assert (answer.status, runs([worker])) == (503, 0)
+            waits.append(float(http_messages.header(answer.headers, b"retry-after")))
+        assert min(waits) >= 0.4 and max(waits) <= 2.5 / 3 and len(set(waits)) > 1
+        backend.take_report(report, entry.node.clock())
+        late = STREAM | {"X_Merlinthread_Deadline_Ms": "2000"}
+        assert (await entry.ask("/model/", "id-late", **late)).status == 200
+
+    asyncio.run(scenario())
+
+
 def test_unknown_keys_and_routes_are_refused():
     async def scenario():
         entry, workers, _ = await make("safe", 1)
