--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -135,6 +135,7 @@
         self.origin_slots = origin_slots
         self.origin_busy = 0
         self.origin_not_before = float("-inf")
+        self.origin_failures: collections.Counter[int] = collections.Counter()
         self.peers: dict[str, PeerState] = {}
         self.asking: collections.Counter[str] = collections.Counter()
         self.asks_per_peer = 1
@@ -242,9 +243,11 @@
         self.tally.corrupt += 1
         self.hold_off(peer, now + CORRUPT_WAIT_S)
 
-    def origin_failed(self, now: float, wait_s: float) -> None:
-        """Note that the origin refused or broke off."""
+    def origin_failed(self, now: float, wait_s: float, index: int | None = None) -> None:
+        """Note that the origin refused or broke off, or gave chunk `index` wrong."""
         self.tally.failed += 1
+        if index is not None:
+            self.origin_failures[index] += 1
         self.origin_not_before = now + wait_s
 
     def hold_off(self, peer: str, until: float) -> None:
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -119,13 +119,17 @@
     def scarcest(self, needed: int) -> int:
         """Return a chunk of `needed` that no VM of the zone is known to have, if there is one.
 
-        Of several it is the one for which this VM is first, so that VMs do not read the same.
+        Of several it is the one for which this VM is first, so that VMs do not read the same; one
+        that the origin failed to give goes last.
         """
         missing = needed
         for peer in self.peers.values():
             if peer.distance == fetch.OWN_ZONE:
                 missing &= ~peer.held
-        return min(fetch.bits(missing or needed), key=self.rank)
+        return min(
+            fetch.bits(missing or needed),
+            key=lambda index: (self.origin_failures[index], self.rank(index)),
+        )
 
     def ask(self, peer: fetch.PeerState, now: float) -> fetch.FromPeer | None:
         """Return a request; of a far peer only for what this VM is to bring into its zone."""
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -315,6 +315,21 @@
     assert {index for _, index in found} <= {7, 9} - set(fetch.bits(plan.owned))
 
 
+def test_a_chunk_that_the_origin_fails_to_give_does_not_hold_the_others_up():
+    plan = make_zoned("a", {})
+    plan.is_late = True
+    read = []
+    for now in range(48):
+        action = plan.next_action(float(now))
+        assert isinstance(action, fetch.FromOrigin)
+        read.append(action.index)
+        if action.index in (3, 17):
+            plan.origin_failed(float(now), 0.5, action.index)
+        else:
+            plan.got(action.index, True, float(now))
+    assert plan.held == plan.all & ~(1 << 3 | 1 << 17)
+
+
 def test_a_rate_is_that_of_the_last_moment():
     rate = pacing.RecentRate(1.0)
     assert rate.per_s() == 0.0
