A request's attempts in a module of their own

request_task.py had grown to 540 lines: what one attempt on one back end does (attempts.Attempt), what is known of the request (attempts.Facts) and what goes back to the client (attempts.Relay) are moved out as they were; deciders of the request stay.

--- /dev/null
+++ b/src/merlinthread/nodes/attempts.py
@@ -0,0 +1,313 @@
+"""One attempt of a client's request on one back end, and what goes back to the client.
+
+What is known of an attempt is typed: whether it was sent, whether it surely did not run, whether
+its answer has begun. An attempt judges its back end by what came of it; what follows for the
+request is decided in `request_task`.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import math
+from collections.abc import Callable
+
+import h11
+
+from merlinthread import errors, metrics
+from merlinthread.coordination import dispatch, fleet
+from merlinthread.nodes import backend_pool
+from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import event_bytes
+from merlinthread.transport import http_messages, stream_client, stream_server
+
+FIRST_EVENT_OBJECTIVES = 2.0
+FIRST_EVENT_MIN_S = 0.8
+GAP_SHARE = 2.0
+SILENCE_MIN_S = 0.6
+URGENCY_MAX = 9
+
+
+class SilentError(errors.UnreachableError):
+    """A back end said nothing for too long."""
+
+
+class OverdueError(errors.UnreachableError):
+    """An attempt has not begun by the time after which its version may not begin any more."""
+
+
+class State(enum.Enum):
+    """How far an attempt came."""
+
+    UNSENT = "unsent"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What came of one attempt; `answer` is the back end's where there is a whole one."""
+
+    state: State
+    reason: str
+    answer: http_messages.Answer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Facts:
+    """A client's request: the call, where it belongs, and by when it must be answered."""
+
+    call: fleet.Call
+    route: fleet.Route
+    account: fleet.Account | None
+    deadline: float
+
+    def is_idempotent(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.route.kind == fleet.SAFE or (
+            self.route.kind == fleet.STREAMING and self.route.is_resumable
+        )
+
+    def urgency(self) -> int:
+        """Return the request's rank, 0 first: its account's before its route's."""
+        rank = self.route.priority
+        if self.account is not None and self.account.priority is not None:
+            rank = self.account.priority
+        return max(0, min(URGENCY_MAX, rank))
+
+
+class Relay:
+    """Gives answers of back ends to one client; `on_answered` is told the status of a whole one."""
+
+    def __init__(
+        self,
+        exchange: stream_server.Exchange,
+        clock: Callable[[], float],
+        arrived: float,
+        on_answered: Callable[[int], None],
+    ) -> None:
+        self.exchange = exchange
+        self.clock = clock
+        self.arrived = arrived
+        self.on_answered = on_answered
+        self.last_event_id = ""
+        self.first_at: float | None = None
+
+    async def give(self, answer: http_messages.Answer) -> None:
+        """Send a back end's whole answer on."""
+        headers = without_length(http_messages.forwarded_headers(answer.headers))
+        self.on_answered(answer.status)
+        await self.exchange.respond(http_messages.Answer(answer.status, headers, answer.body))
+
+    async def give_event(self, item: event_bytes.RawEvent, head: http_messages.Answer) -> None:
+        """Send one event on, unless the client has it already."""
+        if item.event_id and not event_bytes.is_after(item.event_id, self.last_event_id):
+            return
+        self.start_stream(head)
+        await self.exchange.send(item.data)
+        self.last_event_id = item.event_id or self.last_event_id
+
+    def start_stream(self, head: http_messages.Answer) -> None:
+        """Send the head of the first back end that gave an event; later ones keep it."""
+        if self.exchange.is_started:
+            return
+        headers = without_length(http_messages.forwarded_headers(head.headers))
+        self.first_at = self.clock()
+        metrics.first_token_seconds.observe(self.first_at - self.arrived)
+        self.exchange.start(head.status, headers)
+
+    async def finish(self, head: http_messages.Answer) -> None:
+        """End a stream that is whole."""
+        self.start_stream(head)
+        self.on_answered(head.status)
+        await self.exchange.finish()
+
+
+class Attempt:
+    """One attempt; `is_sent` tells whether the request left for the back end."""
+
+    def __init__(
+        self,
+        facts: Facts,
+        relay: Relay,
+        dialect: dialects.Dialect,
+        pool: backend_pool.BackendPool,
+        backend: dispatch.Backend,
+    ) -> None:
+        self.facts = facts
+        self.relay = relay
+        self.dialect = dialect
+        self.pool = pool
+        self.clock = pool.clock
+        self.backend = backend
+        self.place = pool.occupy(backend, facts.call.prompt_tokens)
+        self.is_sent = False
+
+    async def run(self) -> Outcome:
+        """Send the request and relay the answer if it is whole; return what came of it."""
+        connection: stream_client.ClientConnection | None = None
+        try:
+            connection = await self.pool.connect(self.backend, self.facts.is_idempotent())
+            connection.send(self.request())
+            self.is_sent = True
+            async with asyncio.timeout_at(self.loop_time(self.facts.deadline)):
+                outcome, headers = await self.converse(connection)
+            if outcome.state in (State.DONE, State.FAILED, State.NOT_RUN):
+                self.pool.give_back(self.backend, connection, headers)
+                connection = None
+            self.judge(outcome)
+            return outcome
+        except TimeoutError:
+            if not self.relay.exchange.is_started:
+                dispatch.note_failure(self.backend, self.clock())
+            return Outcome(State.UNKNOWN, "the time is over")
+        except errors.MerlinthreadError as error:
+            if not isinstance(error, OverdueError):
+                dispatch.note_failure(self.backend, self.clock())
+            if self.is_sent:
+                return Outcome(State.UNKNOWN, error.message)
+            return Outcome(State.UNSENT, f"unsent: {error.message}")
+        finally:
+            self.pool.release(self.place)
+            if connection is not None:
+                connection.close()
+
+    def loop_time(self, at: float) -> float:
+        """Return `at` as a time of the event loop."""
+        return asyncio.get_running_loop().time() + (at - self.clock())
+
+    def judge(self, outcome: Outcome) -> None:
+        """Note what an attempt tells of its back end."""
+        now = self.clock()
+        if outcome.state is State.DONE:
+            dispatch.note_success(self.backend, now - self.place.started)
+        elif outcome.state is State.NOT_RUN:
+            dispatch.note_full(self.backend, now)
+
+    def request(self) -> http_messages.Request:
+        """Return the request as the back end gets it."""
+        remaining_s = None
+        if self.facts.call.deadline_s is not None:
+            remaining_s = self.facts.deadline - self.clock()
+        version = self.pool.required_version(self.facts.call.model, self.clock())
+        target = fleet.Target(
+            self.backend.instance,
+            self.facts.account.name if self.facts.account else "",
+            remaining_s,
+            self.facts.account is not None,
+            version or None,
+            self.relay.last_event_id,
+            self.facts.urgency(),
+        )
+        return self.dialect.target_request(self.relay.exchange.request, target)
+
+    async def converse(
+        self, connection: stream_client.ClientConnection
+    ) -> tuple[Outcome, http_messages.Headers]:
+        """Read the answer, and relay it if it counts; return what came of it and its headers."""
+        head = await self.read_head(connection)
+        headers = list(head.headers.raw_items())
+        facts = self.dialect.answer_facts(head.status_code, headers)
+        if facts.request_id is not None and facts.request_id != self.facts.call.request_id:
+            raise errors.ProtocolError(f"an answer to another request: {facts.request_id}")
+        is_success = 200 <= head.status_code < 300
+        if is_success and (not facts.is_signed or facts.is_encoded):
+            raise errors.ProtocolError("a success without a signature, or encoded")
+        if is_success and self.facts.route.kind == fleet.STREAMING:
+            answer = http_messages.Answer(head.status_code, headers)
+            return await self.relay_stream(connection, answer), headers
+        body = await self.read_body(connection)
+        answer = http_messages.Answer(head.status_code, headers, body)
+        if facts.is_not_run:
+            return Outcome(State.NOT_RUN, f"{head.status_code} not run", answer), headers
+        if not is_success:
+            return Outcome(State.FAILED, f"status {head.status_code}", answer), headers
+        await self.relay.give(answer)
+        return Outcome(State.DONE, "answered", answer), headers
+
+    async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
+        """Return the head of the answer; a stream's must come within bounds."""
+        event = await self.first_event(connection)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.first_event(connection)
+        if not isinstance(event, h11.Response):
+            raise errors.ProtocolError(f"{type(event).__name__} came before an answer's head")
+        return event
+
+    async def first_event(self, connection: stream_client.ClientConnection) -> h11.Event:
+        """Return the next event of an answer whose stream has not begun yet.
+
+        Raises OverdueError if the back end holds an old version and its bound comes before.
+        """
+        if self.facts.route.kind != fleet.STREAMING:
+            return await connection.next_event()
+        limit_s = self.first_limit_s()
+        overdue_s = self.pool.begin_by(self.backend, self.facts.call.model) - self.clock()
+        if limit_s <= overdue_s:
+            return await self.next_event(connection, limit_s)
+        try:
+            return await self.next_event(connection, max(0.0, overdue_s))
+        except SilentError:
+            raise OverdueError("not begun when the bound of its old version came")
+
+    def first_limit_s(self) -> float:
+        """Return how long a back end may be silent before its first event."""
+        if not self.facts.is_idempotent():
+            return math.inf
+        return max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVES * self.facts.route.objective_s)
+
+    def pause_limit_s(self) -> float:
+        """Return how long a back end may be silent between two events."""
+        if not self.facts.is_idempotent() or not self.facts.route.gap_s:
+            return self.first_limit_s()
+        return max(SILENCE_MIN_S, GAP_SHARE * self.facts.route.gap_s)
+
+    async def next_event(
+        self, connection: stream_client.ClientConnection, limit_s: float
+    ) -> h11.Event:
+        """Return the next event of the answer; raise SilentError after `limit_s`."""
+        if limit_s == math.inf:
+            return await connection.next_event()
+        timeout = asyncio.timeout(limit_s)
+        try:
+            async with timeout:
+                return await connection.next_event()
+        except TimeoutError:
+            if timeout.expired():
+                raise SilentError(f"silent for {limit_s:.2f} s")
+            raise
+
+    async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while isinstance(event := await connection.next_event(), h11.Data):
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    async def relay_stream(
+        self,
+        connection: stream_client.ClientConnection,
+        head: http_messages.Answer,
+    ) -> Outcome:
+        """Send events on as they come, whole ones only; go on after a break elsewhere."""
+        splitter = event_bytes.EventSplitter()
+        while isinstance(event := await self.stream_event(connection), h11.Data):
+            for item in splitter.feed(bytes(event.data)):
+                self.pool.note_first(self.place)
+                await self.relay.give_event(item, head)
+        if splitter.rest.strip():
+            raise errors.ProtocolError("the stream ended inside an event")
+        await self.relay.finish(head)
+        return Outcome(State.DONE, "answered", head)
+
+    async def stream_event(self, connection: stream_client.ClientConnection) -> h11.Event:
+        """Return the next event of a stream; raise UnreachableError if it is silent for long."""
+        if not self.place.is_read:
+            return await self.first_event(connection)
+        return await self.next_event(connection, self.pause_limit_s())
+
+
+def without_length(headers: http_messages.Headers) -> http_messages.Headers:
+    """Return the headers without the body's length, which is set anew."""
+    return [(key, value) for key, value in headers if key.lower() != b"content-length"]
