--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -19,7 +19,7 @@
 # request's own prompt is left out, so that large requests are not refused more often.
 ADMIT_SHARE = 0.7
 # The same for a client that was probably refused before, having so little of its time left.
-ADMIT_AGAIN_SHARE = 1.0
+ADMIT_AGAIN_SHARE = 0.85
 SECOND_TRY_SHARE = 0.8
 RETRY_AFTER_MIN_S = 0.3
 NONE_FREE_WAIT_S = 1.8
