--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -1,7 +1,6 @@
 """An agent: it stands beside one engine, tells entries its load and brings weights to it."""
 
 import asyncio
-import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any
@@ -126,8 +125,6 @@
     def tell(self, report: fleet.EngineReport) -> None:
         """Tell entries the load if it has changed or was told long ago."""
         now = self.clock()
-        if self.weights.is_emptying:
-            report = dataclasses.replace(report, is_busy=True)
         if report == self.told and now - self.told_at < TELL_EVERY_S:
             return
         self.told = report
