--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -24,6 +24,8 @@
 DRAWN = 2
 SAMPLED = 48
 UNHEARD_COST_S = 0.3
+# A full engine reads prompts between its steps: requests take this many times their bare steps.
+FULL_SLOWDOWN = 3.0
 # An agent that did not answer at once: requests to its machine may be held up too.
 SILENT_COST_S = 0.06
 # What a request that runs on a plain back end costs the next one at least; silent ones count too.
@@ -181,7 +183,7 @@
         unread += others_unread(backend, engine)
     unread_s = reading_s(engine, unread + tokens)
     waiting = max(0, load - backend.slots + 1)
-    request_s = engine.usual_answer * engine.step_s * 1.5
+    request_s = engine.usual_answer * engine.step_s * FULL_SLOWDOWN
     waiting_s = waiting / max(1, backend.slots) * request_s
     return BASE_S + backend.pace * (pass_s + unread_s + waiting_s + load * RUNNING_COST_S)
 
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -288,6 +288,17 @@
     assert best is not None and best.backend is idle
 
 
+def test_a_request_beyond_the_slots_waits_for_one_that_ends():
+    one = backend("one")
+    found = []
+    for load in range(one.slots - 2, one.slots + 2):
+        one.in_flight = load
+        found.append(dispatch.expected_first_s(one, ENGINE, 0.0, 10.0))
+    steps = [after - before for before, after in zip(found, found[1:], strict=False)]
+    bare_s = ENGINE.usual_answer * ENGINE.step_s / one.slots
+    assert steps[0] < bare_s < 2 * bare_s < steps[1] == pytest.approx(steps[2])
+
+
 def test_an_engine_whose_agent_is_silent_or_which_is_slow_looks_worse():
     prompt, silent, slow = backend("prompt"), backend("silent"), backend("slow")
     for one, pace in ((prompt, 1.0), (silent, 1.0), (slow, 4.0)):
