--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -6,6 +6,7 @@
 
 from merlinthread.nodes import agent_node, engine_client
 from merlinthread.platform import dialect
+from merlinthread.protocol import node_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
 
@@ -185,6 +186,35 @@
     run(2, scenario)
 
 
+def test_an_agent_answers_an_entry_with_what_the_other_entries_have_on_its_engine():
+    async def scenario(fleet):
+        agent = fleet.agents[0]
+        await fleet_nodes.until(lambda: agent.told is not None)
+        sent = []
+        agent.datagrams.send = lambda address, message: sent.append((address, message))
+        stage = node_messages.Stage
+        agent.on_datagram(node_messages.AttemptNote("entry-1", 1, stage.SENT, 700.0))
+        agent.on_datagram(node_messages.AttemptNote("entry-1", 2, stage.SENT, 500.0))
+        agent.on_datagram(node_messages.AttemptNote("entry-1", 2, stage.READ))
+        for asker in ("entry-1", "entry-2"):
+            agent.on_datagram(node_messages.LoadQuery(asker, 7))
+        answers = {
+            address: message
+            for address, message in sent
+            if isinstance(message, node_messages.LoadAnswer)
+        }
+        assert answers["entry-1"] == node_messages.LoadAnswer(7, 0, 0, 0.0)
+        assert answers["entry-2"] == node_messages.LoadAnswer(7, 2, 1, 700.0)
+        agent.on_datagram(node_messages.AttemptNote("entry-1", 1, stage.ENDED))
+        assert len(agent.ledger.open) == 1
+        sent.clear()
+        agent.told = None
+        agent.on_datagram(node_messages.LoadQuery("entry-2", 8))
+        assert not sent, "an agent that has lost its engine is silent"
+
+    run(1, scenario)
+
+
 def test_a_lost_peer_does_not_hold_the_others_up():
     async def scenario(fleet):
         fleet.stop_agent(2)
