A manifest that the origin does not give is asked of peers; agents keep no idle connection to the origin

The weights lay whole at the engines. Ruled out: entries (they held all instances at 47.3 s), control VMs, lost pieces (each of the 10 that got the manifest found 96). Change: a manifest is asked of three peers if the origin fails, and connections to the origin are closed once the pieces are here. Two tests, both failed first.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -98,6 +98,8 @@
         """Answer another agent."""
         if isinstance(message, node_messages.PieceRequest):
             return await self.weights.give(message)
+        if isinstance(message, node_messages.ManifestRequest):
+            return self.weights.give_manifest(message)
         raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
 
     async def report(self) -> None:
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -48,6 +48,10 @@
             )
         return self.dialect.manifest(whole(answer).body)
 
+    def leave_origin(self, origin: str) -> None:
+        """Close idle connections to the origin: it bears few, and counts those of lost machines."""
+        self.pool.drop(origin)
+
     async def piece(self, origin: str, manifest: fleet.Manifest, index: int) -> bytes:
         """Return a piece from the origin, checked."""
         request = self.dialect.piece_request(origin, manifest.model, manifest.version, index)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -27,6 +28,9 @@
 ORIGIN_WAIT_S = 0.3
 ORIGIN_GRACE_S = 0.8
 PEER_TIMEOUT_S = 1.5
+# How many peers are asked for a manifest that the origin does not give.
+MANIFEST_PEERS = 3
+MANIFEST_TIMEOUT_S = 0.3
 IDLE_WAIT_S = 0.02
 ORDER_WAIT_S = 0.2
 # How long before the bound the second half of the engines changes over.
@@ -125,7 +129,7 @@
     async def begin(self, model: str, version: int) -> None:
         """Read a version's manifest and find out which of its pieces lie here."""
         is_first = self.manifest is None
-        manifest = await self.engine.manifest(self.origin(), model, version)
+        manifest = await self.find_manifest(model, version)
         plan = fetch_policies.Zoned(
             self.me,
             f"{model}@{manifest.version}",
@@ -149,6 +153,33 @@
             held=plan.held.bit_count(),
         )
 
+    async def find_manifest(self, model: str, version: int) -> fleet.Manifest:
+        """Return a version's manifest, from the origin or else from a peer that has it.
+
+        Raises the origin's error if none of the peers asked has it.
+        """
+        try:
+            return await self.engine.manifest(self.origin(), model, version)
+        except errors.MerlinthreadError:
+            peers = self.peers()
+            request = node_messages.ManifestRequest(model, version)
+            for peer in self.rng.sample(peers, min(MANIFEST_PEERS, len(peers))):
+                with contextlib.suppress(errors.MerlinthreadError):
+                    reply = await self.caller.call(peer.bus, request, MANIFEST_TIMEOUT_S)
+                    if reply.manifest is not None:
+                        logs.event("manifest_from_peer", version=version, peer=peer.bus)
+                        return reply.manifest
+            raise
+
+    def give_manifest(self, request: node_messages.ManifestRequest) -> node_messages.ManifestReply:
+        """Answer a peer that asks for a manifest."""
+        found = self.manifest
+        if found is None or found.model != request.model:
+            return node_messages.ManifestReply(None)
+        if request.version not in (0, found.version):
+            return node_messages.ManifestReply(None)
+        return node_messages.ManifestReply(found)
+
     async def find_staged(self, manifest: fleet.Manifest) -> int:
         """Return the bit set of the pieces that lie sound at the engine."""
         held = 0
@@ -206,6 +237,7 @@
         finally:
             for task in running:
                 task.cancel()
+            self.engine.leave_origin(self.origin())
         self.log_progress("weights_fetched", plan, manifest, started)
 
     def log_progress(
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -194,6 +194,23 @@
     tokens: float = 0.0
 
 
+@MESSAGES.add("node.manifest_request")
+@dataclasses.dataclass(slots=True)
+class ManifestRequest:
+    """Ask an agent for the manifest of a version of a model's weights; version 0 is any."""
+
+    model: str
+    version: int
+
+
+@MESSAGES.add("node.manifest_reply")
+@dataclasses.dataclass(slots=True)
+class ManifestReply:
+    """The manifest, or None if the agent has another one or none."""
+
+    manifest: fleet.Manifest | None
+
+
 @MESSAGES.add("node.piece_request")
 @dataclasses.dataclass(slots=True)
 class PieceRequest:
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -206,6 +206,13 @@
         self.address = f"127.0.0.1:{port}"
         return self.address
 
+    def stop(self) -> None:
+        """Refuse all connections from now on."""
+        assert self.server.listener is not None
+        self.server.listener.close()
+        for connection in list(self.server.connections):
+            connection.abort()
+
     async def serve(self, exchange: stream_server.Exchange) -> None:
         """Give a manifest or a piece."""
         path, _, query = exchange.request.target.decode().partition("?")
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -215,6 +215,31 @@
     run(1, scenario)
 
 
+def test_an_agent_that_the_origin_refuses_gets_the_manifest_from_a_peer():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        fleet.stop_agent(0)
+        await fleet_nodes.until(lambda: fleet_nodes.is_free("127.0.0.21", fleet.port))
+        fleet.engines[0].version = 0
+        fleet.origin.stop()
+        await fleet.start_agent(0)
+        fleet.feed(1)
+        await fleet.until_all_hold(1)
+
+    run(2, scenario)
+
+
+def test_no_connection_to_the_origin_is_kept_once_all_pieces_are_here():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        pools = [agent.engine.pool for agent in fleet.agents]
+        await fleet_nodes.until(
+            lambda: not any(pool.idle.get(fleet.origin.address) for pool in pools)
+        )
+
+    run(2, scenario)
+
+
 def test_a_lost_peer_does_not_hold_the_others_up():
     async def scenario(fleet):
         fleet.stop_agent(2)
