--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -53,7 +53,7 @@
         self.service = ""
         self.relay = attempts.Relay(exchange, pool.clock, arrived, self.on_answered)
         self.tried: set[str] = set()
-        self.sent = 0
+        self.attempts: list[attempts.Attempt] = []
         self.may_have_run = False
         self.reasons: list[str] = []
 
@@ -122,7 +122,7 @@
     def may_repeat(self, outcome: attempts.Outcome) -> bool:
         """Return whether another attempt is allowed; it is taken out of the budget."""
         assert self.facts is not None
-        if self.sent >= self.facts.route.attempts or self.clock() >= self.facts.deadline:
+        if self.sent() >= self.facts.route.attempts or self.clock() >= self.facts.deadline:
             return False
         if outcome.state is not attempts.State.NOT_RUN and not self.facts.is_idempotent():
             return False
@@ -224,7 +224,7 @@
         assert self.facts is not None
         if choice is None:
             raise self.no_place("no back end is free", NONE_FREE_WAIT_S)
-        has_begun = self.sent > 0 or self.exchange.is_started
+        has_begun = self.sent() > 0 or self.exchange.is_started
         if has_begun or self.facts.route.kind != fleet.STREAMING:
             return choice
         raise self.no_place(f"every back end is busy: {self.belief(choice)}", self.return_after_s())
@@ -243,9 +243,12 @@
         assert self.facts is not None
         self.tried.add(backend.instance)
         attempt = attempts.Attempt(self.facts, self.relay, self.dialect, self.pool, backend)
-        outcome = await attempt.run()
-        self.sent += attempt.is_sent
-        return outcome
+        self.attempts.append(attempt)
+        return await attempt.run()
+
+    def sent(self) -> int:
+        """Return how many attempts have left for a back end so far."""
+        return sum(attempt.is_sent for attempt in self.attempts)
 
     # The end
 
@@ -281,7 +284,7 @@
             route=route.name if route else "",
             configuration=self.table.version if self.table else 0,
             service=self.service,
-            sent=self.sent,
+            sent=self.sent(),
             ms=round(1000 * (self.clock() - self.arrived)),
             first_ms=(
                 round(1000 * (self.relay.first_at - self.arrived)) if self.relay.first_at else None
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from merlinthread import errors
+from merlinthread import errors, logs
 from merlinthread.coordination import dispatch, fleet, load_ledger
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
@@ -131,6 +131,21 @@
     asyncio.run(scenario())
 
 
+def test_the_log_line_of_a_request_tells_how_many_attempts_left(monkeypatch):
+    async def scenario():
+        lines = []
+        monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append((name, fields)))
+        entry, workers, _ = await make("safe", 2)
+        assert (await entry.ask("/safe/", "id-1")).status == 200
+        workers[0].behaviour.closes_without_answer = True
+        workers[1].behaviour.is_full = True
+        await entry.ask("/safe/", "id-2")
+        told = [fields["sent"] for name, fields in lines if name == "request"]
+        assert told[0] == 1 and told[1] == 2
+
+    asyncio.run(scenario())
+
+
 def test_unknown_keys_and_routes_are_refused():
     async def scenario():
         entry, workers, _ = await make("safe", 1)
