--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -284,6 +284,7 @@
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet, timeout_s=4.0)
     ana.bring_in(bundle(1))
+    in_force(fleet, 1)
     ana.propose(bundle(2))
     ana.sign(bundle(2))
     for vm in fleet.controls()[1:]:
