An engine that is ahead of the version due serves too

Cause: once a version was due, an attempt told the engine to expect just that version. An engine that had already changed over to a newer one (two versions named within the bound) answered 421 until the newer one was due as well: every such request was sent away for up to the time between the two namings.

Ruled out: a stale report (the entry knew the engine's version and chose it for that).

Change: an attempt expects the version that the chosen engine is known to hold; the engine still refuses if it holds another one by then. The stand-in for an engine now checks it too.

Test: test_an_engine_that_is_ahead_of_the_version_due_serves_too, failed first (503 instead of 200).

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -190,18 +190,27 @@
         remaining_s = None
         if self.facts.call.deadline_s is not None:
             remaining_s = self.facts.deadline - self.clock()
-        version = self.pool.required_version(self.facts.call.model, self.clock())
         target = fleet.Target(
             self.backend.instance,
             self.facts.account.name if self.facts.account else "",
             remaining_s,
             self.facts.account is not None,
-            version or None,
+            self.expected_version(),
             self.relay.last_event_id,
             self.facts.urgency(),
         )
         return self.dialect.target_request(self.relay.exchange.request, target)
 
+    def expected_version(self) -> int | None:
+        """Return the version of the weights that must run the request, None if any may.
+
+        That is the one that the engine is known to hold: it may be newer than the one that is due.
+        """
+        model = self.facts.call.model
+        if not model or not self.pool.required_version(model, self.clock()):
+            return None
+        return self.pool.held_version(self.backend, model)
+
     async def converse(
         self, connection: stream_client.ClientConnection
     ) -> tuple[Outcome, http_messages.Headers]:
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -131,12 +131,16 @@
         """Return the newest version of a model's weights that is due soon, or 0."""
         return self.watcher.version_due(model, now, self.settings.bounds.version_s - VERSION_SOON_S)
 
+    def held_version(self, backend: dispatch.Backend, model: str) -> int:
+        """Return the version of a model's weights that a back end holds whole, or 0."""
+        engine = self.engine_of(backend.service)
+        return backend.version_of(model, engine.layers) if engine is not None else 0
+
     def begin_by(self, backend: dispatch.Backend, model: str) -> float:
         """Return by when an attempt on a back end must have begun with the weights it holds."""
-        engine = self.engine_of(backend.service)
-        if not model or engine is None:
+        if not model or self.engine_of(backend.service) is None:
             return float("inf")
-        held = backend.version_of(model, engine.layers)
+        held = self.held_version(backend, model)
         bound_s = self.settings.bounds.version_s - BEGIN_MARGIN_S
         return self.watcher.usable_until(model, held, bound_s)
 
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -12,6 +12,7 @@
 from merlinthread.transport import http_messages, stream_server
 
 EVENTS_DEFAULT = 5
+LAYERS = 16
 
 
 @dataclasses.dataclass
@@ -30,6 +31,7 @@
     ignores_last_event_id: bool = False
     is_mute: bool = False
     order_status: int = 202
+    order_delay_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -49,11 +51,15 @@
         self.instance = instance
         self.model = model
         self.version = version
+        self.layers = (0, LAYERS if version else 0)
         self.behaviour = Behaviour()
         self.runs: list[Run] = []
         self.cancelled: list[str] = []
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
+        # The pieces as they lay there when an order was carried out, and whether one is under way.
+        self.taken: dict[int, bytes] = {}
+        self.is_busy = False
         self.server = stream_server.Server(self.serve)
         self.address = ""
         self.running = 0
@@ -92,6 +98,10 @@
         if headers.get("x-merlinthread-expect-instance", self.instance) != self.instance:
             await self.refuse(exchange, 421)
             return
+        expected_version = headers.get("x-merlinthread-expect-version", str(self.version))
+        if self.model and expected_version != str(self.version):
+            await self.refuse(exchange, 421)
+            return
         if self.behaviour.is_full:
             await self.refuse(exchange, 503)
             return
@@ -157,11 +167,11 @@
         body = {
             "models": [{"name": self.model, "version": self.version, "adapters": []}],
             "layers": {
-                "from": 0,
-                "target_version": 16 if self.version else 0,
+                "from": self.layers[0],
+                "target_version": self.layers[1],
                 "version": self.version,
             },
-            "busy": False,
+            "busy": self.is_busy,
             "sequence": len(self.orders),
             "queued": 0,
             "running": self.running,
@@ -180,13 +190,22 @@
             await exchange.respond(http_messages.Answer(404, []))
 
     async def order(self, exchange: stream_server.Exchange) -> None:
-        """Take an order and carry it out at once."""
+        """Take an order; it is carried out at once or, if the behaviour says so, later."""
         order = json.loads(exchange.request.body)
         self.orders.append(order)
         if self.behaviour.order_status == 202:
-            self.version = order["version"]
+            self.is_busy = True
+            delay_s = self.behaviour.order_delay_s
+            asyncio.get_running_loop().call_later(delay_s, self.carry_out, order)
         await exchange.respond(http_messages.Answer(self.behaviour.order_status, []))
 
+    def carry_out(self, order: dict) -> None:
+        """Hold what lies there now."""
+        self.is_busy = False
+        self.taken = dict(self.staged)
+        self.version = order["version"]
+        self.layers = (order.get("from", 0), order.get("target_version", LAYERS))
+
 
 class WeightOrigin:
     """A stand-in for the origin of weights."""
@@ -195,6 +214,8 @@
         self.pieces = pieces
         self.given: list[tuple[int, int]] = []
         self.corrupt: set[int] = set()
+        # Pieces that are not given, by version and index.
+        self.withheld: set[tuple[int, int]] = set()
         self.server = stream_server.Server(self.serve)
         self.address = ""
 
@@ -226,12 +247,15 @@
             body = {
                 "model": path.split("/")[-1],
                 "version": version,
-                "layers": 16,
+                "layers": LAYERS,
                 "digests": [hashlib.sha256(piece).hexdigest() for piece in pieces],
             }
             await exchange.respond(http_messages.Answer(200, [], json.dumps(body).encode()))
             return
         index = int(fields["sample_count"])
+        if (version, index) in self.withheld:
+            await exchange.respond(http_messages.Answer(503, []))
+            return
         self.given.append((version, index))
         data = b"x" * len(pieces[index]) if index in self.corrupt else pieces[index]
         await exchange.respond(http_messages.Answer(200, [], data))
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -266,6 +266,7 @@
 
         entry.node.prober.ask = answer_at_once
         old.behaviour.is_mute = True
+        new.version = 2
         watcher, pool = entry.node.watcher, entry.node.pool
         now = pool.clock()
         for backend in pool.backends.values():
@@ -285,6 +286,22 @@
     asyncio.run(scenario())
 
 
+def test_an_engine_that_is_ahead_of_the_version_due_serves_too():
+    async def scenario():
+        entry, (engine,), _ = await make("model", 1, "m")
+        engine.version = 3
+        watcher, pool = entry.node.watcher, entry.node.pool
+        now = pool.clock()
+        report = fleet.EngineReport(weights=[fleet.Weights("m", 3, 16)])
+        pool.backends[engine.instance].take_report(report, now)
+        watcher.named, watcher.named_at = {"m": 3}, {"m": {2: now - 60.0, 3: now}}
+        assert pool.required_version("m", now) == 2
+        answer = await entry.ask("/model/", "id-1", **STREAM)
+        assert (answer.status, runs([engine])) == (200, 1)
+
+    asyncio.run(scenario())
+
+
 def test_events_that_the_client_has_are_not_given_twice():
     async def scenario():
         entry, workers, _ = await make("model", 2, "m")
