Losses by moment and cause from entries' logs: `merlinthread losses`

Change: a command that counts, for each window, requests in time, late, refused and failed by the reason that the entry gave. Late is judged by one objective that the caller names: request lines do not carry the route's.

--- a/src/merlinthread/cli/main.py
+++ b/src/merlinthread/cli/main.py
@@ -17,6 +17,7 @@
     "bundle history": ("bundle_commands", "History"),
     "status": ("other_commands", "Status"),
     "explain": ("explain", "Explain"),
+    "losses": ("losses", "Losses"),
     "keys new": ("other_commands", "KeysNew"),
     "weights manifest": ("other_commands", "WeightsManifest"),
 }
