--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -70,9 +70,9 @@
     lost_until: float = float("-inf")
     failures: int = 0
 
-    def overdue(self, now: float, stale_after_s: tuple[float, float, float]) -> float:
+    def overdue(self, now: float) -> float:
         """Return how old its word is, in units of how old it may get; a failure counts as word."""
-        return (now - self.heard_at) / stale_after_s[self.distance]
+        return (now - self.heard_at) / STALE_AFTER_S[self.distance]
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,35 +135,23 @@
         self.origin_slots = origin_slots
         self.origin_busy = 0
         self.origin_not_before = float("-inf")
-        self.is_origin_failing = False
-        self.origin_failing_since = now
-        # Whether one more peer may be asked now; the owner bounds how many at a time.
-        self.may_ask = True
-        # Chunks to ask for before all others; none if 0.
-        self.preferred = 0
         self.origin_failures: collections.Counter[int] = collections.Counter()
         self.peers: dict[str, PeerState] = {}
         self.asking: collections.Counter[str] = collections.Counter()
         self.asks_per_peer = 1
-        self.stale_after_s = STALE_AFTER_S
         self.participants: list[str] = [me]
         self.near: set[str] = {me}
         self.ranks: dict[int, int] = {}
         self.tally = Tally()
         self.busy_wait_s = BUSY_WAIT_S
         self.rng = rng
-        self.began_at = now
         self.last_news_at = now
         self.origin_grace_s = ORIGIN_GRACE_S
-        self.told_peers: list[Peer] | None = None
 
     # What the owner tells
 
     def set_peers(self, peers: list[Peer]) -> None:
         """Set which other VMs should hold the manifest; the nearest few are the ones to ask."""
-        if peers == self.told_peers:
-            return
-        self.told_peers = list(peers)
         self.participants = sorted({peer.name for peer in peers} | {self.me})
         near = {peer.name for peer in peers if peer.distance == OWN_ZONE} | {self.me}
         if near != self.near:
@@ -223,7 +211,6 @@
             return
         self.held |= 1 << index
         if from_origin:
-            self.is_origin_failing = False
             self.tally.from_origin += 1
         else:
             self.tally.from_peers += 1
@@ -261,9 +248,6 @@
         self.tally.failed += 1
         if index is not None:
             self.origin_failures[index] += 1
-        if not self.is_origin_failing:
-            self.origin_failing_since = now
-        self.is_origin_failing = True
         self.origin_not_before = now + wait_s
 
     def hold_off(self, peer: str, until: float) -> None:
@@ -288,9 +272,8 @@
     # Parts for policies
 
     def may_read_origin(self, now: float) -> bool:
-        """Return whether an origin slot is free; while it fails one read tells when it is back."""
-        slots = min(1, self.origin_slots) if self.is_origin_failing else self.origin_slots
-        return self.origin_busy < slots and now >= self.origin_not_before
+        """Return whether an origin slot is free."""
+        return self.origin_busy < self.origin_slots and now >= self.origin_not_before
 
     def ask(self, peer: PeerState, now: float) -> FromPeer | None:
         """Return a request for the rarest chunks that `peer` is known to have."""
@@ -298,7 +281,6 @@
         useful = peer.held & needed
         if not useful:
             return None
-        useful = useful & self.preferred or useful
         # Near the end, one request must not hold all that is left.
         count = max(1, min(CHUNKS_OFFERED, needed.bit_count() // 8))
         chosen = 0
@@ -331,8 +313,6 @@
 
     def askable(self, now: float) -> list[PeerState]:
         """Return the peers that may be asked now, nearest first, in random order otherwise."""
-        if not self.may_ask:
-            return []
         found = [
             peer
             for peer in self.peers.values()
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -14,8 +14,6 @@
 from merlinthread.transport import node_bus
 
 REPORT_EVERY_S = 0.2
-# While the engine changes over: the sooner it is known to serve again, the sooner it is used.
-REPORT_BUSY_EVERY_S = 0.05
 TELL_EVERY_S = 0.4
 SUBSCRIBED_S = 3.5
 
@@ -99,9 +97,9 @@
     async def on_message(self, message: Any) -> Any:
         """Answer another agent."""
         if isinstance(message, node_messages.PieceRequest):
-            return await self.weights.giver.give(message)
+            return await self.weights.give(message)
         if isinstance(message, node_messages.ManifestRequest):
-            return self.weights.giver.give_manifest(message)
+            return self.weights.give_manifest(message)
         raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
 
     async def report(self) -> None:
@@ -117,9 +115,7 @@
                 self.note_engine(False, error.message)
                 self.weights.report = None
                 self.told = None
-            known = self.weights.report
-            is_busy = known is not None and known.is_busy
-            await asyncio.sleep(REPORT_BUSY_EVERY_S if is_busy else REPORT_EVERY_S)
+            await asyncio.sleep(REPORT_EVERY_S)
 
     def note_engine(self, is_there: bool, reason: str) -> None:
         """Log that the engine was lost or is back."""
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -101,6 +101,6 @@
         """Return the request for a piece that lies at an engine."""
 
     def load_request(
-        self, address: str, model: str, version: int, layers: tuple[int, int] | None
+        self, address: str, model: str, version: int, cuts_streams: bool
     ) -> http_messages.Request:
-        """Return the order that makes an engine take the staged weights, or some layers."""
+        """Return the order that makes an engine take the staged weights."""
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -1,9 +1,10 @@
 """Calls of an agent to the engine beside it and to the origin of weights."""
 
+import hashlib
+
 from merlinthread import errors
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
-from merlinthread.state import pieces
 from merlinthread.transport import http_messages, stream_client
 
 KEEP_S = 2.0
@@ -17,6 +18,11 @@
 STATUS_GONE = 410
 
 
+def digest_of(data: bytes) -> str:
+    """Return the SHA-256 of a piece in hex."""
+    return hashlib.sha256(data).hexdigest()
+
+
 class EngineClient:
     """The calls; each raises UnreachableError or ProtocolError if it fails."""
 
@@ -56,7 +62,7 @@
                 kind=errors.ErrorKind.ORIGIN_CHANGED,
             )
         body = whole(answer).body
-        if pieces.digest_of(body) != manifest.digests[index]:
+        if digest_of(body) != manifest.digests[index]:
             raise errors.WeightsError(f"piece {index} from the origin is corrupt")
         return body
 
@@ -69,16 +75,13 @@
         """Return a piece that lies at the engine, or None if it is missing or not sound."""
         request = self.dialect.staged_request(self.engine, manifest.model, index)
         answer = await self.pool.call(self.engine, request, LOCAL_TIMEOUT_S)
-        if answer.status != 200 or pieces.digest_of(answer.body) != manifest.digests[index]:
+        if answer.status != 200 or digest_of(answer.body) != manifest.digests[index]:
             return None
         return answer.body
 
-    async def load(self, model: str, version: int, layers: tuple[int, int] | None = None) -> int:
-        """Order the engine to take the staged weights; return the status of its answer.
-
-        `layers` are the first and the end of those to take; None for all. What runs ends first.
-        """
-        request = self.dialect.load_request(self.engine, model, version, layers)
+    async def load(self, model: str, version: int, cuts_streams: bool) -> int:
+        """Order the engine to take the staged weights; return the status of its answer."""
+        request = self.dialect.load_request(self.engine, model, version, cuts_streams)
         answer = await self.pool.call(self.engine, request, LOCAL_TIMEOUT_S)
         return answer.status
 
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -60,10 +60,6 @@
             return 0
         return 1 if self.regions.get(zone) == self.region else 2
 
-    def is_same_region(self, one: str, other: str) -> bool:
-        """Return whether two zones lie in one region."""
-        return one == other or self.regions.get(one, one) == self.regions.get(other, other)
-
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the parts of "IP:port"."""
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -159,17 +159,15 @@
         return http_messages.Request(b"GET", path, host(address))
 
     def load_request(
-        self, address: str, model: str, version: int, layers: tuple[int, int] | None
+        self, address: str, model: str, version: int, cuts_streams: bool
     ) -> http_messages.Request:
-        """Return the order that makes an engine take the staged weights after what runs."""
-        order: dict[str, str | int] = {
+        """Return the order that makes an engine take the staged weights."""
+        order = {
             "operation": "start",
             "model": model,
             "version": version,
-            "manner": "queue",
+            "manner": "truncate" if cuts_streams else "queue",
         }
-        if layers is not None:
-            order["from"], order["target_version"] = layers
         body = msgspec.json.encode(order)
         headers = [*with_body(address, body), JSON_TYPE]
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
