Old weights are left 1.0 s before their bound, 0.5 s was too short

Cause: an attempt on an old version that is given up may still begin later: what was sent is on its way, and not every engine drops it.

Ruled out: the time of naming (1.5 ms old when told), the guard at the bound (both were given up 0.2 s before it).

Change: VERSION_MARGIN_S 0.5 to 1.0. Requests that no engine with the new version can take are refused half a second earlier. What arrives later than that can still begin too late: open. The test of the guard takes its bound from the margin; it asserts what it did.

--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -25,8 +25,9 @@
 # Of the whole budget, what entries use; the rest is a margin for those that leave and come.
 BUDGET_SHARE = 0.75
 FREE_REPEATS = 3
-# A request sent to the old version may wait this long at the back end before it begins.
-VERSION_MARGIN_S = 0.5
+# A request sent to the old version may take this long on its way and at the back end before it
+# begins. On svppa-windwatch one of 0.8 s and one of 1.5 s were seen (fresh-8f9d, fresh-0432).
+VERSION_MARGIN_S = 1.0
 # An attempt on the old version that has not begun this long before the bound is given up.
 BEGIN_MARGIN_S = 0.2
 # From this long before the bound, the old version is used only where requests arrive promptly.
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -6,6 +6,7 @@
 
 from merlinthread import errors, logs
 from merlinthread.coordination import dispatch, fleet, load_ledger
+from merlinthread.nodes import backend_pool
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -258,7 +259,9 @@
 def test_an_attempt_that_has_not_begun_at_the_bound_of_its_old_version_goes_elsewhere():
     async def scenario():
         entry, (old, new), _ = await make("model", 2, "m")
-        entry.node.settings.bounds.version_s = 0.8
+        # The old version is chosen for the first 0.4 s.
+        bound_s = backend_pool.VERSION_MARGIN_S + 0.4
+        entry.node.settings.bounds.version_s = bound_s
         entry.node.settings.agent_port = 1
 
         async def answer_at_once(agents, wait_s):
@@ -278,7 +281,7 @@
         await fleet_nodes.until(lambda: runs([old]) == 1)
         pool.backends[new.instance].is_draining = False
         await fleet_nodes.until(lambda: runs([new]) == 1)
-        assert pool.clock() - now < 0.8, "the old engine might have begun after the bound"
+        assert pool.clock() - now < bound_s, "the old engine might have begun after the bound"
         await fleet_nodes.until(lambda: old.cancelled == ["id-1"])
         assert (await connection.receive()).status == 200
         assert pool.backends[old.instance].failures == 0
