A node without a configuration tells clients to come back once back ends are known

Change: 1.5 heartbeats in place of 1.0 s (1.8 s here).

Test: test_an_entry_that_knows_no_configuration_answers_503 now asks for the time too; failed first.

--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -30,6 +30,9 @@
 VERSION_MARGIN_S = 1.0
 # An attempt on the old version that has not begun this long before the bound is given up.
 BEGIN_MARGIN_S = 0.2
+# A node that has just started knows the configuration within half a second, and each back end by
+# its next heartbeat; half a beat more for those that load weights again.
+RESTART_BEATS = 1.5
 # From this long before the bound, the old version is used only where requests arrive promptly.
 VERSION_SOON_S = 2.5
 
@@ -119,6 +122,10 @@
         if room is not None and len(room):
             room.wake(WAKE_AT_ONCE)
 
+    def restart_wait_s(self) -> float:
+        """Return how long after its start a node knows the back ends: by their next heartbeat."""
+        return RESTART_BEATS * self.settings.heartbeat_s
+
     def required_version(self, model: str, now: float) -> int:
         """Return the lowest version of a model's weights that may serve a request sent now.
 
@@ -270,12 +277,17 @@
 
 
 def find_route(
-    table: route_table.RouteTable | None, call: fleet.Call
+    table: route_table.RouteTable | None, call: fleet.Call, restart_wait_s: float
 ) -> tuple[fleet.Route, fleet.Account | None]:
-    """Return a call's route and account; raise RequestError with the kind of refusal."""
+    """Return a call's route and account; raise RequestError with the kind of refusal.
+
+    `restart_wait_s` is when to come back to a node that knows no configuration yet.
+    """
     if table is None:
         raise errors.RequestError(
-            "no configuration is known here yet", kind=errors.ErrorKind.NO_TARGET
+            "no configuration is known here yet",
+            kind=errors.ErrorKind.NO_TARGET,
+            retry_after_s=restart_wait_s,
         )
     path = call.path.decode("latin-1").split("?")[0]
     route = table.find(call.host, path)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -161,7 +161,10 @@
     async def scenario():
         entry = fleet_nodes.Entry()
         await entry.start()
-        assert (await entry.ask("/safe/", "id-1")).status == 503
+        answer = await entry.ask("/safe/", "id-1")
+        assert answer.status == 503
+        told = float(http_messages.header(answer.headers, b"retry-after"))
+        assert told > entry.node.settings.heartbeat_s, "back ends are known by their heartbeats"
 
     asyncio.run(scenario())
 
