--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,17 @@
 
 import bench
 
-HELPERS = ("__main__", "fleet", "layers", "load", "measure", "operators", "processes", "swarm")
+HELPERS = (
+    "__main__",
+    "fleet",
+    "layers",
+    "load",
+    "measure",
+    "operators",
+    "processes",
+    "soak_nodes",
+    "swarm",
+)
 
 
 def names() -> list[str]:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,43 +12,21 @@
 import collections
 import dataclasses
 import json
-import os
 import pathlib
 import random
 import shutil
 import signal
-import subprocess
-import sys
 import tempfile
 
-from bench import measure
+from bench import measure, soak_nodes
 from merlinthread import errors
 from merlinthread.transport import http_messages, stream_client
 from stand_ins import fleet_worker, proxy
 
-# Loopback addresses of this process alone, so that several soaks may run at once.
-NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
-CONTROL_IPS = tuple(f"{NETWORK}.{number}" for number in (1, 2, 3))
-ENTRY_IPS = tuple(f"{NETWORK}.{number}" for number in (11, 12))
-CONTROL, FRONT, READY = 8000, 8005, 8002
-NODE_PORTS = (7700, 7703)
-STARTER = "import sys; from merlinthread.platform import main; sys.exit(main.main(sys.argv[1:]))"
 NOT_RUN = (408, 421, 429, 503)
 APPLY_S = 2.0
 RECOVER_S = 12.0
 EVENTS = 6
-ROOT = pathlib.Path(__file__).parent.parent
-
-
-@dataclasses.dataclass(slots=True)
-class Node:
-    """One process of the system."""
-
-    name: str
-    role: str
-    ip: str
-    is_first: bool = True
-    process: subprocess.Popen | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,8 +50,12 @@
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
-        self.nodes = [Node(f"control-{ip}", "control", ip) for ip in CONTROL_IPS]
-        self.nodes += [Node(f"entry-{ip}", "entry", ip) for ip in ENTRY_IPS]
+        self.nodes = [
+            soak_nodes.Node(folder, f"control-{ip}", "control", ip) for ip in soak_nodes.CONTROL_IPS
+        ]
+        self.nodes += [
+            soak_nodes.Node(folder, f"entry-{ip}", "entry", ip) for ip in soak_nodes.ENTRY_IPS
+        ]
         self.workers = {
             fleet_worker.Worker(f"i-{n}", model): service
             for n, (service, model) in enumerate(
@@ -97,45 +79,6 @@
         self.unsafe_not_run: set[str] = set()
         self.requests = 0
 
-    # Processes
-
-    def start(self, node: Node) -> None:
-        """Start a process, for the first time or again."""
-        path = self.folder / f"{node.name}.json"
-        body = {
-            "node_name": node.name,
-            "ip": node.ip,
-            "zone": "zone-a",
-            "zones": {"zone-a": "region"},
-            "port_range": NODE_PORTS,
-            "seeds": [f"{ip}:{CONTROL}" for ip in CONTROL_IPS],
-            "listen": {
-                "control": f"{node.ip}:{CONTROL}",
-                "front": f"{node.ip}:{FRONT}",
-                "ready": f"{node.ip}:{READY}",
-            },
-            "bootstrap": node.is_first,
-            "data_dir": str(self.folder / node.name),
-            "heartbeat_ms": 400,
-            "bounds": {"grace_s": 4},
-        }
-        path.write_text(json.dumps(body))
-        log = open(self.folder / f"{node.name}.log", "ab")
-        node.process = subprocess.Popen(
-            [sys.executable, "-c", STARTER, node.role],
-            env=os.environ | {"MERLINTHREAD_CONFIG": str(path)},
-            stdout=log,
-            stderr=log,
-            cwd=ROOT,
-        )
-        log.close()
-        node.is_first = False
-
-    def end(self, node: Node, how: int = signal.SIGKILL) -> None:
-        """Send a signal to a process of this run."""
-        if node.process is not None and node.process.poll() is None:
-            node.process.send_signal(how)
-
     # Faults
 
     async def faults(self) -> None:
@@ -160,42 +103,42 @@
                 # The end of the run must not cut a fault off before it has healed.
                 await asyncio.shield(task)
 
-    def pick(self, role: str = "") -> Node:
+    def pick(self, role: str = "") -> soak_nodes.Node:
         """Return a node by lot."""
         return self.rng.choice([node for node in self.nodes if role in ("", node.role)])
 
     async def kill(self) -> None:
         """Kill one node and start it again."""
         node = self.pick()
-        self.end(node)
+        node.signal(signal.SIGKILL)
         await self.again(node)
 
-    async def again(self, node: Node) -> None:
+    async def again(self, node: soak_nodes.Node) -> None:
         """Start a node again once it has ended."""
         if node.process is not None:
             await asyncio.to_thread(node.process.wait)
         await asyncio.sleep(self.rng.uniform(0.0, 0.8))
         if node.process is None or node.process.poll() is not None:
-            self.start(node)
+            node.start()
 
     async def freeze(self) -> None:
         """Let one node stand still for a while."""
         node = self.pick()
-        self.end(node, signal.SIGSTOP)
+        node.signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-        self.end(node, signal.SIGCONT)
+        node.signal(signal.SIGCONT)
 
     async def stop(self) -> None:
         """Stop an entry as planned and start it again."""
         node = self.pick("entry")
-        self.end(node, signal.SIGTERM)
+        node.signal(signal.SIGTERM)
         await self.again(node)
 
     async def kill_controls(self) -> None:
         """Kill all control VMs at the same moment."""
         nodes = [node for node in self.nodes if node.role == "control"]
         for node in nodes:
-            self.end(node)
+            node.signal(signal.SIGKILL)
         await asyncio.gather(*(self.again(node) for node in nodes))
 
     async def misbehave(self) -> None:
@@ -277,7 +220,7 @@
         data = json.dumps(body).encode() if body is not None else b""
         headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
         request = http_messages.Request(method.encode(), path.encode(), headers, data)
-        address = f"{self.rng.choice(CONTROL_IPS)}:{CONTROL}"
+        address = f"{self.rng.choice(soak_nodes.CONTROL_IPS)}:{soak_nodes.CONTROL}"
         try:
             answer = await self.pool.call(address, request, 1.0)
         except errors.MerlinthreadError:
@@ -289,7 +232,7 @@
         loop = asyncio.get_running_loop()
         while True:
             self.version += self.rng.randrange(1, 4)
-            body = make_configuration(self.version)
+            body = soak_nodes.make_configuration(self.version)
             for _ in range(self.rng.randrange(1, 12)):
                 status, _ = await self.call("PUT", "/config", body)
                 if 400 <= status < 500:
@@ -313,7 +256,7 @@
         found = json.loads(body)
         if found["version"] < due:
             self.break_rule(f"version {found['version']} was read, {due} was acknowledged")
-        if found != make_configuration(found["version"]):
+        if found != soak_nodes.make_configuration(found["version"]):
             self.break_rule(f"version {found['version']} is not what was sent under its number")
         return True
 
@@ -338,7 +281,7 @@
             headers.append((b"X-Merlinthread-Model", b"m"))
             headers.append((b"X-Merlinthread-Token-Usage", b"100,20"))
         request = http_messages.Request(b"POST", f"/{service}/".encode(), headers)
-        address = f"{self.rng.choice(ENTRY_IPS)}:{FRONT}"
+        address = f"{self.rng.choice(soak_nodes.ENTRY_IPS)}:{soak_nodes.FRONT}"
         self.tally.asked += 1
         try:
             answer = await self.pool.call(address, request, 4.0)
@@ -377,12 +320,12 @@
         for worker in self.workers:
             await self.start_worker(worker)
         for node in self.nodes:
-            self.start(node)
+            node.start()
         try:
             await self.run_faults()
         finally:
             for node in self.nodes:
-                self.end(node)
+                node.signal(signal.SIGKILL)
                 if node.process is not None:
                     node.process.wait()
             for link in self.links.values():
@@ -399,18 +342,18 @@
         faults.cancel()
         await asyncio.gather(*self.open_faults)
         for node in self.nodes:
-            self.end(node, signal.SIGCONT)
+            node.signal(signal.SIGCONT)
             await self.revive(node)
         await self.until_served("after the last fault")
         for task in load:
             task.cancel()
         self.check_runs()
 
-    async def revive(self, node: Node) -> None:
+    async def revive(self, node: soak_nodes.Node) -> None:
         """Start a node that is down; one that is stopping ends first."""
         if node.process is not None and node.process.poll() is None:
             return
-        self.start(node)
+        node.start()
 
     async def until_served(self, when: str) -> None:
         """Wait until reads and requests are served again; too late is a broken promise."""
@@ -442,30 +385,6 @@
                 self.break_rule(f"{request_id} was refused and ran")
 
 
-def make_configuration(version: int) -> dict:
-    """Return the configuration of one version."""
-    routes = [
-        {
-            "name": f"r-{service}",
-            "hostname": "h.example",
-            "path_prefix": f"/{service}/",
-            "route_type": kind,
-            "timeout_ms": 3000,
-            "target_latency_ms": 400,
-            "priority": 1,
-            "service": service,
-            "max_attempts": 2,
-            "resumable": kind == "streaming",
-            "target_gap_ms": 200,
-        }
-        for service, kind in (("safe", "safe"), ("unsafe", "unsafe"), ("model", "streaming"))
-    ]
-    engine = {"slots": 8, "models": [{"name": "m"}], "layers": 16, "read_per_s": 100000}
-    services = [{"name": "safe"}, {"name": "unsafe"}, {"name": "model", "engine": engine}]
-    tenants = [{"name": "account-1", "api_keys": ["key-1"]}]
-    return {"version": version, "routes": routes, "services": services, "tenants": tenants}
-
-
 def run_seed(seed: int, seconds: float, keep: pathlib.Path | None = None) -> Tally:
     """Run one seed; with `keep`, the logs of a run that broke a promise go there."""
     with tempfile.TemporaryDirectory() as name:
--- /dev/null
+++ b/bench/soak_nodes.py
@@ -0,0 +1,92 @@
+"""The processes of a soak: control VMs and entries on loopback addresses of their own."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+# Loopback addresses of this process alone, so that several soaks may run at once.
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
+CONTROL_IPS = tuple(f"{NETWORK}.{number}" for number in (1, 2, 3))
+ENTRY_IPS = tuple(f"{NETWORK}.{number}" for number in (11, 12))
+CONTROL, FRONT, READY = 8000, 8005, 8002
+NODE_PORTS = (7700, 7703)
+STARTER = "import sys; from merlinthread.platform import main; sys.exit(main.main(sys.argv[1:]))"
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One process of the system; its settings, log and data lie in `folder`."""
+
+    folder: pathlib.Path
+    name: str
+    role: str
+    ip: str
+    is_first: bool = True
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process, for the first time or again."""
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.settings()))
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-c", STARTER, self.role],
+                env=os.environ | {"MERLINTHREAD_CONFIG": str(path)},
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+        self.is_first = False
+
+    def settings(self) -> dict:
+        """Return the settings as the platform gives them."""
+        return {
+            "node_name": self.name,
+            "ip": self.ip,
+            "zone": "zone-a",
+            "zones": {"zone-a": "region"},
+            "port_range": NODE_PORTS,
+            "seeds": [f"{ip}:{CONTROL}" for ip in CONTROL_IPS],
+            "listen": {
+                "control": f"{self.ip}:{CONTROL}",
+                "front": f"{self.ip}:{FRONT}",
+                "ready": f"{self.ip}:{READY}",
+            },
+            "bootstrap": self.is_first,
+            "data_dir": str(self.folder / self.name),
+            "heartbeat_ms": 400,
+            "bounds": {"grace_s": 4},
+        }
+
+    def signal(self, how: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(how)
+
+
+def make_configuration(version: int) -> dict:
+    """Return the configuration of one version."""
+    routes = [
+        {
+            "name": f"r-{service}",
+            "hostname": "h.example",
+            "path_prefix": f"/{service}/",
+            "route_type": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+            "resumable": kind == "streaming",
+            "target_gap_ms": 200,
+        }
+        for service, kind in (("safe", "safe"), ("unsafe", "unsafe"), ("model", "streaming"))
+    ]
+    engine = {"slots": 8, "models": [{"name": "m"}], "layers": 16, "read_per_s": 100000}
+    services = [{"name": "safe"}, {"name": "unsafe"}, {"name": "model", "engine": engine}]
+    tenants = [{"name": "account-1", "api_keys": ["key-1"]}]
+    return {"version": version, "routes": routes, "services": services, "tenants": tenants}
