A connection that is given up is reset: what has not arrived yet never does

A connection was closed with what was written still in the kernel, which goes on to deliver it, again and again on a bad path.

Ruled out: the guard (it acted), the margin (no margin covers 3 s).

Change: a connection with a request under way is closed by a reset, which drops what was not acknowledged. Idle ones are closed as before.

Test: test_what_has_not_arrived_when_a_client_gives_up_never_arrives, failed first (the server read to an orderly end).

--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -138,9 +138,15 @@
         return not (self.is_lost or self.is_ended or self.has_stray_bytes) and now < self.keep_until
 
     def close(self) -> None:
-        """Close at once; the server drops what it still does for it."""
-        if self.transport is not None:
-            self.transport.abort()
+        """Close at once; the server drops what it still does for it.
+
+        A request that has not arrived yet never does, unless the connection is idle.
+        """
+        if self.transport is None:
+            return
+        if not self.is_idle:
+            sockets.reset_on_close(self.transport)
+        self.transport.abort()
 
 
 async def connect(address: str, timeout_s: float, user_timeout_s: float) -> ClientConnection:
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -263,3 +263,25 @@
         assert raised.value.kind is errors.ErrorKind.UNREACHABLE
 
     asyncio.run(scenario())
+
+
+def test_what_has_not_arrived_when_a_client_gives_up_never_arrives():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        port = listener.getsockname()[1]
+        connection = await stream_client.connect(f"127.0.0.1:{port}", 1.0, 2.0)
+        accepted, _ = await loop.sock_accept(listener)
+        body = b"x" * (1 << 22)
+        headers = [(b"host", b"a"), (b"content-length", b"%d" % len(body))]
+        connection.send(http_messages.Request(b"POST", b"/", headers, body))
+        connection.close()
+        await asyncio.sleep(0)
+        with pytest.raises(ConnectionResetError):
+            while await loop.sock_recv(accepted, 1 << 16):
+                pass
+        accepted.close()
+        listener.close()
+
+    asyncio.run(scenario())
