--- a/src/merlinthread/coordination/raft_members.py
+++ b/src/merlinthread/coordination/raft_members.py
@@ -89,6 +89,11 @@
     members.addresses.pop(name, None)
 
 
+def losses_bearable(voters: int, silent: int) -> int:
+    """Return how many more voters may fall silent before no majority is left; below 0: none is."""
+    return voters - silent - (voters // 2 + 1)
+
+
 def refused(message: str) -> errors.ControlError:
     """Return the error for a change of members that is not safe now."""
     return errors.ControlError(message, kind=errors.ErrorKind.MEMBERSHIP_CHANGE_REFUSED)
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -80,6 +80,11 @@
 log_index = prometheus_client.Gauge(
     "merlinthread_log_index", "Index of the last entry that this control VM has applied."
 )
+losses_bearable = prometheus_client.Gauge(
+    "merlinthread_log_losses_bearable",
+    "How many more members of the replicated log may be lost before no majority is left; set by "
+    "the leader at each change of members.",
+)
 leader_changes_total = prometheus_client.Counter(
     "merlinthread_leader_changes_total", "Changes of leader that this control VM has seen."
 )
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -29,6 +29,8 @@
 JOINER_KEPT_S = 2.0
 DUTIES_EVERY_S = 0.2
 DISK_RETRY_S = 0.5
+# How often a member that knows no leader tells so in its log.
+NO_LEADER_TOLD_EVERY_S = 2.0
 MEMBER_FILE = "member.json"
 
 
@@ -79,6 +81,8 @@
         self.full_until = float("-inf")
         self.was_leader = False
         self.last_leader = ""
+        self.leaderless_since = clock()
+        self.leaderless_told_at = clock()
         self.is_live = False
         self.open(settings.is_first_start)
 
@@ -96,6 +100,14 @@
         self.state = fleet_state.FleetState()
         self.applied = 0
         self.restore(self.journal.snapshot)
+        logs.event(
+            "log_opened",
+            member=self.name,
+            term=self.raft.hard_state.term,
+            last_index=self.raft.log.last_index(),
+            known_committed=self.raft.commit,
+            voters=self.raft.log.voters.voters,
+        )
 
     def load_membership(self, is_first_start: bool) -> Membership:
         """Return who this member is; decided at its first start and kept."""
@@ -163,6 +175,7 @@
         self.note_leadership()
         if now >= self.duties_at:
             self.duties_at = now + DUTIES_EVERY_S
+            self.tell_missing_leader(now)
             self.look_after_members(now)
 
     def receive(self, frames: list[bytes]) -> None:
@@ -298,6 +311,7 @@
         leads = self.raft.is_leader()
         if self.raft.leader != self.last_leader:
             self.last_leader = self.raft.leader
+            self.leaderless_since = self.clock()
             metrics.leader_changes_total.inc()
             self.is_live = self.is_live or bool(self.raft.leader)
             logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
@@ -308,6 +322,23 @@
         if not leads:
             self.fail_waiting("the leader changed")
 
+    def tell_missing_leader(self, now: float) -> None:
+        """Log now and then that no leader is known, and whose votes are missing."""
+        is_due = now - self.leaderless_told_at >= NO_LEADER_TOLD_EVERY_S
+        if self.raft.leader or not is_due or not self.raft.is_voter():
+            return
+        self.leaderless_told_at = now
+        voters = self.raft.log.voters
+        logs.warn(
+            "no_leader",
+            since_s=round(now - self.leaderless_since, 3),
+            term=self.raft.hard_state.term,
+            last_index=self.raft.log.last_index(),
+            majority=voters.majority(),
+            granted=sorted(self.raft.votes),
+            voters=voters.voters,
+        )
+
     def fail_waiting(self, reason: str) -> None:
         """Tell all who wait that the outcome is unknown."""
         waiting, self.waiting = self.waiting, {}
@@ -358,7 +389,28 @@
         with contextlib.suppress(errors.ControlError):
             self.raft.change_voters(change, now)
             self.wakeup.set()
-            logs.event("members_change", change=msgspec.to_builtins(change))
+            self.tell_members(change, now)
+
+    def tell_members(self, change: raft_members.Change, now: float) -> None:
+        """Log a change of members, and how many more losses the group can bear after it."""
+        voters = self.raft.log.voters
+        silent = self.silent_voters(now)
+        bearable = raft_members.losses_bearable(len(voters.voters), len(silent))
+        metrics.losses_bearable.set(bearable)
+        logs.event(
+            "members_change",
+            change=msgspec.to_builtins(change),
+            voters=voters.voters,
+            learners=voters.learners,
+            silent=silent,
+            losses_bearable=bearable,
+        )
+
+    def silent_voters(self, now: float) -> list[str]:
+        """Return the voters that this leader has not heard of within an election's time."""
+        voters = self.raft.others(self.raft.log.voters.voters)
+        heard_at = {name: self.raft.progress[name].heard_at for name in voters}
+        return [name for name in voters if now - heard_at[name] > TIMING.election_max_s]
 
     def next_change(self, facts: raft_members.Facts, now: float) -> raft_members.Change | None:
         """Return the next change of members, or None."""
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -169,7 +169,9 @@
             logs.warn("configuration_unreadable", reason=str(error))
             return
         old, self.version = self.version, news.configuration_version
-        logs.event("configuration", version=self.version, before=old)
+        logs.event(
+            "configuration", version=self.version, before=old, leader_age_s=news.leader_age_s
+        )
 
     def take_versions(self, news: node_messages.News, now: float) -> None:
         """Take newly named weights over, with the time at which they were acknowledged."""
