--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -311,7 +311,7 @@
         leads = self.raft.is_leader()
         if self.raft.leader != self.last_leader:
             self.last_leader = self.raft.leader
-            self.leaderless_since = self.clock()
+            self.leaderless_since = self.leaderless_told_at = self.clock()
             metrics.leader_changes_total.inc()
             self.is_live = self.is_live or bool(self.raft.leader)
             logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
--- /dev/null
+++ b/tests/test_log_repair.py
@@ -0,0 +1,53 @@
+"""Control VMs that are lost for good and replaced: the group bears the next loss in time."""
+
+import time
+
+from merlinthread.nodes import news_watcher
+from merlinthread.protocol import node_messages
+from tests import fleet_nodes
+from tests.test_control_nodes import put, read, run
+
+CATCH_UP_S = 2.0
+REPLACEMENT = "127.0.0.19"
+WATCH = node_messages.Watch("entry", "", 0, 0, 0.0)
+
+
+def set_catch_up(controls) -> None:
+    for node in controls.nodes.values():
+        node.settings.bounds.catch_up_s = CATCH_UP_S
+
+
+async def replace(controls, lost: str, new: str) -> None:
+    """Lose one for good; let its replacement have the time that the deployment gives it."""
+    controls.kill(lost)
+    await controls.start(new)
+    set_catch_up(controls)
+    ready_at = time.monotonic() + CATCH_UP_S
+    await fleet_nodes.until(lambda: time.monotonic() >= ready_at)
+
+
+def test_a_loss_once_a_replacement_has_had_its_time_leaves_a_majority(tmp_path):
+    async def scenario(controls):
+        set_catch_up(controls)
+        await put(controls, 1)
+        await replace(controls, controls.leader(), REPLACEMENT)
+        await put(controls, 2)
+        controls.kill(next(ip for ip in controls.nodes if ip != REPLACEMENT))
+        await put(controls, 3)
+        assert await read(controls) == 3
+
+    run(tmp_path, scenario)
+
+
+def test_a_control_vm_that_has_just_started_is_not_told_as_joined_to_a_majority(tmp_path):
+    async def scenario(controls):
+        await put(controls, 4)
+        for ip in controls.ips:
+            controls.kill(ip)
+        await controls.start(controls.ips[0])
+        alone = controls.nodes[controls.ips[0]]
+        assert alone.news(WATCH).leader_age_s > news_watcher.STALE_S
+        await controls.start(controls.ips[1])
+        await fleet_nodes.until(lambda: alone.news(WATCH).leader_age_s < news_watcher.STALE_S)
+
+    run(tmp_path, scenario)
