A lost voter of the log goes before the next loss may come; leavers go first; joiners reach the leader

The deployment lets the next loss come 4 s after the replacement's start; it then ended the majority for good. Ruled out: a lost log, a wrong vote (no_leader names the votes: 2 of 3 needed, two members alive). Change: coordination/log_repair.py decides, pure.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -53,6 +53,9 @@
         self.handed_out = self.log.snapshot.index
         self.role = FOLLOWER
         self.leader = ""
+        # Who led when a leader was last heard.
+        self.led_by = ""
+        self.is_resigned = False
         # A restarted member may have promised its leader not to vote yet: it waits that out.
         self.heard_leader_at = now if self.hard_state.term > 0 else float("-inf")
         self.votes: set[str] = set()
@@ -113,7 +116,7 @@
             self.tick_leader(now)
         elif now >= self.election_at:
             self.reset_election(now)
-            if self.is_voter():
+            if self.is_voter() and not self.is_resigned:
                 self.stand(now, is_trial=True)
 
     def tick_leader(self, now: float) -> None:
@@ -132,6 +135,12 @@
         for name in self.others(self.log.voters.members()):
             self.send_append(name, now)
 
+    def resign(self, now: float) -> None:
+        """Lead no longer and never again in this run: this member is about to end as planned."""
+        self.is_resigned = True
+        if self.role == LEADER:
+            self.follow(self.hard_state.term, "", now)
+
     # Elections
 
     def stand(self, now: float, is_trial: bool) -> None:
@@ -164,10 +173,13 @@
             return
         self.role = LEADER
         self.leader = self.name
+        first = self.log.last_index() + 1
         self.progress = {
-            name: raft_messages.Progress(next=self.log.last_index() + 1, heard_at=now)
+            name: raft_messages.Progress(next=first, heard_at=now)
             for name in self.others(self.log.voters.members())
         }
+        if self.led_by in self.progress:
+            self.progress[self.led_by].heard_at = self.heard_leader_at
         self.heartbeat_at = now
         self.append_entry("empty", b"")
         self.term_start = self.log.last_index()
@@ -279,6 +291,7 @@
             return False
         self.follow(term, sender, now)
         self.heard_leader_at = now
+        self.led_by = sender
         return True
 
     def on_append_reply(self, reply: raft_messages.AppendReply, now: float) -> None:
--- a/src/merlinthread/coordination/raft_members.py
+++ b/src/merlinthread/coordination/raft_members.py
@@ -89,6 +89,11 @@
     members.addresses.pop(name, None)
 
 
+def address_of(name: str) -> str:
+    """Return the node address in a member's name: "address" or "address#identity"."""
+    return name.split("#")[0]
+
+
 def losses_bearable(voters: int, silent: int) -> int:
     """Return how many more voters may fall silent before no majority is left; below 0: none is."""
     return voters - silent - (voters // 2 + 1)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -79,6 +79,7 @@
             if not self.server.count_busy():
                 break
             await asyncio.sleep(0.05)
+        await self.member.members.resign()
         self.member.close()
 
     # The log's side
@@ -166,7 +167,9 @@
         if isinstance(message, node_messages.Read):
             return self.read_here()
         if isinstance(message, node_messages.Join):
-            return self.member.on_join(message)
+            return await self.member.members.on_join(message)
+        if isinstance(message, node_messages.Resign):
+            return await self.member.members.on_resign(message)
         raise errors.ProtocolError(f"a control VM does not answer {type(message).__name__}")
 
     async def on_watch(self, watch: node_messages.Watch) -> node_messages.News:
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -15,18 +15,14 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
-from merlinthread.nodes import log_sender, node_settings
+from merlinthread.nodes import log_sender, member_changes, node_settings
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
 from merlinthread.state import journal, records
 from merlinthread.transport import node_bus
 
 TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
 COMPACT_ENTRIES = 1500
 COMPACT_BYTES = 16 * 1024 * 1024
-JOIN_EVERY_S = 0.4
-JOIN_AFTER_SILENCE_S = 2.0
-JOINER_KEPT_S = 2.0
 DUTIES_EVERY_S = 0.2
 DISK_RETRY_S = 0.5
 # How often a member that knows no leader tells so in its log.
@@ -76,7 +72,9 @@
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
         self.sender = log_sender.LogSender(codec, caller)
-        self.joiners: dict[str, float] = {}
+        self.members = member_changes.MemberChanges(
+            settings, caller, clock, lambda: self.raft, self.wakeup.set, self.start_anew
+        )
         self.duties_at = 0.0
         self.full_until = float("-inf")
         self.was_leader = False
@@ -146,16 +144,13 @@
 
     async def run(self) -> None:
         """Take in messages, decide, make durable, send and apply, for ever."""
-        join_at = self.clock() + JOIN_AFTER_SILENCE_S
         while True:
             now = self.clock()
             self.turn(now)
-            if now >= join_at:
-                join_at = now + JOIN_EVERY_S
-                self.ask_to_join(now)
+            self.members.ask(now)
             self.wakeup.clear()
             if not self.inbox:
-                due = min(self.raft.next_tick_at(), self.duties_at, join_at)
+                due = min(self.raft.next_tick_at(), self.duties_at, self.members.ask_at)
                 await self.sleep(max(0.001, due - self.clock()))
 
     async def sleep(self, seconds: float) -> None:
@@ -176,7 +171,7 @@
         if now >= self.duties_at:
             self.duties_at = now + DUTIES_EVERY_S
             self.tell_missing_leader(now)
-            self.look_after_members(now)
+            self.members.look_after(now)
 
     def receive(self, frames: list[bytes]) -> None:
         """Take messages of another member."""
@@ -300,11 +295,11 @@
 
     def leader_address(self) -> str:
         """Return the address of the leader, or nothing."""
-        return log_sender.address_of(self.raft.leader)
+        return raft_members.address_of(self.raft.leader)
 
     def member_addresses(self) -> list[str]:
         """Return the addresses of all members."""
-        return [log_sender.address_of(name) for name in self.raft.log.voters.members()]
+        return [raft_members.address_of(name) for name in self.raft.log.voters.members()]
 
     def note_leadership(self) -> None:
         """Log a change of leader; fail what waits on a lost leadership."""
@@ -318,7 +313,7 @@
         if leads == self.was_leader:
             return
         self.was_leader = leads
-        self.joiners.clear()
+        self.members.forget()
         if not leads:
             self.fail_waiting("the leader changed")
 
@@ -347,113 +342,6 @@
         if waiting:
             logs.event("commands_unknown", count=len(waiting), reason=reason)
 
-    # Members
-
-    def ask_to_join(self, now: float) -> None:
-        """Ask to be taken in, if this member is none or has not heard a leader for long."""
-        is_member = self.name in self.raft.log.voters.voters
-        if is_member and self.majority_age(now) < JOIN_AFTER_SILENCE_S:
-            return
-        join = node_messages.Join(self.name, self.journal.identity, self.address)
-        for address in set(self.settings.control_nodes()) | set(self.member_addresses()):
-            if address != self.address:
-                asyncio.get_running_loop().create_task(self.send_join(address, join))
-
-    async def send_join(self, address: str, join: node_messages.Join) -> None:
-        """Ask one control VM."""
-        try:
-            reply = await self.caller.call(address, join, log_sender.SEND_TIMEOUT_S)
-        except errors.MerlinthreadError:
-            return
-        if isinstance(reply, node_messages.Submitted) and reply.version < 0:
-            if join.name == self.name:
-                self.start_anew()
-
-    def on_join(self, join: node_messages.Join) -> node_messages.Submitted:
-        """Note a joiner; a negative version tells it that it was removed for good."""
-        if self.raft.holds_lease(self.clock()):
-            if join.name in self.raft.log.voters.retired:
-                return node_messages.Submitted(False, -1)
-            self.joiners[join.name] = self.clock()
-        return node_messages.Submitted(True, 0)
-
-    def look_after_members(self, now: float) -> None:
-        """Do the next step of taking joiners in and of removing lost members."""
-        if not self.raft.holds_lease(now):
-            return
-        matches = {name: progress.match for name, progress in self.raft.progress.items()}
-        facts = raft_members.Facts(self.name, self.raft.commit, matches)
-        change = self.next_change(facts, now)
-        if change is None:
-            return
-        with contextlib.suppress(errors.ControlError):
-            self.raft.change_voters(change, now)
-            self.wakeup.set()
-            self.tell_members(change, now)
-
-    def tell_members(self, change: raft_members.Change, now: float) -> None:
-        """Log a change of members, and how many more losses the group can bear after it."""
-        voters = self.raft.log.voters
-        silent = self.silent_voters(now)
-        bearable = raft_members.losses_bearable(len(voters.voters), len(silent))
-        metrics.losses_bearable.set(bearable)
-        logs.event(
-            "members_change",
-            change=msgspec.to_builtins(change),
-            voters=voters.voters,
-            learners=voters.learners,
-            silent=silent,
-            losses_bearable=bearable,
-        )
-
-    def silent_voters(self, now: float) -> list[str]:
-        """Return the voters that this leader has not heard of within an election's time."""
-        voters = self.raft.others(self.raft.log.voters.voters)
-        heard_at = {name: self.raft.progress[name].heard_at for name in voters}
-        return [name for name in voters if now - heard_at[name] > TIMING.election_max_s]
-
-    def next_change(self, facts: raft_members.Facts, now: float) -> raft_members.Change | None:
-        """Return the next change of members, or None."""
-        voters = self.raft.log.voters
-        for name, heard_at in list(self.joiners.items()):
-            if now - heard_at > JOINER_KEPT_S:
-                del self.joiners[name]
-                continue
-            lost = self.namesake(name)
-            if lost and lost != self.name:
-                # Its disk is gone, so it can't come back: out with it before the new one votes, or
-                # a second loss right after would leave two of four.
-                return raft_members.Change(remove=lost)
-            joiner = raft_members.Joiner(name, "", raft_messages.Address("", ""), "")
-            change = raft_members.next_change(voters, joiner, facts, False)
-            if change is not None:
-                return change
-        return self.removal(voters, now)
-
-    def namesake(self, name: str) -> str:
-        """Return the member that had the same address before its disk was lost, or nothing."""
-        for other in self.raft.log.voters.members():
-            if other != name and log_sender.address_of(other) == log_sender.address_of(name):
-                return other
-        return ""
-
-    def removal(self, voters: raft_messages.Voters, now: float) -> raft_members.Change | None:
-        """Return the removal of a member that was silent for long and is not needed."""
-        for learner in voters.learners:
-            if now - self.raft.progress[learner].heard_at > self.silence_s():
-                return raft_members.Change(remove=learner)
-        if len(voters.voters) <= 2 * self.settings.members_lost_max + 1:
-            return None
-        others = [name for name in voters.voters if name != self.name]
-        silent = max(others, key=lambda name: now - self.raft.progress[name].heard_at)
-        if now - self.raft.progress[silent].heard_at > self.silence_s():
-            return raft_members.Change(remove=silent)
-        return None
-
-    def silence_s(self) -> float:
-        """Return how long a member must be silent before it may be removed."""
-        return 2 * self.settings.bounds.catch_up_s
-
     def close(self) -> None:
         """Close the files."""
         self.journal.close()
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from merlinthread import errors
-from merlinthread.coordination import raft_messages
+from merlinthread.coordination import raft_members, raft_messages
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -13,11 +13,6 @@
 QUEUE_MAX = 64
 
 
-def address_of(name: str) -> str:
-    """Return the node address in a member's name."""
-    return name.split("#")[0]
-
-
 class Queue:
     """What waits for one member."""
 
@@ -53,7 +48,9 @@
             frames = [self.codec.encode(message) for message in messages]
             with contextlib.suppress(errors.MerlinthreadError):
                 await self.caller.call(
-                    address_of(receiver), node_messages.LogMessages(frames), SEND_TIMEOUT_S
+                    raft_members.address_of(receiver),
+                    node_messages.LogMessages(frames),
+                    SEND_TIMEOUT_S,
                 )
 
     def tasks(self) -> list[asyncio.Task]:
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -115,11 +115,33 @@
 @MESSAGES.add("node.join")
 @dataclasses.dataclass(slots=True)
 class Join:
-    """Ask to be taken in as a member of the replicated log."""
+    """Ask to be taken in as a member of the replicated log; the name holds the address."""
 
     name: str
-    identity: str
-    address: str
+
+
+@MESSAGES.add("node.joined")
+@dataclasses.dataclass(slots=True)
+class Joined:
+    """Tell a joiner whether it was removed for good and must join under another name."""
+
+    is_removed: bool
+
+
+@MESSAGES.add("node.resign")
+@dataclasses.dataclass(slots=True)
+class Resign:
+    """Tell the leader that a member of the replicated log is about to end as planned."""
+
+    name: str
+
+
+@MESSAGES.add("node.resigned")
+@dataclasses.dataclass(slots=True)
+class Resigned:
+    """Tell a member that is about to end whether nothing is left to do for that."""
+
+    may_end: bool
 
 
 @MESSAGES.add("node.log")
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -90,13 +90,7 @@
     def kill(self, ip: str) -> None:
         """End one as a killed process does; its files stay."""
         node = self.nodes.pop(ip)
-        for task in node.tasks + node.member.sender.tasks():
-            task.cancel()
-        for server in (node.server, node.listener.server):
-            if server.listener is not None:
-                server.listener.close()
-            for connection in list(server.connections):
-                connection.abort()
+        end_tasks(node)
         node.member.close()
 
     def leader(self) -> str:
@@ -132,6 +126,17 @@
         raise AssertionError(f"{method} {path} was never acknowledged")
 
 
+def end_tasks(node: control_node.ControlNode) -> None:
+    """End the tasks and connections of a control VM, as the end of its process does."""
+    for task in node.tasks + node.member.sender.tasks():
+        task.cancel()
+    for server in (node.server, node.listener.server):
+        if server.listener is not None:
+            server.listener.close()
+        for connection in list(server.connections):
+            connection.abort()
+
+
 async def until(condition, seconds: float = 10.0) -> None:
     """Wait until `condition()` is true."""
     async with asyncio.timeout(seconds):
--- a/tests/test_log_repair.py
+++ b/tests/test_log_repair.py
@@ -51,3 +51,50 @@
         await fleet_nodes.until(lambda: alone.news(WATCH).leader_age_s < news_watcher.STALE_S)
 
     run(tmp_path, scenario)
+
+
+def test_a_joiner_that_knows_only_a_follower_is_taken_in(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        follower = next(ip for ip in controls.ips if ip != controls.leader())
+        seeds, controls.ips = controls.ips, [follower]
+        await controls.start(REPLACEMENT)
+        controls.ips = seeds
+        new = controls.nodes[REPLACEMENT].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters)
+
+    run(tmp_path, scenario)
+
+
+def test_a_voter_that_ends_as_planned_beside_its_successor_leaves_the_group_first(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        leader = controls.leader()
+        await controls.start(REPLACEMENT)
+        new = controls.nodes[REPLACEMENT].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters)
+        await controls.nodes[leader].leave()
+        left = controls.nodes.pop(leader)
+        fleet_nodes.end_tasks(left)
+        # The next loss comes at once: three members are left, of which two decide.
+        assert len(new.raft.log.voters.voters) == 3
+        controls.kill(next(ip for ip in controls.nodes if ip != REPLACEMENT))
+        await put(controls, 2)
+
+    run(tmp_path, scenario)
+
+
+def test_a_voter_that_is_needed_ends_without_leaving_the_group(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        leader = controls.leader()
+        await controls.nodes[leader].leave()
+        left = controls.nodes.pop(leader)
+        fleet_nodes.end_tasks(left)
+        await put(controls, 2)
+        await controls.start(leader)
+        assert await read(controls) == 2
+        voters = controls.nodes[leader].member.raft.log.voters
+        assert sorted(voters.voters) == sorted(f"{ip}:{controls.port}" for ip in controls.ips)
+
+    run(tmp_path, scenario)
--- /dev/null
+++ b/tests/test_repair_policy.py
@@ -0,0 +1,161 @@
+"""Repairs of the replicated log, decided from facts and in a cluster without sockets."""
+
+import random
+
+import pytest
+
+from merlinthread.coordination import log_repair, raft_members, raft_messages
+from merlinthread.nodes import member_changes
+from tests import raft_cluster
+
+CATCH_UP_S = 4.0
+DUTIES_EVERY_S = 0.2
+
+
+def policy(losses_max: int = 1) -> log_repair.Policy:
+    return log_repair.Policy(
+        losses_max, member_changes.SPARE_SILENCE_SHARE * CATCH_UP_S, 2 * CATCH_UP_S
+    )
+
+
+def group(voters, silent_s=(), joiners=(), leaving=(), learners=(), match=9) -> log_repair.Group:
+    """Return a group whose first voter leads; `silent_s` is by name, the others were just heard."""
+    members = raft_messages.Voters(list(voters), list(learners))
+    others = [name for name in members.members() if name != voters[0]]
+    return log_repair.Group(
+        members,
+        voters[0],
+        9,
+        {name: match for name in others},
+        {name: 100.0 - dict(silent_s).get(name, 0.0) for name in others},
+        list(joiners),
+        list(leaving),
+    )
+
+
+def change(decided, losses_max: int = 1):
+    return log_repair.next_change(decided, policy(losses_max), 100.0)
+
+
+def test_a_spare_voter_is_removed_well_before_a_replacement_has_had_its_time():
+    assert change(group("abcd", {"c": 1.3}.items())) is None
+    assert change(group("abcd", {"c": 1.5}.items())) == raft_members.Change(remove="c")
+
+
+def test_two_silent_voters_of_an_odd_number_go_although_one_of_them_wins_nothing():
+    assert change(group("abcdefg", {"c": 3.0, "d": 3.0}.items()), 2).remove in "cd"
+
+
+def test_no_voter_is_removed_below_the_size_that_bears_the_losses():
+    assert change(group("abc", {"c": 100.0}.items())) is None
+    assert change(group("abcde", {"c": 100.0, "d": 100.0}.items()), 2) is None
+
+
+def test_a_voter_whose_removal_wins_no_loss_stays_until_it_was_silent_for_long():
+    # Seven voters need four, six need four as well.
+    assert change(group("abcdefg", {"c": 7.9}.items()), 2) is None
+    assert change(group("abcdefg", {"c": 8.1}.items()), 2) == raft_members.Change(remove="c")
+
+
+def test_a_large_group_that_bears_enough_losses_keeps_a_silent_voter():
+    assert change(group("abcdefgh", {"c": 7.9}.items()), 2) is None
+
+
+def test_of_two_silent_voters_the_longer_silent_goes_first():
+    decided = change(group("abcdef", {"c": 3.0, "d": 5.0}.items()), 2)
+    assert decided == raft_members.Change(remove="d")
+
+
+def test_a_leaving_spare_voter_is_removed_at_once_and_a_needed_one_is_not():
+    assert change(group("abcd", leaving="c")) == raft_members.Change(remove="c")
+    assert change(group("abc", leaving="c")) is None
+    assert change(group("abcde", leaving="c")) is None
+
+
+def test_the_leader_is_not_removed_by_itself():
+    assert change(group("abcd", leaving="a")) is None
+
+
+def test_a_member_whose_disk_is_lost_is_removed_before_its_successor_joins():
+    decided = change(group(["a", "b", "c"], joiners=["c#2"]))
+    assert decided == raft_members.Change(remove="c")
+
+
+def test_a_joiner_becomes_a_learner_and_then_a_voter_once_it_has_caught_up():
+    assert change(group("abc", joiners="d")).add == "d"
+    assert change(group("abc", joiners="d", learners="d", match=8)) is None
+    decided = change(group("abc", joiners="d", learners="d"))
+    assert decided == raft_members.Change(promote="d")
+
+
+class Fleet:
+    """A cluster whose leader repairs it, and whose members are lost for good and replaced."""
+
+    def __init__(self, size: int, losses_max: int, seed: int) -> None:
+        self.cluster = raft_cluster.Cluster(size, seed)
+        self.policy = policy(losses_max)
+        self.joiners: list[str] = []
+        self.duties_at = 0.0
+
+    def run(self, seconds: float) -> None:
+        stop_at = self.cluster.now + seconds
+        while self.cluster.now < stop_at:
+            self.cluster.run(raft_cluster.STEP_S)
+            if self.cluster.now >= self.duties_at:
+                self.duties_at = self.cluster.now + DUTIES_EVERY_S
+                self.repair()
+
+    def repair(self) -> None:
+        now = self.cluster.now
+        for member in self.cluster.up():
+            if not member.raft.holds_lease(now):
+                continue
+            progress = member.raft.progress
+            facts = log_repair.Group(
+                member.raft.log.voters,
+                member.name,
+                member.raft.commit,
+                {name: known.match for name, known in progress.items()},
+                {name: known.heard_at for name, known in progress.items()},
+                [name for name in self.joiners if self.cluster.members[name].is_up],
+                [],
+            )
+            decided = log_repair.next_change(facts, self.policy, now)
+            if decided is not None:
+                self.cluster.change(decided)
+
+    def lose(self, names: list[str]) -> None:
+        for name in names:
+            self.cluster.crash(name)
+
+    def add(self, name: str) -> None:
+        self.joiners.append(name)
+        self.cluster.add_member(name)
+
+    def is_committing(self) -> bool:
+        """Return whether a command is committed everywhere within an election's time."""
+        self.run(2.0)
+        data = self.cluster.propose()
+        self.run(0.5)
+        return data is not None and all(data in member.applied for member in self.cluster.up())
+
+
+@pytest.mark.parametrize(("size", "losses_max"), [(3, 1), (4, 1), (5, 2), (6, 2), (8, 2)])
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_after_loss_leaves_a_majority_if_replacements_have_their_time(size, losses_max, seed):
+    rng = random.Random(seed)
+    fleet = Fleet(size, losses_max, seed)
+    fleet.run(3.0)
+    for number in range(6):
+        names = [member.name for member in fleet.cluster.up()]
+        leader = fleet.cluster.leader().name
+        count = rng.randint(1, losses_max)
+        lost = rng.sample(names, count)
+        if rng.random() < 0.5 and leader not in lost:
+            lost[0] = leader
+        fleet.lose(lost)
+        fleet.run(rng.choice((0.1, 1.0, 2.0)))
+        for position in range(count):
+            fleet.add(f"r{number}-{position}")
+        fleet.run(CATCH_UP_S)
+    assert fleet.is_committing()
