A control VM that has heard no leader is told as such; what is unsure is not run, not unknown

Tests: both failed before (age 0.001 s; 404 in place of 503; a watcher that stopped at the first answer).

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -22,7 +22,6 @@
 WATCH_WAIT_MAX_S = 1.0
 SILENT_AFTER_BEATS = 8
 EXPIRE_EVERY_S = 1.0
-LONG_AGO_S = 1e6
 BODY_BYTES_MAX = 8 * 1024 * 1024
 COMPRESSION = 6
 
@@ -89,7 +88,9 @@
         if isinstance(command, fleet_state.Depart):
             self.depart(command.instance, command.state)
         elif isinstance(command, fleet_state.NameVersion):
-            self.named_at[command.model] = self.clock() - (0.0 if is_live else LONG_AGO_S)
+            self.named_at[command.model] = self.clock() - (
+                0.0 if is_live else log_member.LONG_AGO_S
+            )
             self.registry.advance()
         name = self.member.command_names[type(command)]
         logs.event("applied", command=name, **described(command))
@@ -100,7 +101,7 @@
         for instance, state in self.member.state.departed.items():
             self.depart(instance, state)
         for model in self.member.state.named:
-            self.named_at.setdefault(model, self.clock() - LONG_AGO_S)
+            self.named_at.setdefault(model, self.clock() - log_member.LONG_AGO_S)
         self.tell()
 
     def depart(self, instance: str, state: str) -> None:
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -25,6 +25,8 @@
 COMPACT_BYTES = 16 * 1024 * 1024
 DUTIES_EVERY_S = 0.2
 DISK_RETRY_S = 0.5
+# Told in place of an age that is not known; finite, so that it can be sent and compared.
+LONG_AGO_S = 1e6
 # How often a member that knows no leader tells so in its log.
 NO_LEADER_TOLD_EVERY_S = 2.0
 MEMBER_FILE = "member.json"
@@ -286,12 +288,18 @@
         return self.raft.holds_lease(self.clock())
 
     def majority_age(self, now: float) -> float:
-        """Return how long ago this member was surely joined to a majority, in seconds."""
+        """Return how long ago this member was surely joined to a majority, in seconds.
+
+        A member that has heard no leader since its start knows of no such time: what it holds may
+        be older than what a majority holds.
+        """
         if self.raft.is_leader():
             seen_at = self.raft.lease_until() - TIMING.election_min_s * TIMING.lease_share
-        else:
+        elif self.raft.led_by:
             seen_at = self.raft.heard_leader_at
-        return min(1e6, max(0.0, now - seen_at))
+        else:
+            seen_at = float("-inf")
+        return min(LONG_AGO_S, max(0.0, now - seen_at))
 
     def leader_address(self) -> str:
         """Return the address of the leader, or nothing."""
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -72,7 +72,8 @@
         """Find out what the request is and where it belongs."""
         self.call = self.dialect.client_call(self.exchange.request)
         wait_s = self.pool.restart_wait_s()
-        route, account = backend_pool.find_route(self.table, self.call, wait_s)
+        is_newest = self.pool.watcher.is_fresh
+        route, account = backend_pool.find_route(self.table, self.call, is_newest, wait_s)
         self.service = route_table.choose_service(route, self.pool.rng)
         self.relay.last_event_id = self.call.last_event_id
         limit = route.timeout_s
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -10,11 +10,11 @@
 
 from merlinthread.coordination import instances as instance_records
 from merlinthread.coordination import raft_messages
-from merlinthread.nodes import control_node, entry_node, node_settings
+from merlinthread.nodes import control_node, entry_node, news_watcher, node_settings
 from merlinthread.platform import dialect
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import http_messages, node_bus, stream_client
 from stand_ins import fleet_worker
 
 
@@ -40,6 +40,17 @@
     return codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
 
 
+def make_watcher(settings: node_settings.NodeSettings) -> news_watcher.NewsWatcher:
+    """Return a watcher that is not running."""
+    return news_watcher.NewsWatcher(
+        settings,
+        dialect.PlatformDialect(),
+        node_bus.Caller(make_codec()),
+        time.monotonic,
+        lambda: None,
+    )
+
+
 def make_settings(name: str, ip: str = "127.0.0.1", **changes) -> node_settings.NodeSettings:
     """Return settings on loopback; each control VM has a loopback address of its own."""
     fields = {
@@ -206,7 +217,9 @@
         assert self.node.server.listener is not None
         self.port = self.node.server.listener.sockets[0].getsockname()[1]
 
-    def feed(self, body: dict, workers: dict[fleet_worker.Worker, str], gone=()) -> None:
+    def feed(
+        self, body: dict, workers: dict[fleet_worker.Worker, str], gone=(), leader_age_s=0.0
+    ) -> None:
         """Tell the entry a configuration and its workers with their services."""
         self.sequence += 1
         instances = [
@@ -238,7 +251,7 @@
             body["version"],
             zlib.compress(json.dumps(body).encode()),
             [],
-            0.0,
+            leader_age_s,
         )
         self.node.watcher.take(news)
 
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -192,13 +192,7 @@
             "entry", control_port=controls.port, control_ips=controls.ips
         )
         loop = asyncio.get_running_loop()
-        watcher = news_watcher.NewsWatcher(
-            settings,
-            dialect.PlatformDialect(),
-            node_bus.Caller(fleet_nodes.make_codec()),
-            loop.time,
-            lambda: None,
-        )
+        watcher = fleet_nodes.make_watcher(settings)
         task = loop.create_task(watcher.run())
         await put(controls, 1)
         await fleet_nodes.until(lambda: watcher.version == 1)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -147,6 +147,24 @@
     asyncio.run(scenario())
 
 
+def test_an_entry_that_is_not_sure_of_the_newest_configuration_says_not_run_in_place_of_unknown():
+    async def scenario():
+        entry = fleet_nodes.Entry()
+        await entry.start()
+        body = fleet_nodes.configuration(1, ["safe"])
+        entry.feed(body, {}, leader_age_s=100.0)
+        for path, key in (("/nowhere/", "key-1"), ("/safe/", "wrong")):
+            answer = await entry.ask(path, "id-1", Api_Key=key)
+            assert answer.status == 503
+            assert float(http_messages.header(answer.headers, b"retry-after")) > 0
+        entry.feed(body, {})
+        assert (await entry.ask("/nowhere/", "id-2")).status == 404
+        entry.node.watcher.lose("its control VM is silent")
+        assert (await entry.ask("/nowhere/", "id-3")).status == 503
+
+    asyncio.run(scenario())
+
+
 def test_unknown_keys_and_routes_are_refused():
     async def scenario():
         entry, workers, _ = await make("safe", 1)
--- a/tests/test_log_repair.py
+++ b/tests/test_log_repair.py
@@ -53,6 +53,43 @@
     run(tmp_path, scenario)
 
 
+def test_a_member_that_starts_alone_tells_the_last_change_that_was_acknowledged(tmp_path):
+    async def scenario(controls):
+        await put(controls, 4)
+        await put(controls, 7)
+        members = [node.member for node in controls.nodes.values()]
+        await fleet_nodes.until(lambda: all(m.journal.commit == m.raft.commit for m in members))
+        for ip in controls.ips:
+            controls.kill(ip)
+        await controls.start(controls.ips[0])
+        alone = controls.nodes[controls.ips[0]]
+        await fleet_nodes.until(lambda: alone.news(WATCH).configuration_version == 7)
+
+    run(tmp_path, scenario)
+
+
+def test_a_watcher_prefers_a_control_vm_that_hears_a_leader_to_one_that_answers_first(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        for ip in controls.ips:
+            controls.kill(ip)
+        await controls.start(controls.ips[0])
+        settings = fleet_nodes.make_settings(
+            "entry", control_port=controls.port, control_ips=controls.ips
+        )
+        watcher = fleet_nodes.make_watcher(settings)
+        assert await watcher.find_control() == f"{controls.ips[0]}:{controls.port}"
+        assert not watcher.is_fresh
+        for ip in controls.ips[1:]:
+            await controls.start(ip)
+        await fleet_nodes.until(controls.leader)
+        watcher.lose("another one is asked")
+        await watcher.find_control()
+        assert watcher.is_fresh
+
+    run(tmp_path, scenario)
+
+
 def test_a_joiner_that_knows_only_a_follower_is_taken_in(tmp_path):
     async def scenario(controls):
         await put(controls, 1)
