Record files left over from an emptied folder are removed, not taken up

A later compaction appended to that file, and the next start refused it (entry 1 leaves a gap). Test: test_a_record_file_left_over_from_an_emptied_folder_is_not_taken_up failed before (LogDamagedError).

--- a/src/merlinthread/state/journal.py
+++ b/src/merlinthread/state/journal.py
@@ -83,7 +83,7 @@
         for payload in self.file.payloads:
             self.replay(payload)
         self.file.payloads = []
-        self.remove_older()
+        self.remove_others()
 
     def load_identity(self) -> str:
         """Return the folder's identity: random, made at the first start, kept ever after."""
@@ -166,12 +166,16 @@
         self.snapshot = snapshot
         self.commit = commit
         self.entries = list(follows)
-        self.remove_older()
+        self.remove_others()
 
-    def remove_older(self) -> None:
-        """Remove files of sequences before the present one."""
+    def remove_others(self) -> None:
+        """Remove files of other sequences than the present one.
+
+        A snapshot file is durable before its record file is made. So later record files are left
+        over from a folder that was emptied and came back in part after a loss of power.
+        """
         for path in self.folder.glob("*-*.bin"):
-            if int(path.stem.split("-")[1]) < self.sequence:
+            if int(path.stem.split("-")[1]) != self.sequence:
                 path.unlink()
 
     def size_bytes(self) -> int:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -149,6 +149,22 @@
     assert [e.index for e in again.entries] == [4, 5]
 
 
+def test_a_record_file_left_over_from_an_emptied_folder_is_not_taken_up(tmp_path):
+    before = tmp_path / "before"
+    before.mkdir()
+    left_over = filled(before)
+    folder_path = tmp_path / "now"
+    folder_path.mkdir()
+    left_over.rename(folder_path / "log-00000001.bin")
+    found = journal.Journal(folder_path)
+    found.save(journal.HardState(7, "c0"), [entry(1, term=7)])
+    found.compact(journal.Snapshot(1, 7, b"", b"s"), [])
+    found.save(None, [entry(2, term=7)])
+    found.close()
+    again = journal.Journal(folder_path)
+    assert [(e.index, e.term) for e in again.entries] == [(2, 7)]
+
+
 def test_chunks_survive_a_restart_and_a_damaged_one_is_dropped(tmp_path):
     store = chunks.ChunkStore(tmp_path, 1000)
     digests = [chunks.digest_of(bytes([i]) * 100) for i in range(3)]
