A leader that ends as planned first finishes the change of members that it has begun

A leader was stopped 9 ms after it had put the removal of a dead voter into its log. It counted that change as made, did not wait, and ended; nobody else had it: two of four voters were left, for good. Test: test_a_leader_that_ends_as_planned_first_finishes_the_change_of_members_under_way failed before.

--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -24,8 +24,9 @@
 # voter must be out within it, after an election and its silence; one that costs no loss may stay.
 SPARE_SILENCE_SHARE = 0.35
 SILENCE_SHARE = 2.0
-# A planned end waits this long at most for the others to go on without this member.
-RESIGN_MAX_S = 3.0
+# Share of the time that a planned end may take within which the others must go on without this
+# member: 3 s of the usual 8, enough for an election (1.5 s at most) and two changes of members.
+RESIGN_SHARE = 0.375
 RESIGN_EVERY_S = 0.1
 
 
@@ -118,17 +119,34 @@
     async def resign(self) -> None:
         """Before a planned end, let the others go on without this member where they need not wait.
 
-        Otherwise a group that was enlarged for this member's successor would hold a dead voter.
+        Otherwise a group that was enlarged for this member's successor would hold a dead voter. A
+        leader first finishes the change of members that it has begun: nobody else may know of it.
         """
         started = self.clock()
-        self.current().resign(started)
-        while not await self.may_end():
-            if self.clock() - started > RESIGN_MAX_S:
-                logs.warn("resign_unanswered", waited_s=RESIGN_MAX_S)
-                return
-            await asyncio.sleep(RESIGN_EVERY_S)
+        is_settled = await self.until(self.has_settled, started)
+        self.current().resign(self.clock())
+        may_end = await self.until(self.may_end, started)
         waited_s = round(self.clock() - started, 3)
-        logs.event("resigned", member=self.current().name, waited_s=waited_s)
+        logs.event(
+            "resigned",
+            member=self.current().name,
+            waited_s=waited_s,
+            is_settled=is_settled,
+            may_end=may_end,
+        )
+
+    async def until(self, is_done: Callable[[], Awaitable[bool]], started: float) -> bool:
+        """Wait until `is_done()`; return False if it is not within the time of a planned end."""
+        while not await is_done():
+            if self.clock() - started > RESIGN_SHARE * self.settings.bounds.grace_s:
+                return False
+            await asyncio.sleep(RESIGN_EVERY_S)
+        return True
+
+    async def has_settled(self) -> bool:
+        """Return whether no change of members that this leader has begun is uncommitted."""
+        member = self.current()
+        return not (member.is_leader() and member.log.has_voters_after(member.commit))
 
     async def may_end(self) -> bool:
         """Return whether the leader says that nothing is left to do for this member's end."""
--- a/tests/test_log_repair.py
+++ b/tests/test_log_repair.py
@@ -2,6 +2,7 @@
 
 import time
 
+from merlinthread.coordination import raft_members
 from merlinthread.nodes import news_watcher
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
@@ -111,8 +112,7 @@
         new = controls.nodes[REPLACEMENT].member
         await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters)
         await controls.nodes[leader].leave()
-        left = controls.nodes.pop(leader)
-        fleet_nodes.end_tasks(left)
+        fleet_nodes.end_tasks(controls.nodes.pop(leader))
         # The next loss comes at once: three members are left, of which two decide.
         assert len(new.raft.log.voters.voters) == 3
         controls.kill(next(ip for ip in controls.nodes if ip != REPLACEMENT))
@@ -121,13 +121,35 @@
     run(tmp_path, scenario)
 
 
+def test_a_leader_that_ends_as_planned_first_finishes_the_change_of_members_under_way(tmp_path):
+    async def scenario(controls):
+        set_catch_up(controls)
+        await put(controls, 1)
+        leader = controls.leader()
+        await controls.start(REPLACEMENT)
+        new = controls.nodes[REPLACEMENT].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.voters.voters)
+        member = controls.nodes[leader].member
+        gone = next(ip for ip in controls.nodes if ip not in (leader, REPLACEMENT))
+        lost = controls.nodes[gone].member.name
+        controls.kill(gone)
+        # The removal is in the leader's log and has not left it yet.
+        await fleet_nodes.until(lambda: lost in member.raft.log.voters.voters)
+        member.raft.change_voters(raft_members.Change(remove=lost), time.monotonic())
+        assert member.raft.log.has_voters_after(member.raft.commit)
+        await controls.nodes[leader].leave()
+        fleet_nodes.end_tasks(controls.nodes.pop(leader))
+        await put(controls, 2)
+
+    run(tmp_path, scenario)
+
+
 def test_a_voter_that_is_needed_ends_without_leaving_the_group(tmp_path):
     async def scenario(controls):
         await put(controls, 1)
         leader = controls.leader()
         await controls.nodes[leader].leave()
-        left = controls.nodes.pop(leader)
-        fleet_nodes.end_tasks(left)
+        fleet_nodes.end_tasks(controls.nodes.pop(leader))
         await put(controls, 2)
         await controls.start(leader)
         assert await read(controls) == 2
