--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "measure",
     "operators",
     "processes",
+    "soak_faults",
+    "soak_fleet",
     "soak_nodes",
     "swarm",
 )
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,9 +2,8 @@
 
 `python -m bench soak --seed N --seconds S --seeds COUNT`. Control VMs and entries are processes of
 their own; clients, workers and the operator live in this one. The seed decides faults and requests,
-not the machine's timing. Faults: kills, freezes, planned stops of nodes, all control VMs killed at
-once, workers that misbehave or leave, links to workers that are delayed, stalled, cut one way,
-refused or reset by a proxy. Not here yet: links between nodes, clocks, disks, agents.
+not the machine's timing. The faults are in `bench.soak_faults`. Not there yet: links between nodes,
+clocks, full or slow disks, agents.
 """
 
 import argparse
@@ -15,18 +14,15 @@
 import pathlib
 import random
 import shutil
-import signal
 import tempfile
 
-from bench import measure, soak_nodes
+from bench import measure, soak_faults, soak_fleet, soak_nodes
 from merlinthread import errors
-from merlinthread.transport import http_messages, stream_client
-from stand_ins import fleet_worker, proxy
+from merlinthread.transport import http_messages
+from stand_ins import fleet_worker
 
 NOT_RUN = (408, 421, 429, 503)
 APPLY_S = 2.0
-RECOVER_S = 12.0
-EVENTS = 6
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,173 +35,40 @@
     failed: int = 0
     acknowledged: int = 0
     reads: int = 0
-    faults: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    faults: dict[str, int] = dataclasses.field(default_factory=dict)
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
 class Soak:
     """One run with one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, seconds: float, folder: pathlib.Path, kinds: tuple[str, ...] = ()
+    ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
-        self.folder = folder
-        self.nodes = [
-            soak_nodes.Node(folder, f"control-{ip}", "control", ip) for ip in soak_nodes.CONTROL_IPS
-        ]
-        self.nodes += [
-            soak_nodes.Node(folder, f"entry-{ip}", "entry", ip) for ip in soak_nodes.ENTRY_IPS
-        ]
-        self.workers = {
-            fleet_worker.Worker(f"i-{n}", model): service
-            for n, (service, model) in enumerate(
-                [
-                    ("safe", ""),
-                    ("safe", ""),
-                    ("unsafe", ""),
-                    ("unsafe", ""),
-                    ("model", "m"),
-                    ("model", "m"),
-                ]
-            )
-        }
-        self.open_faults: set[asyncio.Task] = set()
-        self.links: dict[fleet_worker.Worker, proxy.Link] = {}
+        self.fleet = soak_fleet.SoakFleet(folder)
+        self.faults = soak_faults.Faults(self.fleet, self.rng, kinds)
         self.beats: collections.Counter = collections.Counter()
         self.tally = Tally()
         self.version = 0
         self.acknowledged: list[tuple[float, int]] = []
-        self.pool = stream_client.Pool(0.0, 0.5, 1.0)
         self.unsafe_not_run: set[str] = set()
         self.requests = 0
 
-    # Faults
-
-    async def faults(self) -> None:
-        """Inject one fault after another; some overlap."""
-        kinds = [
-            self.kill,
-            self.freeze,
-            self.stop,
-            self.kill_controls,
-            self.misbehave,
-            self.leave,
-            self.harm_link,
-        ]
-        while True:
-            await asyncio.sleep(self.rng.uniform(0.3, 1.2))
-            kind = self.rng.choice(kinds)
-            self.tally.faults[kind.__name__] += 1
-            task = asyncio.create_task(kind())
-            self.open_faults.add(task)
-            task.add_done_callback(self.open_faults.discard)
-            if self.rng.random() < 0.7:
-                # The end of the run must not cut a fault off before it has healed.
-                await asyncio.shield(task)
-
-    def pick(self, role: str = "") -> soak_nodes.Node:
-        """Return a node by lot."""
-        return self.rng.choice([node for node in self.nodes if role in ("", node.role)])
-
-    async def kill(self) -> None:
-        """Kill one node and start it again."""
-        node = self.pick()
-        node.signal(signal.SIGKILL)
-        await self.again(node)
-
-    async def again(self, node: soak_nodes.Node) -> None:
-        """Start a node again once it has ended."""
-        if node.process is not None:
-            await asyncio.to_thread(node.process.wait)
-        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
-        if node.process is None or node.process.poll() is not None:
-            node.start()
-
-    async def freeze(self) -> None:
-        """Let one node stand still for a while."""
-        node = self.pick()
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-        node.signal(signal.SIGCONT)
-
-    async def stop(self) -> None:
-        """Stop an entry as planned and start it again."""
-        node = self.pick("entry")
-        node.signal(signal.SIGTERM)
-        await self.again(node)
-
-    async def kill_controls(self) -> None:
-        """Kill all control VMs at the same moment."""
-        nodes = [node for node in self.nodes if node.role == "control"]
-        for node in nodes:
-            node.signal(signal.SIGKILL)
-        await asyncio.gather(*(self.again(node) for node in nodes))
-
-    async def misbehave(self) -> None:
-        """Let one worker misbehave for a while."""
-        worker = self.rng.choice(list(self.workers))
-        faults = [
-            {"is_full": True},
-            {"closes_without_answer": True},
-            {"is_mute": True},
-            {"wrong_request_id": True},
-            {"is_unsigned": True},
-            {"status": 500},
-            {"cut_after_events": self.rng.randrange(EVENTS)},
-        ]
-        worker.behaviour = fleet_worker.Behaviour(events=EVENTS, **self.rng.choice(faults))
-        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
-        worker.behaviour = fleet_worker.Behaviour(events=EVENTS)
-
-    async def start_worker(self, worker: fleet_worker.Worker) -> None:
-        """Start a worker behind a link of its own; callers know the link's address."""
-        worker.behaviour.events = EVENTS
-        host, port = (await worker.start()).split(":")
-        link = proxy.Link((host, 0), (host, int(port)))
-        worker.address = f"{host}:{link.listener.getsockname()[1]}"
-        self.links[worker] = link
-
-    async def harm_link(self) -> None:
-        """Delay, stall, cut or refuse one worker's link for a while, or reset it."""
-        link = self.links[self.rng.choice(list(self.workers))]
-        harms = [
-            proxy.Faults(latency_s=0.1),
-            proxy.Faults(stall=True),
-            proxy.Faults(cut_forth=True),
-            proxy.Faults(cut_back=True),
-            proxy.Faults(refuse=True),
-            proxy.Faults(),
-        ]
-        link.faults = self.rng.choice(harms)
-        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-        # Bytes that were dropped must not be followed by later ones of the same connection.
-        link.reset_all()
-        link.faults = proxy.Faults()
-
-    async def leave(self) -> None:
-        """Replace a worker by a new instance, without a word about the old one."""
-        old = self.rng.choice(list(self.workers))
-        service = self.workers.pop(old)
-        old.stop()
-        self.links.pop(old).close()
-        new = fleet_worker.Worker(f"{old.instance}x", old.model)
-        new.runs = old.runs
-        await self.start_worker(new)
-        self.workers[new] = service
-
     # Load
 
     async def heartbeats(self) -> None:
         """Let every worker tell that it lives."""
         while True:
-            await asyncio.gather(*(self.beat(worker) for worker in list(self.workers)))
+            await asyncio.gather(*(self.beat(worker) for worker in list(self.fleet.workers)))
             await asyncio.sleep(0.3)
 
     async def beat(self, worker: fleet_worker.Worker) -> None:
         """Send one worker's heartbeat to a control VM."""
         self.beats[worker.instance] += 1
         body = {
-            "service": self.workers.get(worker, "safe"),
+            "service": self.fleet.workers.get(worker, "safe"),
             "address": worker.address,
             "zone": "zone-a",
             "slots": 8,
@@ -220,9 +83,9 @@
         data = json.dumps(body).encode() if body is not None else b""
         headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
         request = http_messages.Request(method.encode(), path.encode(), headers, data)
-        address = f"{self.rng.choice(soak_nodes.CONTROL_IPS)}:{soak_nodes.CONTROL}"
+        address = f"{self.rng.choice(self.fleet.control_ips)}:{soak_nodes.CONTROL}"
         try:
-            answer = await self.pool.call(address, request, 1.0)
+            answer = await self.fleet.pool.call(address, request, 1.0)
         except errors.MerlinthreadError:
             return 0, b""
         return answer.status, answer.body
@@ -284,7 +147,7 @@
         address = f"{self.rng.choice(soak_nodes.ENTRY_IPS)}:{soak_nodes.FRONT}"
         self.tally.asked += 1
         try:
-            answer = await self.pool.call(address, request, 4.0)
+            answer = await self.fleet.pool.call(address, request, 4.0)
         except errors.MerlinthreadError:
             self.tally.failed += 1
             return False
@@ -303,7 +166,7 @@
         self.tally.answered += 1
         if service == "model":
             ids = [int(x[4:]) for x in answer.body.split(b"\n") if x.startswith(b"id: ")]
-            if ids != list(range(1, EVENTS + 1)):
+            if ids != list(range(1, soak_fleet.EVENTS + 1)):
                 self.break_rule(f"the stream of {request_id} has events {ids}")
         elif not answer.body.endswith(f"to {request_id}".encode()):
             self.break_rule(f"{request_id} got {answer.body!r}")
@@ -317,19 +180,12 @@
 
     async def run(self) -> Tally:
         """Run the soak, heal everything, and check what must hold at the end."""
-        for worker in self.workers:
-            await self.start_worker(worker)
-        for node in self.nodes:
-            node.start()
+        await self.fleet.start()
         try:
             await self.run_faults()
         finally:
-            for node in self.nodes:
-                node.signal(signal.SIGKILL)
-                if node.process is not None:
-                    node.process.wait()
-            for link in self.links.values():
-                link.close()
+            self.fleet.close()
+        self.tally.faults = dict(self.faults.injected)
         return self.tally
 
     async def run_faults(self) -> None:
@@ -337,28 +193,21 @@
         load = [asyncio.create_task(self.heartbeats()), asyncio.create_task(self.operator())]
         await self.until_served("at the start")
         load.append(asyncio.create_task(self.clients()))
-        faults = asyncio.create_task(self.faults())
+        faults = asyncio.create_task(self.faults.run())
         await asyncio.sleep(self.seconds)
         faults.cancel()
-        await asyncio.gather(*self.open_faults)
-        for node in self.nodes:
-            node.signal(signal.SIGCONT)
-            await self.revive(node)
+        await self.faults.heal()
+        for node in self.fleet.nodes:
+            await self.fleet.revive(node)
         await self.until_served("after the last fault")
         for task in load:
             task.cancel()
         self.check_runs()
 
-    async def revive(self, node: soak_nodes.Node) -> None:
-        """Start a node that is down; one that is stopping ends first."""
-        if node.process is not None and node.process.poll() is None:
-            return
-        node.start()
-
     async def until_served(self, when: str) -> None:
         """Wait until reads and requests are served again; too late is a broken promise."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + RECOVER_S
+        deadline = loop.time() + soak_fleet.RECOVER_S
         wanted = {"safe", "unsafe", "model"}
         has_read = False
         while (wanted or not has_read) and loop.time() < deadline:
@@ -366,16 +215,16 @@
             for service in sorted(wanted):
                 if await self.ask(service):
                     wanted.discard(service)
-            for node in self.nodes:
-                await self.revive(node)
+            for node in self.fleet.nodes:
+                await self.fleet.revive(node)
             await asyncio.sleep(0.05)
         if wanted or not has_read:
-            self.break_rule(f"{when}: not served within {RECOVER_S} s: {sorted(wanted)}")
+            self.break_rule(f"{when}: not served within {soak_fleet.RECOVER_S} s: {sorted(wanted)}")
 
     def check_runs(self) -> None:
         """Check that nothing ran twice or after it was refused."""
         runs: collections.Counter = collections.Counter()
-        for worker, service in self.workers.items():
+        for worker, service in self.fleet.workers.items():
             if service == "unsafe":
                 runs.update(run.request_id for run in worker.runs)
         for request_id, count in runs.items():
@@ -385,11 +234,16 @@
                 self.break_rule(f"{request_id} was refused and ran")
 
 
-def run_seed(seed: int, seconds: float, keep: pathlib.Path | None = None) -> Tally:
-    """Run one seed; with `keep`, the logs of a run that broke a promise go there."""
+def run_seed(
+    seed: int, seconds: float, keep: pathlib.Path | None = None, kinds: tuple[str, ...] = ()
+) -> Tally:
+    """Run one seed; with `keep`, the logs of a run that broke a promise go there.
+
+    `kinds` are the faults to choose from, by default all.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        tally = asyncio.run(Soak(seed, seconds, folder).run())
+        tally = asyncio.run(Soak(seed, seconds, folder, kinds).run())
         if tally.broken and keep is not None:
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
     return tally
@@ -402,14 +256,17 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs of seeds that failed")
+    parser.add_argument(
+        "--faults", nargs="+", choices=list(soak_faults.FAULTS), default=(), metavar="KIND"
+    )
     options = parser.parse_args(arguments)
     broken: dict[int, list[str]] = {}
     for seed in range(options.seed, options.seed + options.seeds):
-        tally = run_seed(seed, options.seconds, options.keep)
+        tally = run_seed(seed, options.seconds, options.keep, tuple(options.faults))
         print(
             f"seed {seed}: {tally.answered} of {tally.asked} answered, {tally.refused} refused,"
             f" {tally.failed} failed, {tally.acknowledged} configurations, {tally.reads} reads,"
-            f" faults {dict(tally.faults)}, broken {tally.broken}",
+            f" faults {tally.faults}, broken {tally.broken}",
             flush=True,
         )
         if tally.broken:
--- /dev/null
+++ b/bench/soak_fleet.py
@@ -0,0 +1,80 @@
+"""The fleet of a soak: nodes as processes, workers in this process behind links that break."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+
+from bench import soak_nodes
+from merlinthread import errors
+from merlinthread.transport import http_messages, stream_client
+from stand_ins import fleet_worker, proxy
+
+RECOVER_S = 12.0
+EVENTS = 6
+SERVICES = ("safe", "safe", "unsafe", "unsafe", "model", "model")
+
+
+class SoakFleet:
+    """Control VMs, entries and workers; nodes that were replaced are kept to be ended."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.control_ips = list(soak_nodes.CONTROL_IPS)
+        self.nodes = [self.make_node("control", ip) for ip in soak_nodes.CONTROL_IPS]
+        self.nodes += [self.make_node("entry", ip) for ip in soak_nodes.ENTRY_IPS]
+        self.replaced: list[soak_nodes.Node] = []
+        self.workers = {
+            fleet_worker.Worker(f"i-{number}", "m" if service == "model" else ""): service
+            for number, service in enumerate(SERVICES)
+        }
+        self.links: dict[fleet_worker.Worker, proxy.Link] = {}
+        self.pool = stream_client.Pool(0.0, 0.5, 1.0)
+
+    async def start(self) -> None:
+        """Start all workers and nodes."""
+        for worker in self.workers:
+            await self.start_worker(worker)
+        for node in self.nodes:
+            node.start()
+
+    def close(self) -> None:
+        """End all processes that were started here, and the links."""
+        for node in [*self.nodes, *self.replaced]:
+            node.signal(signal.SIGKILL)
+            if node.process is not None:
+                node.process.wait()
+        for link in self.links.values():
+            link.close()
+
+    def make_node(self, role: str, ip: str) -> soak_nodes.Node:
+        """Return a node that is not started."""
+        return soak_nodes.Node(self.folder, f"{role}-{ip}", role, ip, self.control_ips)
+
+    async def until_up(self, node: soak_nodes.Node) -> None:
+        """Wait until a control VM that was started answers; starting takes seconds beside load."""
+        if node.role != "control":
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + RECOVER_S
+        request = http_messages.Request(b"GET", b"/config", [(b"host", b"c")])
+        while loop.time() < deadline:
+            with contextlib.suppress(errors.MerlinthreadError):
+                await self.pool.call(f"{node.ip}:{soak_nodes.CONTROL}", request, 1.0)
+                return
+            await asyncio.sleep(0.05)
+
+    async def start_worker(self, worker: fleet_worker.Worker) -> None:
+        """Start a worker behind a link of its own; callers know the link's address."""
+        worker.behaviour.events = EVENTS
+        host, port = (await worker.start()).split(":")
+        link = proxy.Link((host, 0), (host, int(port)))
+        worker.address = f"{host}:{link.listener.getsockname()[1]}"
+        self.links[worker] = link
+
+    async def revive(self, node: soak_nodes.Node) -> None:
+        """Start a node that is down; one that stands still goes on, one that stops ends first."""
+        node.signal(signal.SIGCONT)
+        if node.process is not None and node.process.poll() is None:
+            return
+        node.start()
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -11,6 +11,8 @@
 NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
 CONTROL_IPS = tuple(f"{NETWORK}.{number}" for number in (1, 2, 3))
 ENTRY_IPS = tuple(f"{NETWORK}.{number}" for number in (11, 12))
+# How long after the start of a replaced control VM the next loss may come.
+CATCH_UP_S = 2.0
 CONTROL, FRONT, READY = 8000, 8005, 8002
 NODE_PORTS = (7700, 7703)
 STARTER = "import sys; from merlinthread.platform import main; sys.exit(main.main(sys.argv[1:]))"
@@ -19,19 +21,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Node:
-    """One process of the system; its settings, log and data lie in `folder`."""
+    """One process of the system; its settings, log and data lie in `folder`.
+
+    `seeds` are the IPs of the control VMs, one list for all nodes.
+    """
 
     folder: pathlib.Path
     name: str
     role: str
     ip: str
+    seeds: list[str]
     is_first: bool = True
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Start the process, for the first time or again."""
-        path = self.folder / f"{self.name}.json"
-        path.write_text(json.dumps(self.settings()))
+        path = self.write_settings()
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-c", STARTER, self.role],
@@ -42,6 +47,14 @@
             )
         self.is_first = False
 
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings of this moment; a running process takes them over by itself."""
+        path = self.folder / f"{self.name}.json"
+        scratch = path.with_suffix(".new")
+        scratch.write_text(json.dumps(self.settings()))
+        scratch.replace(path)
+        return path
+
     def settings(self) -> dict:
         """Return the settings as the platform gives them."""
         return {
@@ -50,7 +63,7 @@
             "zone": "zone-a",
             "zones": {"zone-a": "region"},
             "port_range": NODE_PORTS,
-            "seeds": [f"{ip}:{CONTROL}" for ip in CONTROL_IPS],
+            "seeds": [f"{ip}:{CONTROL}" for ip in self.seeds],
             "listen": {
                 "control": f"{self.ip}:{CONTROL}",
                 "front": f"{self.ip}:{FRONT}",
@@ -59,7 +72,7 @@
             "bootstrap": self.is_first,
             "data_dir": str(self.folder / self.name),
             "heartbeat_ms": 400,
-            "bounds": {"grace_s": 4},
+            "bounds": {"grace_s": 4, "catch_up_s": CATCH_UP_S},
         }
 
     def signal(self, how: int) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,3 +16,10 @@
     tally = soak.run_seed(seed, 4.0, tmp_path)
     assert tally.broken == [], f"logs are in {tmp_path}"
     assert tally.answered > 20 and tally.acknowledged > 2 and tally.reads > 2
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_control_vms_lost_for_good_one_after_another_lose_nothing(seed, tmp_path):
+    tally = soak.run_seed(seed, 9.0, tmp_path, ("replace_control",))
+    assert tally.broken == [], f"logs are in {tmp_path}"
+    assert tally.faults["replace_control"] > 0
