A control VM is told as joined to a majority only while it holds what its leader has committed

A follower with a full disk hears its leader for as long as the disk is full and applies nothing; one that joins or comes back does so while it still catches up. Entries that watch it held an old configuration. Ruled out as harmless: a stalled disk (the node answers nothing, entries leave it after 1.1 s). Change: the age is counted from when a follower had applied all that its leader told it to be committed; a leader's from when it has committed an entry of its term and others answered it. Test: test_a_control_vm_that_can_not_follow_the_log_is_not_told_as_joined_to_a_majority failed before (told as fresh for 10 s).

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -53,8 +53,9 @@
         self.handed_out = self.log.snapshot.index
         self.role = FOLLOWER
         self.leader = ""
-        # Who led when a leader was last heard.
+        # Who led when a leader was last heard, and the last index known to be committed there.
         self.led_by = ""
+        self.leader_commit = 0
         self.is_resigned = False
         # A restarted member may have promised its leader not to vote yet: it waits that out.
         self.heard_leader_at = now if self.hard_state.term > 0 else float("-inf")
@@ -266,6 +267,7 @@
         if not self.accepts_leader(append.sender, append.term, now):
             self.reply_append(append.sender, False, self.log.last_index(), append.sent_at)
             return
+        self.leader_commit = max(self.leader_commit, append.commit)
         first = append.previous_index
         known = self.log.term_at(first)
         if first > self.log.snapshot.index and known != append.previous_term:
@@ -324,6 +326,7 @@
             self.reply_append(install.sender, False, self.log.last_index(), install.sent_at)
             return
         snapshot = install.snapshot
+        self.leader_commit = max(self.leader_commit, snapshot.index)
         if snapshot.index > self.commit:
             self.log.install(snapshot)
             self.installed = snapshot
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -103,6 +103,7 @@
         )
         self.state = fleet_state.FleetState()
         self.applied = 0
+        self.current_at = float("-inf")
         self.restore(self.journal.snapshot)
         logs.event(
             "log_opened",
@@ -174,6 +175,7 @@
         self.raft.flush(now)
         self.settle(now)
         self.note_leadership()
+        self.note_current()
         if now >= self.duties_at:
             self.duties_at = now + DUTIES_EVERY_S
             self.keep_commit(now)
@@ -309,18 +311,22 @@
         return self.raft.holds_lease(self.clock())
 
     def majority_age(self, now: float) -> float:
-        """Return how long ago this member was surely joined to a majority, in seconds.
+        """Return how long ago this member surely held what a majority holds, in seconds."""
+        return min(LONG_AGO_S, max(0.0, now - self.current_at))
 
-        A member that has heard no leader since its start knows of no such time: what it holds may
-        be older than what a majority holds.
+    def note_current(self) -> None:
+        """Note when this member surely held what a majority holds.
+
+        A leader does while others answer it, once it has committed an entry of its term. A follower
+        does when it has applied all that its leader has told it to be committed: not before it has
+        heard one since its start, not while it catches up, and not while its disk is full.
         """
         if self.raft.is_leader():
-            seen_at = self.raft.lease_until() - TIMING.election_min_s * TIMING.lease_share
-        elif self.raft.led_by:
-            seen_at = self.raft.heard_leader_at
-        else:
-            seen_at = float("-inf")
-        return min(LONG_AGO_S, max(0.0, now - seen_at))
+            if self.raft.commit >= self.raft.term_start:
+                span_s = TIMING.election_min_s * TIMING.lease_share
+                self.current_at = self.raft.lease_until() - span_s
+        elif self.raft.led_by and self.applied >= self.raft.leader_commit:
+            self.current_at = self.raft.heard_leader_at
 
     def leader_address(self) -> str:
         """Return the address of the leader, or nothing."""
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -55,7 +55,7 @@
     """What has changed since the asker's position.
 
     With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago
-    this control VM was surely joined to a majority. `configuration` is empty if the asker's is the
+    this control VM surely held what a majority holds. `configuration` is empty if the asker's is the
     newest here.
     """
 
