--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -55,8 +55,8 @@
     """What has changed since the asker's position.
 
     With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago
-    this control VM surely held what a majority holds. `configuration` is empty if the asker's is the
-    newest here.
+    this control VM surely held what a majority holds. `configuration` is empty if the asker's is
+    the newest here.
     """
 
     feed: str
