A replaced member of the product's own daemons goes after 2 s of silence, not 5

Change: 2 s, the operator names the lost one; a constant of its own for placement. The nodes on the platform do not use this module. Test: test_a_replaced_member_goes_before_a_second_loss_would_leave_two_of_four failed before ('still a voter after 3 s').

--- a/src/merlinthread/roles/leader_duties.py
+++ b/src/merlinthread/roles/leader_duties.py
@@ -11,7 +11,11 @@
     from merlinthread.roles import log_task
 
 JOIN_HEARD_S = 3.0
-SILENT_S = 5.0
+# A new leader places nothing for this long: entries tell it of their agents first.
+PLACE_AFTER_S = 5.0
+# Operators name the member that is lost for good, so a little more than the silence that ends a
+# leadership is enough to take it out: until then the group of four bears no further loss.
+LOST_SILENT_S = 2.0
 
 
 class LeaderDuties:
@@ -24,7 +28,7 @@
 
     def begin(self, now: float) -> None:
         """Note that leadership changed: entries must tell of their agents first."""
-        self.placed_from = now + SILENT_S
+        self.placed_from = now + PLACE_AFTER_S
 
     def look_after_members(self, now: float) -> None:
         """Note members' identities, and take the next step of a repair."""
@@ -46,7 +50,7 @@
             address = raft_messages.Address(join.log_bus, join.bus)
             joiner = raft_members.Joiner(name, join.identity, address, join.replaces)
             lost = self.task.raft.progress.get(join.replaces)
-            is_silent = lost is None or now - lost.heard_at > SILENT_S
+            is_silent = lost is None or now - lost.heard_at > LOST_SILENT_S
             change = raft_members.next_change(voters, joiner, facts, is_silent)
             if change is not None:
                 self.change_members(change, now)
--- /dev/null
+++ b/tests/test_leader_duties.py
@@ -0,0 +1,31 @@
+"""The leader's repairs in the product's own daemons: a replaced member goes in time."""
+
+import types
+
+from merlinthread.protocol import messages
+from merlinthread.roles import leader_duties
+from tests import raft_cluster
+
+
+def test_a_replaced_member_goes_before_a_second_loss_would_leave_two_of_four():
+    """The joiner names whom it replaces, so a silence that ends a leadership is enough."""
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    leader = cluster.leader()
+    lost, second = (name for name in cluster.names if name != leader.name)
+    cluster.crash(lost)
+    cluster.add_member("n0")
+    task = types.SimpleNamespace(raft=leader.raft, name=leader.name)
+    duties = leader_duties.LeaderDuties(task)
+    for _ in range(30):
+        cluster.run(0.1)
+        join = messages.Join("n0", "disk-n0", "", "", lost)
+        duties.joiners["n0"] = (join, cluster.now)
+        duties.look_after_members(cluster.now)
+        cluster.settle(leader)
+    assert lost not in leader.raft.log.voters.voters, "still a voter after 3 s"
+    cluster.crash(second)
+    cluster.run(3.0)
+    data = cluster.propose()
+    cluster.run(1.0)
+    assert data in cluster.members["n0"].applied
