Tests wait for what they need: an entry that listens, a log that is there, a leader that leads

An entry did not listen yet when in_force asked it; a control VM had not started when its file was looked for. A third, test_a_lost_disk_is_repaired (run by itself, load 25), found no leader under its lease. Each now waits for that event, with a time limit, and asserts as before.

--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import resource
+import types
 import uuid
 
 import pytest
@@ -9,6 +10,7 @@
 from bench import fleet as fleets
 from bench import operators, processes
 from merlinthread import errors
+from merlinthread.transport import http_client
 
 SMALL = fleets.Shape(
     zones=("zone-a", "zone-b", "zone-c"),
@@ -33,12 +35,41 @@
     return found
 
 
+def the_leader(fleet: fleets.Fleet) -> fleets.Vm:
+    """Return the control VM that leads, once one does: beside load a lease may lapse."""
+    return processes.wait_for("a leader", fleet.leader, 15)
+
+
 def in_force(fleet: fleets.Fleet, generation: int, timeout_s: float = 5.0) -> None:
-    processes.wait_for(
-        f"generation {generation} in force everywhere",
-        lambda: all(g >= generation for g in entry_generations(fleet)),
-        timeout_s,
+    """Wait until each entry enforces a generation; one that does not listen yet does not."""
+
+    def is_everywhere() -> bool:
+        try:
+            return all(found >= generation for found in entry_generations(fleet))
+        except http_client.NotSentError:
+            return False
+
+    processes.wait_for(f"generation {generation} in force everywhere", is_everywhere, timeout_s)
+
+
+def test_waiting_for_a_generation_bears_an_entry_that_does_not_listen_yet():
+    """A fleet is ready before all its entries are; once this was taken for a failure."""
+    calls = []
+
+    def request(method: str, url: str) -> types.SimpleNamespace:
+        calls.append(url)
+        if len(calls) == 1:
+            raise http_client.NotSentError("connection refused")
+        return types.SimpleNamespace(body=b"merlinthread_generation 1.0\n")
+
+    fleet = types.SimpleNamespace(
+        entries=lambda: [types.SimpleNamespace(http="127.0.0.1:1")],
+        http=types.SimpleNamespace(request=request),
     )
+    in_force(fleet, 1)
+    assert len(calls) == 2
+    with pytest.raises(TimeoutError):
+        in_force(fleet, 2, 0.1)
 
 
 def test_a_bundle_s_life_goes_on_through_kills_of_the_leader_at_each_stage(make_fleet):
@@ -55,7 +86,7 @@
             }[step]()
             generation = max(generation, result.generation)
             if step == stage:
-                leader = fleet.leader()
+                leader = the_leader(fleet)
                 leader.process.kill()
                 processes.wait_for("a new leader", lambda: fleet.leader(), 10)
                 fleet.restart(leader.name)
@@ -85,7 +116,7 @@
     ana.propose(bundle(1))
     ana.sign(bundle(1))
     first = ana.roll(1, request_id=request_id)
-    fleet.leader().process.kill()
+    the_leader(fleet).process.kill()
     processes.wait_for("a new leader", lambda: fleet.leader(), 10)
     assert ana.roll(1, request_id=request_id) == first
     assert ana.roll(1).generation == first.generation + 1
@@ -95,7 +126,7 @@
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet)
     ana.bring_in(bundle(1))
-    frozen = fleet.leader()
+    frozen = the_leader(fleet)
     frozen.process.freeze()
     processes.wait_for("a new leader", lambda: fleet.leader(), 10)
     result = ana.bring_in(bundle(2))
@@ -117,7 +148,7 @@
     ana = operators.Operator(fleet)
     first = ana.bring_in(bundle(1))
     in_force(fleet, first.generation)
-    leader = fleet.leader()
+    leader = the_leader(fleet)
     cut = next(vm for vm in fleet.entries() if vm.settings["availability_zone"] != "zone-a")
     zone = cut.settings["availability_zone"]
     inside = {vm.name for vm in fleet.vms.values() if vm.settings["availability_zone"] == zone}
@@ -159,7 +190,7 @@
         "identities",
         lambda: any(vm.process.events("members_change") for vm in fleet.controls()),
     )
-    leader = fleet.leader()
+    leader = the_leader(fleet)
     lost = next(vm for vm in fleet.controls() if vm.name != leader.name)
     lost.process.kill()
     fleet.remove_folder(lost.name)
@@ -238,7 +269,10 @@
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet)
     ana.bring_in(bundle(1))
-    hurt = next(vm for vm in fleet.controls() if vm.name != fleet.leader().name)
+    hurt = next(vm for vm in fleet.controls() if vm.name != the_leader(fleet).name)
+    processes.wait_for(
+        "its log to hold the bundle's life", lambda: "applied_roll" in hurt.process.log.read_text()
+    )
     hurt.process.kill()
     path = next((fleet.folder / "data" / hurt.name).glob("log-*.bin"))
     data = bytearray(path.read_bytes())
@@ -254,18 +288,20 @@
     fleet = make_fleet(SMALL)
     ana = operators.Operator(fleet)
     ana.bring_in(bundle(1))
-    full = fleet.leader()
+    full = the_leader(fleet)
     size = next((fleet.folder / "data" / full.name).glob("log-*.bin")).stat().st_size
     limit = (size, resource.RLIM_INFINITY)
     resource.prlimit(full.process.handle.pid, resource.RLIMIT_FSIZE, limit)
     result = ana.bring_in(bundle(2))
     assert result.generation == 2
-    assert fleet.leader().name != full.name
+    assert the_leader(fleet).name != full.name
     assert full.process.is_running()
     unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
     resource.prlimit(full.process.handle.pid, resource.RLIMIT_FSIZE, unlimited)
     in_force(fleet, 2, 10)
-    other = next(vm for vm in fleet.controls() if vm.name not in (full.name, fleet.leader().name))
+    other = next(
+        vm for vm in fleet.controls() if vm.name not in (full.name, the_leader(fleet).name)
+    )
     other.process.kill()
     processes.wait_for("a leader", lambda: fleet.leader(), 15)
     assert ana.bring_in(bundle(3)).generation == 3
--- a/tests/test_log_repair.py
+++ b/tests/test_log_repair.py
@@ -1,10 +1,11 @@
 """Control VMs that are lost for good and replaced: the group bears the next loss in time."""
 
+import asyncio
 import time
 
 from merlinthread import errors
 from merlinthread.coordination import raft_members
-from merlinthread.nodes import news_watcher
+from merlinthread.nodes import log_member, news_watcher
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
 from tests.test_control_nodes import put, read, run
@@ -182,3 +183,41 @@
         assert sorted(voters.voters) == sorted(f"{ip}:{controls.port}" for ip in controls.ips)
 
     run(tmp_path, scenario)
+
+
+def test_an_empty_control_vm_asks_to_join_with_its_first_turn(tmp_path):
+    async def scenario():
+        asked = []
+
+        class Recorder:
+            async def call(self, address, message, timeout_s):
+                asked.append((address, message.name))
+                return node_messages.Joined(False)
+
+        settings = fleet_nodes.make_settings(
+            "new", control_port=7000, control_ips=["127.0.0.11"], data_folder=str(tmp_path / "new")
+        )
+        member = log_member.LogMember(
+            settings, fleet_nodes.make_codec(), Recorder(), lambda: 50.0, None, None
+        )
+        member.members.ask(50.0)
+        await fleet_nodes.until(lambda: asked)
+        assert asked == [("127.0.0.11:7000", member.name)]
+        member.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_new_leader_is_not_sure_before_it_has_committed_an_entry_of_its_term(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        member = controls.nodes[controls.leader()].member
+        member.raft.term_start = member.raft.commit + 1
+        member.current_at = float("-inf")
+        member.note_current()
+        assert member.majority_age(time.monotonic()) == log_member.LONG_AGO_S
+        member.raft.term_start = member.raft.commit
+        member.note_current()
+        assert member.majority_age(time.monotonic()) < news_watcher.STALE_S
+
+    run(tmp_path, scenario)
--- a/tests/test_raft_machine.py
+++ b/tests/test_raft_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from merlinthread import errors
-from merlinthread.coordination import raft_members, raft_messages
+from merlinthread.coordination import raft, raft_members, raft_messages
 from merlinthread.state import journal
 from tests import raft_cluster
 
@@ -306,3 +306,27 @@
     cluster.deliver_all()
     assert leader.raft.holds_lease(cluster.now)
     assert not cluster.members[other].raft.is_leader()
+
+
+def test_the_silence_of_a_former_leader_counts_from_when_it_was_heard_not_from_the_election():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    lost = cluster.leader().name
+    lost_at = cluster.now
+    cluster.crash(lost)
+    cluster.run(3.0)
+    progress = cluster.leader().raft.progress
+    assert progress[lost].heard_at <= lost_at
+
+
+def test_a_member_that_resigned_neither_leads_nor_stands_again():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    resigned = cluster.leader()
+    resigned.raft.resign(cluster.now)
+    assert not resigned.raft.is_leader()
+    for _ in range(10):
+        cluster.run(1.0)
+        assert not resigned.raft.is_leader()
+        assert resigned.raft.role == raft.FOLLOWER
+    assert cluster.leader() is not None
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -196,7 +196,7 @@
 
 def test_without_a_majority_a_call_is_refused_at_once_and_truly_did_not_run(fleet):
     # The leader stays up: it takes the claim into its log and can't have it confirmed.
-    leader = fleet.leader()
+    leader = processes.wait_for("a leader", fleet.leader)
     others = [vm for vm in fleet.controls() if vm is not leader]
     for vm in others:
         vm.process.kill()
