A responder's threads end before its socket is closed

A call under way also lost its answer at a planned stop. Change: threads wait for a call at most 250 ms, look whether they are to end, and the socket is closed after them. Test: test_a_responder_that_is_stopped_still_gives_the_answer_that_it_works_on failed before (no answer).

--- a/src/merlinthread/transport/bus.py
+++ b/src/merlinthread/transport/bus.py
@@ -21,6 +21,8 @@
 RECONNECT_MAX_MS = 500
 SENDER_QUEUE = 64
 REOPEN_AFTER_S = 1.0
+# How long a responder's thread waits for a call before it looks whether it is to end.
+STOP_NOTICED_MS = 250
 SENT = metrics.bus_bytes_total.labels("sent")
 RECEIVED = metrics.bus_bytes_total.labels("received")
 
@@ -112,7 +114,8 @@
     ) -> None:
         self.codec = codec
         self.handler = handler
-        self.socket = pynng.Rep0(recv_max_size=RECEIVE_BYTES_MAX)
+        self.stopping = threading.Event()
+        self.socket = pynng.Rep0(recv_max_size=RECEIVE_BYTES_MAX, recv_timeout=STOP_NOTICED_MS)
         self.socket.listen(address_url(address))
         self.threads = [
             threading.Thread(target=self.serve, name=f"responder-{number}", daemon=True)
@@ -125,16 +128,16 @@
             thread.start()
 
     def serve(self) -> None:
-        """Answer one call after another until the socket is closed."""
+        """Answer one call after another until the responder stops."""
         try:
             with self.socket.new_context() as context:
-                while True:
+                while not self.stopping.is_set():
                     self.serve_one(context)
         except pynng.exceptions.Closed:
             return
 
     def serve_one(self, context: pynng.Context) -> None:
-        """Answer one call; raise Closed once the socket is closed."""
+        """Answer one call, if one comes soon; raise Closed once the socket is closed."""
         try:
             frame = context.recv()
             RECEIVED.inc(len(frame))
@@ -143,6 +146,8 @@
             SENT.inc(len(frame))
         except pynng.exceptions.Closed:
             raise
+        except pynng.exceptions.Timeout:
+            return
         except pynng.exceptions.NNGException as error:
             logs.detail("bus_answer_failed", error=str(error))
 
@@ -158,11 +163,15 @@
         return self.codec.encode(answer)
 
     def stop(self) -> None:
-        """Close the socket and wait for the threads."""
-        self.socket.close()
+        """Let the threads end, then close the socket.
+
+        The library aborts the process if the socket is closed under a thread that sends.
+        """
+        self.stopping.set()
         for thread in self.threads:
             if thread.ident is not None:
                 thread.join()
+        self.socket.close()
 
 
 class Mailbox:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -1,6 +1,8 @@
 """The bus through a link that stalls while a connection is set up."""
 
 import socket
+import threading
+from concurrent import futures
 
 from bench import processes
 from merlinthread.protocol import messages
@@ -59,3 +61,27 @@
     processes.wait_for("an answer", call, 5)
     caller.close()
     responder.stop()
+
+
+def test_a_responder_that_is_stopped_still_gives_the_answer_that_it_works_on():
+    """Closed under a thread that sends, the library ends the whole process."""
+    address = f"127.0.0.1:{processes.Ports().take()}"
+    begun, may_end = threading.Event(), threading.Event()
+
+    def handle(message):
+        begun.set()
+        may_end.wait(5)
+        return message
+
+    responder = bus.Responder(address, CODEC, handle, workers=2)
+    responder.start()
+    caller = bus.Caller(address, CODEC)
+    with futures.ThreadPoolExecutor(2) as pool:
+        answer = pool.submit(caller.call, WANTED, 5.0)
+        assert begun.wait(5)
+        stopped = pool.submit(responder.stop)
+        processes.wait_for("the stop to begin", responder.stopping.is_set, 5)
+        may_end.set()
+        assert answer.result(5) == WANTED
+        stopped.result(5)
+    caller.close()
