The test of a damaged log flips a byte of its first record, after a second one is there

Traced in the files that were left: a follower that had caught up late held two records, and the byte in the middle lay in the last one, which counts as torn and is cut off. Damage to a record that a sound one follows is asserted as before.

--- a/tests/test_control_failures.py
+++ b/tests/test_control_failures.py
@@ -10,6 +10,7 @@
 from bench import fleet as fleets
 from bench import operators, processes
 from merlinthread import errors
+from merlinthread.state import records
 from merlinthread.transport import http_client
 
 SMALL = fleets.Shape(
@@ -270,18 +271,21 @@
     ana = operators.Operator(fleet)
     ana.bring_in(bundle(1))
     hurt = next(vm for vm in fleet.controls() if vm.name != the_leader(fleet).name)
+    processes.wait_for("it to follow", lambda: "applied_roll" in hurt.process.log.read_text(), 15)
+    ana.bring_in(bundle(2))
+    path = next((fleet.folder / "data" / hurt.name).glob("log-*.bin"))
     processes.wait_for(
-        "its log to hold the bundle's life", lambda: "applied_roll" in hurt.process.log.read_text()
+        "a second record", lambda: len(records.scan(path.read_bytes(), path)[0]) > 1, 15
     )
     hurt.process.kill()
-    path = next((fleet.folder / "data" / hurt.name).glob("log-*.bin"))
     data = bytearray(path.read_bytes())
-    data[len(data) // 2] ^= 0x10
+    # In the first record: damage to the last one can't be told from a write that was torn.
+    data[records.HEADER.size] ^= 0x10
     path.write_bytes(data)
     fleet.restart(hurt.name)
     assert hurt.process.wait(15) == 13
     assert f"log_damaged: {path}" in hurt.process.log.read_text()
-    assert ana.bring_in(bundle(2)).generation == 2
+    assert ana.bring_in(bundle(3)).generation == 3
 
 
 def test_a_full_disk_of_the_leader_is_a_clear_refusal_and_loses_nothing(make_fleet):
