--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -83,14 +83,12 @@
 
     # The log's side
 
-    def on_applied(self, command: fleet_state.Command, is_live: bool) -> None:
-        """Take a committed command into what is told to nodes."""
+    def on_applied(self, command: fleet_state.Command, age_s: float) -> None:
+        """Take a command into what is told to nodes; it was committed `age_s` ago at most."""
         if isinstance(command, fleet_state.Depart):
             self.depart(command.instance, command.state)
         elif isinstance(command, fleet_state.NameVersion):
-            self.named_at[command.model] = self.clock() - (
-                0.0 if is_live else log_member.LONG_AGO_S
-            )
+            self.named_at[command.model] = self.clock() - age_s
             self.registry.advance()
         name = self.member.command_names[type(command)]
         logs.event("applied", command=name, **described(command))
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -28,6 +28,9 @@
 # How long the log is quiet before what is known to be committed is made durable by itself. One sync
 # for a burst of changes; less would add one to each change of a storm (every 60 ms).
 COMMIT_KEPT_AFTER_S = 0.2
+# A member that held what a majority holds this long ago follows as closely as heartbeats come (two
+# of them); what it applies was committed just now.
+CAUGHT_UP_S = 2 * TIMING.heartbeat_s
 # Told in place of an age that is not known; finite, so that it can be sent and compared.
 LONG_AGO_S = 1e6
 # How often a member that knows no leader tells so in its log.
@@ -46,8 +49,8 @@
 class LogMember:
     """The owner of the log; all calls are made on its event loop.
 
-    `on_applied(command, is_live)` is called for each applied command; `on_restored()` after a
-    snapshot has replaced the state.
+    `on_applied(command, age_s)` is called for each applied command, with how long ago it was
+    committed at most; `on_restored()` after a snapshot has replaced the state.
     """
 
     def __init__(
@@ -56,7 +59,7 @@
         codec: codecs.Codec,
         caller: node_bus.Caller,
         clock: Callable[[], float],
-        on_applied: Callable[[fleet_state.Command, bool], None],
+        on_applied: Callable[[fleet_state.Command, float], None],
         on_restored: Callable[[], None],
     ) -> None:
         self.settings = settings
@@ -87,7 +90,6 @@
         self.last_leader = ""
         self.leaderless_since = clock()
         self.leaderless_told_at = clock()
-        self.is_live = False
         self.open(settings.is_first_start)
 
     # Files
@@ -269,7 +271,7 @@
         if entry.kind == "command":
             command = self.decode_command(entry.data)
             is_changed = self.state.apply(command)
-            self.on_applied(command, self.is_live)
+            self.on_applied(command, self.age_s_max(entry, self.clock()))
         self.applied = entry.index
         metrics.log_index.set(entry.index)
         term, answer = self.waiting.pop(entry.index, (0, None))
@@ -281,6 +283,18 @@
         else:
             set_error(answer, lost_leadership())
 
+    def age_s_max(self, entry: journal.Entry, now: float) -> float:
+        """Return how long ago an entry that is applied now may have been committed.
+
+        It was committed after the last moment at which this member surely held what a majority
+        holds; a member that catches up may be as late as that. A leader commits its own entries
+        itself.
+        """
+        if self.raft.is_leader() and entry.term == self.raft.hard_state.term:
+            return 0.0
+        age_s = self.majority_age(now)
+        return age_s if age_s > CAUGHT_UP_S else 0.0
+
     def decode_command(self, data: bytes) -> fleet_state.Command:
         """Return the command in an entry."""
         name, raw = self.pair.decode(data)
@@ -343,7 +357,6 @@
             self.last_leader = self.raft.leader
             self.leaderless_since = self.leaderless_told_at = self.clock()
             metrics.leader_changes_total.inc()
-            self.is_live = self.is_live or bool(self.raft.leader)
             logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
         if leads == self.was_leader:
             return
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import zlib
 from collections.abc import Callable
 
@@ -22,6 +23,8 @@
 PAUSE_S = 0.1
 STALE_S = 1.6
 MISSING_BEATS = 4
+# An age that differs by less is no better known: news are up to WATCH_TIMEOUT_S on their way.
+AGE_DOUBT_S = 2.0
 
 
 class NewsWatcher:
@@ -174,12 +177,18 @@
         )
 
     def take_versions(self, news: node_messages.News, now: float) -> None:
-        """Take newly named weights over, with the time at which they were acknowledged."""
+        """Take named weights over, with the earliest time at which they may have been acknowledged.
+
+        A control VM that was away tells too great an age; one that was not puts it right.
+        """
         for named in news.named:
+            named_at = self.named_at.setdefault(named.model, {})
+            if now - named.age_s > named_at.get(named.version, math.inf) + AGE_DOUBT_S:
+                named_at[named.version] = now - named.age_s
             if named.version <= self.named.get(named.model, 0):
                 continue
             self.named[named.model] = named.version
-            self.named_at.setdefault(named.model, {})[named.version] = now - named.age_s
+            named_at[named.version] = now - named.age_s
             logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
 
     def version_due(self, model: str, now: float, bound_s: float) -> int:
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
 from merlinthread import errors
-from merlinthread.coordination import fleet
+from merlinthread.coordination import fleet, fleet_state
 from merlinthread.nodes import news_watcher
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages
+from merlinthread.state import journal
 from merlinthread.transport import node_bus
 from tests import fleet_nodes
 
@@ -296,3 +298,59 @@
         assert await read(controls) == 2
 
     run(tmp_path, scenario)
+
+
+def applied_version(controls, version: int) -> float:
+    """Let a follower apply that a version was named; return the age that it tells."""
+    follower = next(ip for ip in controls.ips if ip != controls.leader())
+    node = controls.nodes[follower]
+    member = node.member
+    command = member.encode_command(fleet_state.NameVersion("m", version))
+    member.apply(journal.Entry(member.applied + 1, member.raft.hard_state.term, "command", command))
+    told = node.news(node_messages.Watch("entry", "", 0, 0, 0.0)).named
+    return next(named.age_s for named in told if named.model == "m")
+
+
+def test_a_control_vm_that_catches_up_tells_a_version_as_old_as_it_may_be(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        follower = next(ip for ip in controls.ips if ip != controls.leader())
+        await fleet_nodes.until(
+            lambda: controls.nodes[follower].member.majority_age(time.monotonic()) < 0.5
+        )
+        assert applied_version(controls, 1) < 0.5
+        # What was named while it was cut off may be as old as the cut.
+        controls.nodes[follower].member.current_at = time.monotonic() - 7.0
+        assert applied_version(controls, 2) >= 7.0
+
+    run(tmp_path, scenario)
+
+
+def test_a_version_that_a_leader_has_just_committed_is_told_as_new(tmp_path):
+    async def scenario(controls):
+        await put(controls, 1)
+        leader = controls.nodes[controls.leader()]
+        leader.member.current_at = float("-inf")
+        await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
+        told = leader.news(node_messages.Watch("entry", "", 0, 0, 0.0)).named
+        assert told[0].age_s < 3.0
+
+    run(tmp_path, scenario)
+
+
+def test_of_two_ages_told_of_a_version_the_younger_one_holds():
+    watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
+
+    def tell(age_s: float) -> None:
+        named = [node_messages.NamedVersion("m", 2, age_s)]
+        watcher.take_versions(
+            node_messages.News("f", 1, False, [], [], named, 0, b"", [], 0.0), 100.0
+        )
+
+    tell(60.0)
+    tell(3.0)
+    tell(30.0)
+    assert watcher.named_at["m"][2] == 97.0
+    # What may be the way of the news alone does not put a bound off.
+    tell(2.0)
+    assert watcher.named_at["m"][2] == 97.0
