A late heartbeat of an ended instance does not replace the one at its address

Change: an unknown instance waits while another one lives at its address (heard of within 1.5 heartbeats), unless it has just begun (its first calls); an entry told of two at one address leaves the other one out, not for good. Ruled out: the higher sequence, since each start may count anew. Tests: three failed first; one that held before stays (a new instance replaces the old one at once).

--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -11,6 +11,10 @@
 from merlinthread.coordination import fleet
 
 GONE_KEPT = 4096
+# An instance with a sequence up to this has just begun: its first calls may have been lost.
+FIRST_SEQUENCES = 3
+# An instance that was heard of within so many heartbeats lives; one beat may come late.
+LIVE_BEATS = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,10 +38,11 @@
     """The back ends that one control VM knows.
 
     Each change gets a `position`, so that whoever knows what was true at one position can be told
-    what has changed since.
+    what has changed since. Heartbeats come about every `heartbeat_s`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_s: float) -> None:
+        self.heartbeat_s = heartbeat_s
         self.known: dict[str, Known] = {}
         self.gone: collections.OrderedDict[str, int] = collections.OrderedDict()
         self.forgotten_position = 0
@@ -53,6 +58,8 @@
             return False
         known = self.known.get(heartbeat.instance)
         if known is None:
+            if self.is_late(heartbeat, now):
+                return False
             self.evict_address(heartbeat)
             self.known[heartbeat.instance] = Known(heartbeat, now, self.advance())
             return True
@@ -67,6 +74,22 @@
             known.position = self.advance()
         return is_changed
 
+    def is_late(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+        """Return whether a heartbeat of an unknown instance may be from before its end.
+
+        A cut can hold it up until another instance is at its address. One that has just begun is
+        not late; any other one waits until the instance that is heard of there falls silent.
+        """
+        if heartbeat.sequence <= FIRST_SEQUENCES:
+            return False
+        live_s = LIVE_BEATS * self.heartbeat_s
+        return any(
+            known.heartbeat.address == heartbeat.address
+            and known.heartbeat.state == fleet.READY
+            and now - known.heard_at <= live_s
+            for known in self.known.values()
+        )
+
     def evict_address(self, heartbeat: fleet.Heartbeat) -> None:
         """Drop instances that had the address of a new one: their processes have ended."""
         for instance, known in list(self.known.items()):
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -249,7 +249,11 @@
             # Two instances at one address: the one heard of last is there.
             if self.heard_at[other.instance] > now - told.age_s:
                 return
-            self.forget(other.instance)
+            # Not for good: a late heartbeat may have misled the control VM for a moment.
+            del self.instances[other.instance]
+            logs.event(
+                "instance", instance=other.instance, state="replaced", by=told.heartbeat.instance
+            )
         self.instances[heartbeat.instance] = heartbeat
         self.cold_until[heartbeat.instance] = now + heartbeat.cold_s - told.age_s
 
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.coordination import fleet, fleet_state
+from merlinthread.coordination import fleet, fleet_state, instances
 from merlinthread.nodes import news_watcher
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages
@@ -354,3 +354,19 @@
     # What may be the way of the news alone does not put a bound off.
     tell(2.0)
     assert watcher.named_at["m"][2] == 97.0
+
+
+def test_an_instance_that_a_watcher_was_told_wrongly_to_be_replaced_comes_back():
+    watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
+
+    def tell(instance: str, age_s: float, gone: list[str]) -> None:
+        beat = dialect.bodies.heartbeat(instance, json.dumps(heartbeat(instance)).encode())
+        told = [instances.Instance(beat, age_s)]
+        watcher.take(node_messages.News("f", 1, False, told, gone, [], 0, b"", [], 0.0))
+
+    tell("new", 0.5, [])
+    tell("old", 0.0, [])
+    tell("new", 0.1, ["old"])
+    assert set(watcher.instances) == {"new"}
+    tell("old", 0.0, [])
+    assert set(watcher.instances) == {"new"}
--- a/tests/test_fleet_deciders.py
+++ b/tests/test_fleet_deciders.py
@@ -19,6 +19,8 @@
 )
 from merlinthread.protocol import event_bytes
 
+BEAT_S = 1.2
+
 
 def make_route(name="r", host="h", prefix="/a/", **changes) -> fleet.Route:
     shares = changes.pop("shares", [fleet.Share("s")])
@@ -63,7 +65,7 @@
 
 
 def test_a_late_heartbeat_does_not_undo_a_drain():
-    registry = instances.Instances()
+    registry = instances.Instances(BEAT_S)
     registry.take(beat(sequence=5, state=fleet.DRAINING), 0.0)
     registry.take(beat(sequence=4), 0.1)
     registry.take(beat(sequence=6), 0.2)
@@ -71,7 +73,7 @@
 
 
 def test_an_instance_that_left_does_not_come_back():
-    registry = instances.Instances()
+    registry = instances.Instances(BEAT_S)
     registry.take(beat(), 0.0)
     registry.remove("i")
     registry.take(beat(sequence=9), 0.1)
@@ -79,7 +81,7 @@
 
 
 def test_a_new_instance_at_an_address_takes_the_place_of_the_old_one():
-    registry = instances.Instances()
+    registry = instances.Instances(BEAT_S)
     registry.take(beat("old"), 0.0)
     registry.take(beat("new"), 1.0)
     registry.take(beat("old", sequence=2), 1.1)
@@ -87,7 +89,7 @@
 
 
 def test_who_knows_a_position_is_told_what_changed_after_it():
-    registry = instances.Instances()
+    registry = instances.Instances(BEAT_S)
     registry.take(beat("a", "1.1.1.1:1"), 0.0)
     position = registry.position
     registry.take(beat("b", "1.1.1.1:2"), 0.0)
@@ -99,7 +101,7 @@
 
 
 def test_silent_instances_are_dropped_and_all_is_told_anew():
-    registry = instances.Instances()
+    registry = instances.Instances(BEAT_S)
     registry.take(beat("a", "1.1.1.1:1"), 0.0)
     registry.take(beat("b", "1.1.1.1:2"), 9.0)
     position = registry.position
@@ -279,7 +281,7 @@
     busy, idle = backend("busy"), backend("idle")
     for one, tokens in ((busy, 5000.0), (idle, 0.0)):
         one.take_report(fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)]), 9.95)
-        one.take_answer(load_ledger.Outstanding(3, 2, tokens), 10.0)
+        one.take_answer(load_ledger.EngineNow(load_ledger.Outstanding(3, 2, tokens)), 10.0)
     demand = dispatch.Demand("s", "m", prompt_tokens=1000.0)
     choices = [dispatch.rate(one, demand, ENGINE, 10.0) for one in (busy, idle)]
     expected = 5000.0 / ENGINE.read_tokens_per_s
@@ -361,7 +363,7 @@
     prompt, slow, silent, asked_before = (
         backend(name) for name in ("prompt", "slow", "silent", "asked-before")
     )
-    nothing = load_ledger.Outstanding()
+    nothing = load_ledger.EngineNow(load_ledger.Outstanding())
     for one in (prompt, slow, silent, asked_before):
         one.take_report(report, 9.99)
     prompt.take_answer(nothing, 9.99)
@@ -376,3 +378,47 @@
     for one in all_of_them:
         choice = dispatch.best_of([one], demand, ENGINE, 10.0)
         assert (choice is not None) == (one is prompt)
+
+
+def test_a_late_heartbeat_of_an_ended_instance_does_not_replace_the_one_at_its_address():
+    # A control VM that has never heard of the old instance: it has just started, or was cut off.
+    registry = instances.Instances(BEAT_S)
+    registry.take(beat("new", sequence=3), 0.0)
+    assert not registry.take(beat("old", sequence=40), 0.5)
+    assert not registry.take(beat("old", sequence=41), 0.6)
+    registry.take(beat("new", sequence=4), 1.2)
+    assert set(registry.known) == {"new"}
+    assert not registry.take(beat("old", sequence=42), 2.4)
+    assert set(registry.known) == {"new"}
+
+
+def test_an_instance_that_has_just_begun_is_known_at_once_whatever_comes_late_of_the_one_before():
+    registry = instances.Instances(BEAT_S)
+    registry.take(beat("first", sequence=7), 0.0)
+    assert registry.take(beat("second", sequence=1), 0.9)
+    assert not registry.take(beat("first", sequence=8), 1.0)
+    assert set(registry.known) == {"second"}
+
+
+def test_an_instance_heard_late_is_known_once_the_one_at_its_address_is_silent():
+    registry = instances.Instances(BEAT_S)
+    registry.take(beat("first", sequence=7), 0.0)
+    assert not registry.take(beat("second", sequence=12), 0.9)
+    assert registry.take(beat("second", sequence=13), 2.1)
+    assert not registry.take(beat("first", sequence=8), 2.2)
+    assert set(registry.known) == {"second"}
+
+
+def test_an_instance_at_the_address_of_one_that_has_left_is_known_at_once():
+    registry = instances.Instances(BEAT_S)
+    registry.take(beat("first", sequence=7), 0.0)
+    registry.remove("first")
+    assert registry.take(beat("second", sequence=1), 0.1)
+    assert set(registry.known) == {"second"}
+
+
+def test_an_instance_that_drains_gives_its_address_up_at_once():
+    registry = instances.Instances(BEAT_S)
+    registry.take(beat("first", sequence=7, state=fleet.DRAINING), 0.0)
+    assert registry.take(beat("second", sequence=1), 0.1)
+    assert set(registry.known) == {"second"}
