Connections that fall silent are left together; who ends its side is left at once

Change: a kept connection on which nothing came in time takes the other kept ones to that peer with it (nodes among themselves, requests, weights); the end of a client's side cancels an answer in progress at once, an answer that is whole is still written.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -159,10 +159,13 @@
             self.judge(outcome)
             return outcome
         except TimeoutError:
+            self.note_silence(connection)
             if not self.relay.exchange.is_started:
                 dispatch.note_failure(self.backend, self.clock())
             return Outcome(State.UNKNOWN, "the time is over")
         except errors.MerlinthreadError as error:
+            if isinstance(error, SilentError):
+                self.note_silence(connection)
             if not isinstance(error, OverdueError):
                 dispatch.note_failure(self.backend, self.clock())
             if self.is_sent:
@@ -173,6 +176,11 @@
             if connection is not None:
                 connection.close()
 
+    def note_silence(self, connection: stream_client.ClientConnection | None) -> None:
+        """Note that nothing came over the connection in time."""
+        if connection is not None:
+            self.pool.connections.note_silence(self.backend.instance, connection)
+
     def loop_time(self, at: float) -> float:
         """Return `at` as a time of the event loop."""
         return asyncio.get_running_loop().time() + (at - self.clock())
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -23,6 +23,7 @@
         self.keep_until = 0.0
         self.has_stray_bytes = False
         self.is_idle = True
+        self.was_kept = False
         self.pending: collections.deque[bytes] = collections.deque()
 
     # Events of the transport
@@ -177,6 +178,7 @@
         while kept:
             connection = kept.pop()
             if connection.is_usable(now) and now - connection.idle_since <= idle_s_max:
+                connection.was_kept = True
                 return connection
             connection.close()
         return None
@@ -186,6 +188,15 @@
         if connection.finish(now, min(keep_s, self.keep_s)):
             self.idle.setdefault(key, []).append(connection)
 
+    def note_silence(self, key: str, connection: ClientConnection) -> None:
+        """Note that nothing came over a connection in time.
+
+        Connections may fall silent for good, all those to a server at the same moment, while new
+        ones work: if this one had been kept, the others that were kept are not trusted either.
+        """
+        if connection.was_kept:
+            self.drop(key)
+
     def drop(self, key: str) -> None:
         """Close the idle connections of one server."""
         for connection in self.idle.pop(key, []):
@@ -207,6 +218,8 @@
                 connection.send(request)
                 answer = await connection.receive()
         except TimeoutError:
+            if connection is not None:
+                self.note_silence(address, connection)
             self.discard(connection)
             raise errors.UnreachableError(f"{address}: no answer within {timeout_s:.2f} s")
         except BaseException:
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -176,7 +176,14 @@
         self.flow.resume()
 
     def eof_received(self) -> bool:
-        """Treat a client that ends its side as one that has left."""
+        """Treat a client that ends its side as one that has left.
+
+        What it does not read any more must not hold up that the work for it ends; an answer that is
+        whole is still written.
+        """
+        is_answering = self.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if self.task is not None and is_answering:
+            self.abort()
         return False
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -289,7 +289,8 @@
         entry.node.settings.agent_port = 1
 
         async def answer_at_once(agents, wait_s):
-            return {agent: load_ledger.Outstanding() for agent in agents}
+            nothing = load_ledger.EngineNow(load_ledger.Outstanding())
+            return {agent: nothing for agent in agents}
 
         entry.node.prober.ask = answer_at_once
         old.behaviour.is_mute = True
@@ -365,3 +366,20 @@
         assert 1 in orders
 
     asyncio.run(scenario())
+
+
+def test_a_kept_connection_that_fell_silent_takes_the_others_to_its_back_end_with_it(monkeypatch):
+    async def scenario():
+        entry, workers, _ = await make("model", 1, "m")
+        await asyncio.gather(*(entry.ask("/model/", f"id-{n}", **STREAM) for n in range(3)))
+        pool = entry.node.pool.connections
+        assert len(pool.idle["i-0"]) == 3
+        workers[0].behaviour.is_mute = True
+        monkeypatch.setattr(attempts, "FIRST_EVENT_MIN_S", 0.05)
+        monkeypatch.setattr(attempts, "FIRST_EVENT_OBJECTIVES", 0.0)
+        task = asyncio.ensure_future(entry.ask("/model/", "id-9", **STREAM))
+        await fleet_nodes.until(lambda: runs(workers) == 4)
+        await fleet_nodes.until(lambda: not pool.idle.get("i-0"), 3.0)
+        task.cancel()
+
+    asyncio.run(scenario())
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -285,3 +285,68 @@
         listener.close()
 
     asyncio.run(scenario())
+
+
+class SilenceableServer:
+    """A server whose open connections may fall silent for good, while new ones work."""
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self.connections = 0
+
+    async def start(self) -> str:
+        server = await asyncio.start_server(self.answer, "127.0.0.1", 0)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def answer(self, reader, writer) -> None:
+        born = self.generation
+        self.connections += 1
+        while await reader.readuntil(b"\r\n\r\n"):
+            if born != self.generation:
+                await asyncio.Event().wait()
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+
+def test_of_connections_that_fell_silent_only_the_first_one_used_costs_its_time_limit():
+    async def scenario():
+        server = SilenceableServer()
+        address = await server.start()
+        pool = stream_client.Pool(60.0, 1.0, 2.0)
+        await asyncio.gather(*(pool.call(address, get(), 5.0) for _ in range(3)))
+        assert server.connections == 3
+        server.generation += 1
+        with pytest.raises(errors.UnreachableError):
+            await pool.call(address, get(), 0.05)
+        answers = await asyncio.gather(*(pool.call(address, get(), 5.0) for _ in range(3)))
+        assert [answer.body for answer in answers] == [b"ok"] * 3
+
+    asyncio.run(scenario())
+
+
+def test_a_client_that_ends_its_side_while_it_reads_nothing_is_left_at_once():
+    async def scenario():
+        cancelled = asyncio.Event()
+        stuck = asyncio.Event()
+
+        async def handler(exchange):
+            exchange.start(200, [])
+            try:
+                while True:
+                    stuck.set()
+                    await exchange.send(bytes(1 << 20))
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        _, address = await serve(handler)
+        host, port = address.split(":")
+        sock = socket.socket()
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        await asyncio.get_running_loop().sock_sendall(sock, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await stuck.wait()
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.wait_for(cancelled.wait(), 5.0)
+        sock.close()
+
+    asyncio.run(scenario())
