One agent of a zone asks the origin for a manifest, the others ask that one

Change: nodes/manifest_finder.py, out of weights_task.py; the first of the zone by rendezvous order asks the origin; the others fall back on it after 0.5 s, then on any peers as before.

--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -5,14 +5,13 @@
 """
 
 import asyncio
-import contextlib
 import math
 import random
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fetch, fetch_policies, fleet, pacing
-from merlinthread.nodes import engine_client, news_watcher, node_settings
+from merlinthread.nodes import engine_client, manifest_finder, news_watcher, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
@@ -28,9 +27,6 @@
 ORIGIN_WAIT_S = 0.3
 ORIGIN_GRACE_S = 0.8
 PEER_TIMEOUT_S = 1.5
-# How many peers are asked for a manifest that the origin does not give.
-MANIFEST_PEERS = 3
-MANIFEST_TIMEOUT_S = 0.3
 IDLE_WAIT_S = 0.02
 ORDER_WAIT_S = 0.2
 # How long before the bound the second half of the engines changes over.
@@ -62,6 +58,7 @@
         self.clock = clock
         self.rng = rng
         self.me = f"{settings.ip}:{settings.agent_port}"
+        self.manifests = manifest_finder.ManifestFinder(self.me, engine, caller, clock, rng)
         self.manifest: fleet.Manifest | None = None
         self.plan: fetch.FetchPlan | None = None
         self.report: fleet.EngineReport | None = None
@@ -129,7 +126,7 @@
     async def begin(self, model: str, version: int) -> None:
         """Read a version's manifest and find out which of its pieces lie here."""
         is_first = self.manifest is None
-        manifest = await self.find_manifest(model, version)
+        manifest = await self.manifests.find(self.origin(), model, version, self.peers())
         plan = fetch_policies.Zoned(
             self.me,
             f"{model}@{manifest.version}",
@@ -153,24 +150,6 @@
             held=plan.held.bit_count(),
         )
 
-    async def find_manifest(self, model: str, version: int) -> fleet.Manifest:
-        """Return a version's manifest, from the origin or else from a peer that has it.
-
-        Raises the origin's error if none of the peers asked has it.
-        """
-        try:
-            return await self.engine.manifest(self.origin(), model, version)
-        except errors.MerlinthreadError:
-            peers = self.peers()
-            request = node_messages.ManifestRequest(model, version)
-            for peer in self.rng.sample(peers, min(MANIFEST_PEERS, len(peers))):
-                with contextlib.suppress(errors.MerlinthreadError):
-                    reply = await self.caller.call(peer.bus, request, MANIFEST_TIMEOUT_S)
-                    if reply.manifest is not None:
-                        logs.event("manifest_from_peer", version=version, peer=peer.bus)
-                        return reply.manifest
-            raise
-
     def give_manifest(self, request: node_messages.ManifestRequest) -> node_messages.ManifestReply:
         """Answer a peer that asks for a manifest."""
         found = self.manifest
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -213,6 +213,7 @@
     def __init__(self, pieces: dict[int, list[bytes]]) -> None:
         self.pieces = pieces
         self.given: list[tuple[int, int]] = []
+        self.manifests_given = 0
         self.corrupt: set[int] = set()
         # Pieces that are not given, by version and index.
         self.withheld: set[tuple[int, int]] = set()
@@ -244,6 +245,7 @@
             return
         pieces = self.pieces[version]
         if path.startswith("/manifest/"):
+            self.manifests_given += 1
             body = {
                 "model": path.split("/")[-1],
                 "version": version,
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -4,7 +4,8 @@
 import json
 import random
 
-from merlinthread.nodes import agent_node, engine_client
+from merlinthread.coordination import fetch
+from merlinthread.nodes import agent_node, engine_client, manifest_finder
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages
 from stand_ins import fleet_worker
@@ -119,6 +120,33 @@
     run(4, scenario)
 
 
+def test_one_agent_of_a_zone_asks_the_origin_for_a_manifest():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        fleet.origin.manifests_given = 0
+        fleet.feed(2)
+        await fleet.until_all_hold(2)
+        assert fleet.origin.manifests_given == 1
+
+    run(4, scenario)
+
+
+def test_agents_whose_first_does_not_answer_ask_the_origin_themselves():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        names = [f"127.0.0.{21 + number}:{fleet.port}" for number in range(3)]
+        peers = [fetch.Peer(name, name, fetch.OWN_ZONE) for name in names]
+        first = manifest_finder.first_of_zone(names[0], "m@2", peers[1:])
+        number = names.index(first)
+        fleet.stop_agent(number)
+        engine = fleet.engines.pop(number)
+        fleet.feed(2)
+        await fleet.until_all_hold(2)
+        assert engine.version == 1
+
+    run(3, scenario)
+
+
 def test_a_new_version_replaces_the_old_one_everywhere():
     async def scenario(fleet):
         await fleet.until_all_hold(1)
