An entry hears the load of a bounded number of engines; an agent's words keep to a share of its link

Cause: each agent told every change of its load to every entry, up to five times a second: with 98 entries before 60 engines 29,400 datagrams a second, some 0.3 of each engine VM's link of 3.65 Mbit/s (reckoned: 98 x 5 x 280 bytes), which requests and weights need. Change: coordination/load_feed.py: an entry hears the 16 nearest engines (rendezvous order among equals); an agent's words take 2 % of its link, weights and changes of weights are told at once; if none of those heard is good enough, two of the others are asked before the choice (one datagram each way, with pace and whether the engine changes its weights).

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -90,6 +90,15 @@
         """Return whether reports came once and come no more: its machine may stand still."""
         return self.reported_at > float("-inf") and not self.others_known(now)
 
+    def is_changing(self, now: float) -> bool:
+        """Return whether it is changing its weights, as far as known.
+
+        Of an engine that is only asked now and then that is known for as long as its answer is
+        fresh; it would never be asked again otherwise.
+        """
+        is_heard = self.reported_at > float("-inf")
+        return self.is_busy and (is_heard or self.others_known(now))
+
     def is_prompt(self, now: float) -> bool:
         """Return whether a request sent now surely reaches it soon: its agent has just answered."""
         return now >= self.slow_until and now - self.answered_at <= PROMPT_ANSWER_S
@@ -119,14 +128,20 @@
         self.weights = report.weights
         self.reported_at = now
 
-    def take_answer(self, others: load_ledger.Outstanding | None, now: float) -> None:
+    def take_answer(self, answer: load_ledger.EngineNow | None, now: float) -> None:
         """Take its agent's answer to a question, or note that there was none."""
-        self.is_silent = others is None
-        if others is not None:
-            self.others = others.attempts
-            self.others_unread_tokens = others.unread_tokens
+        self.is_silent = answer is None
+        if answer is not None:
+            self.others = answer.others.attempts
+            self.others_unread_tokens = answer.others.unread_tokens
+            self.is_busy = answer.is_busy
+            self.pace = max(1.0, answer.pace)
             self.answered_at = now
 
+    def stop_hearing(self) -> None:
+        """Note that its agent is no longer asked to tell its load: silence means nothing then."""
+        self.reported_at = float("-inf")
+
     def version_of(self, model: str, layers: int) -> int:
         """Return the version of a model's weights that it holds whole, or 0."""
         whole = [
@@ -208,7 +223,7 @@
         return False
     if backend.instance in demand.tried:
         return False
-    if now < backend.aside_until or now < backend.full_until or backend.is_busy:
+    if now < backend.aside_until or now < backend.full_until or backend.is_changing(now):
         return False
     if not demand.model or engine is None:
         return True
--- a/src/merlinthread/coordination/load_ledger.py
+++ b/src/merlinthread/coordination/load_ledger.py
@@ -31,6 +31,18 @@
     unread_tokens: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class EngineNow:
+    """An agent's answer to a question: what others have on its engine, and the engine's own state.
+
+    `is_busy` is set while it changes its weights; `pace` over 1 tells that it works slower.
+    """
+
+    others: Outstanding
+    is_busy: bool = False
+    pace: float = 1.0
+
+
 class LoadLedger:
     """The attempts on one engine, by entry and number."""
 
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from merlinthread import errors, logs
-from merlinthread.coordination import fleet, load_ledger
+from merlinthread.coordination import fleet, load_feed, load_ledger
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import engine_client, news_watcher, node_settings, weights_task
 from merlinthread.protocol import codec as codecs
@@ -14,7 +14,8 @@
 from merlinthread.transport import node_bus
 
 REPORT_EVERY_S = 0.2
-TELL_EVERY_S = 0.4
+# A load that has not changed is told this often all the same: it shows that the agent lives.
+REPEAT_EVERY_S = 0.4
 SUBSCRIBED_S = 3.5
 
 
@@ -75,7 +76,12 @@
         elif isinstance(message, node_messages.LoadQuery) and self.told is not None:
             others = self.ledger.outstanding(message.address, self.clock())
             answer = node_messages.LoadAnswer(
-                message.number, others.attempts, others.unread, others.unread_tokens
+                message.number,
+                others.attempts,
+                others.unread,
+                others.unread_tokens,
+                self.told.is_busy,
+                self.told.pace,
             )
             self.datagrams.send(message.address, answer)
 
@@ -124,10 +130,21 @@
         self.is_engine_lost = not is_there
         logs.event("engine_back" if is_there else "engine_lost", reason=reason)
 
+    def is_due(self, report: fleet.EngineReport, now: float) -> bool:
+        """Return whether a report is to be told now."""
+        if load_feed.is_urgent(report, self.told):
+            return True
+        link = self.settings.link_bytes_per_s
+        every_s = load_feed.tell_every_s(len(self.subscribers), link)
+        if report == self.told:
+            every_s = max(every_s, REPEAT_EVERY_S)
+        # A report is read each REPORT_EVERY_S: half of it is borne, or every second one is skipped.
+        return now - self.told_at >= every_s - REPORT_EVERY_S / 2
+
     def tell(self, report: fleet.EngineReport) -> None:
         """Tell entries the load if it has changed or was told long ago."""
         now = self.clock()
-        if report == self.told and now - self.told_at < TELL_EVERY_S:
+        if not self.is_due(report, now):
             return
         self.told = report
         self.told_at = now
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -8,7 +8,14 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import dispatch, fleet, retry_budget, route_table, waiting_room
+from merlinthread.coordination import (
+    dispatch,
+    fleet,
+    load_feed,
+    retry_budget,
+    route_table,
+    waiting_room,
+)
 from merlinthread.nodes import load_prober, news_watcher, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import http_messages, stream_client
@@ -74,6 +81,7 @@
         self.backends: dict[str, dispatch.Backend] = {}
         self.by_service: dict[str, list[dispatch.Backend]] = {}
         self.by_address: dict[str, dispatch.Backend] = {}
+        self.heard: dict[str, list[dispatch.Backend]] = {}
         self.rooms: dict[str, waiting_room.WaitingRoom] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.place_numbers = itertools.count(1)
@@ -93,9 +101,24 @@
         for backend in self.backends.values():
             self.by_service.setdefault(backend.service, []).append(backend)
             self.by_address[backend.address] = backend
+        self.update_heard()
         for room in self.rooms.values():
             room.wake(WAKE_AT_ONCE)
 
+    def update_heard(self) -> None:
+        """Choose the engines that this entry hears unasked, by service."""
+        before = self.heard
+        self.heard = {
+            service: load_feed.heard_engines(self.settings.name, backends)
+            for service, backends in self.by_service.items()
+            if self.engine_of(service) is not None
+        }
+        kept = {backend.instance for heard in self.heard.values() for backend in heard}
+        for heard in before.values():
+            for backend in heard:
+                if backend.instance not in kept:
+                    backend.stop_hearing()
+
     def update_one(self, instance: str, heartbeat: fleet.Heartbeat) -> None:
         """Take over one back end."""
         backend = self.backends.get(instance)
@@ -165,18 +188,32 @@
         """Return a good back end now, if possible one with a wait up to `wait_s_max`.
 
         Of engines the few that look best are asked for their load first: what the other entries
-        have sent them since the last report decides when a first byte comes.
+        have sent them since the last report decides when a first byte comes. If none of those that
+        this entry hears is good enough, some of the others are asked.
         """
         engine = self.engine_of(demand.service)
         backends = self.by_service.get(demand.service, [])
         if engine is None or not self.settings.agent_port:
             return dispatch.choose(backends, demand, engine, self.clock(), self.rng, wait_s_max)
-        asked = dispatch.shortlist(backends, demand, engine, self.clock(), self.rng, PROBED)
+        heard = self.heard.get(demand.service, [])
+        asked = dispatch.shortlist(heard, demand, engine, self.clock(), self.rng, PROBED)
         await self.ask_loads(asked)
         choice = dispatch.best_of(asked, demand, engine, self.clock())
         if choice is not None and choice.wait_s <= wait_s_max:
             return choice
-        return dispatch.best_of(backends, demand, engine, self.clock())
+        others = self.unheard(backends, heard)
+        asked = dispatch.shortlist(others, demand, engine, self.clock(), self.rng, PROBED)
+        await self.ask_loads(asked)
+        return dispatch.best_of([*heard, *asked], demand, engine, self.clock())
+
+    def unheard(
+        self, backends: list[dispatch.Backend], heard: list[dispatch.Backend]
+    ) -> list[dispatch.Backend]:
+        """Return the engines whose load this entry does not hear unasked."""
+        if len(heard) == len(backends):
+            return []
+        known = {backend.instance for backend in heard}
+        return [backend for backend in backends if backend.instance not in known]
 
     async def ask_loads(self, asked: list[dispatch.Backend]) -> None:
         """Ask the agents beside some engines what other entries have there now."""
@@ -272,8 +309,8 @@
     async def subscribe(self, send: Callable[[str], None], every_s: float) -> None:
         """Ask the agents beside engines for their load, again and again."""
         while True:
-            for backend in list(self.backends.values()):
-                if self.engine_of(backend.service) is not None:
+            for backends in self.heard.values():
+                for backend in backends:
                     with contextlib.suppress(OSError):
                         send(self.agent_of(backend))
             await asyncio.sleep(every_s)
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -27,7 +27,7 @@
 @MESSAGES.add("node.named_version")
 @dataclasses.dataclass(slots=True)
 class NamedVersion:
-    """The newest version named of a model's weights, acknowledged `age_s` ago or a little more."""
+    """The newest version named of a model's weights, acknowledged at most `age_s` ago."""
 
     model: str
     version: int
@@ -188,13 +188,16 @@
 class LoadAnswer:
     """Answer the question `number`: what others than the asker have on the engine now.
 
-    It is kept short, since there is one or more for each request.
+    `is_busy` tells that the engine is changing its weights, `pace` how many times slower it works
+    than its figures say. It is kept short, since there is one or more for each request.
     """
 
     number: int
     attempts: int
     unread: int
     tokens: float
+    is_busy: bool = False
+    pace: float = 1.0
 
 
 class Stage(enum.StrEnum):
