A piece leaves in even parts, so that events pass between them; the model of the transfer is back

Cause: a piece of 24 KB left at once and held an engine's link for 54 ms; events of streams waited behind it.

--- /dev/null
+++ b/bench/transfer.py
@@ -0,0 +1,364 @@
+"""A rollout of weights in simulated time: the planner of the agents over modelled links.
+
+Events on a heap, no sockets and no waiting: what `coordination.fetch_policies` decides is carried
+out on links that send small parts one after the other, those of several transfers in turn. The time
+at which each agent is whole is told as a multiple of the bound that the links set, beside how long
+a request's packet waits at an engine's link meanwhile. Used by `python -m bench transfer` and by
+tests.
+"""
+
+import argparse
+import collections
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable
+
+from merlinthread.coordination import fetch, fetch_policies, pacing
+from merlinthread.nodes import weights_task
+from merlinthread.transport import node_bus
+
+STEP_S = weights_task.IDLE_WAIT_S
+# One way: within a zone, between regions (large site).
+DELAY_S = (0.0005, 0.0005, 0.001)
+# What a TCP connection sends at a time before another one has its turn.
+QUANTUM_BYTES = node_bus.PART_BYTES
+LIMIT_S = 120.0
+# A question for a piece and an answer without one, with the heads of HTTP, TCP and IP.
+ASK_BYTES = 400
+ANSWER_BYTES = 250
+# A packet of a request or of an answer's event comes to each link this often, on average, and is
+# this long: 4 requests a second with 14 events each (large site).
+PACKET_EVERY_S = 0.016
+PACKET_BYTES = 210
+
+
+@dataclasses.dataclass(slots=True)
+class Shape:
+    """What is to be moved and over which links; rates in bytes a second. Large site by default."""
+
+    agents: int = 60
+    pieces: int = 96
+    piece_bytes: int = 24_576
+    link_rate: float = 456_250.0
+    origin_rate: float = 912_500.0
+    zones: int = 5
+    seed: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Fault:
+    """What goes wrong, in seconds from the start; an agent's number, or -1 for none."""
+
+    origin_down_from: float = float("inf")
+    origin_down_to: float = float("inf")
+    slow_agent: int = -1
+    slow_rate: float = 0.0
+    dead_agent: int = -1
+    cut_zone: int = -1
+    cut_to: float = 0.0
+
+
+class Link:
+    """A link that sends quanta one after the other; `waits` are those of requests' packets."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.free_at = 0.0
+        self.waits: list[float] = []
+
+    def carry(self, size: int, now: float) -> float:
+        """Return when `size` bytes handed over now are through."""
+        self.free_at = max(self.free_at, now) + size / self.rate
+        return self.free_at
+
+    def carry_packet(self, now: float) -> None:
+        """Carry a request's packet, and note how long it waited."""
+        self.waits.append(max(0.0, self.free_at - now))
+        self.carry(PACKET_BYTES, now)
+
+
+class Agent:
+    """One agent: its plan, its links, its paces."""
+
+    def __init__(self, number: int, shape: Shape, rate: float) -> None:
+        self.name = f"vm-{number:04d}"
+        self.zone = number % shape.zones
+        self.link_in = Link(rate)
+        self.link_out = Link(rate)
+        self.incoming = pacing.Pacer(weights_task.IN_SHARE * rate, weights_task.AHEAD_S)
+        self.outgoing = pacing.Pacer(weights_task.OUT_SHARE * rate, 0.0)
+        self.plan = fetch_policies.Zoned(
+            self.name,
+            "m@2",
+            shape.pieces,
+            0,
+            weights_task.ORIGIN_SLOTS,
+            0.0,
+            random.Random(shape.seed * 1000 + number),
+        )
+        self.plan.origin_grace_s = weights_task.ORIGIN_GRACE_S
+        self.plan.asks_per_peer = weights_task.ASKS_PER_PEER
+        self.plan.readers_max = fetch.readers_for(shape.origin_rate, shape.link_rate)
+        self.whole_at: float | None = None
+        self.is_dead = False
+
+
+class Rollout:
+    """All agents, the origin, and what happens when."""
+
+    def __init__(self, shape: Shape, fault: Fault, announces: bool = True) -> None:
+        self.shape = shape
+        self.fault = fault
+        self.announces = announces
+        self.rng = random.Random(shape.seed)
+        self.now = 0.0
+        self.numbers = itertools.count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.origin = Link(shape.origin_rate)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.agents: dict[str, Agent] = {}
+        for number in range(shape.agents):
+            rate = fault.slow_rate if number == fault.slow_agent else shape.link_rate
+            agent = Agent(number, shape, rate)
+            agent.is_dead = number == fault.dead_agent
+            self.agents[agent.name] = agent
+        for agent in self.agents.values():
+            agent.plan.set_peers(
+                [
+                    fetch.Peer(o.name, o.name, self.distance(agent, o), f"zone-{o.zone}")
+                    for o in self.agents.values()
+                    if o is not agent
+                ]
+            )
+            readers = min(shape.agents, agent.plan.readers_max)
+            agent.plan.spare_every_s = readers * shape.piece_bytes / shape.origin_rate
+
+    def distance(self, one: Agent, other: Agent) -> int:
+        """Return the distance between two agents."""
+        return fetch.OWN_ZONE if one.zone == other.zone else fetch.FAR
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        """Let something happen at a time."""
+        heapq.heappush(self.events, (when, next(self.numbers), do))
+
+    def run(self) -> "Rollout":
+        """Play until all agents are whole, or too long."""
+        for agent in self.agents.values():
+            if not agent.is_dead:
+                self.at(self.rng.uniform(0.0, STEP_S), lambda agent=agent: self.tick(agent))
+                self.at(0.0, lambda agent=agent: self.request(agent))
+        while self.events and self.now < LIMIT_S:
+            self.now, _, do = heapq.heappop(self.events)
+            do()
+            if all(a.whole_at is not None or a.is_dead for a in self.agents.values()):
+                break
+        return self
+
+    def request(self, agent: Agent) -> None:
+        """Let a request's packets pass both of an agent's links, again and again."""
+        agent.link_in.carry_packet(self.now)
+        agent.link_out.carry_packet(self.now)
+        if agent.whole_at is None:
+            wait_s = self.rng.expovariate(1 / PACKET_EVERY_S)
+            self.at(self.now + wait_s, lambda: self.request(agent))
+
+    def tick(self, agent: Agent) -> None:
+        """Let an agent look for work, again and again."""
+        self.work(agent)
+        if agent.whole_at is None:
+            self.at(self.now + STEP_S, lambda: self.tick(agent))
+
+    def work(self, agent: Agent) -> None:
+        """Begin what the plan says, as long as the pace allows."""
+        plan = agent.plan
+        while plan.asking.total() + plan.origin_busy < weights_task.PARALLEL:
+            if agent.incoming.wait_s(self.now):
+                return
+            action = plan.next_action(self.now)
+            if action is None:
+                return
+            plan.began(action)
+            agent.incoming.reserve(self.shape.piece_bytes, self.now)
+            if isinstance(action, fetch.FromOrigin):
+                self.read_origin(agent, action)
+            else:
+                self.ask(agent, action)
+
+    def end(self, agent: Agent, action: fetch.Action, index: int) -> None:
+        """Close an action that brought the piece `index`, or none (-1)."""
+        plan = agent.plan
+        plan.ended(action)
+        if index < 0:
+            agent.incoming.give_back(self.shape.piece_bytes)
+        else:
+            plan.got(index, isinstance(action, fetch.FromOrigin), self.now)
+            self.announce(agent, action, index)
+        if plan.is_complete() and agent.whole_at is None:
+            agent.whole_at = self.now
+        self.work(agent)
+
+    def announce(self, agent: Agent, action: fetch.Action, index: int) -> None:
+        """Tell those whom it concerns of a piece."""
+        if not self.announces:
+            return
+        for name in agent.plan.audience(action):
+            other = self.agents[name]
+            self.counts["announced"] += 1
+            when = self.now + DELAY_S[self.distance(agent, other)]
+            self.at(when, lambda other=other: other.plan.announced(agent.name, index))
+
+    def is_cut(self, zone: int) -> bool:
+        """Return whether a zone can't be reached from the others now."""
+        return zone == self.fault.cut_zone and self.now < self.fault.cut_to
+
+    def are_apart(self, one: int, other: int) -> bool:
+        """Return whether two zones can't reach each other now."""
+        return one != other and (self.is_cut(one) or self.is_cut(other))
+
+    def read_origin(self, agent: Agent, action: fetch.FromOrigin) -> None:
+        """Read a piece from the origin, which stands in zone 0."""
+        delay = DELAY_S[0 if agent.zone == 0 else 2]
+        is_down = self.fault.origin_down_from <= self.now < self.fault.origin_down_to
+        if is_down or self.are_apart(agent.zone, 0):
+            self.at(self.now + 2 * delay + 0.02, lambda: self.refused(agent, action))
+            return
+        self.counts["origin"] += 1
+        self.counts["crossed"] += agent.zone != 0
+        self.at(
+            self.now + delay,
+            lambda: self.send(
+                self.origin, agent, delay, 0, 0.0, lambda: self.end(agent, action, action.index)
+            ),
+        )
+
+    def refused(self, agent: Agent, action: fetch.FromOrigin) -> None:
+        """Note that the origin gave nothing."""
+        agent.plan.origin_failed(self.now, weights_task.ORIGIN_WAIT_S, action.index)
+        self.end(agent, action, -1)
+
+    def send(
+        self,
+        link: Link,
+        agent: Agent,
+        delay: float,
+        sent: int,
+        gap_s: float,
+        done: Callable[[], None],
+    ) -> None:
+        """Send the next part of a piece; each leaves `gap_s` after the one before, or after it."""
+        size = min(QUANTUM_BYTES, self.shape.piece_bytes - sent)
+        through = link.carry(size, self.now)
+        left = sent + size
+        if left >= self.shape.piece_bytes:
+            self.at(through + delay, lambda: self.at(agent.link_in.carry(size, self.now), done))
+            return
+        self.at(through + delay, lambda: agent.link_in.carry(size, self.now) and None)
+        when = max(through, self.now + gap_s)
+        self.at(when, lambda: self.send(link, agent, delay, left, gap_s, done))
+
+    def ask(self, agent: Agent, action: fetch.FromPeer) -> None:
+        """Ask a peer for a piece."""
+        peer = self.agents[action.peer]
+        delay = DELAY_S[self.distance(agent, peer)]
+        if peer.is_dead or self.are_apart(agent.zone, peer.zone):
+            wait_s = 2 * delay if peer.is_dead else weights_task.PEER_TIMEOUT_S
+            self.at(self.now + wait_s, lambda: self.failed(agent, action))
+            return
+        held = agent.plan.held
+        left = agent.link_out.carry(ASK_BYTES, self.now)
+        self.at(left + delay, lambda: self.give(agent, peer, action, held, delay))
+
+    def failed(self, agent: Agent, action: fetch.FromPeer) -> None:
+        """Note that a peer did not answer."""
+        agent.plan.peer_failed(action.peer, self.now)
+        self.end(agent, action, -1)
+
+    def give(
+        self, agent: Agent, peer: Agent, action: fetch.FromPeer, held: int, delay: float
+    ) -> None:
+        """Let a peer answer."""
+        peer.plan.heard(agent.name, held, self.now)
+        wanted = fetch.bits(action.wanted & peer.plan.held)
+        told = peer.plan.held
+        free_in_s = peer.outgoing.wait_s(self.now) if wanted else 0.0
+        if not wanted or free_in_s > weights_task.UPLOAD_WAIT_S_MAX:
+            left = peer.link_out.carry(ANSWER_BYTES, self.now)
+            self.at(left + delay, lambda: self.nothing(agent, action, told, free_in_s))
+            return
+        index = self.rng.choice(wanted)
+        start = self.now + peer.outgoing.reserve(self.shape.piece_bytes, self.now)
+        self.counts["crossed"] += agent.zone != peer.zone
+        gap_s = QUANTUM_BYTES / peer.outgoing.bytes_per_s
+
+        def done() -> None:
+            agent.plan.heard(action.peer, told, self.now)
+            self.end(agent, action, index)
+
+        self.at(start, lambda: self.send(peer.link_out, agent, delay, 0, gap_s, done))
+
+    def nothing(self, agent: Agent, action: fetch.FromPeer, told: int, free_in_s: float) -> None:
+        """Note that a peer is busy for so long, or (0) has nothing of what was asked."""
+        self.counts["in vain"] += 1
+        agent.plan.heard(action.peer, told, self.now)
+        if free_in_s:
+            agent.plan.peer_busy(action.peer, self.now, free_in_s)
+        else:
+            agent.plan.peer_empty(action.peer, self.now)
+        self.end(agent, action, -1)
+
+    def bound_s(self) -> float:
+        """Return the least time that the links allow without a fault."""
+        shape = self.shape
+        size = shape.pieces * shape.piece_bytes
+        together = shape.origin_rate + (shape.agents - 1) * shape.link_rate
+        return max(size / shape.origin_rate, size / shape.link_rate, shape.agents * size / together)
+
+    def figures(self) -> dict[str, float]:
+        """Return when agents were whole against the bound, copies, and the waits of requests."""
+        times = sorted(a.whole_at or LIMIT_S for a in self.agents.values() if not a.is_dead)
+        waits = sorted(
+            wait for a in self.agents.values() for wait in a.link_in.waits + a.link_out.waits
+        )
+        bound = self.bound_s()
+        return {
+            "bound_s": round(bound, 2),
+            "first": round(times[0] / bound, 2),
+            "half": round(times[len(times) // 2] / bound, 2),
+            "last": round(times[-1] / bound, 2),
+            "origin_copies": round(self.counts["origin"] / self.shape.pieces, 2),
+            "crossed_copies": round(self.counts["crossed"] / self.shape.pieces, 2),
+            "asked_in_vain": self.counts["in vain"],
+            "request_wait_ms_p50": round(1000 * waits[len(waits) // 2], 1),
+            "request_wait_ms_p95": round(1000 * waits[int(0.95 * (len(waits) - 1))], 1),
+        }
+
+
+FAULTS = {
+    "none": Fault(),
+    "origin down 2.5 to 8.5 s": Fault(2.5, 8.5),
+    "a slow agent": Fault(slow_agent=1, slow_rate=119_000.0),
+    "a lost agent": Fault(dead_agent=1),
+    "a zone cut off for 3 s": Fault(cut_zone=1, cut_to=3.0),
+    "the origin's zone cut off for 3 s": Fault(cut_zone=0, cut_to=3.0),
+}
+
+
+def main(argv: list[str]) -> None:
+    """Print the figures of rollouts of several sizes under each fault; the last line is JSON."""
+    parser = argparse.ArgumentParser(prog="bench transfer", description=__doc__)
+    parser.add_argument("--agents", type=int, nargs="*", default=[10, 60, 102])
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--fault", choices=sorted(FAULTS), help="only this one")
+    options = parser.parse_args(argv)
+    worst = 0.0
+    for count in options.agents:
+        for name in [options.fault] if options.fault else FAULTS:
+            for seed in range(1, options.seeds + 1):
+                shape = Shape(agents=count, seed=seed)
+                found = Rollout(shape, FAULTS[name]).run().figures()
+                worst = max(worst, found["last"])
+                print(f"{count} agents, {name}, seed {seed}: {found}", flush=True)
+    print(json.dumps({"bench": "transfer", "worst_of_bound": worst}))
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -38,8 +38,7 @@
         self.weights = weights_task.WeightsTask(
             settings, self.watcher, self.engine, self.caller, clock, rng, self.tell
         )
-        self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
-        self.listener = node_bus.Listener(codec, self.on_message)
+        self.listener = node_bus.Listener(codec, self.on_message, self.weights.outgoing.bytes_per_s)
         self.ledger = load_ledger.LoadLedger()
         self.subscribers: dict[str, float] = {}
         self.told: fleet.EngineReport | None = None
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,9 @@
 MEDIA_TYPE = b"application/msgpack"
 MESSAGE_BYTES_MAX = 16 * 1024 * 1024
 KEEP_S = 10.0
+# A long answer leaves in parts of this size: what else is sent over the link waits for one part at
+# most (9 ms at 3.65 Mbit/s), not for a whole piece of weights (54 ms for 24 KB).
+PART_BYTES = 4096
 CONNECT_TIMEOUT_S = 0.5
 USER_TIMEOUT_S = 1.5
 
@@ -56,11 +60,17 @@
 
 
 class Listener:
-    """Answers calls of other nodes with what `handler` returns."""
+    """Answers calls of other nodes with what `handler` returns.
 
-    def __init__(self, codec: codecs.Codec, handler: Handler) -> None:
+    The parts of a long answer leave evenly at `bulk_bytes_per_s`.
+    """
+
+    def __init__(
+        self, codec: codecs.Codec, handler: Handler, bulk_bytes_per_s: float = math.inf
+    ) -> None:
         self.codec = codec
         self.handler = handler
+        self.bulk_bytes_per_s = bulk_bytes_per_s
         limits = http_messages.Limits(body_bytes=MESSAGE_BYTES_MAX, idle_timeout_s=2 * KEEP_S)
         self.server = stream_server.Server(self.serve, limits)
 
@@ -72,7 +82,23 @@
         """Answer one call."""
         reply = await self.answer(exchange.request.body)
         headers = [(b"content-type", MEDIA_TYPE)]
-        await exchange.respond(http_messages.Answer(200, headers, self.codec.encode(reply)))
+        frame = self.codec.encode(reply)
+        if len(frame) <= PART_BYTES or self.bulk_bytes_per_s == math.inf:
+            await exchange.respond(http_messages.Answer(200, headers, frame))
+        else:
+            await self.send_in_parts(exchange, headers, frame)
+
+    async def send_in_parts(
+        self, exchange: stream_server.Exchange, headers: http_messages.Headers, frame: bytes
+    ) -> None:
+        """Send a long answer in parts, each when the link is through with the one before."""
+        loop = asyncio.get_running_loop()
+        exchange.start(200, [*headers, (b"content-length", b"%d" % len(frame))])
+        began = loop.time()
+        for offset in range(0, len(frame), PART_BYTES):
+            await asyncio.sleep(began + offset / self.bulk_bytes_per_s - loop.time())
+            await exchange.send(frame[offset : offset + PART_BYTES])
+        await exchange.finish()
 
     async def answer(self, body: bytes) -> Any:
         """Return the answer; an error becomes a refusal."""
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 
+import h11
 import pytest
 
 from merlinthread import errors
@@ -350,3 +351,35 @@
         sock.close()
 
     asyncio.run(scenario())
+
+
+def test_a_long_answer_of_a_node_leaves_in_even_parts_and_arrives_whole(monkeypatch):
+    async def scenario():
+        piece = node_messages.PieceReply(3, bytes(range(256)) * 96, b"")
+
+        async def handler(message):
+            return piece
+
+        codec = fleet_nodes.make_codec()
+        listener = node_bus.Listener(codec, handler, bulk_bytes_per_s=200_000.0)
+        await listener.listen("127.0.0.1", 0)
+        port = listener.server.listener.sockets[0].getsockname()[1]
+        sent = []
+        write = stream_server.ServerConnection.write
+
+        def note(connection, event):
+            if isinstance(event, h11.Data):
+                sent.append((asyncio.get_running_loop().time(), len(event.data)))
+            write(connection, event)
+
+        monkeypatch.setattr(stream_server.ServerConnection, "write", note)
+        request = node_messages.PieceRequest("m", 1, b"\xff")
+        answer = await node_bus.Caller(codec).call(f"127.0.0.1:{port}", request, 5.0)
+        assert answer == piece
+        assert max(size for _, size in sent) <= node_bus.PART_BYTES
+        began, total = sent[0][0], 0
+        for at, size in sent:
+            assert at - began >= total / 200_000.0 - 0.002, "a part left before its time"
+            total += size
+
+    asyncio.run(scenario())
