A plan does nothing while its peers have not changed

Cause: the agents' loop set the peers of a plan before each choice; for a reader that was 96 x 32 hashes (read in the code), again and again. Change: nothing is done for the same peers; the chunks up to a rank are kept as a mask.

--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -154,11 +154,13 @@
         self.peers: dict[str, PeerState] = {}
         self.asking: collections.Counter[str] = collections.Counter()
         self.asks_per_peer = 1
+        self.known_peers: list[Peer] | None = None
         self.participants: list[str] = [me]
         self.near: set[str] = {me}
         self.far_zones: dict[str, list[str]] = {}
         self.announcers: set[str] = set()
         self.ranks: dict[int, int] = {}
+        self.rank_masks: dict[int, int] = {}
         self.tally = Tally()
         self.busy_wait_s = BUSY_WAIT_S
         self.rng = rng
@@ -168,12 +170,19 @@
     # What the owner tells
 
     def set_peers(self, peers: list[Peer]) -> None:
-        """Set which other VMs should hold the manifest; the nearest few are the ones to ask."""
+        """Set which other VMs should hold the manifest; the nearest few are the ones to ask.
+
+        It is called before each choice; nothing is done while nothing has changed.
+        """
+        if peers == self.known_peers:
+            return
+        self.known_peers = peers
         self.participants = sorted({peer.name for peer in peers} | {self.me})
         near = {peer.name for peer in peers if peer.distance == OWN_ZONE} | {self.me}
         if near != self.near:
             self.near = near
             self.ranks = {}
+            self.rank_masks = {}
         self.far_zones = {}
         for peer in peers:
             if peer.distance != OWN_ZONE:
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -162,4 +162,13 @@
         """Return the chunks that this VM may ask far peers for."""
         waited = now - self.last_news_at
         steps = int(waited / self.origin_grace_s)
-        return sum(1 << index for index in fetch.bits(self.needed()) if self.rank(index) <= steps)
+        return self.needed() & self.up_to_rank(steps)
+
+    def up_to_rank(self, rank: int) -> int:
+        """Return the chunks for which this VM's place in its zone's order is `rank` or less."""
+        key = min(rank, len(self.near))
+        if key not in self.rank_masks:
+            self.rank_masks[key] = sum(
+                1 << index for index in range(self.chunk_count) if self.rank(index) <= key
+            )
+        return self.rank_masks[key]
