--- a/bench/transfer.py
+++ b/bench/transfer.py
@@ -17,10 +17,10 @@
 from collections.abc import Callable
 
 from merlinthread.coordination import fetch, fetch_policies, pacing
-from merlinthread.nodes import weights_task
+from merlinthread.nodes import piece_fetcher, piece_giver
 from merlinthread.transport import node_bus
 
-STEP_S = weights_task.IDLE_WAIT_S
+STEP_S = piece_fetcher.IDLE_WAIT_S
 # One way: within a zone, between regions (large site).
 DELAY_S = (0.0005, 0.0005, 0.001)
 # What a TCP connection sends at a time before another one has its turn.
@@ -88,21 +88,23 @@
         self.zone = number % shape.zones
         self.link_in = Link(rate)
         self.link_out = Link(rate)
-        self.incoming = pacing.Pacer(weights_task.IN_SHARE * shape.link_rate, weights_task.AHEAD_S)
-        self.outgoing = pacing.Pacer(weights_task.OUT_SHARE * shape.link_rate, 0.0)
+        self.incoming = pacing.Pacer(
+            piece_fetcher.IN_SHARE * shape.link_rate, piece_fetcher.AHEAD_S
+        )
+        self.outgoing = pacing.Pacer(piece_giver.OUT_SHARE * shape.link_rate, 0.0)
         self.plan = fetch_policies.Zoned(
             self.name,
             "m@2",
             shape.pieces,
             0,
-            weights_task.ORIGIN_SLOTS,
+            piece_fetcher.ORIGIN_SLOTS,
             0.0,
             random.Random(shape.seed * 1000 + number),
         )
-        self.plan.origin_grace_s = weights_task.ORIGIN_GRACE_S
-        self.plan.asks_per_peer = weights_task.ASKS_PER_PEER
+        self.plan.origin_grace_s = piece_fetcher.ORIGIN_GRACE_S
+        self.plan.asks_per_peer = piece_fetcher.ASKS_PER_PEER
         self.plan.readers_max = fetch.readers_for(shape.origin_rate, shape.link_rate)
-        self.window = pacing.TransferWindow(weights_task.PARALLEL, weights_task.TRANSFER_TARGET_S)
+        self.window = pacing.TransferWindow(piece_fetcher.PARALLEL, piece_fetcher.TRANSFER_TARGET_S)
         self.began: dict[int, float] = {}
         self.whole_at: float | None = None
         self.is_dead = False
@@ -242,7 +244,7 @@
 
     def refused(self, agent: Agent, action: fetch.FromOrigin) -> None:
         """Note that the origin gave nothing."""
-        agent.plan.origin_failed(self.now, weights_task.ORIGIN_WAIT_S, action.index)
+        agent.plan.origin_failed(self.now, piece_fetcher.ORIGIN_WAIT_S, action.index)
         self.end(agent, action, -1)
 
     def send(
@@ -270,7 +272,7 @@
         peer = self.agents[action.peer]
         delay = DELAY_S[self.distance(agent, peer)]
         if peer.is_dead or self.are_apart(agent.zone, peer.zone):
-            wait_s = 2 * delay if peer.is_dead else weights_task.PEER_TIMEOUT_S
+            wait_s = 2 * delay if peer.is_dead else piece_fetcher.PEER_TIMEOUT_S
             self.at(self.now + wait_s, lambda: self.failed(agent, action))
             return
         held = agent.plan.held
@@ -290,7 +292,7 @@
         wanted = fetch.bits(action.wanted & peer.plan.held)
         told = peer.plan.held
         free_in_s = peer.outgoing.wait_s(self.now) if wanted else 0.0
-        if not wanted or free_in_s > weights_task.UPLOAD_WAIT_S_MAX:
+        if not wanted or free_in_s > piece_giver.UPLOAD_WAIT_S_MAX:
             left = peer.link_out.carry(ANSWER_BYTES, self.now)
             self.at(left + delay, lambda: self.nothing(agent, action, told, free_in_s))
             return
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -46,7 +46,9 @@
             self.tell,
             self.datagrams.send,
         )
-        self.listener = node_bus.Listener(codec, self.on_message, self.weights.outgoing.bytes_per_s)
+        self.listener = node_bus.Listener(
+            codec, self.on_message, self.weights.giver.outgoing.bytes_per_s
+        )
         self.ledger = load_ledger.LoadLedger()
         self.subscribers: dict[str, float] = {}
         self.told: fleet.EngineReport | None = None
--- /dev/null
+++ b/src/merlinthread/nodes/piece_giver.py
@@ -0,0 +1,68 @@
+"""Gives pieces of an agent's weights, and their manifest, to its peers."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from merlinthread.coordination import fetch, fleet, pacing
+from merlinthread.nodes import engine_client
+from merlinthread.protocol import node_messages
+
+# Share of the link that pieces may take on their way out: the engine's answers share it.
+OUT_SHARE = 0.85
+# A peer that would have to wait longer is told when to come back: another may be free.
+UPLOAD_WAIT_S_MAX = 0.15
+
+NOTHING = node_messages.PieceReply(-1, b"", b"")
+
+
+class PieceGiver:
+    """Answers the peers of one agent; pieces leave at the pace of `outgoing`."""
+
+    def __init__(
+        self,
+        engine: engine_client.EngineClient,
+        clock: Callable[[], float],
+        rng: random.Random,
+        link_bytes_per_s: float,
+    ) -> None:
+        self.engine = engine
+        self.clock = clock
+        self.rng = rng
+        self.outgoing = pacing.Pacer(OUT_SHARE * link_bytes_per_s, 0.0)
+
+    async def give(
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, request: node_messages.PieceRequest
+    ) -> node_messages.PieceReply:
+        """Answer a peer that asks for one of some pieces of `manifest`."""
+        if (manifest.model, manifest.version) != (request.model, request.version):
+            return NOTHING
+        count = len(manifest.digests)
+        held = fetch.to_bytes(plan.held, count)
+        if request.sender:
+            plan.heard(request.sender, fetch.from_bytes(request.held, count), self.clock())
+        wanted = fetch.bits(fetch.from_bytes(request.wanted, count) & plan.held)
+        if not wanted:
+            return node_messages.PieceReply(-1, b"", held)
+        now = self.clock()
+        free_in_s = self.outgoing.wait_s(now)
+        if free_in_s > UPLOAD_WAIT_S_MAX:
+            return node_messages.PieceReply(-1, b"", held, True, round(free_in_s, 3))
+        index = self.rng.choice(wanted)
+        data = await self.engine.staged(manifest, index)
+        if data is None:
+            plan.held &= ~(1 << index)
+            return node_messages.PieceReply(-1, b"", held)
+        await asyncio.sleep(self.outgoing.reserve(len(data), now))
+        return node_messages.PieceReply(index, data, held)
+
+
+def give_manifest(
+    manifest: fleet.Manifest | None, request: node_messages.ManifestRequest
+) -> node_messages.ManifestReply:
+    """Answer a peer that asks for a manifest with the one that is here, if it is that one."""
+    if manifest is None or manifest.model != request.model:
+        return node_messages.ManifestReply(None)
+    if request.version not in (0, manifest.version):
+        return node_messages.ManifestReply(None)
+    return node_messages.ManifestReply(manifest)
--- a/tests/test_transfer_model.py
+++ b/tests/test_transfer_model.py
@@ -9,7 +9,7 @@
 
 from bench import transfer
 from merlinthread.coordination import pacing
-from merlinthread.nodes import weights_task
+from merlinthread.nodes import piece_fetcher
 
 
 def play(agents: int, fault: str, seed: int = 1) -> dict[str, float]:
@@ -34,7 +34,7 @@
 def test_requests_wait_little_at_a_link_that_carries_less_than_it_should(monkeypatch):
     found = play(20, "a slow agent")
     assert found["request_wait_ms_worst_link"] <= 300.0
-    monkeypatch.setattr(weights_task, "TRANSFER_TARGET_S", 1e9)
+    monkeypatch.setattr(piece_fetcher, "TRANSFER_TARGET_S", 1e9)
     found = play(20, "a slow agent")
     assert found["request_wait_ms_worst_link"] >= 800.0, "the window makes no difference"
 
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -271,14 +271,14 @@
 def test_an_engine_that_serves_nothing_yet_has_the_whole_link_for_its_weights():
     async def scenario(fleet):
         weights = fleet.agents[0].weights
-        link = weights.settings.link_bytes_per_s
+        link = weights.fetcher.link_bytes_per_s
         await fleet_nodes.until(lambda: weights.plan is not None)
-        assert weights.incoming.bytes_per_s == link
+        assert weights.fetcher.incoming.bytes_per_s == link
         await fleet.until_all_hold(1)
         fleet.feed(2)
         await fleet_nodes.until(lambda: weights.manifest.version == 2)
         await fleet.until_all_hold(2)
-        assert weights.incoming.bytes_per_s < link
+        assert weights.fetcher.incoming.bytes_per_s < link
 
     run(2, scenario)
 
