--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -67,11 +67,12 @@
 
 @dataclasses.dataclass(slots=True)
 class PeerState:
-    """What is known of one other VM."""
+    """What is known of one other VM: `told` is what it said last, `held` also what it announced."""
 
     name: str
     distance: int
     held: int = 0
+    told: int = 0
     heard_at: float = float("-inf")
     not_before: float = float("-inf")
     lost_until: float = float("-inf")
@@ -241,7 +242,9 @@
         """Note what a peer says it has."""
         state = self.peers.get(peer)
         if state is not None:
-            state.held = held
+            # An answer may be older than an announcement that has come meanwhile.
+            state.held |= held
+            state.told = held
             state.heard_at = now
             state.failures = 0
             state.lost_until = float("-inf")
@@ -288,8 +291,10 @@
         self.hold_off(peer, now + wait_s)
 
     def peer_empty(self, peer: str, now: float) -> None:
-        """Note that a peer has nothing of what was asked."""
+        """Note that a peer has nothing of what was asked: it holds what it told, no more."""
         self.tally.empty += 1
+        if peer in self.peers:
+            self.peers[peer].held = self.peers[peer].told
         self.hold_off(peer, now + EMPTY_WAIT_S)
 
     def peer_failed(self, peer: str, now: float) -> None:
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -151,12 +151,16 @@
 
     def probe(self, needed: int, now: float) -> fetch.FromPeer | None:
         """Ask the peer whose word is most overdue; a far one only for what is to be brought."""
-        due = [peer for peer in self.askable(now) if peer.overdue(now) > 1]
+        brought = self.to_bring(now)
+        due = [
+            peer
+            for peer in self.askable(now)
+            if peer.overdue(now) > 1 and (peer.distance == fetch.OWN_ZONE or brought)
+        ]
         if not due:
             return None
         peer = max(due, key=lambda peer: peer.overdue(now))
-        wanted = needed if peer.distance == fetch.OWN_ZONE else needed & self.to_bring(now)
-        return fetch.FromPeer(peer.name, wanted) if wanted else None
+        return fetch.FromPeer(peer.name, needed if peer.distance == fetch.OWN_ZONE else brought)
 
     def to_bring(self, now: float) -> int:
         """Return the chunks that this VM may ask far peers for."""
--- a/tests/test_chunk_announcements.py
+++ b/tests/test_chunk_announcements.py
@@ -121,3 +121,25 @@
     plan.peer_busy(name(5), 0.01, free_in_s=0.2)
     assert plan.peers[name(5)] not in plan.askable(0.2)
     assert plan.peers[name(5)] in plan.askable(0.42)
+
+
+def test_a_peer_of_the_own_zone_is_asked_though_words_from_far_are_older():
+    # The last chunk of a VM that may not bring it into its zone: only its zone can give it.
+    plan = next(plan for plan in map(plan_of, range(VMS)) if plan.rank(40) > 3)
+    plan.held = plan.all & ~(1 << 40)
+    for peer in plan.peers.values():
+        plan.heard(peer.name, 0, 9.0 if peer.distance == fetch.OWN_ZONE else 1.0)
+    plan.last_news_at = 10.0
+    action = plan.next_action(10.5)
+    assert isinstance(action, fetch.FromPeer)
+    assert plan.peers[action.peer].distance == fetch.OWN_ZONE
+
+
+def test_an_answer_from_before_does_not_undo_an_announcement():
+    plan = plan_of(0)
+    plan.announced(name(5), 7)
+    plan.heard(name(5), 0b1, 0.1)
+    assert plan.peers[name(5)].held == 1 << 7 | 0b1
+    # Who says that it has nothing of what was asked is believed.
+    plan.peer_empty(name(5), 0.1)
+    assert plan.peers[name(5)].held == 0b1
