Receivers tell how long a piece took; a sender whose link carries less slows down

Change: pacing.FeedbackPacer, the question for a piece says how long the last one from there took; most of the last four, to more than one receiver, must have been slow. The model now lets TCP's window hold a whole piece.

--- a/bench/transfer.py
+++ b/bench/transfer.py
@@ -45,6 +45,8 @@
     link_rate: float = 456_250.0
     origin_rate: float = 912_500.0
     zones: int = 5
+    # How many agents hold all pieces from the start: others have just joined.
+    holders: int = 0
     seed: int = 1
 
 
@@ -91,7 +93,10 @@
         self.incoming = pacing.Pacer(
             piece_fetcher.IN_SHARE * shape.link_rate, piece_fetcher.AHEAD_S
         )
-        self.outgoing = pacing.Pacer(piece_giver.OUT_SHARE * shape.link_rate, 0.0)
+        self.outgoing = pacing.FeedbackPacer(
+            piece_giver.OUT_SHARE * shape.link_rate, 0.0, piece_giver.SENT_TARGET_S
+        )
+        self.took_s: dict[str, float] = {}
         self.plan = fetch_policies.Zoned(
             self.name,
             "m@2",
@@ -128,6 +133,9 @@
             rate = fault.slow_rate if number == fault.slow_agent else shape.link_rate
             agent = Agent(number, shape, rate)
             agent.is_dead = number == fault.dead_agent
+            if number < shape.holders:
+                agent.plan.held = agent.plan.all
+                agent.whole_at = 0.0
             self.agents[agent.name] = agent
         for agent in self.agents.values():
             agent.plan.set_peers(
@@ -157,15 +165,19 @@
         while self.events and self.now < LIMIT_S:
             self.now, _, do = heapq.heappop(self.events)
             do()
-            if all(a.whole_at is not None or a.is_dead for a in self.agents.values()):
+            if self.is_over():
                 break
         return self
 
+    def is_over(self) -> bool:
+        """Return whether all agents are whole, but for the dead ones."""
+        return all(a.whole_at is not None or a.is_dead for a in self.agents.values())
+
     def request(self, agent: Agent) -> None:
         """Let a request's packets pass both of an agent's links, again and again."""
         agent.link_in.carry_packet(self.now)
         agent.link_out.carry_packet(self.now)
-        if agent.whole_at is None:
+        if not self.is_over():
             wait_s = self.rng.expovariate(1 / PACKET_EVERY_S)
             self.at(self.now + wait_s, lambda: self.request(agent))
 
@@ -201,6 +213,7 @@
             agent.incoming.give_back(self.shape.piece_bytes)
         else:
             if isinstance(action, fetch.FromPeer):
+                agent.took_s[action.peer] = took_s
                 agent.window.note(took_s, self.now)
             plan.got(index, isinstance(action, fetch.FromOrigin), self.now)
             self.announce(agent, action, index)
@@ -264,7 +277,8 @@
             self.at(through + delay, lambda: self.at(agent.link_in.carry(size, self.now), done))
             return
         self.at(through + delay, lambda: agent.link_in.carry(size, self.now) and None)
-        when = max(through, self.now + gap_s)
+        # A window of TCP holds a whole piece: its sender does not notice that its link is slow.
+        when = self.now + gap_s if gap_s else through
         self.at(when, lambda: self.send(link, agent, delay, left, gap_s, done))
 
     def ask(self, agent: Agent, action: fetch.FromPeer) -> None:
@@ -289,6 +303,8 @@
     ) -> None:
         """Let a peer answer."""
         peer.plan.heard(agent.name, held, self.now)
+        if agent.took_s.get(peer.name):
+            peer.outgoing.note(agent.name, agent.took_s.pop(peer.name))
         wanted = fetch.bits(action.wanted & peer.plan.held)
         told = peer.plan.held
         free_in_s = peer.outgoing.wait_s(self.now) if wanted else 0.0
@@ -326,7 +342,8 @@
 
     def figures(self) -> dict[str, float]:
         """Return when agents were whole against the bound, copies, and the waits of requests."""
-        times = sorted(a.whole_at or LIMIT_S for a in self.agents.values() if not a.is_dead)
+        whole = [a.whole_at for a in self.agents.values() if a.whole_at and not a.is_dead]
+        times = sorted(whole) + [LIMIT_S] * (not self.is_over())
         waits = sorted(
             wait for a in self.agents.values() for wait in a.link_in.waits + a.link_out.waits
         )
--- a/src/merlinthread/coordination/pacing.py
+++ b/src/merlinthread/coordination/pacing.py
@@ -4,6 +4,12 @@
 
 import collections
 
+# Of how many transfers most must have been slow, the growth after one that was not, and the least
+# share of the full rate.
+FEEDBACKS = 4
+FEEDBACK_GROWTH = 1.1
+FEEDBACK_LEAST = 0.05
+
 
 class Pacer:
     """Spreads transfers so that they take at most a share of a link, without bursts.
@@ -59,6 +65,32 @@
             self.halved_at = now
 
 
+class FeedbackPacer(Pacer):
+    """A pacer that learns from receivers whether its link carries what it is told to.
+
+    Each tells how long the last transfer from here took. If most of the last ones, to more than one
+    receiver, took over `target_s`, the rate halves; it grows again by a tenth with each that did
+    not. One receiver alone may have a slow link of its own.
+    """
+
+    def __init__(self, bytes_per_s: float, ahead_s: float, target_s: float) -> None:
+        super().__init__(bytes_per_s, ahead_s)
+        self.most = bytes_per_s
+        self.target_s = target_s
+        self.last: collections.deque[tuple[str, bool]] = collections.deque(maxlen=FEEDBACKS)
+
+    def note(self, receiver: str, took_s: float) -> None:
+        """Note what a receiver tells of its last transfer from here."""
+        self.last.append((receiver, took_s > self.target_s))
+        slow = {name for name, is_slow in self.last if is_slow}
+        count = sum(is_slow for _, is_slow in self.last)
+        if took_s <= self.target_s:
+            self.bytes_per_s = min(self.most, self.bytes_per_s * FEEDBACK_GROWTH)
+        elif count > FEEDBACKS // 2 and len(slow) > 1:
+            self.bytes_per_s = max(self.most * FEEDBACK_LEAST, self.bytes_per_s / 2)
+            self.last.clear()
+
+
 class RecentRate:
     """How fast a count has grown within the last `window_s`."""
 
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -53,6 +53,8 @@
         self.clock = clock
         self.send = send
         self.rate = pacing.RecentRate(RATE_WINDOW_S)
+        # How long the last piece from each peer took, until the peer is told.
+        self.took_s: dict[str, float] = {}
         self.window = pacing.TransferWindow(PARALLEL, TRANSFER_TARGET_S)
         self.link_bytes_per_s = facts.settings.link_bytes_per_s
         self.incoming = pacing.Pacer(IN_SHARE * self.link_bytes_per_s, AHEAD_S)
@@ -151,7 +153,8 @@
         if index < 0:
             return
         is_from_origin = isinstance(action, fetch.FromOrigin)
-        if not is_from_origin:
+        if isinstance(action, fetch.FromPeer):
+            self.took_s[action.peer] = round(self.clock() - began, 3)
             self.window.note(self.clock() - began, self.clock())
         plan.got(index, is_from_origin, self.clock())
         metrics.pieces_total.labels("origin" if is_from_origin else "peer").inc()
@@ -205,6 +208,7 @@
             fetch.to_bytes(action.wanted, count),
             self.facts.me,
             fetch.to_bytes(plan.held, count),
+            self.took_s.pop(action.peer, 0.0),
         )
         try:
             reply = await self.caller.call(action.peer, request, PEER_TIMEOUT_S)
--- a/src/merlinthread/nodes/piece_giver.py
+++ b/src/merlinthread/nodes/piece_giver.py
@@ -12,6 +12,9 @@
 OUT_SHARE = 0.85
 # A peer that would have to wait longer is told when to come back: another may be free.
 UPLOAD_WAIT_S_MAX = 0.15
+# A piece that took longer from here to its receiver shows that one of the two links carries less
+# than it should (`piece_fetcher.TRANSFER_TARGET_S`).
+SENT_TARGET_S = 0.4
 
 NOTHING = node_messages.PieceReply(-1, b"", b"")
 
@@ -29,7 +32,7 @@
         self.engine = engine
         self.clock = clock
         self.rng = rng
-        self.outgoing = pacing.Pacer(OUT_SHARE * link_bytes_per_s, 0.0)
+        self.outgoing = pacing.FeedbackPacer(OUT_SHARE * link_bytes_per_s, 0.0, SENT_TARGET_S)
 
     async def give(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, request: node_messages.PieceRequest
@@ -39,6 +42,8 @@
             return NOTHING
         count = len(manifest.digests)
         held = fetch.to_bytes(plan.held, count)
+        if request.took_s:
+            self.outgoing.note(request.sender, request.took_s)
         if request.sender:
             plan.heard(request.sender, fetch.from_bytes(request.held, count), self.clock())
         wanted = fetch.bits(fetch.from_bytes(request.wanted, count) & plan.held)
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -252,7 +252,8 @@
 class PieceRequest:
     """Ask an agent for one piece out of `wanted`; tell it what the asker holds.
 
-    Both are bit sets, lowest first.
+    Both are bit sets, lowest first. `took_s` is how long the last piece from there took, 0 if there
+    was none.
     """
 
     model: str
@@ -260,6 +261,7 @@
     wanted: bytes
     sender: str = ""
     held: bytes = b""
+    took_s: float = 0.0
 
 
 @MESSAGES.add("node.piece_reply")
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -62,11 +62,14 @@
 class Listener:
     """Answers calls of other nodes with what `handler` returns.
 
-    The parts of a long answer leave evenly at `bulk_bytes_per_s`.
+    The parts of a long answer leave evenly at the rate that `bulk_bytes_per_s` returns.
     """
 
     def __init__(
-        self, codec: codecs.Codec, handler: Handler, bulk_bytes_per_s: float = math.inf
+        self,
+        codec: codecs.Codec,
+        handler: Handler,
+        bulk_bytes_per_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.codec = codec
         self.handler = handler
@@ -83,20 +86,25 @@
         reply = await self.answer(exchange.request.body)
         headers = [(b"content-type", MEDIA_TYPE)]
         frame = self.codec.encode(reply)
-        if len(frame) <= PART_BYTES or self.bulk_bytes_per_s == math.inf:
+        rate = self.bulk_bytes_per_s()
+        if len(frame) <= PART_BYTES or rate == math.inf:
             await exchange.respond(http_messages.Answer(200, headers, frame))
         else:
-            await self.send_in_parts(exchange, headers, frame)
+            await self.send_in_parts(exchange, headers, frame, rate)
 
     async def send_in_parts(
-        self, exchange: stream_server.Exchange, headers: http_messages.Headers, frame: bytes
+        self,
+        exchange: stream_server.Exchange,
+        headers: http_messages.Headers,
+        frame: bytes,
+        rate: float,
     ) -> None:
         """Send a long answer in parts, each when the link is through with the one before."""
         loop = asyncio.get_running_loop()
         exchange.start(200, [*headers, (b"content-length", b"%d" % len(frame))])
         began = loop.time()
         for offset in range(0, len(frame), PART_BYTES):
-            await asyncio.sleep(began + offset / self.bulk_bytes_per_s - loop.time())
+            await asyncio.sleep(began + offset / rate - loop.time())
             await exchange.send(frame[offset : offset + PART_BYTES])
         await exchange.finish()
 
--- a/tests/test_transfer_model.py
+++ b/tests/test_transfer_model.py
@@ -39,6 +39,16 @@
     assert found["request_wait_ms_worst_link"] >= 800.0, "the window makes no difference"
 
 
+def test_events_wait_little_at_the_link_of_an_engine_that_gives_more_than_it_carries(monkeypatch):
+    # 16 engines join beside 24 that hold all; the link of one of these is narrowed.
+    shape = transfer.Shape(agents=40, holders=24)
+    found = transfer.Rollout(shape, transfer.FAULTS["a slow agent"]).run().figures()
+    assert found["request_wait_ms_worst_link"] <= 300.0
+    monkeypatch.setattr(pacing.FeedbackPacer, "note", lambda self, receiver, took_s: None)
+    found = transfer.Rollout(shape, transfer.FAULTS["a slow agent"]).run().figures()
+    assert found["request_wait_ms_worst_link"] >= 450.0, "what receivers tell makes no difference"
+
+
 @pytest.mark.parametrize("fault", ["a lost agent", "a zone cut off for 3 s"])
 def test_all_that_can_be_reached_are_whole_under_a_fault(fault):
     found = play(20, fault)
@@ -63,3 +73,20 @@
     for number in range(20):
         window.note(5.0, 10.0 * number)
     assert window.has_room(0)
+
+
+def test_a_sender_slows_down_when_most_receivers_say_so_and_speeds_up_again():
+    pacer = pacing.FeedbackPacer(1000.0, 0.0, 0.4)
+    for receiver in ("a", "b", "a"):
+        pacer.note(receiver, 1.0)
+    assert pacer.bytes_per_s == 500.0
+    for _ in range(20):
+        pacer.note("a", 0.1)
+    assert pacer.bytes_per_s == 1000.0
+
+
+def test_one_receiver_with_a_slow_link_of_its_own_does_not_slow_a_sender_down():
+    pacer = pacing.FeedbackPacer(1000.0, 0.0, 0.4)
+    for _ in range(20):
+        pacer.note("a", 1.0)
+    assert pacer.bytes_per_s == 1000.0
