Weights that may not be used any more leave the link to the new ones

Change: an engine counts as serving only while what it holds may be used; an engine that serves nothing gives pieces at 0.95 of its link (0.85 beside requests). Test: failed first (the engine counted as serving).

--- a/src/merlinthread/coordination/pacing.py
+++ b/src/merlinthread/coordination/pacing.py
@@ -81,6 +81,11 @@
         self.target_s = target_s
         self.last: collections.deque[tuple[str, bool]] = collections.deque(maxlen=FEEDBACKS)
 
+    def set_most(self, bytes_per_s: float) -> None:
+        """Change the full rate; what was learnt of the link stays as a share of it."""
+        self.bytes_per_s *= bytes_per_s / self.most
+        self.most = bytes_per_s
+
     def note(self, receiver: str, took_s: float) -> None:
         """Note what a receiver tells of its last transfer from here."""
         self.last.append((receiver, took_s > self.target_s))
--- a/src/merlinthread/nodes/piece_giver.py
+++ b/src/merlinthread/nodes/piece_giver.py
@@ -10,6 +10,8 @@
 
 # Share of the link that pieces may take on their way out: the engine's answers share it.
 OUT_SHARE = 0.85
+# An engine that serves nothing has no answers that pieces could hold up.
+OUT_SHARE_ALONE = 0.95
 # A peer that would have to wait longer is told when to come back: another may be free.
 UPLOAD_WAIT_S_MAX = 0.15
 # A piece that took longer from here to its receiver shows that one of the two links carries less
@@ -32,8 +34,14 @@
         self.engine = engine
         self.clock = clock
         self.rng = rng
+        self.link_bytes_per_s = link_bytes_per_s
         self.outgoing = pacing.FeedbackPacer(OUT_SHARE * link_bytes_per_s, 0.0, SENT_TARGET_S)
 
+    def note_serving(self, is_serving: bool) -> None:
+        """Set the pace by whether the engine serves requests beside the pieces."""
+        share = OUT_SHARE if is_serving else OUT_SHARE_ALONE
+        self.outgoing.set_most(share * self.link_bytes_per_s)
+
     async def give(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, request: node_messages.PieceRequest
     ) -> node_messages.PieceReply:
--- a/src/merlinthread/nodes/weights_facts.py
+++ b/src/merlinthread/nodes/weights_facts.py
@@ -87,6 +87,11 @@
         """Return whether a newer version than the manifest's was named meanwhile."""
         return self.named(manifest.model) > manifest.version
 
+    def is_usable(self, model: str, version: int) -> bool:
+        """Return whether entries still send requests to engines that hold a version."""
+        bound_s = self.settings.bounds.version_s - change_over.LEAVE_S
+        return self.clock() < self.watcher.usable_until(model, version, bound_s)
+
     def bound_at(self, manifest: fleet.Manifest) -> float:
         """Return until when older versions than the manifest's may be used."""
         named_at = self.watcher.named_at.get(manifest.model, {})
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -66,9 +66,12 @@
         )
 
     def is_serving(self) -> bool:
-        """Return whether the engine holds any version whole: it serves that one meanwhile."""
+        """Return whether the engine holds a version whole that may still be used."""
         return self.report is not None and any(
-            held.version and held.is_whole(self.facts.layers()) for held in self.report.weights
+            held.version
+            and held.is_whole(self.facts.layers())
+            and self.facts.is_usable(held.model, held.version)
+            for held in self.report.weights
         )
 
     # What is wanted
@@ -186,6 +189,7 @@
         """Answer a peer that asks for a piece."""
         if self.plan is None or self.manifest is None:
             return piece_giver.NOTHING
+        self.giver.note_serving(self.is_serving())
         return await self.giver.give(self.plan, self.manifest, request)
 
     def give_manifest(self, request: node_messages.ManifestRequest) -> node_messages.ManifestReply:
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -4,8 +4,10 @@
 import json
 import random
 
+import pytest
+
 from merlinthread.coordination import fetch
-from merlinthread.nodes import agent_node, engine_client, manifest_finder
+from merlinthread.nodes import agent_node, engine_client, manifest_finder, piece_giver
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages
 from stand_ins import fleet_worker
@@ -289,6 +291,25 @@
     run(2, scenario)
 
 
+def test_weights_that_may_not_be_used_any_more_leave_the_link_to_the_new_ones():
+    async def scenario(fleet):
+        await fleet.until_all_hold(1)
+        weights = fleet.agents[0].weights
+        link = weights.fetcher.link_bytes_per_s
+        await fleet_nodes.until(weights.is_serving)
+        await weights.give(node_messages.PieceRequest("m", 1, b"\xff"))
+        assert weights.giver.outgoing.bytes_per_s == pytest.approx(piece_giver.OUT_SHARE * link)
+        # A version that the origin does not give was named longer ago than the old one may serve.
+        watcher = weights.facts.watcher
+        watcher.named_at["m"] = {2: asyncio.get_running_loop().time() - 60.0}
+        assert not weights.is_serving()
+        await weights.give(node_messages.PieceRequest("m", 1, b"\xff"))
+        alone = piece_giver.OUT_SHARE_ALONE * link
+        assert weights.giver.outgoing.bytes_per_s == pytest.approx(alone)
+
+    run(1, scenario)
+
+
 def test_a_lost_peer_does_not_hold_the_others_up():
     async def scenario(fleet):
         fleet.stop_agent(2)
