--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -24,8 +24,8 @@
 # An engine that serves nothing has no requests that pieces could hold up.
 IN_SHARE_ALONE = 1.0
 # How far a transfer may begin ahead of the pace: about one piece of 24 KB at 3.65 Mbit/s. In the
-# model (50 agents) 0.03, 0.06, 0.12 s give half of the engines at 1.33, 1.31, 1.29 of the bound, and
-# p95 of the waits of requests of 56, 61, 86 ms.
+# model (50 agents) 0.03, 0.06, 0.12 s give half of the engines at 1.33, 1.31, 1.29 of the bound,
+# and p95 of the waits of requests of 56, 61, 86 ms.
 AHEAD_S = 0.06
 ORIGIN_WAIT_S = 0.3
 ORIGIN_GRACE_S = 0.8
