--- a/src/merlinthread/coordination/pacing.py
+++ b/src/merlinthread/coordination/pacing.py
@@ -17,7 +17,7 @@
     A transfer may begin once the ones before it would be over at the pace.
     """
 
-    def __init__(self, bytes_per_s: float, ahead_s: float) -> None:
+    def __init__(self, bytes_per_s: float, ahead_s: float = 0.0) -> None:
         self.bytes_per_s = bytes_per_s
         self.ahead_s = ahead_s
         self.free_at = float("-inf")
@@ -32,6 +32,21 @@
         self.free_at = max(self.free_at, now) + size / self.bytes_per_s
         return wait_s
 
+    def through_at(self, size: int, now: float) -> float:
+        """Take the next place for `size` bytes; return when the link is through with them."""
+        self.reserve(size, now)
+        return self.free_at
+
+    def arrived(self, size: int, now: float) -> float:
+        """Return when the link is through with `size` bytes that were on it until `now`.
+
+        They occupied it while they came, so bytes that came no faster than the rate are through
+        at once.
+        """
+        begun = max(self.free_at, now - size / self.bytes_per_s)
+        self.free_at = begun + size / self.bytes_per_s
+        return self.free_at
+
     def give_back(self, size: int) -> None:
         """Return the place of a transfer that did not happen."""
         self.free_at -= size / self.bytes_per_s
--- a/src/merlinthread/coordination/uploads.py
+++ b/src/merlinthread/coordination/uploads.py
@@ -1,6 +1,4 @@
-"""Which chunk a VM gives to one that asks, and how fast: few uploads at once, on a paced link."""
-
-import dataclasses
+"""Which chunk a VM gives to one that asks; few uploads run at once."""
 
 from merlinthread.coordination import fetch
 
@@ -33,27 +31,3 @@
     def forget(self, manifest: str) -> None:
         """Drop the counts of a manifest."""
         self.sent = {key: count for key, count in self.sent.items() if key[0] != manifest}
-
-
-@dataclasses.dataclass(slots=True)
-class Pace:
-    """A link's share: `reserve` says when a transfer may start so that the rate holds."""
-
-    bytes_per_s: float
-    free_at: float = 0.0
-
-    def reserve(self, size: int, now: float) -> float:
-        """Return when the link is through with `size` more bytes."""
-        start = max(self.free_at, now)
-        self.free_at = start + size / self.bytes_per_s
-        return self.free_at
-
-    def arrived(self, size: int, now: float) -> float:
-        """Return when the link is through with `size` bytes that were on it until `now`.
-
-        They occupied it while they came, so bytes that came no faster than the rate are through
-        at once.
-        """
-        start = max(self.free_at, now - size / self.bytes_per_s)
-        self.free_at = start + size / self.bytes_per_s
-        return self.free_at
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -1,12 +1,11 @@
 """One member of a deployment's replicated log: it owns the log, its files and the state machine.
 
-A member's name holds its address. A machine that comes back with an empty disk is another member:
-it has lost what the first one promised, so it joins anew and takes the first one's place.
+One whose disk was lost is another member (`membership`): it joins anew and takes the place of the
+first one.
 """
 
 import asyncio
 import contextlib
-import dataclasses
 import pathlib
 import shutil
 from collections.abc import Callable
@@ -15,9 +14,9 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
-from merlinthread.nodes import log_sender, member_changes, node_settings
+from merlinthread.nodes import log_sender, member_changes, membership, node_settings
 from merlinthread.protocol import codec as codecs
-from merlinthread.state import journal, records
+from merlinthread.state import journal
 from merlinthread.transport import node_bus
 
 TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
@@ -35,15 +34,6 @@
 LONG_AGO_S = 1e6
 # How often a member that knows no leader tells so in its log.
 NO_LEADER_TOLD_EVERY_S = 2.0
-MEMBER_FILE = "member.json"
-
-
-@dataclasses.dataclass(slots=True)
-class Membership:
-    """Who this member is, kept beside its journal."""
-
-    name: str
-    first_voters: list[str]
 
 
 class LogMember:
@@ -98,7 +88,9 @@
         """Open the files and take up where they end."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.journal = journal.Journal(self.folder)
-        self.membership = self.load_membership(is_first_start)
+        self.membership = membership.load(
+            self.folder, self.settings, self.address, self.journal.identity, is_first_start
+        )
         self.name = self.membership.name
         self.raft = raft.Raft(
             self.name, self.membership.first_voters, self.journal, self.clock(), TIMING
@@ -116,20 +108,6 @@
             voters=self.raft.log.voters.voters,
         )
 
-    def load_membership(self, is_first_start: bool) -> Membership:
-        """Return who this member is; decided at its first start and kept."""
-        path = self.folder / MEMBER_FILE
-        if path.exists():
-            return msgspec.json.decode(records.read_whole(path), type=Membership)
-        seeds = self.settings.control_nodes()
-        if is_first_start:
-            voters = seeds if self.address in seeds else []
-            membership = Membership(self.address, voters)
-        else:
-            membership = Membership(f"{self.address}#{self.journal.identity[:12]}", [])
-        records.write_whole(path, msgspec.json.encode(membership))
-        return membership
-
     def start_anew(self) -> None:
         """Give up this member's identity: the others have removed it. Join as a new one."""
         logs.warn("member_removed", member=self.name)
--- a/src/merlinthread/roles/chunk_giver.py
+++ b/src/merlinthread/roles/chunk_giver.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import fetch, uploads
+from merlinthread.coordination import fetch, pacing, uploads
 from merlinthread.protocol import messages
 from merlinthread.state import manifests
 
@@ -18,7 +18,7 @@
     def __init__(self, held: "weights.Weights") -> None:
         self.weights = held
         self.slots = uploads.UploadSlots(held.config.upload_slots)
-        self.up = uploads.Pace(held.config.link_bytes_per_s)
+        self.up = pacing.Pacer(held.config.link_bytes_per_s)
 
     def handle(self, message: object) -> object:
         """Answer another agent."""
@@ -48,7 +48,7 @@
             if not self.slots.take():
                 return messages.ChunkFound(messages.BUSY, b"", shown)
             index = self.slots.choose(wanted.manifest, offered)
-            ready_at = self.up.reserve(manifest.chunk_size(index), now)
+            ready_at = self.up.through_at(manifest.chunk_size(index), now)
         try:
             data = self.weights.store.read(manifest.chunks[index])
             if data is None:
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -8,7 +8,7 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread import settings as settings_
-from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, uploads
+from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, pacing
 from merlinthread.protocol import messages
 from merlinthread.roles import base
 from merlinthread.state import chunks, manifests
@@ -60,8 +60,8 @@
         self.downloads: dict[str, Download] = {}
         self.manifests: dict[str, manifests.Manifest] = {}
         self.peers: dict[str, dict[str, fetch.Peer]] = {}
-        self.down = uploads.Pace(config.link_bytes_per_s)
-        self.origin_pace = uploads.Pace(config.origin_bytes_per_s)
+        self.down = pacing.Pacer(config.link_bytes_per_s)
+        self.origin_pace = pacing.Pacer(config.origin_bytes_per_s)
         self.client = http_client.Client()
         self.rng = random.Random()
         self.stopping = False
--- a/tests/test_fetch_machine.py
+++ b/tests/test_fetch_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, uploads
+from merlinthread.coordination import fetch, fetch_baselines, fetch_policies, pacing, uploads
 
 CHUNKS = 12
 BASELINES = fetch_baselines
@@ -189,7 +189,7 @@
 
 
 def test_a_paced_link_keeps_its_rate():
-    pace = uploads.Pace(1000.0)
-    ends = [pace.reserve(100, now=5.0) for _ in range(10)]
+    pace = pacing.Pacer(1000.0)
+    ends = [pace.through_at(100, now=5.0) for _ in range(10)]
     assert ends[-1] == pytest.approx(6.0)
-    assert pace.reserve(100, now=20.0) == pytest.approx(20.1)
+    assert pace.through_at(100, now=20.0) == pytest.approx(20.1)
