--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -26,6 +26,9 @@
 UNHEARD_COST_S = 0.3
 # A full engine reads prompts between its steps: requests take this many times their bare steps.
 FULL_SLOWDOWN = 3.0
+# An engine with up to this share of its slots in use has room: one more request costs the others a
+# longer step of some hundredths, and its own prompt's reading.
+ROOM_SHARE = 0.5
 # An agent that did not answer at once: requests to its machine may be held up too.
 SILENT_COST_S = 0.06
 # What a request that runs on a plain back end costs the next one at least; silent ones count too.
@@ -78,6 +81,13 @@
         """Return how many requests run or wait there."""
         return self.in_flight + (self.others if self.others_known(now) else 0)
 
+    def has_room(self, now: float) -> bool:
+        """Return whether it surely has places to spare and no prompt waits to be read there."""
+        if not self.others_known(now) or self.load(now) > ROOM_SHARE * self.slots:
+            return False
+        unread = self.unread_tokens + (self.others_unread_tokens or 0.0)
+        return unread == 0 and not self.others_queued
+
     def others_known(self, now: float) -> bool:
         """Return whether a fresh report tells of the requests of other entries."""
         return now - self.heard_at() <= REPORT_FRESH_S
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -193,7 +193,7 @@
             if choice is None and self.tried and self.facts.is_idempotent():
                 self.tried.clear()
                 choice = await self.pool.choose(self.demand(), left_s)
-            if choice is not None and choice.wait_s <= left_s:
+            if choice is not None and self.is_worth_taking(choice, left_s):
                 return choice
             if now >= self.facts.deadline:
                 raise errors.RequestError(
@@ -204,6 +204,14 @@
             timeout_s = min(patience_until - now, 0.05)
             await room.wait(self.facts.urgency(), self.arrived, timeout_s)
 
+    def is_worth_taking(self, choice: dispatch.Choice, left_s: float) -> bool:
+        """Return whether to send the request there now.
+
+        That is if its first byte is expected in time, but also if the engine has room: then time
+        was lost on the way here or in connecting, and nobody gains if the client comes back.
+        """
+        return choice.wait_s <= left_s or choice.backend.has_room(self.clock())
+
     def admit_until(self) -> float:
         """Return when the first byte must be there for the place to be worth taking."""
         assert self.facts is not None
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -6,7 +6,7 @@
 
 from merlinthread import errors, logs
 from merlinthread.coordination import change_over, dispatch, fleet, load_ledger
-from merlinthread.nodes import attempts
+from merlinthread.nodes import attempts, request_task
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -383,3 +383,49 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+def test_a_request_that_has_lost_its_time_here_is_served_late_by_an_engine_that_has_room(
+    monkeypatch,
+):
+    async def scenario():
+        entry, (worker,), _ = await make("model", 1, "m")
+        backend = entry.node.pool.backends[worker.instance]
+        report = fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)])
+        # As after connections that timed out: the time for admission is over.
+        monkeypatch.setattr(request_task, "ADMIT_SHARE", -1.0)
+        backend.take_report(report, entry.node.clock())
+        assert (await entry.ask("/model/", "id-1", **STREAM)).status == 200
+        # Where others wait, it would only make them late too.
+        report.running = backend.slots
+        backend.take_report(report, entry.node.clock())
+        answer = await entry.ask("/model/", "id-2", **STREAM)
+        assert (answer.status, runs([worker])) == (503, 1)
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_is_not_heard_and_does_not_answer_is_chosen_only_if_there_is_no_other():
+    async def scenario():
+        entry, workers, _ = await make("model", 2, "m")
+        pool = entry.node.pool
+        entry.node.settings.agent_port = 1
+        heard, silent = (pool.backends[worker.instance] for worker in workers)
+        pool.agent_of = lambda backend: backend.instance
+        pool.heard = {"model": [heard]}
+        report = fleet.EngineReport(running=8, queued=4, weights=[fleet.Weights("m", 1, 16)])
+        heard.take_report(report, pool.clock())
+
+        async def answers_of_the_heard_one(agents, wait_s):
+            others = load_ledger.Outstanding(12, 4, 100_000.0)
+            known = load_ledger.EngineNow(others)
+            return {agent: known if agent == heard.instance else None for agent in agents}
+
+        entry.node.prober.ask = answers_of_the_heard_one
+        choice = await pool.choose(dispatch.Demand("model", "m", 1), 0.2)
+        assert choice.backend is heard, "nothing is known of the other one"
+        pool.heard = {"model": []}
+        choice = await pool.choose(dispatch.Demand("model", "m", 1, tried={heard.instance}), 0.2)
+        assert choice.backend is silent
+
+    asyncio.run(scenario())
