--- a/stand_ins/origin.py
+++ b/stand_ins/origin.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import uploads
+from merlinthread.coordination import pacing
 from merlinthread.transport import http_server
 from stand_ins import common
 
@@ -21,7 +21,7 @@
     def __init__(self, folder: pathlib.Path, bytes_per_s: float) -> None:
         self.folder = folder
         self.lock = threading.Lock()
-        self.pace = uploads.Pace(bytes_per_s)
+        self.pace = pacing.Pacer(bytes_per_s)
         self.sent_bytes = 0
         self.sent_by_object: dict[str, int] = {}
         self.corrupt_next = 0
@@ -64,7 +64,7 @@
         for start in range(0, len(data), PIECE_BYTES):
             piece = data[start : start + PIECE_BYTES]
             with self.lock:
-                ready_at = self.pace.reserve(len(piece), time.monotonic())
+                ready_at = self.pace.through_at(len(piece), time.monotonic())
                 self.sent_bytes += len(piece)
                 self.sent_by_object[name] = self.sent_by_object.get(name, 0) + len(piece)
             time.sleep(max(0.0, ready_at - time.monotonic()))
