--- a/src/merlinthread/coordination/load_feed.py
+++ b/src/merlinthread/coordination/load_feed.py
@@ -1,7 +1,7 @@
 """Who tells whom an engine's load unasked, so that this costs a node the same at any size.
 
 Every agent before every entry is a product: 60 agents that tell 98 entries five times a second are
-29,400 datagrams a second, a quarter of each engine VM's link of 3.65 Mbit/s. So an entry hears
+29,400 datagrams a second, three tenths of each engine VM's link of 3.65 Mbit/s. So an entry hears
 unasked from a bounded number of engines, the nearest, and an agent tells at a rate that keeps its
 words to a small share of its link. What an entry must know at the moment of a choice it asks for
 (`nodes/load_prober.py`).
@@ -15,7 +15,8 @@
 
 # Engines that an entry hears unasked. Two of them are asked before each choice, so it needs enough
 # for the two best of them to be nearly the best of all; of 16 drawn by lot, the second best is
-# within the best eighth. The zones of the deployments known have 2 to 12 engines.
+# within the best eighth. The zones of the deployments known have 2 to 12 engines, and up to 21 with
+# those that join.
 HEARD_MAX = 16
 # Share of an agent's link that its words about the load may take.
 LINK_SHARE = 0.02
--- a/src/merlinthread/coordination/pacing.py
+++ b/src/merlinthread/coordination/pacing.py
@@ -1,5 +1,6 @@
-"""A pace for bulk transfers on a link that others use too, how many may be under way on one whose
-rate is not known, and the rate that one had of late.
+"""Bulk transfers on a link that others use too: their pace, how many at once, their rate of late.
+
+What a link is told to carry may be wrong; windows and paces learn from how long transfers take.
 """
 
 import collections
