Readers of the origin tell each other what they read; a manifest spreads once the origin is back

Change: policy claimed beside zoned (coordination/fetch_claimed.py): claims and pieces are told to all readers, owners try an origin that was away every 0.1 s, others after 1 to 2 s. Manifests: a lot of one a zone tries again every 0.1 s, all ask three peers. Ruled out in the model: fewer reads at a time (3, 4, 6, 10: no difference), all of the link (in, out), two pieces ahead, more chunks offered, longer waits for an upload: within 0.1 s of each other.

--- a/bench/transfer.py
+++ b/bench/transfer.py
@@ -16,10 +16,12 @@
 import random
 from collections.abc import Callable
 
-from merlinthread.coordination import fetch, fetch_policies, pacing
+from merlinthread.coordination import fetch, fetch_claimed, fetch_policies, pacing
 from merlinthread.nodes import piece_fetcher, piece_giver
 from merlinthread.transport import node_bus
 
+# The modules whose decorators fill `fetch.POLICIES`.
+POLICY_MODULES = (fetch_claimed, fetch_policies)
 STEP_S = piece_fetcher.IDLE_WAIT_S
 # One way: within a zone, between regions (large site).
 DELAY_S = (0.0005, 0.0005, 0.001)
@@ -48,6 +50,9 @@
     # How many agents hold all pieces from the start: others have just joined.
     holders: int = 0
     seed: int = 1
+    policy: str = "claimed"
+    # By when all should be whole, in seconds: agents that will not be are late.
+    due_s: float = float("inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,7 +102,7 @@
             piece_giver.OUT_SHARE * shape.link_rate, 0.0, piece_giver.SENT_TARGET_S
         )
         self.took_s: dict[str, float] = {}
-        self.plan = fetch_policies.Zoned(
+        self.plan = fetch.POLICIES.get(shape.policy)(
             self.name,
             "m@2",
             shape.pieces,
@@ -110,6 +115,7 @@
         self.plan.asks_per_peer = piece_fetcher.ASKS_PER_PEER
         self.plan.readers_max = fetch.readers_for(shape.origin_rate, shape.link_rate)
         self.window = pacing.TransferWindow(piece_fetcher.PARALLEL, piece_fetcher.TRANSFER_TARGET_S)
+        self.rate = pacing.RecentRate(piece_fetcher.RATE_WINDOW_S)
         self.began: dict[int, float] = {}
         self.whole_at: float | None = None
         self.is_dead = False
@@ -183,10 +189,19 @@
 
     def tick(self, agent: Agent) -> None:
         """Let an agent look for work, again and again."""
+        agent.rate.note(agent.plan.held.bit_count(), self.now)
+        agent.plan.is_late = self.is_late(agent)
         self.work(agent)
         if agent.whole_at is None:
             self.at(self.now + STEP_S, lambda: self.tick(agent))
 
+    def is_late(self, agent: Agent) -> bool:
+        """Return whether an agent will not be whole in time at the rate seen so far."""
+        if self.now < piece_fetcher.RATE_AFTER_S:
+            return False
+        missing = self.shape.pieces - agent.plan.held.bit_count()
+        return self.now + missing / max(agent.rate.per_s(), 1.0) > self.shape.due_s
+
     def work(self, agent: Agent) -> None:
         """Begin what the plan says, as long as the pace allows."""
         plan = agent.plan
@@ -200,6 +215,7 @@
             agent.began[id(action)] = self.now
             agent.incoming.reserve(self.shape.piece_bytes, self.now)
             if isinstance(action, fetch.FromOrigin):
+                self.claim(agent, action)
                 self.read_origin(agent, action)
             else:
                 self.ask(agent, action)
@@ -231,6 +247,13 @@
             when = self.now + DELAY_S[self.distance(agent, other)]
             self.at(when, lambda other=other: other.plan.announced(agent.name, index))
 
+    def claim(self, agent: Agent, action: fetch.FromOrigin) -> None:
+        """Tell other readers which piece is being read."""
+        for name in agent.plan.rivals():
+            other = self.agents[name]
+            when = self.now + DELAY_S[self.distance(agent, other)]
+            self.at(when, lambda other=other: other.plan.claimed(action.index, self.now))
+
     def is_cut(self, zone: int) -> bool:
         """Return whether a zone can't be reached from the others now."""
         return zone == self.fault.cut_zone and self.now < self.fault.cut_to
@@ -352,6 +375,7 @@
         bound = self.bound_s()
         return {
             "bound_s": round(bound, 2),
+            "half_s": round(times[len(times) // 2], 2),
             "first": round(times[0] / bound, 2),
             "half": round(times[len(times) // 2] / bound, 2),
             "last": round(times[-1] / bound, 2),
@@ -380,12 +404,23 @@
     parser.add_argument("--agents", type=int, nargs="*", default=[10, 60, 102])
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--fault", choices=sorted(FAULTS), help="only this one")
+    parser.add_argument("--policy", choices=["claimed", "zoned"], default="claimed")
+    parser.add_argument("--origin-mbps", type=float, default=7.3, help="the origin's link")
+    parser.add_argument("--zones", type=int, default=5)
+    parser.add_argument("--due", type=float, default=float("inf"), help="seconds until all are due")
     options = parser.parse_args(argv)
     worst = 0.0
     for count in options.agents:
         for name in [options.fault] if options.fault else FAULTS:
             for seed in range(1, options.seeds + 1):
-                shape = Shape(agents=count, seed=seed)
+                shape = Shape(
+                    agents=count,
+                    origin_rate=options.origin_mbps * 1e6 / 8,
+                    zones=options.zones,
+                    seed=seed,
+                    policy=options.policy,
+                    due_s=options.due,
+                )
                 found = Rollout(shape, FAULTS[name]).run().figures()
                 worst = max(worst, found["last"])
                 print(f"{count} agents, {name}, seed {seed}: {found}", flush=True)
--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -237,6 +237,13 @@
             self.peers[peer] = PeerState(peer, OWN_ZONE if peer in self.near else FAR)
         self.peers[peer].held |= 1 << index
 
+    def rivals(self) -> list[str]:
+        """Return whom to tell of a chunk that this VM begins to read from the origin."""
+        return []
+
+    def claimed(self, index: int, now: float) -> None:
+        """Note that another VM begins to read a chunk from the origin."""
+
     def on_participants(self) -> None:
         """Let a policy prepare for a changed set of VMs."""
 
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -1,6 +1,7 @@
 """The policies of `fetch` in force: `spread`, and `zoned` where links between zones are dear."""
 
 import math
+from collections.abc import Sequence
 
 from merlinthread.coordination import fetch
 
@@ -15,18 +16,22 @@
 
     owned = 0
     is_reader = False
+    readers: Sequence[str] = ()
     readers_max = fetch.READERS_MAX
 
     def on_participants(self) -> None:
         """Find the chunks that this VM reads from the origin."""
         ordered = sorted(self.participants, key=lambda name: fetch.weight(name, self.manifest, -1))
-        readers = ordered[: self.readers_max]
+        self.readers = ordered[: self.readers_max]
         self.owned = 0
-        self.is_reader = self.me in readers
+        self.is_reader = self.me in self.readers
         if not self.is_reader:
             return
         for index in range(self.chunk_count):
-            if max(readers, key=lambda name: fetch.weight(name, self.manifest, index)) == self.me:
+            if (
+                max(self.readers, key=lambda name: fetch.weight(name, self.manifest, index))
+                == self.me
+            ):
                 self.owned |= 1 << index
 
     def next_action(self, now: float) -> fetch.Action | None:
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -82,7 +82,7 @@
             self.subscribers[message.address] = self.clock() + SUBSCRIBED_S
         elif isinstance(message, node_messages.AttemptNote):
             self.on_attempt(message)
-        elif isinstance(message, node_messages.PieceNote):
+        elif isinstance(message, node_messages.PieceNote | node_messages.PieceClaim):
             self.weights.on_note(message)
         elif isinstance(message, node_messages.LoadQuery) and self.told is not None:
             others = self.ledger.outstanding(message.address, self.clock())
--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -5,6 +5,12 @@
 more connections than it bears. So the agents of a zone have an order for each version: the first
 asks the origin, the others ask those ahead of them, and turn to the origin one after the other if
 that gives nothing (those ahead may stand still).
+
+While the origin is away all go on asking a few others, and about one of a zone tries the origin
+again every tenth of a second. Once one has the manifest, it passes on as an epidemic does (Demers
+et al. 1987): in three rounds or four all of 40 have it. When each agent tried and waited by itself,
+the last zone had it 1.2 s after the origin was back (log of the twin of a day on which the origin
+is away when a version is named).
 """
 
 import asyncio
@@ -25,9 +31,12 @@
 # How many of those ahead are asked, and how often.
 AHEAD_ASKED = 3
 ASK_EVERY_S = 0.04
-# How many peers are asked for a manifest that the origin does not give.
+# How many peers are asked for a manifest that the origin does not give, and how often.
 PEERS_ASKED = 3
+AGAIN_EVERY_S = 0.1
 PEER_TIMEOUT_S = 0.3
+# After so long without a manifest the reason is logged.
+GIVE_UP_S = 2.0
 
 
 class ManifestFinder:
@@ -46,26 +55,56 @@
         self.caller = caller
         self.clock = clock
         self.rng = rng
+        # The model and version that the origin did not give when it was last asked.
+        self.missed = ("", 0)
 
     async def find(
-        self, origin: str, model: str, version: int, peers: Sequence[fetch.Peer]
+        self,
+        origin: str,
+        model: str,
+        version: int,
+        peers: Sequence[fetch.Peer],
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> fleet.Manifest:
         """Return a version's manifest; version 0 is the newest one.
 
-        Raises the origin's error if neither it nor one of the peers asked gives it.
+        Raises the origin's error if neither it nor a peer gives it within GIVE_UP_S, or as soon as
+        `is_wanted` tells that the version is not wanted any more.
         """
-        ahead = ahead_in_zone(self.me, f"{model}@{version}", peers)
-        manifest = await self.from_those_ahead(ahead, model, version)
-        if manifest is not None:
-            return manifest
-        try:
-            return await self.engine.manifest(origin, model, version)
-        except errors.MerlinthreadError:
-            for peer in self.rng.sample(peers, min(PEERS_ASKED, len(peers))):
-                manifest = await self.from_peer(peer.bus, model, version)
-                if manifest is not None:
-                    return manifest
-            raise
+        if self.missed != (model, version):
+            ahead = ahead_in_zone(self.me, f"{model}@{version}", peers)
+            manifest = await self.from_those_ahead(ahead, model, version)
+            if manifest is not None:
+                return manifest
+        deadline = self.clock() + GIVE_UP_S
+        may_try = True
+        reason: errors.MerlinthreadError = errors.UnreachableError(f"{origin}: not tried")
+        while is_wanted() and self.clock() < deadline:
+            try:
+                if may_try:
+                    return await self.engine.manifest(origin, model, version)
+            except errors.MerlinthreadError as error:
+                self.missed = (model, version)
+                reason = error
+            manifest = await self.from_some(peers, model, version)
+            if manifest is not None:
+                return manifest
+            await asyncio.sleep(AGAIN_EVERY_S)
+            may_try = self.is_my_turn(peers)
+        raise reason
+
+    def is_my_turn(self, peers: Sequence[fetch.Peer]) -> bool:
+        """Return by lot whether to try the origin again: about one agent of a zone does."""
+        zone = sum(peer.distance == fetch.OWN_ZONE for peer in peers) + 1
+        return self.rng.random() * zone < 1
+
+    async def from_some(
+        self, peers: Sequence[fetch.Peer], model: str, version: int
+    ) -> fleet.Manifest | None:
+        """Return the manifest if one of a few peers, drawn by lot, has it."""
+        asked = self.rng.sample(peers, min(PEERS_ASKED, len(peers)))
+        found = await asyncio.gather(*(self.from_peer(p.bus, model, version) for p in asked))
+        return next((manifest for manifest in found if manifest is not None), None)
 
     async def from_those_ahead(
         self, ahead: Sequence[str], model: str, version: int
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -37,7 +37,7 @@
 RATE_AFTER_S = 2.0
 RATE_WINDOW_S = 1.0
 
-Send = Callable[[str, node_messages.PieceNote], None]
+Send = Callable[[str, node_messages.PieceNote | node_messages.PieceClaim], None]
 
 
 class PieceFetcher:
@@ -119,9 +119,21 @@
             if action is None:
                 return
             plan.began(action)
+            if isinstance(action, fetch.FromOrigin):
+                self.claim(plan, manifest, action)
             self.incoming.reserve(self.facts.piece_bytes(), self.clock())
             running.add(loop.create_task(self.carry_out(plan, manifest, action)))
 
+    def claim(
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.FromOrigin
+    ) -> None:
+        """Tell other readers of the origin which piece is being read."""
+        claim = node_messages.PieceClaim(
+            manifest.model, manifest.version, self.facts.me, action.index
+        )
+        for rival in plan.rivals():
+            self.send(rival, claim)
+
     def spare_every_s(self, plan: fetch_policies.Zoned) -> float:
         """Return how long the origin's link takes for one piece to each VM that reads it."""
         link = self.facts.origin_bytes_per_s()
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs
-from merlinthread.coordination import change_over, fetch, fetch_policies, fleet
+from merlinthread.coordination import change_over, fetch, fetch_claimed, fetch_policies, fleet
 from merlinthread.nodes import (
     engine_client,
     manifest_finder,
@@ -104,7 +104,9 @@
         """Read a version's manifest and find out which of its pieces lie here."""
         is_first = self.manifest is None
         origin, peers = self.facts.origin(), self.facts.peers()
-        manifest = await self.manifests.find(origin, model, version, peers)
+        manifest = await self.manifests.find(
+            origin, model, version, peers, lambda: self.facts.named(model) in (0, version)
+        )
         plan = self.make_plan(manifest)
         # What lies there after a restart may be of this version; later it is of the one before.
         plan.held = await self.find_staged(manifest) if is_first else 0
@@ -120,7 +122,7 @@
 
     def make_plan(self, manifest: fleet.Manifest) -> fetch_policies.Zoned:
         """Return the plan of a fetch that has nothing yet."""
-        plan = fetch_policies.Zoned(
+        plan = fetch_claimed.Claimed(
             self.facts.me,
             f"{manifest.model}@{manifest.version}",
             len(manifest.digests),
@@ -196,10 +198,14 @@
         """Answer a peer that asks for a manifest."""
         return piece_giver.give_manifest(self.manifest, request)
 
-    def on_note(self, note: node_messages.PieceNote) -> None:
-        """Take a peer's word of a piece that it has just got."""
+    def on_note(self, note: node_messages.PieceNote | node_messages.PieceClaim) -> None:
+        """Take a peer's word of a piece that it has just got, or begins to read."""
         manifest = self.manifest
         if manifest is None or self.plan is None:
             return
-        if (manifest.model, manifest.version) == (note.model, note.version):
+        if (manifest.model, manifest.version) != (note.model, note.version):
+            return
+        if isinstance(note, node_messages.PieceClaim):
+            self.plan.claimed(note.index, self.clock())
+        else:
             self.plan.announced(note.sender, note.index)
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -230,6 +230,17 @@
     index: int
 
 
+@MESSAGES.add("node.piece_claim")
+@dataclasses.dataclass(slots=True)
+class PieceClaim:
+    """Tell another agent, by datagram, of a piece that `sender` begins to read from the origin."""
+
+    model: str
+    version: int
+    sender: str
+    index: int
+
+
 @MESSAGES.add("node.manifest_request")
 @dataclasses.dataclass(slots=True)
 class ManifestRequest:
