--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "soak_fleet",
     "soak_nodes",
     "swarm",
+    "verdict",
 )
 
 
--- /dev/null
+++ b/tests/test_compare.py
@@ -0,0 +1,78 @@
+"""Comparisons of ways on the same days: what differences tell, and what is refused at once."""
+
+import json
+import pathlib
+
+import pytest
+
+from bench import compare, verdict
+
+
+def test_a_difference_well_beyond_its_spread_is_told():
+    told = verdict.judge([0.03, 0.04, 0.035, 0.03])
+    assert (told.word, told.pairs, told.more) == ("better", 4, 0)
+    assert verdict.judge([-0.03, -0.04, -0.035]).word == "worse"
+
+
+def test_a_difference_within_its_spread_tells_how_many_more_days_it_takes():
+    told = verdict.judge([0.05, -0.03, 0.02, -0.01])
+    assert told.word == "not told apart"
+    # Mean 0.0075, spread 0.0350: (2 x 0.0350 / 0.0075) squared is 87.1.
+    assert told.more == 88 - 4
+
+
+def test_two_pairs_tell_nothing_however_alike_they_are():
+    assert verdict.judge([0.1, 0.1]).word == "not told apart"
+    assert verdict.judge([]).more == verdict.LEAST_PAIRS
+
+
+def test_a_difference_too_small_to_matter_is_not_called_better():
+    assert verdict.judge([0.001, 0.001, 0.001]).word == "not told apart"
+
+
+def site(folder: pathlib.Path) -> pathlib.Path:
+    path = folder / "site.toml"
+    path.write_text('[[day]]\nname = "quiet-1"\n')
+    return path
+
+
+@pytest.mark.parametrize(
+    "arguments, words",
+    [
+        (["--decision", "returning"], ["'returning'", "returns"]),
+        (["--decision", "returns", "--ways", "later"], ["'later'", "share"]),
+        (["--decision", "returns"], ["--program"]),
+    ],
+)
+def test_what_there_is_not_ends_with_code_2_and_one_line(capsys, arguments, words):
+    with pytest.raises(SystemExit) as caught:
+        compare.main(arguments)
+    assert caught.value.code == 2
+    said = capsys.readouterr().err
+    assert said.count("\n") == 1
+    for word in words:
+        assert word in said
+
+
+@pytest.mark.parametrize("name, day", [("site.toml", "mist"), ("none.toml", "quiet-1")])
+def test_a_day_or_site_that_does_not_exist_ends_with_code_2(tmp_path, capsys, name, day):
+    site(tmp_path)
+    arguments = ["--decision", "returns", "--program", "p", "--folder", str(tmp_path / "f")]
+    with pytest.raises(SystemExit) as caught:
+        compare.main([*arguments, "--site", str(tmp_path / name), "--day", day])
+    assert caught.value.code == 2
+    assert capsys.readouterr().err.count("\n") == 1
+    assert not (tmp_path / "f").exists()
+
+
+def test_the_list_names_each_decision_with_its_ways(capsys):
+    assert compare.main(["--list"]) == 0
+    listed = json.loads(capsys.readouterr().out)
+    assert listed["returns"] == ["forecast", "share"]
+
+
+def test_differences_are_taken_day_by_day_and_seed_by_seed(tmp_path):
+    path = site(tmp_path)
+    plays = [compare.Play(path, "quiet-1", seed, way) for seed in (1, 2) for way in ("a", "b")]
+    worths = {play.key(): play.seed + (0.5 if play.way == "b" else 0.0) for play in plays}
+    assert compare.pairs_of(plays, worths, "b", "a") == [0.5, 0.5]
