--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -13,6 +13,7 @@
 import blake3
 
 from merlinthread import registry
+from merlinthread.coordination import fetch_peers
 
 OWN_ZONE = 0
 OWN_REGION = 1
@@ -32,9 +33,6 @@
 # 1.33.
 READERS_PER_LINK = 8
 READERS_MIN = 4
-# How old a peer's word may get, by distance. New chunks are announced (`FetchPlan.audience`); this
-# is for announcements that were lost.
-STALE_AFTER_S = (0.5, 1.0, 1.5)
 ORIGIN_GRACE_S = 3.0
 CHUNKS_OFFERED = 4
 
@@ -67,37 +65,6 @@
     zone: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class PeerState:
-    """What is known of one other VM: `told` is what it said last, `held` also what it announced."""
-
-    name: str
-    distance: int
-    held: int = 0
-    told: int = 0
-    heard_at: float = float("-inf")
-    not_before: float = float("-inf")
-    lost_until: float = float("-inf")
-    failures: int = 0
-
-    def overdue(self, now: float) -> float:
-        """Return how old its word is, in units of how old it may get; a failure counts as word."""
-        return (now - self.heard_at) / STALE_AFTER_S[self.distance]
-
-
-@dataclasses.dataclass(slots=True)
-class Tally:
-    """What one fetch has cost so far, in chunks."""
-
-    from_origin: int = 0
-    from_peers: int = 0
-    corrupt: int = 0
-    failed: int = 0
-    doubled: int = 0
-    busy: int = 0
-    empty: int = 0
-
-
 def bits(value: int) -> list[int]:
     """Return the positions of the set bits, lowest first."""
     found = []
@@ -154,7 +121,7 @@
         self.origin_busy = 0
         self.origin_not_before = float("-inf")
         self.origin_failures: collections.Counter[int] = collections.Counter()
-        self.peers: dict[str, PeerState] = {}
+        self.peers: dict[str, fetch_peers.PeerState] = {}
         self.asking: collections.Counter[str] = collections.Counter()
         self.asks_per_peer = 1
         self.known_peers: list[Peer] | None = None
@@ -164,7 +131,7 @@
         self.announcers: set[str] = set()
         self.ranks: dict[int, int] = {}
         self.rank_masks: dict[int, int] = {}
-        self.tally = Tally()
+        self.tally = fetch_peers.Tally()
         self.busy_wait_s = BUSY_WAIT_S
         self.rng = rng
         self.last_news_at = now
@@ -195,7 +162,7 @@
             del self.peers[name]
         for name, peer in chosen.items():
             if name not in self.peers:
-                self.peers[name] = PeerState(name, peer.distance)
+                self.peers[name] = fetch_peers.PeerState(name, peer.distance)
         self.on_participants()
 
     def neighbours(self, peers: list[Peer]) -> list[Peer]:
@@ -234,7 +201,7 @@
             return
         self.announcers.add(peer)
         if peer not in self.peers:
-            self.peers[peer] = PeerState(peer, OWN_ZONE if peer in self.near else FAR)
+            self.peers[peer] = fetch_peers.PeerState(peer, OWN_ZONE if peer in self.near else FAR)
         self.peers[peer].held |= 1 << index
 
     def rivals(self) -> list[str]:
@@ -355,7 +322,7 @@
         """Return whether an origin slot is free."""
         return self.origin_busy < self.origin_slots and now >= self.origin_not_before
 
-    def ask(self, peer: PeerState, now: float) -> FromPeer | None:
+    def ask(self, peer: fetch_peers.PeerState, now: float) -> FromPeer | None:
         """Return a request for the rarest chunks that `peer` is known to have."""
         needed = self.needed()
         useful = peer.held & needed
@@ -391,7 +358,7 @@
                 break
         return chosen
 
-    def askable(self, now: float) -> list[PeerState]:
+    def askable(self, now: float) -> list[fetch_peers.PeerState]:
         """Return the peers that may be asked now, nearest first, in random order otherwise."""
         found = [
             peer
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Sequence
 
-from merlinthread.coordination import fetch
+from merlinthread.coordination import fetch, fetch_peers
 
 
 @fetch.POLICIES.add("spread")
@@ -141,7 +141,7 @@
             key=lambda index: (self.origin_failures[index], self.rank(index)),
         )
 
-    def ask(self, peer: fetch.PeerState, now: float) -> fetch.FromPeer | None:
+    def ask(self, peer: fetch_peers.PeerState, now: float) -> fetch.FromPeer | None:
         """Return a request; of a far peer only for what this VM is to bring into its zone."""
         if peer.distance == fetch.OWN_ZONE:
             return super().ask(peer, now)
