A node turns to the control VM that answers first again: a near one

Change: all are asked at once as before; what stays is that a control VM without a leader is asked for changes only.

--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -23,9 +23,6 @@
 STALE_WAIT_S = 0.2
 FIRST_TIMEOUT_S = 0.4
 PAUSE_S = 0.1
-# How long after one control VM the next one is asked if that one has not answered: some ways there
-# and back (1 to 6 ms) and the time in which one of 0.645 of a core answers 20 nodes (2 ms each).
-ASK_APART_S = 0.05
 # How often another control VM is looked for while none is known to be joined to a majority.
 SEARCH_EVERY_S = 0.4
 STALE_S = 1.6
@@ -90,25 +87,18 @@
     async def find_control(self) -> str:
         """Return the control VM that answers first and is joined to a majority.
 
-        If none is joined, return any that answers, else an empty string. They are asked one after
-        the other, each ASK_APART_S after the one before or as soon as that one has failed, so that
-        all nodes that start together do not ask all control VMs at once.
+        If none is joined, return any that answers, else an empty string. All are asked at once, so
+        that it is a near one: news then cross no region. With one asked after the other they were
+        0.012 of a day's worth dearer.
         """
-        waiting = self.others()
-        asked: dict[asyncio.Task[node_messages.News | None], str] = {}
-        pending: set[asyncio.Task[node_messages.News | None]] = set()
+        asked = {
+            asyncio.get_running_loop().create_task(self.ask(address, 0.0, FIRST_TIMEOUT_S)): address
+            for address in self.others()
+        }
         second = ""
-        while waiting or pending:
-            if waiting:
-                address = waiting.pop(0)
-                question = self.ask(address, 0.0, FIRST_TIMEOUT_S)
-                task = asyncio.get_running_loop().create_task(question)
-                asked[task] = address
-                pending.add(task)
-            timeout_s = ASK_APART_S if waiting else None
-            done, pending = await asyncio.wait(
-                pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-            )
+        pending = set(asked)
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 news = task.result()
                 if news is None:
@@ -122,9 +112,8 @@
         return second
 
     def others(self) -> list[str]:
-        """Return the control VMs but the present one, each node's in an order of its own."""
-        known = list(dict.fromkeys([*self.controls, *self.settings.control_nodes()]))
-        known.sort(key=lambda address: zlib.crc32(f"{self.settings.name} {address}".encode()))
+        """Return the control VMs but the present one."""
+        known = dict.fromkeys([*self.controls, *self.settings.control_nodes()])
         return [address for address in known if address != self.current]
 
     async def ask(self, address: str, wait_s: float, timeout_s: float) -> node_messages.News | None:
