--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -211,6 +211,8 @@
     lines = INTRODUCTION.format(
         entries=ENTRIES, workers=WORKERS, vms=ROLL_VMS, zones=ZONES, controls=CONTROLS
     ).splitlines()
+    lines += ["", *(RAW / "sweep.md").read_text(encoding="utf-8").splitlines()]
+    lines += DAEMONS.splitlines()
     lines += budget_table(predict(nodes))
     lines += ["", "## What grows with the fleet in one process", ""]
     lines += ["| VMs | directive, bytes | decode, ms | placement, ms | peers of a fetch, ms |"]
@@ -239,7 +241,9 @@
 both agree. The target (letter 1): {entries} nodes before {workers} workers, weights on {vms} VMs,
 {zones} availability zones, at most {controls} VMs set aside for control, 2.8 % of a core, 256 MB
 and 7 KB/s for control on each node.
+"""
 
+DAEMONS = """
 ## What control costs a node
 
 Real processes on one machine at four sizes; least squares over the sizes named. Entries and agents:
