--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -158,6 +158,7 @@
     def stop_hearing(self) -> None:
         """Note that its agent is no longer asked to tell its load: silence means nothing then."""
         self.reported_at = float("-inf")
+        self.ready_at = None
 
     def version_of(self, model: str, layers: int) -> int:
         """Return the version of a model's weights that it holds whole, or 0."""
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -230,10 +230,11 @@
             backend.take_answer(answers[agent], self.clock())
 
     def ready_in_s(self, service: str) -> float | None:
-        """Return when half of a service's engines will serve again, None if that is not known."""
-        if self.engine_of(service) is None:
-            return None
-        return dispatch.half_ready_in_s(self.by_service.get(service, []), self.clock())
+        """Return when half of the engines heard of a service will serve again, None if not known.
+
+        Only those that are heard unasked tell it, 16 of 41 where there are so many.
+        """
+        return dispatch.half_ready_in_s(self.heard.get(service, []), self.clock())
 
     def engine_of(self, service_name: str) -> fleet.Engine | None:
         """Return the engine that a service's back ends run, or None for a plain service."""
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -440,3 +440,20 @@
         assert choice.backend is silent
 
     asyncio.run(scenario())
+
+
+def test_engines_that_are_not_heard_do_not_hide_when_the_others_will_serve():
+    # 41 engines of which an entry hears 16: more than half tell it nothing.
+    async def scenario():
+        entry, workers, _ = await make("model", 5, "m")
+        pool = entry.node.pool
+        heard = [pool.backends[worker.instance] for worker in workers[:2]]
+        pool.heard = {"model": heard}
+        for engine in heard:
+            engine.take_report(fleet.EngineReport(ready_in_s=3.0), pool.clock())
+        assert pool.ready_in_s("model") == pytest.approx(3.0, abs=0.2)
+        heard[0].stop_hearing()
+        assert heard[0].ready_at is None
+        assert pool.ready_in_s("no such service") is None
+
+    asyncio.run(scenario())
