--- a/deploy/node.py
+++ b/deploy/node.py
@@ -4,7 +4,7 @@
 import pathlib
 import sys
 
-# The imports make no garbage: looking for it takes a tenth of their time. `main` switches it on.
+# The imports make no garbage to look for (a tenth of their time or less). `main` switches it on.
 gc.disable()
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "target" / "app"))
--- a/src/merlinthread/coordination/change_over.py
+++ b/src/merlinthread/coordination/change_over.py
@@ -14,8 +14,8 @@
 # How long before the bound of the old weights nothing is sent to them any more: a request may take
 # that long on its way and at the engine before it begins (docs/incidents/0002: 0.8 and 1.5 s seen).
 LEAVE_S = 1.0
-# From a whole copy until the engine serves with it: what runs ends, then it loads (0.9 to 1.3 s
-# between the two lines of agents' logs).
+# From a whole copy until the engine serves with it: what runs ends (about a second), then it loads
+# (0.3 s); reckoned.
 CHANGE_S = 1.25
 READY_STEP_S = 0.25
 
--- a/src/merlinthread/coordination/fetch_claimed.py
+++ b/src/merlinthread/coordination/fetch_claimed.py
@@ -8,14 +8,14 @@
 
 from merlinthread.coordination import fetch, fetch_policies
 
-# How long a claim holds: a chunk of 24 KB takes 0.45 s of an origin of 4.38 Mbit/s that ten VMs
-# read at once, and 1.1 s when it is back after a while and 24 VMs turn to it.
+# How long a claim holds. Reckoned: a chunk of 24 KB takes 0.45 s of an origin of 4.38 Mbit/s that
+# ten VMs read at once, and 1.1 s when it is back after a while and 24 VMs turn to it.
 CLAIM_S = 1.2
 # An origin that was away is tried again by the owners of chunks: a refusal costs 3 packets, and at
 # this pace half of the pause, 0.05 s, is lost when it is back.
 OWN_RETRY_S = 0.1
 # Others try it again after once to twice as long, so that the owners' reads are not shared out
-# among all VMs when it is back (24 VMs: the first new chunk after 1.1 s in place of 0.45 s).
+# among all VMs when it is back (reckoned for 24 VMs: the first new chunk after 1.1 s, not 0.45 s).
 RESCUE_RETRY_S = 1.0
 
 
--- a/src/merlinthread/coordination/return_times.py
+++ b/src/merlinthread/coordination/return_times.py
@@ -18,7 +18,7 @@
 MOST_S = 2.0
 # How long to wait where nothing is free and nothing is known of when that ends.
 NONE_FREE_S = 1.8
-# What a second try needs: an answer of 22 events takes 1.1 to 1.9 s of an engine of 12 requests.
+# What a second try needs: answers of 22 events were seen to take 1.2 to 1.9 s (entries' logs).
 SECOND_TRY_S = 2.2
 # How much later than the engines are forecast to serve the first ones return (forecasts err by some
 # tenths of a second, and who comes too early is lost), and over how long the others follow.
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -26,7 +26,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # A second opening packet follows when there is no answer for so long: more than ten times the way
 # there and back between regions (1 to 6 ms), a fifth of the shortest objective on the sheets known
-# (0.2 s). Of 2,428 requests of a busy day 30 lost their first one (its twin, from entries' logs).
+# (0.2 s). Of 2,428 requests of a busy day about 30 met no connection
+# within 0.3 s (its twin, from entries' logs; why was not traced).
 CONNECT_AGAIN_S = 0.06
 USER_TIMEOUT_S = 2.0
 UNSAFE_IDLE_S_MAX = 1.0
--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -8,7 +8,7 @@
 
 While the origin is away all go on asking a few others, and about one of a zone tries the origin
 again every tenth of a second. Once one has the manifest, it passes on as an epidemic does (Demers
-et al. 1987): in three rounds or four all of 40 have it. When each agent tried and waited by itself,
+et al. 1987): reckoned, three rounds or four for 40. When each agent tried and waited by itself,
 the last zone had it 1.2 s after the origin was back (log of the twin of a day on which the origin
 is away when a version is named).
 """
@@ -35,8 +35,8 @@
 PEERS_ASKED = 3
 AGAIN_EVERY_S = 0.1
 PEER_TIMEOUT_S = 0.3
-# How long one try of the origin may take: a manifest of 6.5 KB takes 0.12 s of 4.38 Mbit/s that ten
-# readers of pieces share, and twice that where a link between regions is full.
+# How long one try of the origin may take. Reckoned: a manifest of 6.5 KB takes 0.12 s of 4.38
+# Mbit/s that ten readers of pieces share.
 ORIGIN_TRY_S = 0.5
 # After so long without a manifest the reason is logged.
 GIVE_UP_S = 2.0
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -88,8 +88,7 @@
         """Return the control VM that answers first and is joined to a majority.
 
         If none is joined, return any that answers, else an empty string. All are asked at once, so
-        that it is a near one: news then cross no region. With one asked after the other they were
-        0.012 of a day's worth dearer.
+        that it is a near one: news then cross no region (what that saves was not told apart).
         """
         asked = {
             asyncio.get_running_loop().create_task(self.ask(address, 0.0, FIRST_TIMEOUT_S)): address
--- a/src/merlinthread/nodes/node_policy.py
+++ b/src/merlinthread/nodes/node_policy.py
@@ -1,7 +1,7 @@
 """Which way each decision of a node is made: names out of the registries, checked at the start.
 
 The file is plain JSON and not JSON with comments: each node reads it at its start, and the parser
-of the other takes 20 ms to import, a tenth of all that a node imports.
+of the other takes 20 ms to import (on a busy machine).
 """
 
 import dataclasses
--- a/src/merlinthread/nodes/node_roles.py
+++ b/src/merlinthread/nodes/node_roles.py
@@ -1,7 +1,7 @@
 """The roles that a node's process can have; each module of a node files its own under its name.
 
-A process imports the modules of its own role only: that takes a quarter of the processor time of a
-start of an entry or agent, 0.1 s where a VM has one core (process time, median of three).
+A process imports the modules of its own role only: that saves a tenth to a quarter of the processor
+time of an entry's or agent's imports (process time on a busy machine, medians of three).
 """
 
 import importlib
