Sight: which requests were at a back end whose connections broke, and whether its process ended

Cause: logs name requests by the id of one try, and a broken connection does not tell an ended process. Change: an entry logs connections_broke with the fingerprints (method, host, path, client account, body) and with what a new connection to the address showed; a counter by proof.

--- a/src/merlinthread/errors.py
+++ b/src/merlinthread/errors.py
@@ -141,6 +141,10 @@
     kind = ErrorKind.UNREACHABLE
 
 
+class RefusedError(UnreachableError):
+    """Nothing listens at an address: the process that did has ended."""
+
+
 class ProtocolError(MerlinthreadError):
     """A message can't be decoded or is not authentic."""
 
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -94,3 +94,8 @@
 refusals_total = prometheus_client.Counter(
     "merlinthread_refusals_total", "Requests that this entry refused, by kind.", ["kind"]
 )
+breaks_total = prometheus_client.Counter(
+    "merlinthread_breaks_total",
+    "Attempts that got no whole answer, by whether their back end's process had ended.",
+    ["proof"],
+)
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -14,7 +14,7 @@
 import h11
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import dispatch, fleet
+from merlinthread.coordination import dispatch, fingerprints, fleet
 from merlinthread.nodes import backend_pool
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import event_bytes
@@ -62,6 +62,15 @@
     route: fleet.Route
     account: fleet.Account | None
     deadline: float
+    body: bytes = b""
+    known_fingerprint: str = ""
+
+    def fingerprint(self) -> str:
+        """Return what tells this request from others; reckoned only once it is asked for."""
+        if not self.known_fingerprint:
+            account = self.account.name if self.account is not None else ""
+            self.known_fingerprint = fingerprints.fingerprint(self.call, account, self.body)
+        return self.known_fingerprint
 
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
@@ -169,6 +178,7 @@
             if not isinstance(error, OverdueError):
                 dispatch.note_failure(self.backend, self.clock())
             if self.is_sent:
+                self.note_break(error)
                 return Outcome(State.UNKNOWN, error.message)
             return Outcome(State.UNSENT, f"unsent: {error.message}")
         finally:
@@ -176,6 +186,13 @@
             if connection is not None:
                 connection.close()
 
+    def note_break(self, error: errors.MerlinthreadError) -> None:
+        """Note that the back end broke off; one that was given up for its silence did not."""
+        if isinstance(error, SilentError | OverdueError):
+            return
+        fingerprint = self.facts.fingerprint()
+        self.pool.crashes.note_break(self.backend, fingerprint, self.facts.call.request_id)
+
     def note_silence(self, connection: stream_client.ClientConnection | None) -> None:
         """Note that nothing came over the connection in time."""
         if connection is not None:
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -18,7 +18,7 @@
     route_table,
     waiting_room,
 )
-from merlinthread.nodes import load_prober, news_watcher, node_settings
+from merlinthread.nodes import crash_watch, load_prober, news_watcher, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import http_messages, stream_client
 
@@ -91,6 +91,7 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.place_numbers = itertools.count(1)
         self.connections = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.crashes = crash_watch.CrashWatch(clock)
 
     # What is known
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -75,7 +75,8 @@
         if self.call.deadline_s is not None:
             limit = min(limit, self.call.deadline_s - DEADLINE_MARGIN_S)
         deadline = self.arrived + max(0.0, limit)
-        self.facts = attempts.Facts(self.call, route, account, deadline)
+        body = self.exchange.request.body
+        self.facts = attempts.Facts(self.call, route, account, deadline, body)
         self.pool.budget(self.service).note_first(self.arrived)
 
     # Attempts
