--- /dev/null
+++ b/tests/crashing_fleet.py
@@ -0,0 +1,148 @@
+"""Three control VMs, entries and workers that a certain request ends, over loopback, for tests."""
+
+import asyncio
+import contextlib
+import pathlib
+
+from merlinthread.nodes import node_settings
+from merlinthread.transport import http_messages
+from stand_ins import crashing_worker
+from tests import fleet_nodes
+
+CONTACT_S = 1.0
+BEAT_S = 0.1
+DEADLY = b"deadly"
+
+
+class CrashingFleet:
+    """The processes of a small deployment whose workers some requests end."""
+
+    def __init__(self, folder: pathlib.Path, service: str = "safe", model: str = "") -> None:
+        self.controls = fleet_nodes.Controls(folder)
+        self.service = service
+        self.model = model
+        self.entries: list[fleet_nodes.Entry] = []
+        self.workers: list[crashing_worker.CrashingWorker] = []
+        self.beats: list[asyncio.Task[None]] = []
+        self.asked = 0
+        self.entry_port = fleet_nodes.free_port()
+
+    async def start(self, entries: int, workers: int, **behaviour) -> None:
+        """Start all; return once each entry knows all workers."""
+        await self.controls.start_all()
+        await fleet_nodes.until(self.controls.leader)
+        for number in range(workers):
+            worker = crashing_worker.CrashingWorker(f"i-{number}", self.model, **behaviour)
+            await worker.start()
+            self.workers.append(worker)
+            self.beats.append(asyncio.get_running_loop().create_task(self.beat(worker)))
+        services = [] if self.model else [self.service]
+        model_service = self.service if self.model else ""
+        body = fleet_nodes.configuration(1, services, model_service)
+        await self.controls.until_acknowledged("PUT", "/config", body)
+        for number in range(entries):
+            await self.add_entry(f"127.0.0.{31 + number}")
+
+    async def add_entry(self, ip: str) -> fleet_nodes.Entry:
+        """Start one more entry; return it once it knows all workers."""
+        settings = fleet_nodes.make_settings(
+            f"entry-{ip}",
+            ip,
+            control_port=self.controls.port,
+            control_ips=self.controls.ips,
+            entry_port=self.entry_port,
+            client_address=f"{ip}:{fleet_nodes.free_port()}",
+            ready_address=f"{ip}:{fleet_nodes.free_port()}",
+            bounds=node_settings.Bounds(contact_s=CONTACT_S),
+        )
+        entry = fleet_nodes.Entry(settings)
+        await entry.node.start()
+        self.entries.append(entry)
+        known = entry.node.pool.backends
+        await fleet_nodes.until(lambda: len(known) >= len(self.workers) and entry.node.is_ready())
+        return entry
+
+    async def beat(self, worker: crashing_worker.CrashingWorker) -> None:
+        """Tell a control VM again and again that a worker lives, while it does."""
+        while True:
+            if not worker.is_away:
+                worker.sequence += 1
+                with contextlib.suppress(Exception):
+                    await self.tell(worker)
+            await asyncio.sleep(BEAT_S)
+
+    async def tell(self, worker: crashing_worker.CrashingWorker) -> None:
+        """Send one heartbeat of a worker."""
+        body = {
+            "service": self.service,
+            "address": worker.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": worker.sequence,
+            "models": [{"name": worker.model, "version": 1}],
+        }
+        ip = next(iter(self.controls.nodes))
+        await self.controls.call(ip, "PUT", f"/instances/{worker.instance}", body)
+
+    async def ask(self, entry: int, body: bytes, path: str = "") -> http_messages.Answer:
+        """Send a request to one entry, under an id of its own; return its answer."""
+        self.asked += 1
+        headers = {"X_Merlinthread_Model": self.model} if self.model else {}
+        target = path or f"/{self.service}/x"
+        return await self.entries[entry].ask(target, f"id-{self.asked}", body, **headers)
+
+    def ends(self) -> list[float]:
+        """Return when workers ended, in order."""
+        return sorted(at for worker in self.workers for at in worker.ends)
+
+    def arrivals(self) -> list[float]:
+        """Return when deadly requests came to workers, in order."""
+        return sorted(at for worker in self.workers for at in worker.arrivals)
+
+    def late_arrivals(self) -> int:
+        """Return how many deadly requests came later than `CONTACT_S` after the third end."""
+        bound = self.ends()[2] + CONTACT_S
+        return sum(at > bound for at in self.arrivals())
+
+    async def send_until_late(self, seconds: float, comings: int) -> list[http_messages.Answer]:
+        """Let the deadly request come at each entry in turn; return the answers.
+
+        It comes every 50 ms until `seconds` after the third end, then `comings` times more.
+        """
+        loop = asyncio.get_running_loop()
+        tasks = []
+        # Without an end under the request there would be nothing to wait for.
+        await self.ask_any(0, DEADLY)
+        await fleet_nodes.until(self.ends)
+        while len(self.ends()) < 3 or loop.time() < self.ends()[2] + seconds:
+            entry = len(tasks) % len(self.entries)
+            tasks.append(loop.create_task(self.ask_any(entry, DEADLY)))
+            await asyncio.sleep(0.05)
+        for number in range(comings):
+            await self.ask_any(number % len(self.entries), DEADLY)
+        return [answer for answer in await asyncio.gather(*tasks) if answer is not None]
+
+    async def ask_any(self, entry: int, body: bytes) -> http_messages.Answer | None:
+        """Send a request; return its answer, None if it was broken off."""
+        with contextlib.suppress(Exception):
+            return await self.ask(entry, body)
+        return None
+
+    async def stop(self) -> None:
+        """End all."""
+        for task in self.beats:
+            task.cancel()
+        for entry in self.entries:
+            for task in entry.node.tasks:
+                task.cancel()
+            entry.node.server.stop_accepting()
+            entry.node.ready_server.stop_accepting()
+        for worker in self.workers:
+            if worker.crash is not None:
+                worker.crash.cancel()
+            worker.stop()
+        for ip in list(self.controls.nodes):
+            self.controls.kill(ip)
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -201,11 +201,11 @@
 
 
 class Entry:
-    """An entry that is fed by hand, without control VMs."""
+    """An entry that is fed by hand, without control VMs, unless settings name some."""
 
-    def __init__(self) -> None:
-        self.port = 0
-        settings = make_settings("entry")
+    def __init__(self, settings: node_settings.NodeSettings | None = None) -> None:
+        settings = settings or make_settings("entry")
+        self.address = settings.client_address
         self.node = entry_node.EntryNode(
             settings, dialect.PlatformDialect(), make_codec(), time.monotonic, random.Random(1)
         )
@@ -215,7 +215,8 @@
         """Listen for clients only."""
         await self.node.server.listen("127.0.0.1", 0)
         assert self.node.server.listener is not None
-        self.port = self.node.server.listener.sockets[0].getsockname()[1]
+        port = self.node.server.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
 
     def feed(
         self, body: dict, workers: dict[fleet_worker.Worker, str], gone=(), leader_age_s=0.0
@@ -255,12 +256,16 @@
         )
         self.node.watcher.take(news)
 
-    async def ask(self, path: str, request_id: str, **headers) -> http_messages.Answer:
+    async def ask(
+        self, path: str, request_id: str, body: bytes = b"", **headers
+    ) -> http_messages.Answer:
         """Send one client's request and return its answer."""
-        connection = await self.send(path, request_id, **headers)
+        connection = await self.send(path, request_id, body, **headers)
         return await connection.receive()
 
-    async def send(self, path: str, request_id: str, **headers) -> stream_client.ClientConnection:
+    async def send(
+        self, path: str, request_id: str, body: bytes = b"", **headers
+    ) -> stream_client.ClientConnection:
         """Send one client's request."""
         sent = {
             "Host": "h.example",
@@ -269,8 +274,7 @@
             "Api-Key": "key-1",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         raw = [(key.encode(), value.encode()) for key, value in sent.items()]
-        connection = await stream_client.connect(f"127.0.0.1:{self.port}", 1.0, 2.0)
-        connection.send(
-            http_messages.Request(b"POST", path.encode(), [*raw, (b"content-length", b"0")])
-        )
+        connection = await stream_client.connect(self.address, 1.0, 2.0)
+        raw.append((b"content-length", b"%d" % len(body)))
+        connection.send(http_messages.Request(b"POST", path.encode(), raw, body))
         return connection
