A request that ended three workers is held back at all entries; the log keeps that

Cause: what came of a request was known only to one attempt; the next try, under another id or at another entry, was a new request with attempts of its own. Class: work that ends whoever takes it is handed on without a count. Change: requests are told apart by fingerprint. An entry proves an end (a refused connection, or another instance at the address), tells a control VM, and hears of the others' (coordination/crash_ledger.py, pure; records merge in any order). After three ends since its last whole answer a request is refused at once as not run; the decision goes into the replicated log.

--- /dev/null
+++ b/src/merlinthread/coordination/crash_ledger.py
@@ -0,0 +1,249 @@
+"""Which requests were at back ends whose processes ended, and which of them may not run again.
+
+A request that ends whoever runs it (the query of death; Beyer et al., Site Reliability Engineering,
+2016) must be known at every entry, whichever of them saw an end. Nodes tell each other what they
+know in `Suspicion`; to merge one twice, or two in another order, leaves the same record, so that
+each may be told again without a count going wrong.
+
+Most requests that are there when a process ends have nothing to do with it. Three things tell them
+from the one that did: a whole answer since, by any back end, clears a request; ends at one moment
+count once, since whatever takes several processes together (a rack, a release of software) is no
+request; and three ends are needed.
+"""
+
+import collections
+import dataclasses
+import enum
+
+# Ends under a request after which it is held back: the bound that the deployments set.
+ENDS_MAX = 3
+# Ends within this time of each other count as one. What takes a rack takes its processes within
+# 0.02 s of each other (measured: the connections of two that were ended together); a request that
+# ends one and is sent on does not reach and end a second one within 0.1 s.
+ONE_MOMENT_S = 0.1
+# Two reports of one process's end differ by less; it is not back and ended again within that time.
+SAME_END_S = 0.5
+# Records kept, about 1 MB of memory; the one that has not changed for longest goes first.
+KEPT = 4096
+# An end this long ago counts no more, unless the request was held back in between.
+FORGET_S = 600.0
+# How long a request is held back for the first time; twice as long each further time.
+HOLD_S = 600.0
+HOLD_MAX_S = 24 * 3600.0
+
+
+class HoldState(enum.IntEnum):
+    """What became of a decision to hold a request back; a later one replaces an earlier one."""
+
+    HELD = 0
+    # Its time is over: it may run again, and one more end holds it back again.
+    PROBATION = 1
+    # A whole answer, or an operator, cleared it.
+    CLEARED = 2
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Hold:
+    """The `times`th decision to hold a request back, and what became of it."""
+
+    times: int = 0
+    state: HoldState = HoldState.CLEARED
+
+    def is_held(self) -> bool:
+        """Return whether the request may not run now."""
+        return self.times > 0 and self.state is HoldState.HELD
+
+    def ends_max(self) -> int:
+        """Return after how many ends the request is held back (again)."""
+        return 1 if self.state is HoldState.PROBATION else ENDS_MAX
+
+
+@dataclasses.dataclass(slots=True)
+class ToldEnd:
+    """The end of an instance's process, `age_s` ago."""
+
+    instance: str
+    age_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """What one node knows of one request, for another; `label` tells operators what it asks.
+
+    `cleared_age_s` is how long ago it had a whole answer, None if it had none.
+    """
+
+    fingerprint: str
+    label: str
+    ends: list[ToldEnd]
+    cleared_age_s: float | None = None
+    hold: Hold = Hold()
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What is known of one request; times are those of this node's clock.
+
+    `ends` holds the instances that ended under it since `cleared_at`, in order. `revision` is that
+    of its last change; `is_told` is set once it is known to be more than a bystander.
+    """
+
+    fingerprint: str
+    label: str
+    ends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    cleared_at: float = float("-inf")
+    hold: Hold = Hold()
+    revision: int = 0
+    is_told: bool = False
+    changed_at: float = 0.0
+
+    def moments(self) -> int:
+        """Return at how many moments processes ended under it."""
+        count, last = 0, float("-inf")
+        for at, _ in self.ends:
+            if at - last > ONE_MOMENT_S:
+                count, last = count + 1, at
+        return count
+
+    def is_convicted(self) -> bool:
+        """Return whether enough processes ended under it to hold it back."""
+        return self.moments() >= self.hold.ends_max()
+
+    def is_held(self) -> bool:
+        """Return whether it may not run now."""
+        return self.hold.is_held() or self.is_convicted()
+
+
+class CrashLedger:
+    """The requests that one node suspects; `told_revision` is that of the last change to tell."""
+
+    def __init__(self, kept: int = KEPT) -> None:
+        self.kept = kept
+        self.records: collections.OrderedDict[str, Record] = collections.OrderedDict()
+        self.revision = 0
+        self.told_revision = 0
+
+    # Questions
+
+    def is_held(self, fingerprint: str) -> bool:
+        """Return whether a request may not run now."""
+        record = self.records.get(fingerprint)
+        return record is not None and record.is_held()
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a process ended under a request since it was cleared, or it is held."""
+        record = self.records.get(fingerprint)
+        return record is not None and (bool(record.ends) or record.is_held())
+
+    def held(self) -> list[Record]:
+        """Return the requests that may not run now."""
+        return [record for record in self.records.values() if record.is_held()]
+
+    def since(self, revision: int, now: float) -> list[Suspicion]:
+        """Return what has changed after `revision` of requests that are more than bystanders."""
+        return [
+            self.suspicion(record, now)
+            for record in self.records.values()
+            if record.is_told and record.revision > revision
+        ]
+
+    def suspicion(self, record: Record, now: float) -> Suspicion:
+        """Return a record as another node is told it."""
+        ends = [ToldEnd(instance, round(now - at, 3)) for at, instance in record.ends]
+        is_cleared = record.cleared_at > float("-inf")
+        cleared_age_s = round(now - record.cleared_at, 3) if is_cleared else None
+        return Suspicion(record.fingerprint, record.label, ends, cleared_age_s, record.hold)
+
+    # Changes
+
+    def note_end(self, fingerprint: str, label: str, instance: str, at: float) -> bool:
+        """Note that a process ended under a request; return whether that is new."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            record = self.add(fingerprint, label)
+        if at <= record.cleared_at or is_known(record, instance, at):
+            return False
+        record.ends.append((at, instance))
+        record.ends.sort()
+        self.note_change(record, at)
+        return True
+
+    def clear(self, fingerprint: str, at: float) -> bool:
+        """Note that a request had a whole answer; return whether that changes anything."""
+        record = self.records.get(fingerprint)
+        if record is None or at <= record.cleared_at:
+            return False
+        record.cleared_at = at
+        record.ends = [end for end in record.ends if end[0] > at]
+        self.note_change(record, at)
+        return True
+
+    def set_hold(self, fingerprint: str, label: str, hold: Hold, now: float) -> bool:
+        """Take over a decision that the control VMs agreed on; return whether it is newer."""
+        record = self.records.get(fingerprint) or self.add(fingerprint, label)
+        if hold <= record.hold:
+            return False
+        record.hold = hold
+        if hold.state is not HoldState.HELD:
+            record.ends = [end for end in record.ends if end[0] > now]
+            record.cleared_at = max(record.cleared_at, now)
+        record.label = record.label or label
+        self.note_change(record, now)
+        return True
+
+    def merge(self, told: Suspicion, now: float) -> bool:
+        """Take over what another node knows; return whether any of it is new."""
+        record = self.records.get(told.fingerprint)
+        if record is None and not told.ends and told.hold.times == 0:
+            return False
+        is_new = told.hold.times > 0 and self.set_hold(told.fingerprint, told.label, told.hold, now)
+        if told.cleared_age_s is not None:
+            is_new |= self.clear(told.fingerprint, now - told.cleared_age_s)
+        for end in told.ends:
+            at = now - end.age_s
+            is_new |= self.note_end(told.fingerprint, told.label, end.instance, at)
+        return is_new
+
+    def add(self, fingerprint: str, label: str) -> Record:
+        """Begin a record, in place of the oldest one if there are too many."""
+        record = Record(fingerprint, label)
+        self.records[fingerprint] = record
+        if len(self.records) > self.kept:
+            self.evict()
+        return record
+
+    def evict(self) -> None:
+        """Drop the record that changed longest ago, one that is not held if there is any."""
+        for fingerprint, record in self.records.items():
+            if not record.is_held() and record.ends:
+                del self.records[fingerprint]
+                return
+        self.records.popitem(last=False)
+
+    def note_change(self, record: Record, now: float) -> None:
+        """Give a record the next revision; the one changed last comes last."""
+        self.revision += 1
+        record.revision = self.revision
+        record.changed_at = now
+        record.is_told |= record.moments() > 1 or record.hold.times > 0
+        if record.is_told:
+            self.told_revision = self.revision
+        self.records.move_to_end(record.fingerprint)
+
+    def expire(self, now: float) -> None:
+        """Forget ends that are long past."""
+        for fingerprint, record in list(self.records.items()):
+            if now - record.changed_at > FORGET_S and record.hold.times == 0:
+                del self.records[fingerprint]
+
+
+def is_known(record: Record, instance: str, at: float) -> bool:
+    """Return whether an instance's end is in a record already."""
+    return any(
+        other == instance and abs(at - other_at) < SAME_END_S for other_at, other in record.ends
+    )
+
+
+def hold_s(hold: Hold) -> float:
+    """Return how long a request is held back by a decision."""
+    return min(HOLD_MAX_S, HOLD_S * 2 ** (hold.times - 1))
--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -1,4 +1,6 @@
-"""The state machine of a deployment's replicated log: configuration, weights, and who has left.
+"""The state machine of a deployment's replicated log.
+
+It holds the configuration, the named weights, who has left, and which requests are held back.
 
 Every replica applies the same commands in the same order; nothing here looks at a clock. The policy
 is "highest version wins": a configuration that is not newer changes nothing and is acknowledged,
@@ -8,11 +10,13 @@
 import dataclasses
 
 from merlinthread import registry
-from merlinthread.coordination import fleet
+from merlinthread.coordination import crash_ledger, fleet
 
 COMMANDS: registry.Registry[type] = registry.Registry("fleet command")
 
 DEPARTED_KEPT = 4096
+# About 100 KB of a snapshot; the one held back longest ago goes first.
+HELD_KEPT = 512
 
 
 @COMMANDS.add("fleet.configure")
@@ -42,7 +46,37 @@
     state: str
 
 
-Command = Configure | NameVersion | Depart
+@COMMANDS.add("fleet.hold_back")
+@dataclasses.dataclass(slots=True)
+class HoldBack:
+    """Hold a request back for the `times`th time: the processes of `victims` ended under it."""
+
+    fingerprint: str
+    label: str
+    victims: list[str]
+    times: int
+
+
+@COMMANDS.add("fleet.let_go")
+@dataclasses.dataclass(slots=True)
+class LetGo:
+    """End the `times`th holding back of a request."""
+
+    fingerprint: str
+    times: int
+    state: crash_ledger.HoldState
+
+
+Command = Configure | NameVersion | Depart | HoldBack | LetGo
+
+
+@dataclasses.dataclass(slots=True)
+class HeldRequest:
+    """A request that is or was held back."""
+
+    label: str
+    victims: list[str]
+    hold: crash_ledger.Hold
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +87,7 @@
     body: bytes = b""
     named: dict[str, int] = dataclasses.field(default_factory=dict)
     departed: dict[str, str] = dataclasses.field(default_factory=dict)
+    held: dict[str, HeldRequest] = dataclasses.field(default_factory=dict)
 
     def apply(self, command: Command) -> bool:
         """Take one committed command in; return whether it changed anything."""
@@ -60,6 +95,10 @@
             return self.configure(command)
         if isinstance(command, NameVersion):
             return self.name_version(command)
+        if isinstance(command, HoldBack):
+            return self.hold_back(command)
+        if isinstance(command, LetGo):
+            return self.let_go(command)
         return self.depart(command)
 
     def configure(self, command: Configure) -> bool:
@@ -87,3 +126,24 @@
         while len(self.departed) > DEPARTED_KEPT:
             del self.departed[next(iter(self.departed))]
         return True
+
+    def hold_back(self, command: HoldBack) -> bool:
+        """Hold a request back, unless that was decided before."""
+        before = self.held.pop(command.fingerprint, None)
+        if before is not None and command.times <= before.hold.times:
+            self.held[command.fingerprint] = before
+            return False
+        hold = crash_ledger.Hold(command.times, crash_ledger.HoldState.HELD)
+        self.held[command.fingerprint] = HeldRequest(command.label, command.victims, hold)
+        while len(self.held) > HELD_KEPT:
+            del self.held[next(iter(self.held))]
+        return True
+
+    def let_go(self, command: LetGo) -> bool:
+        """Let a request run again, if that decision to hold it back still stands."""
+        held = self.held.get(command.fingerprint)
+        hold = crash_ledger.Hold(command.times, command.state)
+        if held is None or held.hold.times != command.times or hold <= held.hold:
+            return False
+        held.hold = hold
+        return True
--- a/src/merlinthread/errors.py
+++ b/src/merlinthread/errors.py
@@ -25,6 +25,7 @@
     NOT_RUN = "not_run"
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
+    HELD_BACK = "held_back"
     LEAVING = "leaving"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -99,3 +99,7 @@
     "Attempts that got no whole answer, by whether their back end's process had ended.",
     ["proof"],
 )
+held_requests = prometheus_client.Gauge(
+    "merlinthread_held_requests",
+    "Requests that are held back here, because processes ended under them.",
+)
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -15,7 +15,7 @@
 
 from merlinthread import errors, metrics
 from merlinthread.coordination import dispatch, fingerprints, fleet
-from merlinthread.nodes import backend_pool
+from merlinthread.nodes import backend_pool, crash_watch
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import event_bytes
 from merlinthread.transport import http_messages, stream_client, stream_server
@@ -72,6 +72,13 @@
             self.known_fingerprint = fingerprints.fingerprint(self.call, account, self.body)
         return self.known_fingerprint
 
+    def label(self) -> str:
+        """Return what the request asks and for whom, for operators; its query is left out."""
+        account = self.account.name if self.account is not None else "no account"
+        path = self.call.path.decode("latin-1").split("?")[0]
+        text = f"{self.call.method.decode('latin-1')} {self.call.host}{path} of {account}"
+        return text[: crash_watch.LABEL_CHARACTERS]
+
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
         return self.route.kind == fleet.SAFE or (
@@ -171,6 +178,7 @@
             self.note_silence(connection)
             if not self.relay.exchange.is_started:
                 dispatch.note_failure(self.backend, self.clock())
+            self.note_break(True)
             return Outcome(State.UNKNOWN, "the time is over")
         except errors.MerlinthreadError as error:
             if isinstance(error, SilentError):
@@ -178,7 +186,7 @@
             if not isinstance(error, OverdueError):
                 dispatch.note_failure(self.backend, self.clock())
             if self.is_sent:
-                self.note_break(error)
+                self.note_break(isinstance(error, SilentError | OverdueError))
                 return Outcome(State.UNKNOWN, error.message)
             return Outcome(State.UNSENT, f"unsent: {error.message}")
         finally:
@@ -186,12 +194,16 @@
             if connection is not None:
                 connection.close()
 
-    def note_break(self, error: errors.MerlinthreadError) -> None:
-        """Note that the back end broke off; one that was given up for its silence did not."""
-        if isinstance(error, SilentError | OverdueError):
-            return
-        fingerprint = self.facts.fingerprint()
-        self.pool.crashes.note_break(self.backend, fingerprint, self.facts.call.request_id)
+    def note_break(self, is_silent: bool) -> None:
+        """Note that the request left and no whole answer came."""
+        found = crash_watch.Break(
+            self.facts.fingerprint(),
+            self.facts.label(),
+            self.facts.call.request_id,
+            self.backend,
+            self.clock(),
+        )
+        self.pool.crashes.note_break(found, is_silent)
 
     def note_silence(self, connection: stream_client.ClientConnection | None) -> None:
         """Note that nothing came over the connection in time."""
@@ -207,6 +219,8 @@
         now = self.clock()
         if outcome.state is State.DONE:
             dispatch.note_success(self.backend, now - self.place.started)
+            if self.pool.crashes.ledger.records:
+                self.pool.crashes.note_whole_answer(self.facts.fingerprint())
         elif outcome.state is State.NOT_RUN:
             dispatch.note_full(self.backend, now)
 
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -76,9 +76,11 @@
         clock: Callable[[], float],
         rng: random.Random,
         prober: load_prober.LoadProber,
+        crashes: crash_watch.CrashWatch,
     ) -> None:
         self.settings = settings
         self.prober = prober
+        self.crashes = crashes
         self.watcher = watcher
         self.clock = clock
         self.rng = rng
@@ -91,7 +93,6 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.place_numbers = itertools.count(1)
         self.connections = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
-        self.crashes = crash_watch.CrashWatch(clock)
 
     # What is known
 
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -12,8 +12,8 @@
 
 from merlinthread import errors, logs
 from merlinthread.coordination import fleet, fleet_state, instances, raft_messages
+from merlinthread.nodes import crash_registry, log_member, node_roles, node_settings
 from merlinthread.nodes import dialect as dialects
-from merlinthread.nodes import log_member, node_roles, node_settings
 from merlinthread.protocol import answers, node_messages
 from merlinthread.protocol import codec as codecs
 from merlinthread.transport import http_messages, node_bus, stream_server
@@ -49,6 +49,9 @@
         self.member = log_member.LogMember(
             settings, codec, self.caller, clock, self.on_applied, self.on_restored
         )
+        self.crashes = crash_registry.CrashRegistry(
+            settings, clock, self.caller, self.member, self.submit, self.tell
+        )
         self.listener = node_bus.Listener(codec, self.on_message)
         limits = http_messages.Limits(body_bytes=BODY_BYTES_MAX, idle_timeout_s=60.0)
         self.server = stream_server.Server(self.serve, limits)
@@ -66,6 +69,7 @@
             loop.create_task(self.member.run()),
             loop.create_task(self.pass_beats_on()),
             loop.create_task(self.expire()),
+            loop.create_task(self.crashes.tend()),
         ]
 
     def reload(self, settings: node_settings.NodeSettings) -> None:
@@ -91,6 +95,8 @@
         elif isinstance(command, fleet_state.NameVersion):
             self.named_at[command.model] = self.clock() - age_s
             self.registry.advance()
+        elif isinstance(command, fleet_state.HoldBack | fleet_state.LetGo):
+            self.crashes.on_applied()
         name = self.member.command_names[type(command)]
         logs.event("applied", command=name, **described(command))
         self.tell()
@@ -101,6 +107,7 @@
             self.depart(instance, state)
         for model in self.member.state.named:
             self.named_at.setdefault(model, self.clock() - log_member.LONG_AGO_S)
+        self.crashes.on_applied()
         self.tell()
 
     def depart(self, instance: str, state: str) -> None:
@@ -160,6 +167,9 @@
             for heartbeat in message.heartbeats:
                 self.take(heartbeat)
             return node_messages.Ok()
+        if isinstance(message, node_messages.CrashReport):
+            self.crashes.take(message)
+            return node_messages.Ok()
         if isinstance(message, node_messages.Submit):
             async with asyncio.timeout(FORWARD_TIMEOUT_S):
                 is_changed = await self.member.propose(message.command)
@@ -188,6 +198,8 @@
         """Return whether there is anything that the asker does not know."""
         if watch.feed != self.feed or watch.position < self.registry.position:
             return True
+        if 0 <= watch.suspicions < self.crashes.ledger.told_revision:
+            return True
         return watch.configuration < self.member.state.version
 
     def news(self, watch: node_messages.Watch) -> node_messages.News:
@@ -197,6 +209,8 @@
         is_full, changed, gone = self.registry.since(position, now)
         state = self.member.state
         is_newer = state.version > watch.configuration
+        suspicions_from = watch.suspicions if watch.feed == self.feed else min(0, watch.suspicions)
+        suspicions = self.crashes.ledger.since(suspicions_from, now) if suspicions_from >= 0 else []
         return node_messages.News(
             self.feed,
             self.registry.position,
@@ -211,6 +225,8 @@
             state.body if is_newer else b"",
             self.member.member_addresses(),
             self.member.majority_age(now),
+            suspicions,
+            self.crashes.ledger.told_revision,
         )
 
     # Heartbeats
@@ -366,6 +382,8 @@
         return {"version": command.version, "bytes": len(command.body)}
     if isinstance(command, fleet_state.NameVersion):
         return {"model": command.model, "version": command.version}
+    if isinstance(command, fleet_state.HoldBack | fleet_state.LetGo):
+        return {"fingerprint": command.fingerprint, "times": command.times}
     return {"instance": command.instance, "state": command.state}
 
 
--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -1,7 +1,9 @@
 """What was running at a back end when its process ended, as one entry sees it.
 
 A connection that breaks is not yet a process that ended: connections are reset, answers cut short,
-links go silent. What proves an end is that nothing listens at the address any more.
+links go silent. Two things prove an end: nothing listens at the address any more, or another
+instance does soon after. What an entry sees it tells a control VM, and hears from there what the
+others saw.
 """
 
 import asyncio
@@ -9,8 +11,10 @@
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import dispatch
-from merlinthread.transport import stream_client
+from merlinthread.coordination import crash_ledger, dispatch
+from merlinthread.nodes import news_watcher
+from merlinthread.protocol import node_messages
+from merlinthread.transport import node_bus, stream_client
 
 # A dead port answers within the way there and back (1 to 6 ms between regions); a VM that is dark
 # or cut off does not answer, and then proves nothing.
@@ -18,31 +22,66 @@
 USER_TIMEOUT_S = 1.0
 # Attempts that broke this long ago, or less, were there when the process ended.
 BREAK_KEPT_S = 1.0
+# A process that ended with its VM shows only by the next instance at its address, seconds later.
+LATE_PROOF_S = 15.0
+# Breaks that wait for a late proof: those of about 64 back ends with all their slots taken.
+UNPROVEN_KEPT = 1024
+REPORT_TIMEOUT_S = 0.9
+REPORT_AGAIN_S = 0.1
+LABEL_CHARACTERS = 120
 
 
 @dataclasses.dataclass(slots=True)
 class Break:
-    """An attempt that left for a back end and got no whole answer."""
+    """An attempt that left for a back end and got no whole answer; `label` tells what it asks."""
 
     fingerprint: str
+    label: str
     request_id: str
+    backend: dispatch.Backend
     at: float
 
 
 class CrashWatch:
-    """Finds out which back ends ended under which requests."""
+    """Finds out which back ends ended under which requests; `run` tells the control VMs."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        name: str,
+        watcher: news_watcher.NewsWatcher,
+        ledger: crash_ledger.CrashLedger,
+        caller: node_bus.Caller,
+        clock: Callable[[], float],
+    ) -> None:
+        self.name = name
+        self.watcher = watcher
+        self.ledger = ledger
+        self.caller = caller
         self.clock = clock
         self.breaks: dict[str, list[Break]] = {}
+        self.unproven: list[Break] = []
         self.proofs: dict[str, asyncio.Task[None]] = {}
+        self.unreported: dict[str, None] = {}
+        self.has_unreported = asyncio.Event()
+        self.reported_feed = ""
 
-    def note_break(self, backend: dispatch.Backend, fingerprint: str, request_id: str) -> None:
-        """Note that the connection of an attempt broke, and ask whether the process has ended."""
-        now = self.clock()
-        found = self.breaks.setdefault(backend.instance, [])
-        found[:] = [known for known in found if now - known.at <= BREAK_KEPT_S]
-        found.append(Break(fingerprint, request_id, now))
+    # What is seen
+
+    def note_break(self, found: Break, is_silent: bool) -> None:
+        """Note an attempt that got no whole answer, and find out whether its back end has ended.
+
+        Where the back end was leaving, its end was planned. One that fell silent is not asked: that
+        would cost a connection for each answer that is late.
+        """
+        backend = found.backend
+        if backend.is_draining or backend.instance in self.watcher.gone:
+            return
+        if is_silent:
+            self.wait_for_proof([found])
+            return
+        known = self.breaks.setdefault(backend.instance, [])
+        known[:] = [other for other in known if found.at - other.at <= BREAK_KEPT_S]
+        known.append(found)
         if backend.instance not in self.proofs:
             task = asyncio.get_running_loop().create_task(self.prove(backend))
             self.proofs[backend.instance] = task
@@ -62,16 +101,111 @@
         finally:
             del self.proofs[backend.instance]
 
+    async def settled(self, backend: dispatch.Backend) -> None:
+        """Return once no connection is under way that shows whether a back end has ended."""
+        task = self.proofs.get(backend.instance)
+        if task is not None:
+            await asyncio.wait([task])
+
     def judge(self, backend: dispatch.Backend, has_ended: bool, proof: str) -> None:
-        """Log what ran where connections broke, and whether the process has ended."""
+        """Take in what a new connection to a back end showed."""
         found = self.breaks.pop(backend.instance, [])
-        metrics.breaks_total.labels("ended" if has_ended else "unproven").inc(len(found))
+        if has_ended:
+            self.note_ends(found, proof)
+        else:
+            self.wait_for_proof(found)
+            log_breaks(found, False, proof)
+
+    def wait_for_proof(self, found: list[Break]) -> None:
+        """Keep breaks until another instance shows at their address, or for so long."""
+        now = self.clock()
+        kept = [known for known in self.unproven if now - known.at <= LATE_PROOF_S]
+        self.unproven = [*kept, *found][-UNPROVEN_KEPT:]
+
+    def on_news(self) -> None:
+        """Look for late proofs, and tell all again to a control VM that has just started."""
+        if self.unproven:
+            self.prove_late()
+        feed = self.watcher.feed()
+        if feed and feed != self.reported_feed:
+            self.reported_feed = feed
+            for record in self.ledger.records.values():
+                self.unreported[record.fingerprint] = None
+            self.has_unreported.set()
+        metrics.held_requests.set(len(self.ledger.held()))
+
+    def prove_late(self) -> None:
+        """Note the ends of back ends at whose address another instance is now."""
+        at_address = {known.address: known.instance for known in self.watcher.instances.values()}
+        ended, kept = [], []
+        for found in self.unproven:
+            backend = found.backend
+            now_there = at_address.get(backend.address, backend.instance)
+            (kept if now_there == backend.instance else ended).append(found)
+        self.unproven = kept
+        if ended:
+            self.note_ends(ended, "another instance is at its address")
+
+    def note_ends(self, found: list[Break], proof: str) -> None:
+        """Note that the processes under some attempts have ended."""
+        log_breaks(found, True, proof)
+        for known in found:
+            instance = known.backend.instance
+            if self.ledger.note_end(known.fingerprint, known.label, instance, known.at):
+                self.report(known.fingerprint)
+
+    def note_whole_answer(self, fingerprint: str) -> None:
+        """Note that a back end lived through a request: no other end was its doing."""
+        if self.ledger.is_suspect(fingerprint) and self.ledger.clear(fingerprint, self.clock()):
+            logs.event("request_cleared", fingerprint=fingerprint)
+            self.report(fingerprint)
+
+    # What is told
+
+    def report(self, fingerprint: str) -> None:
+        """Tell a control VM of a request, as soon as it can be reached."""
+        self.unreported[fingerprint] = None
+        self.has_unreported.set()
+
+    async def run(self) -> None:
+        """Tell the control VMs what this entry sees, for ever."""
+        while True:
+            await self.has_unreported.wait()
+            self.has_unreported.clear()
+            if not await self.send_reports():
+                await asyncio.sleep(REPORT_AGAIN_S)
+                self.has_unreported.set()
+
+    async def send_reports(self) -> bool:
+        """Send what was not told yet to one control VM; return whether it was taken."""
+        told = list(self.unreported)
+        if not told:
+            return True
+        now = self.clock()
+        records = [self.ledger.records.get(fingerprint) for fingerprint in told]
+        suspicions = [self.ledger.suspicion(record, now) for record in records if record]
+        report = node_messages.CrashReport(self.name, suspicions)
+        try:
+            await self.caller.call(self.watcher.current, report, REPORT_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            logs.detail("crash_report_lost", control=self.watcher.current, reason=error.message)
+            return False
+        for fingerprint in told:
+            self.unreported.pop(fingerprint, None)
+        return True
+
+
+def log_breaks(found: list[Break], has_ended: bool, proof: str) -> None:
+    """Log what ran where connections broke, and whether the process has ended."""
+    metrics.breaks_total.labels("ended" if has_ended else "unproven").inc(len(found))
+    for instance in dict.fromkeys(known.backend.instance for known in found):
+        there = [known for known in found if known.backend.instance == instance]
         logs.event(
             "connections_broke",
-            instance=backend.instance,
-            service=backend.service,
-            address=backend.address,
+            instance=instance,
+            service=there[0].backend.service,
+            address=there[0].backend.address,
             has_ended=has_ended,
             proof=proof,
-            requests=[[known.request_id, known.fingerprint] for known in found],
+            requests=[[known.request_id, known.fingerprint] for known in there],
         )
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 from merlinthread import logs
+from merlinthread.coordination import crash_ledger
 from merlinthread.nodes import (
     backend_pool,
+    crash_watch,
     load_prober,
     news_watcher,
     node_roles,
@@ -41,11 +43,19 @@
         self.dialect = dialect
         self.clock = clock
         self.caller = node_bus.Caller(codec)
-        self.watcher = news_watcher.NewsWatcher(settings, dialect, self.caller, clock, self.on_news)
+        suspects = crash_ledger.CrashLedger()
+        self.watcher = news_watcher.NewsWatcher(
+            settings, dialect, self.caller, clock, self.on_news, suspects
+        )
+        self.crashes = crash_watch.CrashWatch(
+            settings.name, self.watcher, suspects, self.caller, clock
+        )
         self.address = f"{settings.ip}:{settings.entry_port}"
         self.datagrams = node_bus.Datagrams(codec, self.on_datagram)
         self.prober = load_prober.LoadProber(self.address, self.datagrams.send)
-        self.pool = backend_pool.BackendPool(settings, self.watcher, clock, rng, self.prober)
+        self.pool = backend_pool.BackendPool(
+            settings, self.watcher, clock, rng, self.prober, self.crashes
+        )
         self.server = stream_server.Server(self.serve)
         self.ready_server = stream_server.Server(self.serve_ready)
         self.is_leaving = False
@@ -60,6 +70,7 @@
         loop = asyncio.get_running_loop()
         self.tasks = [
             loop.create_task(self.watcher.run()),
+            loop.create_task(self.crashes.run()),
             loop.create_task(self.pool.subscribe(self.subscribe, SUBSCRIBE_EVERY_S)),
         ]
 
@@ -81,6 +92,7 @@
     def on_news(self) -> None:
         """Take over what the control VMs tell."""
         self.pool.update()
+        self.crashes.on_news()
         table = self.watcher.table
         if table is not None:
             limits = table.limits
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+import dataclasses
 import math
 import zlib
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import fleet, instances, route_table
+from merlinthread.coordination import crash_ledger, fleet, instances, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import node_settings
 from merlinthread.protocol import node_messages
@@ -31,8 +32,17 @@
 AGE_DOUBT_S = 2.0
 
 
+@dataclasses.dataclass(slots=True)
+class Told:
+    """How far a control VM has told its news: its feed and the positions in it."""
+
+    feed: str = ""
+    position: int = 0
+    suspicions: int = 0
+
+
 class NewsWatcher:
-    """The state and the task of watching."""
+    """The state and the task of watching; `suspects` takes what is told of requests."""
 
     def __init__(
         self,
@@ -41,12 +51,14 @@
         caller: node_bus.Caller,
         clock: Callable[[], float],
         on_news: Callable[[], None],
+        suspects: crash_ledger.CrashLedger | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
         self.caller = caller
         self.clock = clock
         self.on_news = on_news
+        self.suspects = suspects
         self.table: route_table.RouteTable | None = None
         self.version = 0
         self.instances: dict[str, fleet.Heartbeat] = {}
@@ -58,8 +70,7 @@
         self.named_at: dict[str, dict[int, float]] = {}
         self.controls: list[str] = settings.control_nodes()
         self.current = ""
-        # Feed and position of the last news, by the control VM that told them.
-        self.told: dict[str, tuple[str, int]] = {}
+        self.told: dict[str, Told] = {}
         self.search_at = float("-inf")
         self.fresh_at = float("-inf")
         self.is_fresh = False
@@ -117,8 +128,11 @@
 
     async def ask(self, address: str, wait_s: float, timeout_s: float) -> node_messages.News | None:
         """Return a control VM's news, or None if it does not answer."""
-        feed, position = self.told.get(address, ("", 0))
-        watch = node_messages.Watch(self.settings.name, feed, position, self.version, wait_s)
+        told = self.told.get(address, Told())
+        suspicions = told.suspicions if self.suspects is not None else -1
+        watch = node_messages.Watch(
+            self.settings.name, told.feed, told.position, self.version, wait_s, suspicions
+        )
         try:
             return await self.caller.call(address, watch, timeout_s)
         except errors.MerlinthreadError as error:
@@ -155,6 +169,10 @@
         self.current = ""
         self.told = {}
 
+    def feed(self) -> str:
+        """Return the feed of the present control VM, or an empty string."""
+        return self.told.get(self.current, Told()).feed
+
     # Taking news
 
     def take(self, news: node_messages.News, address: str = "") -> None:
@@ -171,7 +189,10 @@
         self.take_configuration(news)
         self.take_versions(news, now)
         self.take_instances(news, now)
-        self.told[address] = (news.feed, news.position)
+        if self.suspects is not None:
+            for suspicion in news.suspicions:
+                self.suspects.merge(suspicion, now)
+        self.told[address] = Told(news.feed, news.position, news.suspicion_revision)
         self.count()
         self.on_news()
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -77,8 +77,24 @@
         deadline = self.arrived + max(0.0, limit)
         body = self.exchange.request.body
         self.facts = attempts.Facts(self.call, route, account, deadline, body)
+        self.check_not_held()
         self.pool.budget(self.service).note_first(self.arrived)
 
+    def check_not_held(self) -> None:
+        """Raise RequestError if too many back ends have ended under this request.
+
+        Any further attempt would end another one, with all that runs there: 14 streams of other
+        clients at a busy engine.
+        """
+        assert self.facts is not None
+        crashes = self.pool.crashes
+        if not crashes.ledger.records or not crashes.ledger.is_held(self.facts.fingerprint()):
+            return
+        reason = f"held back: back ends ended under {self.facts.fingerprint()}"
+        if self.may_have_run:
+            raise errors.RequestError(reason, kind=errors.ErrorKind.OUTCOME_UNKNOWN)
+        raise errors.RequestError(reason, kind=errors.ErrorKind.HELD_BACK)
+
     # Attempts
 
     async def serve(self) -> None:
@@ -86,6 +102,8 @@
         failures = 0
         while True:
             choice = await self.find_place()
+            # Other entries may have seen an end while this request waited or was tried.
+            self.check_not_held()
             backend = choice.backend
             self.reasons.append(self.belief(choice))
             outcome = await self.attempt(backend)
@@ -94,6 +112,7 @@
                 return
             if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
                 self.may_have_run = True
+                await self.settle(backend)
             if outcome.state is attempts.State.UNSENT:
                 failures += 1
                 if failures >= CONNECT_FAILURES_MAX:
@@ -103,6 +122,16 @@
                 await self.give_up(outcome)
                 return
 
+    async def settle(self, backend: dispatch.Backend) -> None:
+        """Wait until it is known whether a back end ended under a request that is suspect.
+
+        That takes a few ms; an attempt that does not wait may end one more back end.
+        """
+        assert self.facts is not None
+        crashes = self.pool.crashes
+        if crashes.ledger.records and crashes.ledger.is_suspect(self.facts.fingerprint()):
+            await crashes.settled(backend)
+
     def belief(self, choice: dispatch.Choice) -> str:
         """Return what is believed of a back end, for the log."""
         backend = choice.backend
--- a/src/merlinthread/protocol/answers.py
+++ b/src/merlinthread/protocol/answers.py
@@ -47,6 +47,7 @@
     K.NOT_RUN: Answer(503, NO, 1.0, 8),
     K.OVERLOADED: Answer(429, NO, 1.0, 8),
     K.NO_TARGET: Answer(503, NO, 1.0, 8),
+    K.HELD_BACK: Answer(503, NO, 600.0, 8),
     K.LEAVING: Answer(503, NO, 1.0, 8),
     K.DEADLINE_EXCEEDED: Answer(504, UNKNOWN, None, 10),
     K.OUTCOME_UNKNOWN: Answer(502, UNKNOWN, None, 10),
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -4,7 +4,7 @@
 import enum
 
 from merlinthread import registry
-from merlinthread.coordination import fleet, instances, load_ledger
+from merlinthread.coordination import crash_ledger, fleet, instances, load_ledger
 
 MESSAGES: registry.Registry[type] = registry.Registry("node message")
 
@@ -39,7 +39,8 @@
 class Watch:
     """Ask a control VM for what is newer than what the asker holds; waits up to `wait_s`.
 
-    `feed` names the run of the control VM whose `position` the asker holds.
+    `feed` names the run of the control VM whose `position` the asker holds. `suspicions` is the
+    revision of the suspicions that it holds, -1 if it wants none.
     """
 
     node: str
@@ -47,6 +48,7 @@
     position: int
     configuration: int
     wait_s: float
+    suspicions: int = -1
 
 
 @MESSAGES.add("node.news")
@@ -56,7 +58,7 @@
 
     With `is_full`, `instances` replaces all that the asker knew. `leader_age_s` is how long ago
     this control VM surely held what a majority holds. `configuration` is empty if the asker's is
-    the newest here.
+    the newest here. `suspicions` are those that changed, up to `suspicion_revision`.
     """
 
     feed: str
@@ -69,6 +71,8 @@
     configuration: bytes
     controls: list[str]
     leader_age_s: float
+    suspicions: list[crash_ledger.Suspicion] = dataclasses.field(default_factory=list)
+    suspicion_revision: int = 0
 
 
 @MESSAGES.add("node.beats")
@@ -80,6 +84,19 @@
     heartbeats: list[fleet.Heartbeat]
 
 
+@MESSAGES.add("node.crash_report")
+@dataclasses.dataclass(slots=True)
+class CrashReport:
+    """Tell a control VM which processes ended under which requests, and which were cleared.
+
+    One that another control VM passed on goes no further.
+    """
+
+    sender: str
+    suspicions: list[crash_ledger.Suspicion]
+    is_passed_on: bool = False
+
+
 @MESSAGES.add("node.submit")
 @dataclasses.dataclass(slots=True)
 class Submit:
