--- a/src/merlinthread/coordination/crash_ledger.py
+++ b/src/merlinthread/coordination/crash_ledger.py
@@ -7,8 +7,8 @@
 
 Most requests that are there when a process ends have nothing to do with it. Three things tell them
 from the one that did: a whole answer since, by any back end, clears a request; ends at one moment
-count once, since whatever takes several processes together (a rack, a release of software) is no
-request; and three ends are needed.
+count once, since whatever takes several processes together (a rack, a zone) is no request; and
+three ends are needed.
 """
 
 import collections
@@ -17,10 +17,13 @@
 
 # Ends under a request after which it is held back: the bound that the deployments set.
 ENDS_MAX = 3
-# Ends within this time of each other count as one. What takes a rack takes its processes within
-# 0.02 s of each other (measured: the connections of two that were ended together); a request that
-# ends one and is sent on does not reach and end a second one within 0.1 s.
+# Ends within this time of each other count as one, unless the later attempt began after the earlier
+# end. What takes several processes takes them within 0.02 s of each other (measured: the
+# connections of two that were ended together).
 ONE_MOMENT_S = 0.1
+# Times that nodes tell each other as ages are off by the message's way, and differ by as much: an
+# attempt seems to begin up to this long before the end that it followed (ways take 1 to 6 ms).
+CLOCK_DOUBT_S = 0.03
 # Two reports of one process's end differ by less; it is not back and ended again within that time.
 SAME_END_S = 0.5
 # Records kept, about 1 MB of memory; the one that has not changed for longest goes first.
@@ -60,10 +63,20 @@
 
 @dataclasses.dataclass(slots=True)
 class ToldEnd:
-    """The end of an instance's process, `age_s` ago."""
+    """The end of an instance's process `age_s` ago, under an attempt sent `began_age_s` ago."""
 
     instance: str
     age_s: float
+    began_age_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class End:
+    """The end of an instance's process under an attempt that was sent at `began_at`."""
+
+    at: float
+    instance: str
+    began_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +103,7 @@
 
     fingerprint: str
     label: str
-    ends: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    ends: list[End] = dataclasses.field(default_factory=list)
     cleared_at: float = float("-inf")
     hold: Hold = Hold()
     revision: int = 0
@@ -100,9 +113,9 @@
     def moments(self) -> int:
         """Return at how many moments processes ended under it."""
         count, last = 0, float("-inf")
-        for at, _ in self.ends:
-            if at - last > ONE_MOMENT_S:
-                count, last = count + 1, at
+        for end in self.ends:
+            if end.began_at >= last - CLOCK_DOUBT_S or end.at - last > ONE_MOMENT_S:
+                count, last = count + 1, end.at
         return count
 
     def is_convicted(self) -> bool:
@@ -149,23 +162,26 @@
 
     def suspicion(self, record: Record, now: float) -> Suspicion:
         """Return a record as another node is told it."""
-        ends = [ToldEnd(instance, round(now - at, 3)) for at, instance in record.ends]
+        ends = [
+            ToldEnd(end.instance, round(now - end.at, 3), round(now - end.began_at, 3))
+            for end in record.ends
+        ]
         is_cleared = record.cleared_at > float("-inf")
         cleared_age_s = round(now - record.cleared_at, 3) if is_cleared else None
         return Suspicion(record.fingerprint, record.label, ends, cleared_age_s, record.hold)
 
     # Changes
 
-    def note_end(self, fingerprint: str, label: str, instance: str, at: float) -> bool:
+    def note_end(self, fingerprint: str, label: str, end: End) -> bool:
         """Note that a process ended under a request; return whether that is new."""
         record = self.records.get(fingerprint)
         if record is None:
             record = self.add(fingerprint, label)
-        if at <= record.cleared_at or is_known(record, instance, at):
+        if end.at <= record.cleared_at or is_known(record, end):
             return False
-        record.ends.append((at, instance))
+        record.ends.append(end)
         record.ends.sort()
-        self.note_change(record, at)
+        self.note_change(record, end.at)
         return True
 
     def clear(self, fingerprint: str, at: float) -> bool:
@@ -174,7 +190,7 @@
         if record is None or at <= record.cleared_at:
             return False
         record.cleared_at = at
-        record.ends = [end for end in record.ends if end[0] > at]
+        record.ends = [end for end in record.ends if end.at > at]
         self.note_change(record, at)
         return True
 
@@ -185,7 +201,7 @@
             return False
         record.hold = hold
         if hold.state is not HoldState.HELD:
-            record.ends = [end for end in record.ends if end[0] > now]
+            record.ends = [end for end in record.ends if end.at > now]
             record.cleared_at = max(record.cleared_at, now)
         record.label = record.label or label
         self.note_change(record, now)
@@ -200,8 +216,8 @@
         if told.cleared_age_s is not None:
             is_new |= self.clear(told.fingerprint, now - told.cleared_age_s)
         for end in told.ends:
-            at = now - end.age_s
-            is_new |= self.note_end(told.fingerprint, told.label, end.instance, at)
+            heard = End(now - end.age_s, end.instance, now - end.began_age_s)
+            is_new |= self.note_end(told.fingerprint, told.label, heard)
         return is_new
 
     def add(self, fingerprint: str, label: str) -> Record:
@@ -237,10 +253,11 @@
                 del self.records[fingerprint]
 
 
-def is_known(record: Record, instance: str, at: float) -> bool:
-    """Return whether an instance's end is in a record already."""
+def is_known(record: Record, end: End) -> bool:
+    """Return whether the end of that instance's process is in a record already."""
     return any(
-        other == instance and abs(at - other_at) < SAME_END_S for other_at, other in record.ends
+        other.instance == end.instance and abs(end.at - other.at) < SAME_END_S
+        for other in record.ends
     )
 
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -201,6 +201,7 @@
             self.facts.label(),
             self.facts.call.request_id,
             self.backend,
+            self.place.started,
             self.clock(),
         )
         self.pool.crashes.note_break(found, is_silent)
--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -132,7 +132,7 @@
         hold = record.hold
         since = held_since.get(record.fingerprint, now)
         if not hold.is_held():
-            victims = [instance for _, instance in record.ends]
+            victims = [end.instance for end in record.ends]
             found.append(
                 fleet_state.HoldBack(record.fingerprint, record.label, victims, hold.times + 1)
             )
--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -33,14 +33,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Break:
-    """An attempt that left for a back end and got no whole answer; `label` tells what it asks."""
+    """An attempt that began at `began_at` and broke off at `at`; `label` tells what it asks."""
 
     fingerprint: str
     label: str
     request_id: str
     backend: dispatch.Backend
+    began_at: float
     at: float
 
+    def end(self) -> crash_ledger.End:
+        """Return the end of the back end's process, once it is proven."""
+        return crash_ledger.End(self.at, self.backend.instance, self.began_at)
+
 
 class CrashWatch:
     """Finds out which back ends ended under which requests; `run` tells the control VMs."""
@@ -150,8 +155,7 @@
         """Note that the processes under some attempts have ended."""
         log_breaks(found, True, proof)
         for known in found:
-            instance = known.backend.instance
-            if self.ledger.note_end(known.fingerprint, known.label, instance, known.at):
+            if self.ledger.note_end(known.fingerprint, known.label, known.end()):
                 self.report(known.fingerprint)
 
     def note_whole_answer(self, fingerprint: str) -> None:
@@ -181,6 +185,8 @@
         told = list(self.unreported)
         if not told:
             return True
+        if not self.watcher.current:
+            return False
         now = self.clock()
         records = [self.ledger.records.get(fingerprint) for fingerprint in told]
         suspicions = [self.ledger.suspicion(record, now) for record in records if record]
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -131,18 +131,53 @@
             return await self.ask(entry, body)
         return None
 
+    async def until_held(self) -> None:
+        """Let the deadly request come, one after the other, until the log holds it back."""
+        async with asyncio.timeout(10.0):
+            while not any(node.member.state.held for node in self.controls.nodes.values()):
+                await self.ask_any(0, DEADLY)
+
+    async def until_known(self) -> None:
+        """Return once all workers are there and each entry knows their present incarnations."""
+
+        def is_known() -> bool:
+            there = {worker.instance for worker in self.workers if not worker.is_away}
+            known = [set(entry.node.pool.backends) for entry in self.entries]
+            return len(there) == len(self.workers) and all(found == there for found in known)
+
+        await fleet_nodes.until(is_known)
+
+    async def lose_power(self) -> None:
+        """End all control VMs and entries at once, and start them again; only files are left."""
+        for ip in self.controls.ips:
+            self.controls.kill(ip)
+        for entry in self.entries:
+            end_entry(entry)
+        self.entries = []
+        for ip in self.controls.ips:
+            await self.controls.start(ip)
+        await fleet_nodes.until(self.controls.leader)
+        await self.add_entry("127.0.0.41")
+
     async def stop(self) -> None:
         """End all."""
         for task in self.beats:
             task.cancel()
         for entry in self.entries:
-            for task in entry.node.tasks:
-                task.cancel()
-            entry.node.server.stop_accepting()
-            entry.node.ready_server.stop_accepting()
+            end_entry(entry)
         for worker in self.workers:
             if worker.crash is not None:
                 worker.crash.cancel()
             worker.stop()
         for ip in list(self.controls.nodes):
             self.controls.kill(ip)
+
+
+def end_entry(entry: fleet_nodes.Entry) -> None:
+    """End an entry as a killed process does."""
+    for task in entry.node.tasks:
+        task.cancel()
+    for server in (entry.node.server, entry.node.ready_server):
+        server.stop_accepting()
+    if entry.node.datagrams.transport is not None:
+        entry.node.datagrams.transport.close()
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -261,7 +261,10 @@
     ) -> http_messages.Answer:
         """Send one client's request and return its answer."""
         connection = await self.send(path, request_id, body, **headers)
-        return await connection.receive()
+        try:
+            return await connection.receive()
+        finally:
+            connection.close()
 
     async def send(
         self, path: str, request_id: str, body: bytes = b"", **headers
--- /dev/null
+++ b/tests/test_crash_ledger.py
@@ -0,0 +1,200 @@
+"""Which requests are suspected and held back, decided without network."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from merlinthread.coordination import crash_ledger, fingerprints, fleet, fleet_state
+from merlinthread.nodes import crash_registry
+
+HELD = crash_ledger.HoldState.HELD
+PROBATION = crash_ledger.HoldState.PROBATION
+CLEARED = crash_ledger.HoldState.CLEARED
+
+
+def end(instance: str, at: float, ran_s: float = 0.3) -> crash_ledger.End:
+    return crash_ledger.End(at, instance, at - ran_s)
+
+
+def ledger_with(fingerprint: str, times: list[float]) -> crash_ledger.CrashLedger:
+    ledger = crash_ledger.CrashLedger()
+    for number, at in enumerate(times):
+        ledger.note_end(fingerprint, "label", end(f"i-{number}", at))
+    return ledger
+
+
+def test_a_request_is_held_back_after_three_ends_and_not_before():
+    assert not ledger_with("f", [1.0, 2.0]).is_held("f")
+    assert ledger_with("f", [1.0, 2.0, 3.0]).is_held("f")
+
+
+def test_an_instance_under_the_same_id_counts_for_each_of_its_lives():
+    ledger = crash_ledger.CrashLedger()
+    for at in (1.0, 1.1, 3.0, 5.0):
+        ledger.note_end("f", "", end("i-1", at))
+    assert ledger.records["f"].moments() == 3
+    assert ledger.is_held("f")
+
+
+def test_ends_at_one_moment_count_once_so_that_a_lost_rack_convicts_nobody():
+    assert not ledger_with("f", [1.0, 1.01, 1.02, 1.03]).is_held("f")
+    assert not ledger_with("f", [1.0, 1.05, 2.0, 2.05]).is_held("f")
+
+
+def test_an_attempt_that_began_after_the_end_before_it_counts_however_soon_it_ends():
+    ledger = crash_ledger.CrashLedger()
+    for number in range(3):
+        ledger.note_end("f", "", end(f"i-{number}", 1.0 + 0.06 * number, ran_s=0.05))
+    assert ledger.is_held("f")
+
+
+def test_a_report_that_took_longer_than_the_next_one_does_not_make_two_ends_one():
+    ledger = crash_ledger.CrashLedger()
+    for number, way_s in enumerate((0.02, 0.0, 0.02)):
+        told = crash_ledger.ToldEnd(f"i-{number}", 0.0, 0.05)
+        ledger.merge(crash_ledger.Suspicion("f", "", [told]), 1.0 + 0.055 * number + way_s)
+    assert ledger.is_held("f")
+
+
+def test_a_whole_answer_clears_a_request_of_all_ends_before_it():
+    ledger = ledger_with("f", [1.0, 2.0])
+    ledger.clear("f", 2.5)
+    ledger.note_end("f", "", end("i-7", 3.0))
+    assert not ledger.is_held("f")
+    # An end that was noticed before the answer and is told late changes nothing.
+    assert not ledger.note_end("f", "", end("i-8", 2.2))
+    assert ledger.records["f"].moments() == 1
+
+
+def test_a_popular_request_that_is_there_at_every_end_is_not_held_back_for_long():
+    """Another request ends a worker every 0.4 s; the popular one is at each, and is answered too.
+
+    It runs 30 times a second for 1.5 s on ten workers: those that another worker runs end whole.
+    """
+    rng = random.Random(5)
+    ledger = crash_ledger.CrashLedger()
+    held_s = 0.0
+    for step in range(400):
+        now = step * 0.05
+        if step % 8 == 0:
+            ledger.note_end("popular", "", end(f"i-{step}", now))
+            ledger.note_end("deadly", "", end(f"i-{step}", now))
+        if rng.random() < 1 - 0.5**1.5:
+            ledger.clear("popular", now)
+        held_s += 0.05 * ledger.is_held("popular")
+    assert ledger.is_held("deadly")
+    assert held_s <= 0.2
+
+
+def test_after_its_time_a_request_may_run_again_and_one_end_holds_it_back_for_twice_as_long():
+    state = fleet_state.FleetState()
+    ledger = ledger_with("f", [1.0, 2.0, 3.0])
+    since: dict[str, float] = {}
+
+    def agree(now: float) -> list:
+        commands = crash_registry.decisions(ledger, since, now, 0.0)
+        for command in commands:
+            assert state.apply(command)
+            held = state.held["f"]
+            ledger.set_hold("f", held.label, held.hold, now)
+            since["f"] = now
+        return commands
+
+    assert agree(3.0) == [fleet_state.HoldBack("f", "label", ["i-0", "i-1", "i-2"], 1)]
+    assert agree(3.0 + crash_ledger.HOLD_S - 1) == []
+    assert agree(4.0 + crash_ledger.HOLD_S) == [fleet_state.LetGo("f", 1, PROBATION)]
+    assert not ledger.is_held("f")
+    ledger.note_end("f", "", end("i-9", 5.0 + crash_ledger.HOLD_S))
+    assert [command.times for command in agree(5.0 + crash_ledger.HOLD_S)] == [2]
+    assert crash_ledger.hold_s(state.held["f"].hold) == 2 * crash_ledger.HOLD_S
+
+
+def test_a_request_that_is_answered_while_it_is_held_back_is_let_go():
+    ledger = ledger_with("f", [1.0, 2.0, 3.0])
+    ledger.set_hold("f", "", crash_ledger.Hold(1, HELD), 3.1)
+    ledger.clear("f", 4.0)
+    assert ledger.is_held("f")
+    commands = crash_registry.decisions(ledger, {"f": 3.1}, 4.0, 0.0)
+    assert commands == [fleet_state.LetGo("f", 1, CLEARED)]
+
+
+def test_an_old_clearing_told_to_a_control_vm_that_has_just_started_lets_nothing_go():
+    ledger = crash_ledger.CrashLedger()
+    ledger.set_hold("f", "", crash_ledger.Hold(1, HELD), 100.0)
+    ledger.merge(crash_ledger.Suspicion("f", "", [], 50.0), 100.1)
+    assert crash_registry.decisions(ledger, {"f": 100.0}, 100.2, 0.0) == []
+
+
+def test_the_log_keeps_the_later_decision_whatever_comes_again():
+    state = fleet_state.FleetState()
+    first = fleet_state.HoldBack("f", "", [], 1)
+    assert state.apply(first) and not state.apply(first)
+    assert state.apply(fleet_state.LetGo("f", 1, CLEARED))
+    assert not state.apply(first)
+    assert not state.apply(fleet_state.LetGo("f", 1, PROBATION))
+    assert state.apply(fleet_state.HoldBack("f", "", [], 2))
+    assert state.held["f"].hold == crash_ledger.Hold(2, HELD)
+
+
+def test_what_is_remembered_is_bounded_and_what_is_held_back_goes_last():
+    ledger = ledger_with("held", [1.0, 2.0, 3.0])
+    for number in range(3 * crash_ledger.KEPT):
+        ledger.note_end(f"f-{number}", "", end("i-1", 10.0 + number))
+    assert len(ledger.records) == crash_ledger.KEPT
+    assert ledger.is_held("held")
+    state = fleet_state.FleetState()
+    for number in range(2 * fleet_state.HELD_KEPT):
+        state.apply(fleet_state.HoldBack(f"f-{number}", "", [], 1))
+    assert len(state.held) == fleet_state.HELD_KEPT
+
+
+def told_end(instance: str, age_s: float) -> crash_ledger.ToldEnd:
+    return crash_ledger.ToldEnd(instance, age_s, age_s + 0.3)
+
+
+ENDS = st.lists(
+    st.tuples(st.sampled_from("abc"), st.sampled_from(["i-1", "i-2", "i-3"]), st.integers(0, 40)),
+    max_size=12,
+)
+CLEARINGS = st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 40)), max_size=4)
+
+
+@hypothesis.given(ENDS, CLEARINGS, st.randoms(use_true_random=False))
+@hypothesis.settings(max_examples=300)
+def test_nodes_that_tell_each_other_in_any_order_and_again_know_the_same(ends, clearings, rng):
+    """Ends lie on a grid of 0.5 s, so that two reports of one end are exactly alike."""
+    now = 100.0
+    told = [
+        crash_ledger.Suspicion(name, "", [told_end(instance, now - at / 2)])
+        for name, instance, at in ends
+    ]
+    told += [crash_ledger.Suspicion(name, "", [], now - at / 2) for name, at in clearings]
+    known = []
+    for _ in range(2):
+        ledger = crash_ledger.CrashLedger()
+        # A clearing of a request that nobody suspects is not kept: each is suspected first.
+        for name in "abc":
+            ledger.note_end(name, "", end("i-0", 0.0))
+        for suspicion in rng.sample(told, len(told)) + told:
+            ledger.merge(suspicion, now)
+        known.append({name: record.ends for name, record in ledger.records.items()})
+    assert known[0] == known[1]
+
+
+def test_a_fingerprint_is_of_what_is_asked_and_for_whom_not_of_the_id():
+    def digest(request_id="id", method=b"POST", path=b"/a/x", host="h", account="a", body=b"b"):
+        call = fleet.Call(request_id, method, path, host)
+        return fingerprints.fingerprint(call, account, body)
+
+    assert digest() == digest(request_id="another")
+    others = [
+        digest(method=b"GET"),
+        digest(path=b"/a/y"),
+        digest(path=b"/a/x?q=1"),
+        digest(host="i"),
+        digest(account="b"),
+        digest(body=b"c"),
+        digest(account="ab", body=b""),
+    ]
+    assert len({digest(), *others}) == 8
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from tests import crashing_fleet
+from merlinthread.transport import http_messages
+from tests import crashing_fleet, fleet_nodes
 
 LATE_MAX = 3
 
@@ -44,3 +45,144 @@
         assert late <= LATE_MAX, f"{late} later ones; {len(fleet.ends())} workers ended"
 
     run(tmp_path, scenario, service, model, keeps_id=keeps_id)
+
+
+def test_a_request_that_is_held_back_is_refused_at_once_as_not_run_and_not_asked_back_soon(
+    tmp_path,
+):
+    async def scenario(fleet):
+        await fleet.until_held()
+        ends = len(fleet.ends())
+        for entry in range(2):
+            held = fleet.entries[entry].node.crashes.ledger.held
+            await fleet_nodes.until(held)
+            answer = await fleet.ask(entry, crashing_fleet.DEADLY)
+            assert answer.status == 503
+            assert float(http_messages.header(answer.headers, b"retry-after")) >= 60
+        assert len(fleet.ends()) == ends
+        await fleet.until_known()
+        # Only this request: another body, and another path, are served.
+        assert (await fleet.ask(0, b"other")).status == 200
+        assert (await fleet.ask(1, b"", "/safe/y")).status == 200
+
+    run(tmp_path, scenario)
+
+
+def test_the_answer_to_an_attempt_that_ended_a_worker_does_not_say_that_it_was_not_run(tmp_path):
+    async def scenario(fleet):
+        answer = await fleet.ask(0, crashing_fleet.DEADLY)
+        assert (answer.status, len(fleet.ends())) == (502, 2)
+        await fleet_nodes.until(lambda: fleet.entries[1].node.crashes.ledger.records)
+        # The third end is known before the second attempt: there is none, and no promise.
+        answer = await fleet.ask(1, crashing_fleet.DEADLY)
+        assert (answer.status, len(fleet.ends())) == (502, 3)
+
+    run(tmp_path, scenario)
+
+
+def test_what_is_held_back_stays_so_when_all_vms_lose_power(tmp_path):
+    async def scenario(fleet):
+        await fleet.until_held()
+        ends = len(fleet.ends())
+        await fleet.lose_power()
+        for _ in range(4):
+            assert (await fleet.ask(0, crashing_fleet.DEADLY)).status == 503
+        assert len(fleet.ends()) == ends
+
+    run(tmp_path, scenario)
+
+
+def test_control_vms_that_all_start_again_learn_from_entries_what_was_not_decided_yet(tmp_path):
+    async def scenario(fleet):
+        await fleet.ask(0, crashing_fleet.DEADLY)
+        assert len(fleet.ends()) == 2
+        for ip in fleet.controls.ips:
+            fleet.controls.kill(ip)
+            await fleet.controls.start(ip)
+        nodes = fleet.controls.nodes.values()
+        await fleet_nodes.until(lambda: any(node.crashes.ledger.records for node in nodes))
+        other = fleet.entries[1].node.crashes.ledger
+        await fleet_nodes.until(lambda: other.records)
+        await fleet.ask(1, crashing_fleet.DEADLY)
+        assert len(fleet.ends()) == 3
+
+    run(tmp_path, scenario)
+
+
+def test_an_entry_without_control_vms_holds_back_what_it_saw_itself(tmp_path):
+    async def scenario(fleet):
+        for ip in fleet.controls.ips:
+            fleet.controls.kill(ip)
+        watcher = fleet.entries[0].node.watcher
+        await fleet_nodes.until(lambda: not watcher.current)
+        for _ in range(4):
+            await fleet.ask_any(0, crashing_fleet.DEADLY)
+        assert len(fleet.ends()) == 3
+        assert not any(task.done() for task in fleet.entries[0].node.tasks)
+
+    run(tmp_path, scenario, entries=1)
+
+
+def test_a_reset_connection_is_not_an_end(tmp_path):
+    async def scenario(fleet):
+        for worker in fleet.workers:
+            worker.behaviour.closes_without_answer = True
+        for _ in range(6):
+            await fleet.ask(0, b"same")
+        for worker in fleet.workers:
+            worker.behaviour.closes_without_answer = False
+        crashes = fleet.entries[0].node.crashes
+        await fleet_nodes.until(lambda: not crashes.proofs)
+        assert not crashes.ledger.records
+        assert (await fleet.ask(0, b"same")).status == 200
+
+    run(tmp_path, scenario)
+
+
+def test_an_end_shows_late_where_only_the_next_instance_at_the_address_proves_it(tmp_path):
+    async def scenario(fleet):
+        crashes = fleet.entries[0].node.crashes
+        worker = fleet.workers[0]
+        for other in fleet.workers[1:]:
+            other.behaviour.is_full = True
+        worker.behaviour.is_mute = True
+        task = asyncio.get_running_loop().create_task(fleet.ask_any(0, b"silent"))
+        await fleet_nodes.until(lambda: worker.runs)
+        # Its VM falls dark: nothing answers, and the attempt ends by its own time.
+        worker.is_away = True
+        await task
+        assert crashes.unproven and not crashes.ledger.records
+        worker.behaviour.is_mute = False
+        worker.end()
+        await worker.begin_again()
+        await fleet_nodes.until(lambda: crashes.ledger.records)
+        assert not crashes.unproven
+
+    run(tmp_path, scenario, entries=1, workers=2)
+
+
+def test_a_request_that_others_get_whole_answers_to_is_not_held_back_for_being_there(tmp_path):
+    async def scenario(fleet):
+        for worker in fleet.workers:
+            worker.behaviour.work_s = 0.1
+        is_over = asyncio.Event()
+        statuses = []
+
+        async def ask_popular(entry: int) -> None:
+            while not is_over.is_set():
+                answer = await fleet.ask_any(entry, b"popular")
+                statuses.append(answer.status if answer is not None else 0)
+
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(ask_popular(number % 2)) for number in range(24)]
+        await fleet.until_held()
+        await fleet_nodes.until(lambda: len(fleet.ends()) >= 3)
+        before = len(statuses)
+        await fleet_nodes.until(lambda: len(statuses) >= before + 100)
+        is_over.set()
+        await asyncio.gather(*tasks)
+        held = {label for node in fleet.controls.nodes.values() for label in node.member.state.held}
+        assert len(held) == 1, "only the deadly one"
+        assert all(status == 200 for status in statuses[before + 24 :])
+
+    run(tmp_path, scenario)
