What a control VM could not be told of ended processes it is told later

Cause: a report passed on was sent once; behind a slow or cut link three control VMs could know one end each and none all three.

--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -46,6 +46,8 @@
         self.held_since: dict[str, float] = {}
         self.has_changed = asyncio.Event()
         self.passing: set[asyncio.Task[None]] = set()
+        # Requests of which a control VM could not be told, by its address.
+        self.missed: dict[str, dict[str, None]] = {}
 
     # What is told
 
@@ -64,18 +66,39 @@
 
     def pass_on(self, suspicions: list[crash_ledger.Suspicion]) -> None:
         """Tell the other control VMs."""
+        for address in self.others():
+            self.start_sending(address, suspicions)
+
+    def others(self) -> list[str]:
+        """Return the addresses of the other control VMs."""
+        members = self.member.member_addresses()
+        return [address for address in members if address != self.member.address]
+
+    def start_sending(self, address: str, suspicions: list[crash_ledger.Suspicion]) -> None:
+        """Tell one control VM, beside other work."""
         message = node_messages.CrashReport(self.settings.name, suspicions, True)
-        for address in self.member.member_addresses():
-            if address == self.member.address:
-                continue
-            task = asyncio.get_running_loop().create_task(self.send(address, message))
-            self.passing.add(task)
-            task.add_done_callback(self.passing.discard)
+        task = asyncio.get_running_loop().create_task(self.send(address, message))
+        self.passing.add(task)
+        task.add_done_callback(self.passing.discard)
 
     async def send(self, address: str, message: node_messages.CrashReport) -> None:
-        """Tell one control VM; what it misses, the log or the next report makes good for."""
-        with contextlib.suppress(errors.MerlinthreadError):
+        """Tell one control VM, or note that it was not told."""
+        try:
             await self.caller.call(address, message, PASS_ON_TIMEOUT_S)
+        except errors.MerlinthreadError as error:
+            logs.detail("crash_report_lost", control=address, reason=error.message)
+            missed = self.missed.setdefault(address, {})
+            missed.update(dict.fromkeys(told.fingerprint for told in message.suspicions))
+
+    def send_missed(self) -> None:
+        """Tell control VMs what they missed: else three may know one end each, and none three."""
+        missed, self.missed = self.missed, {}
+        now = self.clock()
+        for address in self.others():
+            records = [self.ledger.records.get(name) for name in missed.get(address, {})]
+            found = [self.ledger.suspicion(record, now) for record in records if record is not None]
+            if found:
+                self.start_sending(address, found)
 
     # The log's side
 
@@ -106,6 +129,7 @@
                 async with asyncio.timeout(TEND_EVERY_S):
                     await self.has_changed.wait()
             self.has_changed.clear()
+            self.send_missed()
             self.ledger.expire(self.clock())
             # The leader decides; another one only what the leader seems not to know of.
             patience_s = 0.0 if self.member.raft.is_leader() else TEND_EVERY_S
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -109,6 +109,22 @@
     run(tmp_path, scenario)
 
 
+def test_what_a_control_vm_could_not_be_told_it_is_told_once_it_is_there(tmp_path):
+    async def scenario(fleet):
+        away = next(ip for ip in fleet.controls.ips if ip != fleet.controls.leader())
+        fleet.controls.kill(away)
+        await fleet.ask(0, crashing_fleet.DEADLY)
+        nodes = list(fleet.controls.nodes.values())
+        await fleet_nodes.until(lambda: any(node.crashes.missed for node in nodes))
+        for node in nodes:
+            node.member.propose = None  # nothing is decided: the log tells nothing
+        await fleet.controls.start(away)
+        ledger = fleet.controls.nodes[away].crashes.ledger
+        await fleet_nodes.until(lambda: ledger.records)
+
+    run(tmp_path, scenario)
+
+
 def test_an_entry_without_control_vms_holds_back_what_it_saw_itself(tmp_path):
     async def scenario(fleet):
         for ip in fleet.controls.ips:
