--- a/src/merlinthread/coordination/change_over.py
+++ b/src/merlinthread/coordination/change_over.py
@@ -50,3 +50,21 @@
     """
     span_s = max(0.0, bound_at - LEAVE_S - whole_at)
     return whole_at + span_s * group / (GROUPS - 1)
+
+
+# Ends of an engine during the same load that are put down to something else: engines end for many
+# reasons, and each order put off is seconds in which an engine serves nothing.
+LOAD_ENDS_FREE = 2
+LOAD_AGAIN_S = 2.0
+LOAD_AGAIN_MAX_S = 60.0
+
+
+def load_again_s(ends: int) -> float:
+    """Return how long to wait before weights are ordered under which an engine ended `ends` times.
+
+    The wait doubles (as of restarts in cluster managers), so that weights that end whoever loads
+    them cost an engine a restart a minute, and other versions can still come.
+    """
+    if ends <= LOAD_ENDS_FREE:
+        return 0.0
+    return min(LOAD_AGAIN_MAX_S, LOAD_AGAIN_S * 2 ** (ends - LOAD_ENDS_FREE - 1))
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -63,6 +63,8 @@
         self.report: fleet.EngineReport | None = None
         self.found_at = float("-inf")
         self.settling: asyncio.Task | None = None
+        # How often the engine ended during the load of the present manifest.
+        self.ends_in_load = 0
 
     # What the engine holds
 
@@ -135,6 +137,7 @@
             self.found_at = self.clock() if plan.is_complete() else float("-inf")
         self.manifest = manifest
         self.plan = plan
+        self.ends_in_load = 0
         logs.event(
             "weights_wanted",
             model=model,
@@ -204,7 +207,8 @@
                 plan.held = held
                 return
         await self.await_turn(manifest)
-        if self.facts.is_overtaken(manifest):
+        await self.await_next_try(manifest)
+        if self.facts.is_overtaken(manifest) or self.report is None:
             return
         status = await self.engine.load(manifest.model, manifest.version, False)
         logs.event("engine_ordered", version=manifest.version, status=status)
@@ -221,10 +225,25 @@
         turn_at = change_over.turn_at(group, self.clock(), bound_at)
         await asyncio.sleep(max(0.0, turn_at - self.clock()))
 
+    async def await_next_try(self, manifest: fleet.Manifest) -> None:
+        """Wait before weights are ordered again under which the engine ended several times."""
+        wait_s = change_over.load_again_s(self.ends_in_load)
+        if wait_s:
+            logs.warn(
+                "load_put_off", version=manifest.version, ends=self.ends_in_load, wait_s=wait_s
+            )
+        until = self.clock() + wait_s
+        while self.clock() < until and not self.facts.is_overtaken(manifest):
+            await asyncio.sleep(LOOK_EVERY_S)
+
     async def await_loaded(self, manifest: fleet.Manifest) -> None:
         """Wait until the engine tells that it holds the version, or is not at it any more."""
         deadline = self.clock() + ORDER_WAIT_S
         while not self.holds(manifest):
+            if self.report is None:
+                self.ends_in_load += 1
+                logs.event("engine_lost_in_load", version=manifest.version, ends=self.ends_in_load)
+                return
             if self.report is not None and self.report.is_busy:
                 deadline = self.clock() + ORDER_WAIT_S
             if self.clock() >= deadline:
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from merlinthread.coordination import fetch
+from merlinthread.coordination import change_over, fetch
 from merlinthread.nodes import (
     agent_node,
     engine_client,
@@ -16,6 +16,7 @@
 )
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages
+from merlinthread.transport import stream_server
 from stand_ins import fleet_worker
 from tests import fleet_nodes
 
@@ -416,3 +417,41 @@
         raise AssertionError("a version that is gone was given")
 
     asyncio.run(scenario())
+
+
+def test_weights_that_end_the_engine_that_loads_them_are_ordered_less_and_less_often(monkeypatch):
+    """Seen by reading: an engine that ends while it loads was ordered to load again at once, for
+    ever. The same cause as of a request that ends whoever runs it: nothing counted the ends."""
+    monkeypatch.setattr(change_over, "LOAD_AGAIN_S", 30.0)
+
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        agent = fleet.agents[0]
+        ends = change_over.LOAD_ENDS_FREE + 1
+        carry_out = engine.carry_out
+
+        def end_instead(order):
+            engine.is_busy = False
+            engine.stop()
+            asyncio.get_running_loop().call_later(0.5, begin_again)
+
+        def begin_again():
+            engine.server = stream_server.Server(engine.serve)
+            port = int(engine.address.split(":")[1])
+            tasks.append(asyncio.get_running_loop().create_task(listen(port)))
+
+        async def listen(port):
+            await engine.server.listen("127.0.0.1", port)
+
+        tasks = []
+        engine.carry_out = end_instead
+        await fleet_nodes.until(lambda: agent.weights.ends_in_load == ends, 20)
+        assert len(engine.orders) == ends
+        # Another version comes at once all the same.
+        engine.carry_out = carry_out
+        fleet.feed(2)
+        await fleet.until_all_hold(2)
+        assert len(engine.orders) == ends + 1
+        assert agent.weights.ends_in_load == 0
+
+    run(1, scenario)
