What is known of a back end is kept under its incarnation; a bad entry does not void its neighbours

Cause: the registry, entries and agents knew back ends by id alone, so one that started again under its id was ignored until it had counted past its former life, stayed draining or gone, and kept connections, load and weights held. Change: coordination/incarnations.py is the one type that compares; the adapter makes the name (id and start) under which every map keeps a back end, and tells back ends their bare id. A start told by a clock that stepped back is taken once the other life is silent.

--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -125,7 +125,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Heartbeat:
-    """What a back end tells of itself; `sequence` grows with every call of one instance."""
+    """What a back end tells of itself; `sequence` grows with every call of one instance.
+
+    `instance` names its incarnation (`coordination.incarnations`).
+    """
 
     instance: str
     service: str
@@ -143,7 +146,8 @@
     """What an engine tells of its load and its weights.
 
     `ready_in_s` is added by its agent: when it will hold weights that may be used, as far as that
-    can be forecast, None if it serves or if nothing is known.
+    can be forecast, None if it serves or if nothing is known. `born_ms` is the Unix millisecond of
+    the engine's start, 0 if it is not told.
     """
 
     is_busy: bool = False
@@ -155,6 +159,7 @@
     pace: float = 1.0
     weights: list[Weights] = dataclasses.field(default_factory=list)
     ready_in_s: float | None = None
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from merlinthread.coordination import fleet
+from merlinthread.coordination import fleet, incarnations
 
 GONE_KEPT = 4096
 # An instance with a sequence up to this has just begun: its first calls may have been lost.
@@ -51,18 +51,14 @@
     def take(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
         """Take a heartbeat in; return whether anything but its age has changed.
 
-        A late one (a lower `sequence`) and one of an instance that has left are ignored. An
-        instance that is leaving never becomes ready again.
+        A late one (a lower `sequence`) and one of an incarnation that has left are ignored. An
+        incarnation that is leaving never becomes ready again.
         """
         if heartbeat.instance in self.gone:
             return False
         known = self.known.get(heartbeat.instance)
         if known is None:
-            if self.is_late(heartbeat, now):
-                return False
-            self.evict_address(heartbeat)
-            self.known[heartbeat.instance] = Known(heartbeat, now, self.advance())
-            return True
+            return self.take_new(heartbeat, now)
         if heartbeat.sequence <= known.heartbeat.sequence:
             return False
         if known.heartbeat.state == fleet.DRAINING:
@@ -74,27 +70,49 @@
             known.position = self.advance()
         return is_changed
 
+    def take_new(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+        """Take a heartbeat of an unknown incarnation in, unless it is late."""
+        if self.is_late(heartbeat, now):
+            return False
+        for rival in self.rivals(heartbeat):
+            if is_surely_over(rival.heartbeat, heartbeat):
+                self.remove(rival.heartbeat.instance)
+            else:
+                # It may have been misjudged by a word that was held up: it may be heard again.
+                del self.known[rival.heartbeat.instance]
+                self.forgotten_position = self.advance()
+        self.known[heartbeat.instance] = Known(heartbeat, now, self.advance())
+        return True
+
+    def rivals(self, heartbeat: fleet.Heartbeat) -> list[Known]:
+        """Return the incarnations that can't be there beside this one."""
+        return [known for known in self.known.values() if are_rivals(known.heartbeat, heartbeat)]
+
     def is_late(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
-        """Return whether a heartbeat of an unknown instance may be from before its end.
+        """Return whether a heartbeat of an unknown incarnation may be from before its end.
 
-        A cut can hold it up until another instance is at its address. One that has just begun is
-        not late; any other one waits until the instance that is heard of there falls silent.
+        A cut can hold it up until another one is in its place. One that has just begun is not late,
+        nor is a later life of the same back end; any other one waits until the incarnation that is
+        heard of there falls silent. That goes for an earlier life, too: either it is the former
+        one, or the clock that told its start has stepped back.
         """
-        if heartbeat.sequence <= FIRST_SEQUENCES:
-            return False
         live_s = LIVE_BEATS * self.heartbeat_s
-        return any(
-            known.heartbeat.address == heartbeat.address
-            and known.heartbeat.state == fleet.READY
-            and now - known.heard_at <= live_s
-            for known in self.known.values()
-        )
-
-    def evict_address(self, heartbeat: fleet.Heartbeat) -> None:
-        """Drop instances that had the address of a new one: their processes have ended."""
-        for instance, known in list(self.known.items()):
-            if known.heartbeat.address == heartbeat.address:
-                self.remove(instance)
+        has_begun = heartbeat.sequence > FIRST_SEQUENCES
+        for known in self.rivals(heartbeat):
+            if is_newer(heartbeat, known.heartbeat):
+                continue
+            may_be_former = has_begun or is_newer(known.heartbeat, heartbeat)
+            is_heard = known.heartbeat.state == fleet.READY and now - known.heard_at <= live_s
+            if may_be_former and is_heard:
+                return True
+        id_ = incarnations.parse(heartbeat.instance).id
+        # Of one that left before its start was told only the first words show another life.
+        return has_begun and id_ != heartbeat.instance and id_ in self.gone
+
+    def latest(self, id_: str) -> str:
+        """Return the name of the incarnation of a back end that is known here, else its id."""
+        found = [name for name in self.known if incarnations.parse(name).id == id_]
+        return max(found, key=lambda name: self.known[name].heard_at, default=id_)
 
     def drain(self, instance: str) -> None:
         """Note that an instance takes no new work."""
@@ -150,3 +168,21 @@
     """Return whether anything differs that decides where requests go."""
     same_sequence = dataclasses.replace(new, sequence=old.sequence, cold_s=old.cold_s)
     return same_sequence != old or (new.cold_s > 0) != (old.cold_s > 0)
+
+
+def are_rivals(one: fleet.Heartbeat, other: fleet.Heartbeat) -> bool:
+    """Return whether two incarnations can't both be there: one id, or one address."""
+    if one.instance == other.instance:
+        return False
+    ids = incarnations.parse(one.instance).id, incarnations.parse(other.instance).id
+    return ids[0] == ids[1] or one.address == other.address
+
+
+def is_newer(one: fleet.Heartbeat, other: fleet.Heartbeat) -> bool:
+    """Return whether `one` surely is from a later life of the same back end."""
+    return incarnations.parse(one.instance).is_newer(incarnations.parse(other.instance))
+
+
+def is_surely_over(former: fleet.Heartbeat, heartbeat: fleet.Heartbeat) -> bool:
+    """Return whether a heartbeat shows that a rival has ended, not only that it is not heard."""
+    return not is_newer(former, heartbeat)
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -103,3 +103,8 @@
     "merlinthread_held_requests",
     "Requests that are held back here, because processes ended under them.",
 )
+unreadable_words_total = prometheus_client.Counter(
+    "merlinthread_unreadable_words_total",
+    "Words of back ends and other writers that could not be used, by field.",
+    ["field"],
+)
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -56,6 +56,7 @@
         self.told_at = float("-inf")
         self.sequence = 0
         self.is_engine_lost = False
+        self.born_ms = 0
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -125,6 +126,7 @@
         while True:
             try:
                 report = await self.engine.report()
+                self.note_life(report)
                 self.note_engine(True, "")
                 self.weights.note_report(report)
                 report.ready_in_s = self.weights.ready_in_s()
@@ -136,6 +138,16 @@
                 self.told = None
             await asyncio.sleep(REPORT_EVERY_S)
 
+    def note_life(self, report: fleet.EngineReport) -> None:
+        """Forget what was known of the engine's former life, if this is another one."""
+        before, self.born_ms = self.born_ms, report.born_ms
+        if before in (0, report.born_ms):
+            return
+        logs.event("engine_reborn", born_ms=report.born_ms, before_ms=before)
+        self.ledger = load_ledger.LoadLedger()
+        self.told = None
+        self.weights.note_report(None)
+
     def note_engine(self, is_there: bool, reason: str) -> None:
         """Log that the engine was lost or is back."""
         if self.is_engine_lost == (not is_there):
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -12,6 +12,7 @@
     change_over,
     dispatch,
     fleet,
+    incarnations,
     load_feed,
     retry_budget,
     return_times,
@@ -148,7 +149,7 @@
     def take_load(self, load: node_messages.Load) -> None:
         """Take an agent's report of its engine."""
         backend = self.by_address.get(load.address)
-        if backend is None:
+        if backend is None or not is_of(load.report, backend):
             return
         backend.take_report(load.report, self.clock(), load.others)
         room = self.rooms.get(backend.service)
@@ -335,6 +336,12 @@
             await asyncio.sleep(every_s)
 
 
+def is_of(report: fleet.EngineReport, backend: dispatch.Backend) -> bool:
+    """Return whether a report is from a back end's present life, as far as both tell it."""
+    born_ms = incarnations.parse(backend.instance).born_ms
+    return not born_ms or not report.born_ms or report.born_ms == born_ms
+
+
 def find_route(
     table: route_table.RouteTable | None,
     call: fleet.Call,
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -303,7 +303,7 @@
         if isinstance(call, dialects.TakeHeartbeat):
             return await self.on_heartbeat(call.heartbeat)
         if isinstance(call, dialects.Leave):
-            await self.depart_for_good(call.instance, fleet.GONE)
+            await self.depart_for_good(self.registry.latest(call.instance), fleet.GONE)
             return ok()
         if isinstance(call, dialects.PutConfiguration):
             return await self.on_put(call)
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -287,9 +287,9 @@
             )
         self.heard_at[heartbeat.instance] = now - told.age_s
         for other in list(self.instances.values()):
-            if other.address != heartbeat.address or other.instance == heartbeat.instance:
+            if not instances.are_rivals(other, heartbeat):
                 continue
-            # Two instances at one address: the one heard of last is there.
+            # Two at one address, or of one id: the one heard of last is there.
             if self.heard_at[other.instance] > now - told.age_s:
                 return
             # Not for good: a late heartbeat may have misled the control VM for a moment.
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
-from merlinthread import errors
-from merlinthread.coordination import fleet
+from merlinthread import errors, logs, metrics
+from merlinthread.coordination import fleet, incarnations
 
 MS = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
 Version = Annotated[int, msgspec.Meta(ge=0)]
+# The year 2100: no process was started later than that.
+BORN_MS_MAX = 4_102_444_800_000
+STATES = {"ready": fleet.READY, "draining": fleet.DRAINING}
 
 
 class SplitBody(msgspec.Struct):
@@ -128,14 +131,15 @@
     state: str
     sequence: int
     cold_remaining_ms: float = 0.0
-    models: list[HeldBody] = []
+    models: list[msgspec.Raw] = []
     layers: LayersBody | None = None
+    born: object = None
 
 
 class ReportBody(msgspec.Struct):
     """What an engine tells of its load."""
 
-    models: list[HeldBody] = []
+    models: list[msgspec.Raw] = []
     busy: bool = False
     sequence: int = 0
     queued: int = 0
@@ -144,6 +148,7 @@
     kv_total: float = 0.0
     pace: float = 1.0
     layers: LayersBody | None = None
+    born: object = None
 
 
 class ManifestBody(msgspec.Struct):
@@ -164,6 +169,7 @@
 
 CONFIGURATION = msgspec.json.Decoder(ConfigurationBody)
 HEARTBEAT = msgspec.json.Decoder(HeartbeatBody)
+HELD = msgspec.json.Decoder(HeldBody)
 REPORT = msgspec.json.Decoder(ReportBody)
 MANIFEST = msgspec.json.Decoder(ManifestBody)
 VERSION = msgspec.json.Decoder(VersionBody)
@@ -239,24 +245,55 @@
     )
 
 
-def held_weights(models: list[HeldBody], layers: LayersBody | None) -> list[fleet.Weights]:
-    """Translate the models that a worker holds, with the layers that it tells."""
+def held_weights(entries: list[msgspec.Raw], layers: LayersBody | None) -> list[fleet.Weights]:
+    """Translate the models that a worker holds, with the layers that it tells.
+
+    An entry that can't be read names no model; the others hold.
+    """
+    models = []
+    for entry in entries:
+        try:
+            models.append(HELD.decode(entry))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            note_unreadable("models", bytes(entry)[:80], str(error))
     if layers is None:
         return [fleet.Weights(model.name, model.version) for model in models]
     count = layers.target_version - layers.first
     return [fleet.Weights(model.name, layers.version, count) for model in models]
 
 
-def heartbeat(instance: str, body: bytes) -> fleet.Heartbeat:
+def born_ms(value: object) -> int:
+    """Return when a worker's life began, 0 if that is not told or is no moment of the past."""
+    if value is None:
+        return 0
+    if isinstance(value, int) and not isinstance(value, bool) and 0 < value <= BORN_MS_MAX:
+        return value
+    note_unreadable("born", value, "no Unix millisecond; the worker counts as one that tells none")
+    return 0
+
+
+def note_unreadable(field: str, value: object, reason: str) -> None:
+    """Log and count a word of a worker that can't be used."""
+    metrics.unreadable_words_total.labels(field).inc()
+    logs.event("word_unreadable", field=field, value=repr(value), reason=reason)
+
+
+def heartbeat(id_: str, body: bytes) -> fleet.Heartbeat:
     """Translate a heartbeat; raise ProtocolError."""
     found = decode(HEARTBEAT, body)
+    state = STATES.get(found.state)
+    if state is None:
+        note_unreadable("state", found.state, "not a state that workers have")
+        raise errors.ProtocolError(
+            f"state: {found.state!r} is neither ready nor draining", field="state"
+        )
     return fleet.Heartbeat(
-        instance,
+        incarnations.Incarnation(id_, born_ms(found.born)).name(),
         found.service,
         found.address,
         found.zone,
         found.slots,
-        fleet.READY if found.state == "ready" else fleet.DRAINING,
+        state,
         found.sequence,
         found.cold_remaining_ms / MS,
         held_weights(found.models, found.layers),
@@ -275,6 +312,7 @@
         found.kv_total,
         found.pace,
         held_weights(found.models, found.layers),
+        born_ms=born_ms(found.born),
     )
 
 
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import fleet, route_table
+from merlinthread.coordination import fleet, incarnations, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
 from merlinthread.transport import http_messages
@@ -93,7 +93,7 @@
             headers.append((names.LAST_EVENT_ID, target.last_event_id.encode("latin-1")))
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"content-length", b"%d" % len(request.body)))
-        headers.append((names.EXPECT_INSTANCE, target.instance.encode("ascii")))
+        headers.append((names.EXPECT_INSTANCE, incarnations.parse(target.instance).id.encode()))
         if target.is_account_known:
             headers.append((names.TENANT, target.account.encode("latin-1")))
         if target.remaining_s is not None:
--- a/stand_ins/crashing_worker.py
+++ b/stand_ins/crashing_worker.py
@@ -5,6 +5,8 @@
 from merlinthread.transport import stream_server
 from stand_ins import fleet_worker
 
+BORN_MS = 1_767_000_000_000
+
 
 class CrashingWorker(fleet_worker.Worker):
     """A worker that ends `crash_after_s` after it has begun a request with `deadly_body`.
@@ -12,7 +14,7 @@
     All connections are reset, nothing listens at the address for `away_s`, then another
     incarnation does, under a new id or, with `keeps_id`, under the same one. `ends` and `arrivals`
     are the times, on the event loop's clock, of its ends and of the deadly requests that came;
-    `sequence` counts the heartbeats of one incarnation.
+    `sequence` counts the heartbeats of one incarnation, `born_ms` is told with `tells_birth`.
     """
 
     def __init__(
@@ -23,6 +25,7 @@
         crash_after_s: float = 0.05,
         away_s: float = 0.4,
         keeps_id: bool = False,
+        tells_birth: bool = False,
     ) -> None:
         super().__init__(instance, model)
         self.name = instance
@@ -30,6 +33,8 @@
         self.crash_after_s = crash_after_s
         self.away_s = away_s
         self.keeps_id = keeps_id
+        self.tells_birth = tells_birth
+        self.born_ms = BORN_MS
         self.ends: list[float] = []
         self.arrivals: list[float] = []
         self.is_away = False
@@ -69,6 +74,7 @@
         if not self.keeps_id:
             self.instance = f"{self.name}-{len(self.ends)}"
         self.sequence = 0
+        self.born_ms += 1
         self.server = stream_server.Server(self.serve)
         host, _, port = self.address.rpartition(":")
         await self.server.listen(host, int(port))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -33,18 +33,23 @@
 
 
 @pytest.mark.parametrize(
-    ("service", "model", "keeps_id"),
-    [("safe", "", False), ("model", "m", False), ("model", "m", True)],
+    ("service", "model", "keeps_id", "tells_birth"),
+    [
+        ("safe", "", False, False),
+        ("model", "m", False, False),
+        ("model", "m", True, False),
+        ("model", "m", True, True),
+    ],
 )
 def test_a_request_that_ended_three_workers_goes_to_no_more_of_them_from_any_entry(
-    tmp_path, service, model, keeps_id
+    tmp_path, service, model, keeps_id, tells_birth
 ):
     async def scenario(fleet):
         await fleet.send_until_late(crashing_fleet.CONTACT_S, comings=16)
         late = fleet.late_arrivals()
         assert late <= LATE_MAX, f"{late} later ones; {len(fleet.ends())} workers ended"
 
-    run(tmp_path, scenario, service, model, keeps_id=keeps_id)
+    run(tmp_path, scenario, service, model, keeps_id=keeps_id, tells_birth=tells_birth)
 
 
 def test_a_request_that_is_held_back_is_refused_at_once_as_not_run_and_not_asked_back_soon(
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,208 @@
+"""A back end that starts again under the id that it had: nothing that was known of it holds."""
+
+import asyncio
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from merlinthread import errors, logs
+from merlinthread.coordination import fleet, incarnations, instances
+from merlinthread.nodes import agent_node
+from merlinthread.platform import bodies
+from merlinthread.protocol import node_messages
+from tests import crashing_fleet, fleet_nodes
+
+BEAT_S = 1.2
+BORN = 1_767_000_000_000
+
+
+def beat(born=BORN, sequence=1, state=fleet.READY, id_="i", address="1.1.1.1:1"):
+    name = incarnations.Incarnation(id_, born).name()
+    return fleet.Heartbeat(name, "s", address, "z", 4, state, sequence)
+
+
+def registry_with(*beats) -> instances.Instances:
+    registry = instances.Instances(BEAT_S)
+    for number, heartbeat in enumerate(beats):
+        registry.take(heartbeat, 0.1 * number)
+    return registry
+
+
+def names(registry) -> list[str]:
+    return list(registry.known)
+
+
+def test_a_later_life_is_taken_at_once_whatever_its_sequence():
+    registry = registry_with(beat(sequence=50), beat(BORN + 5000, sequence=1))
+    assert names(registry) == [beat(BORN + 5000).instance]
+    registry = registry_with(beat(sequence=50), beat(BORN + 5000, sequence=9))
+    assert names(registry) == [beat(BORN + 5000).instance]
+
+
+def test_a_late_heartbeat_of_the_former_life_changes_nothing():
+    registry = registry_with(beat(sequence=50), beat(BORN + 5000), beat(sequence=51))
+    assert names(registry) == [beat(BORN + 5000).instance]
+    # Nor at a control VM that did not know the former life.
+    registry = registry_with(beat(BORN + 5000), beat(sequence=2))
+    assert names(registry) == [beat(BORN + 5000).instance]
+
+
+@pytest.mark.parametrize("sequence", [1, 2])
+def test_a_back_end_that_was_leaving_or_had_left_is_ready_in_its_next_life(sequence):
+    registry = registry_with(beat(sequence=5, state=fleet.DRAINING), beat(BORN + 1, sequence))
+    assert registry.known[beat(BORN + 1).instance].heartbeat.state == fleet.READY
+    registry = registry_with(beat(sequence=5))
+    registry.remove(registry.latest("i"))
+    assert not registry.take(beat(sequence=6), 1.0)
+    assert registry.take(beat(BORN + 1, sequence), 1.1)
+
+
+def test_a_back_end_that_left_before_its_start_was_told_comes_back_only_as_a_new_life():
+    registry = instances.Instances(BEAT_S)
+    registry.remove(registry.latest("i"))
+    assert not registry.take(beat(sequence=40), 0.0)
+    assert registry.take(beat(sequence=1), 0.1)
+
+
+def test_a_life_that_a_clock_that_stepped_back_makes_look_older_is_taken_once_the_other_is_silent():
+    registry = registry_with(beat(sequence=50))
+    assert not registry.take(beat(BORN - 60_000, sequence=1), 0.5)
+    assert registry.take(beat(BORN - 60_000, sequence=3), 2.4)
+    assert names(registry) == [beat(BORN - 60_000).instance]
+    # Should that have been a late word after all, the other one is taken again.
+    assert registry.take(beat(sequence=51), 4.6)
+
+
+def test_words_without_a_start_keep_the_former_rules():
+    registry = registry_with(beat(0, sequence=5))
+    assert not registry.take(beat(0, sequence=4), 0.2)
+    assert names(registry) == ["i"]
+
+
+def test_an_entry_that_hears_of_a_new_life_keeps_nothing_of_the_former_one():
+    async def scenario():
+        watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
+        told = [instances.Instance(beat(sequence=50, state=fleet.DRAINING))]
+        watcher.take(node_messages.News("f", 1, False, told, [], [], 0, b"", [], 0.0))
+        told = [instances.Instance(beat(BORN + 1, address="2.2.2.2:2"))]
+        watcher.take(node_messages.News("f", 2, False, told, [], [], 0, b"", [], 0.0))
+        assert [known.state for known in watcher.instances.values()] == [fleet.READY]
+
+    asyncio.run(scenario())
+
+
+def test_a_request_on_its_way_when_its_back_end_is_reborn_goes_to_the_new_life_under_its_id(
+    tmp_path,
+):
+    async def scenario(fleet_):
+        worker = fleet_.workers[0]
+        pool = fleet_.entries[0].node.pool
+        (before,) = pool.backends
+        worker.behaviour.work_s = 0.3
+        under_way = asyncio.get_running_loop().create_task(fleet_.ask_any(0, b"slow"))
+        await fleet_nodes.until(lambda: worker.running)
+        worker.end()
+        await worker.begin_again()
+        await fleet_nodes.until(lambda: before not in pool.backends and pool.backends)
+        (after,) = pool.backends.values()
+        assert after.in_flight == 0 and after.failures == 0
+        worker.behaviour.work_s = 0.0
+        assert (await fleet_.ask(0, b"next")).status == 200
+        assert worker.runs[-1].headers["x-merlinthread-expect-instance"] == worker.name
+        await under_way
+
+    async def whole():
+        fleet_ = crashing_fleet.CrashingFleet(tmp_path)
+        try:
+            await fleet_.start(1, 1, keeps_id=True, tells_birth=True)
+            await scenario(fleet_)
+        finally:
+            await fleet_.stop()
+
+    asyncio.run(whole())
+
+
+def test_a_report_from_the_former_life_of_an_engine_is_not_taken():
+    async def scenario():
+        entry = fleet_nodes.Entry()
+        pool = entry.node.pool
+        pool.watcher.instances = {beat(BORN + 1).instance: beat(BORN + 1)}
+        pool.update()
+        for born, expected in ((BORN, 0), (BORN + 1, 3), (0, 4)):
+            report = fleet.EngineReport(running=max(3, expected), born_ms=born)
+            pool.take_load(node_messages.Load("1.1.1.1:1", 1, report))
+            assert pool.backends[beat(BORN + 1).instance].others == expected
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_that_did_not_notice_the_end_of_its_engine_notices_its_new_life():
+    class Weights:
+        def __init__(self):
+            self.reports = []
+
+        def note_report(self, report):
+            self.reports.append(report)
+
+    agent = agent_node.AgentNode.__new__(agent_node.AgentNode)
+    agent.born_ms, agent.told, agent.weights = 0, fleet.EngineReport(), Weights()
+    agent.note_life(fleet.EngineReport(born_ms=BORN))
+    agent.note_life(fleet.EngineReport(born_ms=BORN))
+    assert agent.weights.reports == []
+    agent.note_life(fleet.EngineReport(born_ms=BORN + 1))
+    assert (agent.weights.reports, agent.told, agent.ledger.open) == ([None], None, {})
+
+
+BODY = {
+    "service": "s",
+    "address": "1.1.1.1:1",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 1,
+}
+
+
+@pytest.mark.parametrize("born", [-5, 0, 1.5, "1767000000000", True, 10**16, [1]])
+def test_a_start_that_is_no_moment_is_logged_with_field_and_value_and_not_used(born, monkeypatch):
+    lines = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append(fields))
+    heartbeat = bodies.heartbeat("i", json.dumps(BODY | {"born": born}).encode())
+    assert heartbeat.instance == "i"
+    assert [(line["field"], line["value"]) for line in lines] == [("born", repr(born))]
+
+
+def test_a_heartbeat_in_a_state_that_is_not_known_names_no_back_end():
+    with pytest.raises(errors.ProtocolError, match="state"):
+        bodies.heartbeat("i", json.dumps(BODY | {"state": "resting"}).encode())
+
+
+def test_one_entry_that_can_not_be_read_does_not_void_its_neighbours():
+    models = [{"name": "a", "version": 1}, {"name": 7}, "x", None, {"name": "b", "version": 2}]
+    body = json.dumps(BODY | {"models": models}).encode()
+    assert [held.model for held in bodies.heartbeat("i", body).weights] == ["a", "b"]
+    body = json.dumps({"models": models}).encode()
+    assert [held.model for held in bodies.report(body).weights] == ["a", "b"]
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=6,
+)
+
+
+@hypothesis.given(
+    st.dictionaries(st.sampled_from([*BODY, "born", "models", "layers", "other"]), JSON),
+    st.binary(max_size=20),
+)
+@hypothesis.settings(max_examples=500)
+def test_whatever_others_write_is_read_or_refused_with_an_error_of_ours(changes, noise):
+    for data in (json.dumps(BODY | changes).encode(), noise):
+        for read in (lambda data: bodies.heartbeat("i", data), bodies.report, bodies.manifest):
+            try:
+                read(data)
+            except errors.MerlinthreadError:
+                pass
