One clock that goes on while a VM is suspended; a request whose time ran out meanwhile is not sent

Cause: the nodes' clock stood still while their VM was suspended, so a leader that woke up found its lease good and an entry its news fresh. Change: clocks.now (CLOCK_BOOTTIME; refused at the start where there is none) for all that compares ages; the layer check forbids other clocks in deciders; whether a configuration is surely the newest counts its age too.

--- a/bench/layers.py
+++ b/bench/layers.py
@@ -1,4 +1,4 @@
-"""Check that imports between the layers go downwards only."""
+"""Check that imports between the layers go downwards only, and that deciders have one clock."""
 
 import ast
 import pathlib
@@ -7,9 +7,11 @@
 PACKAGE = "merlinthread"
 LAYERS = ("transport", "protocol", "coordination", "state")
 # Modules at the root that every layer may import; all others stand above the layers.
-FOUNDATION = ("errors", "registry", "logs", "metrics")
+FOUNDATION = ("errors", "registry", "logs", "metrics", "clocks")
 # Pure layers write no logs and keep no metrics.
 PURE = ("coordination", "state", "protocol")
+# What compares ages and deadlines: it is given the time, and never asks another clock for it.
+ONE_CLOCK = ("coordination", "state", "protocol", "nodes", "platform")
 
 
 def imported(path: pathlib.Path) -> list[str]:
@@ -29,7 +31,7 @@
     """Return the imports of a layer's module that do not go downwards."""
     allowed = set(LAYERS[LAYERS.index(layer) :]) | set(FOUNDATION)
     if layer in PURE:
-        allowed -= {"logs", "metrics"}
+        allowed -= {"logs", "metrics", "clocks"}
     return [
         f"{path}: layer {layer!r} imports {name!r}; it may import {', '.join(sorted(allowed))}"
         for name in imported(path)
@@ -37,9 +39,24 @@
     ]
 
 
+def clock_problems(path: pathlib.Path) -> list[str]:
+    """Return where a module imports the standard library's clocks."""
+    found = []
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
+        if isinstance(node, ast.ImportFrom):
+            names = [node.module or ""]
+        if "time" in names:
+            found.append(f"{path}:{node.lineno}: imports time; take `now`, or clocks.now")
+    return found
+
+
 def find_problems(root: pathlib.Path) -> list[str]:
-    """Return all imports below `root` that do not go downwards."""
+    """Return all imports below `root` that do not go downwards, and all other clocks."""
     found = []
+    for folder in ONE_CLOCK:
+        for path in sorted((root / folder).rglob("*.py")):
+            found.extend(clock_problems(path))
     for layer in LAYERS:
         for path in sorted((root / layer).rglob("*.py")):
             found.extend(problems_of(path, layer))
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
-from merlinthread import errors, logs
+from merlinthread import clocks, errors, logs
 from merlinthread.coordination import fleet, load_feed, load_ledger
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import engine_client, news_watcher, node_roles, node_settings, weights_task
@@ -184,4 +183,4 @@
 def make(settings: node_settings.NodeSettings, dialect: dialects.Dialect) -> AgentNode:
     """Return an agent on this process's clock."""
     codec = codecs.Codec([node_messages.MESSAGES], [])
-    return AgentNode(settings, dialect, codec, time.monotonic, random.Random())
+    return AgentNode(settings, dialect, codec, clocks.now, random.Random())
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import secrets
-import time
 import zlib
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
-from merlinthread import errors, logs
+from merlinthread import clocks, errors, logs
 from merlinthread.coordination import fleet, fleet_state, instances, raft_messages
 from merlinthread.nodes import crash_registry, log_member, node_roles, node_settings
 from merlinthread.nodes import dialect as dialects
@@ -391,4 +390,4 @@
 def make(settings: node_settings.NodeSettings, dialect: dialects.Dialect) -> ControlNode:
     """Return a control VM on this process's clock."""
     codec = codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
-    return ControlNode(settings, dialect, codec, time.monotonic)
+    return ControlNode(settings, dialect, codec, clocks.now)
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
-from merlinthread import logs
+from merlinthread import clocks, logs
 from merlinthread.coordination import crash_ledger
 from merlinthread.nodes import (
     backend_pool,
@@ -143,4 +142,4 @@
 def make(settings: node_settings.NodeSettings, dialect: dialects.Dialect) -> EntryNode:
     """Return an entry on this process's clock."""
     codec = codecs.Codec([node_messages.MESSAGES], [])
-    return EntryNode(settings, dialect, codec, time.monotonic, random.Random())
+    return EntryNode(settings, dialect, codec, clocks.now, random.Random())
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -151,6 +151,14 @@
             self.note_stale("cut off from the majority")
             await asyncio.sleep(PAUSE_S)
 
+    def is_sure(self) -> bool:
+        """Return whether what this node holds is surely what a majority held just now.
+
+        The age counts as well as the last answer: a VM that was suspended wakes up with the last
+        answer good and old.
+        """
+        return self.is_fresh and self.clock() - self.fresh_at <= STALE_S
+
     def note_stale(self, reason: str) -> None:
         """Note that the present control VM does not surely hold what a majority holds.
 
--- a/src/merlinthread/nodes/node_daemon.py
+++ b/src/merlinthread/nodes/node_daemon.py
@@ -7,7 +7,7 @@
 import signal
 from collections.abc import Callable
 
-from merlinthread import __version__, errors, logs, metrics
+from merlinthread import __version__, clocks, errors, logs, metrics
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import node_roles, node_settings
 from merlinthread.transport import http_messages, stream_server
@@ -111,5 +111,6 @@
     metrics_port: int = 0,
 ) -> int:
     """Run a node's process; return its exit code."""
+    clocks.check()
     asyncio.run(NodeDaemon(role, path, load, dialect, metrics_port).run())
     return 0
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -67,7 +67,7 @@
         """Find out what the request is and where it belongs."""
         self.call = self.dialect.client_call(self.exchange.request)
         wait_s = self.pool.restart_wait_s()
-        is_newest = self.pool.watcher.is_fresh
+        is_newest = self.pool.watcher.is_sure()
         route, account = backend_pool.find_route(self.table, self.call, is_newest, wait_s)
         self.service = route_table.choose_service(route, self.pool.rng)
         self.relay.last_event_id = self.call.last_event_id
@@ -217,12 +217,13 @@
             if choice is None and self.tried and self.facts.is_idempotent():
                 self.tried.clear()
                 choice = await self.pool.choose(self.demand(), left_s)
-            if choice is not None and self.is_worth_taking(choice, left_s):
-                return choice
-            if now >= self.facts.deadline:
+            # The VM may have been suspended meanwhile: a back end would begin for nobody.
+            if self.clock() >= self.facts.deadline:
                 raise errors.RequestError(
                     "the time is over", kind=errors.ErrorKind.DEADLINE_EXCEEDED
                 )
+            if choice is not None and self.is_worth_taking(choice, left_s):
+                return choice
             if now >= patience_until:
                 return self.late_place(choice)
             timeout_s = min(patience_until - now, 0.05)
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from merlinthread import errors
+from merlinthread import clocks, errors
 from merlinthread.transport import http_messages, sockets
 
 
@@ -252,8 +252,7 @@
 
         Raises UnreachableError (nothing came in time) or ProtocolError (no whole answer).
         """
-        loop = asyncio.get_running_loop()
-        connection = self.take(address, loop.time(), self.keep_s)
+        connection = self.take(address, clocks.now(), self.keep_s)
         try:
             async with asyncio.timeout(timeout_s):
                 if connection is None:
@@ -268,7 +267,7 @@
         except BaseException:
             self.discard(connection)
             raise
-        self.give_back(address, connection, loop.time(), kept_for(answer.headers, self.keep_s))
+        self.give_back(address, connection, clocks.now(), kept_for(answer.headers, self.keep_s))
         return answer
 
     def discard(self, connection: ClientConnection | None) -> None:
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -5,9 +5,10 @@
 import pathlib
 import random
 import socket
-import time
 import zlib
+from collections.abc import Callable
 
+from merlinthread import clocks
 from merlinthread.coordination import instances as instance_records
 from merlinthread.coordination import raft_messages
 from merlinthread.nodes import control_node, entry_node, news_watcher, node_settings
@@ -18,6 +19,17 @@
 from stand_ins import fleet_worker
 
 
+class JumpingClock:
+    """The clock of a VM that was suspended for `suspended_s`, while its timers stood still."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return clocks.now() + self.suspended_s
+
+
 def free_port() -> int:
     """Return a TCP port that is free now."""
     with socket.socket() as sock:
@@ -46,7 +58,7 @@
         settings,
         dialect.PlatformDialect(),
         node_bus.Caller(make_codec()),
-        time.monotonic,
+        clocks.now,
         lambda: None,
     )
 
@@ -70,8 +82,11 @@
 class Controls:
     """Control VMs at 127.0.0.11, .12, ... with ports alike on all."""
 
-    def __init__(self, folder: pathlib.Path, count: int = 3) -> None:
+    def __init__(
+        self, folder: pathlib.Path, count: int = 3, clock: Callable[[], float] = clocks.now
+    ) -> None:
         self.folder = folder
+        self.clock = clock
         self.port, self.public_port = free_port(), free_port()
         self.ips = [f"127.0.0.{11 + number}" for number in range(count)]
         self.nodes: dict[str, control_node.ControlNode] = {}
@@ -88,7 +103,7 @@
             is_first_start=is_first,
         )
         node = control_node.ControlNode(
-            settings, dialect.PlatformDialect(), make_codec(), time.monotonic
+            settings, dialect.PlatformDialect(), make_codec(), self.clock
         )
         self.nodes[ip] = node
         await node.start()
@@ -203,11 +218,15 @@
 class Entry:
     """An entry that is fed by hand, without control VMs, unless settings name some."""
 
-    def __init__(self, settings: node_settings.NodeSettings | None = None) -> None:
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings | None = None,
+        clock: Callable[[], float] = clocks.now,
+    ) -> None:
         settings = settings or make_settings("entry")
         self.address = settings.client_address
         self.node = entry_node.EntryNode(
-            settings, dialect.PlatformDialect(), make_codec(), time.monotonic, random.Random(1)
+            settings, dialect.PlatformDialect(), make_codec(), clock, random.Random(1)
         )
         self.sequence = 0
 
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,130 @@
+"""VMs that are suspended: their clock jumps ahead while their timers stood still."""
+
+import asyncio
+import pathlib
+import time
+
+import pytest
+
+from bench import layers
+from merlinthread import clocks, errors
+from merlinthread.coordination import crash_ledger, instances
+from merlinthread.protocol import node_messages
+from stand_ins import fleet_worker
+from tests import fleet_nodes
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_clock_goes_on_while_the_vm_is_suspended():
+    assert clocks.now() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=1.0)
+
+
+def test_a_platform_without_that_clock_is_refused_at_the_start(monkeypatch):
+    monkeypatch.delattr(time, "CLOCK_BOOTTIME")
+    with pytest.raises(errors.SettingsError, match="CLOCK_BOOTTIME"):
+        clocks.check()
+
+
+def test_no_decider_imports_another_clock(tmp_path):
+    (tmp_path / "nodes").mkdir()
+    (tmp_path / "nodes" / "module.py").write_text("import time\n")
+    (tmp_path / "coordination").mkdir()
+    (tmp_path / "coordination" / "module.py").write_text("from time import monotonic\n")
+    assert len(layers.find_problems(tmp_path)) == 2
+    assert layers.find_problems(ROOT / "src" / "merlinthread") == []
+
+
+def test_a_leader_that_wakes_up_does_not_answer_from_its_old_lease(tmp_path):
+    async def scenario():
+        clock = fleet_nodes.JumpingClock()
+        controls = fleet_nodes.Controls(tmp_path, clock=clock)
+        await controls.start_all()
+        await fleet_nodes.until(controls.leader)
+        body = fleet_nodes.configuration(1, ["safe"])
+        await controls.until_acknowledged("PUT", "/config", body)
+        leader = controls.nodes[controls.leader()]
+        assert leader.read_here().version == 1
+        clock.suspended_s = 5.0
+        with pytest.raises(errors.NotLeaderError):
+            leader.read_here()
+        for ip in list(controls.nodes):
+            controls.kill(ip)
+
+    asyncio.run(scenario())
+
+
+async def make(clock: fleet_nodes.JumpingClock) -> tuple[fleet_nodes.Entry, fleet_worker.Worker]:
+    """Return an entry with one worker of the service "safe"."""
+    entry = fleet_nodes.Entry(clock=clock)
+    await entry.start()
+    worker = fleet_worker.Worker("i-0")
+    await worker.start()
+    entry.feed(fleet_nodes.configuration(1, ["safe"]), {worker: "safe"})
+    return entry, worker
+
+
+def test_an_entry_that_wakes_up_does_not_take_its_configuration_as_the_newest():
+    async def scenario():
+        clock = fleet_nodes.JumpingClock()
+        entry, _ = await make(clock)
+        assert (await entry.ask("/added-later/", "id-1")).status == 404
+        clock.suspended_s = 5.0
+        assert (await entry.ask("/added-later/", "id-2")).status == 503
+
+    asyncio.run(scenario())
+
+
+def test_a_request_whose_time_ran_out_during_the_suspension_is_not_sent():
+    async def scenario():
+        clock = fleet_nodes.JumpingClock()
+        entry, worker = await make(clock)
+        pool = entry.node.pool
+        choose = pool.choose
+
+        async def choose_over_a_suspension(demand, left_s):
+            clock.suspended_s = 5.0
+            return await choose(demand, left_s)
+
+        pool.choose = choose_over_a_suspension
+        answer = await entry.ask("/safe/", "id-1")
+        assert (answer.status, worker.runs) == (504, [])
+
+    asyncio.run(scenario())
+
+
+def test_weights_fall_due_budgets_refill_and_reports_grow_old_over_a_suspension():
+    async def scenario():
+        clock = fleet_nodes.JumpingClock()
+        entry, _ = await make(clock)
+        watcher, pool = entry.node.watcher, entry.node.pool
+        named = [node_messages.NamedVersion("m", 2, 0.0)]
+        watcher.take(node_messages.News("f", 9, False, [], [], named, 0, b"", [], 0.0))
+        assert pool.required_version("m", clock()) == 0
+        (backend,) = pool.backends.values()
+        backend.answered_at = clock()
+        budget = pool.budget("safe")
+        while budget.spend(clock()):
+            pass
+        clock.suspended_s = 30.0
+        assert pool.required_version("m", clock()) == 2
+        assert budget.spend(clock())
+        assert not backend.others_known(clock())
+
+    asyncio.run(scenario())
+
+
+def test_heartbeats_and_suspicions_grow_old_over_a_suspension(tmp_path):
+    clock = fleet_nodes.JumpingClock()
+    registry = instances.Instances(1.2)
+    heartbeat = fleet_nodes.dialect.bodies.heartbeat(
+        "i",
+        b'{"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready","sequence":1}',
+    )
+    registry.take(heartbeat, clock())
+    ledger = crash_ledger.CrashLedger()
+    ledger.note_end("f", "", crash_ledger.End(clock(), "i", clock()))
+    clock.suspended_s = 2 * crash_ledger.FORGET_S
+    assert registry.expire(clock(), 9.6) == ["i"]
+    ledger.expire(clock())
+    assert not ledger.records
