--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -150,14 +150,18 @@
         await fleet_nodes.until(is_known)
 
     async def lose_power(self) -> None:
-        """End all control VMs and entries at once, and start them again; only files are left."""
+        """End all control VMs and entries at once, and start them again; only files are left.
+
+        The disk of one control VM, the leader's, is lost in the same moment.
+        """
+        lost = self.controls.leader()
         for ip in self.controls.ips:
             self.controls.kill(ip)
         for entry in self.entries:
             end_entry(entry)
         self.entries = []
         for ip in self.controls.ips:
-            await self.controls.start(ip)
+            await self.controls.start(ip, folder=f"{ip}-empty" if ip == lost else "")
         await fleet_nodes.until(self.controls.leader)
         await self.add_entry("127.0.0.41")
 
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -370,3 +370,24 @@
     assert set(watcher.instances) == {"new"}
     tell("old", 0.0, [])
     assert set(watcher.instances) == {"new"}
+
+
+def test_a_disk_lost_while_all_other_vms_lose_power_loses_nothing_that_was_acknowledged(tmp_path):
+    """Power goes everywhere in the moment in which one disk is lost, right after an answer."""
+
+    async def scenario(controls):
+        for version in (5, 6):
+            await put(controls, version)
+        await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
+        await controls.until_acknowledged("DELETE", "/instances/i-gone")
+        lost = controls.leader()
+        for ip in controls.ips:
+            controls.kill(ip)
+        for ip in controls.ips:
+            await controls.start(ip, folder=f"{ip}-empty" if ip == lost else "")
+        assert await read(controls) == 6
+        for node in controls.nodes.values():
+            await fleet_nodes.until(lambda node=node: node.member.state.named == {"m": 2})
+            assert node.member.state.departed == {"i-gone": fleet.GONE}
+
+    run(tmp_path, scenario)
