--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -1,4 +1,4 @@
-"""One attempt of a client's request on one back end, and what goes back to the client.
+"""One attempt of a client's request on one back end.
 
 What is known of an attempt is typed: whether it was sent, whether it surely did not run, whether
 its answer has begun. An attempt judges its back end by what came of it; what follows for the
@@ -9,22 +9,20 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Callable
 
 import h11
 
-from merlinthread import errors, metrics
-from merlinthread.coordination import dispatch, fingerprints, fleet
-from merlinthread.nodes import backend_pool, crash_watch
+from merlinthread import errors
+from merlinthread.coordination import dispatch, fleet
+from merlinthread.nodes import answer_relay, backend_pool, crash_watch, request_facts
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import event_bytes
-from merlinthread.transport import http_messages, stream_client, stream_server
+from merlinthread.transport import http_messages, stream_client
 
 FIRST_EVENT_OBJECTIVES = 2.0
 FIRST_EVENT_MIN_S = 0.8
 GAP_SHARE = 2.0
 SILENCE_MIN_S = 0.6
-URGENCY_MAX = 9
 
 
 class SilentError(errors.UnreachableError):
@@ -54,99 +52,13 @@
     answer: http_messages.Answer | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class Facts:
-    """A client's request: the call, where it belongs, and by when it must be answered."""
-
-    call: fleet.Call
-    route: fleet.Route
-    account: fleet.Account | None
-    deadline: float
-    body: bytes = b""
-    known_fingerprint: str = ""
-
-    def fingerprint(self) -> str:
-        """Return what tells this request from others; reckoned only once it is asked for."""
-        if not self.known_fingerprint:
-            account = self.account.name if self.account is not None else ""
-            self.known_fingerprint = fingerprints.fingerprint(self.call, account, self.body)
-        return self.known_fingerprint
-
-    def label(self) -> str:
-        """Return what the request asks and for whom, for operators; its query is left out."""
-        account = self.account.name if self.account is not None else "no account"
-        path = self.call.path.decode("latin-1").split("?")[0]
-        text = f"{self.call.method.decode('latin-1')} {self.call.host}{path} of {account}"
-        return text[: crash_watch.LABEL_CHARACTERS]
-
-    def is_idempotent(self) -> bool:
-        """Return whether the request may run more than once."""
-        return self.route.kind == fleet.SAFE or (
-            self.route.kind == fleet.STREAMING and self.route.is_resumable
-        )
-
-    def urgency(self) -> int:
-        """Return the request's rank, 0 first: its account's before its route's."""
-        rank = self.route.priority
-        if self.account is not None and self.account.priority is not None:
-            rank = self.account.priority
-        return max(0, min(URGENCY_MAX, rank))
-
-
-class Relay:
-    """Gives answers of back ends to one client; `on_answered` is told the status of a whole one."""
-
-    def __init__(
-        self,
-        exchange: stream_server.Exchange,
-        clock: Callable[[], float],
-        arrived: float,
-        on_answered: Callable[[int], None],
-    ) -> None:
-        self.exchange = exchange
-        self.clock = clock
-        self.arrived = arrived
-        self.on_answered = on_answered
-        self.last_event_id = ""
-        self.first_at: float | None = None
-
-    async def give(self, answer: http_messages.Answer) -> None:
-        """Send a back end's whole answer on."""
-        headers = without_length(http_messages.forwarded_headers(answer.headers))
-        self.on_answered(answer.status)
-        await self.exchange.respond(http_messages.Answer(answer.status, headers, answer.body))
-
-    async def give_event(self, item: event_bytes.RawEvent, head: http_messages.Answer) -> None:
-        """Send one event on, unless the client has it already."""
-        if item.event_id and not event_bytes.is_after(item.event_id, self.last_event_id):
-            return
-        self.start_stream(head)
-        await self.exchange.send(item.data)
-        self.last_event_id = item.event_id or self.last_event_id
-
-    def start_stream(self, head: http_messages.Answer) -> None:
-        """Send the head of the first back end that gave an event; later ones keep it."""
-        if self.exchange.is_started:
-            return
-        headers = without_length(http_messages.forwarded_headers(head.headers))
-        self.first_at = self.clock()
-        metrics.first_token_seconds.observe(self.first_at - self.arrived)
-        self.exchange.start(head.status, headers)
-
-    async def finish(self, head: http_messages.Answer) -> None:
-        """End a stream that is whole."""
-        self.start_stream(head)
-        self.on_answered(head.status)
-        await self.exchange.finish()
-
-
 class Attempt:
     """One attempt; `is_sent` tells whether the request left for the back end."""
 
     def __init__(
         self,
-        facts: Facts,
-        relay: Relay,
+        facts: request_facts.Facts,
+        relay: answer_relay.Relay,
         dialect: dialects.Dialect,
         pool: backend_pool.BackendPool,
         backend: dispatch.Backend,
@@ -164,13 +76,15 @@
         """Send the request and relay the answer if it is whole; return what came of it."""
         connection: stream_client.ClientConnection | None = None
         try:
-            connection = await self.pool.connect(self.backend, self.facts.is_idempotent())
+            connection = await self.pool.connections.connect(
+                self.backend, self.facts.is_idempotent()
+            )
             connection.send(self.request())
             self.is_sent = True
             async with asyncio.timeout_at(self.loop_time(self.facts.deadline)):
                 outcome, headers = await self.converse(connection)
             if outcome.state in (State.DONE, State.FAILED, State.NOT_RUN):
-                self.pool.give_back(self.backend, connection, headers)
+                self.pool.connections.give_back(self.backend, connection, headers)
                 connection = None
             self.judge(outcome)
             return outcome
@@ -355,8 +269,3 @@
         if not self.place.is_read:
             return await self.first_event(connection)
         return await self.next_event(connection, self.pause_limit_s())
-
-
-def without_length(headers: http_messages.Headers) -> http_messages.Headers:
-    """Return the headers without the body's length, which is set anew."""
-    return [(key, value) for key, value in headers if key.lower() != b"content-length"]
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -1,4 +1,4 @@
-"""The back ends of an entry: what is known of each, its connections, and who waits for a place."""
+"""The back ends of an entry: what is known of each, and who waits for a place."""
 
 import asyncio
 import contextlib
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Callable
 
-from merlinthread import errors, logs
 from merlinthread.coordination import (
     change_over,
     dispatch,
@@ -16,23 +15,17 @@
     load_feed,
     retry_budget,
     return_times,
-    route_table,
     waiting_room,
 )
-from merlinthread.nodes import crash_watch, load_prober, news_watcher, node_settings
+from merlinthread.nodes import (
+    backend_connections,
+    crash_watch,
+    load_prober,
+    news_watcher,
+    node_settings,
+)
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, stream_client
-
-KEEP_S = 20.0
-CONNECT_TIMEOUT_S = 0.3
-# A second opening packet follows when there is no answer for so long: more than ten times the way
-# there and back between regions (1 to 6 ms), a fifth of the shortest objective on the sheets known
-# (0.2 s). Of 2,428 requests of a busy day about 30 met no connection
-# within 0.3 s (its twin, from entries' logs; why was not traced).
-CONNECT_AGAIN_S = 0.06
-USER_TIMEOUT_S = 2.0
-UNSAFE_IDLE_S_MAX = 1.0
-SAFE_IDLE_S_MAX = 20.0
+
 WAKE_AT_ONCE = 4
 # How many agents a decision asks, and how long it waits for their answers.
 PROBED = 2
@@ -45,9 +38,6 @@
 # A node that has just started knows the configuration within half a second, and each back end by
 # its next heartbeat; half a beat more for those that load weights again.
 RESTART_BEATS = 1.5
-# When to come back to a node that may not know the newest configuration: it finds another control
-# VM within 1.1 s (`news_watcher.WATCH_TIMEOUT_S`); a group without a leader elects one in 1.5 s.
-UNSURE_WAIT_S = 1.0
 # From this long before the bound, the old version is used only where requests arrive promptly.
 VERSION_SOON_S = 2.5
 
@@ -93,7 +83,7 @@
         self.rooms: dict[str, waiting_room.WaitingRoom] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.place_numbers = itertools.count(1)
-        self.connections = stream_client.Pool(KEEP_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.connections = backend_connections.BackendConnections(clock)
 
     # What is known
 
@@ -298,33 +288,7 @@
             )
         return self.budgets[service]
 
-    # Connections
-
-    async def connect(
-        self, backend: dispatch.Backend, may_repeat: bool
-    ) -> stream_client.ClientConnection:
-        """Return a connection to a back end; raise UnreachableError, nothing was sent then.
-
-        A request that may run only once does not use a connection that rested for long: its server
-        may be closing it just now.
-        """
-        idle_s = SAFE_IDLE_S_MAX if may_repeat else UNSAFE_IDLE_S_MAX
-        kept = self.connections.take(backend.instance, self.clock(), idle_s)
-        if kept is not None:
-            return kept
-        return await stream_client.connect_twice(
-            backend.address, CONNECT_AGAIN_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S
-        )
-
-    def give_back(
-        self,
-        backend: dispatch.Backend,
-        connection: stream_client.ClientConnection,
-        headers: http_messages.Headers,
-    ) -> None:
-        """Keep a connection for the next request."""
-        keep_s = stream_client.kept_for(headers, KEEP_S)
-        self.connections.give_back(backend.instance, connection, self.clock(), keep_s)
+    # Load
 
     async def subscribe(self, send: Callable[[str], None], every_s: float) -> None:
         """Ask the agents beside engines for their load, again and again."""
@@ -340,45 +304,3 @@
     """Return whether a report is from a back end's present life, as far as both tell it."""
     born_ms = incarnations.parse(backend.instance).born_ms
     return not born_ms or not report.born_ms or report.born_ms == born_ms
-
-
-def find_route(
-    table: route_table.RouteTable | None,
-    call: fleet.Call,
-    is_newest: bool,
-    restart_wait_s: float,
-) -> tuple[fleet.Route, fleet.Account | None]:
-    """Return a call's route and account; raise RequestError with the kind of refusal.
-
-    `restart_wait_s` is when to come back to a node that knows no configuration yet. Unless `table`
-    surely is the newest one, a newer one may allow what it does not: the call is refused as not
-    run, for now.
-    """
-    if table is None:
-        raise errors.RequestError(
-            "no configuration is known here yet",
-            kind=errors.ErrorKind.NO_TARGET,
-            retry_after_s=restart_wait_s,
-        )
-    path = call.path.decode("latin-1").split("?")[0]
-    route = table.find(call.host, path)
-    if route is None:
-        raise not_allowed(
-            f"no route for {call.host}{path}", errors.ErrorKind.UNKNOWN_ROUTE, is_newest
-        )
-    account = table.account_of(call.key) if call.key else None
-    if table.has_accounts and not route.is_public and account is None:
-        logs.detail("key_unknown", request=call.request_id)
-        raise not_allowed("the key is unknown", errors.ErrorKind.UNAUTHORISED, is_newest)
-    return route, account
-
-
-def not_allowed(message: str, kind: errors.ErrorKind, is_newest: bool) -> errors.RequestError:
-    """Return the refusal of what the configuration held does not allow."""
-    if is_newest:
-        return errors.RequestError(message, kind=kind)
-    return errors.RequestError(
-        f"{message} in a configuration that may not be the newest",
-        kind=errors.ErrorKind.NO_MAJORITY,
-        retry_after_s=UNSURE_WAIT_S,
-    )
--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -28,7 +28,6 @@
 UNPROVEN_KEPT = 1024
 REPORT_TIMEOUT_S = 0.9
 REPORT_AGAIN_S = 0.1
-LABEL_CHARACTERS = 120
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -8,7 +8,7 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import dispatch, fleet, return_times, route_table
-from merlinthread.nodes import attempts, backend_pool
+from merlinthread.nodes import answer_relay, attempts, backend_pool, request_facts, route_finder
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import answers
 from merlinthread.transport import http_messages, stream_server
@@ -44,9 +44,9 @@
         self.clock = pool.clock
         self.arrived = arrived
         self.call: fleet.Call | None = None
-        self.facts: attempts.Facts | None = None
+        self.facts: request_facts.Facts | None = None
         self.service = ""
-        self.relay = attempts.Relay(exchange, pool.clock, arrived, self.on_answered)
+        self.relay = answer_relay.Relay(exchange, pool.clock, arrived, self.on_answered)
         self.tried: set[str] = set()
         self.attempts: list[attempts.Attempt] = []
         self.may_have_run = False
@@ -68,7 +68,7 @@
         self.call = self.dialect.client_call(self.exchange.request)
         wait_s = self.pool.restart_wait_s()
         is_newest = self.pool.watcher.is_sure()
-        route, account = backend_pool.find_route(self.table, self.call, is_newest, wait_s)
+        route, account = route_finder.find_route(self.table, self.call, is_newest, wait_s)
         self.service = route_table.choose_service(route, self.pool.rng)
         self.relay.last_event_id = self.call.last_event_id
         limit = route.timeout_s
@@ -76,7 +76,7 @@
             limit = min(limit, self.call.deadline_s - DEADLINE_MARGIN_S)
         deadline = self.arrived + max(0.0, limit)
         body = self.exchange.request.body
-        self.facts = attempts.Facts(self.call, route, account, deadline, body)
+        self.facts = request_facts.Facts(self.call, route, account, deadline, body)
         self.check_not_held()
         self.pool.budget(self.service).note_first(self.arrived)
 
