--- a/src/merlinthread/coordination/crash_ledger.py
+++ b/src/merlinthread/coordination/crash_ledger.py
@@ -26,7 +26,8 @@
 CLOCK_DOUBT_S = 0.03
 # Two reports of one process's end differ by less; it is not back and ended again within that time.
 SAME_END_S = 0.5
-# Records kept, about 1 MB of memory; the one that has not changed for longest goes first.
+# Records kept, 2.5 MB of memory (measured with one end each); the one that has not changed for
+# longest goes first.
 KEPT = 4096
 # An end this long ago counts no more, unless the request was held back in between.
 FORGET_S = 600.0
