A command of the log that a control VM can't read is passed over, and does not end it at each start

Change: it is passed over with a warning. The test failed first (no answer within 20 s on the code before, KeyError in the log of the task).

--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -247,9 +247,10 @@
         """Apply one committed entry and answer whoever waits for it."""
         is_changed = False
         if entry.kind == "command":
-            command = self.decode_command(entry.data)
-            is_changed = self.state.apply(command)
-            self.on_applied(command, self.age_s_max(entry, self.clock()))
+            command = self.known_command(entry)
+            if command is not None:
+                is_changed = self.state.apply(command)
+                self.on_applied(command, self.age_s_max(entry, self.clock()))
         self.applied = entry.index
         metrics.log_index.set(entry.index)
         term, answer = self.waiting.pop(entry.index, (0, None))
@@ -273,6 +274,18 @@
         age_s = self.majority_age(now)
         return age_s if age_s > CAUGHT_UP_S else 0.0
 
+    def known_command(self, entry: journal.Entry) -> fleet_state.Command | None:
+        """Return the command in an entry, None if it is of a version of ours that is not this one.
+
+        It is passed over: it can't be taken out of the log, and a member that ended at it would end
+        at each start again.
+        """
+        try:
+            return self.decode_command(entry.data)
+        except (KeyError, msgspec.DecodeError) as error:
+            logs.warn("entry_unknown", index=entry.index, reason=repr(error))
+            return None
+
     def decode_command(self, data: bytes) -> fleet_state.Command:
         """Return the command in an entry."""
         name, raw = self.pair.decode(data)
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+import msgspec
 import pytest
 
 from merlinthread import errors
@@ -391,3 +392,22 @@
             assert node.member.state.departed == {"i-gone": fleet.GONE}
 
     run(tmp_path, scenario)
+
+
+def test_a_command_of_a_newer_version_of_ours_does_not_end_the_members_that_can_not_read_it(
+    tmp_path,
+):
+    async def scenario(controls):
+        await put(controls, 5)
+        leader = controls.nodes[controls.leader()].member
+        await leader.propose(msgspec.msgpack.encode(("fleet.of_tomorrow", {"x": 1})))
+        await leader.propose(msgspec.msgpack.encode(("fleet.configure", {"version": "six"})))
+        await put(controls, 7)
+        for ip in controls.ips:
+            controls.kill(ip)
+            await controls.start(ip)
+        assert await read(controls) == 7
+        for node in controls.nodes.values():
+            assert not any(task.done() for task in node.tasks)
+
+    run(tmp_path, scenario)
