Once four requests of one account are held back, one end is enough for its others

Cause: each of many different requests of one client account could end three back ends. Change: the ledger tells the account; with four of it held back, a request of it is held back at its first end (cleared by a whole answer as before). Ways: nothing; refuse the whole account.

--- a/src/merlinthread/coordination/crash_ledger.py
+++ b/src/merlinthread/coordination/crash_ledger.py
@@ -9,6 +9,9 @@
 from the one that did: a whole answer since, by any back end, clears a request; ends at one moment
 count once, since whatever takes several processes together (a rack, a zone) is no request; and
 three ends are needed.
+
+A client account may send many different requests that each end three back ends. Once several of its
+requests are held back, one end is enough for its others, so that each costs one process, not three.
 """
 
 import collections
@@ -26,6 +29,10 @@
 CLOCK_DOUBT_S = 0.03
 # Two reports of one process's end differ by less; it is not back and ended again within that time.
 SAME_END_S = 0.5
+# Requests of one client account that are held back before one end is enough for its others. An
+# ordinary request of that account that is there at an end is refused then until it has a whole
+# answer; few come again (of 86 that were at ends on a day of crashes, none).
+ACCOUNT_HELD_MAX = 4
 # Records kept, 2.5 MB of memory (measured with one end each); the one that has not changed for
 # longest goes first.
 KEPT = 4096
@@ -92,6 +99,7 @@
     ends: list[ToldEnd]
     cleared_age_s: float | None = None
     hold: Hold = Hold()
+    account: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,16 +107,19 @@
     """What is known of one request; times are those of this node's clock.
 
     `ends` holds the instances that ended under it since `cleared_at`, in order. `revision` is that
-    of its last change; `is_told` is set once it is known to be more than a bystander.
+    of its last change; `is_told` is set once it is known to be more than a bystander, `is_blamed`
+    if one end was enough because of its account.
     """
 
     fingerprint: str
     label: str
+    account: str = ""
     ends: list[End] = dataclasses.field(default_factory=list)
     cleared_at: float = float("-inf")
     hold: Hold = Hold()
     revision: int = 0
     is_told: bool = False
+    is_blamed: bool = False
     changed_at: float = 0.0
 
     def moments(self) -> int:
@@ -121,7 +132,7 @@
 
     def is_convicted(self) -> bool:
         """Return whether enough processes ended under it to hold it back."""
-        return self.moments() >= self.hold.ends_max()
+        return self.is_blamed or self.moments() >= self.hold.ends_max()
 
     def is_held(self) -> bool:
         """Return whether it may not run now."""
@@ -153,6 +164,12 @@
         """Return the requests that may not run now."""
         return [record for record in self.records.values() if record.is_held()]
 
+    def is_strict(self, account: str) -> bool:
+        """Return whether so many requests of an account are held back that one end is enough."""
+        if not account:
+            return False
+        return sum(record.account == account for record in self.held()) >= ACCOUNT_HELD_MAX
+
     def since(self, revision: int, now: float) -> list[Suspicion]:
         """Return what has changed after `revision` of requests that are more than bystanders."""
         return [
@@ -169,19 +186,22 @@
         ]
         is_cleared = record.cleared_at > float("-inf")
         cleared_age_s = round(now - record.cleared_at, 3) if is_cleared else None
-        return Suspicion(record.fingerprint, record.label, ends, cleared_age_s, record.hold)
+        return Suspicion(
+            record.fingerprint, record.label, ends, cleared_age_s, record.hold, record.account
+        )
 
     # Changes
 
-    def note_end(self, fingerprint: str, label: str, end: End) -> bool:
+    def note_end(self, fingerprint: str, label: str, end: End, account: str = "") -> bool:
         """Note that a process ended under a request; return whether that is new."""
         record = self.records.get(fingerprint)
         if record is None:
-            record = self.add(fingerprint, label)
+            record = self.add(fingerprint, label, account)
         if end.at <= record.cleared_at or is_known(record, end):
             return False
         record.ends.append(end)
         record.ends.sort()
+        record.is_blamed |= self.is_strict(record.account)
         self.note_change(record, end.at)
         return True
 
@@ -191,19 +211,23 @@
         if record is None or at <= record.cleared_at:
             return False
         record.cleared_at = at
+        record.is_blamed = False
         record.ends = [end for end in record.ends if end.at > at]
         self.note_change(record, at)
         return True
 
-    def set_hold(self, fingerprint: str, label: str, hold: Hold, now: float) -> bool:
+    def set_hold(
+        self, fingerprint: str, label: str, hold: Hold, now: float, account: str = ""
+    ) -> bool:
         """Take over a decision that the control VMs agreed on; return whether it is newer."""
-        record = self.records.get(fingerprint) or self.add(fingerprint, label)
+        record = self.records.get(fingerprint) or self.add(fingerprint, label, account)
         if hold <= record.hold:
             return False
         record.hold = hold
         if hold.state is not HoldState.HELD:
             record.ends = [end for end in record.ends if end.at > now]
             record.cleared_at = max(record.cleared_at, now)
+            record.is_blamed = False
         record.label = record.label or label
         self.note_change(record, now)
         return True
@@ -218,12 +242,12 @@
             is_new |= self.clear(told.fingerprint, now - told.cleared_age_s)
         for end in told.ends:
             heard = End(now - end.age_s, end.instance, now - end.began_age_s)
-            is_new |= self.note_end(told.fingerprint, told.label, heard)
+            is_new |= self.note_end(told.fingerprint, told.label, heard, told.account)
         return is_new
 
-    def add(self, fingerprint: str, label: str) -> Record:
+    def add(self, fingerprint: str, label: str, account: str) -> Record:
         """Begin a record, in place of the oldest one if there are too many."""
-        record = Record(fingerprint, label)
+        record = Record(fingerprint, label, account)
         self.records[fingerprint] = record
         if len(self.records) > self.kept:
             self.evict()
@@ -242,7 +266,7 @@
         self.revision += 1
         record.revision = self.revision
         record.changed_at = now
-        record.is_told |= record.moments() > 1 or record.hold.times > 0
+        record.is_told |= record.moments() > 1 or record.hold.times > 0 or record.is_blamed
         if record.is_told:
             self.told_revision = self.revision
         self.records.move_to_end(record.fingerprint)
--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -55,6 +55,7 @@
     label: str
     victims: list[str]
     times: int
+    account: str = ""
 
 
 @COMMANDS.add("fleet.let_go")
@@ -77,6 +78,7 @@
     label: str
     victims: list[str]
     hold: crash_ledger.Hold
+    account: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,7 +136,9 @@
             self.held[command.fingerprint] = before
             return False
         hold = crash_ledger.Hold(command.times, crash_ledger.HoldState.HELD)
-        self.held[command.fingerprint] = HeldRequest(command.label, command.victims, hold)
+        self.held[command.fingerprint] = HeldRequest(
+            command.label, command.victims, hold, command.account
+        )
         while len(self.held) > HELD_KEPT:
             del self.held[next(iter(self.held))]
         return True
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -113,6 +113,7 @@
         found = crash_watch.Break(
             self.facts.fingerprint(),
             self.facts.label(),
+            self.facts.account.name if self.facts.account is not None else "",
             self.facts.call.request_id,
             self.backend,
             self.place.started,
--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -107,7 +107,9 @@
         now = self.clock()
         held = self.member.state.held
         for fingerprint, request in held.items():
-            if not self.ledger.set_hold(fingerprint, request.label, request.hold, now):
+            if not self.ledger.set_hold(
+                fingerprint, request.label, request.hold, now, request.account
+            ):
                 continue
             self.held_since[fingerprint] = now
             logs.event(
@@ -158,7 +160,9 @@
         if not hold.is_held():
             victims = [end.instance for end in record.ends]
             found.append(
-                fleet_state.HoldBack(record.fingerprint, record.label, victims, hold.times + 1)
+                fleet_state.HoldBack(
+                    record.fingerprint, record.label, victims, hold.times + 1, record.account
+                )
             )
         elif not record.ends and record.cleared_at >= since - COMMIT_S_MAX:
             state = crash_ledger.HoldState.CLEARED
--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -36,6 +36,7 @@
 
     fingerprint: str
     label: str
+    account: str
     request_id: str
     backend: dispatch.Backend
     began_at: float
@@ -154,7 +155,7 @@
         """Note that the processes under some attempts have ended."""
         log_breaks(found, True, proof)
         for known in found:
-            if self.ledger.note_end(known.fingerprint, known.label, known.end()):
+            if self.ledger.note_end(known.fingerprint, known.label, known.end(), known.account):
                 self.report(known.fingerprint)
 
     def note_whole_answer(self, fingerprint: str) -> None:
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -137,6 +137,31 @@
     assert state.held["f"].hold == crash_ledger.Hold(2, HELD)
 
 
+def test_an_account_with_several_requests_held_back_ends_one_process_with_each_further_one():
+    ledger = crash_ledger.CrashLedger()
+    ledger.note_end("there-before", "", end("i-0", 0.5), "account-1")
+    for number in range(crash_ledger.ACCOUNT_HELD_MAX):
+        assert not ledger.is_strict("account-1")
+        for at in (1.0, 2.0, 3.0):
+            ledger.note_end(f"f-{number}", "", end(f"i-{at}", at), "account-1")
+    assert ledger.is_strict("account-1")
+    ledger.note_end("next", "", end("i-9", 5.0), "account-1")
+    assert ledger.is_held("next")
+    # Not what was there earlier, nor another account's, nor what has no account.
+    ledger.note_end("of another", "", end("i-9", 5.0), "account-2")
+    ledger.note_end("of nobody", "", end("i-9", 5.0), "")
+    assert not any(ledger.is_held(name) for name in ("there-before", "of another", "of nobody"))
+    # Other nodes are told, and come to the same.
+    told = ledger.since(0, 6.0)
+    other = crash_ledger.CrashLedger()
+    for suspicion in told:
+        other.merge(suspicion, 6.0)
+    assert other.is_held("next") and other.is_strict("account-1")
+    # A whole answer clears it all the same.
+    ledger.clear("next", 6.0)
+    assert not ledger.is_held("next")
+
+
 def test_what_is_remembered_is_bounded_and_what_is_held_back_goes_last():
     ledger = ledger_with("held", [1.0, 2.0, 3.0])
     for number in range(3 * crash_ledger.KEPT):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,9 +11,11 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
+from merlinthread.coordination import crash_ledger
 from merlinthread.transport import http_messages
 from tests import crashing_fleet, fleet_nodes
 
@@ -207,3 +209,23 @@
         assert all(status == 200 for status in statuses[before + 24 :])
 
     run(tmp_path, scenario)
+
+
+def test_many_different_deadly_requests_of_one_account_end_one_worker_each_in_the_end(tmp_path):
+    async def scenario(fleet):
+        for worker in fleet.workers:
+            worker.deadly_body = b"same for all: the paths differ"
+        body = fleet.workers[0].deadly_body
+        for number in range(8):
+            for _ in range(3):
+                await fleet.until_known()
+                with contextlib.suppress(Exception):
+                    await fleet.ask(number % 2, body, f"/safe/deadly-{number}")
+            if number == crash_ledger.ACCOUNT_HELD_MAX - 1:
+                before = len(fleet.ends())
+                for entry in fleet.entries:
+                    ledger = entry.node.crashes.ledger
+                    await fleet_nodes.until(lambda ledger=ledger: ledger.is_strict("account-1"))
+        assert len(fleet.ends()) - before == 4
+
+    run(tmp_path, scenario, away_s=0.15)
