--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -69,6 +69,7 @@
         self.unreported: dict[str, None] = {}
         self.has_unreported = asyncio.Event()
         self.reported_feed = ""
+        self.counted_revision = 0
 
     # What is seen
 
@@ -137,7 +138,10 @@
             for record in self.ledger.records.values():
                 self.unreported[record.fingerprint] = None
             self.has_unreported.set()
-        metrics.held_requests.set(len(self.ledger.held()))
+        # Counting takes some ms where thousands of requests are known, and news come often.
+        if self.ledger.revision != self.counted_revision:
+            self.counted_revision = self.ledger.revision
+            metrics.held_requests.set(len(self.ledger.held()))
 
     def prove_late(self) -> None:
         """Note the ends of back ends at whose address another instance is now."""
