A departure by id alone holds for all known lives; an end shows also where the next instance is heard first

Cause 1: a control VM that does not know a back end commits its farewell under the id alone, and the others kept it under its incarnation: requests would go on to it. Cause 2: an attempt whose back end was replaced before its silence was noticed counted as one at a back end that had said farewell. Both found in reading; each test failed before (a timeout; no end). tests/test_incarnations.py, test_crashing_requests.py, test_fleet_deciders.py pass.

--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -97,17 +97,22 @@
         one, or the clock that told its start has stepped back.
         """
         live_s = LIVE_BEATS * self.heartbeat_s
-        has_begun = heartbeat.sequence > FIRST_SEQUENCES
+        is_past_first = heartbeat.sequence > FIRST_SEQUENCES
         for known in self.rivals(heartbeat):
             if is_newer(heartbeat, known.heartbeat):
                 continue
-            may_be_former = has_begun or is_newer(known.heartbeat, heartbeat)
+            may_be_former = is_past_first or is_newer(known.heartbeat, heartbeat)
             is_heard = known.heartbeat.state == fleet.READY and now - known.heard_at <= live_s
             if may_be_former and is_heard:
                 return True
         id_ = incarnations.parse(heartbeat.instance).id
         # Of one that left before its start was told only the first words show another life.
-        return has_begun and id_ != heartbeat.instance and id_ in self.gone
+        return is_past_first and id_ != heartbeat.instance and id_ in self.gone
+
+    def lives(self, name: str) -> list[str]:
+        """Return what a departure is about: an incarnation, or those known of an id alone."""
+        found = [known for known in self.known if incarnations.parse(known).id == name]
+        return [name, *(known for known in found if known != name)]
 
     def latest(self, id_: str) -> str:
         """Return the name of the incarnation of a back end that is known here, else its id."""
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -90,7 +90,9 @@
     def on_applied(self, command: fleet_state.Command, age_s: float) -> None:
         """Take a command into what is told to nodes; it was committed `age_s` ago at most."""
         if isinstance(command, fleet_state.Depart):
-            self.depart(command.instance, command.state)
+            # Whoever took the call may not have known which life of the back end it was about.
+            for instance in self.registry.lives(command.instance):
+                self.depart(instance, command.state)
         elif isinstance(command, fleet_state.NameVersion):
             self.named_at[command.model] = self.clock() - age_s
             self.registry.advance()
--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -26,6 +26,7 @@
 LATE_PROOF_S = 15.0
 # Breaks that wait for a late proof: those of about 64 back ends with all their slots taken.
 UNPROVEN_KEPT = 1024
+REPLACED = "another instance is at its address"
 REPORT_TIMEOUT_S = 0.9
 REPORT_AGAIN_S = 0.1
 
@@ -80,7 +81,12 @@
         would cost a connection for each answer that is late.
         """
         backend = found.backend
-        if backend.is_draining or backend.instance in self.watcher.gone:
+        if backend.is_draining:
+            return
+        if self.is_replaced(backend):
+            self.note_ends([found], REPLACED)
+            return
+        if backend.instance in self.watcher.gone:
             return
         if is_silent:
             self.wait_for_proof([found])
@@ -143,17 +149,25 @@
             self.counted_revision = self.ledger.revision
             metrics.held_requests.set(len(self.ledger.held()))
 
+    def is_replaced(self, backend: dispatch.Backend) -> bool:
+        """Return whether another instance is at a back end's address now."""
+        return self.present_at().get(backend.address, backend.instance) != backend.instance
+
+    def present_at(self) -> dict[str, str]:
+        """Return the instance at each address."""
+        return {known.address: known.instance for known in self.watcher.instances.values()}
+
     def prove_late(self) -> None:
         """Note the ends of back ends at whose address another instance is now."""
-        at_address = {known.address: known.instance for known in self.watcher.instances.values()}
+        present = self.present_at()
         ended, kept = [], []
         for found in self.unproven:
             backend = found.backend
-            now_there = at_address.get(backend.address, backend.instance)
-            (kept if now_there == backend.instance else ended).append(found)
+            is_there = present.get(backend.address, backend.instance) == backend.instance
+            (kept if is_there else ended).append(found)
         self.unproven = kept
         if ended:
-            self.note_ends(ended, "another instance is at its address")
+            self.note_ends(ended, REPLACED)
 
     def note_ends(self, found: list[Break], proof: str) -> None:
         """Note that the processes under some attempts have ended."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -184,6 +184,24 @@
     run(tmp_path, scenario, entries=1, workers=2)
 
 
+def test_an_end_shows_where_the_next_instance_is_heard_before_the_silence_is_noticed(tmp_path):
+    async def scenario(fleet):
+        crashes = fleet.entries[0].node.crashes
+        (worker,) = fleet.workers
+        worker.behaviour.is_mute = True
+        task = asyncio.get_running_loop().create_task(fleet.ask_any(0, b"silent"))
+        await fleet_nodes.until(lambda: worker.runs)
+        # Its VM fell dark, and another process is at its address under another id.
+        worker.instance = "i-next"
+        worker.sequence = 0
+        await fleet_nodes.until(lambda: set(fleet.entries[0].node.pool.backends) == {"i-next"})
+        assert not crashes.ledger.records
+        await task
+        assert [end.instance for record in crashes.ledger.records.values() for end in record.ends]
+
+    run(tmp_path, scenario, entries=1, workers=1)
+
+
 def test_a_request_that_others_get_whole_answers_to_is_not_held_back_for_being_there(tmp_path):
     async def scenario(fleet):
         for worker in fleet.workers:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -124,6 +124,33 @@
     asyncio.run(whole())
 
 
+def test_a_departure_taken_where_the_back_end_is_not_known_holds_where_it_is(tmp_path):
+    async def scenario():
+        controls = fleet_nodes.Controls(tmp_path)
+        await controls.start_all()
+        await fleet_nodes.until(controls.leader)
+        body = BODY | {"born": BORN}
+        await controls.until_acknowledged("PUT", "/instances/i", body | {"sequence": 7})
+        nodes = controls.nodes.values()
+        await fleet_nodes.until(lambda: all(node.registry.known for node in nodes))
+        # One that has just started, and has not heard the next heartbeat yet, takes the farewell.
+        ip = next(ip for ip in controls.ips if ip != controls.leader())
+        controls.nodes[ip].registry = instances.Instances(BEAT_S)
+        answer = None
+        while answer is None or answer.status != 200:
+            answer = await controls.call(ip, "DELETE", "/instances/i")
+        await fleet_nodes.until(lambda: not any(node.registry.known for node in nodes))
+        # A beat that was held up brings it back nowhere; the next life is known everywhere.
+        await controls.call(ip, "PUT", "/instances/i", body | {"sequence": 8})
+        assert not any(node.registry.known for node in nodes)
+        await controls.call(ip, "PUT", "/instances/i", BODY | {"born": BORN + 9000})
+        await fleet_nodes.until(lambda: all(node.registry.known for node in nodes))
+        for ip in list(controls.nodes):
+            controls.kill(ip)
+
+    asyncio.run(scenario())
+
+
 def test_a_report_from_the_former_life_of_an_engine_is_not_taken():
     async def scenario():
         entry = fleet_nodes.Entry()
