An end that is seen while an earlier one is being told is told too

Cause: a report's requests were taken off the list after its answer, so what was seen of the same request meanwhile was taken off with it, and the control VMs counted an end too few. Change: they are taken off before, and put back if the report is lost. Found in reading; the test failed before (no second report). tests/test_crashing_requests.py passes.

--- a/src/merlinthread/nodes/crash_watch.py
+++ b/src/merlinthread/nodes/crash_watch.py
@@ -200,22 +200,23 @@
 
     async def send_reports(self) -> bool:
         """Send what was not told yet to one control VM; return whether it was taken."""
-        told = list(self.unreported)
-        if not told:
-            return True
-        if not self.watcher.current:
-            return False
+        control = self.watcher.current
+        if not control:
+            return not self.unreported
+        # What is seen while this is on its way belongs to the next report.
+        told, self.unreported = self.unreported, {}
         now = self.clock()
         records = [self.ledger.records.get(fingerprint) for fingerprint in told]
         suspicions = [self.ledger.suspicion(record, now) for record in records if record]
+        if not suspicions:
+            return True
         report = node_messages.CrashReport(self.name, suspicions)
         try:
-            await self.caller.call(self.watcher.current, report, REPORT_TIMEOUT_S)
+            await self.caller.call(control, report, REPORT_TIMEOUT_S)
         except errors.MerlinthreadError as error:
-            logs.detail("crash_report_lost", control=self.watcher.current, reason=error.message)
+            logs.detail("crash_report_lost", control=control, reason=error.message)
+            self.unreported = told | self.unreported
             return False
-        for fingerprint in told:
-            self.unreported.pop(fingerprint, None)
         return True
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -247,3 +247,38 @@
         assert len(fleet.ends()) - before == 4
 
     run(tmp_path, scenario, away_s=0.15)
+
+
+def test_an_end_that_is_seen_while_an_earlier_one_is_being_told_is_told_too():
+    class Caller:
+        """Stands for the caller: keeps what it is given, and answers when it is let."""
+
+        def __init__(self):
+            self.reports = []
+            self.may_answer = asyncio.Event()
+
+        async def call(self, address, report, timeout_s):
+            self.reports.append(report)
+            await self.may_answer.wait()
+
+    async def scenario():
+        entry = fleet_nodes.Entry()
+        crashes, watcher = entry.node.crashes, entry.node.watcher
+        crashes.caller, watcher.current = Caller(), "control"
+        task = asyncio.get_running_loop().create_task(crashes.run())
+
+        def see(instance):
+            end = crash_ledger.End(crashes.clock(), instance, crashes.clock())
+            crashes.ledger.note_end("f", "", end)
+            crashes.report("f")
+
+        see("i-1")
+        await fleet_nodes.until(lambda: crashes.caller.reports)
+        see("i-2")
+        crashes.caller.may_answer.set()
+        await fleet_nodes.until(lambda: len(crashes.caller.reports) == 2, 2.0)
+        (told,) = crashes.caller.reports[1].suspicions
+        assert [end.instance for end in told.ends] == ["i-1", "i-2"]
+        task.cancel()
+
+    asyncio.run(scenario())
