--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -120,6 +120,7 @@
                 times=request.hold.times,
                 state=request.hold.state.name.lower(),
             )
+        self.held_since = {name: at for name, at in self.held_since.items() if name in held}
         metrics.held_requests.set(sum(request.hold.is_held() for request in held.values()))
 
     # Decisions
