--- a/src/merlinthread/coordination/crash_ledger.py
+++ b/src/merlinthread/coordination/crash_ledger.py
@@ -47,9 +47,10 @@
     """What became of a decision to hold a request back; a later one replaces an earlier one."""
 
     HELD = 0
-    # Its time is over: it may run again, and one more end holds it back again.
-    PROBATION = 1
-    # A whole answer, or an operator, cleared it.
+    # Its time is over: it may run again, and one more end holds it back again (the half-open state
+    # of a circuit breaker, Nygard 2007).
+    HALF_OPEN = 1
+    # A whole answer cleared it.
     CLEARED = 2
 
 
@@ -66,7 +67,7 @@
 
     def ends_max(self) -> int:
         """Return after how many ends the request is held back (again)."""
-        return 1 if self.state is HoldState.PROBATION else ENDS_MAX
+        return 1 if self.state is HoldState.HALF_OPEN else ENDS_MAX
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,8 +108,8 @@
     """What is known of one request; times are those of this node's clock.
 
     `ends` holds the instances that ended under it since `cleared_at`, in order. `revision` is that
-    of its last change; `is_told` is set once it is known to be more than a bystander, `is_blamed`
-    if one end was enough because of its account.
+    of its last change. `is_told` is set once other nodes should know of it: it was at more than one
+    end, or was held back. `is_account_limited` tells that one end was enough, by its account.
     """
 
     fingerprint: str
@@ -119,7 +120,7 @@
     hold: Hold = Hold()
     revision: int = 0
     is_told: bool = False
-    is_blamed: bool = False
+    is_account_limited: bool = False
     changed_at: float = 0.0
 
     def moments(self) -> int:
@@ -130,13 +131,13 @@
                 count, last = count + 1, end.at
         return count
 
-    def is_convicted(self) -> bool:
+    def is_over_limit(self) -> bool:
         """Return whether enough processes ended under it to hold it back."""
-        return self.is_blamed or self.moments() >= self.hold.ends_max()
+        return self.is_account_limited or self.moments() >= self.hold.ends_max()
 
     def is_held(self) -> bool:
         """Return whether it may not run now."""
-        return self.hold.is_held() or self.is_convicted()
+        return self.hold.is_held() or self.is_over_limit()
 
 
 class CrashLedger:
@@ -171,7 +172,7 @@
         return sum(record.account == account for record in self.held()) >= ACCOUNT_HELD_MAX
 
     def since(self, revision: int, now: float) -> list[Suspicion]:
-        """Return what has changed after `revision` of requests that are more than bystanders."""
+        """Return what has changed after `revision` of requests that were at more than one end."""
         return [
             self.suspicion(record, now)
             for record in self.records.values()
@@ -201,7 +202,7 @@
             return False
         record.ends.append(end)
         record.ends.sort()
-        record.is_blamed |= self.is_strict(record.account)
+        record.is_account_limited |= self.is_strict(record.account)
         self.note_change(record, end.at)
         return True
 
@@ -211,7 +212,7 @@
         if record is None or at <= record.cleared_at:
             return False
         record.cleared_at = at
-        record.is_blamed = False
+        record.is_account_limited = False
         record.ends = [end for end in record.ends if end.at > at]
         self.note_change(record, at)
         return True
@@ -227,7 +228,7 @@
         if hold.state is not HoldState.HELD:
             record.ends = [end for end in record.ends if end.at > now]
             record.cleared_at = max(record.cleared_at, now)
-            record.is_blamed = False
+            record.is_account_limited = False
         record.label = record.label or label
         self.note_change(record, now)
         return True
@@ -266,7 +267,7 @@
         self.revision += 1
         record.revision = self.revision
         record.changed_at = now
-        record.is_told |= record.moments() > 1 or record.hold.times > 0 or record.is_blamed
+        record.is_told |= record.moments() > 1 or record.hold.times > 0 or record.is_account_limited
         if record.is_told:
             self.told_revision = self.revision
         self.records.move_to_end(record.fingerprint)
--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -49,11 +49,11 @@
 @COMMANDS.add("fleet.hold_back")
 @dataclasses.dataclass(slots=True)
 class HoldBack:
-    """Hold a request back for the `times`th time: the processes of `victims` ended under it."""
+    """Hold a request back for the `times`th time: the processes of `instances` ended under it."""
 
     fingerprint: str
     label: str
-    victims: list[str]
+    instances: list[str]
     times: int
     account: str = ""
 
@@ -76,7 +76,7 @@
     """A request that is or was held back."""
 
     label: str
-    victims: list[str]
+    instances: list[str]
     hold: crash_ledger.Hold
     account: str = ""
 
@@ -137,7 +137,7 @@
             return False
         hold = crash_ledger.Hold(command.times, crash_ledger.HoldState.HELD)
         self.held[command.fingerprint] = HeldRequest(
-            command.label, command.victims, hold, command.account
+            command.label, command.instances, hold, command.account
         )
         while len(self.held) > HELD_KEPT:
             del self.held[next(iter(self.held))]
--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -116,7 +116,7 @@
                 "request_held_back" if request.hold.is_held() else "request_let_go",
                 fingerprint=fingerprint,
                 request=request.label,
-                victims=request.victims,
+                instances=request.instances,
                 times=request.hold.times,
                 state=request.hold.state.name.lower(),
             )
@@ -159,16 +159,16 @@
         hold = record.hold
         since = held_since.get(record.fingerprint, now)
         if not hold.is_held():
-            victims = [end.instance for end in record.ends]
+            ended = [end.instance for end in record.ends]
             found.append(
                 fleet_state.HoldBack(
-                    record.fingerprint, record.label, victims, hold.times + 1, record.account
+                    record.fingerprint, record.label, ended, hold.times + 1, record.account
                 )
             )
         elif not record.ends and record.cleared_at >= since - COMMIT_S_MAX:
             state = crash_ledger.HoldState.CLEARED
             found.append(fleet_state.LetGo(record.fingerprint, hold.times, state))
         elif now - since > crash_ledger.hold_s(hold) + patience_s:
-            state = crash_ledger.HoldState.PROBATION
+            state = crash_ledger.HoldState.HALF_OPEN
             found.append(fleet_state.LetGo(record.fingerprint, hold.times, state))
     return found
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -9,7 +9,7 @@
 from merlinthread.nodes import crash_registry
 
 HELD = crash_ledger.HoldState.HELD
-PROBATION = crash_ledger.HoldState.PROBATION
+HALF_OPEN = crash_ledger.HoldState.HALF_OPEN
 CLEARED = crash_ledger.HoldState.CLEARED
 
 
@@ -37,7 +37,7 @@
     assert ledger.is_held("f")
 
 
-def test_ends_at_one_moment_count_once_so_that_a_lost_rack_convicts_nobody():
+def test_ends_at_one_moment_count_once_so_that_a_lost_rack_holds_nothing_back():
     assert not ledger_with("f", [1.0, 1.01, 1.02, 1.03]).is_held("f")
     assert not ledger_with("f", [1.0, 1.05, 2.0, 2.05]).is_held("f")
 
@@ -103,7 +103,7 @@
 
     assert agree(3.0) == [fleet_state.HoldBack("f", "label", ["i-0", "i-1", "i-2"], 1)]
     assert agree(3.0 + crash_ledger.HOLD_S - 1) == []
-    assert agree(4.0 + crash_ledger.HOLD_S) == [fleet_state.LetGo("f", 1, PROBATION)]
+    assert agree(4.0 + crash_ledger.HOLD_S) == [fleet_state.LetGo("f", 1, HALF_OPEN)]
     assert not ledger.is_held("f")
     ledger.note_end("f", "", end("i-9", 5.0 + crash_ledger.HOLD_S))
     assert [command.times for command in agree(5.0 + crash_ledger.HOLD_S)] == [2]
@@ -132,7 +132,7 @@
     assert state.apply(first) and not state.apply(first)
     assert state.apply(fleet_state.LetGo("f", 1, CLEARED))
     assert not state.apply(first)
-    assert not state.apply(fleet_state.LetGo("f", 1, PROBATION))
+    assert not state.apply(fleet_state.LetGo("f", 1, HALF_OPEN))
     assert state.apply(fleet_state.HoldBack("f", "", [], 2))
     assert state.held["f"].hold == crash_ledger.Hold(2, HELD)
 
