Sight: what back ends say of themselves in answers, and what is absent from news in full

The log's line of a request now says for each attempt whether the answer said that the back end leaves or asked for a rest, and why a rest can't be obeyed; news in full say how many back ends they tell, how many departures, and whom they leave out.

--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -207,10 +207,19 @@
 
 @dataclasses.dataclass(slots=True)
 class AnswerFacts:
-    """What the head of a back end's answer says of the attempt."""
+    """What the head of a back end's answer says of the attempt, and of the back end itself.
+
+    `is_leaving` tells that it takes no new work for the rest of its life. `rest_s` is how long it
+    wants nothing from this VM, None if it asks for no rest; `rest_problem` tells why a rest that
+    it asks for can't be obeyed. `is_other` tells that whoever answered is not the one asked.
+    """
 
     request_id: str | None
     is_not_run: bool
     is_signed: bool
     is_encoded: bool
     instance: str = ""
+    is_leaving: bool = False
+    rest_s: float | None = None
+    rest_problem: str = ""
+    is_other: bool = False
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -71,6 +71,8 @@
         self.backend = backend
         self.place = pool.occupy(backend, facts.call.prompt_tokens)
         self.is_sent = False
+        # What the back end said of itself in its answer, for the log.
+        self.told = ""
 
     async def run(self) -> Outcome:
         """Send the request and relay the answer if it is whole; return what came of it."""
@@ -175,6 +177,7 @@
         facts = self.dialect.answer_facts(head.status_code, headers)
         if facts.request_id is not None and facts.request_id != self.facts.call.request_id:
             raise errors.ProtocolError(f"an answer to another request: {facts.request_id}")
+        self.told = told_of_itself(facts)
         is_success = 200 <= head.status_code < 300
         if is_success and (not facts.is_signed or facts.is_encoded):
             raise errors.ProtocolError("a success without a signature, or encoded")
@@ -270,3 +273,17 @@
         if not self.place.is_read:
             return await self.first_event(connection)
         return await self.next_event(connection, self.pause_limit_s())
+
+
+def told_of_itself(facts: fleet.AnswerFacts) -> str:
+    """Return what an answer says of the back end that gave it, for the log."""
+    parts = []
+    if facts.is_leaving:
+        parts.append("says that it leaves")
+    if facts.rest_s is not None:
+        parts.append(f"asks for {facts.rest_s:g} s of rest")
+    if facts.rest_problem:
+        parts.append(f"asks for a rest that can't be obeyed: {facts.rest_problem}")
+    if parts and facts.request_id is None:
+        parts.append("without the request's id")
+    return ", ".join(parts)
--- a/src/merlinthread/nodes/news_watcher.py
+++ b/src/merlinthread/nodes/news_watcher.py
@@ -267,7 +267,9 @@
             self.take_instance(told, now)
         if news.is_full:
             present = {told.heartbeat.instance for told in news.instances}
-            for instance in set(self.instances) - present:
+            absent = sorted(set(self.instances) - present)
+            logs.event("news_in_full", told=len(present), gone=len(news.gone), absent=absent[:8])
+            for instance in absent:
                 self.missing.setdefault(instance, now)
         self.drop_missing(now)
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -108,6 +108,7 @@
             self.reasons.append(self.belief(choice))
             outcome = await self.attempt(backend)
             self.reasons[-1] += f": {outcome.reason}"
+            self.add_told()
             if outcome.state is attempts.State.DONE:
                 return
             if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
@@ -307,8 +308,16 @@
 
     def on_answered(self, status: int) -> None:
         """Note that a back end's whole answer goes to the client."""
+        self.add_told()
         self.log("answered", status)
 
+    def add_told(self) -> None:
+        """Add to the log's line, once, what the last back end asked said of itself."""
+        attempt = self.attempts[-1]
+        if attempt.told:
+            self.reasons[-1] += f", {attempt.told}"
+            attempt.told = ""
+
     def log(self, outcome: str, status: int) -> None:
         """Log the decision on this request, with what it was based on."""
         route = self.facts.route if self.facts else None
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -8,6 +8,7 @@
 from merlinthread.coordination import fleet, incarnations, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
+from merlinthread.protocol import retry_after
 from merlinthread.transport import http_messages
 
 JSON_TYPE = (b"content-type", b"application/json")
@@ -110,12 +111,17 @@
         request_id = http_messages.header(headers, names.REQUEST_ID)
         not_run = http_messages.header(headers, names.NOT_RUN) is not None
         instance = http_messages.header(headers, names.INSTANCE) or b""
+        rest = rest_asked_for(status, headers)
         return fleet.AnswerFacts(
             request_id.decode("latin-1") if request_id is not None else None,
             not_run or status == names.STATUS_MISDIRECTED,
             http_messages.header(headers, names.STAMP) is not None,
             http_messages.header(headers, names.CONTENT_ENCODING) is not None,
             instance.decode("latin-1"),
+            (http_messages.header(headers, names.LEAVING) or b"").strip() == names.LEAVING_VALUE,
+            rest.seconds,
+            rest.problem,
+            status == names.STATUS_MISDIRECTED,
         )
 
     # Engines and the origin
@@ -173,6 +179,14 @@
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
 
 
+def rest_asked_for(status: int, headers: http_messages.Headers) -> retry_after.RetryAfter:
+    """Return what a worker that turns a request away says of when to ask it again."""
+    if status not in names.STATUS_TURNED_AWAY:
+        return retry_after.RetryAfter()
+    value = http_messages.header(headers, retry_after.FIELD)
+    return retry_after.parse(value, http_messages.header(headers, retry_after.DATE))
+
+
 def host(address: str) -> http_messages.Headers:
     """Return the header that names the server."""
     return [(b"host", address.encode("ascii"))]
--- a/src/merlinthread/platform/names.py
+++ b/src/merlinthread/platform/names.py
@@ -15,6 +15,7 @@
 INSTANCE = b"x-merlinthread-instance-id"
 STAMP = b"x-merlinthread-response-stamp"
 NOT_RUN = b"x-merlinthread-not-run"
+LEAVING = b"server-leaving"
 CONTENT_ENCODING = b"content-encoding"
 
 READY_PATH = b"/readyz"
@@ -34,3 +35,6 @@
 )
 SETTINGS_VARIABLE = "MERLINTHREAD_CONFIG"
 STATUS_MISDIRECTED = 421
+# With these a worker turns a request away, and may say for how long.
+STATUS_TURNED_AWAY = frozenset({429, 503})
+LEAVING_VALUE = b"1"
