News told in full name those that left last, not only those that are there

Change: the last 256 departures are told too, in the field that news of changes have for them, so builds of before read it as they read changes.

--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -11,6 +11,9 @@
 from merlinthread.coordination import fleet, incarnations
 
 GONE_KEPT = 4096
+# How many of those that left last are told with everything: who turns to another control VM may
+# have missed them. Names of 30 bytes: 8 KB at most, seldom more than a few.
+GONE_TOLD_IN_FULL = 256
 # An instance with a sequence up to this has just begun: its first calls may have been lost.
 FIRST_SEQUENCES = 3
 # An instance that was heard of within so many heartbeats lives; one beat may come late.
@@ -157,7 +160,11 @@
         return self.position
 
     def since(self, position: int, now: float) -> tuple[bool, list[Instance], list[str]]:
-        """Return whether all is told, the instances changed since `position`, and those gone."""
+        """Return whether all is told, the instances changed since `position`, and those gone.
+
+        Whoever is told all hears of departures too: an instance that is only absent may be one that
+        has yet to be heard here after a restart, and is used on for some heartbeats.
+        """
         is_full = position < self.forgotten_position or position > self.position or position == 0
         after = 0 if is_full else position
         changed = [
@@ -165,7 +172,9 @@
             for known in self.known.values()
             if known.position > after
         ]
-        gone = [] if is_full else [name for name, at in self.gone.items() if at > after]
+        gone = [name for name, at in self.gone.items() if at > after]
+        if is_full:
+            gone = gone[-GONE_TOLD_IN_FULL:]
         return is_full, changed, gone
 
 
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -13,6 +13,7 @@
 
 import asyncio
 
+from merlinthread.coordination import fleet, instances
 from stand_ins import fleet_worker
 from tests import crashing_fleet, fleet_nodes
 
@@ -116,3 +117,14 @@
         assert leaver.instance in watcher.gone
 
     asyncio.run(scenario())
+
+
+def test_news_in_full_tell_who_has_left():
+    registry = instances.Instances(1.0)
+    for instance in ("i-1", "i-2"):
+        address = f"10.0.0.{instance[-1]}:1"
+        beat = fleet.Heartbeat(instance, "safe", address, "z", 1, fleet.READY, 1)
+        registry.take(beat, 10.0)
+    registry.remove("i-1")
+    is_full, told, gone = registry.since(0, 11.0)
+    assert (is_full, [one.heartbeat.instance for one in told], gone) == (True, ["i-2"], ["i-1"])
