What a back end says in an answer of leaving is read, kept for its life, and checked before each send

Cause (incident of the back end that said it leaves, first way): an entry read no word of a back end about itself; it knew of departures from control VMs only. Change: the adapter decodes the word, coordination/backend_signals.py keeps it under the incarnation (a record dropped and told again, heartbeats that say ready, an entry without control VMs do not take it back; a next life or another back end at the address is not hit), and one gate right before the send serves all ways. Only an answer that is surely the back end's own counts.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from merlinthread.coordination import fleet, load_ledger
+from merlinthread.coordination import backend_signals, fleet, load_ledger
 
 REPORT_FRESH_S = 1.0
 DISTANCE_COST_S = (0.0, 0.008, 0.025)
@@ -48,7 +48,8 @@
     `others_queued` the part of it that waited for a slot; `others_unread_tokens` are the tokens of
     others' prompts that were still to be read, None if its agent does not know. `is_silent` is set
     while its agent has not answered the last question. `ready_at` is when it will hold weights that
-    may be used, None if it does or if its agent can't tell.
+    may be used, None if it does or if its agent can't tell. `standing` is what it said of itself,
+    which outlives this record.
     """
 
     instance: str
@@ -78,6 +79,7 @@
     work_s: float = USUAL_WORK_S
     ready_at: float | None = None
     missing_since: float | None = None
+    standing: backend_signals.Standing = dataclasses.field(default_factory=backend_signals.Standing)
 
     def load(self, now: float) -> int:
         """Return how many requests run or wait there."""
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -73,6 +73,11 @@
 backends = prometheus_client.Gauge(
     "merlinthread_backends", "Back ends that this node knows, by state.", ["state"]
 )
+backends_closed = prometheus_client.Gauge(
+    "merlinthread_backends_closed",
+    "Back ends that take no requests from this entry, by what they said; those that left count on.",
+    ["reason"],
+)
 control_age_seconds = prometheus_client.Gauge(
     "merlinthread_control_age_seconds",
     "How long ago this node heard a control VM that was joined to a majority.",
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -33,6 +33,10 @@
     """An attempt has not begun by the time after which its version may not begin any more."""
 
 
+class ClosedError(errors.UnreachableError):
+    """A back end said, after it had been chosen, that it takes no requests."""
+
+
 class State(enum.Enum):
     """How far an attempt came."""
 
@@ -81,6 +85,7 @@
             connection = await self.pool.connections.connect(
                 self.backend, self.facts.is_idempotent()
             )
+            self.check_open()
             connection.send(self.request())
             self.is_sent = True
             async with asyncio.timeout_at(self.loop_time(self.facts.deadline)):
@@ -99,7 +104,7 @@
         except errors.MerlinthreadError as error:
             if isinstance(error, SilentError):
                 self.note_silence(connection)
-            if not isinstance(error, OverdueError):
+            if not isinstance(error, OverdueError | ClosedError):
                 dispatch.note_failure(self.backend, self.clock())
             if self.is_sent:
                 self.note_break(isinstance(error, SilentError | OverdueError))
@@ -110,6 +115,15 @@
             if connection is not None:
                 connection.close()
 
+    def check_open(self) -> None:
+        """Raise ClosedError if the back end takes nothing any more.
+
+        All ways lead through here: first and later attempts, resumed streams, the last resort. What
+        an answer said while this one waited for its connection counts.
+        """
+        if self.pool.signals.of(self.backend.instance).is_leaving:
+            raise ClosedError("it said that it leaves")
+
     def note_break(self, is_silent: bool) -> None:
         """Note that the request left and no whole answer came."""
         found = crash_watch.Break(
@@ -178,6 +192,7 @@
         if facts.request_id is not None and facts.request_id != self.facts.call.request_id:
             raise errors.ProtocolError(f"an answer to another request: {facts.request_id}")
         self.told = told_of_itself(facts)
+        self.heed(facts)
         is_success = 200 <= head.status_code < 300
         if is_success and (not facts.is_signed or facts.is_encoded):
             raise errors.ProtocolError("a success without a signature, or encoded")
@@ -193,6 +208,16 @@
         await self.relay.give(answer)
         return Outcome(State.DONE, "answered", answer), headers
 
+    def heed(self, facts: fleet.AnswerFacts) -> None:
+        """Take over what an answer says of the back end itself.
+
+        That it leaves holds for all its life, so the answer must surely be its own: it repeats the
+        request's id or is signed, and is not another's refusal of what was meant for this one.
+        """
+        is_its_own = not facts.is_other and (facts.request_id is not None or facts.is_signed)
+        if facts.is_leaving and is_its_own:
+            self.pool.note_leaving(self.backend, self.facts.call.request_id)
+
     async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
         """Return the head of the answer; a stream's must come within bounds."""
         event = await self.first_event(connection)
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -7,7 +7,9 @@
 import random
 from collections.abc import Callable
 
+from merlinthread import logs, metrics
 from merlinthread.coordination import (
+    backend_signals,
     change_over,
     dispatch,
     fleet,
@@ -80,6 +82,7 @@
         self.by_service: dict[str, list[dispatch.Backend]] = {}
         self.by_address: dict[str, dispatch.Backend] = {}
         self.heard: dict[str, list[dispatch.Backend]] = {}
+        self.signals = backend_signals.BackendSignals()
         self.rooms: dict[str, waiting_room.WaitingRoom] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.place_numbers = itertools.count(1)
@@ -94,6 +97,8 @@
             del self.backends[instance]
         for instance, heartbeat in self.watcher.instances.items():
             self.update_one(instance, heartbeat)
+        self.signals.forget_others(set(self.backends))
+        self.count_signals()
         self.by_service = {}
         self.by_address = {}
         for backend in self.backends.values():
@@ -128,14 +133,38 @@
                 heartbeat.zone,
                 self.settings.distance(heartbeat.zone),
                 heartbeat.slots,
+                standing=self.signals.of(instance),
             )
             self.backends[instance] = backend
         backend.slots = heartbeat.slots
-        backend.is_draining = heartbeat.state != fleet.READY
+        if heartbeat.state != fleet.READY:
+            backend.standing.note_leaving(backend_signals.Source.NEWS, self.clock())
+        # A heartbeat that says `ready` does not take back what an answer said.
+        backend.is_draining = backend.standing.is_leaving
         backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
         if self.clock() - backend.reported_at > dispatch.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
 
+    def note_leaving(self, backend: dispatch.Backend, request_id: str) -> None:
+        """Note that a back end says in an answer that it leaves: it gets nothing more from here.
+
+        Other VMs are not told. Each hears it with its own first answer, which is still served; a
+        word that was wrong would take the back end from all of them for the rest of its life.
+        """
+        backend.is_draining = True
+        # The record may be another one by now: the news dropped the back end and told it again.
+        known = self.backends.get(backend.instance)
+        if known is not None:
+            known.is_draining = True
+        standing = self.signals.of(backend.instance)
+        if standing.note_leaving(backend_signals.Source.ANSWER, self.clock()):
+            logs.event("backend_leaves", instance=backend.instance, request=request_id)
+            self.count_signals()
+
+    def count_signals(self) -> None:
+        """Set the figures of back ends that take nothing, for operators."""
+        metrics.backends_closed.labels("leaving").set(self.signals.count_leaving())
+
     def take_load(self, load: node_messages.Load) -> None:
         """Take an agent's report of its engine."""
         backend = self.by_address.get(load.address)
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from merlinthread.coordination import fleet, instances
 from stand_ins import fleet_worker
@@ -83,6 +84,134 @@
         asyncio.run(scenario(service))
 
 
+def test_what_an_answer_said_outlives_heartbeats_and_the_loss_of_the_record():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        leaver = await fleet_.hear_that_it_leaves()
+        # Its heartbeats go on saying that it is ready.
+        fleet_.feed(fleet_.workers)
+        assert await fleet_.arrivals(leaver) == 0
+        # The news drop it for a moment and tell it again.
+        del fleet_.entry.node.watcher.instances[leaver.instance]
+        fleet_.feed(fleet_.workers[1:])
+        assert leaver.instance not in fleet_.entry.node.pool.backends
+        fleet_.feed(fleet_.workers)
+        assert leaver.instance in fleet_.entry.node.pool.backends
+        assert await fleet_.arrivals(leaver) == 0
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_that_comes_after_the_record_was_dropped_and_told_again_counts():
+    async def scenario():
+        fleet_ = await Fleet().start(count=1)
+        leaver = fleet_.workers[0]
+        leaver.behaviour.is_leaving, leaver.behaviour.work_s = True, 0.1
+        asked = asyncio.create_task(fleet_.ask())
+        await fleet_nodes.until(lambda: leaver.runs)
+        del fleet_.entry.node.watcher.instances[leaver.instance]
+        fleet_.entry.node.on_news()
+        fleet_.feed(fleet_.workers)
+        assert (await asked).status == 200
+        assert (await fleet_.ask()).status == 503
+        assert len(leaver.runs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_another_back_end_at_the_address_of_one_that_left_is_used():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        leaver = await fleet_.hear_that_it_leaves()
+        leaver.instance, leaver.behaviour.is_leaving = "i-9", False
+        fleet_.feed(fleet_.workers)
+        assert await fleet_.is_used(leaver)
+
+    asyncio.run(scenario())
+
+
+def test_the_next_life_of_a_back_end_that_left_is_used():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        leaver = await fleet_.hear_that_it_leaves()
+        leaver.behaviour.is_leaving = False
+        watcher = fleet_.entry.node.watcher
+        later = dataclasses.replace(
+            watcher.instances[leaver.instance], instance=f"{leaver.instance}@1767000000001"
+        )
+        watcher.take_instance(instances.Instance(later), watcher.clock())
+        watcher.on_news()
+        assert await fleet_.is_used(leaver)
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_to_another_request_takes_no_back_end_out_of_use():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        liar = fleet_.workers[0]
+        liar.behaviour.is_leaving = liar.behaviour.wrong_request_id = True
+        async with asyncio.timeout(5.0):
+            while not liar.runs:
+                await fleet_.ask()
+        liar.behaviour.is_leaving = liar.behaviour.wrong_request_id = False
+        pool = fleet_.entry.node.pool
+        await fleet_nodes.until(lambda: not pool.backends[liar.instance].is_aside(pool.clock()))
+        assert await fleet_.is_used(liar)
+
+    asyncio.run(scenario())
+
+
+def test_once_all_have_said_that_they_leave_requests_are_refused_at_once():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        for worker in fleet_.workers:
+            worker.behaviour.is_leaving = True
+        async with asyncio.timeout(5.0):
+            while not all(worker.runs for worker in fleet_.workers):
+                await fleet_.ask()
+        before = sum(len(worker.runs) for worker in fleet_.workers)
+        for _ in range(SEVERAL):
+            assert (await fleet_.ask()).status == 503
+        assert sum(len(worker.runs) for worker in fleet_.workers) == before
+
+    asyncio.run(scenario())
+
+
+def test_what_was_chosen_before_the_answer_came_is_not_sent_after_it():
+    async def scenario():
+        fleet_ = await Fleet().start()
+        leaver = await fleet_.hear_that_it_leaves()
+        # As if it had been chosen before: only the way to it is left.
+        pool = fleet_.entry.node.pool
+        backend = pool.backends[leaver.instance]
+        chosen = pool.choose
+        left = [backend]
+
+        async def choose(demand, wait_s_max):
+            choice = await chosen(demand, wait_s_max)
+            if left and choice is not None:
+                choice.backend = left.pop()
+            return choice
+
+        pool.choose = choose
+        assert await fleet_.arrivals(leaver) == 0
+        assert not left
+
+    asyncio.run(scenario())
+
+
+def test_news_in_full_tell_who_has_left():
+    registry = instances.Instances(1.0)
+    for instance in ("i-1", "i-2"):
+        address = f"10.0.0.{instance[-1]}:1"
+        beat = fleet.Heartbeat(instance, "safe", address, "z", 1, fleet.READY, 1)
+        registry.take(beat, 10.0)
+    registry.remove("i-1")
+    is_full, told, gone = registry.since(0, 11.0)
+    assert (is_full, [one.heartbeat.instance for one in told], gone) == (True, ["i-2"], ["i-1"])
+
+
 def test_an_entry_that_turns_to_another_control_vm_hears_who_left_meanwhile(tmp_path):
     async def scenario():
         fleet_ = crashing_fleet.CrashingFleet(tmp_path)
@@ -117,14 +246,3 @@
         assert leaver.instance in watcher.gone
 
     asyncio.run(scenario())
-
-
-def test_news_in_full_tell_who_has_left():
-    registry = instances.Instances(1.0)
-    for instance in ("i-1", "i-2"):
-        address = f"10.0.0.{instance[-1]}:1"
-        beat = fleet.Heartbeat(instance, "safe", address, "z", 1, fleet.READY, 1)
-        registry.take(beat, 10.0)
-    registry.remove("i-1")
-    is_full, told, gone = registry.since(0, 11.0)
-    assert (is_full, [one.heartbeat.instance for one in told], gone) == (True, ["i-2"], ["i-1"])
