A rest that a back end asks for is kept: nothing is sent there until it is over, then one request first

Change: Retry-After of a 429 or 503 is read (fractions, dates measured from the answer's own date; what can't be meant is ignored and said in the log), kept beside the word of leaving, checked before each send, followed by a trial of one request at a time.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -244,6 +244,18 @@
     return max(0.0, told[half - 1] - now)
 
 
+def opens_at(backends: Iterable[Backend], now: float) -> float | None:
+    """Return when the first of some back ends takes requests again, if all are closed now.
+
+    That is infinite if all leave; None if one is open, or if there is none at all.
+    """
+    found = list(backends)
+    staying = [backend for backend in found if not backend.is_draining]
+    if not found or not all(backend.standing.rests(now) for backend in staying):
+        return None
+    return min((backend.standing.rest_until for backend in staying), default=math.inf)
+
+
 def reading_s(engine: fleet.Engine | None, tokens: float) -> float:
     """Return how long an engine reads `tokens` of prompts."""
     if engine is None or not engine.read_tokens_per_s:
@@ -264,6 +276,8 @@
         return False
     if now < backend.full_until or backend.is_changing(now):
         return False
+    if not backend.standing.takes_another(now):
+        return False
     if not demand.model or engine is None:
         return True
     held = backend.version_of(demand.model, engine.layers)
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from merlinthread import errors
+from merlinthread import errors, metrics
 from merlinthread.coordination import dispatch, fleet
 from merlinthread.nodes import answer_relay, backend_pool, crash_watch, request_facts
 from merlinthread.nodes import dialect as dialects
@@ -121,8 +121,9 @@
         All ways lead through here: first and later attempts, resumed streams, the last resort. What
         an answer said while this one waited for its connection counts.
         """
-        if self.pool.signals.of(self.backend.instance).is_leaving:
-            raise ClosedError("it said that it leaves")
+        standing = self.pool.signals.of(self.backend.instance)
+        if standing.is_closed(self.clock()):
+            raise ClosedError("it said that it leaves" if standing.is_leaving else "it is at rest")
 
     def note_break(self, is_silent: bool) -> None:
         """Note that the request left and no whole answer came."""
@@ -212,11 +213,19 @@
         """Take over what an answer says of the back end itself.
 
         That it leaves holds for all its life, so the answer must surely be its own: it repeats the
-        request's id or is signed, and is not another's refusal of what was meant for this one.
+        request's id or is signed, and is not another's refusal of what was meant for this one. A
+        rest is short, so whoever answers at the address may ask for it.
         """
+        request_id = self.facts.call.request_id
         is_its_own = not facts.is_other and (facts.request_id is not None or facts.is_signed)
         if facts.is_leaving and is_its_own:
-            self.pool.note_leaving(self.backend, self.facts.call.request_id)
+            self.pool.note_leaving(self.backend, request_id)
+        if facts.rest_s is not None:
+            self.pool.note_rest(self.backend, facts.rest_s, request_id)
+        elif facts.rest_problem:
+            metrics.unreadable_words_total.labels("retry-after").inc()
+        if not facts.is_not_run:
+            self.pool.pass_trial(self.place)
 
     async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
         """Return the head of the answer; a stream's must come within bounds."""
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -48,7 +48,8 @@
 class Place:
     """An attempt on a back end, with the tokens of its prompt and whether they were read.
 
-    `agent` is where it is noted, if an agent stands beside the back end.
+    `agent` is where it is noted, if an agent stands beside the back end. `is_trial` tells that it
+    shows whether a back end takes requests again after a rest.
     """
 
     backend: dispatch.Backend
@@ -57,6 +58,7 @@
     number: int = 0
     agent: str = ""
     is_read: bool = False
+    is_trial: bool = False
 
 
 class BackendPool:
@@ -97,7 +99,7 @@
             del self.backends[instance]
         for instance, heartbeat in self.watcher.instances.items():
             self.update_one(instance, heartbeat)
-        self.signals.forget_others(set(self.backends))
+        self.signals.forget_others(set(self.backends), self.clock())
         self.count_signals()
         self.by_service = {}
         self.by_address = {}
@@ -161,8 +163,35 @@
             logs.event("backend_leaves", instance=backend.instance, request=request_id)
             self.count_signals()
 
+    def note_rest(self, backend: dispatch.Backend, rest_s: float, request_id: str) -> None:
+        """Note that a back end turned a request away and wants nothing for `rest_s`.
+
+        It turns all away, so it has nothing to do and looks best of all: left alone for a moment
+        only it drew half of an entry's attempts while four others had room.
+        """
+        if rest_s <= 0:
+            return
+        if self.signals.of(backend.instance).note_rest(rest_s, self.clock()):
+            logs.event(
+                "backend_rests", instance=backend.instance, rest_s=rest_s, request=request_id
+            )
+            self.count_signals()
+
+    def pass_trial(self, place: Place) -> None:
+        """Note that a back end took the request that was sent to it on trial."""
+        standing = self.signals.of(place.backend.instance)
+        if place.is_trial and standing.is_on_trial:
+            standing.pass_trial()
+            logs.event("backend_rest_over", instance=place.backend.instance)
+            self.count_signals()
+
+    def opens_at(self, service: str) -> float | None:
+        """Return when the first back end of a service takes requests again, if all are closed."""
+        return dispatch.opens_at(self.by_service.get(service, []), self.clock())
+
     def count_signals(self) -> None:
         """Set the figures of back ends that take nothing, for operators."""
+        metrics.backends_closed.labels("resting").set(self.signals.count_resting(self.clock()))
         metrics.backends_closed.labels("leaving").set(self.signals.count_leaving())
 
     def take_load(self, load: node_messages.Load) -> None:
@@ -276,6 +305,10 @@
         backend.unread += 1
         backend.unread_tokens += tokens
         place = Place(backend, tokens, self.clock(), next(self.place_numbers))
+        standing = self.signals.of(backend.instance)
+        place.is_trial = standing.is_on_trial and not standing.is_trial_under_way
+        if place.is_trial:
+            standing.is_trial_under_way = True
         if self.engine_of(backend.service) is not None:
             place.agent = self.agent_of(backend)
         self.tell_agent(place, node_messages.Stage.SENT)
@@ -301,6 +334,8 @@
         """Note that an attempt is over, and let a waiting request look again."""
         self.note_first(place)
         self.tell_agent(place, node_messages.Stage.ENDED)
+        if place.is_trial:
+            self.signals.of(place.backend.instance).is_trial_under_way = False
         place.backend.in_flight -= 1
         room = self.rooms.get(place.backend.service)
         if room is not None:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import dispatch, fleet, return_times, route_table
@@ -225,11 +226,27 @@
                 )
             if choice is not None and self.is_worth_taking(choice, left_s):
                 return choice
+            if choice is None:
+                self.check_opens(patience_until)
             if now >= patience_until:
                 return self.late_place(choice)
             timeout_s = min(patience_until - now, 0.05)
             await room.wait(self.facts.urgency(), self.arrived, timeout_s)
 
+    def check_opens(self, patience_until: float) -> None:
+        """Raise RequestError if it is known that no back end takes requests in time.
+
+        To wait would only cost the client time that it needs for its second try.
+        """
+        opens_at = self.pool.opens_at(self.service)
+        if opens_at is None or opens_at <= patience_until:
+            return
+        if math.isinf(opens_at):
+            raise self.no_place("all back ends leave", self.return_after_s(True))
+        opens_in_s = opens_at - self.clock()
+        wait_s = return_times.after_rest(opens_in_s, self.pool.rng)
+        raise self.no_place(f"all back ends are at rest for {opens_in_s:.2f} s", wait_s)
+
     def is_worth_taking(self, choice: dispatch.Choice, left_s: float) -> bool:
         """Return whether to send the request there now.
 
--- /dev/null
+++ b/tests/test_backend_signals.py
@@ -0,0 +1,145 @@
+"""What back ends say of themselves: how it is read, and how long each word holds."""
+
+import datetime
+import email.utils
+import math
+import random
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from merlinthread.coordination import backend_signals, dispatch, return_times
+from merlinthread.protocol import retry_after
+
+DATE = datetime.datetime(2026, 1, 5, 12, 0, tzinfo=datetime.UTC)
+
+
+def http_date(at: datetime.datetime) -> bytes:
+    return email.utils.format_datetime(at, usegmt=True).encode()
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"3", 3.0), (b" 0.25 ", 0.25), (b"0", 0.0), (b"86400", 86400.0), (b"007", 7.0)],
+)
+def test_a_number_of_seconds_is_obeyed_with_fractions(value, seconds):
+    assert retry_after.parse(value) == retry_after.RetryAfter(seconds)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"nan", b"inf", b"-5", b"+5", b"1e400", b"1e3", b"", b"3, 4", b"3 s", b"x", b"0x10", b".5"]
+    + [b"5.", b"86401", b"123456789012345678901", b"9" * 400, "٣".encode(), b"\xff"],
+)
+def test_what_can_not_be_obeyed_says_why(value):
+    found = retry_after.parse(value)
+    assert found.seconds is None and found.problem
+
+
+def test_no_field_is_no_problem():
+    assert retry_after.parse(None) == retry_after.RetryAfter()
+
+
+def test_a_date_is_measured_from_the_answers_own_date():
+    later = http_date(DATE + datetime.timedelta(seconds=90))
+    assert retry_after.parse(later, http_date(DATE)) == retry_after.RetryAfter(90.0)
+    # A server whose own date is past the one that it names wants no rest.
+    assert retry_after.parse(http_date(DATE), later) == retry_after.RetryAfter(0.0)
+    assert retry_after.parse(later).problem
+    assert retry_after.parse(later, b"yesterday").problem
+    assert retry_after.parse(b"Mon, 99 Jan 2026 12:00:00 GMT", http_date(DATE)).problem
+
+
+@hypothesis.given(st.binary(max_size=40), st.none() | st.binary(max_size=40))
+def test_whatever_is_sent_is_a_time_that_may_be_meant_or_a_problem(value, date):
+    found = retry_after.parse(value, date)
+    if found.seconds is None:
+        assert found.problem
+    else:
+        assert 0 <= found.seconds <= retry_after.MEANT_S_MAX
+
+
+class Signals(stateful.RuleBasedStateMachine):
+    """Words of one back end in any order, beside a plain account of them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.signals = backend_signals.BackendSignals()
+        self.now = 0.0
+        self.ends: list[float] = []
+        self.is_leaving = False
+
+    def standing(self) -> backend_signals.Standing:
+        return self.signals.of("i-1")
+
+    @stateful.rule(seconds=st.floats(0.01, 400.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(rest_s=st.floats(0.01, 1000.0))
+    def ask_for_rest(self, rest_s):
+        self.standing().note_rest(rest_s, self.now)
+        self.ends.append(self.now + min(rest_s, backend_signals.REST_S_MAX))
+
+    @stateful.rule(source=st.sampled_from(backend_signals.Source))
+    def leave(self, source):
+        is_new = self.standing().note_leaving(source, self.now)
+        assert is_new != self.is_leaving
+        self.is_leaving = True
+
+    @stateful.rule()
+    def take_a_request(self):
+        self.standing().pass_trial()
+
+    @stateful.rule(is_present=st.booleans())
+    def be_dropped_and_told_again(self, is_present):
+        self.signals.forget_others({"i-1"} if is_present else set(), self.now)
+
+    @stateful.rule()
+    def live_again(self):
+        later = self.signals.of("i-1@5")
+        assert later.takes_another(self.now)
+
+    @stateful.invariant()
+    def is_closed_as_long_as_any_word_says_so(self):
+        is_closed = self.is_leaving or any(self.now < end for end in self.ends)
+        assert self.standing().is_closed(self.now) == is_closed
+
+
+TestSignals = Signals.TestCase
+
+
+def test_what_is_remembered_is_bounded_and_the_oldest_goes_first():
+    signals = backend_signals.BackendSignals()
+    count = backend_signals.KEPT_MAX + 100
+    for number in range(count):
+        signals.of(f"i-{number}").note_leaving(backend_signals.Source.NEWS, number)
+    signals.forget_others({"i-0"}, count)
+    assert len(signals.standings) == backend_signals.KEPT_MAX + 1
+    assert signals.of("i-0").is_leaving, "it is still there"
+    assert signals.of(f"i-{count - 1}").is_leaving
+    assert "i-1" not in signals.standings
+
+
+def backend(name: str, rest_until: float = -math.inf) -> dispatch.Backend:
+    found = dispatch.Backend(name, "s", "10.0.0.1:1", "z", 0, 8)
+    found.standing.rest_until = rest_until
+    return found
+
+
+def test_when_the_first_opens_is_known_only_if_all_are_closed():
+    one, other, leaving = backend("1", 12.0), backend("2", 11.0), backend("3")
+    leaving.is_draining = True
+    assert dispatch.opens_at([one, other, leaving], 10.0) == 11.0
+    assert dispatch.opens_at([one, other, leaving], 11.5) is None
+    assert dispatch.opens_at([leaving], 10.0) == math.inf
+    assert dispatch.opens_at([], 10.0) is None, "none is known yet: one may be told any moment"
+
+
+def test_who_is_refused_for_a_rest_comes_back_after_it_and_not_all_at_once():
+    rng = random.Random(1)
+    times = [return_times.after_rest(3.0, rng) for _ in range(200)]
+    assert min(times) >= 3.0
+    assert max(times) - min(times) > 0.8 * return_times.RETURN_OVER_S
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -10,7 +10,10 @@
 """
 
 import asyncio
+import dataclasses
 
+from merlinthread import logs
+from merlinthread.coordination import dispatch, instances
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -19,6 +22,7 @@
 REST_S = 0.6
 # The platform allows two requests between half a second after a refusal and the end of the rest.
 ALLOWED = 2
+MANY = 12
 
 
 class Fleet:
@@ -90,3 +94,103 @@
 
     for service in ("safe", "unsafe", "model"):
         asyncio.run(scenario(service))
+
+
+def test_a_back_end_is_tried_by_one_request_after_its_rest_and_used_again_once_that_is_taken():
+    async def scenario():
+        fleet = await Fleet("safe", 1).start()
+        (worker,) = fleet.workers
+        fleet.let_rest([worker])
+        await fleet.until_refused([worker])
+        pool = fleet.entry.node.pool
+        standing = pool.signals.of(worker.instance)
+        await fleet_nodes.until(lambda: not standing.rests(fleet.now()))
+        # It still turns requests away: of many that come now one tries it.
+        before = worker.refusals
+        tasks = [asyncio.create_task(fleet.ask()) for _ in range(MANY)]
+        await asyncio.gather(*tasks)
+        assert worker.refusals == before + 1
+        await fleet_nodes.until(lambda: not standing.rests(fleet.now()))
+        worker.behaviour.is_full = False
+        assert (await fleet.ask()).status == 200
+        answers = await asyncio.gather(*[fleet.ask() for _ in range(MANY)])
+        assert {answer.status for answer in answers} == {200}
+
+    asyncio.run(scenario())
+
+
+def test_when_all_are_at_rest_clients_are_refused_at_once_and_told_when_the_first_is_not():
+    async def scenario():
+        fleet = await Fleet("model", 3).start()
+        rest_s = 2.0
+        fleet.let_rest(fleet.workers, str(rest_s))
+        first = await fleet.until_refused(fleet.workers)
+        before = refused(fleet.workers)
+        for _ in range(MANY):
+            asked_at = fleet.now()
+            answer = await fleet.ask()
+            assert answer.status == 503
+            # A request waits up to 0.05 s for a place where one may come free.
+            assert fleet.now() - asked_at < 0.04
+            told_s = float(http_messages.header(answer.headers, b"retry-after"))
+            back_at = fleet.now() + told_s
+            assert first + rest_s - 0.1 <= back_at <= first + rest_s + 1.0
+        assert refused(fleet.workers) == before
+
+    asyncio.run(scenario())
+
+
+def test_what_can_not_be_meant_keeps_no_back_end_from_work():
+    async def scenario(value):
+        fleet = await Fleet("safe", 1).start()
+        (worker,) = fleet.workers
+        fleet.let_rest([worker], value)
+        await fleet.until_refused([worker])
+        worker.behaviour.is_full = False
+        await asyncio.sleep(dispatch.FULL_WAIT_S)
+        assert (await fleet.ask()).status == 200, value
+
+    for value in ("nan", "-5", "1e400", "", "3, 4", "123456789012345678901", "x", "0"):
+        asyncio.run(scenario(value))
+
+
+def test_a_rest_outlives_the_record_of_a_back_end_but_not_its_life():
+    async def scenario():
+        fleet = await Fleet("safe", 1).start()
+        (worker,) = fleet.workers
+        fleet.let_rest([worker], "60")
+        await fleet.until_refused([worker])
+        before = worker.refusals
+        watcher = fleet.entry.node.watcher
+        known = watcher.instances.pop(worker.instance)
+        watcher.on_news()
+        assert (await fleet.ask()).status == 503
+        fleet.feed()
+        assert (await fleet.ask()).status == 503
+        assert worker.refusals == before
+        later = dataclasses.replace(known, instance=f"{worker.instance}@1767000000001")
+        watcher.take_instance(instances.Instance(later), watcher.clock())
+        watcher.on_news()
+        worker.behaviour.is_full = False
+        assert (await fleet.ask()).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_what_a_request_was_refused_for_stands_in_the_log(monkeypatch):
+    lines = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append((name, fields)))
+
+    async def scenario():
+        fleet = await Fleet("safe", 1).start()
+        fleet.let_rest(fleet.workers, "30")
+        await fleet.until_refused(fleet.workers)
+        await fleet.ask()
+
+    asyncio.run(scenario())
+    rests = [fields for name, fields in lines if name == "backend_rests"]
+    assert [(line["instance"], line["rest_s"]) for line in rests] == [("i-0", 30.0)]
+    told = [fields for name, fields in lines if name == "request"]
+    assert any("asks for 30 s of rest" in text for text in told[0]["attempts"])
+    assert told[0]["request"] == rests[0]["request"]
+    assert any("at rest for" in text for text in told[-1]["attempts"])
