An origin of weights that asks for a rest is left alone until it is over

Agents asked an origin that answers 503 with a time again after 0.3 s (pieces) or 0.1 s (manifests), whatever it asked.

--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -5,6 +5,7 @@
 from merlinthread import errors
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
+from merlinthread.protocol import retry_after
 from merlinthread.transport import http_messages, stream_client
 
 KEEP_S = 2.0
@@ -13,6 +14,9 @@
 LOCAL_TIMEOUT_S = 1.0
 MANIFEST_TIMEOUT_S = 2.0
 PIECE_TIMEOUT_S = 3.0
+# The longest rest that an origin is given, in seconds: all weights come from there, so it is asked
+# again by each agent that often, whatever it said.
+ORIGIN_REST_S_MAX = 30.0
 
 STATUS_ACCEPTED = 202
 STATUS_GONE = 410
@@ -87,7 +91,18 @@
 
 
 def whole(answer: http_messages.Answer) -> http_messages.Answer:
-    """Return an answer that is a success; raise ProtocolError otherwise."""
-    if not 200 <= answer.status < 300:
-        raise errors.ProtocolError(f"HTTP status {answer.status}")
-    return answer
+    """Return an answer that is a success; raise ProtocolError otherwise.
+
+    The error says when the server wants to be asked again, if the answer does.
+    """
+    if 200 <= answer.status < 300:
+        return answer
+    value = http_messages.header(answer.headers, retry_after.FIELD)
+    date = http_messages.header(answer.headers, retry_after.DATE)
+    rest_s = retry_after.parse(value, date).seconds
+    raise errors.ProtocolError(f"HTTP status {answer.status}", retry_after_s=rest_s)
+
+
+def origin_rest_s(error: errors.MerlinthreadError) -> float:
+    """Return how long the origin wants to be left alone, by the error of a call to it."""
+    return min(ORIGIN_REST_S_MAX, error.retry_after_s or 0.0)
--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -60,6 +60,8 @@
         self.rng = rng
         # The model and version that the origin did not give when it was last asked.
         self.missed = ("", 0)
+        # Until when the origin asked to be left alone.
+        self.origin_rests_until = float("-inf")
 
     async def find(
         self,
@@ -81,7 +83,7 @@
             if manifest is not None:
                 return manifest
         deadline = self.clock() + GIVE_UP_S
-        may_try = is_new
+        may_try = is_new and self.clock() >= self.origin_rests_until
         reason: errors.MerlinthreadError = errors.UnreachableError(f"{origin}: not tried")
         while is_wanted() and self.clock() < deadline:
             try:
@@ -89,12 +91,13 @@
                     return await self.from_origin(origin, model, version)
             except errors.MerlinthreadError as error:
                 self.missed = (model, version)
+                self.origin_rests_until = self.clock() + engine_client.origin_rest_s(error)
                 reason = error
             manifest = await self.from_some(peers, model, version)
             if manifest is not None:
                 return manifest
             await asyncio.sleep(AGAIN_EVERY_S)
-            may_try = self.is_my_turn(peers)
+            may_try = self.clock() >= self.origin_rests_until and self.is_my_turn(peers)
         raise reason
 
     async def from_origin(self, origin: str, model: str, version: int) -> fleet.Manifest:
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -188,8 +188,15 @@
             data = await self.engine.piece(self.facts.origin(), manifest, action.index)
             await self.store.put(manifest.model, action.index, data)
         except errors.MerlinthreadError as error:
-            plan.origin_failed(self.clock(), ORIGIN_WAIT_S, action.index)
-            logs.detail("piece_failed", index=action.index, source="origin", reason=error.message)
+            wait_s = max(ORIGIN_WAIT_S, engine_client.origin_rest_s(error))
+            plan.origin_failed(self.clock(), wait_s, action.index)
+            logs.detail(
+                "piece_failed",
+                index=action.index,
+                source="origin",
+                reason=error.message,
+                wait_s=wait_s,
+            )
             return -1
         return action.index
 
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -234,6 +234,9 @@
         self.corrupt: set[int] = set()
         # Pieces that are not given, by version and index.
         self.withheld: set[tuple[int, int]] = set()
+        # What it asks for while it turns all away, and when it did so, on the loop's clock.
+        self.rest: str | None = None
+        self.turned_away: list[float] = []
         self.server = stream_server.Server(self.serve)
         self.address = ""
 
@@ -254,6 +257,11 @@
 
     async def serve(self, exchange: stream_server.Exchange) -> None:
         """Give a manifest or a piece."""
+        if self.rest is not None:
+            self.turned_away.append(asyncio.get_running_loop().time())
+            headers = [(b"Retry-After", self.rest.encode())]
+            await exchange.respond(http_messages.Answer(503, headers))
+            return
         path, _, query = exchange.request.target.decode().partition("?")
         fields = dict(part.split("=") for part in query.split("&") if part)
         version = int(fields.get("version", max(self.pieces)))
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -459,3 +459,32 @@
         assert agent.weights.ends_in_load == 0
 
     run(1, scenario)
+
+
+@pytest.mark.parametrize("has_manifest", [False, True])
+def test_an_origin_that_asks_for_a_rest_is_left_alone_until_it_is_over(has_manifest):
+    rest_s = 1.0
+
+    async def scenario(fleet):
+        if has_manifest:
+            fleet.origin.withheld = {(1, index) for index in range(1, PIECES)}
+            await fleet_nodes.until(lambda: fleet.origin.given)
+        fleet.origin.rest = str(rest_s)
+        await fleet_nodes.until(lambda: fleet.origin.turned_away)
+        await fleet_nodes.until(lambda: len(fleet.origin.turned_away) > 1)
+        first, second = fleet.origin.turned_away[:2]
+        assert second - first >= 0.95 * rest_s
+        fleet.origin.rest, fleet.origin.withheld = None, set()
+        await fleet.until_all_hold(1)
+
+    run(1, scenario)
+
+
+def test_what_an_origin_can_not_mean_does_not_keep_weights_from_engines():
+    async def scenario(fleet):
+        fleet.origin.rest = "1e9"
+        await fleet_nodes.until(lambda: fleet.origin.turned_away)
+        fleet.origin.rest = None
+        await fleet.until_all_hold(1)
+
+    run(1, scenario)
