--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -276,10 +276,12 @@
 
     async def ask_loads(self, asked: list[dispatch.Backend]) -> None:
         """Ask the agents beside some engines what other entries have there now."""
-        agents = {self.agent_of(backend): backend for backend in asked}
-        answers = await self.prober.ask(list(agents), PROBE_WAIT_S)
-        for agent, backend in agents.items():
-            backend.take_answer(answers[agent], self.clock())
+        agents = list({self.agent_of(backend): None for backend in asked})
+        answers = await self.prober.ask(agents, PROBE_WAIT_S)
+        # Engines of one VM share its agent: its silence counts against each of them, else the one
+        # that it does not count against gets all requests.
+        for backend in asked:
+            backend.take_answer(answers[self.agent_of(backend)], self.clock())
 
     def ready_in_s(self, service: str) -> float | None:
         """Return when half of the engines heard of a service will serve again, None if not known.
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -457,3 +457,23 @@
         assert pool.ready_in_s("no such service") is None
 
     asyncio.run(scenario())
+
+
+def test_where_no_agent_answers_short_streams_do_not_all_go_to_one_engine():
+    # Engines that share a VM share its agent; while it is silent, nothing tells them apart.
+    async def scenario():
+        settings = fleet_nodes.make_settings("entry", agent_port=fleet_nodes.free_port())
+        entry = fleet_nodes.Entry(settings)
+        await entry.start()
+        await entry.node.datagrams.listen("127.0.0.1", 0)
+        workers = [fleet_worker.Worker(f"i-{number}", "m") for number in range(8)]
+        for worker in workers:
+            await worker.start()
+        body = fleet_nodes.configuration(1, [], "model")
+        entry.feed(body, {worker: "model" for worker in workers})
+        for number in range(64):
+            answer = await entry.ask("/model/x", f"id-{number}", **STREAM)
+            assert answer.status == 200
+        assert max(len(worker.runs) for worker in workers) <= 24
+
+    asyncio.run(scenario())
