The soak lets workers say that they leave or want a rest, and checks that entries heed it

New kinds of faults say_leaving and ask_for_rest, named by runs that want them, so that seeds that once failed stay as they were; bench/soak_words.py checks from what clients and workers see: no request 2 s after a word of leaving was passed on, at most two between half a second after a refusal and the end of its rest, but for entries that were stopped in between.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "soak_faults",
     "soak_fleet",
     "soak_nodes",
+    "soak_words",
     "swarm",
     "verdict",
 )
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,7 +16,7 @@
 import shutil
 import tempfile
 
-from bench import measure, soak_faults, soak_fleet, soak_nodes
+from bench import measure, soak_faults, soak_fleet, soak_nodes, soak_words
 from merlinthread import errors
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
@@ -55,6 +55,7 @@
         self.acknowledged: list[tuple[float, int]] = []
         self.unsafe_not_run: set[str] = set()
         self.requests = 0
+        self.words = soak_words.Words(self.fleet)
 
     # Load
 
@@ -144,13 +145,16 @@
             headers.append((b"X-Merlinthread-Model", b"m"))
             headers.append((b"X-Merlinthread-Token-Usage", b"100,20"))
         request = http_messages.Request(b"POST", f"/{service}/".encode(), headers)
-        address = f"{self.rng.choice(soak_nodes.ENTRY_IPS)}:{soak_nodes.FRONT}"
+        entry_ip = self.rng.choice(soak_nodes.ENTRY_IPS)
+        address = f"{entry_ip}:{soak_nodes.FRONT}"
         self.tally.asked += 1
+        self.words.note_sent(request_id, entry_ip)
         try:
             answer = await self.fleet.pool.call(address, request, 4.0)
         except errors.MerlinthreadError:
             self.tally.failed += 1
             return False
+        self.words.note_answer(entry_ip, answer)
         return self.check(service, request_id, answer)
 
     def check(self, service: str, request_id: str, answer: http_messages.Answer) -> bool:
@@ -232,6 +236,8 @@
                 self.break_rule(f"{request_id} ran {count} times")
             if request_id in self.unsafe_not_run:
                 self.break_rule(f"{request_id} was refused and ran")
+        for text in self.words.broken():
+            self.break_rule(text)
 
 
 def run_seed(
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -13,6 +13,23 @@
 
 FAULTS: registry.Registry[Callable[["Faults"], Awaitable[None]]] = registry.Registry("soak fault")
 
+# What a run chooses from unless it is told otherwise. Kinds that came later are named by runs that
+# want them: one more in this list would make other runs of the seeds that once failed.
+USUAL = (
+    "kill",
+    "replace_control",
+    "freeze",
+    "stop",
+    "stop_control",
+    "kill_controls",
+    "misbehave",
+    "harm_link",
+    "leave",
+)
+# How long a worker goes on after it has begun to say that it leaves; the rest that one asks for.
+FAREWELL_S = 3.0
+REST_S = 1.5
+
 
 class Faults:
     """Injects faults by lot, some at the same time; `kinds` are names in `FAULTS`."""
@@ -22,7 +39,7 @@
     ) -> None:
         self.fleet = fleet
         self.rng = rng
-        self.kinds = kinds or tuple(FAULTS.entries)
+        self.kinds = kinds or USUAL
         self.injected: collections.Counter = collections.Counter()
         self.open_faults: set[asyncio.Task] = set()
         # How many faults disturb control VMs now, and when the last one ended on the loop's clock.
@@ -198,11 +215,39 @@
     @FAULTS.add("leave")
     async def leave(self) -> None:
         """Replace a worker by a new instance, without a word about the old one."""
-        old = self.rng.choice(list(self.fleet.workers))
+        await self.replace_worker(self.rng.choice(list(self.fleet.workers)))
+
+    async def replace_worker(self, old: fleet_worker.Worker) -> None:
+        """End a worker; another instance takes its place."""
+        if old not in self.fleet.workers:
+            return
         service = self.fleet.workers.pop(old)
         old.stop()
         self.fleet.links.pop(old).close()
         new = fleet_worker.Worker(f"{old.instance}x", old.model)
         new.runs = old.runs
+        new.turned_away = old.turned_away
         await self.fleet.start_worker(new)
         self.fleet.workers[new] = service
+
+    @FAULTS.add("say_leaving")
+    async def say_leaving(self) -> None:
+        """Let one worker say in its answers that it leaves, and nothing else, then replace it."""
+        worker = self.rng.choice(list(self.fleet.workers))
+        worker.behaviour = fleet_worker.Behaviour(events=soak_fleet.EVENTS, is_leaving=True)
+        await asyncio.sleep(FAREWELL_S)
+        await self.replace_worker(worker)
+
+    @FAULTS.add("ask_for_rest")
+    async def ask_for_rest(self) -> None:
+        """Let some or all workers of a service turn requests away and ask for a rest."""
+        service = self.rng.choice(sorted(set(self.fleet.workers.values())))
+        workers = [worker for worker, of in self.fleet.workers.items() if of == service]
+        # The one that most requests go to first.
+        workers.sort(key=lambda worker: len(worker.runs), reverse=True)
+        resting = workers[: self.rng.randrange(1, len(workers) + 1)]
+        for worker in resting:
+            worker.behaviour.is_full, worker.behaviour.rest = True, str(REST_S)
+        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
+        for worker in resting:
+            worker.behaviour.is_full, worker.behaviour.rest = False, None
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -4,8 +4,10 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
+import time
 
 # Loopback addresses of this process alone, so that several soaks may run at once.
 NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
@@ -33,9 +35,12 @@
     seeds: list[str]
     is_first: bool = True
     process: subprocess.Popen | None = None
+    # When it was started or got a signal, on the monotonic clock.
+    disturbances: list[float] = dataclasses.field(default_factory=list)
 
     def start(self) -> None:
         """Start the process, for the first time or again."""
+        self.disturbances.append(time.monotonic())
         path = self.write_settings()
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
@@ -78,6 +83,8 @@
     def signal(self, how: int) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
+            if how != signal.SIGCONT:
+                self.disturbances.append(time.monotonic())
             self.process.send_signal(how)
 
 
--- /dev/null
+++ b/bench/soak_words.py
@@ -0,0 +1,96 @@
+"""What workers said of themselves in a soak, and whether the entries that heard it heeded it."""
+
+import collections
+import dataclasses
+import time
+
+from bench import soak_fleet
+from merlinthread.transport import http_messages
+from stand_ins import fleet_worker
+
+# How long after a worker's word of leaving was passed on a client's request may still reach it.
+LEAVE_S = 2.0
+# Requests that were on their way when a worker asked for a rest may come for so long after it.
+ON_THE_WAY_S = 0.5
+# How many may come in the rest of the rest.
+ALLOWED = 2
+LEAVING = b"server-leaving"
+STAMP = b"x-merlinthread-response-stamp"
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """When a client sent a request, on the monotonic clock, and to which entry."""
+
+    entry_ip: str
+    at: float
+
+
+class Words:
+    """The account of one run."""
+
+    def __init__(self, fleet: soak_fleet.SoakFleet) -> None:
+        self.fleet = fleet
+        self.sent: dict[str, Sent] = {}
+        # When an entry first passed on an answer in which an instance says that it leaves.
+        self.farewells: dict[tuple[str, str], float] = {}
+
+    def note_sent(self, request_id: str, entry_ip: str) -> None:
+        """Note that a client sends a request to an entry."""
+        self.sent[request_id] = Sent(entry_ip, time.monotonic())
+
+    def note_answer(self, entry_ip: str, answer: http_messages.Answer) -> None:
+        """Note what an answer says of the worker that gave it."""
+        stamp = http_messages.header(answer.headers, STAMP)
+        if stamp is None or http_messages.header(answer.headers, LEAVING) is None:
+            return
+        instance = stamp.decode("ascii").partition(".")[0]
+        self.farewells.setdefault((instance, entry_ip), time.monotonic())
+
+    def is_calm(self, entry_ip: str, since: float, until: float) -> bool:
+        """Return whether an entry was neither started nor stopped between two times."""
+        nodes = [node for node in self.fleet.nodes if node.ip == entry_ip]
+        return not any(since <= at <= until for node in nodes for at in node.disturbances)
+
+    def broken(self) -> list[str]:
+        """Return what reached workers that had said that they want nothing."""
+        return [*self.after_farewells(), *self.in_rests()]
+
+    def after_farewells(self) -> list[str]:
+        """Return the requests that reached a worker too long after its word of leaving."""
+        found = []
+        for worker in self.fleet.workers:
+            for run in worker.runs:
+                sent = self.sent[run.request_id]
+                told_at = self.farewells.get((run.instance, sent.entry_ip))
+                if told_at is None or sent.at <= told_at + LEAVE_S:
+                    continue
+                if self.is_calm(sent.entry_ip, told_at, sent.at):
+                    late_s = sent.at - told_at
+                    found.append(f"{run.request_id} reached {run.instance} {late_s:.1f} s late")
+        return found
+
+    def in_rests(self) -> list[str]:
+        """Return the rests in which too many requests came from one entry."""
+        found = []
+        for worker in self.fleet.workers:
+            by_entry: dict[str, list[fleet_worker.TurnedAway]] = collections.defaultdict(list)
+            for refusal in worker.turned_away:
+                by_entry[self.sent[refusal.request_id].entry_ip].append(refusal)
+            for entry_ip, refusals in by_entry.items():
+                found += self.in_rests_of(worker.instance, entry_ip, refusals)
+        return found
+
+    def in_rests_of(
+        self, instance: str, entry_ip: str, refusals: list[fleet_worker.TurnedAway]
+    ) -> list[str]:
+        """Return the rests of one worker in which too many requests came from one entry."""
+        found = []
+        for first in refusals:
+            begin, end = first.at + ON_THE_WAY_S, first.at + first.rest_s
+            if not self.is_calm(entry_ip, first.at, end):
+                continue
+            count = sum(begin < other.at < end for other in refusals)
+            if count > ALLOWED:
+                found.append(f"{instance} got {count} requests from {entry_ip} in its rest")
+        return found
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -46,6 +46,16 @@
     headers: dict[str, str]
     body: bytes
     target: str
+    instance: str = ""
+
+
+@dataclasses.dataclass
+class TurnedAway:
+    """One request that the worker turned away at `at`, asking for `rest_s` (0: no rest)."""
+
+    request_id: str
+    at: float
+    rest_s: float
 
 
 class Worker:
@@ -67,7 +77,12 @@
         self.server = stream_server.Server(self.serve)
         self.address = ""
         self.running = 0
-        self.refusals = 0
+        self.turned_away: list[TurnedAway] = []
+
+    @property
+    def refusals(self) -> int:
+        """Return how many requests it turned away for being full."""
+        return len(self.turned_away)
 
     async def start(self) -> str:
         """Listen on a free port; return the address."""
@@ -108,11 +123,12 @@
             await self.refuse(exchange, 421)
             return
         if self.behaviour.is_full:
-            self.refusals += 1
+            now = asyncio.get_running_loop().time()
+            self.turned_away.append(TurnedAway(request_id, now, told_s(self.behaviour.rest)))
             await self.refuse(exchange, 503)
             return
         target = exchange.request.target.decode()
-        self.runs.append(Run(request_id, headers, exchange.request.body, target))
+        self.runs.append(Run(request_id, headers, exchange.request.body, target, self.instance))
         self.running += 1
         try:
             await self.answer(exchange, headers, request_id)
@@ -224,6 +240,14 @@
         self.layers = (order.get("from", 0), order.get("target_version", LAYERS))
 
 
+def told_s(rest: str | None) -> float:
+    """Return the rest that a text asks for, 0 if it is no number."""
+    try:
+        return float(rest or 0)
+    except ValueError:
+        return 0.0
+
+
 class WeightOrigin:
     """A stand-in for the origin of weights."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,3 +23,13 @@
     tally = soak.run_seed(seed, 9.0, tmp_path, ("replace_control",))
     assert tally.broken == [], f"logs are in {tmp_path}"
     assert tally.faults["replace_control"] > 0
+
+
+@pytest.mark.parametrize("seed", [2])
+def test_what_workers_say_of_themselves_is_heeded_while_control_vms_and_entries_fall(
+    seed, tmp_path
+):
+    kinds = ("say_leaving", "ask_for_rest", "kill_controls", "stop_control", "kill", "freeze")
+    tally = soak.run_seed(seed, 8.0, tmp_path, kinds)
+    assert tally.broken == [], f"logs are in {tmp_path}"
+    assert tally.faults.keys() & {"say_leaving", "ask_for_rest"}
