--- a/src/merlinthread/cli/explain.py
+++ b/src/merlinthread/cli/explain.py
@@ -24,7 +24,6 @@
     "news_in_full",
     "backend_leaves",
     "backend_rests",
-    "backend_rest_over",
     "not_ready",
     "stopping",
     "cut_off",
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -276,7 +276,7 @@
         return False
     if now < backend.full_until or backend.is_changing(now):
         return False
-    if not backend.standing.takes_another(now):
+    if backend.standing.is_closed(now):
         return False
     if not demand.model or engine is None:
         return True
--- a/src/merlinthread/coordination/return_times.py
+++ b/src/merlinthread/coordination/return_times.py
@@ -44,8 +44,7 @@
     """Return when to come back to back ends of which the first takes requests in `opens_in_s`.
 
     That is known and no forecast, so nobody is told to come before it, however little time it has:
-    it would only be refused again. Who was refused together comes back apart, since each back end
-    is tried by one request first.
+    it would only be refused again. Who was refused together comes back apart.
     """
     return max(LEAST_S, opens_in_s + RETURN_OVER_S * rng.random())
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -224,8 +224,6 @@
             self.pool.note_rest(self.backend, facts.rest_s, request_id)
         elif facts.rest_problem:
             metrics.unreadable_words_total.labels("retry-after").inc()
-        if not facts.is_not_run:
-            self.pool.pass_trial(self.place)
 
     async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
         """Return the head of the answer; a stream's must come within bounds."""
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -48,8 +48,7 @@
 class Place:
     """An attempt on a back end, with the tokens of its prompt and whether they were read.
 
-    `agent` is where it is noted, if an agent stands beside the back end. `is_trial` tells that it
-    shows whether a back end takes requests again after a rest.
+    `agent` is where it is noted, if an agent stands beside the back end.
     """
 
     backend: dispatch.Backend
@@ -58,7 +57,6 @@
     number: int = 0
     agent: str = ""
     is_read: bool = False
-    is_trial: bool = False
 
 
 class BackendPool:
@@ -177,14 +175,6 @@
             )
             self.count_signals()
 
-    def pass_trial(self, place: Place) -> None:
-        """Note that a back end took the request that was sent to it on trial."""
-        standing = self.signals.of(place.backend.instance)
-        if place.is_trial and standing.is_on_trial:
-            standing.pass_trial()
-            logs.event("backend_rest_over", instance=place.backend.instance)
-            self.count_signals()
-
     def opens_at(self, service: str) -> float | None:
         """Return when the first back end of a service takes requests again, if all are closed."""
         return dispatch.opens_at(self.by_service.get(service, []), self.clock())
@@ -307,10 +297,6 @@
         backend.unread += 1
         backend.unread_tokens += tokens
         place = Place(backend, tokens, self.clock(), next(self.place_numbers))
-        standing = self.signals.of(backend.instance)
-        place.is_trial = standing.is_on_trial and not standing.is_trial_under_way
-        if place.is_trial:
-            standing.is_trial_under_way = True
         if self.engine_of(backend.service) is not None:
             place.agent = self.agent_of(backend)
         self.tell_agent(place, node_messages.Stage.SENT)
@@ -336,8 +322,6 @@
         """Note that an attempt is over, and let a waiting request look again."""
         self.note_first(place)
         self.tell_agent(place, node_messages.Stage.ENDED)
-        if place.is_trial:
-            self.signals.of(place.backend.instance).is_trial_under_way = False
         place.backend.in_flight -= 1
         room = self.rooms.get(place.backend.service)
         if room is not None:
