--- a/src/merlinthread/coordination/backend_signals.py
+++ b/src/merlinthread/coordination/backend_signals.py
@@ -8,8 +8,9 @@
   (`coordination.incarnations`).
 - That it wants a rest holds for the VM that was told so, until the rest is over. Then it is used as
   before. One request first, as behind a half-open circuit breaker (Nygard 2007), spared it nothing:
-  a refusal is back before the next request is sent; places stood empty meanwhile (eight engines, 100
-  requests a second, all at rest for 3 s: of second tries 0.17 were served, 0.38 without; one run).
+  a refusal is back before the next request is sent; its places stood empty meanwhile (eight
+  engines, 100 requests a second, all at rest for 3 s: of second tries 0.17 were served, 0.38
+  without; one run each).
 
 The words are kept here and not with the record of a back end, since that goes when the news drop
 the back end for a moment.
