--- a/bench/soak.py
+++ b/bench/soak.py
@@ -130,6 +130,10 @@
             await asyncio.sleep(self.rng.uniform(0.0, 0.02))
             asyncio.create_task(self.ask(self.rng.choice(["safe", "unsafe", "model"])))
 
+    def pick_entry(self) -> str:
+        """Return the IP of the entry that a client's connection goes to."""
+        return self.rng.choice(soak_nodes.ENTRY_IPS)
+
     async def ask(self, service: str) -> bool:
         """Send one request and check its answer; return whether it was served."""
         self.requests += 1
@@ -145,7 +149,7 @@
             headers.append((b"X-Merlinthread-Model", b"m"))
             headers.append((b"X-Merlinthread-Token-Usage", b"100,20"))
         request = http_messages.Request(b"POST", f"/{service}/".encode(), headers)
-        entry_ip = self.rng.choice(soak_nodes.ENTRY_IPS)
+        entry_ip = self.pick_entry()
         address = f"{entry_ip}:{soak_nodes.FRONT}"
         self.tally.asked += 1
         self.words.note_sent(request_id, entry_ip)
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -25,7 +25,8 @@
 class Node:
     """One process of the system; its settings, log and data lie in `folder`.
 
-    `seeds` are the IPs of the control VMs, one list for all nodes.
+    `seeds` are the IPs of the control VMs, one list for all nodes. `source` is the folder of the
+    build that it runs, from its next start on.
     """
 
     folder: pathlib.Path
@@ -34,6 +35,7 @@
     ip: str
     seeds: list[str]
     is_first: bool = True
+    source: pathlib.Path = ROOT / "src"
     process: subprocess.Popen | None = None
     # When it was started or got a signal, on the monotonic clock.
     disturbances: list[float] = dataclasses.field(default_factory=list)
@@ -45,7 +47,7 @@
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-c", STARTER, self.role],
-                env=os.environ | {"MERLINTHREAD_CONFIG": str(path)},
+                env=os.environ | {"MERLINTHREAD_CONFIG": str(path), "PYTHONPATH": str(self.source)},
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
