Nothing is written into the log before all members read it; what can't be read is neither applied nor passed over

Change: coordination/levels.py names what each level brought; a build tells its level in answers to control VMs (a field that builds of before pass over), an older one shows by an empty report what it reads; entries wait for that, and ten minutes more where the group may have run builds that read less, so that going back stays possible. A refusal of a kind that only newer builds have is an error, not a broken task (failed first).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "measure",
     "operators",
     "processes",
+    "release_bytes",
     "soak_faults",
     "soak_fleet",
     "soak_nodes",
--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from merlinthread import registry
-from merlinthread.coordination import crash_ledger, fleet
+from merlinthread.coordination import crash_ledger, fleet, levels
 
 COMMANDS: registry.Registry[type] = registry.Registry("fleet command")
 
@@ -47,6 +47,7 @@
 
 
 @COMMANDS.add("fleet.hold_back")
+@levels.needs(levels.Level.HELD_REQUESTS)
 @dataclasses.dataclass(slots=True)
 class HoldBack:
     """Hold a request back for the `times`th time: the processes of `instances` ended under it."""
@@ -59,6 +60,7 @@
 
 
 @COMMANDS.add("fleet.let_go")
+@levels.needs(levels.Level.HELD_REQUESTS)
 @dataclasses.dataclass(slots=True)
 class LetGo:
     """End the `times`th holding back of a request."""
@@ -83,16 +85,22 @@
 
 @dataclasses.dataclass(slots=True)
 class FleetState:
-    """What the control VMs agree on."""
+    """What the control VMs agree on.
+
+    `level` is the highest one of any entry so far: a build that reads less can't take part any
+    more. It is told in snapshots, where builds of before pass over it.
+    """
 
     version: int = 0
     body: bytes = b""
     named: dict[str, int] = dataclasses.field(default_factory=dict)
     departed: dict[str, str] = dataclasses.field(default_factory=dict)
     held: dict[str, HeldRequest] = dataclasses.field(default_factory=dict)
+    level: int = levels.LOWEST
 
     def apply(self, command: Command) -> bool:
         """Take one committed command in; return whether it changed anything."""
+        self.level = max(self.level, levels.level_of(type(command)))
         if isinstance(command, Configure):
             return self.configure(command)
         if isinstance(command, NameVersion):
--- /dev/null
+++ b/src/merlinthread/coordination/levels.py
@@ -0,0 +1,97 @@
+"""Levels of what builds write for each other, and what the control VMs of a group can read.
+
+While VMs are replaced one after the other, two builds run side by side, and an operator may go
+back. So nothing is written into the replicated log before every member is known to read it: one
+that can't read a committed entry may neither apply it nor pass over it, since its state would be
+another one than the others' from then on. Published kin: the cluster version of etcd,
+`metadata.version` of Kafka, the cluster settings of CockroachDB.
+
+A build tells its newest level in its answers to other control VMs. One that tells none is older
+than this account; what it reads is shown by what it answers, else it counts as the lowest level.
+"""
+
+import enum
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+T = TypeVar("T", bound=type)
+
+
+class Level(enum.IntEnum):
+    """What a build reads and writes; each level includes those below it."""
+
+    # Configurations, named versions of weights, departures.
+    DEPARTURES = 1
+    # Requests that are held back, and reports of processes that ended under them.
+    HELD_REQUESTS = 2
+
+
+LOWEST = min(Level)
+NEWEST = max(Level)
+# How long all members read a level before the first entry of it is written, if the group may have
+# run builds that do not read it: in these seconds an operator may go back to them.
+SETTLED_S = 600.0
+# The level that each kind of entry needs; kinds without one are of the lowest.
+NEEDED: dict[type, Level] = {}
+
+
+def needs(level: Level) -> Callable[[T], T]:
+    """Return a decorator that files a kind of entry under the level which reads it."""
+
+    def file(kind: T) -> T:
+        NEEDED[kind] = level
+        return kind
+
+    return file
+
+
+def level_of(kind: type) -> Level:
+    """Return the level that a kind of entry needs."""
+    return NEEDED.get(kind, LOWEST)
+
+
+class MemberLevels:
+    """What one control VM knows of the others' levels, by their addresses.
+
+    A member that is silent keeps the level that it had: it comes back with that build or, while an
+    operator goes back, with one that tells another level in its first answer.
+    """
+
+    def __init__(self) -> None:
+        self.told: dict[str, int] = {}
+        self.shown: dict[str, Level] = {}
+        # The highest level that a build which tells none has shown to read.
+        self.older_reads = LOWEST
+
+    def note_told(self, address: str, level: int) -> bool:
+        """Note the level in a member's answer, 0 if it tells none; return whether it is new."""
+        if self.told.get(address) == level:
+            return False
+        self.told[address] = level
+        self.shown.pop(address, None)
+        return True
+
+    def note_shown(self, address: str, level: Level) -> None:
+        """Note that a member has answered what only a build of `level` can read."""
+        self.shown[address] = level
+        self.older_reads = max(self.older_reads, level)
+
+    def note_lost(self, address: str) -> None:
+        """Note that a member did not answer: it may come back with another build."""
+        self.shown.pop(address, None)
+
+    def of(self, address: str) -> int:
+        """Return the level that a member surely reads; it may be above all known here."""
+        return self.told.get(address) or self.shown.get(address, LOWEST)
+
+    def untold(self, addresses: Iterable[str]) -> list[str]:
+        """Return the members that tell no level and have not shown any."""
+        return [
+            address
+            for address in addresses
+            if not self.told.get(address, NEWEST) and address not in self.shown
+        ]
+
+    def below(self, addresses: Iterable[str], level: Level) -> list[str]:
+        """Return the members that are not known to read `level`."""
+        return [address for address in addresses if self.of(address) < level]
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -85,6 +85,15 @@
 log_index = prometheus_client.Gauge(
     "merlinthread_log_index", "Index of the last entry that this control VM has applied."
 )
+log_level = prometheus_client.Gauge(
+    "merlinthread_log_level",
+    "The highest level of any entry that this control VM has applied; builds that read less can't "
+    "take part any more.",
+)
+log_blocked = prometheus_client.Gauge(
+    "merlinthread_log_blocked",
+    "1 if this control VM's build can't read an entry of the log: it votes and does not lead.",
+)
 losses_bearable = prometheus_client.Gauge(
     "merlinthread_log_losses_bearable",
     "How many more members of the replicated log may be lost before no majority is left; set by "
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from merlinthread import clocks, errors, logs
-from merlinthread.coordination import fleet, fleet_state, instances, raft_messages
+from merlinthread.coordination import fleet, fleet_state, instances, levels, raft_messages
 from merlinthread.nodes import crash_registry, log_member, node_roles, node_settings
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import answers, node_messages
@@ -152,6 +152,8 @@
             leader = self.member.leader_address()
             if not leader or leader == self.member.address:
                 raise errors.NotLeaderError("no leader is known", "")
+            # An older leader would write what it can't read itself.
+            self.member.check_readable(encoded, [leader])
             reply = await self.caller.call(leader, node_messages.Submit(encoded), FORWARD_TIMEOUT_S)
             return reply.is_applied
 
@@ -161,16 +163,16 @@
         """Answer one call of another node."""
         if isinstance(message, node_messages.LogMessages):
             self.member.receive(message.frames)
-            return node_messages.Ok()
+            return node_messages.Ok(levels.NEWEST)
         if isinstance(message, node_messages.Watch):
             return await self.on_watch(message)
         if isinstance(message, node_messages.Beats):
             for heartbeat in message.heartbeats:
                 self.take(heartbeat)
-            return node_messages.Ok()
+            return node_messages.Ok(levels.NEWEST)
         if isinstance(message, node_messages.CrashReport):
             self.crashes.take(message)
-            return node_messages.Ok()
+            return node_messages.Ok(levels.NEWEST)
         if isinstance(message, node_messages.Submit):
             async with asyncio.timeout(FORWARD_TIMEOUT_S):
                 is_changed = await self.member.propose(message.command)
--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import crash_ledger, fleet_state
+from merlinthread.coordination import crash_ledger, fleet_state, levels
 from merlinthread.nodes import log_member, node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -84,7 +84,10 @@
     async def send(self, address: str, message: node_messages.CrashReport) -> None:
         """Tell one control VM, or note that it was not told."""
         try:
-            await self.caller.call(address, message, PASS_ON_TIMEOUT_S)
+            reply = await self.caller.call(address, message, PASS_ON_TIMEOUT_S)
+            if not reply.level:
+                # An older build that tells no level, and reads reports: it reads their entries too.
+                self.member.levels.note_shown(address, levels.Level.HELD_REQUESTS)
         except errors.MerlinthreadError as error:
             logs.detail("crash_report_lost", control=address, reason=error.message)
             missed = self.missed.setdefault(address, {})
@@ -133,6 +136,7 @@
                     await self.has_changed.wait()
             self.has_changed.clear()
             self.send_missed()
+            self.ask_levels()
             self.ledger.expire(self.clock())
             # The leader decides; another one only what the leader seems not to know of.
             patience_s = 0.0 if self.member.raft.is_leader() else TEND_EVERY_S
@@ -141,12 +145,21 @@
                 await self.commit(command)
 
     async def commit(self, command: fleet_state.Command) -> None:
-        """Commit a decision; without a majority it is tried again later."""
+        """Commit a decision; without a majority it is tried again later.
+
+        While control VMs run a build that can't read it, the decision is not written: it holds here
+        and at all entries, as what entries saw does, and is lost only if all VMs lose power.
+        """
         try:
             await self.submit(command)
         except (errors.MerlinthreadError, TimeoutError) as error:
             logs.detail("decision_not_committed", reason=str(error))
 
+    def ask_levels(self) -> None:
+        """Find out by an empty report whether members that tell no level read such entries."""
+        for address in self.member.levels.untold(self.others()):
+            self.start_sending(address, [])
+
 
 def decisions(
     ledger: crash_ledger.CrashLedger, held_since: dict[str, float], now: float, patience_s: float
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import fleet_state, raft, raft_members, raft_messages
+from merlinthread.coordination import fleet_state, levels, raft, raft_members, raft_messages
 from merlinthread.nodes import log_sender, member_changes, membership, node_settings
 from merlinthread.protocol import codec as codecs
 from merlinthread.state import journal
@@ -36,6 +36,12 @@
 NO_LEADER_TOLD_EVERY_S = 2.0
 
 
+class SnapshotHead(msgspec.Struct):
+    """What is read of a snapshot first: the level of the entries that made it."""
+
+    level: int = levels.LOWEST
+
+
 class LogMember:
     """The owner of the log; all calls are made on its event loop.
 
@@ -69,9 +75,16 @@
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
-        self.sender = log_sender.LogSender(codec, caller)
+        self.levels = levels.MemberLevels()
+        self.sender = log_sender.LogSender(codec, caller, self.levels)
         self.members = member_changes.MemberChanges(
-            settings, caller, clock, lambda: self.raft, self.wakeup.set, self.start_anew
+            settings,
+            caller,
+            clock,
+            lambda: self.raft,
+            self.wakeup.set,
+            self.start_anew,
+            lambda: self.state.level,
         )
         self.duties_at = 0.0
         self.full_until = float("-inf")
@@ -97,6 +110,11 @@
         )
         self.state = fleet_state.FleetState()
         self.applied = 0
+        # The index of the first entry that this build can't read, 0 while there is none.
+        self.blocked_at = 0
+        # Since when all members are known to read all that this build writes, None if one is not.
+        self.readable_since: float | None = None
+        metrics.log_blocked.set(0)
         self.current_at = float("-inf")
         self.restore(self.journal.snapshot)
         logs.event(
@@ -122,10 +140,18 @@
         self.on_restored()
 
     def restore(self, snapshot: journal.Snapshot) -> None:
-        """Take the state over from a snapshot."""
+        """Take the state over from a snapshot, unless a build of a higher level made it."""
         if snapshot.state:
+            level = msgspec.msgpack.decode(snapshot.state, type=SnapshotHead).level
+            if level > levels.NEWEST:
+                self.block(snapshot.index, f"a snapshot of level {level}")
+                return
             self.state = msgspec.msgpack.decode(snapshot.state, type=fleet_state.FleetState)
+            if self.state.held:
+                # Builds that wrote such entries before levels were told name none.
+                self.state.level = max(self.state.level, levels.Level.HELD_REQUESTS)
         self.applied = snapshot.index
+        metrics.log_level.set(self.state.level)
 
     # The loop
 
@@ -154,11 +180,15 @@
         self.raft.tick(now)
         self.raft.flush(now)
         self.settle(now)
+        if self.blocked_at and not self.raft.is_resigned:
+            # It can't tell what is in force, so it must not lead; it goes on as a voter.
+            self.raft.resign(now)
         self.note_leadership()
         self.note_current()
         if now >= self.duties_at:
             self.duties_at = now + DUTIES_EVERY_S
             self.keep_commit(now)
+            self.note_readable(now)
             self.tell_missing_leader(now)
             self.members.look_after(now)
 
@@ -244,13 +274,20 @@
         logs.event("compacted", index=snapshot.index)
 
     def apply(self, entry: journal.Entry) -> None:
-        """Apply one committed entry and answer whoever waits for it."""
+        """Apply one committed entry and answer whoever waits for it.
+
+        Nothing is applied from the first entry on that can't be read.
+        """
+        if self.blocked_at:
+            return
         is_changed = False
         if entry.kind == "command":
             command = self.known_command(entry)
-            if command is not None:
-                is_changed = self.state.apply(command)
-                self.on_applied(command, self.age_s_max(entry, self.clock()))
+            if command is None:
+                return
+            is_changed = self.state.apply(command)
+            metrics.log_level.set(self.state.level)
+            self.on_applied(command, self.age_s_max(entry, self.clock()))
         self.applied = entry.index
         metrics.log_index.set(entry.index)
         term, answer = self.waiting.pop(entry.index, (0, None))
@@ -275,17 +312,30 @@
         return age_s if age_s > CAUGHT_UP_S else 0.0
 
     def known_command(self, entry: journal.Entry) -> fleet_state.Command | None:
-        """Return the command in an entry, None if it is of a version of ours that is not this one.
-
-        It is passed over: it can't be taken out of the log, and a member that ended at it would end
-        at each start again.
-        """
+        """Return the command in an entry; block the log, and return None, if it can't be read."""
         try:
             return self.decode_command(entry.data)
         except (KeyError, msgspec.DecodeError) as error:
-            logs.warn("entry_unknown", index=entry.index, reason=repr(error))
+            self.block(entry.index, repr(error))
             return None
 
+    def block(self, index: int, reason: str) -> None:
+        """Note that this build can't read an entry or a snapshot that a newer one wrote.
+
+        To pass over it would leave this member with another state than the others, which it would
+        tell, lead with and give away in snapshots; to end would be repeated at each start. So it
+        stays where it is: it saves and votes, and tells its age, until it runs a newer build.
+        """
+        self.blocked_at = index
+        metrics.log_blocked.set(1)
+        logs.warn(
+            "log_blocked",
+            index=index,
+            reason=reason,
+            level=int(levels.NEWEST),
+            remedy="run a build here that reads it; this one votes and does not lead meanwhile",
+        )
+
     def decode_command(self, data: bytes) -> fleet_state.Command:
         """Return the command in an entry."""
         name, raw = self.pair.decode(data)
@@ -300,9 +350,12 @@
     def propose(self, command: bytes) -> asyncio.Future:
         """Put a command into the log; the result tells whether it changed anything.
 
-        Raises NotLeaderError on a follower and DiskFullError on a full disk.
+        Raises NotLeaderError on a follower, DiskFullError on a full disk, and ControlError if a
+        member can't read it.
         """
         now = self.clock()
+        self.check_readable(command, self.other_addresses())
+        self.check_settled(command, now)
         if now < self.full_until:
             raise errors.DiskFullError(f"{self.folder}: no room on the disk; free some space")
         index = self.raft.propose(command, now)
@@ -341,6 +394,50 @@
         """Return the addresses of all members."""
         return [raft_members.address_of(name) for name in self.raft.log.voters.members()]
 
+    def other_addresses(self) -> list[str]:
+        """Return the addresses of the other members."""
+        return [address for address in self.member_addresses() if address != self.address]
+
+    def check_readable(self, command: bytes, addresses: list[str]) -> None:
+        """Raise ControlError if this build or a member at one of `addresses` can't read a command.
+
+        An entry can't be taken back: older builds end at one that they can't read, at each start.
+        """
+        try:
+            kind = type(self.decode_command(command))
+        except (KeyError, msgspec.DecodeError) as error:
+            raise errors.ControlError(
+                f"this build, of level {levels.NEWEST}, can't read the command: {error!r}; "
+                "send it to a newer one"
+            )
+        level = levels.level_of(kind)
+        behind = self.levels.below(addresses, level)
+        if behind:
+            raise errors.ControlError(
+                f"{self.command_names[kind]} needs level {level}, and {', '.join(behind)} are not "
+                "known to read it; it is written once they run newer builds"
+            )
+
+    def check_settled(self, command: bytes, now: float) -> None:
+        """Raise ControlError while an operator may go back to a build that can't read a command."""
+        level = levels.level_of(type(self.decode_command(command)))
+        reads_anyway = (self.state.level, self.membership.first_level, self.levels.older_reads)
+        if level <= max(reads_anyway):
+            return
+        since = self.readable_since
+        if since is None or now - since < levels.SETTLED_S:
+            raise errors.ControlError(
+                f"level {level} is written {levels.SETTLED_S:.0f} s after the last VM that did not "
+                "read it was replaced, so that going back is possible until then"
+            )
+
+    def note_readable(self, now: float) -> None:
+        """Note since when all members are known to read all that this build writes."""
+        if self.levels.below(self.other_addresses(), levels.NEWEST):
+            self.readable_since = None
+        elif self.readable_since is None:
+            self.readable_since = now
+
     def note_leadership(self) -> None:
         """Log a change of leader; fail what waits on a lost leadership."""
         leads = self.raft.is_leader()
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -1,10 +1,9 @@
 """Sends messages of the replicated log to its other members, in order, many at a time."""
 
 import asyncio
-import contextlib
 
-from merlinthread import errors
-from merlinthread.coordination import raft_members, raft_messages
+from merlinthread import errors, logs
+from merlinthread.coordination import levels, raft_members, raft_messages
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -25,9 +24,12 @@
 class LogSender:
     """One queue and one task for each member; the log bears that messages are lost."""
 
-    def __init__(self, codec: codecs.Codec, caller: node_bus.Caller) -> None:
+    def __init__(
+        self, codec: codecs.Codec, caller: node_bus.Caller, known: levels.MemberLevels
+    ) -> None:
         self.codec = codec
         self.caller = caller
+        self.levels = known
         self.queues: dict[str, Queue] = {}
 
     def send(self, receiver: str, message: raft_messages.Message) -> None:
@@ -46,12 +48,19 @@
             queue.is_filled.clear()
             messages, queue.messages = queue.messages, []
             frames = [self.codec.encode(message) for message in messages]
-            with contextlib.suppress(errors.MerlinthreadError):
-                await self.caller.call(
-                    raft_members.address_of(receiver),
-                    node_messages.LogMessages(frames),
-                    SEND_TIMEOUT_S,
-                )
+            await self.call(raft_members.address_of(receiver), node_messages.LogMessages(frames))
+
+    async def call(self, address: str, message: node_messages.LogMessages) -> None:
+        """Send messages to a member, and take the level that its answer tells."""
+        try:
+            reply = await self.caller.call(address, message, SEND_TIMEOUT_S)
+        except errors.MerlinthreadError:
+            self.levels.note_lost(address)
+            return
+        if not isinstance(reply, node_messages.Ok):
+            logs.warn("member_answer_unknown", member=address, answer=type(reply).__name__)
+        elif self.levels.note_told(address, reply.level):
+            logs.event("member_level", member=address, level=reply.level)
 
     def tasks(self) -> list[asyncio.Task]:
         """Return the running tasks."""
--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import log_repair, raft, raft_members
+from merlinthread.coordination import levels, log_repair, raft, raft_members
 from merlinthread.nodes import node_settings
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -34,7 +34,7 @@
     """One member's part in changes of the group; `current` returns its present `raft.Raft`.
 
     `on_removed` is called when the others have removed this member for good, `wake` when the log
-    has something to send.
+    has something to send. `written_level` returns the highest level of any entry so far.
     """
 
     def __init__(
@@ -45,6 +45,7 @@
         current: Callable[[], raft.Raft],
         wake: Callable[[], None],
         on_removed: Callable[[], None],
+        written_level: Callable[[], int] = lambda: levels.LOWEST,
     ) -> None:
         self.settings = settings
         self.caller = caller
@@ -52,6 +53,7 @@
         self.current = current
         self.wake = wake
         self.on_removed = on_removed
+        self.written_level = written_level
         self.address = f"{settings.ip}:{settings.control_port}"
         self.joiners: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
@@ -84,7 +86,7 @@
         silence_s = 0.0 if member.is_leader() else now - member.heard_leader_at
         if member.is_voter() and silence_s < ASK_AFTER_SILENCE_S:
             return
-        join = node_messages.Join(member.name)
+        join = node_messages.Join(member.name, levels.NEWEST)
         members = [raft_members.address_of(name) for name in member.log.voters.members()]
         for address in set(self.settings.control_nodes()) | set(members):
             if address != self.address:
@@ -95,6 +97,9 @@
         try:
             reply = await self.caller.call(address, join, ASK_TIMEOUT_S)
         except errors.MerlinthreadError as error:
+            if error.kind is errors.ErrorKind.MEMBERSHIP_CHANGE_REFUSED:
+                logs.warn("join_refused", control=address, reason=error.message)
+                return
             logs.detail("join_unanswered", control=address, reason=error.message)
             return
         if reply.is_removed and join.name == self.current().name:
@@ -107,6 +112,7 @@
         if member.holds_lease(now):
             if join.name in member.log.voters.retired:
                 return node_messages.Joined(True)
+            self.check_level(join)
             self.joiners[join.name] = now
             return node_messages.Joined(False)
         leader = raft_members.address_of(member.leader)
@@ -114,6 +120,16 @@
             return await self.caller.call(leader, join, ASK_TIMEOUT_S)
         raise errors.NotLeaderError("no leader is known", "")
 
+    def check_level(self, join: node_messages.Join) -> None:
+        """Raise ControlError if a joiner tells that it can't read what the log holds."""
+        written = self.written_level()
+        if 0 < join.level < written:
+            raise errors.ControlError(
+                f"{join.name} reads up to level {join.level}, the log holds entries of level "
+                f"{written}; start a build there that reads them",
+                kind=errors.ErrorKind.MEMBERSHIP_CHANGE_REFUSED,
+            )
+
     # Leaving
 
     async def resign(self) -> None:
--- a/src/merlinthread/nodes/membership.py
+++ b/src/merlinthread/nodes/membership.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from merlinthread.coordination import levels
 from merlinthread.nodes import node_settings
 from merlinthread.state import records
 
@@ -17,10 +18,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Membership:
-    """A member's name, and the voters of the log's first start if it was there."""
+    """A member's name, and the voters of the log's first start if it was there.
+
+    `first_level` is the level of the build that made that first start, 0 if it was not there or if
+    an older build wrote the file.
+    """
 
     name: str
     first_voters: list[str]
+    first_level: int = 0
 
 
 def load(
@@ -40,7 +46,7 @@
     seeds = settings.control_nodes()
     if is_first_start:
         voters = seeds if address in seeds else []
-        found = Membership(address, voters)
+        found = Membership(address, voters, levels.NEWEST)
     else:
         found = Membership(f"{address}#{identity[:12]}", [])
     records.write_whole(path, msgspec.json.encode(found))
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -12,7 +12,13 @@
 @MESSAGES.add("node.ok")
 @dataclasses.dataclass(slots=True)
 class Ok:
-    """Acknowledge a message that needs no other answer."""
+    """Acknowledge a message that needs no other answer.
+
+    `level` is the newest one that the sender reads (`coordination.levels`); builds that tell none
+    are older, and pass over it.
+    """
+
+    level: int = 0
 
 
 @MESSAGES.add("node.failed")
@@ -132,9 +138,13 @@
 @MESSAGES.add("node.join")
 @dataclasses.dataclass(slots=True)
 class Join:
-    """Ask to be taken in as a member of the replicated log; the name holds the address."""
+    """Ask to be taken in as a member of the replicated log; the name holds the address.
+
+    `level` is the newest one that the joiner reads, 0 from builds that tell none.
+    """
 
     name: str
+    level: int = 0
 
 
 @MESSAGES.add("node.joined")
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -55,10 +55,18 @@
             raise errors.UnreachableError(f"{address}: HTTP status {answer.status}")
         reply = self.codec.decode(answer.body)
         if isinstance(reply, node_messages.Failed):
-            raise errors.MerlinthreadError(reply.message, kind=errors.ErrorKind(reply.kind))
+            raise errors.MerlinthreadError(reply.message, kind=kind_of(reply.kind))
         return reply
 
 
+def kind_of(name: str) -> errors.ErrorKind:
+    """Return the kind of error of that name, or that of no known cause: newer builds have more."""
+    try:
+        return errors.ErrorKind(name)
+    except ValueError:
+        return errors.ErrorKind.INTERNAL
+
+
 class Listener:
     """Answers calls of other nodes with what `handler` returns.
 
