--- a/src/merlinthread/coordination/levels.py
+++ b/src/merlinthread/coordination/levels.py
@@ -95,3 +95,43 @@
     def below(self, addresses: Iterable[str], level: Level) -> list[str]:
         """Return the members that are not known to read `level`."""
         return [address for address in addresses if self.of(address) < level]
+
+
+class WriteGate:
+    """Decides from when on an entry may be written, for one member of the group.
+
+    `first_level` is the level of the build that has begun the group, 0 if that is not known.
+    """
+
+    def __init__(self, members: MemberLevels, first_level: int) -> None:
+        self.members = members
+        self.first_level = first_level
+        # Since when all others are known to read all that this build writes, None if one is not.
+        self.readable_since: float | None = None
+
+    def look_at(self, others: Iterable[str], now: float) -> None:
+        """Note whether all other members read all that this build writes."""
+        if self.members.below(others, NEWEST):
+            self.readable_since = None
+        elif self.readable_since is None:
+            self.readable_since = now
+
+    def objection(self, level: Level, others: Iterable[str], written: int, now: float) -> str:
+        """Return why an entry of `level` may not be written yet, an empty text if it may.
+
+        `written` is the highest level of any entry so far: there is no way back below it.
+        """
+        behind = self.members.below(others, level)
+        if behind:
+            return (
+                f"level {level} is needed, and {', '.join(behind)} are not known to read it; it is "
+                "written once they run newer builds"
+            )
+        if level <= max(written, self.first_level, self.members.older_reads):
+            return ""
+        if self.readable_since is not None and now - self.readable_since >= SETTLED_S:
+            return ""
+        return (
+            f"level {level} is written {SETTLED_S:.0f} s after the last VM that did not read it "
+            "was replaced, so that going back is possible until then"
+        )
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -152,8 +152,7 @@
             leader = self.member.leader_address()
             if not leader or leader == self.member.address:
                 raise errors.NotLeaderError("no leader is known", "")
-            # An older leader would write what it can't read itself.
-            self.member.check_readable(encoded, [leader])
+            self.member.check_leader_reads(encoded, leader)
             reply = await self.caller.call(leader, node_messages.Submit(encoded), FORWARD_TIMEOUT_S)
             return reply.is_applied
 
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -112,8 +112,7 @@
         self.applied = 0
         # The index of the first entry that this build can't read, 0 while there is none.
         self.blocked_at = 0
-        # Since when all members are known to read all that this build writes, None if one is not.
-        self.readable_since: float | None = None
+        self.gate = levels.WriteGate(self.levels, self.membership.first_level)
         metrics.log_blocked.set(0)
         self.current_at = float("-inf")
         self.restore(self.journal.snapshot)
@@ -188,7 +187,7 @@
         if now >= self.duties_at:
             self.duties_at = now + DUTIES_EVERY_S
             self.keep_commit(now)
-            self.note_readable(now)
+            self.gate.look_at(self.other_addresses(), now)
             self.tell_missing_leader(now)
             self.members.look_after(now)
 
@@ -354,8 +353,10 @@
         member can't read it.
         """
         now = self.clock()
-        self.check_readable(command, self.other_addresses())
-        self.check_settled(command, now)
+        others = self.other_addresses()
+        objection = self.gate.objection(self.level_of(command), others, self.state.level, now)
+        if objection:
+            raise errors.ControlError(objection)
         if now < self.full_until:
             raise errors.DiskFullError(f"{self.folder}: no room on the disk; free some space")
         index = self.raft.propose(command, now)
@@ -398,45 +399,27 @@
         """Return the addresses of the other members."""
         return [address for address in self.member_addresses() if address != self.address]
 
-    def check_readable(self, command: bytes, addresses: list[str]) -> None:
-        """Raise ControlError if this build or a member at one of `addresses` can't read a command.
+    def level_of(self, command: bytes) -> levels.Level:
+        """Return the level that an encoded command needs; raise ControlError if it can't be read.
 
         An entry can't be taken back: older builds end at one that they can't read, at each start.
         """
         try:
-            kind = type(self.decode_command(command))
+            return levels.level_of(type(self.decode_command(command)))
         except (KeyError, msgspec.DecodeError) as error:
             raise errors.ControlError(
                 f"this build, of level {levels.NEWEST}, can't read the command: {error!r}; "
                 "send it to a newer one"
             )
-        level = levels.level_of(kind)
-        behind = self.levels.below(addresses, level)
-        if behind:
-            raise errors.ControlError(
-                f"{self.command_names[kind]} needs level {level}, and {', '.join(behind)} are not "
-                "known to read it; it is written once they run newer builds"
-            )
 
-    def check_settled(self, command: bytes, now: float) -> None:
-        """Raise ControlError while an operator may go back to a build that can't read a command."""
-        level = levels.level_of(type(self.decode_command(command)))
-        reads_anyway = (self.state.level, self.membership.first_level, self.levels.older_reads)
-        if level <= max(reads_anyway):
-            return
-        since = self.readable_since
-        if since is None or now - since < levels.SETTLED_S:
-            raise errors.ControlError(
-                f"level {level} is written {levels.SETTLED_S:.0f} s after the last VM that did not "
-                "read it was replaced, so that going back is possible until then"
-            )
+    def check_leader_reads(self, command: bytes, leader: str) -> None:
+        """Raise ControlError if the leader is not known to read a command.
 
-    def note_readable(self, now: float) -> None:
-        """Note since when all members are known to read all that this build writes."""
-        if self.levels.below(self.other_addresses(), levels.NEWEST):
-            self.readable_since = None
-        elif self.readable_since is None:
-            self.readable_since = now
+        One of an older build would write what it can't read itself.
+        """
+        level = self.level_of(command)
+        if self.levels.below([leader], level):
+            raise errors.ControlError(f"the leader {leader} is not known to read level {level}")
 
     def note_leadership(self) -> None:
         """Log a change of leader; fail what waits on a lost leadership."""
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -513,35 +513,60 @@
     asyncio.run(scenario())
 
 
-def test_what_an_older_build_can_not_read_is_written_once_going_back_has_had_its_time(tmp_path):
-    async def scenario(controls):
-        await put(controls, 5)
-        node = controls.nodes[controls.leader()]
-        member = node.member
-        command = member.encode_command(fleet_state.HoldBack("f", "label", ["i-1"], 1))
-        await fleet_nodes.until(lambda: member.readable_since is not None)
-        # The files of its first start are of an older build.
-        member.membership.first_level = 0
-        with pytest.raises(errors.ControlError, match="going back is possible"):
-            member.propose(command)
-        # An older member that reads such entries has been seen: nobody needs the time.
-        member.levels.older_reads = levels.Level.HELD_REQUESTS
-        member.check_settled(command, member.clock())
-        member.levels.older_reads = levels.LOWEST
-        # A member of an older build makes the time begin anew.
-        other = member.other_addresses()[0]
-        before = member.readable_since
-        member.levels.told[other] = 0
-        member.note_readable(before + 1.0)
-        assert member.readable_since is None
-        member.levels.told[other] = levels.NEWEST
-        member.note_readable(before + 2.0)
-        assert member.readable_since == before + 2.0
-        with pytest.raises(errors.ControlError):
-            member.check_settled(command, before + 2.0 + levels.SETTLED_S - 0.1)
-        member.check_settled(command, before + 2.0 + levels.SETTLED_S)
-
-    run(tmp_path, scenario)
+def test_what_an_older_build_can_not_read_is_written_once_going_back_has_had_its_time():
+    level, others = levels.Level.HELD_REQUESTS, ["10.0.0.2:1", "10.0.0.3:1"]
+    members = levels.MemberLevels()
+    gate = levels.WriteGate(members, first_level=0)
+
+    def objection(now, written=levels.LOWEST):
+        gate.look_at(others, now)
+        return gate.objection(level, others, written, now)
+
+    members.note_told(others[0], level)
+    members.note_told(others[1], 0)
+    assert f"{others[1]} are not known" in objection(10.0)
+    members.note_told(others[1], level)
+    assert "going back is possible" in objection(20.0)
+    assert "going back" in objection(20.0 + levels.SETTLED_S - 0.1)
+    # A VM goes back, and is replaced again: the time begins anew.
+    members.note_told(others[0], 0)
+    assert objection(25.0)
+    members.note_told(others[0], level)
+    assert objection(30.0)
+    assert objection(30.0 + levels.SETTLED_S - 0.1)
+    assert not objection(30.0 + levels.SETTLED_S)
+
+
+def test_nobody_waits_where_no_build_that_reads_less_was_there():
+    level, others = levels.Level.HELD_REQUESTS, ["10.0.0.2:1"]
+    members = levels.MemberLevels()
+    members.note_told(others[0], level)
+    gate = levels.WriteGate(members, first_level=0)
+    assert gate.objection(level, others, levels.LOWEST, 1.0)
+    assert not gate.objection(level, others, level, 1.0), "one was written before"
+    assert not levels.WriteGate(members, level).objection(level, others, levels.LOWEST, 1.0)
+    # A build that tells no level answered what only level 2 reads; then a newer one took its place.
+    members.note_told(others[0], 0)
+    members.note_shown(others[0], level)
+    assert not gate.objection(level, others, levels.LOWEST, 1.0)
+    members.note_told(others[0], level)
+    assert not gate.objection(level, others, levels.LOWEST, 1.0)
+
+
+def test_what_a_silent_member_has_shown_counts_no_more():
+    level, other = levels.Level.HELD_REQUESTS, "10.0.0.2:1"
+    members = levels.MemberLevels()
+    assert members.below([other], level) == [other], "one that was never heard"
+    assert members.untold([other]) == [], "it may be new: it is not asked before it answers"
+    members.note_told(other, 0)
+    assert members.untold([other]) == [other]
+    members.note_shown(other, level)
+    assert members.below([other], level) == members.untold([other]) == []
+    members.note_lost(other)
+    assert members.below([other], level) == [other]
+    members.note_told(other, level)
+    members.note_lost(other)
+    assert members.below([other], level) == [], "what it told stays until it tells another one"
 
 
 def test_a_group_that_this_build_has_begun_need_not_wait(tmp_path):
