--- /dev/null
+++ b/tests/fed_fleet.py
@@ -0,0 +1,44 @@
+"""One entry that is fed by hand before some workers of one service, over loopback, for tests."""
+
+from merlinthread.transport import http_messages
+from stand_ins import fleet_worker
+from tests import fleet_nodes
+
+STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
+
+
+class FedFleet:
+    """The entry and its workers; the service "model" streams, the others are plain."""
+
+    def __init__(self, service: str = "safe", count: int = 2, work_s: float = 0.0) -> None:
+        self.service = service
+        self.model = "m" if service == "model" else ""
+        self.entry = fleet_nodes.Entry()
+        self.workers = [fleet_worker.Worker(f"i-{number}", self.model) for number in range(count)]
+        for worker in self.workers:
+            worker.behaviour.work_s = work_s
+        self.asked = 0
+
+    async def start(self) -> "FedFleet":
+        """Start all, and tell the entry of all workers."""
+        await self.entry.start()
+        for worker in self.workers:
+            await worker.start()
+        self.feed(self.workers)
+        return self
+
+    def feed(self, workers: list[fleet_worker.Worker]) -> None:
+        """Tell the entry that some workers are ready."""
+        services = [] if self.model else [self.service]
+        body = fleet_nodes.configuration(1, services, self.service if self.model else "")
+        self.entry.feed(body, {worker: self.service for worker in workers})
+
+    async def ask(self) -> http_messages.Answer:
+        """Send one client's request; return its answer."""
+        self.asked += 1
+        headers = STREAM if self.model else {}
+        return await self.entry.ask(f"/{self.service}/x", f"id-{self.asked}", **headers)
+
+    def now(self) -> float:
+        """Return the entry's time."""
+        return self.entry.node.clock()
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -16,40 +16,13 @@
 
 from merlinthread.coordination import fleet, instances
 from stand_ins import fleet_worker
-from tests import crashing_fleet, fleet_nodes
+from tests import crashing_fleet, fed_fleet, fleet_nodes
 
-STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
 SEVERAL = 12
 
 
-class Fleet:
-    """One entry that is fed by hand, before two workers or more."""
-
-    def __init__(self, service: str = "safe") -> None:
-        self.service = service
-        self.model = "m" if service == "model" else ""
-        self.entry = fleet_nodes.Entry()
-        self.workers: list[fleet_worker.Worker] = []
-        self.asked = 0
-
-    async def start(self, count: int = 2) -> "Fleet":
-        await self.entry.start()
-        for number in range(count):
-            worker = fleet_worker.Worker(f"i-{number}", self.model)
-            await worker.start()
-            self.workers.append(worker)
-        self.feed(self.workers)
-        return self
-
-    def feed(self, workers: list[fleet_worker.Worker]) -> None:
-        services = [] if self.model else [self.service]
-        body = fleet_nodes.configuration(1, services, self.service if self.model else "")
-        self.entry.feed(body, {worker: self.service for worker in workers})
-
-    async def ask(self):
-        self.asked += 1
-        headers = STREAM if self.model else {}
-        return await self.entry.ask(f"/{self.service}/x", f"id-{self.asked}", **headers)
+class Fleet(fed_fleet.FedFleet):
+    """Workers of which one says in its answers that it leaves."""
 
     async def hear_that_it_leaves(self) -> fleet_worker.Worker:
         """Let the first worker answer, saying that it leaves; return it."""
@@ -104,7 +77,7 @@
 
 def test_an_answer_that_comes_after_the_record_was_dropped_and_told_again_counts():
     async def scenario():
-        fleet_ = await Fleet().start(count=1)
+        fleet_ = await Fleet(count=1).start()
         leaver = fleet_.workers[0]
         leaver.behaviour.is_leaving, leaver.behaviour.work_s = True, 0.1
         asked = asyncio.create_task(fleet_.ask())
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -16,51 +16,25 @@
 from merlinthread.coordination import dispatch, instances
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
-from tests import fleet_nodes
+from tests import fed_fleet, fleet_nodes
 
-STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
 REST_S = 0.6
 # The platform allows two requests between half a second after a refusal and the end of the rest.
 ALLOWED = 2
 MANY = 12
 
 
-class Fleet:
-    """One entry that is fed by hand, before workers that may turn requests away."""
+class Fleet(fed_fleet.FedFleet):
+    """Workers that may turn requests away."""
 
     def __init__(self, service: str, count: int) -> None:
-        self.service = service
-        self.model = "m" if service == "model" else ""
-        self.entry = fleet_nodes.Entry()
-        self.workers = [fleet_worker.Worker(f"i-{number}", self.model) for number in range(count)]
-        self.asked = 0
-
-    async def start(self) -> "Fleet":
-        await self.entry.start()
-        for worker in self.workers:
-            worker.behaviour.work_s = 0.05
-            await worker.start()
-        self.feed()
-        return self
-
-    def feed(self) -> None:
-        services = [] if self.model else [self.service]
-        body = fleet_nodes.configuration(1, services, self.service if self.model else "")
-        self.entry.feed(body, {worker: self.service for worker in self.workers})
-
-    async def ask(self) -> http_messages.Answer:
-        self.asked += 1
-        headers = STREAM if self.model else {}
-        return await self.entry.ask(f"/{self.service}/x", f"id-{self.asked}", **headers)
+        super().__init__(service, count, work_s=0.05)
 
     def let_rest(self, workers: list[fleet_worker.Worker], rest: str = f"{REST_S}") -> None:
         for worker in workers:
             worker.behaviour.is_full = True
             worker.behaviour.rest = rest
 
-    def now(self) -> float:
-        return self.entry.node.clock()
-
     async def until_refused(self, workers: list[fleet_worker.Worker]) -> float:
         """Ask until each of some workers has turned a request away; return when the first did."""
         first = 0.0
@@ -165,7 +139,7 @@
         known = watcher.instances.pop(worker.instance)
         watcher.on_news()
         assert (await fleet.ask()).status == 503
-        fleet.feed()
+        fleet.feed(fleet.workers)
         assert (await fleet.ask()).status == 503
         assert worker.refusals == before
         later = dataclasses.replace(known, instance=f"{worker.instance}@1767000000001")
