Retry at a back end that accepts requests, and try a doubtful one with one request at a time

What callers saw: 503 "back ends are full" while another back end was idle.

Cause: a back end whose rest, ejection or backoff has ended has no load and looks best. A request tried one, was refused, and its only retry went to the other one. Where the retry budget was used up, a first refusal was already the final one.

Evidence: the log line of each such request names two refusals by the resting workers (sent 2), or one without a retry (sent 1). The line now also says whether the back end had refused or failed its last request.

Change: a retry goes to a back end that has accepted a request since its last refusal or failure. A first attempt avoids a doubtful back end that another attempt is trying, and any doubtful one if it could not be retried, unless the others have too long a wait. This works because at most one of a request's attempts is now spent on a back end of which nothing is known. max_attempts and the budget still count refused sends.

--- a/src/merlinthread/coordination/backend_availability.py
+++ b/src/merlinthread/coordination/backend_availability.py
@@ -6,7 +6,8 @@
 - Leaving is final for an incarnation, even if a late heartbeat still says `ready`. The next
   incarnation has a name of its own (`coordination.incarnations`).
 - A rest applies only to the VM that received the request for it, until it ends. Traffic then
-  resumes at once, without the single trial request of a half-open circuit breaker.
+  resumes (`dispatch.least_doubtful`). A strict limit of one trial request, as in a half-open
+  circuit breaker, would leave capacity unused where all back ends return at once.
 - A rate limit covers the requests of all VMs together and stays until a response changes it. Each
   request then needs a permit (`coordination.rate_limits`).
 
--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -47,7 +47,9 @@
     None if unknown. `probe_unanswered` is set while the agent has not replied to the last load
     probe. `ready_at` is when usable weights are expected, or None if they are loaded or no time is
     known. `availability` outlives this record. `response_time` is the mean of this back end,
-    `service_response_time` that of all back ends of its service.
+    `service_response_time` that of all back ends of its service. `accepted_at` is when the last
+    request that it accepted was sent, `rejected_at` when it last refused or failed one. `trials`
+    counts the attempts in flight that were sent while it was doubtful.
     """
 
     instance: str
@@ -74,6 +76,9 @@
     ejected_until: float = float("-inf")
     full_until: float = float("-inf")
     slow_until: float = float("-inf")
+    accepted_at: float = float("-inf")
+    rejected_at: float = float("-inf")
+    trials: int = 0
     service_response_time: ResponseTime = dataclasses.field(default_factory=ResponseTime)
     response_time: ResponseTime = dataclasses.field(default_factory=ResponseTime)
     ready_at: float | None = None
@@ -129,6 +134,18 @@
         """Return whether the back end is ejected after a failure and is only a last resort."""
         return now < self.ejected_until
 
+    def is_accepting(self) -> bool:
+        """Return whether it accepted a request that was sent after its last refusal or failure."""
+        return self.accepted_at > self.rejected_at
+
+    def is_doubtful(self) -> bool:
+        """Return whether it has refused or failed a request and accepted none since."""
+        return self.rejected_at > float("-inf") and not self.is_accepting()
+
+    def has_trial(self) -> bool:
+        """Return whether it is doubtful and an attempt in flight will tell whether it accepts."""
+        return self.is_doubtful() and self.trials > 0
+
     def is_responsive(self, now: float) -> bool:
         """Return whether a request sent now is expected to arrive without delay."""
         return now >= self.slow_until and now - self.probe_replied_at <= RESPONSIVE_WITHIN_S
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -36,7 +36,8 @@
     """The requirements of one attempt; `version` is the lowest that may serve it.
 
     `version_soon` becomes mandatory shortly. Until then a back end with an older version may serve
-    only if it is responsive, so that the attempt starts in time.
+    only if it is responsive, so that the attempt starts in time. `is_retry` is set if the request
+    had an attempt before, `may_be_retried` if it may have another one after this.
     """
 
     service: str
@@ -45,6 +46,8 @@
     version_soon: int = 0
     prompt_tokens: float = 0.0
     tried: set[str] = dataclasses.field(default_factory=set)
+    is_retry: bool = False
+    may_be_retried: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -205,7 +208,8 @@
 ) -> list[backend_record.Backend]:
     """Return the back ends that can serve an attempt given a permit, cheapest first.
 
-    Return an empty list if any of them needs no permit.
+    For a retry, those that accept requests precede the others. Return an empty list if any of them
+    needs no permit.
     """
     serving = [
         backend
@@ -216,7 +220,13 @@
     ]
     if not all(backend.availability.is_limited() for backend in serving):
         return []
-    return sorted(serving, key=lambda backend: evaluate(backend, requirements, engine, now).cost_s)
+    return sorted(
+        serving,
+        key=lambda backend: (
+            requirements.is_retry and not backend.is_accepting(),
+            evaluate(backend, requirements, engine, now).cost_s,
+        ),
+    )
 
 
 def choose(
@@ -237,7 +247,11 @@
         for backend in candidates(backends, requirements, engine, now)
         if starts_in_time(backend, requirements, engine, now)
     ]
-    choices = [evaluate(backend, requirements, engine, now) for backend in eligible]
+    choices = least_doubtful(
+        [evaluate(backend, requirements, engine, now) for backend in eligible],
+        requirements,
+        wait_s_max,
+    )
     if not choices:
         return None
     # Entries decide independently on delayed reports and would overload the best back end. The
@@ -249,6 +263,29 @@
     return best
 
 
+def least_doubtful(
+    choices: list[Choice], requirements: Requirements, wait_s_max: float = math.inf
+) -> list[Choice]:
+    """Return the choices whose back ends are least likely to refuse an attempt.
+
+    A back end that refuses requests looks idle. A request could try several of them and use up its
+    attempts, although other back ends have capacity. A retry therefore goes to a back end that
+    accepts requests, if there is one. A first attempt avoids doubtful back ends that another
+    attempt is trying, or all doubtful ones if it can't be retried, unless the wait of the others is
+    longer than `wait_s_max`.
+    """
+    if requirements.is_retry:
+        accepting = [choice for choice in choices if choice.backend.is_accepting()]
+        if accepting:
+            return accepting
+    if requirements.may_be_retried:
+        others = [choice for choice in choices if not choice.backend.has_trial()]
+    else:
+        others = [choice for choice in choices if not choice.backend.is_doubtful()]
+    is_wait_short = any(choice.wait_s <= wait_s_max for choice in others)
+    return others if is_wait_short else choices
+
+
 def first_near_cheapest(choices: Sequence[Choice]) -> Choice:
     """Return the first choice whose cost is within the tolerance of the lowest.
 
@@ -272,12 +309,12 @@
     if len(backends) > SAMPLE_MAX:
         backends = rng.sample(backends, SAMPLE_MAX)
     eligible = candidates(backends, requirements, engine, now)
-    evaluated = [
-        (evaluate(backend, requirements, engine, now).cost_s, rng.random(), backend)
-        for backend in eligible
-    ]
-    evaluated.sort(key=lambda entry: entry[:2])
-    return [backend for _, _, backend in evaluated[skipped : skipped + count]]
+    choices = least_doubtful(
+        [evaluate(backend, requirements, engine, now) for backend in eligible], requirements
+    )
+    ranked = [(choice.cost_s, rng.random(), choice.backend) for choice in choices]
+    ranked.sort(key=lambda entry: entry[:2])
+    return [backend for _, _, backend in ranked[skipped : skipped + count]]
 
 
 def choose_best(
@@ -285,14 +322,19 @@
     requirements: Requirements,
     engine: fleet.Engine | None,
     now: float,
+    wait_s_max: float = math.inf,
 ) -> Choice | None:
-    """Return the cheapest back end that can serve an attempt, or None."""
+    """Return the cheapest of the least doubtful back ends for an attempt, or None."""
     eligible = [
         backend
         for backend in candidates(backends, requirements, engine, now)
         if starts_in_time(backend, requirements, engine, now)
     ]
-    choices = [evaluate(backend, requirements, engine, now) for backend in eligible]
+    choices = least_doubtful(
+        [evaluate(backend, requirements, engine, now) for backend in eligible],
+        requirements,
+        wait_s_max,
+    )
     return min(choices, key=lambda choice: choice.cost_s, default=None)
 
 
@@ -326,6 +368,7 @@
     ejection_s = min(EJECTION_MAX_S, EJECTION_S * 2**backend.failures)
     backend.failures += 1
     backend.ejected_until = now + ejection_s
+    backend.rejected_at = now
 
 
 def record_success(backend: backend_record.Backend, response_s: float) -> None:
@@ -338,3 +381,9 @@
 def record_full(backend: backend_record.Backend, now: float) -> None:
     """Skip a back end for a short backoff after it reported that it is full."""
     backend.full_until = now + FULL_BACKOFF_S
+    backend.rejected_at = now
+
+
+def record_accepted(backend: backend_record.Backend, sent_at: float) -> None:
+    """Record that a back end accepted a request that was sent at `sent_at`."""
+    backend.accepted_at = max(backend.accepted_at, sent_at)
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -16,11 +16,12 @@
     age_ms = round(1000 * (now - backend.load_updated_at())) if backend.has_fresh_load(now) else -1
     waited_ms = round(1000 * (now - arrived_at))
     expected_ms = round(1000 * choice.first_byte_s)
+    doubt = ", refused or failed its last request" if backend.is_doubtful() else ""
     unread = round(backend.unread_tokens + (backend.others_unread_tokens or 0.0))
     return (
         f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, "
         f"unread {unread}, pace {backend.pace:.2g}, age {age_ms} ms, "
-        f"first byte expected in {expected_ms} ms{describe_limit(backend, permit, now)}"
+        f"first byte expected in {expected_ms} ms{doubt}{describe_limit(backend, permit, now)}"
     )
 
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -227,6 +227,8 @@
             raise errors.ProtocolError(
                 "a successful response is unsigned or has a content encoding"
             )
+        if is_success:
+            dispatch.record_accepted(self.backend, self.sent_at)
         if is_success and self.context.route.kind == fleet.STREAMING:
             response = http_messages.Response(head.status_code, headers)
             return await self.relay_stream(connection, response), headers
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -51,7 +51,8 @@
     """The load that an attempt adds to a back end.
 
     `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
-    the address of the agent that counts the attempt, or empty if the back end has none.
+    the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
+    is set if the back end was doubtful when the attempt began.
     """
 
     backend: backend_record.Backend
@@ -60,6 +61,7 @@
     number: int = 0
     agent: str = ""
     is_read: bool = False
+    is_trial: bool = False
 
 
 class BackendPool:
@@ -262,7 +264,7 @@
         await self.probe(probed)
         known = [*subscribed, *(backend for backend in probed if not backend.probe_unanswered)]
         # Unsubscribed engines that did not reply to the probe are the last resort.
-        choice = dispatch.choose_best(known, requirements, engine, self.clock())
+        choice = dispatch.choose_best(known, requirements, engine, self.clock(), wait_s_max)
         return choice or dispatch.choose_best(probed, requirements, engine, self.clock())
 
     def evaluate(
@@ -314,6 +316,9 @@
         backend.unread += 1
         backend.unread_tokens += tokens
         reservation = Reservation(backend, tokens, self.clock(), next(self.reservation_numbers))
+        if backend.is_doubtful():
+            reservation.is_trial = True
+            backend.trials += 1
         if self.engine_of(backend.service) is not None:
             reservation.agent = self.agent_of(backend)
         self.notify_agent(reservation, node_messages.AttemptStage.SENT)
@@ -342,6 +347,8 @@
         self.record_prompt_read(reservation)
         self.notify_agent(reservation, node_messages.AttemptStage.ENDED)
         reservation.backend.in_flight -= 1
+        if reservation.is_trial:
+            reservation.backend.trials -= 1
         queue = self.queues.get(reservation.backend.service)
         if queue is not None:
             queue.wake()
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -209,6 +209,9 @@
             self.pool.version_soon(model, now) if model else 0,
             self.context.call.prompt_tokens,
             set(self.tried),
+            bool(self.attempts),
+            self.sent_count() + 1 < self.context.route.attempts
+            and self.pool.budget(self.service).allows(now),
         )
 
     async def acquire_backend(self) -> dispatch.Choice:
--- a/tests/test_resting_back_ends.py
+++ b/tests/test_resting_back_ends.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 
 import pytest
 
@@ -46,6 +47,17 @@
                     first = self.now()
         return first
 
+    async def wait_until_rested(self, workers: list[fleet_worker.Worker]) -> None:
+        """Wait until no worker rests or is skipped because it was full."""
+        pool = self.entry.node.pool
+        backends = [pool.backends[worker.instance] for worker in workers]
+        await fleet_nodes.until(
+            lambda: all(
+                max(backend.availability.rest_until, backend.full_until) <= self.now()
+                for backend in backends
+            )
+        )
+
 
 def count_refusals(workers) -> int:
     return sum(worker.refusal_count for worker in workers)
@@ -71,6 +83,45 @@
         asyncio.run(scenario(service))
 
 
+# Guards against a request that uses up its attempts at back ends whose rests have just ended.
+@pytest.mark.parametrize("service", ["safe", "unsafe", "model"])
+def test_request_refused_after_a_rest_is_served_by_an_accepting_back_end(service):
+    async def scenario():
+        fleet = await RestingFleet(service, 3).start()
+        resting = fleet.workers[:2]
+        fleet.refuse_requests(resting, "0.1")
+        await fleet.request_until_refused(resting)
+        for _ in range(6):
+            await fleet.wait_until_rested(resting)
+            before = count_refusals(resting)
+            # Enough requests per rest that the retry budget covers the refused ones.
+            statuses = [(await fleet.request()).status for _ in range(16)]
+            assert statuses == [200] * 16
+            assert count_refusals(resting) > before
+
+    asyncio.run(scenario())
+
+
+# Guards against many requests that reach a back end before its first refusal after a rest.
+@pytest.mark.parametrize("service", ["safe", "unsafe", "model"])
+def test_one_request_at_a_time_is_sent_after_a_rest_while_others_accept(service):
+    async def scenario():
+        fleet = await RestingFleet(service, 6).start()
+        resting = fleet.workers[:2]
+        fleet.refuse_requests(resting, "0.3")
+        await fleet.request_until_refused(resting)
+        await fleet.wait_until_rested(resting)
+        known = [worker.refusal_count for worker in resting]
+        responses = await asyncio.gather(*[fleet.request() for _ in range(8)])
+        assert {response.status for response in responses} == {200}
+        for worker, count in zip(resting, known, strict=True):
+            times = [refusal.at for refusal in worker.refusals[count:]]
+            gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+            assert all(gap >= 0.3 for gap in gaps), gaps
+
+    asyncio.run(scenario())
+
+
 # Requests must be sent within one rest, so a stalled process would fail this test.
 @pytest.mark.timed
 def test_back_end_is_used_after_its_rest_and_can_rest_again():
