Do not count pauses of this process in the timeouts of attempts

What callers saw: 502 for streams whose back end had answered in time, after the process of the entry had stood still.

Cause: after a pause one pass of the event loop handles readable sockets and overdue timers. The timer cancels the attempt before it has read what has arrived. The attempt counted as failed and its back end was ejected.

Evidence: the log lines of all 502 responses say "no data received for 0.80 s" and then name a retry at a back end whose rest had ended during the pause. With one worker, it ran the stream twice.

Change: if a timer fires late, wait again for as long as it was late, at most the timeout. A new metric, merlinthread_pauses_total, counts these cases.

--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -64,6 +64,11 @@
     ["action", "outcome"],
 )
 
+pauses_total = prometheus_client.Counter(
+    "merlinthread_pauses_total",
+    "Timeouts extended because this process was suspended or blocked.",
+)
+
 
 def expose() -> bytes:
     """Return all metrics in the Prometheus text format."""
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -23,7 +23,7 @@
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import event_stream
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import http_messages, stream_client, timeouts
 
 # Timeouts for the first event and between events, as multiples of the route's values.
 FIRST_EVENT_OBJECTIVE_FACTOR = 2.0
@@ -312,14 +312,10 @@
         """Return the next event; raise ResponseTimeoutError after `timeout_s` seconds."""
         if timeout_s == math.inf:
             return await connection.next_event()
-        timeout = asyncio.timeout(timeout_s)
         try:
-            async with timeout:
-                return await connection.next_event()
+            return await timeouts.wait_for(connection.next_event, timeout_s)
         except TimeoutError:
-            if timeout.expired():
-                raise ResponseTimeoutError(f"no data received for {timeout_s:.2f} s")
-            raise
+            raise ResponseTimeoutError(f"no data received for {timeout_s:.2f} s")
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
         """Return the complete body."""
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -14,7 +14,7 @@
 from merlinthread.coordination import crash_tracker, instances
 from merlinthread.protocol import node_messages
 from stand_ins import fleet_worker
-from tests import fleet_nodes
+from tests import fleet_nodes, single_entry_fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -133,3 +133,21 @@
     assert registry.expire(clock(), 9.6) == ["i"]
     tracker.expire(clock())
     assert not tracker.records
+
+
+# Guards against taking a pause of the entry's own process for silence of its back ends.
+@pytest.mark.parametrize("pause_after_s", [0.02, 0.12])
+def test_stream_survives_a_pause_of_the_entry(pause_after_s):
+    async def scenario():
+        fleet = await single_entry_fleet.SingleEntryFleet("model", 1, work_s=0.1).start()
+        (worker,) = fleet.workers
+        worker.behaviour.gap_s = 0.05
+        # Longer than the timeouts for the first event and between events.
+        asyncio.get_running_loop().call_later(pause_after_s, time.sleep, 1.0)
+        response = await fleet.request()
+        assert response.status == 200
+        assert response.body.count(b"data:") == worker.behaviour.events
+        assert len(worker.runs) == 1 and not worker.cancelled
+        assert not fleet.entry.node.pool.backends[worker.instance].failures
+
+    asyncio.run(scenario())
