Do not count pauses of this process in the timeouts of calls between nodes

An entry gave up its control VM and asked the next one for its full state; an agent took the peer that reads a manifest for silent.

The wait for a response goes on after a pause, and ClientConnection.receive can be repeated after it was cancelled, so that a response that was read in part is not lost.

--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -6,7 +6,7 @@
 import h11
 
 from merlinthread import clocks, errors
-from merlinthread.transport import http_messages, sockets
+from merlinthread.transport import http_messages, sockets, timeouts
 
 
 class ClientConnection(asyncio.Protocol):
@@ -25,6 +25,8 @@
         self.is_idle = True
         self.is_reused = False
         self.received: collections.deque[bytes] = collections.deque()
+        # The events of the response that `receive` has read so far.
+        self.events: list[h11.Event] = []
 
     # asyncio.Protocol callbacks
 
@@ -102,18 +104,22 @@
         await self.waiter
 
     async def receive(self) -> http_messages.Response:
-        """Return the complete response; raise the same errors as `next_event`."""
-        head = await self.next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self.next_event()
-        if not isinstance(head, h11.Response):
-            raise errors.ProtocolError(f"expected a response head, got {type(head).__name__}")
-        chunks = []
-        while isinstance(event := await self.next_event(), h11.Data):
-            chunks.append(bytes(event.data))
-        return http_messages.Response(
-            head.status_code, list(head.headers.raw_items()), b"".join(chunks)
-        )
+        """Return the complete response; raise the same errors as `next_event`.
+
+        A call that was cancelled can be repeated; it goes on where the previous one ended.
+        """
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not self.events and not isinstance(event, h11.Response):
+                raise errors.ProtocolError(f"expected a response head, got {type(event).__name__}")
+            if self.events and not isinstance(event, h11.Data):
+                break
+            self.events.append(event)
+        (head, *chunks), self.events = self.events, []
+        body = b"".join(bytes(chunk.data) for chunk in chunks)
+        return http_messages.Response(head.status_code, list(head.headers.raw_items()), body)
 
     def prepare_reuse(self, now: float, keep_alive_s: float) -> bool:
         """Prepare the connection for another request after a complete response.
@@ -272,12 +278,14 @@
         response is malformed or incomplete.
         """
         connection = self.acquire(address, clocks.now(), self.keep_alive_s)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                if connection is None:
-                    connection = await connect(address, self.connect_timeout_s, self.user_timeout_s)
-                connection.send(request)
-                response = await connection.receive()
+            if connection is None:
+                connect_timeout_s = min(self.connect_timeout_s, timeout_s)
+                connection = await connect(address, connect_timeout_s, self.user_timeout_s)
+            connection.send(request)
+            response = await timeouts.wait_for(connection.receive, deadline - loop.time())
         except TimeoutError:
             if connection is not None:
                 self.handle_timeout(address, connection)
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -13,6 +13,7 @@
 from merlinthread import clocks, errors
 from merlinthread.coordination import crash_tracker, instances
 from merlinthread.protocol import node_messages
+from merlinthread.transport import http_messages, stream_client, stream_server
 from stand_ins import fleet_worker
 from tests import fleet_nodes, single_entry_fleet
 
@@ -151,3 +152,29 @@
         assert not fleet.entry.node.pool.backends[worker.instance].failures
 
     asyncio.run(scenario())
+
+
+# Guards against losing a reply that arrived during a pause, half of it before.
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_call_of_a_node_survives_a_pause(is_cut):
+    async def scenario():
+        async def serve(exchange):
+            exchange.start_response(200, [(b"content-length", b"2")])
+            await exchange.send(b"a")
+            if is_cut:
+                await asyncio.sleep(0.2)
+            await exchange.send(b"b")
+            await exchange.finish()
+
+        server = stream_server.Server(serve)
+        await server.listen("127.0.0.1", 0)
+        port = server.listener.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        pool = stream_client.ConnectionPool(1.0, 1.0, 2.0)
+        request = http_messages.Request(b"GET", b"/", [(b"host", b"c")])
+        # The connection is open, so that the pause falls into the wait for the response.
+        await pool.request(address, request, 1.0)
+        asyncio.get_running_loop().call_later(0.1 if is_cut else 0.0, time.sleep, 0.5)
+        assert (await pool.request(address, request, 0.3)).body == b"ab"
+
+    asyncio.run(scenario())
