Let an agent that reads a manifest from the origin say so to its successors

What was seen: agents of one zone read the manifest 2 or 3 times for 1; the origin's link is what bounds a roll.

Cause: an agent's turn came 0.25 s per predecessor after its start, whether or not a predecessor was still reading. After a pause the turn had passed without a question.

Change: the reply to a request for a manifest says whether the agent is reading it; its successors wait, up to the timeout of a read longer, and ask once more after the time of their turn. Older builds ignore the field and never set it.

--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -2,7 +2,8 @@
 
 All agents learn of a new version at about the same time. To limit the load on the origin, the
 agents of an availability zone are put in rendezvous order: the first reads from the origin, the
-others poll their predecessors and turn to the origin one by one if those don't have the manifest.
+others poll their predecessors and turn to the origin one by one if those neither have the manifest
+nor are reading it.
 
 While the origin is unavailable, agents query random peers. In each round, one agent per zone on
 average retries the origin; the manifest then spreads by gossip (Demers et al. 1987).
@@ -50,6 +51,8 @@
         self.rng = rng
         # Model and version of the last failed read from the origin.
         self.last_failed = ("", 0)
+        # Model and version that is being read from the origin.
+        self.reading = ("", 0)
         # Time of the next read that the origin allows (Retry-After).
         self.origin_not_before = float("-inf")
 
@@ -98,6 +101,7 @@
         Raises UnreachableError after ORIGIN_TIMEOUT_S: an origin that has just recovered is busy
         with pieces, and a peer is likely to respond sooner.
         """
+        self.reading = (model, version)
         try:
             async with asyncio.timeout(ORIGIN_TIMEOUT_S):
                 return await self.engine.fetch_manifest(origin, model, version)
@@ -105,6 +109,12 @@
             raise errors.UnreachableError(
                 f"{origin}: no manifest received within {ORIGIN_TIMEOUT_S} s"
             )
+        finally:
+            self.reading = ("", 0)
+
+    def is_reading(self, model: str, version: int) -> bool:
+        """Return whether a version is being read from the origin; version 0 is any version."""
+        return self.reading[0] == model and version in (0, self.reading[1])
 
     def draw_origin_retry(self, peers: Sequence[fetch.Peer]) -> bool:
         """Return true with probability 1/n, where n is the number of agents in this zone."""
@@ -116,32 +126,45 @@
     ) -> fleet.Manifest | None:
         """Query PEERS_QUERIED random peers; return the manifest, or None if none of them has it."""
         queried = self.rng.sample(peers, min(PEERS_QUERIED, len(peers)))
-        replies = await asyncio.gather(*(self.query_peer(p.bus, model, version) for p in queried))
-        return next((manifest for manifest in replies if manifest is not None), None)
+        reply = await self.query_peers([peer.bus for peer in queried], model, version)
+        return reply.manifest
 
     async def poll_predecessors(
         self, predecessors: Sequence[str], model: str, version: int
     ) -> fleet.Manifest | None:
-        """Poll the first predecessors for the manifest; return None after the timeout."""
-        deadline = self.clock() + min(PREDECESSOR_WAIT_MAX_S, ORIGIN_STAGGER_S * len(predecessors))
-        while self.clock() < deadline:
-            queried = predecessors[:PREDECESSORS_POLLED]
-            replies = await asyncio.gather(*(self.query_peer(a, model, version) for a in queried))
-            manifest = next((m for m in replies if m is not None), None)
-            if manifest is not None:
-                return manifest
+        """Poll the first predecessors for the manifest; return None if it is this agent's turn.
+
+        That is the case after ORIGIN_STAGGER_S per predecessor. While a predecessor reads the
+        manifest, wait up to ORIGIN_TIMEOUT_S longer, after which its read has failed.
+        """
+        queried = predecessors[:PREDECESSORS_POLLED]
+        turn_at = self.clock() + min(PREDECESSOR_WAIT_MAX_S, ORIGIN_STAGGER_S * len(predecessors))
+        while queried:
+            reply = await self.query_peers(queried, model, version)
+            if reply.manifest is not None:
+                return reply.manifest
+            if self.clock() >= turn_at + ORIGIN_TIMEOUT_S * reply.is_reading:
+                return None
             await asyncio.sleep(PREDECESSOR_POLL_INTERVAL_S)
         return None
 
-    async def query_peer(self, peer: str, model: str, version: int) -> fleet.Manifest | None:
-        """Return the manifest from a peer, or None if it has none or the call fails."""
+    async def query_peers(
+        self, peers: Sequence[str], model: str, version: int
+    ) -> node_messages.ManifestReply:
+        """Query peers at once; return the manifest, or whether one of them is reading it."""
+        replies = await asyncio.gather(*(self.query_peer(peer, model, version) for peer in peers))
+        manifest = next((reply.manifest for reply in replies if reply.manifest is not None), None)
+        return node_messages.ManifestReply(manifest, any(reply.is_reading for reply in replies))
+
+    async def query_peer(self, peer: str, model: str, version: int) -> node_messages.ManifestReply:
+        """Return a peer's reply; one without a manifest if the call fails."""
         request = node_messages.ManifestRequest(model, version)
         with contextlib.suppress(errors.MerlinthreadError):
             reply = await self.rpc_client.call(peer, request, PEER_TIMEOUT_S)
             if reply.manifest is not None:
                 logs.event("manifest_from_peer", version=version, peer=peer)
-            return reply.manifest
-        return None
+            return reply
+        return node_messages.ManifestReply(None)
 
 
 def zone_predecessors(own_address: str, manifest: str, peers: Sequence[fetch.Peer]) -> list[str]:
--- a/src/merlinthread/nodes/piece_server.py
+++ b/src/merlinthread/nodes/piece_server.py
@@ -79,11 +79,14 @@
 
 
 def serve_manifest(
-    manifest: fleet.Manifest | None, request: node_messages.ManifestRequest
+    manifest: fleet.Manifest | None, is_reading: bool, request: node_messages.ManifestRequest
 ) -> node_messages.ManifestReply:
-    """Return a reply with `manifest` if it is the requested one, otherwise an empty reply."""
+    """Return a reply with `manifest` if it is the requested one, otherwise one without.
+
+    `is_reading` tells whether the requested one is being read from the origin.
+    """
     if manifest is None or manifest.model != request.model:
-        return node_messages.ManifestReply(None)
+        return node_messages.ManifestReply(None, is_reading)
     if request.version not in (0, manifest.version):
-        return node_messages.ManifestReply(None)
+        return node_messages.ManifestReply(None, is_reading)
     return node_messages.ManifestReply(manifest)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -262,7 +262,8 @@
 
     def serve_manifest(self, request: node_messages.ManifestRequest) -> node_messages.ManifestReply:
         """Return the reply to a peer's request for a manifest."""
-        return piece_server.serve_manifest(self.manifest, request)
+        is_reading = self.finder.is_reading(request.model, request.version)
+        return piece_server.serve_manifest(self.manifest, is_reading, request)
 
     def record_notice(self, notice: node_messages.PieceNotice | node_messages.PieceClaim) -> None:
         """Record a peer's notice that it has received a piece or is reading it from the origin."""
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -321,9 +321,13 @@
 @MESSAGES.add("node.manifest_reply")
 @dataclasses.dataclass(slots=True)
 class ManifestReply:
-    """The manifest, or None if the agent does not have the requested one."""
+    """The manifest, or None if the agent does not have the requested one.
+
+    `is_reading` is set while the agent reads it from the origin.
+    """
 
     manifest: fleet.Manifest | None
+    is_reading: bool = False
 
 
 @MESSAGES.add("node.piece_request")
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -276,6 +276,8 @@
         self.pieces = pieces
         self.served_pieces: list[tuple[int, int]] = []
         self.manifests_served = 0
+        # Time that the transfer of a manifest takes.
+        self.manifest_delay_s = 0.0
         self.corrupt: set[int] = set()
         # Versions and indices of the pieces that get a 503 response.
         self.unavailable_pieces: set[tuple[int, int]] = set()
@@ -317,6 +319,7 @@
         pieces = self.pieces[version]
         if path.startswith("/manifest/"):
             self.manifests_served += 1
+            await asyncio.sleep(self.manifest_delay_s)
             body = {
                 "model": path.split("/")[-1],
                 "version": version,
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 
 import pytest
 
@@ -142,6 +143,34 @@
     run(4, scenario)
 
 
+# Guards against a second read that begins only because the first one is slow.
+def test_slow_read_of_the_manifest_is_not_repeated_by_other_agents():
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        fleet.origin.manifests_served = 0
+        fleet.origin.manifest_delay_s = 0.4
+        fleet.publish(2)
+        await fleet.wait_until_loaded(2)
+        assert fleet.origin.manifests_served == 1
+
+    run(4, scenario)
+
+
+# Guards against agents that take their own pause for the silence of the agent that reads.
+def test_read_of_the_manifest_is_not_repeated_after_a_pause():
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        fleet.origin.manifests_served = 0
+        fleet.origin.manifest_delay_s = 0.05
+        fleet.publish(2)
+        await fleet_nodes.until(lambda: fleet.origin.manifests_served)
+        time.sleep(0.4)
+        await fleet.wait_until_loaded(2)
+        assert fleet.origin.manifests_served == 1
+
+    run(4, scenario)
+
+
 def test_next_agent_of_a_zone_reads_the_manifest_if_the_first_is_down():
     async def scenario(fleet):
         await fleet.wait_until_loaded(1)
