Do not take the position of a reply that was under way when positions were discarded

An entry discards its positions in the feeds of control VMs when a full state lacks back ends that it knows, so that the others send them again. A reply of another control VM that was under way at that moment wrote its position back; if that VM was selected, it sent only changes, and the back ends were dropped after four heartbeats.

--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -109,7 +109,7 @@
         if self.is_fresh:
             self.current_control_vm = found
             # Any other control VM must send its full state if it is selected later.
-            self.positions = {found: self.positions.get(found, FeedPosition())}
+            self.positions = {found: self.position_of(found)}
         self.current_control_vm = self.current_control_vm or found
 
     async def find_control_vm(self) -> str:
@@ -118,11 +118,13 @@
         If there is none, return any that replies, or an empty string. All are queried at once, so
         that the nearest one is preferred.
         """
+        loop = asyncio.get_running_loop()
+        asked = {address: self.position_of(address) for address in self.other_control_vms()}
         addresses_by_task = {
-            asyncio.get_running_loop().create_task(
-                self.request_changes(address, 0.0, SEARCH_TIMEOUT_S)
+            loop.create_task(
+                self.request_changes(address, position, 0.0, SEARCH_TIMEOUT_S)
             ): address
-            for address in self.other_control_vms()
+            for address, position in asked.items()
         }
         fallback = ""
         pending = set(addresses_by_task)
@@ -132,12 +134,13 @@
                 reply = task.result()
                 if reply is None:
                     continue
-                self.apply(reply, addresses_by_task[task])
+                address = addresses_by_task[task]
+                self.apply(reply, address, asked[address])
                 if reply.leader_age_s < STALE_AFTER_S:
                     for other in pending:
                         other.cancel()
-                    return addresses_by_task[task]
-                fallback = fallback or addresses_by_task[task]
+                    return address
+                fallback = fallback or address
         return fallback
 
     def other_control_vms(self) -> list[str]:
@@ -145,11 +148,14 @@
         known = dict.fromkeys([*self.controls, *self.settings.control_rpc_addresses()])
         return [address for address in known if address != self.current_control_vm]
 
+    def position_of(self, address: str) -> FeedPosition:
+        """Return the position in a control VM's feed; the initial one if none is known."""
+        return self.positions.get(address, FeedPosition())
+
     async def request_changes(
-        self, address: str, wait_s: float, timeout_s: float
+        self, address: str, position: FeedPosition, wait_s: float, timeout_s: float
     ) -> node_messages.WatchReply | None:
-        """Query a control VM for changes; return None if it does not reply."""
-        position = self.positions.get(address, FeedPosition())
+        """Query a control VM for changes after `position`; return None if it does not reply."""
         suspicions = position.suspicions if self.suspect_tracker is not None else -1
         limits = position.limits if self.signals is not None else -1
         watch = node_messages.WatchRequest(
@@ -170,11 +176,14 @@
     async def poll(self) -> None:
         """Poll the current control VM once and apply its reply."""
         wait_s = WATCH_WAIT_S if self.is_fresh else STALE_WAIT_S
-        reply = await self.request_changes(self.current_control_vm, wait_s, WATCH_TIMEOUT_S)
+        position = self.position_of(self.current_control_vm)
+        reply = await self.request_changes(
+            self.current_control_vm, position, wait_s, WATCH_TIMEOUT_S
+        )
         if reply is None:
             self.disconnect("no reply")
             return
-        self.apply(reply, self.current_control_vm)
+        self.apply(reply, self.current_control_vm, position)
         if reply.leader_age_s > STALE_AFTER_S:
             self.mark_stale("no contact with a majority")
             await asyncio.sleep(RETRY_DELAY_S)
@@ -205,12 +214,20 @@
 
     def feed(self) -> str:
         """Return the feed of the current control VM, or an empty string."""
-        return self.positions.get(self.current_control_vm, FeedPosition()).feed
+        return self.position_of(self.current_control_vm).feed
 
     # Updates
 
-    def apply(self, reply: node_messages.WatchReply, address: str = "") -> None:
-        """Apply a reply of the control VM at `address`; outdated parts have no effect."""
+    def apply(
+        self,
+        reply: node_messages.WatchReply,
+        address: str = "",
+        asked_from: FeedPosition | None = None,
+    ) -> None:
+        """Apply a reply of the control VM at `address`; outdated parts have no effect.
+
+        `asked_from` is the position in the request, or None if it is the current one.
+        """
         now = self.clock()
         if reply.leader_age_s <= STALE_AFTER_S:
             self.confirmed_at = now
@@ -220,10 +237,12 @@
                 logs.event("control_found", leader_age_s=reply.leader_age_s, version=version)
         if reply.controls:
             self.controls = reply.controls
-        # Set first, since the following updates may discard positions to get the full state.
-        self.positions[address] = FeedPosition(
-            reply.feed, reply.position, reply.suspicion_revision, reply.limit_revision
-        )
+        # Set first, since the following updates may discard positions to get the full state. If
+        # that happened during the request, a reply with changes only does not replace that state.
+        if reply.is_full or asked_from in (None, self.position_of(address)):
+            self.positions[address] = FeedPosition(
+                reply.feed, reply.position, reply.suspicion_revision, reply.limit_revision
+            )
         self.apply_configuration(reply)
         self.apply_versions(reply, now)
         self.apply_instances(reply, address, now)
@@ -309,7 +328,7 @@
             if absent:
                 # A control VM that has just started may not know them yet. The others send them
                 # again only if their positions are reset.
-                self.positions = {address: self.positions[address]}
+                self.positions = {address: self.position_of(address)}
         self.remove_missing(now)
 
     def apply_instance(self, record: instances.Instance, now: float) -> None:
--- a/tests/test_watcher_full_updates.py
+++ b/tests/test_watcher_full_updates.py
@@ -45,6 +45,16 @@
     assert not watcher.missing and set(watcher.instances) == {"a", "b"}
 
 
+# Guards against a reply that was on its way when the positions were discarded.
+def test_late_reply_with_changes_does_not_replace_full_update():
+    watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
+    watcher.apply(make_reply("feed-a", 5, True, ["a", "b"]), INFORMED)
+    asked_from = watcher.position_of(INFORMED)
+    watcher.apply(make_reply("feed-b", 1, True, []), NEWLY_STARTED)
+    watcher.apply(make_reply("feed-a", 6, False, []), INFORMED, asked_from)
+    assert INFORMED not in watcher.positions, "the missing back ends would not be sent again"
+
+
 def test_full_update_is_requested_after_back_end_is_dropped():
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
     times = [100.0]
