Start entries of the soak and of the upgrade test once the control VMs are whole

What was seen: test_rolling_upgrade_and_rollback_fail_no_request failed in 1 of 9 and 1 of 15 runs beside processes that start others; callers of one route got 503 for seconds.

Cause: entries of the old build that start before all control VMs are told an incomplete list by one of them, and forget the rest 1.7 s later, until the control VM that they follow is replaced.

The old build can't be changed. Entries and agents now start once each control VM reads back a configuration and has heard of each worker.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -67,8 +67,11 @@
             )
             await asyncio.sleep(0.3)
 
-    async def send_heartbeat(self, worker: fleet_worker.Worker) -> None:
-        """Send one worker's heartbeat to a control VM."""
+    async def send_heartbeat(self, worker: fleet_worker.Worker, ip: str = "") -> bool:
+        """Send one worker's heartbeat to a control VM, by default a random one.
+
+        Return whether it was acknowledged.
+        """
         self.sequences[worker.instance] += 1
         body = {
             "service": self.fleet.workers.get(worker, "safe"),
@@ -79,16 +82,20 @@
             "sequence": self.sequences[worker.instance],
             "models": [{"name": "m", "version": worker.version}] if worker.model else [],
         }
-        await self.call_control("PUT", f"/instances/{worker.instance}", body)
+        status, _ = await self.call_control("PUT", f"/instances/{worker.instance}", body, ip)
+        return status == 200
 
     async def call_control(
-        self, method: str, path: str, body: dict | None = None
+        self, method: str, path: str, body: dict | None = None, ip: str = ""
     ) -> tuple[int, bytes]:
-        """Call a random control VM; return its status and body, or status 0 if the call fails."""
+        """Call a control VM, by default a random one.
+
+        Return its status and body, or status 0 if the call fails.
+        """
         data = json.dumps(body).encode() if body is not None else b""
         headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
         request = http_messages.Request(method.encode(), path.encode(), headers, data)
-        address = f"{self.rng.choice(self.fleet.control_ips)}:{soak_nodes.CONTROL_PORT}"
+        address = f"{ip or self.rng.choice(self.fleet.control_ips)}:{soak_nodes.CONTROL_PORT}"
         try:
             response = await self.fleet.pool.request(address, request, 1.0)
         except errors.MerlinthreadError:
@@ -215,7 +222,7 @@
             asyncio.create_task(self.send_heartbeats()),
             asyncio.create_task(self.run_operator()),
         ]
-        await self.wait_until_served("at the start")
+        await self.start_nodes()
         load.append(asyncio.create_task(self.run_clients()))
         faults = asyncio.create_task(self.fault_injector.run())
         await asyncio.sleep(self.seconds)
@@ -228,6 +235,22 @@
             task.cancel()
         self.check_invariants()
 
+    async def start_nodes(self) -> None:
+        """Start the other nodes once the control VMs are whole, and wait until they serve.
+
+        Clients of a deployment come only then. A node that starts earlier would be told an
+        incomplete list of workers.
+        """
+        async with asyncio.timeout(soak_fleet.START_TIMEOUT_S):
+            for ip in self.fleet.control_ips:
+                while (await self.call_control("GET", "/config", ip=ip))[0] != 200:
+                    await asyncio.sleep(0.05)
+                for worker in list(self.fleet.workers):
+                    while not await self.send_heartbeat(worker, ip):
+                        await asyncio.sleep(0.05)
+        self.fleet.start_others()
+        await self.wait_until_served("at the start")
+
     async def wait_until_served(self, when: str) -> None:
         """Wait until reads and requests succeed; record a violation after RECOVERY_TIMEOUT_S."""
         loop = asyncio.get_running_loop()
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -11,6 +11,8 @@
 from stand_ins import fleet_worker, proxy
 
 RECOVERY_TIMEOUT_S = 12.0
+# Bound for the start of the control VMs' processes, which depends on the machine only.
+START_TIMEOUT_S = 30.0
 EVENT_COUNT = 6
 SERVICES = ("safe", "safe", "unsafe", "unsafe", "model", "model")
 
@@ -35,11 +37,18 @@
         self.pool = stream_client.ConnectionPool(0.0, 0.5, 1.0)
 
     async def start(self) -> None:
-        """Start all workers and nodes, without waiting for the nodes."""
+        """Start all workers and control VMs, without waiting for the control VMs."""
         for worker in self.workers:
             await self.start_worker(worker)
         for node in self.nodes:
-            node.start()
+            if node.role == "control":
+                node.start()
+
+    def start_others(self) -> None:
+        """Start the nodes that are not control VMs, without waiting for them."""
+        for node in self.nodes:
+            if node.role != "control":
+                node.start()
 
     def close(self) -> None:
         """Kill all node processes and close the links."""
--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -136,7 +136,7 @@
             asyncio.create_task(self.run_operator()),
         ]
         load.append(asyncio.create_task(self.balancer.run()))
-        await self.wait_until_served("at the start")
+        await self.start_nodes()
         await self.balancer.wait_until_ready()
         self.soak_result.sent = self.soak_result.answered = 0
         load.append(asyncio.create_task(self.run_clients()))
@@ -180,10 +180,11 @@
             self.weights_fleet.add_weight_settings(body) if self.weights_fleet is not None else body
         )
 
-    async def send_heartbeat(self, worker: fleet_worker.Worker) -> None:
-        """Send a worker's heartbeat unless the worker is down."""
-        if not getattr(worker, "is_down", False):
-            await super().send_heartbeat(worker)
+    async def send_heartbeat(self, worker: fleet_worker.Worker, ip: str = "") -> bool:
+        """Send a worker's heartbeat like the soak test, unless the worker is down."""
+        if getattr(worker, "is_down", False):
+            return False
+        return await super().send_heartbeat(worker, ip)
 
     def pick_entry(self) -> str:
         """Return the IP of the entry that the balancer selects for a new connection."""
