Wait in Fleet.start until all control VMs follow and all entries listen

What was seen: test_second_loss_is_survived_after_a_lost_disk_is_replaced removed the data folder of a control VM that had not made it yet; test_each_bundle_stage_survives_a_kill_of_ the_leader killed the leader while only two of three control VMs ran.

Cause: Fleet.start waited for a leader only, which two of three can elect.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -131,7 +131,7 @@
             raise
 
     def start_all(self) -> None:
-        """Start all processes and wait for a leader and for all agents to report."""
+        """Start all processes and wait until all control VMs, entries and agents take part."""
         if not self.operators:
             self.add_operator("ana")
         self.start_stand_ins()
@@ -150,7 +150,10 @@
                 self.add_engine(zone, number)
         for number in range(self.shape.services):
             self.add_service(number)
-        processes.wait_for("a leader", self.leader, START_TIMEOUT_S)
+        processes.wait_for(
+            "all control VMs to follow a leader", self.is_replicated, START_TIMEOUT_S
+        )
+        processes.wait_for("all entries to listen", self.are_entries_listening, START_TIMEOUT_S)
         expected = len(self.shape.zones) * self.shape.engines_per_zone + self.shape.services
         processes.wait_for(
             f"{expected} agents",
@@ -358,6 +361,23 @@
         name = self.status().get("leader")
         return self.vms.get(name) if name else None
 
+    def is_replicated(self) -> bool:
+        """Return whether every control VM has the whole log of the leader."""
+        members = self.status().get("members", [])
+        return len(members) == len(self.controls()) and not any(
+            member["entries_behind"] for member in members
+        )
+
+    def are_entries_listening(self) -> bool:
+        """Return whether every entry accepts connections."""
+        try:
+            return all(
+                self.http.request("GET", f"http://{vm.http}/metrics").status == 200
+                for vm in self.entries()
+            )
+        except errors.MerlinthreadError:
+            return False
+
     def serving_counts(self, model: str) -> dict[str, int]:
         """Return the number of running engines that serve each manifest of a model."""
         counts: dict[str, int] = {}
