Wait in the upgrade test until a replaced entry is ready before the next one is stopped

Cause: the harness stopped the second entry 1.5 s after it had started the process of the first one, which then took 4.6 s to run. For two seconds no entry was left.

upgrade_node now waits until the balancer sees every entry ready.

--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -201,7 +201,7 @@
         return nodes
 
     async def upgrade_node(self, node: soak_nodes.Node, build: str) -> None:
-        """Stop a node gracefully and start it with another build."""
+        """Stop a node gracefully, start it with another build, and wait until it is ready."""
         async with self.locked(node):
             node.signal(signal.SIGTERM)
             assert node.process is not None
@@ -210,6 +210,7 @@
             self.starts[node.ip].append((asyncio.get_running_loop().time(), build))
             node.start()
             await self.fleet.wait_until_responding(node)
+            await self.balancer.wait_until_ready()
 
     @contextlib.asynccontextmanager
     async def locked(self, node: soak_nodes.Node) -> AsyncIterator[None]:
