Wait for the last entry of the log in the test of a power loss

test_state_survives_power_loss_with_loss_of_leader_disk waited until a member had applied the published version, and checked the departure, the next entry of the log, at once. Members apply the two in separate steps: polled at every pass of the event loop, two of three members were seen between the two in each of five runs. The test now waits for the departure, the last entry, and checks both as before.

--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -392,7 +392,9 @@
             await controls.start(ip, folder=f"{ip}-empty" if ip == lost else "")
         assert await read_version(controls) == 6
         for node in controls.nodes.values():
-            await fleet_nodes.until(lambda node=node: node.member.state.named == {"m": 2})
+            # The departure is the last entry of the log.
+            await fleet_nodes.until(lambda node=node: node.member.state.departed)
+            assert node.member.state.named == {"m": 2}
             assert node.member.state.departed == {"i-gone": fleet.GONE}
 
     run(tmp_path, scenario)
