Use an unsafe request in the test of a restart under the same id

test_requests_go_to_new_incarnation_after_restart_under_same_id checks that no request is in flight at the later incarnation, while a safe request that the earlier one had run may be retried there: 5 ms after the later incarnation was known, a trial saw one in flight. The check was right only as long as the retry had not begun or had ended. An unsafe request is not retried, so the check holds at any time; it is as strict as before.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -125,7 +125,8 @@
         await pending
 
     async def run_scenario():
-        fleet_ = crashing_fleet.CrashingFleet(tmp_path)
+        # An unsafe request is not retried, so it can't be in flight at the later incarnation.
+        fleet_ = crashing_fleet.CrashingFleet(tmp_path, "unsafe")
         try:
             await fleet_.start(1, 1, keeps_id=True, sends_born_ms=True)
             await scenario(fleet_)
