Do not count pauses of this process in the timeouts of new connections

The attempt now runs in a task of its own, and the wait for it goes on after a pause. An attempt that is given up is cancelled, or closed if it has just succeeded.

--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -168,16 +168,25 @@
     Raises NotListeningError if the server refuses the connection, and UnreachableError for other
     errors and after `timeout_s`.
     """
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
+    attempt = asyncio.get_running_loop().create_task(open_connection(address))
+    connection: ClientConnection | None = None
     try:
-        async with asyncio.timeout(timeout_s):
-            transport, connection = await loop.create_connection(ClientConnection, host, int(port))
+        connection = await timeouts.wait_for(lambda: asyncio.shield(attempt), timeout_s)
     except ConnectionRefusedError as error:
         raise errors.NotListeningError(f"{address}: {error!r}")
     except (OSError, TimeoutError) as error:
         raise errors.UnreachableError(f"{address}: {error!r}")
-    sockets.set_socket_options(transport, user_timeout_s)
+    finally:
+        cancel_or_close(attempt, connection)
+    sockets.set_socket_options(connection.transport, user_timeout_s)
+    return connection
+
+
+async def open_connection(address: str) -> ClientConnection:
+    """Return a new connection to `address` ("IP:port"); raise OSError if that fails."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(ClientConnection, host, int(port))
     return connection
 
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -154,6 +154,22 @@
     asyncio.run(scenario())
 
 
+# Guards against giving up a connection that was established during a pause.
+def test_connection_survives_a_pause():
+    async def scenario():
+        server = stream_server.Server(lambda exchange: None)
+        await server.listen("127.0.0.1", 0)
+        port = server.listener.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        for _ in range(5):
+            # The pause begins after the timer has been set, before the connection is noticed.
+            loop.call_soon(loop.call_soon, time.sleep, 0.3)
+            connection = await stream_client.connect(f"127.0.0.1:{port}", 0.1, 2.0)
+            connection.close()
+
+    asyncio.run(scenario())
+
+
 # Guards against losing a reply that arrived during a pause, half of it before.
 @pytest.mark.parametrize("is_cut", [False, True])
 def test_call_of_a_node_survives_a_pause(is_cut):
