Keep the port of a crashed worker from other processes

What was seen: "TimeoutError" once in test_held_request_gets_503_with_long_retry_after and test_crashing_request_gets_502_even_if_second_attempt_is_held; the same in a trial of test_further_crashing_requests_of_account_crash_one_worker_each.

Cause: the stand-in's port is free while the worker is down, 0.15 to 0.4 s, and comes from the range that all processes draw from. Another one may listen there; the restart then fails and the worker never comes back.

The worker keeps a second socket bound to its address.

--- a/stand_ins/crashing_worker.py
+++ b/stand_ins/crashing_worker.py
@@ -1,6 +1,7 @@
 """A stand-in for a worker that crashes on a certain request and is restarted."""
 
 import asyncio
+import socket
 
 from merlinthread.transport import stream_server
 from stand_ins import fleet_worker
@@ -41,6 +42,17 @@
         self.is_down = False
         self.sequence = 0
         self.crash_task: asyncio.Task[None] | None = None
+        # Keeps the address from other processes while nothing listens there.
+        self.reservation = socket.socket()
+
+    async def start(self, ip: str = "127.0.0.1") -> str:
+        """Reserve and listen on a free port of `ip`; return the address as host:port."""
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind((ip, 0))
+        port = self.reservation.getsockname()[1]
+        await self.server.listen(ip, port)
+        self.address = f"{ip}:{port}"
+        return self.address
 
     async def respond(
         self, exchange: stream_server.Exchange, headers: dict[str, str], request_id: str
