Wait for the check of a crash if one crash is enough to hold the request

Cause: a retry waited for the check of the previous crash only if the same request had crashed a worker before. Otherwise only the retry budget kept it back, until its window of 10 s had passed on a slow machine.

Change: the wait also applies if the account's held requests make the first crash decisive; the hold is then known before the next attempt.

--- a/src/merlinthread/coordination/crash_tracker.py
+++ b/src/merlinthread/coordination/crash_tracker.py
@@ -188,6 +188,10 @@
             record.fingerprint, record.label, ends, cleared_age_s, record.hold, record.account
         )
 
+    def is_next_crash_decisive(self, fingerprint: str, account: str) -> bool:
+        """Return whether one more crash may be enough to hold a request of an account."""
+        return self.is_suspect(fingerprint) or self.is_strict(account)
+
     # Changes
 
     def record_crash(self, fingerprint: str, label: str, crash: Crash, account: str = "") -> bool:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -138,13 +138,16 @@
                 return
 
     async def wait_for_crash_check(self, backend: backend_record.Backend) -> None:
-        """Wait until it is known whether a back end crashed, if the request is a suspect.
+        """Wait until it is known whether a back end crashed, if a crash may hold the request.
 
         Otherwise the next attempt might crash another back end.
         """
         assert self.context is not None
         crashes = self.pool.crashes
-        if crashes.tracker.records and crashes.tracker.is_suspect(self.context.fingerprint()):
+        if not crashes.tracker.records:
+            return
+        account = self.context.account.name if self.context.account is not None else ""
+        if crashes.tracker.is_next_crash_decisive(self.context.fingerprint(), account):
             await crashes.wait_for_check(backend)
 
     def describe_choice(self, choice: dispatch.Choice) -> str:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
-from merlinthread.coordination import crash_tracker
+from merlinthread.coordination import crash_tracker, retry_budget
 from merlinthread.transport import http_messages
+from stand_ins import crashing_worker
 from tests import crashing_fleet, fleet_nodes
 
 LATE_REQUESTS_MAX = 3
@@ -248,6 +250,40 @@
     run(tmp_path, scenario, downtime_s=0.15)
 
 
+# Guards against a retry that crashes a second worker before the first crash is known.
+def test_first_crash_holds_request_of_account_with_held_requests(tmp_path, monkeypatch):
+    monkeypatch.setattr(retry_budget.RetryBudget, "allows", lambda self, now: True)
+
+    async def scenario(fleet):
+        body = crashing_fleet.CRASH_BODY
+        tracker = fleet.entries[0].node.crashes.tracker
+        for number in range(crash_tracker.ACCOUNT_HELD_THRESHOLD):
+            for _ in range(2):
+                await fleet.until_known()
+                await fleet.request(0, body, f"/safe/deadly-{number}")
+        assert tracker.is_strict("account-1")
+        await fleet.until_known()
+        before = len(fleet.crash_times())
+        assert (await fleet.request(0, body, "/safe/another")).status == 502
+        assert len(fleet.crash_times()) - before == 1
+
+    run(tmp_path, scenario, entries=1, downtime_s=0.15)
+
+
+# Guards against workers that can't restart, because another process listens at their address.
+def test_address_of_crashed_worker_is_not_taken_by_others():
+    async def scenario():
+        worker = crashing_worker.CrashingWorker("i-0")
+        host, _, port = (await worker.start()).partition(":")
+        worker.crash_now()
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind((host, int(port)))
+        await worker.restart()
+        worker.stop()
+
+    asyncio.run(scenario())
+
+
 def test_crash_recorded_during_report_is_reported_too():
     class FakeRpcClient:
         """Replaces the RPC client: records reports, and returns once `may_reply` is set."""
