Review: end all processes on SIGTERM, and exit with 2 on an unexpected error

An error of a script itself would have ended with 1, which says that the rule was broken. The frame of the three cases moves to support.run_case.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -182,21 +182,4 @@
     return False
 
 
-def main() -> int:
-    """Run the case; return the exit code."""
-    record = support.Record(HERE / "record.txt")
-    fleet = None
-    try:
-        fleet = support.Fleet(record)
-        has_held = run(fleet)
-    except support.CannotRunError as error:
-        record.write(f"could not run: {error}")
-        return 2
-    finally:
-        if fleet is not None:
-            fleet.close()
-    record.write("the rule held" if has_held else "the rule was broken")
-    return 0 if has_held else 1
-
-
-sys.exit(main())
+sys.exit(support.run_case(HERE, run))
--- a/review/support.py
+++ b/review/support.py
@@ -12,9 +12,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ROLES = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
@@ -266,6 +268,31 @@
                 self.record.write(f"{node.name} is started again by the platform")
 
 
+def run_case(folder: pathlib.Path, run, bounds: dict | None = None) -> int:
+    """Run a case on a new fleet; return 0 if the rule held, 1 if it was broken, 2 otherwise.
+
+    `run(fleet)` returns whether the rule held. The processes of the fleet are ended in any case.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(folder / "record.txt")
+    fleet = None
+    try:
+        fleet = Fleet(record, bounds)
+        has_held = run(fleet)
+    except CannotRunError as error:
+        record.write(f"could not run: {error}")
+        return 2
+    except Exception as error:
+        record.write(f"could not run: {error!r}")
+        traceback.print_exc()
+        return 2
+    finally:
+        if fleet is not None:
+            fleet.close()
+    record.write("the rule held" if has_held else "the rule was broken")
+    return 0 if has_held else 1
+
+
 def call(
     address: str,
     method: str,
