--- a/review/support.py
+++ b/review/support.py
@@ -107,9 +107,11 @@
         self.extra = extra
         self.is_first_start = True
         self.process: subprocess.Popen | None = None
-        # How the process ended by itself, and when that was noticed.
+        # How the process ended by itself, when that was noticed, and how long it had run then.
         self.ends: list[str] = []
         self.ended_at: list[float] = []
+        self.ran_s: list[float] = []
+        self.started_at = 0.0
         self.log = fleet.folder / f"{name}.log"
         self.data = fleet.folder / f"{name}-data"
 
@@ -169,6 +171,7 @@
                 stderr=log,
             )
         self.is_first_start = False
+        self.started_at = time.monotonic()
 
     def is_running(self) -> bool:
         """Return whether the process runs."""
@@ -260,6 +263,7 @@
                 code = node.process.returncode
                 node.ends.append(f"code {code}: {node.last_error()[:160]}")
                 node.ended_at.append(now)
+                node.ran_s.append(now - node.started_at)
                 self.record.write(f"{node.name} ended by itself, {node.ends[-1]}")
                 self.restart_at[node.name] = now + RESTART_DELAY_S
             elif now >= self.restart_at[node.name]:
