--- /dev/null
+++ b/tests/test_silent_back_ends.py
@@ -0,0 +1,192 @@
+"""Back ends that fall silent for a second and go on.
+
+Guards against taking silence for a failure: streams broken off although their back end would have
+finished them, and requests refused because of it.
+"""
+
+import asyncio
+
+import pytest
+
+from merlinthread.protocol import event_stream
+from merlinthread.transport import stream_client
+from stand_ins import silent_worker
+from tests import fleet_nodes
+
+STREAM = {
+    "X_Merlinthread_Model": "m",
+    "X_Merlinthread_Token_Usage": "100,20",
+    "X_Merlinthread_Deadline_Ms": "3000",
+}
+EVENTS = 8
+# Longer than the timeouts for the first event and between events together.
+SILENCE_S = 1.6
+
+
+class SilentFleet:
+    """An entry and workers that can stand still; the service "model" streams its responses."""
+
+    def __init__(self, count: int) -> None:
+        self.entry = fleet_nodes.Entry()
+        self.silent = [silent_worker.SilentWorker(f"i-{number}", "m") for number in range(count)]
+        self.workers = [silent.worker for silent in self.silent]
+        for worker in self.workers:
+            worker.behaviour.events = EVENTS
+            worker.behaviour.gap_s = 0.05
+        self.request_count = 0
+
+    async def start(self) -> None:
+        """Start the entry and the workers, and announce all workers to the entry."""
+        await self.entry.start()
+        for silent in self.silent:
+            await silent.start()
+        body = fleet_nodes.configuration(1, [], "model")
+        self.entry.apply_update(body, dict.fromkeys(self.workers, "model"))
+
+    def stop(self) -> None:
+        """Stop the workers."""
+        for silent in self.silent:
+            silent.stop()
+
+    def fall_silent(self, seconds: float = SILENCE_S) -> None:
+        """Let all workers stand still at once."""
+        for silent in self.silent:
+            silent.fall_silent(seconds)
+
+    def use_up_retry_budget(self) -> None:
+        """Allow no attempt beyond the first of each request."""
+        budget = self.entry.node.pool.budget("model")
+        budget.ratio, budget.free_retries = 0.0, 0
+
+    async def stream(self) -> "Stream":
+        """Send a request; return its stream."""
+        self.request_count += 1
+        request_id = f"id-{self.request_count}"
+        return Stream(await self.entry.send("/model/", request_id, **STREAM), request_id)
+
+    def worker_of(self, stream: "Stream") -> silent_worker.SilentWorker:
+        """Return the worker that runs a request."""
+        return next(
+            silent
+            for silent in self.silent
+            if any(item.request_id == stream.request_id for item in silent.worker.runs)
+        )
+
+
+class Stream:
+    """A stream as read by a client."""
+
+    def __init__(self, connection: stream_client.ClientConnection, request_id: str) -> None:
+        self.connection = connection
+        self.request_id = request_id
+        self.splitter = event_stream.EventSplitter()
+        self.event_ids: list[int] = []
+        self.status = 0
+        self.is_complete = False
+
+    async def read(self, event_count: int = EVENTS + 1) -> None:
+        """Read until the end, or until `event_count` events have arrived."""
+        while len(self.event_ids) < event_count:
+            event = await self.connection.next_event()
+            if hasattr(event, "status_code"):
+                self.status = event.status_code
+            elif hasattr(event, "data"):
+                items = self.splitter.feed(bytes(event.data))
+                self.event_ids.extend(int(item.event_id) for item in items)
+            else:
+                self.is_complete = True
+                return
+
+    async def read_whole(self) -> None:
+        """Read to the end, and check that each event arrives once and in order."""
+        await self.read()
+        assert self.status == 200
+        assert self.is_complete
+        assert self.event_ids == list(range(1, EVENTS + 1))
+
+
+def run(scenario, count: int = 2) -> None:
+    async def run_scenario():
+        fleet = SilentFleet(count)
+        try:
+            await fleet.start()
+            await scenario(fleet)
+        finally:
+            fleet.stop()
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("has_budget", [True, False], ids=["attempts used up", "no retry budget"])
+def test_stream_goes_on_after_silence_if_no_other_attempt_is_allowed(has_budget):
+    async def scenario(fleet):
+        if not has_budget:
+            fleet.use_up_retry_budget()
+        stream = await fleet.stream()
+        await stream.read(2)
+        fleet.fall_silent()
+        await stream.read_whole()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("has_budget", [True, False], ids=["attempts used up", "no retry budget"])
+def test_stream_begins_after_silence_if_no_other_attempt_is_allowed(has_budget):
+    async def scenario(fleet):
+        if not has_budget:
+            fleet.use_up_retry_budget()
+        fleet.fall_silent(SILENCE_S + 0.4)
+        stream = await fleet.stream()
+        await stream.read_whole()
+
+    run(scenario)
+
+
+# Guards against waiting for a silent back end while another one is free.
+def test_stream_is_resumed_at_another_back_end_during_silence():
+    async def scenario(fleet):
+        stream = await fleet.stream()
+        await stream.read(2)
+        silent = fleet.worker_of(stream)
+        silent.fall_silent(2.4)
+        started_at = fleet.entry.node.clock()
+        await stream.read_whole()
+        assert fleet.entry.node.clock() - started_at < 2.0
+        assert [len(worker.runs) for worker in fleet.workers] == [1, 1]
+
+    run(scenario)
+
+
+# Guards against ending a stream because the other back end refuses or ends its attempt.
+@pytest.mark.parametrize("fault", ["is_full", "closes_without_response"])
+def test_stream_goes_on_after_silence_if_the_other_attempt_fails(fault):
+    async def scenario(fleet):
+        stream = await fleet.stream()
+        await stream.read(2)
+        silent = fleet.worker_of(stream)
+        for worker in fleet.workers:
+            if worker is not silent.worker:
+                setattr(worker.behaviour, fault, True)
+        silent.fall_silent(SILENCE_S)
+        await stream.read_whole()
+
+    run(scenario)
+
+
+# Guards against refusing requests because every back end was silent lately.
+def test_requests_are_served_after_silence_of_all_back_ends():
+    async def scenario(fleet):
+        streams = [await fleet.stream() for _ in range(4)]
+        for stream in streams:
+            await stream.read(2)
+        fleet.fall_silent()
+        backends = fleet.entry.node.pool.backends.values()
+        now = fleet.entry.node.clock
+        await fleet_nodes.until(lambda: all(backend.is_ejected(now()) for backend in backends))
+        streams.append(await fleet.stream())
+        for stream in streams:
+            await stream.read_whole()
+        assert not any(backend.is_ejected(now()) for backend in backends)
+        assert not any(backend.failures for backend in backends)
+
+    run(scenario)
