--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -76,6 +76,8 @@
     reported_at: float = float("-inf")
     failures: int = 0
     ejected_until: float = float("-inf")
+    silences: int = 0
+    silent_until: float = float("-inf")
     full_until: float = float("-inf")
     slow_until: float = float("-inf")
     accepted_at: float = float("-inf")
@@ -133,7 +135,11 @@
         return self.is_busy and (has_reports or self.has_fresh_load(now))
 
     def is_ejected(self, now: float) -> bool:
-        """Return whether the back end is ejected after a failure and is only a last resort."""
+        """Return whether the back end failed or was silent lately and is only a last resort."""
+        return self.has_failed(now) or now < self.silent_until
+
+    def has_failed(self, now: float) -> bool:
+        """Return whether the back end is ejected after a failure."""
         return now < self.ejected_until
 
     def is_accepting(self) -> bool:
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -192,12 +192,15 @@
 ) -> list[backend_record.Backend]:
     """Return the back ends that can serve an attempt, preferring those not ejected.
 
-    If all are ejected, return those without an attempt in flight, so that one request at a time
-    tries them, as in the half-open state of a circuit breaker (Nygard 2007).
+    If all are ejected, return those that are only silent, and those without an attempt in flight,
+    so that one request at a time tries a failed one, as in the half-open state of a circuit breaker
+    (Nygard 2007).
     """
     serving = [backend for backend in backends if can_serve(backend, requirements, engine, now)]
     healthy = [backend for backend in serving if not backend.is_ejected(now)]
-    return healthy or [backend for backend in serving if not backend.in_flight]
+    return healthy or [
+        backend for backend in serving if not (backend.in_flight and backend.has_failed(now))
+    ]
 
 
 def permit_candidates(
@@ -371,9 +374,29 @@
     backend.rejected_at = now
 
 
+def record_silence(backend: backend_record.Backend, now: float) -> None:
+    """Eject a back end that sends nothing, with longer times as for failures in a row.
+
+    All attempts in flight notice the same silence, which counts once.
+    """
+    backend.rejected_at = now
+    if now < backend.silent_until:
+        return
+    backend.silent_until = now + min(EJECTION_MAX_S, EJECTION_S * 2**backend.silences)
+    backend.silences += 1
+
+
+def record_continued(backend: backend_record.Backend, now: float) -> None:
+    """Record that a back end sends data again after a silence, which was thus no failure."""
+    backend.silences = 0
+    backend.silent_until = -math.inf
+    backend.accepted_at = max(backend.accepted_at, now)
+
+
 def record_success(backend: backend_record.Backend, response_s: float) -> None:
     """Record a complete response and its duration, and reset the failure count."""
     backend.failures = 0
+    backend.silences = 0
     backend.response_time.record(response_s)
     backend.service_response_time.record(response_s)
 
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -64,6 +64,11 @@
     ["action", "outcome"],
 )
 
+silences_total = prometheus_client.Counter(
+    "merlinthread_silences_total",
+    "Silences of back ends during streams, by whether they continued or the attempt was given up.",
+    ["outcome"],
+)
 pauses_total = prometheus_client.Counter(
     "merlinthread_pauses_total",
     "Timeouts extended because this process was suspended or blocked.",
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Callable
 
 import h11
 
@@ -25,17 +26,14 @@
 from merlinthread.protocol import event_stream
 from merlinthread.transport import http_messages, stream_client, timeouts
 
-# Timeouts for the first event and between events, as multiples of the route's values.
+# Time without data after which a back end counts as silent: before the first event and between
+# events, as multiples of the route's values.
 FIRST_EVENT_OBJECTIVE_FACTOR = 2.0
 FIRST_EVENT_MIN_S = 0.8
 GAP_FACTOR = 2.0
 GAP_MIN_S = 0.6
 
 
-class ResponseTimeoutError(errors.UnreachableError):
-    """A back end did not send the next part of its response in time."""
-
-
 class VersionExpiredError(errors.UnreachableError):
     """The weights version of an attempt expired before the first event of the response."""
 
@@ -65,8 +63,17 @@
     response: http_messages.Response | None = None
 
 
+def ignore() -> None:
+    """Do nothing; the default of an attempt's callbacks."""
+
+
 class Attempt:
-    """One attempt; `is_sent` is set once the request has been sent to the back end."""
+    """One attempt; `is_sent` is set once the request has been sent to the back end.
+
+    `on_silence` is called each time its back end has sent nothing for the time after which it
+    counts as silent, and `on_data` before data of its response is sent to the client. Silence does
+    not end an attempt: the back end may continue.
+    """
 
     def __init__(
         self,
@@ -87,9 +94,21 @@
         self.reservation = pool.reserve(backend, context.call.prompt_tokens)
         self.is_sent = False
         self.sent_at = float("-inf")
-        # The back end's availability signals in the response, for the log.
+        self.on_silence: Callable[[], None] = ignore
+        self.on_data: Callable[[], None] = ignore
+        # The time of the last data before the current silence, or None.
+        self.silent_since: float | None = None
+        self.longest_silence_s = 0.0
+        # The choice of the back end, the result and the availability signals, for the log.
+        self.description = ""
+        self.result_text = ""
         self.signals_text = ""
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the back end has been silent since its last data."""
+        return self.silent_since is not None
+
     async def run(self) -> Outcome:
         """Send the request and relay a successful response; return the outcome."""
         connection: stream_client.ClientConnection | None = None
@@ -111,23 +130,41 @@
         except TimeoutError:
             self.handle_timeout(connection)
             if not self.relay.exchange.is_started:
-                dispatch.record_failure(self.backend, self.clock())
+                dispatch.record_silence(self.backend, self.clock())
             self.record_break(True)
             return Outcome(State.UNKNOWN, "deadline exceeded")
         except errors.MerlinthreadError as error:
-            if isinstance(error, ResponseTimeoutError):
-                self.handle_timeout(connection)
             if not isinstance(error, VersionExpiredError | UnavailableError):
                 dispatch.record_failure(self.backend, self.clock())
             if self.is_sent:
-                self.record_break(isinstance(error, ResponseTimeoutError | VersionExpiredError))
+                self.record_break(isinstance(error, VersionExpiredError))
                 return Outcome(State.UNKNOWN, error.message)
             return Outcome(State.UNSENT, f"unsent: {error.message}")
         finally:
+            if self.is_silent:
+                self.end_silence("ended")
             self.pool.release(self.reservation)
             if connection is not None:
                 connection.close()
 
+    def give_up(self) -> None:
+        """Record that another attempt has answered, before this one is cancelled."""
+        self.result_text = "given up, since another attempt has sent data"
+        if self.is_silent:
+            self.end_silence("given_up")
+            self.record_break(True)
+
+    def describe(self) -> str:
+        """Return a description of the attempt for the request log."""
+        parts = [
+            f"{self.description}: {self.result_text}" if self.result_text else self.description
+        ]
+        if self.longest_silence_s:
+            parts.append(f"silent for {self.longest_silence_s:.2f} s")
+        if self.signals_text:
+            parts.append(self.signals_text)
+        return ", ".join(parts)
+
     def check_available(self) -> None:
         """Raise UnavailableError if the back end may not get this request.
 
@@ -279,29 +316,31 @@
         return event
 
     async def first_event(self, connection: stream_client.ClientConnection) -> h11.Event:
-        """Return the next event before the first data of a response; only streams have a timeout.
+        """Return the next event before the first data of a response.
 
-        Raises ResponseTimeoutError, or VersionExpiredError if the loaded version expires earlier.
+        Raises VersionExpiredError if the loaded weights version of a stream expires earlier.
         """
         if self.context.route.kind != fleet.STREAMING:
             return await connection.next_event()
         timeout_s = self.first_event_timeout_s()
         expiry_s = self.pool.start_deadline(self.backend, self.context.call.model) - self.clock()
-        if timeout_s <= expiry_s:
+        if expiry_s == math.inf:
             return await self.next_event(connection, timeout_s)
         try:
-            return await self.next_event(connection, max(0.0, expiry_s))
-        except ResponseTimeoutError:
+            return await timeouts.wait_for(
+                lambda: self.next_event(connection, timeout_s), max(0.0, expiry_s)
+            )
+        except TimeoutError:
             raise VersionExpiredError("no response before the loaded weights version expired")
 
     def first_event_timeout_s(self) -> float:
-        """Return the timeout for the first event; infinite if the request can't be retried."""
+        """Return when a back end counts as silent; never if the request can't be retried."""
         if not self.context.is_idempotent():
             return math.inf
         return max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVE_FACTOR * self.context.route.objective_s)
 
     def event_gap_timeout_s(self) -> float:
-        """Return the timeout between two events."""
+        """Return how long after an event a back end counts as silent."""
         if not self.context.is_idempotent() or not self.context.route.gap_s:
             return self.first_event_timeout_s()
         return max(GAP_MIN_S, GAP_FACTOR * self.context.route.gap_s)
@@ -309,13 +348,38 @@
     async def next_event(
         self, connection: stream_client.ClientConnection, timeout_s: float
     ) -> h11.Event:
-        """Return the next event; raise ResponseTimeoutError after `timeout_s` seconds."""
+        """Return the next event; report silence after each `timeout_s` seconds without one."""
         if timeout_s == math.inf:
             return await connection.next_event()
-        try:
-            return await timeouts.wait_for(connection.next_event, timeout_s)
-        except TimeoutError:
-            raise ResponseTimeoutError(f"no data received for {timeout_s:.2f} s")
+        waiting_since = self.clock()
+        while True:
+            try:
+                event = await timeouts.wait_for(connection.next_event, timeout_s)
+            except TimeoutError:
+                self.record_silence(connection, waiting_since)
+                continue
+            if self.is_silent:
+                self.end_silence("continued")
+                dispatch.record_continued(self.backend, self.clock())
+            return event
+
+    def record_silence(
+        self, connection: stream_client.ClientConnection, waiting_since: float
+    ) -> None:
+        """Record that the back end is silent, so that it gets no requests if others can serve."""
+        if not self.is_silent:
+            self.silent_since = waiting_since
+            self.handle_timeout(connection)
+            dispatch.record_silence(self.backend, self.clock())
+        self.on_silence()
+
+    def end_silence(self, outcome: str) -> None:
+        """Record how a silence ended, for the log and the metrics."""
+        assert self.silent_since is not None
+        silence_s = self.clock() - self.silent_since
+        self.longest_silence_s = max(self.longest_silence_s, silence_s)
+        self.silent_since = None
+        metrics.silences_total.labels(outcome).inc()
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
         """Return the complete body."""
@@ -337,14 +401,17 @@
         while isinstance(event := await self.stream_event(connection), h11.Data):
             for item in splitter.feed(bytes(event.data)):
                 self.pool.record_prompt_read(self.reservation)
-                await self.relay.send_event(item, head)
+                if self.relay.is_new(item):
+                    self.on_data()
+                    await self.relay.send_event(item, head)
         if splitter.buffer.strip():
             raise errors.ProtocolError("the stream ended inside an event")
+        self.on_data()
         await self.relay.finish(head)
         return Outcome(State.DONE, "answered", head)
 
     async def stream_event(self, connection: stream_client.ClientConnection) -> h11.Event:
-        """Return the next event of a stream, with the timeout that applies to it."""
+        """Return the next event of a stream."""
         if not self.reservation.is_read:
             return await self.first_event(connection)
         return await self.next_event(connection, self.event_gap_timeout_s())
--- /dev/null
+++ b/src/merlinthread/nodes/open_attempts.py
@@ -0,0 +1,44 @@
+"""The open attempts of one request, of which only one sends data to the client.
+
+While a back end is silent, its attempt stays open beside a further one. The first that sends data
+continues alone (hedged requests; Dean and Barroso, The Tail at Scale, 2013).
+"""
+
+import asyncio
+
+from merlinthread.nodes import attempts
+
+
+class OpenAttempts:
+    """The attempts of one request that have not ended."""
+
+    def __init__(self) -> None:
+        self.tasks: dict[attempts.Attempt, asyncio.Task[attempts.Outcome]] = {}
+        self.changed_event = asyncio.Event()
+
+    def start(self, attempt: attempts.Attempt) -> None:
+        """Start an attempt in a task of its own."""
+        attempt.on_silence = self.changed_event.set
+        attempt.on_data = lambda: self.keep_only(attempt)
+        task = asyncio.get_running_loop().create_task(attempt.run())
+        task.add_done_callback(lambda _: self.changed_event.set())
+        self.tasks[attempt] = task
+
+    async def wait(self) -> list[tuple[attempts.Attempt, attempts.Outcome]]:
+        """Wait until an attempt ends or its back end falls silent; return those that ended."""
+        await self.changed_event.wait()
+        self.changed_event.clear()
+        ended = [attempt for attempt, task in self.tasks.items() if task.done()]
+        return [(attempt, self.tasks.pop(attempt).result()) for attempt in ended]
+
+    def are_silent(self) -> bool:
+        """Return whether the back ends of all open attempts are silent."""
+        return bool(self.tasks) and all(attempt.is_silent for attempt in self.tasks)
+
+    def keep_only(self, kept: attempts.Attempt | None) -> None:
+        """Give up all open attempts except `kept`."""
+        for attempt, task in list(self.tasks.items()):
+            if attempt is not kept:
+                del self.tasks[attempt]
+                attempt.give_up()
+                task.cancel()
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -12,6 +12,7 @@
     attempt_descriptions,
     attempts,
     backend_pool,
+    open_attempts,
     permits,
     request_context,
     response_relay,
@@ -60,10 +61,13 @@
         )
         self.tried: set[str] = set()
         self.attempts: list[attempts.Attempt] = []
+        self.open = open_attempts.OpenAttempts()
         # The permit for the next attempt, if its back end has a rate limit.
         self.permit: permits.Permit | None = None
         self.may_have_run = False
-        self.reasons: list[str] = []
+        # Attempts that failed before their request was sent.
+        self.unsent_count = 0
+        self.refusal = ""
 
     async def run(self) -> None:
         """Process the request and send its final response."""
@@ -75,6 +79,8 @@
         except asyncio.CancelledError:
             self.log_outcome("left", 0)
             raise
+        finally:
+            self.open.keep_only(None)
 
     def prepare(self) -> None:
         """Parse the request and find its route and service; raise RequestError if it is refused."""
@@ -99,43 +105,81 @@
         Another attempt might crash another back end, with all other requests that it runs.
         """
         assert self.context is not None
-        crashes = self.pool.crashes
-        if not crashes.tracker.records or not crashes.tracker.is_held(self.context.fingerprint()):
+        if not self.is_held():
             return
         reason = f"request is held: back ends crashed while running {self.context.fingerprint()}"
         if self.may_have_run:
             raise errors.RequestError(reason, kind=errors.ErrorKind.OUTCOME_UNKNOWN)
         raise errors.RequestError(reason, kind=errors.ErrorKind.HELD_BACK)
 
+    def is_held(self) -> bool:
+        """Return whether this request is held because back ends crashed while running it."""
+        assert self.context is not None
+        tracker = self.pool.crashes.tracker
+        return bool(tracker.records) and tracker.is_held(self.context.fingerprint())
+
     # Attempts
 
     async def serve(self) -> None:
         """Make attempts until the request has a final response."""
-        failures = 0
         while True:
             choice = await self.acquire_backend()
             # Other entries may have reported crashes while this request was queued.
             self.check_hold()
-            backend = choice.backend
-            self.reasons.append(self.describe_choice(choice))
-            outcome = await self.make_attempt(backend)
-            self.reasons[-1] += f": {outcome.reason}"
-            self.append_signals()
+            self.start_attempt(choice)
+            attempt, outcome = await self.finish_attempts()
             if outcome.state is attempts.State.DONE:
                 return
             if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
-                self.may_have_run = True
-                await self.wait_for_crash_check(backend)
+                await self.wait_for_crash_check(attempt.backend)
             if outcome.state is attempts.State.UNSENT:
-                failures += 1
-                if failures >= CONNECT_FAILURES_MAX:
+                if self.unsent_count >= CONNECT_FAILURES_MAX:
                     raise self.unavailable(
                         "back ends can't be reached", retry_delays.RETRY_AFTER_MIN_S
                     )
                 continue
-            if not self.may_retry(outcome):
+            if not self.may_retry(outcome.state):
                 await self.finish_failed(outcome)
                 return
+            self.pool.budget(self.service).spend(self.clock())
+
+    async def finish_attempts(self) -> tuple[attempts.Attempt, attempts.Outcome]:
+        """Wait until one attempt is done or all have ended; return the last with its outcome.
+
+        While the back ends of all open attempts are silent, make another one if that is allowed.
+        """
+        while True:
+            ended = await self.open.wait()
+            for attempt, outcome in ended:
+                self.record_result(attempt, outcome)
+                if outcome.state is attempts.State.DONE:
+                    return attempt, outcome
+            if not self.open.tasks:
+                return ended[-1]
+            if self.open.are_silent():
+                await self.hedge()
+
+    def record_result(self, attempt: attempts.Attempt, outcome: attempts.Outcome) -> None:
+        """Record the outcome of an attempt that has ended."""
+        attempt.result_text = outcome.reason
+        if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
+            self.may_have_run = True
+        if outcome.state is attempts.State.UNSENT:
+            self.unsent_count += 1
+
+    async def hedge(self) -> None:
+        """Start another attempt beside the silent ones if that is allowed and a back end is free.
+
+        Otherwise the open attempts go on: their back ends may continue.
+        """
+        assert self.context is not None
+        if self.is_held() or not self.may_retry(attempts.State.UNKNOWN):
+            return
+        choice = await self.choose_for_hedge()
+        if choice is None or not self.open.are_silent():
+            return
+        if self.pool.budget(self.service).spend(self.clock()):
+            self.start_attempt(choice)
 
     async def wait_for_crash_check(self, backend: backend_record.Backend) -> None:
         """Wait until it is known whether a back end crashed, if a crash may hold the request.
@@ -156,19 +200,19 @@
             choice, self.permit, self.arrived_at, self.clock()
         )
 
-    def may_retry(self, outcome: attempts.Outcome) -> bool:
-        """Return whether another attempt is allowed, charging it to the retry budget."""
+    def may_retry(self, state: attempts.State) -> bool:
+        """Return whether another attempt is allowed beside or after one in `state`."""
         assert self.context is not None
         if (
             self.sent_count() >= self.context.route.attempts
             or self.clock() >= self.context.deadline
         ):
             return False
-        if outcome.state is not attempts.State.NOT_RUN and not self.context.is_idempotent():
+        if state is not attempts.State.NOT_RUN and not self.context.is_idempotent():
             return False
         if self.exchange.is_started and not self.context.route.is_resumable:
             return False
-        return self.pool.budget(self.service).spend(self.clock())
+        return self.pool.budget(self.service).allows(self.clock())
 
     async def finish_failed(self, outcome: attempts.Outcome) -> None:
         """Send the back end's error response after the last attempt, or raise RequestError."""
@@ -248,6 +292,21 @@
             timeout_s = min(queue_deadline - now, 0.05)
             await queue.wait(self.context.urgency(), self.arrived_at, timeout_s)
 
+    async def choose_for_hedge(self) -> dispatch.Choice | None:
+        """Return a back end for an attempt beside the open ones, or None if there is none.
+
+        A back end that failed or was silent lately would use up the attempt.
+        """
+        assert self.context is not None
+        now = self.clock()
+        choice = await self.pool.choose(self.requirements(), self.context.deadline - now)
+        if choice is None or choice.backend.is_ejected(now):
+            return None
+        try:
+            return await self.with_permit(choice, now)
+        except errors.RequestError:
+            return None
+
     async def choose(self, remaining_s: float) -> dispatch.Choice | None:
         """Return the best back end, or None if there is none.
 
@@ -367,15 +426,16 @@
         refusal = retry_delays.Refusal(remaining_s, is_unavailable, ready_in_s)
         return self.pool.retry_delay_policy(refusal, self.pool.rng)
 
-    async def make_attempt(self, backend: backend_record.Backend) -> attempts.Outcome:
-        """Make one attempt on a back end and return its outcome."""
+    def start_attempt(self, choice: dispatch.Choice) -> None:
+        """Start an attempt on a back end."""
         assert self.context is not None
-        self.tried.add(backend.instance)
+        self.tried.add(choice.backend.instance)
         attempt = attempts.Attempt(
-            self.context, self.relay, self.dialect, self.pool, backend, self.permit
+            self.context, self.relay, self.dialect, self.pool, choice.backend, self.permit
         )
+        attempt.description = self.describe_choice(choice)
         self.attempts.append(attempt)
-        return await attempt.run()
+        self.open.start(attempt)
 
     def sent_count(self) -> int:
         """Return how many attempts have been sent to a back end."""
@@ -396,23 +456,15 @@
         )
         if retry_delay_s is not None:
             headers.append((b"retry-after", b"%g" % retry_delay_s))
-        self.reasons.append(error.message)
+        self.refusal = error.message
         metrics.refusals_total.labels(str(error.kind)).inc()
         self.log_outcome(str(error.kind), error_response.status)
         await self.exchange.respond(http_messages.Response(error_response.status, headers))
 
     def log_response(self, status: int) -> None:
         """Log that a complete response of a back end is sent to the client."""
-        self.append_signals()
         self.log_outcome("answered", status)
 
-    def append_signals(self) -> None:
-        """Append the availability signals of the last response to its description, once."""
-        attempt = self.attempts[-1]
-        if attempt.signals_text:
-            self.reasons[-1] += f", {attempt.signals_text}"
-            attempt.signals_text = ""
-
     def log_outcome(self, outcome: str, status: int) -> None:
         """Log the outcome of this request with a description of each attempt."""
         route = self.context.route if self.context else None
@@ -432,5 +484,10 @@
                 if self.relay.first_event_at
                 else None
             ),
-            attempts=self.reasons,
+            attempts=self.describe_attempts(),
         )
+
+    def describe_attempts(self) -> list[str]:
+        """Return a description of each attempt, and the reason if the request was refused."""
+        described = [attempt.describe() for attempt in self.attempts]
+        return [*described, self.refusal] if self.refusal else described
--- a/src/merlinthread/nodes/response_relay.py
+++ b/src/merlinthread/nodes/response_relay.py
@@ -34,12 +34,15 @@
         await self.exchange.respond(http_messages.Response(response.status, headers, response.body))
 
     async def send_event(self, item: event_stream.RawEvent, head: http_messages.Response) -> None:
-        """Send one event of a stream, unless the client already has it."""
-        if item.event_id and not event_stream.is_after(item.event_id, self.last_event_id):
-            return
+        """Send one event of a stream."""
         self.start_stream(head)
-        await self.exchange.send(item.data)
+        # Set before the wait: if that is cancelled, the client gets the event all the same.
         self.last_event_id = item.event_id or self.last_event_id
+        await self.exchange.send(item.data)
+
+    def is_new(self, item: event_stream.RawEvent) -> bool:
+        """Return whether the client does not have an event yet."""
+        return not item.event_id or event_stream.is_after(item.event_id, self.last_event_id)
 
     def start_stream(self, head: http_messages.Response) -> None:
         """Send the response head, unless an earlier attempt has already sent one."""
--- a/stand_ins/silent_worker.py
+++ b/stand_ins/silent_worker.py
@@ -43,7 +43,15 @@
 
     def stop(self) -> None:
         """Stop the worker and its thread."""
-        self.crash()
+        asyncio.run_coroutine_threadsafe(self.close(), self.loop).result()
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
         self.loop.close()
+
+    async def close(self) -> None:
+        """Stop listening, reset all connections, and end the tasks that handle requests."""
+        self.worker.stop()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
