--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -1,13 +1,15 @@
 """Back ends that fall silent for a second and go on.
 
 Guards against taking silence for a failure: streams broken off although their back end would have
-finished them, and requests refused because of it.
+finished them, and requests refused or run on expired weights.
 """
 
 import asyncio
 
 import pytest
 
+from merlinthread.coordination import fleet as fleets
+from merlinthread.coordination import load_tracker, reload_schedule
 from merlinthread.protocol import event_stream
 from merlinthread.transport import stream_client
 from stand_ins import silent_worker
@@ -21,6 +23,8 @@
 EVENTS = 8
 # Longer than the timeouts for the first event and between events together.
 SILENCE_S = 1.6
+# A silence that the users call sound ("a second or so").
+SOUND_SILENCE_S = 1.4
 
 
 class SilentFleet:
@@ -72,6 +76,16 @@
             if any(item.request_id == stream.request_id for item in silent.worker.runs)
         )
 
+    def use_responsive_agents(self) -> None:
+        """Let each load probe be answered at once, as by an idle engine's agent."""
+        self.entry.node.settings.agent_port = 1
+
+        async def reply_at_once(agents, wait_s):
+            idle = load_tracker.EngineLoad(load_tracker.Outstanding())
+            return dict.fromkeys(agents, idle)
+
+        self.entry.node.prober.query = reply_at_once
+
 
 class Stream:
     """A stream as read by a client."""
@@ -190,3 +204,35 @@
         assert not any(backend.failures for backend in backends)
 
     run(scenario)
+
+
+# Guards against a run on expired weights by an engine that reads its request after a silence.
+def test_request_read_after_silence_does_not_begin_on_expired_weights():
+    async def scenario(fleet):
+        old, new = fleet.workers
+        new.version = 2
+        pool, watcher = fleet.entry.node.pool, fleet.entry.node.watcher
+        fleet.use_responsive_agents()
+        now = pool.clock()
+        for backend in pool.backends.values():
+            version = 2 if backend.instance == new.instance else 1
+            backend.apply_report(
+                fleets.EngineReport(weights=[fleets.Weights("m", version, 16)]), now
+            )
+        pool.backends[new.instance].is_draining = True
+        bounds = fleet.entry.node.settings.bounds
+        bounds.version_s = reload_schedule.EXPIRY_MARGIN_S + 0.4
+        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        expires_at = asyncio.get_running_loop().time() + bounds.version_s
+        # Sent at the last moment at which the old weights may be used, to an engine that is silent.
+        await asyncio.sleep(0.2)
+        fleet.silent[0].fall_silent(SOUND_SILENCE_S)
+        stream = await fleet.stream()
+        await fleet_nodes.until(lambda: pool.backends[old.instance].in_flight)
+        pool.backends[new.instance].is_draining = False
+        await stream.read_whole()
+        await fleet.silent[0].call(asyncio.sleep(0.1))
+        late_s = [run.at - expires_at for run in old.runs if run.at > expires_at]
+        assert not late_s, f"a run began on expired weights {late_s[0]:.2f} s too late"
+
+    run(scenario)
