--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -143,10 +143,13 @@
         finally:
             if self.is_silent:
                 self.end_silence("ended")
-            self.pool.release(self.reservation)
             if connection is not None:
                 connection.close()
 
+    def release(self) -> None:
+        """Remove the attempt, which has ended, from its back end's load."""
+        self.pool.release(self.reservation)
+
     def give_up(self) -> None:
         """Record that another attempt has answered, before this one is cancelled."""
         self.result_text = "given up, since another attempt has sent data"
--- a/src/merlinthread/nodes/open_attempts.py
+++ b/src/merlinthread/nodes/open_attempts.py
@@ -21,9 +21,15 @@
         attempt.on_silence = self.changed_event.set
         attempt.on_data = lambda: self.keep_only(attempt)
         task = asyncio.get_running_loop().create_task(attempt.run())
-        task.add_done_callback(lambda _: self.changed_event.set())
+        # A task that is cancelled before its first step runs no code of its own.
+        task.add_done_callback(lambda _: self.end(attempt))
         self.tasks[attempt] = task
 
+    def end(self, attempt: attempts.Attempt) -> None:
+        """Release the load of an attempt that has ended, and wake up the task that waits for it."""
+        attempt.release()
+        self.changed_event.set()
+
     async def wait(self) -> list[tuple[attempts.Attempt, attempts.Outcome]]:
         """Wait until an attempt ends or its back end falls silent; return those that ended."""
         await self.changed_event.wait()
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -236,3 +236,34 @@
         assert not late_s, f"a run began on expired weights {late_s[0]:.2f} s too late"
 
     run(scenario)
+
+
+# Guards against load that stays recorded for an attempt that is given up before it has begun.
+def test_attempt_given_up_before_it_begins_leaves_no_load():
+    async def scenario(fleet):
+        pool = fleet.entry.node.pool
+        connections = []
+        connect, choose = pool.connections.connect, pool.choose
+
+        async def record_connection(backend, is_idempotent):
+            connections.append(await connect(backend, is_idempotent))
+            return connections[-1]
+
+        async def choose_as_data_arrives(requirements, wait_s_max):
+            choice = await choose(requirements, wait_s_max)
+            if connections:
+                connections[0].data_received(b"f\r\nid: 3\ndata: 3\n\n\r\n")
+            return choice
+
+        pool.connections.connect, pool.choose = record_connection, choose_as_data_arrives
+        for worker in fleet.workers:
+            worker.behaviour.gap_s = 0.15
+        stream = await fleet.stream()
+        await stream.read(2)
+        fleet.worker_of(stream).fall_silent(1.0)
+        await stream.read_whole()
+        backends = list(pool.backends.values())
+        await fleet_nodes.until(lambda: not any(backend.in_flight for backend in backends), 2.0)
+        assert not any(backend.unread or backend.unread_tokens for backend in backends)
+
+    run(scenario)
