--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -67,6 +67,8 @@
         self.may_have_run = False
         # Attempts that failed before their request was sent.
         self.unsent_count = 0
+        # Retries that were charged to the retry budget.
+        self.charged_count = 0
         self.refusal = ""
 
     async def run(self) -> None:
@@ -141,7 +143,7 @@
             if not self.may_retry(outcome.state):
                 await self.finish_failed(outcome)
                 return
-            self.pool.budget(self.service).spend(self.clock())
+            self.charge_retry()
 
     async def finish_attempts(self) -> tuple[attempts.Attempt, attempts.Outcome]:
         """Wait until one attempt is done or all have ended; return the last with its outcome.
@@ -173,12 +175,14 @@
         Otherwise the open attempts go on: their back ends may continue.
         """
         assert self.context is not None
-        if self.is_held() or not self.may_retry(attempts.State.UNKNOWN):
+        if self.unsent_count >= CONNECT_FAILURES_MAX or self.is_held():
+            return
+        if not self.may_retry(attempts.State.UNKNOWN):
             return
         choice = await self.choose_for_hedge()
         if choice is None or not self.open.are_silent():
             return
-        if self.pool.budget(self.service).spend(self.clock()):
+        if self.charge_retry():
             self.start_attempt(choice)
 
     async def wait_for_crash_check(self, backend: backend_record.Backend) -> None:
@@ -212,7 +216,20 @@
             return False
         if self.exchange.is_started and not self.context.route.is_resumable:
             return False
-        return self.pool.budget(self.service).allows(self.clock())
+        return self.is_retry_charged() or self.pool.budget(self.service).allows(self.clock())
+
+    def is_retry_charged(self) -> bool:
+        """Return whether the next attempt replaces one that was charged but not sent."""
+        return self.charged_count >= len(self.attempts) - self.unsent_count > 0
+
+    def charge_retry(self) -> bool:
+        """Charge the next attempt to the retry budget; return False if that is exhausted."""
+        if self.is_retry_charged():
+            return True
+        if not self.pool.budget(self.service).spend(self.clock()):
+            return False
+        self.charged_count += 1
+        return True
 
     async def finish_failed(self, outcome: attempts.Outcome) -> None:
         """Send the back end's error response after the last attempt, or raise RequestError."""
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -267,3 +267,22 @@
         assert not any(backend.unread or backend.unread_tokens for backend in backends)
 
     run(scenario)
+
+
+# Guards against a retry budget used up by attempts that no back end has received.
+def test_unsent_attempts_during_silence_use_no_retry_budget():
+    async def scenario(fleet):
+        stream = await fleet.stream()
+        await stream.read(2)
+        silent = fleet.worker_of(stream)
+        for other in fleet.silent:
+            if other is not silent:
+                await other.call(asyncio.sleep(0))
+                other.crash()
+        silent.fall_silent(SILENCE_S)
+        await stream.read_whole()
+        budget = fleet.entry.node.pool.budget("model")
+        assert len(budget.retries) <= 1
+        assert sum(len(worker.runs) for worker in fleet.workers) == 1
+
+    run(scenario, 4)
