--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -67,6 +67,11 @@
     """Do nothing; the default of an attempt's callbacks."""
 
 
+def never() -> float:
+    """Return infinity, the time until something that does not happen."""
+    return math.inf
+
+
 class Attempt:
     """One attempt; `is_sent` is set once the request has been sent to the back end.
 
@@ -325,16 +330,12 @@
         """
         if self.context.route.kind != fleet.STREAMING:
             return await connection.next_event()
-        timeout_s = self.first_event_timeout_s()
-        expiry_s = self.pool.start_deadline(self.backend, self.context.call.model) - self.clock()
-        if expiry_s == math.inf:
-            return await self.next_event(connection, timeout_s)
-        try:
-            return await timeouts.wait_for(
-                lambda: self.next_event(connection, timeout_s), max(0.0, expiry_s)
-            )
-        except TimeoutError:
-            raise VersionExpiredError("no response before the loaded weights version expired")
+        return await self.next_event(connection, self.first_event_timeout_s(), self.start_in_s)
+
+    def start_in_s(self) -> float:
+        """Return the seconds until the loaded weights version expires; infinite if it does not."""
+        deadline = self.pool.start_deadline(self.backend, self.context.call.model)
+        return max(0.0, deadline - self.clock())
 
     def first_event_timeout_s(self) -> float:
         """Return when a back end counts as silent; never if the request can't be retried."""
@@ -349,16 +350,29 @@
         return max(GAP_MIN_S, GAP_FACTOR * self.context.route.gap_s)
 
     async def next_event(
-        self, connection: stream_client.ClientConnection, timeout_s: float
+        self,
+        connection: stream_client.ClientConnection,
+        timeout_s: float,
+        expires_in_s: Callable[[], float] = never,
     ) -> h11.Event:
-        """Return the next event; report silence after each `timeout_s` seconds without one."""
-        if timeout_s == math.inf:
-            return await connection.next_event()
+        """Return the next event; report silence after each `timeout_s` seconds without one.
+
+        Raises VersionExpiredError after `expires_in_s()` seconds.
+        """
         waiting_since = self.clock()
         while True:
+            # Asked again after each silence: a newer version may have been named meanwhile.
+            expiry_s = expires_in_s()
+            wait_s = min(timeout_s, expiry_s)
+            if wait_s == math.inf:
+                return await connection.next_event()
             try:
-                event = await timeouts.wait_for(connection.next_event, timeout_s)
+                event = await timeouts.wait_for(connection.next_event, wait_s)
             except TimeoutError:
+                if expiry_s <= timeout_s:
+                    raise VersionExpiredError(
+                        "no response before the loaded weights version expired"
+                    )
                 self.record_silence(connection, waiting_since)
                 continue
             if self.is_silent:
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -286,3 +286,22 @@
         assert sum(len(worker.runs) for worker in fleet.workers) == 1
 
     run(scenario, 4)
+
+
+# Guards against a run on weights that expired because a newer version was named meanwhile.
+def test_attempt_is_closed_before_weights_expire_that_were_current_when_it_was_sent():
+    async def scenario(fleet):
+        (old,) = fleet.workers
+        old.behaviour.never_responds = True
+        pool, watcher = fleet.entry.node.pool, fleet.entry.node.watcher
+        fleet.use_up_retry_budget()
+        await fleet.stream()
+        await fleet_nodes.until(lambda: old.runs)
+        bounds = fleet.entry.node.settings.bounds
+        bounds.version_s = 1.6
+        now = pool.clock()
+        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        await fleet_nodes.until(lambda: old.cancelled)
+        assert pool.clock() - now < bounds.version_s
+
+    run(scenario, 1)
