--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -105,6 +105,10 @@
         """Close the listener and reset all connections, as a crash does."""
         if self.server.listener is not None:
             self.server.listener.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections."""
         for connection in list(self.server.connections):
             connection.abort()
 
--- a/stand_ins/silent_worker.py
+++ b/stand_ins/silent_worker.py
@@ -41,6 +41,15 @@
         """Stop listening and reset all connections."""
         self.loop.call_soon_threadsafe(self.worker.stop)
 
+    async def listen_again(self) -> None:
+        """Listen at the previous address again after a crash."""
+        ip, _, port = self.worker.address.rpartition(":")
+        await self.call(self.worker.server.listen(ip, int(port)))
+
+    def cut_connections(self) -> None:
+        """Reset all connections; go on listening."""
+        self.loop.call_soon_threadsafe(self.worker.reset_connections)
+
     def stop(self) -> None:
         """Stop the worker and its thread."""
         asyncio.run_coroutine_threadsafe(self.close(), self.loop).result()
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -206,6 +206,66 @@
     run(scenario)
 
 
+# Guards against ending a stream that has begun because no back end can be reached for a moment.
+@pytest.mark.parametrize("has_begun", [True, False], ids=["begun", "may have run"])
+def test_broken_stream_is_resumed_although_no_back_end_can_be_reached_for_a_moment(has_begun):
+    async def scenario(fleet):
+        if not has_begun:
+            for worker in fleet.workers:
+                worker.behaviour.never_responds = True
+        stream = await fleet.stream()
+        if has_begun:
+            await stream.read(2)
+        await fleet_nodes.until(lambda: any(worker.runs for worker in fleet.workers))
+        for silent in fleet.silent:
+            silent.crash()
+        backends = fleet.entry.node.pool.backends.values()
+        await fleet_nodes.until(lambda: sum(backend.failures for backend in backends) >= 6, 2.0)
+        for silent in fleet.silent:
+            silent.worker.behaviour.never_responds = False
+            await silent.listen_again()
+        await stream.read_whole()
+
+    run(scenario)
+
+
+# Guards against ending a stream that has begun because no back end is free for a moment.
+@pytest.mark.parametrize("has_begun", [True, False], ids=["begun", "may have run"])
+def test_broken_stream_is_resumed_although_no_back_end_is_free_for_a_moment(has_begun):
+    async def scenario(fleet):
+        for worker in fleet.workers:
+            worker.behaviour.never_responds = not has_begun
+        stream = await fleet.stream()
+        if has_begun:
+            await stream.read(2)
+        await fleet_nodes.until(lambda: any(worker.runs for worker in fleet.workers))
+        now = fleet.entry.node.clock()
+        for backend in fleet.entry.node.pool.backends.values():
+            backend.full_until = now + SOUND_SILENCE_S
+        for silent in fleet.silent:
+            silent.worker.behaviour.never_responds = False
+            silent.cut_connections()
+        await stream.read_whole()
+        assert sum(len(worker.runs) for worker in fleet.workers) == 2
+
+    run(scenario)
+
+
+# Guards against holding a request that no back end has run until its deadline.
+def test_request_that_has_not_run_is_refused_at_once_if_no_back_end_can_be_reached():
+    async def scenario(fleet):
+        for silent in fleet.silent:
+            silent.crash()
+            await silent.call(asyncio.sleep(0))
+        started_at = fleet.entry.node.clock()
+        stream = await fleet.stream()
+        await stream.read()
+        assert stream.status == 503
+        assert fleet.entry.node.clock() - started_at < 0.5
+
+    run(scenario)
+
+
 # Guards against a run on expired weights by an engine that reads its request after a silence.
 def test_request_read_after_silence_does_not_begin_on_expired_weights():
     async def scenario(fleet):
