--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -33,6 +33,8 @@
 RETRY_ADMISSION_SHARE = 0.85
 RETRY_TIME_SHARE = 0.8
 CONNECT_FAILURES_MAX = 4
+# Delay before further attempts of a request that may have run, once that many have failed.
+RECONNECT_DELAY_S = 0.2
 DEADLINE_MARGIN_S = 0.03
 
 
@@ -135,10 +137,7 @@
             if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
                 await self.wait_for_crash_check(attempt.backend)
             if outcome.state is attempts.State.UNSENT:
-                if self.unsent_count >= CONNECT_FAILURES_MAX:
-                    raise self.unavailable(
-                        "back ends can't be reached", retry_delays.RETRY_AFTER_MIN_S
-                    )
+                await self.handle_unsent()
                 continue
             if not self.may_retry(outcome.state):
                 await self.finish_failed(outcome)
@@ -161,6 +160,17 @@
             if self.open.are_silent():
                 await self.hedge()
 
+    async def handle_unsent(self) -> None:
+        """Check whether another attempt may follow one that was not sent.
+
+        After too many of them, refuse the request if it has not run; otherwise delay the next one.
+        """
+        if self.unsent_count < CONNECT_FAILURES_MAX:
+            return
+        if not self.may_have_run:
+            raise self.unavailable("back ends can't be reached", retry_delays.RETRY_AFTER_MIN_S)
+        await asyncio.sleep(RECONNECT_DELAY_S)
+
     def record_result(self, attempt: attempts.Attempt, outcome: attempts.Outcome) -> None:
         """Record the outcome of an attempt that has ended."""
         attempt.result_text = outcome.reason
@@ -282,10 +292,12 @@
     async def acquire_backend(self) -> dispatch.Choice:
         """Return a back end whose first byte is expected in time, queueing the request if needed.
 
-        Raises RequestError if none is available before the queue time is over.
+        Raises RequestError if none is available before the queue time is over. A request that may
+        have run gains nothing from an early error, so it waits until its deadline.
         """
         assert self.context is not None
         queue_deadline = self.arrived_at + QUEUE_TIME_SHARE * self.context.route.objective_s
+        give_up_at = self.context.deadline if self.may_have_run else queue_deadline
         queue = self.pool.queue(self.service)
         while True:
             now = self.clock()
@@ -298,15 +310,17 @@
                 )
                 if choice_with_permit is not None:
                     return choice_with_permit
-                continue
+                if not self.may_have_run:
+                    continue
             if choice is None:
                 choice_with_permit = await self.with_permit(None, queue_deadline)
                 if choice_with_permit is not None:
                     return choice_with_permit
-                self.check_availability(queue_deadline)
-                if is_expired:
+                if not self.may_have_run:
+                    self.check_availability(queue_deadline)
+                if now >= give_up_at:
                     raise self.unavailable("no back end is free", self.retry_after_s(True))
-            timeout_s = min(queue_deadline - now, 0.05)
+            timeout_s = min(give_up_at - now, 0.05)
             await queue.wait(self.context.urgency(), self.arrived_at, timeout_s)
 
     async def choose_for_hedge(self) -> dispatch.Choice | None:
@@ -346,7 +360,7 @@
         """Return `choice` if it needs no permit, otherwise a back end for which one was acquired.
 
         Return None if the caller must choose again. Raises RequestError if every back end needs a
-        permit and none is available in time.
+        permit and none is available in time, unless the request may have run.
         """
         assert self.context is not None
         self.permit = None
@@ -368,7 +382,7 @@
                 candidate for candidate in candidates if candidate.instance == result.instance
             )
             return self.pool.evaluate(backend, requirements)
-        if self.pool.available_at(self.service) is not None:
+        if self.pool.available_at(self.service) is not None and not self.may_have_run:
             reason = f"all back ends have rate limits; next permit in {result.back_in_s:.2f} s"
             raise self.unavailable(f"{reason} ({result.source})", result.back_in_s)
         return None
