--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -7,6 +7,8 @@
 
 from merlinthread.coordination import backend_availability, fleet, load_tracker
 
+# How long a sound back end may send nothing before it continues.
+SOUND_SILENCE_S = 1.4
 # Age up to which a load report counts as current.
 REPORT_FRESH_S = 1.0
 # Response time assumed before any back end of the service has responded.
--- a/src/merlinthread/coordination/reload_schedule.py
+++ b/src/merlinthread/coordination/reload_schedule.py
@@ -7,12 +7,15 @@
 
 from collections.abc import Sequence
 
-# Two or six groups lose more capacity in total; with three, fewer engines serve at the worst moment
-# (0.33 of them, 0.45 with four).
-GROUP_COUNT = 4
-# Old weights get no requests this long before they expire: a request may wait in transit and in the
-# engine's queue before it starts. Delays of 0.8 and 1.5 s were seen (docs/incidents/0002).
-EXPIRY_MARGIN_S = 1.0
+from merlinthread.coordination import backend_record
+
+# With more groups, several are out of service at once if the new weights are complete late.
+GROUP_COUNT = 2
+# A request starts within this time of being sent, unless its engine is slow or silent.
+START_TIME_S = 0.3
+# Old weights get no requests this long before they expire: an engine that falls silent before it
+# starts a request starts it afterwards, even if the connection has been closed meanwhile.
+EXPIRY_MARGIN_S = backend_record.SOUND_SILENCE_S + START_TIME_S
 # Time to drain the engine (about a second) and load the new weights (0.3 s).
 RELOAD_S = 1.25
 READY_ROUNDING_S = 0.25
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -38,12 +38,13 @@
 # Share of the retry budget that is used; the rest is a margin for changes in the set of entries.
 BUDGET_SHARE = 0.75
 FREE_RETRIES = 3
-# Margin before an old version expires at which attempts that have not begun are cancelled.
-START_MARGIN_S = 0.2
+# Margin before an old version expires at which attempts that have not begun are cancelled. A silent
+# engine notices that only when it continues, and may start the request first.
+START_MARGIN_S = backend_record.SOUND_SILENCE_S
 # A node that has just started has heard from all back ends after this many heartbeat intervals.
 STARTUP_HEARTBEATS = 1.5
 # From this long before an old version expires, only responsive back ends get requests for it.
-VERSION_SOON_MARGIN_S = 2.5
+VERSION_SOON_MARGIN_S = reload_schedule.EXPIRY_MARGIN_S + 1.5
 
 
 @dataclasses.dataclass(slots=True)
