--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -7,7 +7,7 @@
 import math
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import backend_record, dispatch, fleet, retry_delays, route_table
+from merlinthread.coordination import dispatch, fleet, retry_delays, route_table
 from merlinthread.nodes import (
     attempt_descriptions,
     attempts,
@@ -131,11 +131,10 @@
             # Other entries may have reported crashes while this request was queued.
             self.check_hold()
             self.start_attempt(choice)
-            attempt, outcome = await self.finish_attempts()
+            outcome = await self.finish_attempts()
             if outcome.state is attempts.State.DONE:
                 return
-            if outcome.state in (attempts.State.UNKNOWN, attempts.State.FAILED):
-                await self.wait_for_crash_check(attempt.backend)
+            await self.wait_for_crash_checks()
             if outcome.state is attempts.State.UNSENT:
                 await self.handle_unsent()
                 continue
@@ -144,8 +143,8 @@
                 return
             self.charge_retry()
 
-    async def finish_attempts(self) -> tuple[attempts.Attempt, attempts.Outcome]:
-        """Wait until one attempt is done or all have ended; return the last with its outcome.
+    async def finish_attempts(self) -> attempts.Outcome:
+        """Wait until one attempt is done or all have ended; return the last outcome.
 
         While the back ends of all open attempts are silent, make another one if that is allowed.
         """
@@ -154,9 +153,9 @@
             for attempt, outcome in ended:
                 self.record_result(attempt, outcome)
                 if outcome.state is attempts.State.DONE:
-                    return attempt, outcome
+                    return outcome
             if not self.open.tasks:
-                return ended[-1]
+                return ended[-1][1]
             if self.open.are_silent():
                 await self.hedge()
 
@@ -185,6 +184,7 @@
         Otherwise the open attempts go on: their back ends may continue.
         """
         assert self.context is not None
+        await self.wait_for_crash_checks()
         if self.unsent_count >= CONNECT_FAILURES_MAX or self.is_held():
             return
         if not self.may_retry(attempts.State.UNKNOWN):
@@ -195,8 +195,8 @@
         if self.charge_retry():
             self.start_attempt(choice)
 
-    async def wait_for_crash_check(self, backend: backend_record.Backend) -> None:
-        """Wait until it is known whether a back end crashed, if a crash may hold the request.
+    async def wait_for_crash_checks(self) -> None:
+        """Wait until it is known whether back ends crashed, if a crash may hold the request.
 
         Otherwise the next attempt might crash another back end.
         """
@@ -206,7 +206,8 @@
             return
         account = self.context.account.name if self.context.account is not None else ""
         if crashes.tracker.is_next_crash_decisive(self.context.fingerprint(), account):
-            await crashes.wait_for_check(backend)
+            for attempt in self.attempts:
+                await crashes.wait_for_check(attempt.backend)
 
     def describe_choice(self, choice: dispatch.Choice) -> str:
         """Describe the known state of a chosen back end for the log."""
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -8,8 +8,9 @@
 
 import pytest
 
+from merlinthread.coordination import crash_tracker, load_tracker, reload_schedule
 from merlinthread.coordination import fleet as fleets
-from merlinthread.coordination import load_tracker, reload_schedule
+from merlinthread.nodes import request_context
 from merlinthread.protocol import event_stream
 from merlinthread.transport import stream_client
 from stand_ins import silent_worker
@@ -369,3 +370,33 @@
         assert pool.clock() - now < bounds.version_s
 
     run(scenario, 1)
+
+
+# Guards against a third crash during one request, which the check of the second would prevent.
+def test_no_attempt_is_made_before_the_check_of_a_decisive_crash(monkeypatch):
+    async def scenario(fleet):
+        pool = fleet.entry.node.pool
+        body = fleet_nodes.configuration(2, [], "model")
+        body["routes"][0]["max_attempts"] = 3
+        fleet.entry.apply_update(body, dict.fromkeys(fleet.workers, "model"))
+        monkeypatch.setattr(request_context.RequestContext, "fingerprint", lambda _: "f")
+        now = pool.clock()
+        for number in (1, 2):
+            crash = crash_tracker.Crash(now - 10 * number, f"gone-{number}", now - 10 * number - 1)
+            pool.crashes.tracker.record_crash("f", "label", crash)
+        for worker in fleet.workers:
+            worker.behaviour.never_responds = True
+        stream = await fleet.stream()
+        await fleet_nodes.until(lambda: any(worker.runs for worker in fleet.workers))
+        first = fleet.worker_of(stream)
+        backends = pool.backends.values()
+        third = next(backend for backend in backends if not backend.in_flight)
+        third.is_draining = True
+        await fleet_nodes.until(lambda: sum(backend.silences for backend in backends) == 2)
+        third.is_draining = False
+        first.crash()
+        await stream.read()
+        assert pool.crashes.tracker.is_held("f")
+        assert sum(len(worker.runs) for worker in fleet.workers) == 2
+
+    run(scenario, 3)
