--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -261,9 +261,12 @@
     # better of two random choices avoids that (Mitzenmacher 2001).
     sampled = rng.sample(choices, min(RANDOM_CHOICES, len(choices)))
     best = first_near_cheapest(sampled)
-    if best.wait_s > wait_s_max:
-        best = min(choices, key=lambda choice: choice.cost_s)
-    return best
+    return cheapest(choices) if best.wait_s > wait_s_max else best
+
+
+def cheapest(choices: Sequence[Choice]) -> Choice:
+    """Return the cheapest choice; if all back ends are ejected, the one with least in flight."""
+    return min(choices, key=lambda choice: (choice.cost_s, choice.backend.in_flight))
 
 
 def least_doubtful(
@@ -338,7 +341,7 @@
         requirements,
         wait_s_max,
     )
-    return min(choices, key=lambda choice: choice.cost_s, default=None)
+    return cheapest(choices) if choices else None
 
 
 def evaluate(
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from merlinthread.coordination import crash_tracker, load_tracker, reload_schedule
+from merlinthread.coordination import crash_tracker, dispatch, load_tracker, reload_schedule
 from merlinthread.coordination import fleet as fleets
 from merlinthread.nodes import request_context
 from merlinthread.protocol import event_stream
@@ -400,3 +400,22 @@
         assert sum(len(worker.runs) for worker in fleet.workers) == 2
 
     run(scenario, 3)
+
+
+# Guards against sending all requests to one engine while all of them count as silent.
+def test_requests_are_spread_over_engines_that_are_all_silent():
+    async def scenario(fleet):
+        pool = fleet.entry.node.pool
+        fleet.use_responsive_agents()
+        now = pool.clock()
+        for backend in pool.backends.values():
+            backend.apply_report(fleets.EngineReport(weights=[fleets.Weights("m", 1, 16)]), now)
+            dispatch.record_silence(backend, now)
+        pool.update_subscriptions()
+        requirements = dispatch.Requirements("model", "m")
+        for _ in range(8):
+            choice = await pool.choose(requirements, 1.0)
+            pool.reserve(choice.backend, 100)
+        assert [backend.in_flight for backend in pool.backends.values()] == [2, 2, 2, 2]
+
+    run(scenario, 4)
