--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -52,8 +52,9 @@
     probe. `ready_at` is when usable weights are expected, or None if they are loaded or no time is
     known. `availability` outlives this record. `response_time` is the mean of this back end,
     `service_response_time` that of all back ends of its service. `accepted_at` is when the last
-    request that it accepted was sent, `rejected_at` when it last refused or failed one. `trials`
-    counts the attempts in flight that were sent while it was doubtful.
+    request that it accepted was sent, `rejected_at` when it last refused or failed one. `silent_at`
+    is when it was last found silent and has not continued since. `trials` counts the attempts in
+    flight that were sent while it was doubtful.
     """
 
     instance: str
@@ -79,6 +80,7 @@
     failures: int = 0
     ejected_until: float = float("-inf")
     silences: int = 0
+    silent_at: float = float("-inf")
     silent_until: float = float("-inf")
     full_until: float = float("-inf")
     slow_until: float = float("-inf")
@@ -145,12 +147,13 @@
         return now < self.ejected_until
 
     def is_accepting(self) -> bool:
-        """Return whether it accepted a request that was sent after its last refusal or failure."""
-        return self.accepted_at > self.rejected_at
+        """Return whether it accepted a request sent after its last refusal, failure or silence."""
+        return self.accepted_at > max(self.rejected_at, self.silent_at)
 
     def is_doubtful(self) -> bool:
         """Return whether it has refused or failed a request and accepted none since."""
-        return self.rejected_at > float("-inf") and not self.is_accepting()
+        has_rejected = max(self.rejected_at, self.silent_at) > float("-inf")
+        return has_rejected and not self.is_accepting()
 
     def has_trial(self) -> bool:
         """Return whether it is doubtful and an attempt in flight will tell whether it accepts."""
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -382,7 +382,7 @@
 
     All attempts in flight notice the same silence, which counts once.
     """
-    backend.rejected_at = now
+    backend.silent_at = now
     if now < backend.silent_until:
         return
     backend.silent_until = now + min(EJECTION_MAX_S, EJECTION_S * 2**backend.silences)
@@ -392,8 +392,8 @@
 def record_continued(backend: backend_record.Backend, now: float) -> None:
     """Record that a back end sends data again after a silence, which was thus no failure."""
     backend.silences = 0
+    backend.silent_at = -math.inf
     backend.silent_until = -math.inf
-    backend.accepted_at = max(backend.accepted_at, now)
 
 
 def record_success(backend: backend_record.Backend, response_s: float) -> None:
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -419,3 +419,15 @@
         assert [backend.in_flight for backend in pool.backends.values()] == [2, 2, 2, 2]
 
     run(scenario, 4)
+
+
+# Guards against taking a back end that refuses requests for one that accepts them.
+def test_refusal_is_remembered_after_the_end_of_a_silence():
+    async def scenario(fleet):
+        (backend,) = fleet.entry.node.pool.backends.values()
+        dispatch.record_full(backend, 10.0)
+        dispatch.record_silence(backend, 11.0)
+        dispatch.record_continued(backend, 12.0)
+        assert not backend.is_accepting()
+
+    run(scenario, 1)
