--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -431,3 +431,49 @@
         assert not backend.is_accepting()
 
     run(scenario, 1)
+
+
+# Guards against a stream with the data of two attempts whose back ends continue at the same time.
+def test_stream_has_events_of_one_attempt_if_both_continue_at_once():
+    async def scenario(fleet):
+        pool = fleet.entry.node.pool
+        connections = []
+        connect = pool.connections.connect
+
+        async def record_connection(backend, is_idempotent):
+            connections.append(await connect(backend, is_idempotent))
+            return connections[-1]
+
+        pool.connections.connect = record_connection
+        for worker in fleet.workers:
+            worker.behaviour.never_responds = True
+        stream = await fleet.stream()
+        backends = list(pool.backends.values())
+        await fleet_nodes.until(lambda: all(backend.silences for backend in backends))
+        head = (
+            b"HTTP/1.1 200 OK\r\nX-Merlinthread-Request-Id: id-1\r\n"
+            b"X-Merlinthread-Response-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        events = b"".join(b"f\r\nid: %d\ndata: %d\n\n\r\n" % (n, n) for n in range(1, EVENTS + 1))
+        for connection in connections:
+            connection.data_received(head + events + b"0\r\n\r\n")
+        await stream.read_whole()
+        await fleet_nodes.until(lambda: not any(backend.in_flight for backend in backends))
+        assert [connection.is_idle for connection in connections].count(True) == 1
+
+    run(scenario)
+
+
+# Guards against attempts that go on after their client has left.
+def test_all_attempts_end_when_the_client_leaves():
+    async def scenario(fleet):
+        for worker in fleet.workers:
+            worker.behaviour.never_responds = True
+        stream = await fleet.stream()
+        await fleet_nodes.until(lambda: all(worker.runs for worker in fleet.workers))
+        stream.connection.close()
+        await fleet_nodes.until(lambda: all(worker.cancelled for worker in fleet.workers), 0.5)
+        backends = fleet.entry.node.pool.backends.values()
+        assert not any(backend.in_flight for backend in backends)
+
+    run(scenario)
