--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -16,6 +16,9 @@
 REPORT_INTERVAL_S = 0.2
 # An unchanged report is repeated at this interval, to show that the agent is alive.
 UNCHANGED_REPORT_INTERVAL_S = 0.4
+# An engine that has not answered a poll for this long counts as lost, although its process may
+# still run. A silence of a second or two is no failure.
+ENGINE_SILENCE_MAX_S = 3.0
 SUBSCRIPTION_TTL_S = 3.5
 
 
@@ -57,7 +60,11 @@
         self.last_sent_at = float("-inf")
         self.sequence = 0
         self.is_engine_lost = False
+        # When the engine last answered a poll.
+        self.answered_at = float("-inf")
+        # The start time and the number of orders in the engine's last report.
         self.born_ms = 0
+        self.order_count = 0
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -87,17 +94,23 @@
             self.record_attempt_stage(message)
         elif isinstance(message, node_messages.PieceNotice | node_messages.PieceClaim):
             self.weights.record_notice(message)
-        elif isinstance(message, node_messages.LoadQuery) and self.last_report is not None:
-            outstanding = self.load_tracker.outstanding(message.address, self.clock())
-            reply = node_messages.LoadReply(
-                message.number,
-                outstanding.attempts,
-                outstanding.unread,
-                outstanding.unread_tokens,
-                self.last_report.is_busy,
-                self.last_report.pace,
-            )
-            self.datagrams.send(message.address, reply)
+        elif isinstance(message, node_messages.LoadQuery):
+            self.reply_to_query(message)
+
+    def reply_to_query(self, query: node_messages.LoadQuery) -> None:
+        """Reply to a load query, unless the engine is lost."""
+        if self.last_report is None:
+            return
+        outstanding = self.load_tracker.outstanding(query.address, self.clock())
+        reply = node_messages.LoadReply(
+            query.number,
+            outstanding.attempts,
+            outstanding.unread,
+            outstanding.unread_tokens,
+            self.last_report.is_busy,
+            self.last_report.pace,
+        )
+        self.datagrams.send(query.address, reply)
 
     def record_attempt_stage(self, notice: node_messages.AttemptNotice) -> None:
         """Record the stage that an attempt has reached."""
@@ -125,26 +138,50 @@
     async def poll_engine(self) -> None:
         """Poll the engine's report and send it to the subscribed entries, until cancelled."""
         while True:
-            try:
-                report = await self.engine.fetch_report()
-                self.detect_restart(report)
-                self.set_engine_reachable(True, "")
-                self.weights.record_engine_report(report)
-                report.ready_in_s = self.weights.ready_in_s()
-                self.load_tracker.apply_report(report.running + report.queued, self.clock())
-                self.send_load(report)
-            except errors.MerlinthreadError as error:
-                self.set_engine_reachable(False, error.message)
-                self.weights.record_engine_report(None)
-                self.last_report = None
+            await self.poll_once()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    async def poll_once(self) -> None:
+        """Poll the engine's report once; a refused connection shows that its process has ended."""
+        try:
+            report = await self.engine.fetch_report()
+        except errors.MerlinthreadError as error:
+            is_silent = isinstance(error, errors.UnreachableError) and not isinstance(
+                error, errors.NotListeningError
+            )
+            if not is_silent or self.clock() - self.answered_at > ENGINE_SILENCE_MAX_S:
+                self.record_engine_lost(error.message)
+            return
+        self.answered_at = self.clock()
+        self.detect_restart(report)
+        self.set_engine_reachable(True, "")
+        self.weights.record_engine_report(report)
+        report.ready_in_s = self.weights.ready_in_s()
+        self.load_tracker.apply_report(report.running + report.queued, self.clock())
+        self.send_load(report)
+
+    def record_engine_lost(self, reason: str) -> None:
+        """Discard the engine's last report."""
+        self.set_engine_reachable(False, reason)
+        self.weights.record_engine_report(None)
+        self.last_report = None
+
     def detect_restart(self, report: fleet.EngineReport) -> None:
-        """Discard the recorded load if the engine's start time shows that it has restarted."""
+        """Discard the recorded load if the engine has restarted.
+
+        Its start time or the number of orders that it has taken shows that.
+        """
         previous_ms, self.born_ms = self.born_ms, report.born_ms
-        if previous_ms in (0, report.born_ms):
+        orders_before, self.order_count = self.order_count, report.sequence
+        if previous_ms in (0, report.born_ms) and report.sequence >= orders_before:
             return
-        logs.event("engine_reborn", born_ms=report.born_ms, before_ms=previous_ms)
+        logs.event(
+            "engine_reborn",
+            born_ms=report.born_ms,
+            before_ms=previous_ms,
+            orders=report.sequence,
+            orders_before=orders_before,
+        )
         self.load_tracker = load_tracker.LoadTracker()
         self.last_report = None
         self.weights.record_engine_report(None)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -67,6 +67,8 @@
         self.sync_task: asyncio.Task | None = None
         # Crashes of the engine while it loaded the current manifest's version.
         self.load_crashes = 0
+        # How often the engine was lost.
+        self.loss_count = 0
 
     # State of the engine
 
@@ -167,8 +169,9 @@
         return plan
 
     def record_engine_report(self, report: fleet.EngineReport | None) -> None:
-        """Record the engine's report; it is None if the engine did not respond."""
+        """Record the engine's report; it is None if the engine is lost or has restarted."""
         self.report = report
+        self.loss_count += report is None
         if report is not None and not self.store.is_engine_seen:
             self.store.is_engine_seen = True
             self.sync_task = asyncio.get_running_loop().create_task(self.sync_with_engine())
@@ -241,12 +244,13 @@
     async def await_loaded(self, manifest: fleet.Manifest) -> None:
         """Wait until the engine has loaded the version, or has stopped loading it."""
         deadline = self.clock() + LOAD_START_TIMEOUT_S
+        loss_count = self.loss_count
         while not self.has_loaded(manifest):
-            if self.report is None:
+            if self.report is None or self.loss_count != loss_count:
                 self.load_crashes += 1
                 logs.event("engine_lost_in_load", version=manifest.version, ends=self.load_crashes)
                 return
-            if self.report is not None and self.report.is_busy:
+            if self.report.is_busy:
                 deadline = self.clock() + LOAD_START_TIMEOUT_S
             if self.clock() >= deadline:
                 return
