--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -215,12 +215,27 @@
         await self.await_load_retry(manifest)
         if self.view.is_superseded(manifest) or self.report is None:
             return
-        status = await self.engine.load_staged_weights(manifest.model, manifest.version, False)
+        if not self.report.is_busy:
+            await self.order_load(manifest)
+        await self.await_loaded(manifest)
+
+    async def order_load(self, manifest: fleet.Manifest) -> None:
+        """Make the engine load the staged weights.
+
+        An order without a response may have been accepted, so that it counts as accepted until the
+        engine's next report. Raises NotListeningError if the engine can't have received it.
+        """
+        try:
+            status = await self.engine.load_staged_weights(manifest.model, manifest.version, False)
+        except errors.NotListeningError:
+            raise
+        except errors.UnreachableError as error:
+            logs.event("order_unanswered", version=manifest.version, reason=error.message)
+            status = engine_client.STATUS_ACCEPTED
         logs.event("engine_ordered", version=manifest.version, status=status)
         if self.report is not None and status == engine_client.STATUS_ACCEPTED:
             self.report.is_busy = True
             self.on_report_changed(self.report)
-        await self.await_loaded(manifest)
 
     async def await_reload_time(self, manifest: fleet.Manifest) -> None:
         """Wait for the reload time of this engine's group, unless the engine does not serve."""
