--- a/src/merlinthread/nodes/piece_store.py
+++ b/src/merlinthread/nodes/piece_store.py
@@ -1,8 +1,9 @@
-"""Storage of pieces: staged at the engine, or buffered in memory until the engine is up.
+"""Storage of pieces: staged at the engine, or buffered in memory while the engine does not respond.
 
 On a new VM the agent is ready before the engine; the buffer lets it start the download at once.
 """
 
+from merlinthread import errors
 from merlinthread.coordination import fleet
 from merlinthread.nodes import engine_client
 
@@ -30,13 +31,18 @@
         return sum(map(len, self.buffered.values())) >= BUFFER_BYTES_MAX
 
     async def put(self, model: str, index: int, data: bytes) -> None:
-        """Stage a piece, or buffer it if the engine has not responded yet.
+        """Stage a piece, or buffer it if the engine is silent or has not responded yet.
 
-        Raises UnreachableError or ProtocolError if staging fails.
+        Raises NotListeningError or ProtocolError if staging fails.
         """
-        if self.is_engine_seen:
+        if not self.is_engine_seen:
+            self.buffered[index] = data
+            return
+        try:
             await self.engine.stage_piece(model, index, data)
-        else:
+        except errors.NotListeningError:
+            raise
+        except errors.UnreachableError:
             self.buffered[index] = data
 
     async def get(self, manifest: fleet.Manifest, index: int) -> bytes | None:
@@ -45,7 +51,7 @@
         return data if data is not None else await self.engine.read_staged_piece(manifest, index)
 
     async def flush(self, model: str) -> None:
-        """Stage all buffered pieces; raise the same errors as `put`."""
+        """Stage all buffered pieces; raise UnreachableError or ProtocolError if that fails."""
         for index in sorted(self.buffered):
             data = self.buffered.get(index)
             if data is None:
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -172,9 +172,23 @@
         """Record the engine's report; it is None if the engine is lost or has restarted."""
         self.report = report
         self.loss_count += report is None
-        if report is not None and not self.store.is_engine_seen:
+        if report is None:
+            return
+        loop = asyncio.get_running_loop()
+        if not self.store.is_engine_seen:
             self.store.is_engine_seen = True
-            self.sync_task = asyncio.get_running_loop().create_task(self.sync_with_engine())
+            self.sync_task = loop.create_task(self.sync_with_engine())
+        elif self.store.buffered and (self.sync_task is None or self.sync_task.done()):
+            self.sync_task = loop.create_task(self.flush_pieces())
+
+    async def flush_pieces(self) -> None:
+        """Stage the pieces that were buffered while the engine was silent."""
+        if self.manifest is None:
+            return
+        try:
+            await self.store.flush(self.manifest.model)
+        except errors.MerlinthreadError as error:
+            logs.debug("pieces_not_settled", reason=error.message)
 
     async def sync_with_engine(self) -> None:
         """Stage the buffered pieces, and add those that were staged already to the plan."""
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -6,6 +6,7 @@
 import asyncio
 
 from merlinthread.coordination import fleet as fleets
+from merlinthread.nodes import piece_store
 from merlinthread.protocol import node_messages
 from stand_ins import silent_worker
 from tests import fleet_nodes, test_weights_task
@@ -167,6 +168,21 @@
     run(scenario)
 
 
+# Guards against a download that stops for good because the pieces kept for the engine are too many.
+def test_download_goes_on_after_the_buffer_was_full(monkeypatch):
+    monkeypatch.setattr(piece_store, "BUFFER_BYTES_MAX", 1)
+
+    async def scenario(fleet):
+        await fleet_nodes.until(lambda: len(fleet.engine.staged) >= PIECES // 3, 20)
+        silence = await fleet.fall_silent()
+        await fleet_nodes.until(fleet.agent.weights.store.is_full)
+        await silence
+        await fleet.wait_until_loaded(1)
+        assert not fleet.agent.weights.store.buffered
+
+    run(scenario)
+
+
 # Guards against keeping the state of an engine that has ended.
 def test_engine_that_refuses_connections_or_hangs_is_lost():
     async def scenario(fleet):
