--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -19,6 +19,8 @@
 # An engine that has not answered a poll for this long counts as lost, although its process may
 # still run. A silence of a second or two is no failure.
 ENGINE_SILENCE_MAX_S = 3.0
+# An engine whose answer to a poll takes longer is not responsive.
+RESPONSIVE_WITHIN_S = 0.1
 SUBSCRIPTION_TTL_S = 3.5
 
 
@@ -60,8 +62,9 @@
         self.last_sent_at = float("-inf")
         self.sequence = 0
         self.is_engine_lost = False
-        # When the engine last answered a poll.
+        # When the engine last answered a poll, and when the unanswered poll began, if there is one.
         self.answered_at = float("-inf")
+        self.unanswered_since: float | None = None
         # The start time and the number of orders in the engine's last report.
         self.born_ms = 0
         self.order_count = 0
@@ -98,8 +101,8 @@
             self.reply_to_query(message)
 
     def reply_to_query(self, query: node_messages.LoadQuery) -> None:
-        """Reply to a load query, unless the engine is lost."""
-        if self.last_report is None:
+        """Reply to a load query, unless the engine is lost or silent."""
+        if self.last_report is None or not self.is_responsive():
             return
         outstanding = self.load_tracker.outstanding(query.address, self.clock())
         reply = node_messages.LoadReply(
@@ -143,6 +146,8 @@
 
     async def poll_once(self) -> None:
         """Poll the engine's report once; a refused connection shows that its process has ended."""
+        if self.unanswered_since is None:
+            self.unanswered_since = self.clock()
         try:
             report = await self.engine.fetch_report()
         except errors.MerlinthreadError as error:
@@ -153,6 +158,7 @@
                 self.record_engine_lost(error.message)
             return
         self.answered_at = self.clock()
+        self.unanswered_since = None
         self.detect_restart(report)
         self.set_engine_reachable(True, "")
         self.weights.record_engine_report(report)
@@ -166,6 +172,11 @@
         self.weights.record_engine_report(None)
         self.last_report = None
 
+    def is_responsive(self) -> bool:
+        """Return whether the engine has answered the latest poll in time so far."""
+        since = self.unanswered_since
+        return since is None or self.clock() - since <= RESPONSIVE_WITHIN_S
+
     def detect_restart(self, report: fleet.EngineReport) -> None:
         """Discard the recorded load if the engine has restarted.
 
