--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -244,7 +244,12 @@
         self.address = f"127.0.0.1:{port}"
 
     def apply_update(
-        self, body: dict, workers: dict[fleet_worker.Worker, str], gone=(), leader_age_s=0.0
+        self,
+        body: dict,
+        workers: dict[fleet_worker.Worker, str],
+        gone=(),
+        leader_age_s=0.0,
+        draining=(),
     ) -> None:
         """Send the entry a configuration and its workers, as a control VM would."""
         self.sequence += 1
@@ -258,7 +263,7 @@
                             "address": worker.address,
                             "zone": "zone-a",
                             "slots": 4,
-                            "state": "ready",
+                            "state": "draining" if worker in draining else "ready",
                             "sequence": self.sequence,
                             "models": [{"name": worker.model, "version": worker.version}],
                         }
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -13,7 +13,7 @@
 from merlinthread.nodes import request_context
 from merlinthread.protocol import event_stream
 from merlinthread.transport import stream_client
-from stand_ins import silent_worker
+from stand_ins import fleet_worker, silent_worker
 from tests import fleet_nodes
 
 STREAM = {
@@ -45,8 +45,12 @@
         await self.entry.start()
         for silent in self.silent:
             await silent.start()
+        self.announce(self.workers)
+
+    def announce(self, workers: list[fleet_worker.Worker], gone=(), draining=()) -> None:
+        """Announce some workers to the entry, and those that are gone or draining."""
         body = fleet_nodes.configuration(1, [], "model")
-        self.entry.apply_update(body, dict.fromkeys(self.workers, "model"))
+        self.entry.apply_update(body, dict.fromkeys(workers, "model"), gone, draining=draining)
 
     def stop(self) -> None:
         """Stop the workers."""
@@ -271,6 +275,78 @@
     run(scenario)
 
 
+async def give_up_silent_attempt(fleet: SilentFleet) -> silent_worker.SilentWorker:
+    """Let a back end be silent until another one has taken over its stream; return it."""
+    stream = await fleet.stream()
+    await stream.read(2)
+    silent = fleet.worker_of(stream)
+    silent.fall_silent(SOUND_SILENCE_S)
+    await stream.read_whole()
+    assert [broken.backend.instance for broken in fleet.entry.node.crashes.unconfirmed] == [
+        silent.worker.instance
+    ]
+    return silent
+
+
+def replace(fleet: SilentFleet, silent: silent_worker.SilentWorker) -> None:
+    """Announce another instance at the address of a back end."""
+    heir = fleet_worker.Worker("i-heir", "m")
+    heir.address = silent.worker.address
+    others = [worker for worker in fleet.workers if worker is not silent.worker]
+    fleet.announce([*others, heir])
+
+
+# Guards against counting a crash of a back end that was only silent and is replaced later.
+def test_response_after_silence_shows_that_the_process_did_not_end():
+    async def scenario(fleet):
+        silent = await give_up_silent_attempt(fleet)
+        crashes, pool = fleet.entry.node.crashes, fleet.entry.node.pool
+        other = next(worker for worker in fleet.workers if worker is not silent.worker)
+        await silent.call(asyncio.sleep(0))
+        pool.backends[other.instance].is_draining = True
+        await (await fleet.stream()).read_whole()
+        assert not crashes.unconfirmed
+        replace(fleet, silent)
+        assert not crashes.tracker.records
+
+    run(scenario)
+
+
+# Guards against missing the crash of a back end whose address another instance has taken.
+def test_response_of_another_instance_does_not_show_that_the_process_goes_on():
+    async def scenario(fleet):
+        silent = await give_up_silent_attempt(fleet)
+        crashes = fleet.entry.node.crashes
+        await silent.call(asyncio.sleep(0))
+        for worker in fleet.workers:
+            worker.behaviour.is_full = worker is not silent.worker
+        silent.worker.instance = "i-heir"
+        stream = await fleet.stream()
+        await stream.read()
+        assert stream.status == 503
+        assert crashes.unconfirmed
+        replace(fleet, silent)
+        assert crashes.tracker.records
+
+    run(scenario)
+
+
+# Guards against counting a crash of a back end that announced its end after a silence.
+@pytest.mark.parametrize("sign", ["draining", "gone"])
+def test_announced_end_after_silence_is_no_crash(sign):
+    async def scenario(fleet):
+        silent = await give_up_silent_attempt(fleet)
+        crashes = fleet.entry.node.crashes
+        if sign == "draining":
+            fleet.announce(fleet.workers, draining=[silent.worker])
+        else:
+            fleet.announce([], gone=[silent.worker.instance])
+        replace(fleet, silent)
+        assert not crashes.tracker.records
+
+    run(scenario)
+
+
 # Guards against a run on expired weights by an engine that reads its request after a silence.
 def test_request_read_after_silence_does_not_begin_on_expired_weights():
     async def scenario(fleet):
