--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -56,7 +56,8 @@
             engine_service="model",
             link_bytes_per_s=1e6,
         )
-        settings.bounds.version_s = 2.0
+        # Old weights may be used for 1 s.
+        settings.bounds.version_s = reload_schedule.EXPIRY_MARGIN_S + 1.0
         agent = agent_node.AgentNode(
             settings,
             dialect.PlatformDialect(),
