--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -411,5 +411,11 @@
 
 
 def record_accepted(backend: backend_record.Backend, sent_at: float) -> None:
-    """Record that a back end accepted a request that was sent at `sent_at`."""
+    """Record that a back end accepted a request that was sent at `sent_at`.
+
+    This ends an earlier silence. Responses to requests that were sent before it do not: the back
+    end may have stopped to serve others.
+    """
     backend.accepted_at = max(backend.accepted_at, sent_at)
+    if sent_at > backend.silent_at:
+        backend.silent_until = -math.inf
--- a/tests/test_fleet_coordination.py
+++ b/tests/test_fleet_coordination.py
@@ -191,6 +191,19 @@
     assert backend.failures == 0
 
 
+# Guards against keeping a back end out after a silence that has ended unseen, since its attempts
+# were given up.
+def test_silence_ends_with_the_acceptance_of_a_later_request():
+    backend = make_backend()
+    dispatch.record_silence(backend, 10.0)
+    assert backend.is_ejected(10.1) and not backend.is_accepting()
+    # Some requests may be answered while others hang.
+    dispatch.record_accepted(backend, 9.9)
+    assert backend.is_ejected(10.1) and not backend.is_accepting()
+    dispatch.record_accepted(backend, 10.2)
+    assert not backend.is_ejected(10.3) and backend.is_accepting()
+
+
 def test_last_ejected_back_end_gets_one_request_at_a_time():
     # Two of three back ends were removed, and one connection attempt to the last one failed.
     demand = dispatch.Requirements("s")
