--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -108,6 +108,7 @@
         self.description = ""
         self.result_text = ""
         self.signals_text = ""
+        self.is_other_instance = False
 
     @property
     def is_silent(self) -> bool:
@@ -215,6 +216,8 @@
     def record_outcome(self, outcome: Outcome) -> None:
         """Update the back end's state after a complete response."""
         now = self.clock()
+        if self.pool.crashes.unconfirmed and not self.is_other_instance:
+            self.pool.crashes.record_response(self.backend, self.sent_at)
         if outcome.state is State.DONE:
             dispatch.record_success(self.backend, now - self.reservation.started_at)
             if self.pool.crashes.tracker.records:
@@ -265,6 +268,7 @@
             raise errors.ProtocolError(
                 f"the response has another request id: {response_head.request_id}"
             )
+        self.is_other_instance = response_head.is_other_instance
         self.signals_text = attempt_descriptions.describe_signals(response_head)
         self.record_signals(response_head)
         is_success = 200 <= head.status_code < 300
--- a/src/merlinthread/nodes/crash_detector.py
+++ b/src/merlinthread/nodes/crash_detector.py
@@ -23,6 +23,8 @@
 BREAK_WINDOW_S = 1.0
 # If a whole VM fails, only a new instance at its address confirms the crash, seconds later.
 UNCONFIRMED_EXPIRY_S = 15.0
+# Data that was sent before the end of a process arrives within this time.
+TRANSIT_MAX_S = 0.5
 # Bounds the memory for attempts without a confirmed crash.
 UNCONFIRMED_ATTEMPTS_MAX = 1024
 REPLACED_REASON = "another instance is at its address"
@@ -139,6 +141,18 @@
         ]
         self.unconfirmed = [*remaining, *attempts][-UNCONFIRMED_ATTEMPTS_MAX:]
 
+    def record_response(self, backend: backend_record.Backend, sent_at: float) -> None:
+        """Record a complete response of a back end to a request that was sent at `sent_at`.
+
+        Its process did not end at earlier attempts, which were thus broken by something else.
+        """
+        alive_at = max(sent_at, self.clock() - TRANSIT_MAX_S)
+        self.unconfirmed = [
+            attempt
+            for attempt in self.unconfirmed
+            if attempt.backend.instance != backend.instance or attempt.broke_at > alive_at
+        ]
+
     def apply_fleet_update(self) -> None:
         """Confirm crashes of replaced back ends; report all records again after a change of feed.
 
