--- a/src/merlinthread/nodes/crash_detector.py
+++ b/src/merlinthread/nodes/crash_detector.py
@@ -184,13 +184,20 @@
         }
 
     def confirm_replaced(self) -> None:
-        """Record crashes of back ends that another instance has replaced at their address."""
+        """Record crashes of back ends that another instance has replaced at their address.
+
+        One that announced its end before it was replaced did not crash.
+        """
         by_address = self.instances_by_address()
         replaced, remaining = [], []
         for attempt in self.unconfirmed:
             backend = attempt.backend
-            is_present = by_address.get(backend.address, backend.instance) == backend.instance
-            (remaining if is_present else replaced).append(attempt)
+            if backend.is_draining:
+                continue
+            if by_address.get(backend.address, backend.instance) != backend.instance:
+                replaced.append(attempt)
+            elif backend.instance not in self.watcher.gone:
+                remaining.append(attempt)
         self.unconfirmed = remaining
         if replaced:
             self.record_crashes(replaced, REPLACED_REASON)
