--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -9,7 +9,7 @@
 import hashlib
 import json
 
-from merlinthread.transport import http_messages, stream_server
+from merlinthread.transport import http_messages, sockets, stream_server
 
 DEFAULT_EVENT_COUNT = 5
 LAYERS = 16
@@ -30,6 +30,10 @@
     is_unsigned: bool = False
     ignores_last_event_id: bool = False
     never_responds: bool = False
+    # Sends responses with neither a length nor chunks, which end with their connection.
+    lacks_length: bool = False
+    # Resets that connection instead of closing it.
+    resets_connection: bool = False
     order_status: int = 202
     order_delay_s: float = 0.0
     # Adds a Server-Leaving header to every response.
@@ -173,6 +177,9 @@
         if not self.behaviour.is_unsigned:
             stamp = f"{self.instance}.{request_id}".encode()
             response_headers.append((b"X-Merlinthread-Response-Stamp", stamp))
+        if self.behaviour.lacks_length:
+            await self.send_without_length(exchange, response_headers, headers)
+            return
         if "x-merlinthread-model" in headers and self.behaviour.status == 200:
             await self.stream(exchange, response_headers, headers)
             return
@@ -201,6 +208,35 @@
             await asyncio.sleep(self.behaviour.gap_s)
         await exchange.finish()
 
+    async def send_without_length(
+        self,
+        exchange: stream_server.Exchange,
+        response_headers: http_messages.Headers,
+        headers: dict[str, str],
+    ) -> None:
+        """Send a response whose end is that of its connection.
+
+        With `cut_after_events`, a stream ends inside the event after that many.
+        """
+        parts = [f"answer of {self.instance}".encode()]
+        if "x-merlinthread-model" in headers:
+            first = int(headers.get("last-event-id", "0")) + 1
+            numbers = range(first, self.behaviour.events + 1)
+            parts = [f"id: {number}\ndata: {number}\n\n".encode() for number in numbers]
+            if self.behaviour.cut_after_events is not None:
+                parts = parts[: self.behaviour.cut_after_events + 1]
+                parts[-1] = parts[-1].rstrip(b"\n")
+        lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in response_headers)]
+        exchange.connection.write_raw(b"\r\n".join(lines) + b"\r\n\r\n")
+        for part in parts:
+            exchange.connection.write_raw(part)
+            await asyncio.sleep(self.behaviour.gap_s)
+        if self.behaviour.resets_connection:
+            sockets.reset_on_close(exchange.connection.transport)
+            exchange.connection.abort()
+        else:
+            exchange.connection.close()
+
     def common_headers(self) -> http_messages.Headers:
         """Return the headers that every response carries."""
         headers = [(b"Server-Leaving", b"1")] if self.behaviour.is_leaving else []
