--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -86,6 +86,18 @@
     assert registry.record_heartbeat(make_heartbeat(sequence=51), 4.6)
 
 
+# Guards against replacing a silent back end because of a late heartbeat of its predecessor.
+@pytest.mark.parametrize("born", [0, STARTED_MS])
+def test_late_heartbeat_of_predecessor_is_ignored_while_back_end_is_silent(born):
+    predecessor = make_heartbeat(born, sequence=40, id_="old")
+    current = make_heartbeat(born and born + 1, sequence=1, id_="new")
+    registry = registry_with(predecessor, current)
+    late = make_heartbeat(born, sequence=41, id_="old")
+    # One heartbeat interval, and a silence of more than a second.
+    assert not registry.record_heartbeat(late, 0.1 + HEARTBEAT_INTERVAL_S + 1.6)
+    assert known_names(registry) == [current.instance]
+
+
 def test_heartbeats_without_start_time_are_ordered_by_sequence():
     registry = registry_with(make_heartbeat(0, sequence=5))
     assert not registry.record_heartbeat(make_heartbeat(0, sequence=4), 0.2)
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -67,11 +67,11 @@
         budget = self.entry.node.pool.budget("model")
         budget.ratio, budget.free_retries = 0.0, 0
 
-    async def stream(self) -> "Stream":
+    async def stream(self, body: bytes = b"") -> "Stream":
         """Send a request; return its stream."""
         self.request_count += 1
         request_id = f"id-{self.request_count}"
-        return Stream(await self.entry.send("/model/", request_id, **STREAM), request_id)
+        return Stream(await self.entry.send("/model/", request_id, body, **STREAM), request_id)
 
     def worker_of(self, stream: "Stream") -> silent_worker.SilentWorker:
         """Return the worker that runs a request."""
@@ -352,6 +352,41 @@
     run(scenario)
 
 
+# Guards against ending a request whose body a silent back end does not read at once.
+def test_long_body_is_taken_after_silence():
+    async def scenario(fleet):
+        fleet.use_up_retry_budget()
+        fleet.fall_silent(SOUND_SILENCE_S)
+        body = bytes(3 * 2**20)
+        stream = await fleet.stream(body)
+        await stream.read_whole()
+        (run,) = [run for worker in fleet.workers for run in worker.runs]
+        assert run.body == body
+
+    run(scenario)
+
+
+# Guards against ending a stream whose back end is removed because of a late heartbeat or none.
+@pytest.mark.parametrize("is_replaced", [True, False], ids=["replaced", "missing"])
+def test_stream_goes_on_after_its_silent_back_end_was_removed(is_replaced):
+    async def scenario(fleet):
+        stream = await fleet.stream()
+        await stream.read(2)
+        silent = fleet.worker_of(stream)
+        fleet.use_up_retry_budget()
+        silent.fall_silent(SOUND_SILENCE_S)
+        if is_replaced:
+            replace(fleet, silent)
+        else:
+            fleet.entry.node.watcher.remove(silent.worker.instance)
+            fleet.entry.node.pool.update()
+        assert silent.worker.instance not in fleet.entry.node.pool.backends
+        await stream.read_whole()
+        assert sum(len(worker.runs) for worker in fleet.workers) == 1
+
+    run(scenario)
+
+
 # Guards against a run on expired weights by an engine that reads its request after a silence.
 def test_request_read_after_silence_does_not_begin_on_expired_weights():
     async def scenario(fleet):
