--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -98,6 +98,20 @@
     assert known_names(registry) == [current.instance]
 
 
+# Guards against removing a silent back end for good because of a late heartbeat of its predecessor,
+# of which a restarted control VM does not know that it has ended.
+@pytest.mark.parametrize("born", [0, STARTED_MS])
+def test_silent_back_end_that_a_late_heartbeat_replaced_returns(born):
+    current = make_heartbeat(born, sequence=50, id_="new")
+    registry = registry_with(current)
+    late = make_heartbeat(born, sequence=41, id_="old")
+    assert registry.record_heartbeat(late, 2.6)
+    heard_at = [2.7, 3.9, 5.1]
+    for number, at in enumerate(heard_at):
+        registry.record_heartbeat(make_heartbeat(born, sequence=51 + number, id_="new"), at)
+    assert known_names(registry) == [current.instance]
+
+
 def test_heartbeats_without_start_time_are_ordered_by_sequence():
     registry = registry_with(make_heartbeat(0, sequence=5))
     assert not registry.record_heartbeat(make_heartbeat(0, sequence=4), 0.2)
