--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -65,9 +65,7 @@
         # When the engine last answered a poll, and when the unanswered poll began, if there is one.
         self.answered_at = float("-inf")
         self.unanswered_since: float | None = None
-        # The start time and the number of orders in the engine's last report.
         self.born_ms = 0
-        self.order_count = 0
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -183,7 +181,7 @@
         Its start time or the number of orders that it has taken shows that.
         """
         previous_ms, self.born_ms = self.born_ms, report.born_ms
-        orders_before, self.order_count = self.order_count, report.sequence
+        orders_before = self.last_report.sequence if self.last_report is not None else 0
         if previous_ms in (0, report.born_ms) and report.sequence >= orders_before:
             return
         logs.event(
