--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -198,5 +198,11 @@
 
 
 def has_ended(former: fleet.Heartbeat, heartbeat: fleet.Heartbeat) -> bool:
-    """Return whether a heartbeat shows that a conflicting incarnation has ended."""
-    return not is_newer(former, heartbeat)
+    """Return whether a heartbeat shows that a conflicting incarnation has ended.
+
+    A later incarnation of the same back end shows that, and one that has just started. Any other
+    heartbeat may be late.
+    """
+    if is_newer(heartbeat, former):
+        return True
+    return heartbeat.sequence <= INITIAL_SEQUENCE_MAX and not is_newer(former, heartbeat)
