--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -177,7 +177,8 @@
 class RequestHead:
     """The parts of a client request's head that routing depends on.
 
-    `deadline_s` is the client's timeout, counted from when the head was read.
+    `deadline_s` is the client's timeout, counted from when the head was read. `shared_parts` are
+    the ids of the parts of its prompt that other requests may have too, in order.
     """
 
     request_id: str
@@ -189,7 +190,7 @@
     model: str = ""
     prompt_tokens: int = 0
     response_tokens: int = 0
-    prefix: str = ""
+    shared_parts: tuple[str, ...] = ()
     last_event_id: str = ""
 
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -201,6 +201,7 @@
             self.backend,
             self.reservation.started_at,
             self.clock(),
+            self.context.parts(),
         )
         self.pool.crashes.record_break(broken, is_timeout)
 
--- a/src/merlinthread/nodes/crash_detector.py
+++ b/src/merlinthread/nodes/crash_detector.py
@@ -7,12 +7,13 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import backend_record, crash_tracker
-from merlinthread.nodes import fleet_watcher
+from merlinthread.nodes import fleet_watcher, request_context
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus, stream_client
 
@@ -43,6 +44,7 @@
     backend: backend_record.Backend
     began_at: float
     broke_at: float
+    parts: tuple[request_context.PromptPart, ...] = ()
 
     def crash(self) -> crash_tracker.Crash:
         """Return the crash to record once it is confirmed."""
@@ -268,4 +270,11 @@
             has_ended=has_crashed,
             proof=reason,
             requests=[[attempt.request_id, attempt.fingerprint] for attempt in at_instance],
+            parts=count_parts(at_instance),
         )
+
+
+def count_parts(attempts: list[BrokenAttempt]) -> dict[str, int]:
+    """Return in how many attempts each part of prompts was, by fingerprint, most frequent first."""
+    counts = collections.Counter(part.fingerprint for each in attempts for part in each.parts)
+    return dict(counts.most_common())
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -6,6 +6,16 @@
 
 URGENCY_MAX = 9
 LABEL_CHARACTERS_MAX = 120
+# Bounds the work and the records for a request; the parts of a prompt beyond these are ignored.
+PARTS_MAX = 16
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PromptPart:
+    """A part of a prompt that other requests may share, and its description for operators."""
+
+    fingerprint: str
+    label: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,6 +28,7 @@
     deadline: float
     body: bytes = b""
     cached_fingerprint: str = ""
+    cached_parts: tuple[PromptPart, ...] | None = None
 
     def fingerprint(self) -> str:
         """Return the request's fingerprint, computed on first use."""
@@ -26,6 +37,13 @@
             self.cached_fingerprint = fingerprints.fingerprint(self.call, account, self.body)
         return self.cached_fingerprint
 
+    def parts(self) -> tuple[PromptPart, ...]:
+        """Return the shared parts of the request's prompt, computed on first use."""
+        if self.cached_parts is None:
+            ids = dict.fromkeys(self.call.shared_parts[:PARTS_MAX])
+            self.cached_parts = tuple(make_part(self.call.model, part_id) for part_id in ids)
+        return self.cached_parts
+
     def label(self) -> str:
         """Return a description for operators: method, host, path without query, and account."""
         account = self.account.name if self.account is not None else "no account"
@@ -45,3 +63,9 @@
         if self.account is not None and self.account.priority is not None:
             priority = self.account.priority
         return max(0, min(URGENCY_MAX, priority))
+
+
+def make_part(model: str, part_id: str) -> PromptPart:
+    """Return a part of the prompts for a model."""
+    label = f"part {part_id} of prompts for {model or 'no model'}"
+    return PromptPart(fingerprints.part_fingerprint(model, part_id), label[:LABEL_CHARACTERS_MAX])
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -73,7 +73,7 @@
             headers.get(names.MODEL, b"").decode("latin-1"),
             prompt,
             answer,
-            headers.get(names.PROMPT_PREFIX, b"").decode("latin-1"),
+            parse_shared_parts(headers.get(names.PROMPT_PREFIX, b"")),
             headers.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
         )
 
@@ -239,6 +239,15 @@
     return int(prompt), int(answer) if answer.isdigit() else 0
 
 
+def parse_shared_parts(value: bytes) -> tuple[str, ...]:
+    """Parse the parts of a prompt, ID:TOKENS separated by commas; return all ids but the last.
+
+    The last part belongs to the request itself or to its session.
+    """
+    ids = [part.partition(b":")[0].strip().lower() for part in value.split(b",")]
+    return tuple(part_id.decode("latin-1") for part_id in ids[:-1] if part_id)
+
+
 def parse_deadline_s(value: bytes | None) -> float | None:
     """Parse a deadline in milliseconds; return seconds, or None if missing or invalid."""
     if value is None or not value.strip().isdigit():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -131,3 +131,20 @@
 def test_an_unknown_call_is_refused():
     with pytest.raises(errors.RequestError):
         dialect.PlatformDialect().parse_control_call(http_messages.Request(b"GET", b"/x", [], b""))
+
+
+# Guards against a part that crashes back ends being taken for a request's own, or the reverse.
+@pytest.mark.parametrize(
+    ("value", "shared"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b" 5C1E07A2:800 , e4402b7d:250", ("5c1e07a2",)),
+        (b"e4402b7d:250", ()),
+        (b"", ()),
+        (b",,\xff:1,e4402b7d", ("\xff",)),
+    ],
+)
+def test_all_parts_of_a_prompt_but_the_last_are_shared(value, shared):
+    headers = [(b"X-Merlinthread-Prompt-Prefix", value)]
+    request = http_messages.Request(b"POST", b"/x", headers, b"")
+    assert dialect.PlatformDialect().parse_request_head(request).shared_parts == shared
