--- a/stand_ins/crashing_worker.py
+++ b/stand_ins/crashing_worker.py
@@ -12,6 +12,9 @@
 class CrashingWorker(fleet_worker.Worker):
     """A worker that crashes `crash_after_s` after it starts a request with `crash_body`.
 
+    It also crashes on requests with a part of `crash_parts` in their prompts, unless it is the
+    last part.
+
     A crash resets all connections. After `downtime_s` a new incarnation listens at the same
     address, with a new instance id unless `keeps_id` is set. `crash_times` and
     `crash_request_times` hold the event loop times of the crashes and of the requests that cause
@@ -28,10 +31,12 @@
         downtime_s: float = 0.4,
         keeps_id: bool = False,
         sends_born_ms: bool = False,
+        crash_parts: frozenset[str] = frozenset(),
     ) -> None:
         super().__init__(instance, model)
         self.name = instance
         self.crash_body = crash_body
+        self.crash_parts = crash_parts
         self.crash_after_s = crash_after_s
         self.downtime_s = downtime_s
         self.keeps_id = keeps_id
@@ -57,13 +62,18 @@
     async def respond(
         self, exchange: stream_server.Exchange, headers: dict[str, str], request_id: str
     ) -> None:
-        """Send a response, or crash before one is sent if the body is `crash_body`."""
-        if exchange.request.body == self.crash_body:
+        """Send a response, or crash before one is sent."""
+        if exchange.request.body == self.crash_body or self.has_crash_part(headers):
             self.crash_request_times.append(asyncio.get_running_loop().time())
             self.schedule_crash()
             await asyncio.Event().wait()
         await super().respond(exchange, headers, request_id)
 
+    def has_crash_part(self, headers: dict[str, str]) -> bool:
+        """Return whether a part of `crash_parts` is in the prompt, but not its last."""
+        parts = headers.get("x-merlinthread-prompt-prefix", "").split(",")
+        return not self.crash_parts.isdisjoint(part.partition(":")[0] for part in parts[:-1])
+
     def schedule_crash(self) -> None:
         """Schedule a crash unless one is already pending."""
         if self.crash_task is None or self.crash_task.done():
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -91,10 +91,18 @@
         ip = next(iter(self.controls.nodes))
         await self.controls.call(ip, "PUT", f"/instances/{worker.instance}", body)
 
-    async def request(self, entry: int, body: bytes, path: str = "") -> http_messages.Response:
-        """Send a request with a new id to one entry and return the response."""
+    async def request(
+        self, entry: int, body: bytes, path: str = "", parts: tuple[str, ...] = ()
+    ) -> http_messages.Response:
+        """Send a request with a new id to one entry and return the response.
+
+        Its prompt has these shared parts and a last one of its own.
+        """
         self.request_count += 1
         headers = {"X_Merlinthread_Model": self.model} if self.model else {}
+        if parts:
+            prompt = [f"{part}:40" for part in (*parts, f"{self.request_count:x}f")]
+            headers["X_Merlinthread_Prompt_Prefix"] = ",".join(prompt)
         target = path or f"/{self.service}/x"
         return await self.entries[entry].request(
             target, f"id-{self.request_count}", body, **headers
@@ -133,10 +141,12 @@
             await self.request_or_none(number % len(self.entries), CRASH_BODY)
         return [response for response in await asyncio.gather(*tasks) if response is not None]
 
-    async def request_or_none(self, entry: int, body: bytes) -> http_messages.Response | None:
+    async def request_or_none(
+        self, entry: int, body: bytes, parts: tuple[str, ...] = ()
+    ) -> http_messages.Response | None:
         """Send a request; return the response, or None if the connection broke."""
         with contextlib.suppress(Exception):
-            return await self.request(entry, body)
+            return await self.request(entry, body, parts=parts)
         return None
 
     async def request_until_held(self) -> None:
