--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -221,8 +221,7 @@
             self.pool.crashes.record_response(self.backend, self.sent_at)
         if outcome.state is State.DONE:
             dispatch.record_success(self.backend, now - self.reservation.started_at)
-            if self.pool.crashes.tracker.records:
-                self.pool.crashes.record_success(self.context.fingerprint())
+            self.pool.crashes.record_success(self.context)
         elif outcome.state is State.NOT_RUN:
             dispatch.record_full(self.backend, now)
 
--- a/src/merlinthread/nodes/crash_detector.py
+++ b/src/merlinthread/nodes/crash_detector.py
@@ -168,6 +168,8 @@
             for record in self.tracker.records.values():
                 self.pending_reports[record.fingerprint] = None
             self.has_pending_reports.set()
+        for fingerprint in self.tracker.take_unreported_proofs():
+            self.queue_report(fingerprint)
         # Counting is slow with many records, and updates are frequent.
         if self.tracker.revision != self.metrics_revision:
             self.metrics_revision = self.tracker.revision
@@ -208,16 +210,26 @@
         """Record confirmed crashes during some attempts, and queue reports of new ones."""
         log_broken_attempts(attempts, True, reason)
         for attempt in attempts:
+            crash = attempt.crash()
             if self.tracker.record_crash(
-                attempt.fingerprint, attempt.label, attempt.crash(), attempt.account
+                attempt.fingerprint, attempt.label, crash, attempt.account
             ):
                 self.queue_report(attempt.fingerprint)
+            for part in attempt.parts:
+                if self.tracker.record_crash(part.fingerprint, part.label, crash):
+                    self.queue_report(part.fingerprint)
 
-    def record_success(self, fingerprint: str) -> None:
-        """Record a complete response, which clears a suspect request."""
-        if self.tracker.is_suspect(fingerprint) and self.tracker.clear(fingerprint, self.clock()):
-            logs.event("request_cleared", fingerprint=fingerprint)
-            self.queue_report(fingerprint)
+    def record_success(self, context: request_context.RequestContext) -> None:
+        """Record a complete response, which clears the request and the parts of its prompt."""
+        now = self.clock()
+        for part in context.parts():
+            self.tracker.record_proof(part.fingerprint, now)
+        if not self.tracker.records:
+            return
+        for fingerprint in context.suspects():
+            if self.tracker.is_suspect(fingerprint) and self.tracker.clear(fingerprint, now):
+                logs.event("request_cleared", fingerprint=fingerprint)
+                self.queue_report(fingerprint)
 
     # Reports
 
--- a/src/merlinthread/nodes/crash_registry.py
+++ b/src/merlinthread/nodes/crash_registry.py
@@ -1,4 +1,6 @@
-"""A control VM's registry of requests that crash back ends, which places and releases holds.
+"""A control VM's registry of requests and parts of prompts that crash back ends.
+
+It places and releases the holds on them.
 
 Crash reports of entries are not persisted: any control VM accepts one and forwards it to the
 others. Holds are committed to the replicated log, so that they survive a power loss of all VMs;
@@ -175,8 +177,10 @@
 ) -> list[fleet_state.PlaceHold | fleet_state.ReleaseHold]:
     """Return the commands for holds and releases that are not in the log yet.
 
-    Those that became due less than `patience_s` ago are omitted. `held_since` has the time at which
-    the hold of each request last changed in the log, by fingerprint.
+    A hold is released after a complete response, when all crashes of its request are attributed to
+    held parts of prompts, or when it expires. Commands that became due less than `patience_s` ago
+    are omitted. `held_since` has the time at which the hold of each request last changed in the
+    log, by fingerprint.
     """
     commands: list[fleet_state.PlaceHold | fleet_state.ReleaseHold] = []
     for record in tracker.held():
@@ -194,6 +198,9 @@
         elif not record.crashes and record.cleared_at >= since - COMMIT_MAX_S:
             state = crash_tracker.HoldState.CLEARED
             commands.append(fleet_state.ReleaseHold(record.fingerprint, hold.times, state))
+        elif tracker.is_explained(record):
+            state = crash_tracker.HoldState.CLEARED
+            commands.append(fleet_state.ReleaseHold(record.fingerprint, hold.times, state))
         elif now - since > crash_tracker.hold_duration_s(hold) + patience_s:
             state = crash_tracker.HoldState.HALF_OPEN
             commands.append(fleet_state.ReleaseHold(record.fingerprint, hold.times, state))
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -1,6 +1,7 @@
 """The context of a client's request, known before its first attempt."""
 
 import dataclasses
+import functools
 
 from merlinthread.coordination import fingerprints, fleet
 
@@ -8,6 +9,8 @@
 LABEL_CHARACTERS_MAX = 120
 # Bounds the work and the records for a request; the parts of a prompt beyond these are ignored.
 PARTS_MAX = 16
+# The number of recent parts whose fingerprints are kept, since many requests have the same ones.
+CACHED_PARTS_MAX = 1024
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +47,10 @@
             self.cached_parts = tuple(make_part(self.call.model, part_id) for part_id in ids)
         return self.cached_parts
 
+    def suspects(self) -> list[str]:
+        """Return the fingerprints of the request and of the shared parts of its prompt."""
+        return [self.fingerprint(), *(part.fingerprint for part in self.parts())]
+
     def label(self) -> str:
         """Return a description for operators: method, host, path without query, and account."""
         account = self.account.name if self.account is not None else "no account"
@@ -65,6 +72,7 @@
         return max(0, min(URGENCY_MAX, priority))
 
 
+@functools.lru_cache(CACHED_PARTS_MAX)
 def make_part(model: str, part_id: str) -> PromptPart:
     """Return a part of the prompts for a model."""
     label = f"part {part_id} of prompts for {model or 'no model'}"
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -104,23 +104,29 @@
         self.pool.budget(self.service).record_first_attempt(self.arrived_at)
 
     def check_hold(self) -> None:
-        """Raise RequestError if this request is held because back ends crashed while running it.
+        """Raise RequestError if this request is held, or a part of its prompt.
 
         Another attempt might crash another back end, with all other requests that it runs.
         """
-        assert self.context is not None
-        if not self.is_held():
+        held = self.held_suspect()
+        if not held:
             return
-        reason = f"request is held: back ends crashed while running {self.context.fingerprint()}"
+        reason = f"request is held: back ends crashed while running {held}"
         if self.may_have_run:
             raise errors.RequestError(reason, kind=errors.ErrorKind.OUTCOME_UNKNOWN)
         raise errors.RequestError(reason, kind=errors.ErrorKind.HELD_BACK)
 
     def is_held(self) -> bool:
         """Return whether this request is held because back ends crashed while running it."""
+        return bool(self.held_suspect())
+
+    def held_suspect(self) -> str:
+        """Return the fingerprint of this request or of a part of its prompt if it is held."""
         assert self.context is not None
         tracker = self.pool.crashes.tracker
-        return bool(tracker.records) and tracker.is_held(self.context.fingerprint())
+        if not tracker.candidates:
+            return ""
+        return next(filter(tracker.is_held, self.context.suspects()), "")
 
     # Attempts
 
@@ -205,7 +211,7 @@
         if not crashes.tracker.records:
             return
         account = self.context.account.name if self.context.account is not None else ""
-        if crashes.tracker.is_next_crash_decisive(self.context.fingerprint(), account):
+        if crashes.tracker.is_next_crash_decisive(self.context.suspects(), account):
             for attempt in self.attempts:
                 await crashes.wait_for_check(attempt.backend)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,6 +19,7 @@
     "test_reload_schedule.py",
     "test_chunk_announcements.py",
     "test_crash_tracker.py",
+    "test_part_tracker.py",
     "test_coordination.py",
     "test_fleet_coordination.py",
     "test_incarnations.py",
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from merlinthread.coordination import crash_tracker
+from merlinthread.nodes import request_context
+from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import crashing_fleet, fleet_nodes, part_load
 
@@ -86,6 +89,49 @@
             await fleet.request_or_none(0, b"%d" % number, part_load.CRASHING_PROMPT)
 
 
+# Guards against holds on a part that are not obeyed, or that hold requests without it.
+@ROUTES
+def test_requests_with_held_part_get_503_and_others_are_served(tmp_path, service, model):
+    async def scenario(fleet):
+        for prompt in part_load.SOUND_PROMPTS:
+            assert (await fleet.request(0, b"before", parts=prompt)).status == 200
+        await request_until_part_held(fleet)
+        crash_count = len(fleet.crash_times())
+        for entry in range(2):
+            await fleet_nodes.until(fleet.entries[entry].node.crashes.tracker.held)
+            response = await fleet.request(entry, b"a", parts=part_load.CRASHING_PROMPT)
+            assert response.status == 503
+            assert float(http_messages.get_header(response.headers, b"retry-after")) >= 60
+        assert len(fleet.crash_times()) == crash_count
+        await fleet.until_known()
+        for prompt in ((), *part_load.SOUND_PROMPTS, (part_load.CRASH_PART + "0",)):
+            # The last part of a prompt is the request's own.
+            assert (await fleet.request(0, b"b", parts=prompt)).status == 200
+
+    run(tmp_path, scenario, service, model)
+
+
+# Guards against a request that is sent although its part is held while it waits for a back end.
+def test_request_whose_part_is_held_while_it_is_queued_is_not_sent(tmp_path):
+    async def scenario(fleet):
+        entry = fleet.entries[0].node
+        part = request_context.make_part("", part_load.CRASH_PART)
+        backends = list(entry.pool.backends.values())
+        reservations = [entry.pool.reserve(backend, 0) for backend in backends for _ in range(16)]
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(fleet.request(0, b"a", parts=part_load.CRASHING_PROMPT))
+        queue = entry.pool.queue(fleet.service)
+        await fleet_nodes.until(lambda: queue.waiters)
+        hold = crash_tracker.Hold(1, crash_tracker.HoldState.HELD)
+        entry.crashes.tracker.set_hold(part.fingerprint, part.label, hold, entry.clock())
+        for reservation in reservations:
+            entry.pool.release(reservation)
+        assert (await task).status == 503
+        assert not fleet.crash_times()
+
+    run(tmp_path, scenario, entries=1, workers=1)
+
+
 # Guards against a part that crashes more workers after each loss of power.
 def test_hold_on_part_survives_power_loss_of_all_vms(tmp_path):
     async def scenario(fleet):
