--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,10 +5,15 @@
 import subprocess
 import sys
 
+import msgspec
 import pytest
 
 from bench import release_bytes, soak_nodes, upgrade, upgrade_builds
+from merlinthread.coordination import crash_tracker, fingerprints, fleet_state
+from merlinthread.protocol import node_messages
 
+# A build with records of whole requests only.
+WHOLE_REQUESTS_COMMIT = "b3a75c218baaba0fef9623c118b8af7020052d67"
 RECORDED = pathlib.Path(__file__).parent / "data" / "releases"
 
 
@@ -54,3 +59,45 @@
 def test_missing_commit_is_reported_in_one_line(capsys):
     assert upgrade.main(["--from", "0" * 40]) == 2
     assert "is not in this clone" in capsys.readouterr().out
+
+
+READ_PART_RECORDS = """
+import sys
+import msgspec
+from bench import release_bytes
+from merlinthread.coordination import crash_tracker, fleet_state
+
+report, command = (bytes.fromhex(word) for word in sys.argv[1:])
+tracker = crash_tracker.CrashTracker()
+for suspicion in release_bytes.CODEC.decode(report).suspicions:
+    tracker.merge(suspicion, 10.0)
+state = fleet_state.FleetState()
+name, fields = msgspec.msgpack.decode(command)
+state.apply(msgspec.convert(fields, fleet_state.COMMANDS.entries[name]))
+for record in tracker.held():
+    print(record.fingerprint, record.fingerprint in state.held, tracker.is_strict(record.account))
+"""
+
+
+# Guards against records of parts of prompts that an earlier build can't read or counts for an
+# account.
+def test_records_of_parts_are_readable_by_a_build_without_them():
+    part = fingerprints.part_fingerprint("m", "91bd3f06")
+    crashes = [crash_tracker.ReportedCrash(f"i-{age}", age, age + 0.3) for age in (3.0, 2.0, 1.0)]
+    suspicion = crash_tracker.SuspectReport(part, "part 91bd3f06 of prompts for m", crashes, 5.0)
+    report = release_bytes.CODEC.encode(node_messages.CrashReport("entry", [suspicion]))
+    hold = fleet_state.PlaceHold(part, suspicion.label, ["i-1.0"], 1)
+    command = msgspec.msgpack.encode(("fleet.hold_back", hold))
+    try:
+        with upgrade_builds.checkout_build(WHOLE_REQUESTS_COMMIT) as old:
+            reader = subprocess.run(
+                [sys.executable, "-c", READ_PART_RECORDS, report.hex(), command.hex()],
+                cwd=soak_nodes.ROOT,
+                env=os.environ | {"PYTHONPATH": str(old)},
+                capture_output=True,
+                text=True,
+            )
+    except upgrade_builds.MissingCommitError as error:
+        print(f"not run: {error}")
+        pytest.skip(str(error))
+    assert (reader.stdout, reader.returncode) == (f"{part} True False\n", 0), reader.stderr
