--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,8 @@
     "operators",
     "processes",
     "release_bytes",
+    "silence_fleet",
+    "silence_plan",
     "soak_faults",
     "soak_fleet",
     "soak_limits",
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -82,6 +82,8 @@
         self.behaviour = Behaviour()
         self.runs: list[Run] = []
         self.cancelled: list[str] = []
+        # The number of stream events that the worker has sent, over all runs.
+        self.events_sent = 0
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
         # The staged pieces when the last order was executed, and whether an order is in progress.
@@ -205,6 +207,7 @@
                 exchange.abort()
                 return
             await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+            self.events_sent += 1
             await asyncio.sleep(self.behaviour.gap_s)
         await exchange.finish()
 
