--- a/src/merlinthread/coordination/retry_budget.py
+++ b/src/merlinthread/coordination/retry_budget.py
@@ -22,14 +22,15 @@
         self.first_attempts.append(now)
         self.prune(now)
 
-    def allows(self, now: float) -> bool:
-        """Return whether one more retry is within the budget."""
+    def allows(self, now: float, share: float = 1.0) -> bool:
+        """Return whether one more retry is within a share of the budget."""
         self.prune(now)
-        return len(self.retries) < self.ratio * len(self.first_attempts) + self.free_retries
+        limit = self.ratio * len(self.first_attempts) + self.free_retries
+        return len(self.retries) < share * limit
 
-    def spend(self, now: float) -> bool:
-        """Use one retry of the budget; return False if it is exhausted."""
-        if not self.allows(now):
+    def spend(self, now: float, share: float = 1.0) -> bool:
+        """Use one retry of the budget; return False if a share of it is exhausted."""
+        if not self.allows(now, share):
             return False
         self.retries.append(now)
         return True
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -593,3 +593,24 @@
         assert not any(backend.in_flight for backend in backends)
 
     run(scenario)
+
+
+# Guards against streams broken off by a crash because attempts beside silent back ends have used up
+# the retry budget.
+def test_broken_stream_is_resumed_after_many_silences():
+    async def scenario(fleet):
+        budget = fleet.entry.node.pool.budget("model")
+        budget.ratio, budget.free_retries = 0.0, 4
+        streams = [await fleet.stream() for _ in range(6)]
+        for stream in streams:
+            await stream.read(2)
+        for silent in fleet.silent[1:]:
+            silent.fall_silent(SILENCE_S)
+        for stream in streams:
+            await stream.read_whole()
+        broken = await fleet.stream()
+        await broken.read(2)
+        fleet.worker_of(broken).cut_connections()
+        await broken.read_whole()
+
+    run(scenario, 4)
