--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -84,7 +84,9 @@
         except errors.MerlinthreadError as error:
             await self.send_error(error)
         except asyncio.CancelledError:
-            self.log_outcome("left", 0)
+            # The client may have closed its connection right after the end of the response.
+            if not self.exchange.is_finished:
+                self.log_outcome("left", 0)
             raise
         finally:
             self.open.keep_only(None)
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -8,11 +8,12 @@
 
 import pytest
 
+from merlinthread import logs
 from merlinthread.coordination import crash_tracker, dispatch, load_tracker, reload_schedule
 from merlinthread.coordination import fleet as fleets
 from merlinthread.nodes import request_context
 from merlinthread.protocol import event_stream
-from merlinthread.transport import stream_client
+from merlinthread.transport import stream_client, stream_server
 from stand_ins import fleet_worker, silent_worker
 from tests import fleet_nodes
 
@@ -614,3 +615,31 @@
         await broken.read_whole()
 
     run(scenario, 4)
+
+
+# Guards against a second log line for a request whose client closes its connection at the end.
+def test_request_is_logged_once_if_its_client_closes_at_the_end(monkeypatch):
+    outcomes = []
+    finish = stream_server.Exchange.finish
+
+    def record(event, **fields):
+        if event == "request":
+            outcomes.append(fields["outcome"])
+
+    async def finish_and_lose_connection(exchange):
+        await finish(exchange)
+        if exchange.connection.server is node_server[0]:
+            exchange.connection.task.cancel()
+
+    node_server = []
+
+    async def scenario(fleet):
+        node_server.append(fleet.entry.node.server)
+        stream = await fleet.stream()
+        await stream.read_whole()
+        await fleet_nodes.until(lambda: not fleet.entry.node.server.connections)
+        assert outcomes == ["answered"]
+
+    monkeypatch.setattr(logs, "event", record)
+    monkeypatch.setattr(stream_server.Exchange, "finish", finish_and_lose_connection)
+    run(scenario)
