--- a/src/merlinthread/coordination/retry_budget.py
+++ b/src/merlinthread/coordination/retry_budget.py
@@ -2,6 +2,10 @@
 
 import collections
 
+# Share of the budget that attempts beside silent back ends may use. The rest is for requests whose
+# attempts have failed.
+HEDGE_SHARE = 0.5
+
 
 class RetryBudget:
     """A sliding window over the first attempts and retries of one service.
@@ -22,15 +26,22 @@
         self.first_attempts.append(now)
         self.prune(now)
 
-    def allows(self, now: float, share: float = 1.0) -> bool:
-        """Return whether one more retry is within a share of the budget."""
+    def allows(self, now: float) -> bool:
+        """Return whether one more retry is within the budget."""
+        return len(self.retries) < self.limit(now)
+
+    def allows_hedge(self, now: float) -> bool:
+        """Return whether one more attempt beside silent ones is within its share of the budget."""
+        return len(self.retries) < HEDGE_SHARE * self.limit(now)
+
+    def limit(self, now: float) -> float:
+        """Return how many retries are allowed within the window."""
         self.prune(now)
-        limit = self.ratio * len(self.first_attempts) + self.free_retries
-        return len(self.retries) < share * limit
+        return self.ratio * len(self.first_attempts) + self.free_retries
 
-    def spend(self, now: float, share: float = 1.0) -> bool:
-        """Use one retry of the budget; return False if a share of it is exhausted."""
-        if not self.allows(now, share):
+    def spend(self, now: float) -> bool:
+        """Use one retry of the budget; return False if it is exhausted."""
+        if not self.allows(now):
             return False
         self.retries.append(now)
         return True
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -33,9 +33,6 @@
 RETRY_ADMISSION_SHARE = 0.85
 RETRY_TIME_SHARE = 0.8
 CONNECT_FAILURES_MAX = 4
-# Share of the retry budget that attempts beside silent back ends may use. The rest is for
-# requests whose attempts have failed.
-HEDGE_BUDGET_SHARE = 0.5
 # Delay before further attempts of a request that may have run, once that many have failed.
 RECONNECT_DELAY_S = 0.2
 DEADLINE_MARGIN_S = 0.03
@@ -198,12 +195,15 @@
         await self.wait_for_crash_checks()
         if self.unsent_count >= CONNECT_FAILURES_MAX or self.is_held():
             return
-        if not self.may_retry(attempts.State.UNKNOWN, HEDGE_BUDGET_SHARE):
+        if not self.may_retry(attempts.State.UNKNOWN):
+            return
+        budget = self.pool.budget(self.service)
+        if not self.is_retry_charged() and not budget.allows_hedge(self.clock()):
             return
         choice = await self.choose_for_hedge()
         if choice is None or not self.open.are_silent():
             return
-        if self.charge_retry(HEDGE_BUDGET_SHARE):
+        if self.charge_retry():
             self.start_attempt(choice)
 
     async def wait_for_crash_checks(self) -> None:
@@ -226,11 +226,8 @@
             choice, self.permit, self.arrived_at, self.clock()
         )
 
-    def may_retry(self, state: attempts.State, budget_share: float = 1.0) -> bool:
-        """Return whether another attempt is allowed beside or after one in `state`.
-
-        It may use the retry budget up to `budget_share`.
-        """
+    def may_retry(self, state: attempts.State) -> bool:
+        """Return whether another attempt is allowed beside or after one in `state`."""
         assert self.context is not None
         if (
             self.sent_count() >= self.context.route.attempts
@@ -241,18 +238,17 @@
             return False
         if self.exchange.is_started and not self.context.route.is_resumable:
             return False
-        budget = self.pool.budget(self.service)
-        return self.is_retry_charged() or budget.allows(self.clock(), budget_share)
+        return self.is_retry_charged() or self.pool.budget(self.service).allows(self.clock())
 
     def is_retry_charged(self) -> bool:
         """Return whether the next attempt replaces one that was charged but not sent."""
         return self.charged_count >= len(self.attempts) - self.unsent_count > 0
 
-    def charge_retry(self, budget_share: float = 1.0) -> bool:
-        """Charge the next attempt to the retry budget; return False if its share is exhausted."""
+    def charge_retry(self) -> bool:
+        """Charge the next attempt to the retry budget; return False if that is exhausted."""
         if self.is_retry_charged():
             return True
-        if not self.pool.budget(self.service).spend(self.clock(), budget_share):
+        if not self.pool.budget(self.service).spend(self.clock()):
             return False
         self.charged_count += 1
         return True
