--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -136,7 +136,7 @@
         """Make attempts until the request has a final response."""
         while True:
             choice = await self.acquire_backend()
-            # Other entries may have reported crashes while this request was queued.
+            # The choice may have taken some time.
             self.check_hold()
             self.start_attempt(choice)
             outcome = await self.finish_attempts()
@@ -312,6 +312,8 @@
         give_up_at = self.context.deadline if self.may_have_run else queue_deadline
         queue = self.pool.queue(self.service)
         while True:
+            # Other entries may have reported crashes while this request was queued.
+            self.check_hold()
             now = self.clock()
             remaining_s = self.admission_deadline() - now
             choice = await self.choose(remaining_s)
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -525,6 +525,29 @@
     run(scenario, 3)
 
 
+# Guards against a held request that waits until its deadline because no back end is free.
+def test_request_that_is_held_while_it_waits_for_a_back_end_is_answered_at_once(monkeypatch):
+    async def scenario(fleet):
+        (worker,) = fleet.workers
+        pool = fleet.entry.node.pool
+        monkeypatch.setattr(request_context.RequestContext, "fingerprint", lambda _: "f")
+        worker.behaviour.never_responds = True
+        stream = await fleet.stream()
+        await fleet_nodes.until(lambda: worker.runs)
+        (backend,) = pool.backends.values()
+        backend.is_draining = True
+        fleet.silent[0].crash()
+        await fleet_nodes.until(lambda: not backend.in_flight)
+        hold = crash_tracker.Hold(1, crash_tracker.HoldState.HELD)
+        held_at = pool.clock()
+        pool.crashes.tracker.set_hold("f", "label", hold, held_at)
+        await stream.read()
+        assert stream.status == 502
+        assert pool.clock() - held_at < 1.0
+
+    run(scenario, 1)
+
+
 # Guards against sending all requests to one engine while all of them count as silent.
 def test_requests_are_spread_over_engines_that_are_all_silent():
     async def scenario(fleet):
