--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -55,6 +55,7 @@
 
 
 # Guards against requests with a crashing part that crash workers without end (BUDGET).
+@pytest.mark.timed
 @ROUTES
 def test_part_that_crashes_workers_is_held_at_all_entries(tmp_path, service, model):
     result = run_load(tmp_path, service, model)
@@ -64,6 +65,7 @@
 
 # Guards against holds on sound requests because requests of their account with a crashing part are
 # repeated by clients (LOST).
+@pytest.mark.timed
 @ROUTES
 def test_sound_requests_are_served_beside_repeated_crashing_ones(tmp_path, service, model):
     result = run_load(tmp_path, service, model, tries=3)
@@ -72,6 +74,7 @@
 
 
 # Guards against one crashing part that hides another.
+@pytest.mark.timed
 def test_two_parts_that_crash_workers_are_both_held(tmp_path):
     first, second = "dead", "dead2"
     prompts = tuple((part_load.FIRST_PART, part) for part in (first, second))
