--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -27,9 +27,12 @@
 RETRY_DELAY_S = 0.3
 LOAD_START_TIMEOUT_S = 0.2
 LOAD_POLL_INTERVAL_S = 0.02
-# Pieces verified this recently are not verified again before the load: that takes 0.11 to 0.16 s
-# for 96 pieces, in which nothing is served after a restart.
-VERIFICATION_TTL_S = 0.2
+# Pieces whose verification began this recently are not verified again before the load: that takes
+# 0.11 to 0.16 s for 96 pieces, in which nothing is served after a restart.
+VERIFICATION_TTL_S = 1.0
+# Verifications before one load. One that takes longer than the TTL, as that of a paused process, is
+# repeated, but a slow engine must load too.
+VERIFICATIONS_MAX = 2
 
 
 class WeightsTask:
@@ -63,6 +66,7 @@
         self.manifest: fleet.Manifest | None = None
         self.plan: fetch_policies.Zoned | None = None
         self.report: fleet.EngineReport | None = None
+        # When the last verification began that found all pieces of the current manifest.
         self.verified_at = float("-inf")
         self.sync_task: asyncio.Task | None = None
         # Crashes of the engine while it loaded the current manifest's version.
@@ -135,10 +139,10 @@
         )
         plan = self.make_plan(manifest)
         self.store.clear()
+        self.verified_at = float("-inf")
         # After a restart of the agent, staged pieces may be of this version; later they are not.
         if is_first and self.store.is_engine_seen:
-            plan.held = await self.find_staged(manifest)
-            self.verified_at = self.clock() if plan.is_complete() else float("-inf")
+            await self.verify_pieces(plan, manifest)
         self.manifest = manifest
         self.plan = plan
         self.load_crashes = 0
@@ -173,6 +177,7 @@
         self.report = report
         self.loss_count += report is None
         if report is None:
+            self.verified_at = float("-inf")
             return
         loop = asyncio.get_running_loop()
         if not self.store.is_engine_seen:
@@ -215,24 +220,46 @@
     # Loading
 
     async def load_weights(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> None:
-        """Verify all pieces, wait for the engine's reload time, and let it load them."""
+        """Wait for the engine's reload time, and let it load the pieces if they are verified.
+
+        They are verified before the wait, so that bad ones are replaced meanwhile, and after it.
+        """
         if not plan.is_complete() or self.view.is_superseded(manifest):
             return
         await self.store.flush(manifest.model)
-        if self.clock() - self.verified_at > VERIFICATION_TTL_S:
-            held = await self.find_staged(manifest)
-            if held != plan.all_chunks:
-                logs.event("pieces_rotten", count=(plan.all_chunks & ~held).bit_count())
-                plan.held = held
-                return
+        if not await self.are_pieces_verified(plan, manifest):
+            return
         await self.await_reload_time(manifest)
         await self.await_load_retry(manifest)
+        if self.view.is_superseded(manifest) or self.report is None:
+            return
+        if not await self.are_pieces_verified(plan, manifest):
+            return
         if self.view.is_superseded(manifest) or self.report is None:
             return
         if not self.report.is_busy:
             await self.order_load(manifest)
         await self.await_loaded(manifest)
 
+    async def are_pieces_verified(
+        self, plan: fetch_policies.Zoned, manifest: fleet.Manifest
+    ) -> bool:
+        """Return whether all staged pieces match the manifest; verify them unless just done."""
+        for _ in range(VERIFICATIONS_MAX):
+            if self.clock() - self.verified_at <= VERIFICATION_TTL_S:
+                return True
+            if not await self.verify_pieces(plan, manifest):
+                logs.event("pieces_rotten", count=plan.chunk_count - plan.held.bit_count())
+                return False
+        return True
+
+    async def verify_pieces(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> bool:
+        """Set the plan's held pieces to the staged ones that match; return whether all do."""
+        started_at = self.clock()
+        plan.held = await self.find_staged(manifest)
+        self.verified_at = started_at if plan.is_complete() else float("-inf")
+        return plan.is_complete()
+
     async def order_load(self, manifest: fleet.Manifest) -> None:
         """Make the engine load the staged weights.
 
