--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -190,7 +190,8 @@
             name: raft_messages.Progress(next=first, heard_at=now)
             for name in self.without_self(self.log.membership.members())
         }
-        if self.last_known_leader in self.progress:
+        # A former leader that voted for this member has just been heard.
+        if self.last_known_leader in self.progress and self.last_known_leader not in self.votes:
             self.progress[self.last_known_leader].heard_at = self.heard_leader_at
         self.heartbeat_at = now
         self.append_entry("empty", b"")
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -336,3 +336,21 @@
         assert resigned.raft.role == raft.FOLLOWER
     cluster.run(4.0)
     assert cluster.leader() not in (None, resigned)
+
+
+# Guards against an election without end between two voters, one of them the former leader.
+def test_former_leader_that_votes_is_not_silent():
+    cluster = raft_cluster.Cluster(2)
+    cluster.run(2.0)
+    former = cluster.leader()
+    successor = next(member for member in cluster.up() if member is not former)
+    cluster.partitioned = {former.name}
+    cluster.run(2.0)
+    assert cluster.leader() is None
+    cluster.partitioned = set()
+    successor.raft.election_at = cluster.now
+    cluster.tick(successor.name)
+    cluster.deliver_all()
+    assert cluster.leader() is successor
+    progress = successor.raft.progress[former.name]
+    assert cluster.now - progress.heard_at < raft_cluster.STEP_S
