--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -236,19 +236,12 @@
         if self.role == LEADER or hears_leader:
             if request.term > self.hard_state.term or request.is_trial:
                 return
-        is_up_to_date = (request.last_term, request.last_index) >= (
-            self.log.last_term(),
-            self.log.last_index(),
-        )
         if request.is_trial:
-            is_granted = is_up_to_date and request.term > self.hard_state.term
-            reply = raft_messages.VoteReply(
-                self.name, request.term, is_granted, True, self.identity
-            )
-            self.outbox.append((request.sender, reply))
+            self.on_pre_vote_request(request, now)
             return
         if request.term > self.hard_state.term:
             self.become_follower(request.term, "", now)
+        is_up_to_date = self.is_up_to_date(request)
         may_vote = self.hard_state.voted_for in ("", request.sender)
         is_granted = is_up_to_date and may_vote and request.term == self.hard_state.term
         if is_granted:
@@ -260,6 +253,32 @@
         )
         self.outbox.append((request.sender, reply))
 
+    def on_pre_vote_request(self, request: raft_messages.VoteRequest, now: float) -> None:
+        """Reply to a request for a pre-vote, so that the lower one of both terms is raised.
+
+        Otherwise a member with the longer log and one with the higher term deny each other's
+        pre-votes without end. Either member does it, as the other one may be of an older build.
+        """
+        # The sender's term is one less than the term for which it requests a pre-vote.
+        if request.term - 1 > self.hard_state.term:
+            self.become_follower(request.term - 1, "", now)
+        reply = raft_messages.VoteReply(
+            self.name, request.term, self.is_up_to_date(request), True, self.identity
+        )
+        if self.hard_state.term >= request.term:
+            # A denied vote of a higher term makes the sender adopt that term, a pre-vote does not.
+            reply = raft_messages.VoteReply(
+                self.name, self.hard_state.term, False, False, self.identity
+            )
+        self.outbox.append((request.sender, reply))
+
+    def is_up_to_date(self, request: raft_messages.VoteRequest) -> bool:
+        """Return whether the log of a candidate is at least as up to date as this member's."""
+        return (request.last_term, request.last_index) >= (
+            self.log.last_term(),
+            self.log.last_index(),
+        )
+
     def on_vote_reply(self, reply: raft_messages.VoteReply, now: float) -> None:
         """Count a granted vote."""
         if self.rejects_identity(reply.sender, reply.identity):
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -1,5 +1,6 @@
 """Raft under message loss, delay and duplication, crashes, compaction and membership changes."""
 
+import functools
 import random
 
 import hypothesis
@@ -354,3 +355,78 @@
     assert cluster.leader() is successor
     progress = successor.raft.progress[former.name]
     assert cluster.now - progress.heard_at < raft_cluster.STEP_S
+
+
+def start_after_lost_candidate() -> raft_cluster.Cluster:
+    """Return a cluster without c2: c0 has the longer log, c1 the higher term."""
+    cluster = raft_cluster.Cluster(3)
+    entries = [journal.Entry(1, 1, "empty"), journal.Entry(2, 1, "command", b"unsent")]
+    cluster.members["c0"].disk.hard_state = journal.HardState(1, "c0")
+    cluster.members["c0"].disk.entries = entries
+    cluster.members["c1"].disk.hard_state = journal.HardState(2, "c2")
+    cluster.members["c1"].disk.entries = entries[:1]
+    for name in cluster.names:
+        cluster.crash(name)
+    cluster.restart("c0")
+    cluster.restart("c1")
+    return cluster
+
+
+# Guards against pre-votes that a voter with a higher term denies without end.
+def test_longer_log_is_elected_after_a_candidate_is_lost():
+    cluster = start_after_lost_candidate()
+    cluster.run(6.0)
+    assert cluster.leader() is cluster.members["c0"]
+
+
+# Guards against a change of the pre-vote that helps only if both members know it.
+@pytest.mark.parametrize("former", ["c0", "c1"])
+def test_longer_log_is_elected_beside_a_member_of_the_former_build(former):
+    cluster = start_after_lost_candidate()
+    member = cluster.members[former]
+    member.raft.on_vote_request = functools.partial(former_on_vote_request, member.raft)
+    cluster.run(6.0)
+    assert cluster.leader() is cluster.members["c0"]
+
+
+# Guards against a member that loses its term or its vote to a pre-vote request.
+def test_pre_vote_request_changes_neither_a_higher_term_nor_a_vote():
+    cluster = start_after_lost_candidate()
+    member = cluster.members["c1"].raft
+    cluster.advance(2.0)
+    for term in (1, 2, 3):
+        member.step(raft_messages.VoteRequest("c0", term, 9, 9, True), cluster.now)
+        assert member.hard_state == journal.HardState(2, "c2")
+
+
+def former_on_vote_request(member, request, now):
+    """Handle a vote request as the build b3a75c2 does."""
+    if member.rejects_identity(request.sender, request.identity):
+        return
+    hears_leader = now - member.heard_leader_at < member.timing.election_min_s
+    if member.role == raft.LEADER or hears_leader:
+        if request.term > member.hard_state.term or request.is_trial:
+            return
+    is_up_to_date = (request.last_term, request.last_index) >= (
+        member.log.last_term(),
+        member.log.last_index(),
+    )
+    if request.is_trial:
+        is_granted = is_up_to_date and request.term > member.hard_state.term
+        reply = raft_messages.VoteReply(
+            member.name, request.term, is_granted, True, member.identity
+        )
+        member.outbox.append((request.sender, reply))
+        return
+    if request.term > member.hard_state.term:
+        member.become_follower(request.term, "", now)
+    may_vote = member.hard_state.voted_for in ("", request.sender)
+    is_granted = is_up_to_date and may_vote and request.term == member.hard_state.term
+    if is_granted:
+        member.role = raft.FOLLOWER
+        member.set_hard_state(request.term, request.sender)
+        member.reset_election(now)
+    reply = raft_messages.VoteReply(
+        member.name, member.hard_state.term, is_granted, False, member.identity
+    )
+    member.outbox.append((request.sender, reply))
