--- a/src/merlinthread/coordination/retry_budget.py
+++ b/src/merlinthread/coordination/retry_budget.py
@@ -28,15 +28,16 @@
 
     def allows(self, now: float) -> bool:
         """Return whether one more retry is within the budget."""
-        return len(self.retries) < self.limit(now)
+        self.prune(now)
+        return len(self.retries) < self.limit()
 
     def allows_hedge(self, now: float) -> bool:
         """Return whether one more attempt beside silent ones is within its share of the budget."""
-        return len(self.retries) < HEDGE_SHARE * self.limit(now)
-
-    def limit(self, now: float) -> float:
-        """Return how many retries are allowed within the window."""
         self.prune(now)
+        return len(self.retries) < HEDGE_SHARE * self.limit()
+
+    def limit(self) -> float:
+        """Return how many retries the first attempts within the window allow."""
         return self.ratio * len(self.first_attempts) + self.free_retries
 
     def spend(self, now: float) -> bool:
