--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -157,7 +157,10 @@
         self.pool.release(self.reservation)
 
     def give_up(self) -> None:
-        """Record that another attempt has answered, before this one is cancelled."""
+        """Record that another attempt has sent data, or the client has left.
+
+        The caller cancels this attempt.
+        """
         self.result_text = "given up, since another attempt has sent data"
         if self.is_silent:
             self.end_silence("given_up")
