Log which control VM an entry believes, and when a control VM calls itself up to date

`configuration` and `control_found` name the control VM; `log_current` says under which leader and with which entry a member calls itself up to date. No decision rests on it.

--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -234,7 +234,12 @@
             if not self.is_fresh:
                 self.is_fresh = True
                 version = reply.configuration_version
-                logs.event("control_found", leader_age_s=reply.leader_age_s, version=version)
+                logs.event(
+                    "control_found",
+                    control=address,
+                    leader_age_s=reply.leader_age_s,
+                    version=version,
+                )
         if reply.controls:
             self.controls = reply.controls
         # Set first, since the following updates may discard positions to get the full state. If
@@ -243,7 +248,7 @@
             self.positions[address] = FeedPosition(
                 reply.feed, reply.position, reply.suspicion_revision, reply.limit_revision
             )
-        self.apply_configuration(reply)
+        self.apply_configuration(reply, address)
         self.apply_versions(reply, now)
         self.apply_instances(reply, address, now)
         if self.suspect_tracker is not None:
@@ -263,7 +268,7 @@
             count = sum(1 for known in self.instances.values() if known.state == state)
             metrics.backends.labels(state).set(count)
 
-    def apply_configuration(self, reply: node_messages.WatchReply) -> None:
+    def apply_configuration(self, reply: node_messages.WatchReply, address: str) -> None:
         """Apply the configuration if it is newer; keep the old one if it is invalid."""
         if reply.configuration_version <= self.version or not reply.configuration:
             return
@@ -275,7 +280,11 @@
             return
         old, self.version = self.version, reply.configuration_version
         logs.event(
-            "configuration", version=self.version, before=old, leader_age_s=reply.leader_age_s
+            "configuration",
+            version=self.version,
+            before=old,
+            control=address,
+            leader_age_s=reply.leader_age_s,
         )
 
     def apply_versions(self, reply: node_messages.WatchReply, now: float) -> None:
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -115,6 +115,8 @@
         self.write_gate = levels.WriteGate(self.levels, self.membership.first_level)
         metrics.log_blocked.set(0)
         self.current_at = float("-inf")
+        # The leader and term under which `log_current` was logged last.
+        self.logged_current = ("", 0)
         self.restore(self.journal.snapshot)
         logs.event(
             "log_opened",
@@ -392,6 +394,24 @@
                 self.current_at = self.raft.lease_until() - lease_s
         elif self.raft.last_known_leader and self.applied >= self.raft.leader_commit:
             self.current_at = self.raft.heard_leader_at
+        self.log_current()
+
+    def log_current(self) -> None:
+        """Log once per leader that this member is up to date, and with what."""
+        state = (self.raft.leader, self.raft.hard_state.term)
+        is_current = self.staleness_s(self.clock()) <= CAUGHT_UP_S
+        if not self.raft.leader or not is_current or state == self.logged_current:
+            return
+        self.logged_current = state
+        logs.event(
+            "log_current",
+            leader=self.raft.leader,
+            term=self.raft.hard_state.term,
+            applied=self.applied,
+            applied_term=self.raft.log.term_at(self.applied),
+            leader_commit=self.raft.leader_commit,
+            version=self.state.version,
+        )
 
     def leader_address(self) -> str:
         """Return the address of the leader, or "" if it is unknown."""
