Followers: be up to date only by a commit index of the leader's own term

Cause: a follower called itself up to date once it had applied what its leader had reported as committed, whichever leader, and whatever it had reported.

Why it works: the entry at the reported commit index must be of the current term. Then the first entry of the term's leader is committed, and with it all that earlier leaders had committed (Raft's leader completeness). An index of 0 is of no term. The age counts from the arrival of the message that reported the index, not from that of any later one. The messages are the same as before.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -54,9 +54,10 @@
         self.delivered_index = self.log.snapshot.index
         self.role = FOLLOWER
         self.leader = ""
-        # The last leader heard from, and the highest commit index that a leader has sent.
         self.last_known_leader = ""
+        # The commit index in the last AppendEntries of a leader, and when it arrived.
         self.leader_commit = 0
+        self.leader_commit_at = float("-inf")
         self.is_resigned = False
         # A restarted member may have extended a lease just before it stopped, so it assumes that it
         # has only now heard from a leader.
@@ -107,6 +108,14 @@
             and now < self.lease_until()
         )
 
+    def is_of_current_term(self, index: int) -> bool:
+        """Return whether the entry at `index` is of the current term.
+
+        If it is committed, so is the first entry of the term's leader, which then knows of all
+        entries that earlier leaders committed.
+        """
+        return self.log.term_at(index) == self.hard_state.term
+
     def without_self(self, names: list[str]) -> list[str]:
         """Return `names` without this member."""
         return [name for name in names if name != self.name]
@@ -301,7 +310,8 @@
         if not self.follow_leader(append.sender, append.term, now):
             self.reply_append(append.sender, False, self.log.last_index(), append.sent_at)
             return
-        self.leader_commit = max(self.leader_commit, append.commit)
+        self.leader_commit = append.commit
+        self.leader_commit_at = now
         previous = append.previous_index
         local_term = self.log.term_at(previous)
         if previous > self.log.snapshot.index and local_term != append.previous_term:
@@ -360,7 +370,6 @@
             self.reply_append(install.sender, False, self.log.last_index(), install.sent_at)
             return
         snapshot = install.snapshot
-        self.leader_commit = max(self.leader_commit, snapshot.index)
         if snapshot.index > self.commit:
             self.log.install(snapshot)
             self.installed_snapshot = snapshot
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -384,16 +384,18 @@
         """Update the time at which this member was last known to be up to date with a majority.
 
         A leader is up to date while a majority replies to it, once it has committed an entry of its
-        term. A follower is up to date when it has applied all entries that its leader reported as
-        committed. It is outdated until it has heard from a leader, while it catches up, and while
-        its disk is full.
+        term. A follower is up to date when it has applied all entries that such a leader reported
+        as committed. It is outdated until it has heard from one, while it catches up or waits for a
+        snapshot, and while its disk is full.
         """
         if self.raft.is_leader():
             if self.raft.commit >= self.raft.term_start_index:
                 lease_s = TIMING.election_min_s * TIMING.lease_fraction
                 self.current_at = self.raft.lease_until() - lease_s
-        elif self.raft.last_known_leader and self.applied >= self.raft.leader_commit:
-            self.current_at = self.raft.heard_leader_at
+        elif self.applied >= self.raft.leader_commit and self.raft.is_of_current_term(
+            self.raft.leader_commit
+        ):
+            self.current_at = self.raft.leader_commit_at
         self.log_current()
 
     def log_current(self) -> None:
