Tell a member of its removal only once that is committed

A leader that held its lease told a member that it was removed as soon as the removal was in its own log, and the member deletes its data on that word. If the leader is lost before the removal is committed, the next one may not have it: the group counts a voter whose entries are gone, as after a lost disk that nobody counted.

The test failed before (is_removed=True with the removal sent to nobody); the other tests of replaced control VMs pass.

--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -116,7 +116,9 @@
         now = self.clock()
         if member.holds_lease(now):
             if join.name in member.log.membership.retired:
-                return node_messages.JoinReply(True)
+                # The sender deletes its data, which is needed if the removal is not committed.
+                is_committed = not member.log.has_membership_change_after(member.commit)
+                return node_messages.JoinReply(is_committed)
             self.check_level(join)
             self.join_requested_at[join.name] = now
             return node_messages.JoinReply(False)
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -4,7 +4,7 @@
 import time
 
 from merlinthread import errors
-from merlinthread.coordination import raft_members
+from merlinthread.coordination import levels, raft_members
 from merlinthread.nodes import fleet_watcher, log_member
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
@@ -231,3 +231,27 @@
         assert member.staleness_s(time.monotonic()) < fleet_watcher.STALE_AFTER_S
 
     run(tmp_path, scenario)
+
+
+# Guards against a member that deletes its data because of a removal that is then never committed.
+def test_member_is_told_of_its_removal_only_once_that_is_committed(tmp_path):
+    async def scenario(controls):
+        leader = controls.nodes[controls.leader()].member
+        removed = next(name for name in leader.raft.log.membership.voters if name != leader.name)
+        join = node_messages.JoinRequest(removed, levels.NEWEST)
+        send = leader.sender.send
+        leader.sender.send = lambda receiver, message: None
+        leader.raft.change_membership(
+            raft_members.MembershipChange(remove=removed), time.monotonic()
+        )
+        assert removed in leader.raft.log.membership.retired
+        reply = await leader.member_changes.reply_to_join(join)
+        assert not reply.is_removed
+        leader.sender.send = send
+        await fleet_nodes.until(
+            lambda: not leader.raft.log.has_membership_change_after(leader.raft.commit)
+        )
+        reply = await leader.member_changes.reply_to_join(join)
+        assert reply.is_removed
+
+    run(tmp_path, scenario)
