Log how long a retry waits between its decision and its sending

Retries are counted when they are decided on, and back ends count what arrives. No decision rests on them.

--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -132,6 +132,11 @@
     "Attempts without a complete response, by whether the back end's process had ended.",
     ["proof"],
 )
+retries_total = prometheus_client.Counter(
+    "merlinthread_retries_total",
+    "Attempts beyond the first of a request, by stage: decided on, or sent to a back end.",
+    ["stage"],
+)
 held_requests = prometheus_client.Gauge(
     "merlinthread_held_requests",
     "Requests held back because back-end processes crashed while running them.",
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -75,9 +75,9 @@
 class Attempt:
     """One attempt; `is_sent` is set once the request has been sent to the back end.
 
-    `on_silence` is called each time its back end has sent nothing for the time after which it
-    counts as silent, and `on_data` before data of its response is sent to the client. Silence does
-    not end an attempt: the back end may continue.
+    `on_sent` is called then, `on_silence` each time its back end has sent nothing for the time
+    after which it counts as silent, and `on_data` before data of its response is sent to the
+    client. Silence does not end an attempt: the back end may continue.
     """
 
     def __init__(
@@ -99,6 +99,7 @@
         self.reservation = pool.reserve(backend, context.call.prompt_tokens)
         self.is_sent = False
         self.sent_at = float("-inf")
+        self.on_sent: Callable[[], None] = ignore
         self.on_silence: Callable[[], None] = ignore
         self.on_data: Callable[[], None] = ignore
         # The time of the last data before the current silence, or None.
@@ -126,6 +127,7 @@
             connection.send(self.build_request())
             self.is_sent = True
             self.sent_at = self.clock()
+            self.on_sent()
             async with asyncio.timeout_at(self.to_loop_time(self.context.deadline)):
                 outcome, headers = await self.receive_response(connection)
             if outcome.state in (State.DONE, State.FAILED, State.NOT_RUN):
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -71,6 +71,9 @@
         self.unsent_count = 0
         # Retries that were charged to the retry budget.
         self.charged_count = 0
+        # When the retry that is to be sent next was charged, and how long earlier ones waited.
+        self.charged_at: float | None = None
+        self.retry_waits_s: list[float] = []
         self.refusal = ""
 
     async def run(self) -> None:
@@ -251,8 +254,18 @@
         if not self.pool.budget(self.service).spend(self.clock()):
             return False
         self.charged_count += 1
+        self.charged_at = self.clock()
+        metrics.retries_total.labels("decided").inc()
         return True
 
+    def record_sent(self) -> None:
+        """Record that an attempt has been sent, and how long it waited since it was charged."""
+        if self.charged_at is None:
+            return
+        self.retry_waits_s.append(self.clock() - self.charged_at)
+        self.charged_at = None
+        metrics.retries_total.labels("sent").inc()
+
     async def finish_failed(self, outcome: attempts.Outcome) -> None:
         """Send the back end's error response after the last attempt, or raise RequestError."""
         assert self.context is not None
@@ -479,6 +492,7 @@
             self.context, self.relay, self.dialect, self.pool, choice.backend, self.permit
         )
         attempt.description = self.describe_choice(choice)
+        attempt.on_sent = self.record_sent
         self.attempts.append(attempt)
         self.open.start(attempt)
 
@@ -529,6 +543,7 @@
                 if self.relay.first_event_at
                 else None
             ),
+            retry_waits_ms=[round(1000 * wait_s) for wait_s in self.retry_waits_s],
             attempts=self.describe_attempts(),
         )
 
