Count retries when they are sent, and reserve them until then

Cause: a retry was counted when it was decided on. If no back end is free, it waits up to its deadline, and all that were counted in the meantime, over more than a window, arrive when back ends return. Class: a limit that is checked at another time than that at which it must hold.

Why it works: a retry is reserved when it is decided on, and a reservation counts for as long as it is held. It is used just before the request is sent, if the retries sent within the window and the first attempts within it allow that then. So at each sending the limit holds for the window that ends there. A retry that is refused at that point fails as one that the budget refused before. What is not sent is returned to the budget, where it used to count for a window.

RetryBudget.spend is gone; the tests that called it reserve and use at one time, as strict as before.

--- a/src/merlinthread/coordination/retry_budget.py
+++ b/src/merlinthread/coordination/retry_budget.py
@@ -12,6 +12,10 @@
 
     Allows `ratio` retries per first attempt within `window_s` seconds, plus `free_retries`. Entries
     need no coordination, since each applies the ratio to its own requests.
+
+    A retry is reserved when it is decided on and used when it is sent, which may be much later if
+    it waits for a back end. Both are checked: many reserved retries may be sent at once, when there
+    are fewer first attempts than at the time of the decisions.
     """
 
     def __init__(self, ratio: float, window_s: float, free_retries: int) -> None:
@@ -20,6 +24,7 @@
         self.free_retries = free_retries
         self.first_attempts: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
+        self.reserved_count = 0
 
     def record_first_attempt(self, now: float) -> None:
         """Record a request's first attempt."""
@@ -29,24 +34,47 @@
     def allows(self, now: float) -> bool:
         """Return whether one more retry is within the budget."""
         self.prune(now)
-        return len(self.retries) < self.limit()
+        return self.used_count() < self.limit()
 
     def allows_hedge(self, now: float) -> bool:
         """Return whether one more attempt beside silent ones is within its share of the budget."""
         self.prune(now)
-        return len(self.retries) < HEDGE_SHARE * self.limit()
+        return self.used_count() < HEDGE_SHARE * self.limit()
+
+    def used_count(self) -> int:
+        """Return how many retries are reserved or were sent within the window."""
+        return self.reserved_count + len(self.retries)
 
     def limit(self) -> float:
         """Return how many retries the first attempts within the window allow."""
         return self.ratio * len(self.first_attempts) + self.free_retries
 
-    def spend(self, now: float) -> bool:
-        """Use one retry of the budget; return False if it is exhausted."""
+    def reserve(self, now: float) -> bool:
+        """Reserve one retry of the budget; return False if it is exhausted.
+
+        The caller ends each reservation with `use` or `cancel`.
+        """
         if not self.allows(now):
             return False
+        self.reserved_count += 1
+        return True
+
+    def use(self, now: float) -> bool:
+        """Use a reserved retry that is sent now; return False if too many were sent lately.
+
+        The reservation stays in that case.
+        """
+        self.prune(now)
+        if len(self.retries) >= self.limit():
+            return False
+        self.reserved_count -= 1
         self.retries.append(now)
         return True
 
+    def cancel(self) -> None:
+        """Return a reserved retry that will not be sent."""
+        self.reserved_count -= 1
+
     def prune(self, now: float) -> None:
         """Drop attempts older than the window."""
         for times in (self.first_attempts, self.retries):
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -39,7 +39,7 @@
 
 
 class UnavailableError(errors.UnreachableError):
-    """A back end became unavailable after it was chosen."""
+    """A back end or the retry budget became unavailable after the back end was chosen."""
 
 
 class State(enum.Enum):
@@ -67,6 +67,11 @@
     """Do nothing; the default of an attempt's callbacks."""
 
 
+def always() -> bool:
+    """Return True."""
+    return True
+
+
 def never() -> float:
     """Return infinity, the time until something that does not happen."""
     return math.inf
@@ -75,9 +80,10 @@
 class Attempt:
     """One attempt; `is_sent` is set once the request has been sent to the back end.
 
-    `on_sent` is called then, `on_silence` each time its back end has sent nothing for the time
-    after which it counts as silent, and `on_data` before data of its response is sent to the
-    client. Silence does not end an attempt: the back end may continue.
+    `may_send` is called just before that and returns whether the retry budget allows it.
+    `on_silence` is called each time its back end has sent nothing for the time after which it
+    counts as silent, and `on_data` before data of its response is sent to the client. Silence does
+    not end an attempt: the back end may continue.
     """
 
     def __init__(
@@ -99,7 +105,7 @@
         self.reservation = pool.reserve(backend, context.call.prompt_tokens)
         self.is_sent = False
         self.sent_at = float("-inf")
-        self.on_sent: Callable[[], None] = ignore
+        self.may_send: Callable[[], bool] = always
         self.on_silence: Callable[[], None] = ignore
         self.on_data: Callable[[], None] = ignore
         # The time of the last data before the current silence, or None.
@@ -124,10 +130,11 @@
                 self.backend, self.context.is_idempotent()
             )
             self.check_available()
+            if not self.may_send():
+                raise UnavailableError("the retry budget is exhausted")
             connection.send(self.build_request())
             self.is_sent = True
             self.sent_at = self.clock()
-            self.on_sent()
             async with asyncio.timeout_at(self.to_loop_time(self.context.deadline)):
                 outcome, headers = await self.receive_response(connection)
             if outcome.state in (State.DONE, State.FAILED, State.NOT_RUN):
--- a/src/merlinthread/nodes/open_attempts.py
+++ b/src/merlinthread/nodes/open_attempts.py
@@ -5,14 +5,20 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from merlinthread.nodes import attempts
 
 
 class OpenAttempts:
-    """The attempts of one request that have not ended."""
+    """The attempts of one request that have not ended.
 
-    def __init__(self) -> None:
+    `on_continued` is called when data of one attempt is sent to the client, after the others were
+    given up.
+    """
+
+    def __init__(self, on_continued: Callable[[], None]) -> None:
+        self.on_continued = on_continued
         self.tasks: dict[attempts.Attempt, asyncio.Task[attempts.Outcome]] = {}
         self.changed_event = asyncio.Event()
 
@@ -48,3 +54,5 @@
                 del self.tasks[attempt]
                 attempt.give_up()
                 task.cancel()
+        if kept is not None:
+            self.on_continued()
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -63,16 +63,16 @@
         )
         self.tried: set[str] = set()
         self.attempts: list[attempts.Attempt] = []
-        self.open = open_attempts.OpenAttempts()
+        self.open = open_attempts.OpenAttempts(self.cancel_retry)
         # The permit for the next attempt, if its back end has a rate limit.
         self.permit: permits.Permit | None = None
         self.may_have_run = False
+        # The outcome of the last attempt that was sent.
+        self.last_sent_outcome: attempts.Outcome | None = None
         # Attempts that failed before their request was sent.
         self.unsent_count = 0
-        # Retries that were charged to the retry budget.
-        self.charged_count = 0
-        # When the retry that is to be sent next was charged, and how long earlier ones waited.
-        self.charged_at: float | None = None
+        # When a retry that has not been sent yet was reserved, and how long earlier ones waited.
+        self.reserved_at: float | None = None
         self.retry_waits_s: list[float] = []
         self.refusal = ""
 
@@ -90,6 +90,7 @@
             raise
         finally:
             self.open.keep_only(None)
+            self.cancel_retry()
 
     def prepare(self) -> None:
         """Parse the request and find its route and service; raise RequestError if it is refused."""
@@ -148,11 +149,12 @@
             await self.wait_for_crash_checks()
             if outcome.state is attempts.State.UNSENT:
                 await self.handle_unsent()
-                continue
-            if not self.may_retry(outcome.state):
+            elif not self.may_retry(outcome.state):
                 await self.finish_failed(outcome)
                 return
-            self.charge_retry()
+            if self.last_sent_outcome is not None and not self.reserve_retry():
+                await self.finish_failed(self.last_sent_outcome)
+                return
 
     async def finish_attempts(self) -> attempts.Outcome:
         """Wait until one attempt is done or all have ended; return the last outcome.
@@ -188,6 +190,8 @@
             self.may_have_run = True
         if outcome.state is attempts.State.UNSENT:
             self.unsent_count += 1
+        else:
+            self.last_sent_outcome = outcome
 
     async def hedge(self) -> None:
         """Start another attempt beside the silent ones if that is allowed and a back end is free.
@@ -201,12 +205,12 @@
         if not self.may_retry(attempts.State.UNKNOWN):
             return
         budget = self.pool.budget(self.service)
-        if not self.is_retry_charged() and not budget.allows_hedge(self.clock()):
+        if not self.is_retry_reserved() and not budget.allows_hedge(self.clock()):
             return
         choice = await self.choose_for_hedge()
         if choice is None or not self.open.are_silent():
             return
-        if self.charge_retry():
+        if self.reserve_retry():
             self.start_attempt(choice)
 
     async def wait_for_crash_checks(self) -> None:
@@ -241,30 +245,47 @@
             return False
         if self.exchange.is_started and not self.context.route.is_resumable:
             return False
-        return self.is_retry_charged() or self.pool.budget(self.service).allows(self.clock())
+        return self.is_retry_reserved() or self.pool.budget(self.service).allows(self.clock())
+
+    def is_retry_reserved(self) -> bool:
+        """Return whether the next attempt is within the retry budget already.
 
-    def is_retry_charged(self) -> bool:
-        """Return whether the next attempt replaces one that was charged but not sent."""
-        return self.charged_count >= len(self.attempts) - self.unsent_count > 0
+        An earlier one was not sent, so that its place in the budget is free.
+        """
+        return self.reserved_at is not None
 
-    def charge_retry(self) -> bool:
-        """Charge the next attempt to the retry budget; return False if that is exhausted."""
-        if self.is_retry_charged():
+    def reserve_retry(self) -> bool:
+        """Reserve the next attempt in the retry budget; return False if that is exhausted."""
+        if self.is_retry_reserved():
             return True
-        if not self.pool.budget(self.service).spend(self.clock()):
+        now = self.clock()
+        if not self.pool.budget(self.service).reserve(now):
             return False
-        self.charged_count += 1
-        self.charged_at = self.clock()
+        self.reserved_at = now
         metrics.retries_total.labels("decided").inc()
         return True
 
-    def record_sent(self) -> None:
-        """Record that an attempt has been sent, and how long it waited since it was charged."""
-        if self.charged_at is None:
-            return
-        self.retry_waits_s.append(self.clock() - self.charged_at)
-        self.charged_at = None
+    def use_retry(self) -> bool:
+        """Use the reserved retry, if any, for an attempt that is sent now.
+
+        Return False, without a reservation from then on, if the budget does not allow it any more.
+        """
+        if self.reserved_at is None:
+            return True
+        now = self.clock()
+        if not self.pool.budget(self.service).use(now):
+            self.cancel_retry()
+            return False
+        self.retry_waits_s.append(now - self.reserved_at)
+        self.reserved_at = None
         metrics.retries_total.labels("sent").inc()
+        return True
+
+    def cancel_retry(self) -> None:
+        """Return a reserved retry to the budget, since it will not be sent."""
+        if self.reserved_at is not None:
+            self.pool.budget(self.service).cancel()
+            self.reserved_at = None
 
     async def finish_failed(self, outcome: attempts.Outcome) -> None:
         """Send the back end's error response after the last attempt, or raise RequestError."""
@@ -492,7 +513,7 @@
             self.context, self.relay, self.dialect, self.pool, choice.backend, self.permit
         )
         attempt.description = self.describe_choice(choice)
-        attempt.on_sent = self.record_sent
+        attempt.may_send = self.use_retry
         self.attempts.append(attempt)
         self.open.start(attempt)
 
--- a/tests/test_fleet_coordination.py
+++ b/tests/test_fleet_coordination.py
@@ -138,7 +138,8 @@
         entry.record_first_attempt(now)
         requests += now > 10.0
         for _ in range(3):
-            spent += entry.spend(now) and now > 10.0
+            if entry.reserve(now):
+                spent += entry.use(now) and now > 10.0
     assert spent <= 0.2 * requests + 7 * 3
 
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -4,9 +4,11 @@
 """
 
 import asyncio
+import random
 
 import pytest
 
+from merlinthread.coordination import retry_budget
 from merlinthread.nodes import node_settings
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -102,3 +104,47 @@
         assert excess_of_retries(arrivals, client.sent) <= 0.0
 
     asyncio.run(scenario())
+
+
+def test_cancelled_retry_returns_to_the_budget():
+    budget = retry_budget.RetryBudget(0.0, WINDOW_S, 2)
+    assert budget.reserve(0.0)
+    assert budget.reserve(0.0)
+    assert not budget.reserve(0.1)
+    budget.cancel()
+    assert budget.reserve(0.1)
+    assert budget.use(0.2)
+    # One is reserved still, the other one was sent within the window.
+    assert not budget.reserve(0.2 + WINDOW_S)
+    assert budget.reserve(0.3 + WINDOW_S)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_retries_of_all_entries_arrive_within_the_limit_whatever_their_delays(seed):
+    rng = random.Random(seed)
+    entries = [retry_budget.RetryBudget(0.75 * RATIO, WINDOW_S, 3) for _ in range(6)]
+    sent: list[float] = []
+    arrivals: list[tuple[str, float]] = []
+    waiting: list[tuple[float, str, retry_budget.RetryBudget]] = []
+    for step in range(4000):
+        now = step * 0.002
+        budget = rng.choice(entries)
+        budget.record_first_attempt(now)
+        request_id = str(step)
+        sent.append(now)
+        arrivals.append((request_id, now))
+        # Retries wait for the end of an outage of several windows, or are sent soon.
+        if budget.reserve(now):
+            outage_ends_at = 3.0 * WINDOW_S * (1 + now // (3.0 * WINDOW_S))
+            waits = rng.random() < 0.8
+            waiting.append((outage_ends_at if waits else now + 0.05, request_id, budget))
+        for retry in [retry for retry in waiting if retry[0] <= now]:
+            waiting.remove(retry)
+            if rng.random() < 0.1:
+                retry[2].cancel()
+                continue
+            if retry[2].use(now):
+                arrivals.append((retry[1], now))
+            else:
+                retry[2].cancel()
+    assert excess_of_retries(arrivals, sent) <= 0.0
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -110,11 +110,11 @@
         (backend,) = pool.backends.values()
         backend.probe_replied_at = clock()
         budget = pool.budget("safe")
-        while budget.spend(clock()):
-            pass
+        while budget.reserve(clock()):
+            assert budget.use(clock())
         clock.suspended_s = 30.0
         assert pool.required_version("m", clock()) == 2
-        assert budget.spend(clock())
+        assert budget.reserve(clock())
         assert not backend.has_fresh_load(clock())
 
     asyncio.run(scenario())
