No free retries for an entry in its first window

A restarted entry had three free retries at once, while those of its last life were still in the window over which back ends count.

Entries of the tests that run on one loop count as started long ago.

--- a/src/merlinthread/coordination/retry_budget.py
+++ b/src/merlinthread/coordination/retry_budget.py
@@ -10,18 +10,27 @@
 class RetryBudget:
     """A sliding window over the first attempts and retries of one service.
 
-    Allows `ratio` retries per first attempt within `window_s` seconds, plus `free_retries`. Entries
-    need no coordination, since each applies the ratio to its own requests.
+    Allows `ratio` retries per first attempt within `window_s` seconds, plus `free_retries` from
+    `free_from` on. Entries need no coordination, since each applies the ratio to its own requests.
+    An entry that has just started does not know what it sent before; without free retries for a
+    window, restarts do not multiply them.
 
     A retry is reserved when it is decided on and used when it is sent, which may be much later if
     it waits for a back end. Both are checked: many reserved retries may be sent at once, when there
     are fewer first attempts than at the time of the decisions.
     """
 
-    def __init__(self, ratio: float, window_s: float, free_retries: int) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_s: float,
+        free_retries: int,
+        free_from: float = float("-inf"),
+    ) -> None:
         self.ratio = ratio
         self.window_s = window_s
         self.free_retries = free_retries
+        self.free_from = free_from
         self.first_attempts: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
         self.reserved_count = 0
@@ -34,20 +43,21 @@
     def allows(self, now: float) -> bool:
         """Return whether one more retry is within the budget."""
         self.prune(now)
-        return self.used_count() < self.limit()
+        return self.used_count() < self.limit(now)
 
     def allows_hedge(self, now: float) -> bool:
         """Return whether one more attempt beside silent ones is within its share of the budget."""
         self.prune(now)
-        return self.used_count() < HEDGE_SHARE * self.limit()
+        return self.used_count() < HEDGE_SHARE * self.limit(now)
 
     def used_count(self) -> int:
         """Return how many retries are reserved or were sent within the window."""
         return self.reserved_count + len(self.retries)
 
-    def limit(self) -> float:
-        """Return how many retries the first attempts within the window allow."""
-        return self.ratio * len(self.first_attempts) + self.free_retries
+    def limit(self, now: float) -> float:
+        """Return how many retries are allowed within the window that ends now."""
+        free_retries = self.free_retries if now >= self.free_from else 0
+        return self.ratio * len(self.first_attempts) + free_retries
 
     def reserve(self, now: float) -> bool:
         """Reserve one retry of the budget; return False if it is exhausted.
@@ -65,7 +75,7 @@
         The reservation stays in that case.
         """
         self.prune(now)
-        if len(self.retries) >= self.limit():
+        if len(self.retries) >= self.limit(now):
             return False
         self.reserved_count -= 1
         self.retries.append(now)
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -97,6 +97,7 @@
         self.response_times: dict[str, backend_record.ResponseTime] = {}
         self.queues: dict[str, wait_queue.WaitQueue] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.started_at = clock()
         self.reservation_numbers = itertools.count(1)
         self.connections = backend_connections.BackendConnections(clock)
 
@@ -361,7 +362,10 @@
         if service not in self.budgets:
             bounds = self.settings.bounds
             self.budgets[service] = retry_budget.RetryBudget(
-                bounds.retry_ratio * BUDGET_SHARE, bounds.retry_window_s, FREE_RETRIES
+                bounds.retry_ratio * BUDGET_SHARE,
+                bounds.retry_window_s,
+                FREE_RETRIES,
+                self.started_at + bounds.retry_window_s,
             )
         return self.budgets[service]
 
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -222,7 +222,10 @@
 
 
 class Entry:
-    """An entry that gets its configuration from the test, unless `settings` name control VMs."""
+    """An entry that gets its configuration from the test, unless `settings` name control VMs.
+
+    It has the free retries of one that has run for a while.
+    """
 
     def __init__(
         self,
@@ -234,6 +237,7 @@
         self.node = entry_node.EntryNode(
             settings, dialect.PlatformDialect(), make_codec(), clock, random.Random(1)
         )
+        self.node.pool.started_at = float("-inf")
         self.sequence = 0
 
     async def start(self) -> None:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -9,7 +9,8 @@
 import pytest
 
 from merlinthread.coordination import retry_budget
-from merlinthread.nodes import node_settings
+from merlinthread.nodes import entry_node, node_settings
+from merlinthread.platform import dialect
 from stand_ins import fleet_worker
 from tests import fleet_nodes
 
@@ -148,3 +149,33 @@
             else:
                 retry[2].cancel()
     assert excess_of_retries(arrivals, sent) <= 0.0
+
+
+# Guards against restarted entries that get their free retries again within a window.
+def test_free_retries_are_not_multiplied_by_restarts():
+    # The figures of a deployment with 38 entries.
+    entry_count, lives, requests_per_life, slack = 38, 4, 2, 226
+    bounds = node_settings.Bounds(retry_ratio=RATIO, retry_window_s=WINDOW_S)
+    now, retry_count = 0.0, 0
+    for _ in range(lives):
+        now += 0.25 * WINDOW_S
+        for _ in range(entry_count):
+            node = entry_node.EntryNode(
+                fleet_nodes.make_settings("entry", bounds=bounds),
+                dialect.PlatformDialect(),
+                fleet_nodes.make_codec(),
+                lambda: now,  # noqa: B023
+                random.Random(1),
+            )
+            budget = node.pool.budget("safe")
+            for _ in range(requests_per_life):
+                budget.record_first_attempt(now)
+            while budget.reserve(now):
+                retry_count += budget.use(now)
+    assert retry_count <= RATIO * entry_count * lives * requests_per_life + slack
+
+
+def test_entry_has_free_retries_again_a_window_after_its_start():
+    budget = retry_budget.RetryBudget(0.0, WINDOW_S, 3, 5.0)
+    assert not budget.reserve(4.9)
+    assert budget.reserve(5.0)
