--- a/bench/control_simulation.py
+++ b/bench/control_simulation.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import traceback
+from collections.abc import Iterator
 from typing import Any
 
 from bench import control_faults, simulated_control, virtual_loop
@@ -243,7 +244,7 @@
 
 
 @contextlib.contextmanager
-def recorded_logs(simulation: Simulation):
+def recorded_logs(simulation: Simulation) -> Iterator[None]:
     """Record the log events of all VMs in place of writing them."""
     written = {name: getattr(logs, name) for name in ("event", "debug", "warning")}
 
@@ -262,7 +263,7 @@
 
 
 @contextlib.contextmanager
-def seeded_identities(seed: int):
+def seeded_identities(seed: int) -> Iterator[None]:
     """Draw the identities of data folders from a seeded generator, so that runs repeat."""
     rng = random.Random(seed)
     token_hex = secrets.token_hex
