--- a/bench/control_faults.py
+++ b/bench/control_faults.py
@@ -104,6 +104,7 @@
     def recover(self, vm: simulated_control.ControlVm) -> None:
         """End the effects of a fault on a VM."""
         self.impaired.discard(vm.ip)
+        vm.sound_since = asyncio.get_running_loop().time()
         self.extend_catching_up()
 
     def extend_catching_up(self) -> None:
--- a/bench/simulated_control.py
+++ b/bench/simulated_control.py
@@ -103,6 +103,8 @@
         self.rng = random.Random(f"{network.seed} {ip}")
         self.life = 0
         self.is_up = False
+        # When it started, or when the last fault that made it unavailable ended.
+        self.sound_since = 0.0
         self.is_frozen = False
         self.thawed = asyncio.Event()
         self.sync_s = SYNC_S
@@ -140,6 +142,7 @@
         for part in (*users, member, member.sender, member.member_changes):
             part.rpc_client = client  # type: ignore[attr-defined]
         self.is_up = True
+        self.sound_since = loop.time()
         self.is_frozen = False
         self.pending_syncs = 0
         self.busy_until = loop.time()
