Control VMs: count membership changes by kind

A repair that undoes its own steps could be seen only by reading the lines members_change one after the other. They now name the kind of the change, and merlinthread_membership_changes_total counts it: "remove learner" that goes on rising is a repair without progress.

No decision rests on it. tests/test_control_replacement.py and test_control_nodes.py passed.

--- a/src/merlinthread/coordination/membership_repair.py
+++ b/src/merlinthread/coordination/membership_repair.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from merlinthread.coordination import raft_members, raft_messages
 
@@ -13,6 +14,15 @@
 DOUBTFUL_SILENCE_S = 0.5
 
 
+class ChangeKind(enum.StrEnum):
+    """What a membership change does, for logs and metrics."""
+
+    ADD = "add"
+    PROMOTE = "promote"
+    REMOVE_VOTER = "remove voter"
+    REMOVE_LEARNER = "remove learner"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RepairPolicy:
     """How many failures the group must tolerate, and when silent members are removed.
@@ -63,6 +73,16 @@
     )
 
 
+def kind_of(change: raft_members.MembershipChange, before: raft_messages.Voters) -> ChangeKind:
+    """Return the kind of a repair's change of the membership `before`."""
+    if change.add:
+        return ChangeKind.ADD
+    if change.promote:
+        return ChangeKind.PROMOTE
+    is_voter = change.remove in before.voters
+    return ChangeKind.REMOVE_VOTER if is_voter else ChangeKind.REMOVE_LEARNER
+
+
 def remove_replaced_member(group: GroupStatus) -> raft_members.MembershipChange | None:
     """Return the removal of a member whose VM asks to join under a new name after losing its disk.
 
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -116,6 +116,12 @@
     "Number of further member failures that the replicated log tolerates; set by the leader at "
     "each membership change.",
 )
+membership_changes_total = prometheus_client.Counter(
+    "merlinthread_membership_changes_total",
+    "Membership changes that this control VM proposed, by kind; one kind that goes on rising is a "
+    "repair without progress.",
+    ["kind"],
+)
 leader_changes_total = prometheus_client.Counter(
     "merlinthread_leader_changes_total", "Leader changes that this control VM has observed."
 )
--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -221,13 +221,15 @@
         )
         if change is None:
             return
+        kind = membership_repair.kind_of(change, member.log.membership)
         try:
             member.change_membership(change, now)
         except errors.ControlError as error:
             logs.debug("members_unchanged", reason=error.message)
             return
         self.wake()
-        self.log_change(change, member, now)
+        metrics.membership_changes_total.labels(kind).inc()
+        self.log_change(change, kind, member, now)
 
     def group_status(self, member: raft.Raft, now: float) -> membership_repair.GroupStatus:
         """Return this leader's view of the group; drop expired requests first."""
@@ -251,7 +253,11 @@
         )
 
     def log_change(
-        self, change: raft_members.MembershipChange, member: raft.Raft, now: float
+        self,
+        change: raft_members.MembershipChange,
+        kind: membership_repair.ChangeKind,
+        member: raft.Raft,
+        now: float,
     ) -> None:
         """Log a membership change, and how many more failures the group tolerates after it."""
         membership = member.log.membership
@@ -261,6 +267,7 @@
         metrics.losses_bearable.set(tolerated)
         logs.event(
             "members_change",
+            kind=kind,
             change=msgspec.to_builtins(change),
             voters=membership.voters,
             learners=membership.learners,
