Agents: entries use new weights only once the load is proven

What callers saw: tokens of spoilt weights.

Cause: a check before the order says what was right when each piece was read, not when the engine takes it. After two verifications the order followed however old the first reading was, and nothing bounds the time between the last comparison and the moment in which the engine takes the order.

Change: the time of the last reading is kept for each piece. Before an order, only pieces that were read more than 1 s ago are read again, several at once if the engine is slow. A load is proven by pieces that were found right at most 2 s before the engine's response, which is after it took them (3 s are tolerated). Else, or without a response, the pieces in question are read back after the load: only the agent stages pieces and a bad one stays bad, so one that is right then was right when it was taken. Until the load is proven, entries are told that the engine is changing its weights, in reports and in replies to probes. An engine so slow that no verification is recent loads and is proven after.

No message between nodes changes. A load that is proven before costs no more reads than it did.

Two tests of tests/test_weights_task.py replace PieceVerifier.verify where they replaced find_staged; their checks are the same.

--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -130,6 +130,12 @@
     "Pieces of weights that this agent downloaded, by source.",
     ["source"],
 )
+loads_total = prometheus_client.Counter(
+    "merlinthread_loads_total",
+    "Loads of weights by the engine, by when its pieces were found right: before it took them, "
+    "only after, or never.",
+    ["proof"],
+)
 refusals_total = prometheus_client.Counter(
     "merlinthread_refusals_total", "Requests that this entry rejected, by kind of error.", ["kind"]
 )
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -103,6 +103,11 @@
         """Return the request for a piece in an engine's staging area."""
 
     def load_request(
-        self, address: str, model: str, version: int, truncates_streams: bool
+        self,
+        address: str,
+        model: str,
+        version: int,
+        truncates_streams: bool,
+        layers: range | None = None,
     ) -> http_messages.Request:
-        """Return the request that makes an engine load the staged weights."""
+        """Return the request that makes an engine load `layers` of the staged weights, or all."""
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -91,9 +91,14 @@
             return None
         return response.body
 
-    async def load_staged_weights(self, model: str, version: int, truncates_streams: bool) -> int:
-        """Make the engine load the staged weights; return the HTTP status of its response."""
-        request = self.dialect.load_request(self.engine, model, version, truncates_streams)
+    async def load_staged_weights(
+        self, model: str, version: int, truncates_streams: bool, layers: range | None = None
+    ) -> int:
+        """Make the engine hold `layers` of the staged weights, or all; return the HTTP status.
+
+        It loads the layers of this version that it does not hold, and gives up the others.
+        """
+        request = self.dialect.load_request(self.engine, model, version, truncates_streams, layers)
         response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
         return response.status
 
--- /dev/null
+++ b/src/merlinthread/nodes/piece_verifier.py
@@ -0,0 +1,73 @@
+"""Verification of staged pieces: they are read back and compared with the manifest."""
+
+import asyncio
+import math
+import statistics
+from collections.abc import Callable, Iterator, Sequence
+
+from merlinthread.coordination import fleet, piece_readings
+from merlinthread.nodes import engine_client
+
+# Pieces are read one after the other if that takes at most this long, else several at once.
+SEQUENTIAL_READ_S = 0.5
+READERS_MAX = 8
+
+
+class PieceVerifier:
+    """Reads the staged pieces of one version of weights, and records when each was right."""
+
+    def __init__(self, engine: engine_client.EngineClient, clock: Callable[[], float]) -> None:
+        self.engine = engine
+        self.clock = clock
+        self.readings = piece_readings.PieceReadings(0)
+        # The median duration of a reading in the last verification, 0 if it is not known.
+        self.reading_s = 0.0
+
+    def start_version(self, manifest: fleet.Manifest) -> None:
+        """Discard the readings of another version, whose pieces may have another size."""
+        self.readings = piece_readings.PieceReadings(len(manifest.digests))
+        self.reading_s = 0.0
+
+    async def verify(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> int:
+        """Read pieces back; return the bit set of those that match the manifest.
+
+        Raises UnreachableError if the engine does not respond.
+        """
+        waiting = iter(indexes)
+        right: set[int] = set()
+        durations: list[float] = []
+        readings = self.readings
+        readers = [
+            asyncio.create_task(self.read(manifest, waiting, readings, right, durations))
+            for _ in range(self.reader_count(len(indexes)))
+        ]
+        try:
+            await asyncio.gather(*readers)
+        finally:
+            for reader in readers:
+                reader.cancel()
+        if durations:
+            self.reading_s = statistics.median(durations)
+        return sum(1 << index for index in right)
+
+    async def read(
+        self,
+        manifest: fleet.Manifest,
+        waiting: Iterator[int],
+        readings: piece_readings.PieceReadings,
+        right: set[int],
+        durations: list[float],
+    ) -> None:
+        """Read the waiting pieces one after the other; add the right ones and the durations."""
+        for index in waiting:
+            began_at = self.clock()
+            is_right = await self.engine.read_staged_piece(manifest, index) is not None
+            durations.append(self.clock() - began_at)
+            readings.record(index, began_at, is_right)
+            if is_right:
+                right.add(index)
+
+    def reader_count(self, count: int) -> int:
+        """Return how many of `count` pieces to read at once, from the last readings' duration."""
+        needed = math.ceil(count * self.reading_s / SEQUENTIAL_READ_S)
+        return max(1, min(READERS_MAX, needed))
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -2,14 +2,23 @@
 
 Pieces are kept in the engine's staging area, without a second copy. Each is verified against the
 manifest before it is staged, before it is sent to a peer, and before the engine loads the weights.
+A load is proven if each piece was found right shortly before the engine took it, or after that.
+Until then no entry is told that the engine has loaded the version.
 """
 
 import asyncio
+import dataclasses
 import random
-from collections.abc import Callable
-
-from merlinthread import errors, logs
-from merlinthread.coordination import fetch, fetch_policies, fleet, reload_schedule
+from collections.abc import Callable, Sequence
+
+from merlinthread import errors, logs, metrics
+from merlinthread.coordination import (
+    fetch,
+    fetch_policies,
+    fleet,
+    layer_ranges,
+    reload_schedule,
+)
 from merlinthread.nodes import (
     engine_client,
     fleet_watcher,
@@ -18,6 +27,7 @@
     piece_fetcher,
     piece_server,
     piece_store,
+    piece_verifier,
     weights_view,
 )
 from merlinthread.protocol import node_messages
@@ -27,12 +37,34 @@
 RETRY_DELAY_S = 0.3
 LOAD_START_TIMEOUT_S = 0.2
 LOAD_POLL_INTERVAL_S = 0.02
-# Pieces whose verification began this recently are not verified again before the load: that takes
-# 0.11 to 0.16 s for 96 pieces, in which nothing is served after a restart.
+# An engine gives layers up at once, or after the requests that run.
+DISCARD_TIMEOUT_S = 1.0
+# Pieces that were found right this recently are not read again before the load: that takes 0.11 to
+# 0.16 s for 96 pieces, in which nothing is served after a restart.
 VERIFICATION_TTL_S = 1.0
-# Verifications before one load. One that takes longer than the TTL, as that of a paused process, is
-# repeated, but a slow engine must load too.
+# Verifications before one load. A second one reads what became too old in the first, as in that of
+# a paused process; a slow engine must load too, and its load is proven afterwards.
 VERIFICATIONS_MAX = 2
+# A load is proven by pieces that were found right at most this long before the engine's response.
+# Weights that turned bad within 3 s before they are taken are tolerated; the rest is a margin.
+PROOF_AGE_MAX_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class UnprovenLoad:
+    """A load in which the engine may have taken bad pieces.
+
+    `pieces` are to be read back after the load; `bad_layers` must be loaded again.
+    """
+
+    model: str
+    version: int
+    pieces: Sequence[int]
+    bad_layers: set[int]
+
+    def is_of(self, version: fleet.Weights | fleet.Manifest) -> bool:
+        """Return whether the load is one of the same version."""
+        return (version.model, version.version) == (self.model, self.version)
 
 
 class WeightsTask:
@@ -66,23 +98,48 @@
         self.manifest: fleet.Manifest | None = None
         self.plan: fetch_policies.Zoned | None = None
         self.report: fleet.EngineReport | None = None
-        # When the last verification began that found all pieces of the current manifest.
-        self.verified_at = float("-inf")
+        self.verifier = piece_verifier.PieceVerifier(engine, clock)
+        # The last load, unless it is proven.
+        self.unproven: UnprovenLoad | None = None
         self.sync_task: asyncio.Task | None = None
-        # Crashes of the engine while it loaded the current manifest's version.
+        # Crashes of the engine while it loaded the current manifest's version, and loads of it in
+        # which it took a bad piece.
         self.load_crashes = 0
+        self.spoilt_loads = 0
         # How often the engine was lost.
         self.loss_count = 0
 
     # State of the engine
 
+    def proven_weights(self, report: fleet.EngineReport) -> list[fleet.Weights]:
+        """Return the weights that an engine reports, without those of an unproven load."""
+        unproven = self.unproven
+        if unproven is None:
+            return report.weights
+        return [weights for weights in report.weights if not unproven.is_of(weights)]
+
+    def report_for_entries(self, report: fleet.EngineReport) -> fleet.EngineReport:
+        """Return the report to send to entries: an unproven load counts as not finished."""
+        proven = self.proven_weights(report)
+        if proven == report.weights:
+            return report
+        return dataclasses.replace(report, weights=proven, is_busy=True)
+
+    def holds(self, manifest: fleet.Manifest) -> bool:
+        """Return whether the engine reports all layers of the manifest's version."""
+        return self.report is not None and self.is_among(self.report.weights, manifest)
+
     def has_loaded(self, manifest: fleet.Manifest) -> bool:
-        """Return whether the engine has loaded all layers of the manifest's version."""
-        return self.report is not None and any(
+        """Return whether the engine has loaded all layers of the version and that is proven."""
+        return self.report is not None and self.is_among(self.proven_weights(self.report), manifest)
+
+    def is_among(self, loaded: list[fleet.Weights], manifest: fleet.Manifest) -> bool:
+        """Return whether all layers of the manifest's version are among the loaded weights."""
+        return any(
             weights.model == manifest.model
             and weights.version == manifest.version
             and weights.is_whole(self.view.layers())
-            for weights in self.report.weights
+            for weights in loaded
         )
 
     def is_serving(self) -> bool:
@@ -91,7 +148,7 @@
             weights.version
             and weights.is_whole(self.view.layers())
             and self.view.is_usable(weights.model, weights.version)
-            for weights in self.report.weights
+            for weights in self.proven_weights(self.report)
         )
 
     def ready_in_s(self) -> float | None:
@@ -120,6 +177,8 @@
             return
         if self.report is None and self.store.is_engine_seen:
             return
+        if self.unproven is not None:
+            await self.prove_load()
         wanted = self.view.newest_version(model) or (self.manifest.version if self.manifest else 0)
         if self.manifest is None or (wanted and self.manifest.version != wanted):
             await self.start_version(model, wanted)
@@ -139,13 +198,14 @@
         )
         plan = self.make_plan(manifest)
         self.store.clear()
-        self.verified_at = float("-inf")
+        self.verifier.start_version(manifest)
         # After a restart of the agent, staged pieces may be of this version; later they are not.
         if is_first and self.store.is_engine_seen:
-            await self.verify_pieces(plan, manifest)
+            await self.verify_pieces(plan, manifest, range(plan.chunk_count))
         self.manifest = manifest
         self.plan = plan
         self.load_crashes = 0
+        self.spoilt_loads = 0
         logs.event(
             "weights_wanted",
             model=model,
@@ -177,7 +237,7 @@
         self.report = report
         self.loss_count += report is None
         if report is None:
-            self.verified_at = float("-inf")
+            self.verifier.readings.forget()
             return
         loop = asyncio.get_running_loop()
         if not self.store.is_engine_seen:
@@ -202,21 +262,13 @@
             return
         try:
             await self.store.flush(manifest.model)
-            found = await self.find_staged(manifest)
+            found = await self.verifier.verify(manifest, range(plan.chunk_count))
         except errors.MerlinthreadError as error:
             logs.event("pieces_not_settled", reason=error.message)
             return
         plan.held |= found
         logs.event("pieces_settled", version=manifest.version, found=found.bit_count())
 
-    async def find_staged(self, manifest: fleet.Manifest) -> int:
-        """Return the bit set of the staged pieces that match the manifest."""
-        held = 0
-        for index in range(len(manifest.digests)):
-            if await self.engine.read_staged_piece(manifest, index) is not None:
-                held |= 1 << index
-        return held
-
     # Loading
 
     async def load_weights(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> None:
@@ -237,27 +289,35 @@
             return
         if self.view.is_superseded(manifest) or self.report is None:
             return
-        if not self.report.is_busy:
+        if self.holds(manifest) and not await self.discard_bad_layers(manifest):
+            return
+        if self.report is not None and not self.report.is_busy:
             await self.order_load(manifest)
         await self.await_loaded(manifest)
 
     async def are_pieces_verified(
         self, plan: fetch_policies.Zoned, manifest: fleet.Manifest
     ) -> bool:
-        """Return whether all staged pieces match the manifest; verify them unless just done."""
+        """Return whether all staged pieces match; read those back that were not read just now.
+
+        With an engine too slow for that, some were read earlier; the load is proven afterwards.
+        """
         for _ in range(VERIFICATIONS_MAX):
-            if self.clock() - self.verified_at <= VERIFICATION_TTL_S:
+            old = self.verifier.readings.older_than(VERIFICATION_TTL_S, self.clock())
+            if not old:
                 return True
-            if not await self.verify_pieces(plan, manifest):
+            if not await self.verify_pieces(plan, manifest, old):
                 logs.event("pieces_rotten", count=plan.chunk_count - plan.held.bit_count())
                 return False
         return True
 
-    async def verify_pieces(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> bool:
-        """Set the plan's held pieces to the staged ones that match; return whether all do."""
-        started_at = self.clock()
-        plan.held = await self.find_staged(manifest)
-        self.verified_at = started_at if plan.is_complete() else float("-inf")
+    async def verify_pieces(
+        self, plan: fetch_policies.Zoned, manifest: fleet.Manifest, indexes: Sequence[int]
+    ) -> bool:
+        """Read staged pieces back; the plan holds those that match. Return whether it has all."""
+        right = await self.verifier.verify(manifest, indexes)
+        read = sum(1 << index for index in indexes)
+        plan.held = plan.held & ~read | right
         return plan.is_complete()
 
     async def order_load(self, manifest: fleet.Manifest) -> None:
@@ -266,17 +326,32 @@
         An order without a response may have been accepted, so that it counts as accepted until the
         engine's next report. Raises NotListeningError if the engine can't have received it.
         """
+        before = self.unproven
+        # Set first, since the engine may report the version before its response arrives.
+        self.unproven = UnprovenLoad(
+            manifest.model,
+            manifest.version,
+            range(len(manifest.digests)),
+            self.known_bad_layers(manifest),
+        )
+        is_answered = True
         try:
             status = await self.engine.load_staged_weights(manifest.model, manifest.version, False)
         except errors.NotListeningError:
+            self.unproven = before
             raise
         except errors.UnreachableError as error:
             logs.event("order_unanswered", version=manifest.version, reason=error.message)
             status = engine_client.STATUS_ACCEPTED
+            is_answered = False
+        if status != engine_client.STATUS_ACCEPTED:
+            self.unproven = before
+        else:
+            self.record_accepted_load(self.unproven, is_answered)
         logs.event("engine_ordered", version=manifest.version, status=status)
         if self.report is not None and status == engine_client.STATUS_ACCEPTED:
             self.report.is_busy = True
-            self.on_report_changed(self.report)
+            self.on_report_changed(self.report_for_entries(self.report))
 
     async def await_reload_time(self, manifest: fleet.Manifest) -> None:
         """Wait for the reload time of this engine's group, unless the engine does not serve."""
@@ -287,8 +362,8 @@
         await asyncio.sleep(max(0.0, reload_at - self.clock()))
 
     async def await_load_retry(self, manifest: fleet.Manifest) -> None:
-        """Delay the load of weights that crashed the engine repeatedly."""
-        wait_s = reload_schedule.load_retry_delay_s(self.load_crashes)
+        """Delay the load of weights whose loads failed repeatedly."""
+        wait_s = reload_schedule.load_retry_delay_s(self.load_crashes + self.spoilt_loads)
         if wait_s:
             logs.warning(
                 "load_put_off", version=manifest.version, ends=self.load_crashes, wait_s=wait_s
@@ -301,7 +376,7 @@
         """Wait until the engine has loaded the version, or has stopped loading it."""
         deadline = self.clock() + LOAD_START_TIMEOUT_S
         loss_count = self.loss_count
-        while not self.has_loaded(manifest):
+        while not self.holds(manifest):
             if self.report is None or self.loss_count != loss_count:
                 self.load_crashes += 1
                 logs.event("engine_lost_in_load", version=manifest.version, ends=self.load_crashes)
@@ -312,6 +387,90 @@
                 return
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
 
+    # Proof of a load
+
+    def known_bad_layers(self, manifest: fleet.Manifest) -> set[int]:
+        """Return the bad layers that the engine keeps if it loads the version now."""
+        keeps_layers = self.report is not None and any(
+            weights.version == manifest.version and weights.layers != 0
+            for weights in self.report.weights
+        )
+        if self.unproven is None or not self.unproven.is_of(manifest) or not keeps_layers:
+            return set()
+        return self.unproven.bad_layers
+
+    def record_accepted_load(self, load: UnprovenLoad, is_answered: bool) -> None:
+        """Record that the engine has taken the pieces; it is proven for those read just now.
+
+        Without a response, it may take them much later.
+        """
+        if is_answered:
+            load.pieces = self.verifier.readings.older_than(PROOF_AGE_MAX_S, self.clock())
+        if not load.pieces and not load.bad_layers:
+            self.unproven = None
+            metrics.loads_total.labels("before").inc()
+            return
+        logs.event(
+            "load_unproven",
+            version=load.version,
+            is_answered=is_answered,
+            pieces=len(load.pieces),
+            bad_layers=sorted(load.bad_layers),
+        )
+
+    async def prove_load(self) -> None:
+        """Read pieces back once an unproven load has finished.
+
+        A piece that is right now was right when the engine took it: only this agent stages pieces,
+        and it stages none of this version after it ordered the load.
+        """
+        plan, manifest, load = self.plan, self.manifest, self.unproven
+        if plan is None or manifest is None or load is None:
+            return
+        if load.bad_layers or not load.is_of(manifest) or not self.holds(manifest):
+            return
+        await self.verify_pieces(plan, manifest, load.pieces)
+        bad = [index for index in load.pieces if not plan.held >> index & 1]
+        if bad:
+            load.bad_layers = layer_ranges.layers_of(bad, plan.chunk_count, manifest.layers)
+            self.record_spoilt_load(load, bad)
+            return
+        self.unproven = None
+        metrics.loads_total.labels("after").inc()
+        logs.event("load_proven", version=load.version)
+        if self.report is not None:
+            self.on_report_changed(self.report)
+
+    def record_spoilt_load(self, load: UnprovenLoad, bad: Sequence[int]) -> None:
+        """Record that the engine may have taken bad pieces."""
+        self.spoilt_loads += 1
+        metrics.loads_total.labels("never").inc()
+        logs.warning(
+            "load_spoilt", version=load.version, pieces=bad, layers=sorted(load.bad_layers)
+        )
+
+    async def discard_bad_layers(self, manifest: fleet.Manifest) -> bool:
+        """Make the engine give up the bad layers that it holds; return whether it does.
+
+        Otherwise it would answer an order to load the version that it has done so.
+        """
+        load = self.unproven
+        if load is None or not load.bad_layers:
+            return False
+        kept = layer_ranges.layers_to_keep(load.bad_layers, manifest.layers)
+        status = await self.engine.load_staged_weights(load.model, load.version, False, kept)
+        logs.event(
+            "layers_discarded", version=load.version, kept=[kept.start, kept.stop], status=status
+        )
+        if status != engine_client.STATUS_ACCEPTED:
+            self.spoilt_loads += 1
+            return False
+        load.bad_layers &= set(kept)
+        deadline = self.clock() + DISCARD_TIMEOUT_S
+        while self.holds(manifest) and self.clock() < deadline:
+            await asyncio.sleep(LOAD_POLL_INTERVAL_S)
+        return not self.holds(manifest)
+
     # Messages from peers
 
     async def serve_piece(self, request: node_messages.PieceRequest) -> node_messages.PieceReply:
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -181,19 +181,26 @@
         return http_messages.Request(b"GET", path, host_header(address))
 
     def load_request(
-        self, address: str, model: str, version: int, truncates_streams: bool
+        self,
+        address: str,
+        model: str,
+        version: int,
+        truncates_streams: bool,
+        layers: range | None = None,
     ) -> http_messages.Request:
-        """Return the request that makes an engine load the staged weights.
+        """Return the request that makes an engine load `layers` of the staged weights, or all.
 
         With `truncates_streams`, the engine truncates running responses; otherwise it queues the
         load.
         """
-        load_order = {
+        load_order: dict[str, str | int] = {
             "operation": "start",
             "model": model,
             "version": version,
             "manner": "truncate" if truncates_streams else "queue",
         }
+        if layers is not None:
+            load_order |= {"from": layers.start, "target_version": layers.stop}
         body = msgspec.json.encode(load_order)
         headers = [*body_headers(address, body), JSON_TYPE]
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -35,7 +35,13 @@
     # Resets that connection instead of closing it.
     resets_connection: bool = False
     order_status: int = 202
+    # How long an order takes from when it is taken, and how long it waits until then.
     order_delay_s: float = 0.0
+    order_wait_s: float = 0.0
+    # Time that reading back a staged piece takes.
+    staged_read_s: float = 0.0
+    # Answers an order for the version that it holds with 200, whatever the layers.
+    keeps_all_layers: bool = False
     # Adds a Server-Leaving header to every response.
     is_leaving: bool = False
     # The Retry-After value of 503 responses.
@@ -86,14 +92,21 @@
         self.events_sent = 0
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
-        # The staged pieces when the last order was executed, and whether an order is in progress.
-        self.loaded_pieces: dict[int, bytes] = {}
+        # The pieces that each layer took, and whether an order is in progress.
+        self.layer_pieces: dict[int, dict[int, bytes]] = {}
         self.is_busy = False
         self.server = stream_server.Server(self.serve)
         self.address = ""
         self.running = 0
         self.refusals: list[Refusal] = []
 
+    @property
+    def loaded_pieces(self) -> dict[int, bytes]:
+        """Return the pieces that the loaded layers took."""
+        return {
+            index: piece for pieces in self.layer_pieces.values() for index, piece in pieces.items()
+        }
+
     @property
     def refusal_count(self) -> int:
         """Return how many requests the worker refused because it was full."""
@@ -281,27 +294,57 @@
         if path.startswith("/stage-put/"):
             self.staged[index] = exchange.request.body
             await exchange.respond(http_messages.Response(200, []))
-        elif index in self.staged:
+            return
+        await asyncio.sleep(self.behaviour.staged_read_s)
+        if index in self.staged:
             await exchange.respond(http_messages.Response(200, [], self.staged[index]))
         else:
             await exchange.respond(http_messages.Response(404, []))
 
     async def order(self, exchange: stream_server.Exchange) -> None:
         """Accept an order and execute it after `order_delay_s`, unless set to reject it."""
+        await asyncio.sleep(self.behaviour.order_wait_s)
         order = json.loads(exchange.request.body)
         self.orders.append(order)
-        if self.behaviour.order_status == 202:
+        status = self.behaviour.order_status
+        if status == 202 and self.holds(order):
+            status = 200
+        elif status == 202:
             self.is_busy = True
+            self.take_pieces(order)
             delay_s = self.behaviour.order_delay_s
             asyncio.get_running_loop().call_later(delay_s, self.execute_order, order)
-        await exchange.respond(http_messages.Response(self.behaviour.order_status, []))
+        await exchange.respond(http_messages.Response(status, []))
+
+    def holds(self, order: dict) -> bool:
+        """Return whether the worker holds just what an order asks for."""
+        is_same = self.layers == ordered_layers(order) or self.behaviour.keeps_all_layers
+        return bool(self.layer_pieces) and order["version"] == self.version and is_same
+
+    def take_pieces(self, order: dict) -> None:
+        """Take the staged pieces of the ordered layers; those of the same version are kept."""
+        held = self.layer_pieces if order["version"] == self.version else {}
+        self.layer_pieces = {
+            layer: held.get(layer) or self.staged_of(layer)
+            for layer in range(*ordered_layers(order))
+        }
+
+    def staged_of(self, layer: int) -> dict[int, bytes]:
+        """Return the staged pieces that a layer needs."""
+        count = max(self.staged, default=-1) + 1
+        needed = range(layer * count // LAYERS, -((layer + 1) * count // -LAYERS))
+        return {index: self.staged[index] for index in needed if index in self.staged}
 
     def execute_order(self, order: dict) -> None:
-        """Execute an order: load the staged pieces and switch to its version and layers."""
+        """Switch to the version and layers of an order."""
         self.is_busy = False
-        self.loaded_pieces = dict(self.staged)
         self.version = order["version"]
-        self.layers = (order.get("from", 0), order.get("target_version", LAYERS))
+        self.layers = ordered_layers(order)
+
+
+def ordered_layers(order: dict) -> tuple[int, int]:
+    """Return the first layer of an order and the one after its last."""
+    return order.get("from", 0), order.get("target_version", LAYERS)
 
 
 def parse_retry_after_s(value: str | None) -> float:
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -271,16 +271,17 @@
 def test_piece_corrupted_after_staging_is_fetched_again(monkeypatch):
     async def scenario(fleet):
         engine = fleet.engines[0]
-        find_staged = fleet.agents[0].weights.find_staged
+        verifier = fleet.agents[0].weights.verifier
+        verify = verifier.verify
         calls = []
 
-        async def corrupt_first(manifest):
+        async def corrupt_first(manifest, indexes):
             if len(engine.staged) == PIECES and not calls:
                 calls.append(1)
                 engine.staged[5] = b"rotten"
-            return await find_staged(manifest)
+            return await verify(manifest, indexes)
 
-        monkeypatch.setattr(fleet.agents[0].weights, "find_staged", corrupt_first)
+        monkeypatch.setattr(verifier, "verify", corrupt_first)
         await fleet.wait_until_loaded(1)
         assert calls
 
@@ -330,18 +331,18 @@
 
     async def scenario(fleet):
         await fleet.wait_until_loaded(1)
-        engine, weights = fleet.engines[0], fleet.agents[0].weights
-        find_staged = weights.find_staged
+        engine, verifier = fleet.engines[0], fleet.agents[0].weights.verifier
+        verify = verifier.verify
 
-        async def pause_after_first(manifest):
-            held = await find_staged(manifest)
+        async def pause_after_first(manifest, indexes):
+            held = await verify(manifest, indexes)
             if not corrupted:
                 corrupted.append(7)
                 engine.staged[7] = b"rotten"
                 time.sleep(1.5 * weights_task.VERIFICATION_TTL_S)
             return held
 
-        monkeypatch.setattr(weights, "find_staged", pause_after_first)
+        monkeypatch.setattr(verifier, "verify", pause_after_first)
         fleet.publish(2)
         await fleet_nodes.until(lambda: engine.version == 2, 20)
         assert corrupted
