--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -162,7 +162,7 @@
         self.weights.record_engine_report(report)
         report.ready_in_s = self.weights.ready_in_s()
         self.load_tracker.apply_report(report.running + report.queued, self.clock())
-        self.send_load(self.weights.report_for_entries(report))
+        self.weights.send_report(report)
 
     def record_engine_lost(self, reason: str) -> None:
         """Discard the engine's last report."""
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -2,12 +2,10 @@
 
 Pieces are kept in the engine's staging area, without a second copy. Each is verified against the
 manifest before it is staged, before it is sent to a peer, and before the engine loads the weights.
-A load is proven if each piece was found right shortly before the engine took it, or after that.
-Until then no entry is told that the engine has loaded the version.
+Entries are told of a load once it is proven that its pieces were right (`coordination.load_proof`).
 """
 
 import asyncio
-import dataclasses
 import random
 from collections.abc import Callable, Sequence
 
@@ -16,7 +14,7 @@
     fetch,
     fetch_policies,
     fleet,
-    layer_ranges,
+    load_proof,
     reload_schedule,
 )
 from merlinthread.nodes import (
@@ -45,26 +43,6 @@
 # Verifications before one load. A second one reads what became too old in the first, as in that of
 # a paused process; a slow engine must load too, and its load is proven afterwards.
 VERIFICATIONS_MAX = 2
-# A load is proven by pieces that were found right at most this long before the engine's response.
-# Weights that turned bad within 3 s before they are taken are tolerated; the rest is a margin.
-PROOF_AGE_MAX_S = 2.0
-
-
-@dataclasses.dataclass(slots=True)
-class UnprovenLoad:
-    """A load in which the engine may have taken bad pieces.
-
-    `pieces` are to be read back after the load; `bad_layers` must be loaded again.
-    """
-
-    model: str
-    version: int
-    pieces: Sequence[int]
-    bad_layers: set[int]
-
-    def is_of(self, version: fleet.Weights | fleet.Manifest) -> bool:
-        """Return whether the load is one of the same version."""
-        return (version.model, version.version) == (self.model, self.version)
 
 
 class WeightsTask:
@@ -99,8 +77,7 @@
         self.plan: fetch_policies.Zoned | None = None
         self.report: fleet.EngineReport | None = None
         self.verifier = piece_verifier.PieceVerifier(engine, clock)
-        # The last load, unless it is proven.
-        self.unproven: UnprovenLoad | None = None
+        self.proof = load_proof.LoadProof()
         self.sync_task: asyncio.Task | None = None
         # Crashes of the engine while it loaded the current manifest's version, and loads of it in
         # which it took a bad piece.
@@ -111,27 +88,15 @@
 
     # State of the engine
 
-    def proven_weights(self, report: fleet.EngineReport) -> list[fleet.Weights]:
-        """Return the weights that an engine reports, without those of an unproven load."""
-        unproven = self.unproven
-        if unproven is None:
-            return report.weights
-        return [weights for weights in report.weights if not unproven.is_of(weights)]
-
-    def report_for_entries(self, report: fleet.EngineReport) -> fleet.EngineReport:
-        """Return the report to send to entries: an unproven load counts as not finished."""
-        proven = self.proven_weights(report)
-        if proven == report.weights:
-            return report
-        return dataclasses.replace(report, weights=proven, is_busy=True)
-
     def holds(self, manifest: fleet.Manifest) -> bool:
         """Return whether the engine reports all layers of the manifest's version."""
         return self.report is not None and self.is_among(self.report.weights, manifest)
 
     def has_loaded(self, manifest: fleet.Manifest) -> bool:
         """Return whether the engine has loaded all layers of the version and that is proven."""
-        return self.report is not None and self.is_among(self.proven_weights(self.report), manifest)
+        return self.report is not None and self.is_among(
+            self.proof.proven_weights(self.report), manifest
+        )
 
     def is_among(self, loaded: list[fleet.Weights], manifest: fleet.Manifest) -> bool:
         """Return whether all layers of the manifest's version are among the loaded weights."""
@@ -148,7 +113,7 @@
             weights.version
             and weights.is_whole(self.view.layers())
             and self.view.is_usable(weights.model, weights.version)
-            for weights in self.proven_weights(self.report)
+            for weights in self.proof.proven_weights(self.report)
         )
 
     def ready_in_s(self) -> float | None:
@@ -177,8 +142,7 @@
             return
         if self.report is None and self.store.is_engine_seen:
             return
-        if self.unproven is not None:
-            await self.prove_load()
+        await self.prove_load()
         wanted = self.view.newest_version(model) or (self.manifest.version if self.manifest else 0)
         if self.manifest is None or (wanted and self.manifest.version != wanted):
             await self.start_version(model, wanted)
@@ -326,32 +290,25 @@
         An order without a response may have been accepted, so that it counts as accepted until the
         engine's next report. Raises NotListeningError if the engine can't have received it.
         """
-        before = self.unproven
-        # Set first, since the engine may report the version before its response arrives.
-        self.unproven = UnprovenLoad(
-            manifest.model,
-            manifest.version,
-            range(len(manifest.digests)),
-            self.known_bad_layers(manifest),
-        )
+        self.proof.begin(manifest, self.report.weights if self.report is not None else [])
         is_answered = True
         try:
             status = await self.engine.load_staged_weights(manifest.model, manifest.version, False)
         except errors.NotListeningError:
-            self.unproven = before
+            self.proof.cancel()
             raise
         except errors.UnreachableError as error:
             logs.event("order_unanswered", version=manifest.version, reason=error.message)
             status = engine_client.STATUS_ACCEPTED
             is_answered = False
-        if status != engine_client.STATUS_ACCEPTED:
-            self.unproven = before
-        else:
-            self.record_accepted_load(self.unproven, is_answered)
         logs.event("engine_ordered", version=manifest.version, status=status)
-        if self.report is not None and status == engine_client.STATUS_ACCEPTED:
+        if status != engine_client.STATUS_ACCEPTED:
+            self.proof.cancel()
+            return
+        self.record_accepted_load(manifest, is_answered)
+        if self.report is not None:
             self.report.is_busy = True
-            self.on_report_changed(self.report_for_entries(self.report))
+            self.send_report(self.report)
 
     async def await_reload_time(self, manifest: fleet.Manifest) -> None:
         """Wait for the reload time of this engine's group, unless the engine does not serve."""
@@ -389,88 +346,74 @@
 
     # Proof of a load
 
-    def known_bad_layers(self, manifest: fleet.Manifest) -> set[int]:
-        """Return the bad layers that the engine keeps if it loads the version now."""
-        keeps_layers = self.report is not None and any(
-            weights.version == manifest.version and weights.layers != 0
-            for weights in self.report.weights
-        )
-        if self.unproven is None or not self.unproven.is_of(manifest) or not keeps_layers:
-            return set()
-        return self.unproven.bad_layers
-
-    def record_accepted_load(self, load: UnprovenLoad, is_answered: bool) -> None:
-        """Record that the engine has taken the pieces; it is proven for those read just now.
-
-        Without a response, it may take them much later.
-        """
+    def record_accepted_load(self, manifest: fleet.Manifest, is_answered: bool) -> None:
+        """Record an accepted load; without a response, the engine may take the pieces later."""
+        old: Sequence[int] = range(len(manifest.digests))
         if is_answered:
-            load.pieces = self.verifier.readings.older_than(PROOF_AGE_MAX_S, self.clock())
-        if not load.pieces and not load.bad_layers:
-            self.unproven = None
+            old = self.verifier.readings.older_than(load_proof.PROOF_AGE_MAX_S, self.clock())
+        self.proof.accept(old)
+        if self.proof.unproven is None:
             metrics.loads_total.labels("before").inc()
             return
         logs.event(
-            "load_unproven",
-            version=load.version,
-            is_answered=is_answered,
-            pieces=len(load.pieces),
-            bad_layers=sorted(load.bad_layers),
+            "load_unproven", version=manifest.version, is_answered=is_answered, pieces=len(old)
         )
 
     async def prove_load(self) -> None:
-        """Read pieces back once an unproven load has finished.
+        """Read pieces back once an unproven load has finished, and tell entries if it is proven.
 
-        A piece that is right now was right when the engine took it: only this agent stages pieces,
-        and it stages none of this version after it ordered the load.
+        They are as they were when the engine took them, unless they are bad now: only this agent
+        stages pieces, and it stages none of this version after it ordered the load.
         """
-        plan, manifest, load = self.plan, self.manifest, self.unproven
-        if plan is None or manifest is None or load is None:
+        plan, manifest = self.plan, self.manifest
+        if plan is None or manifest is None or not self.holds(manifest):
             return
-        if load.bad_layers or not load.is_of(manifest) or not self.holds(manifest):
+        pieces = self.proof.pieces_to_verify(manifest)
+        if not pieces:
             return
-        await self.verify_pieces(plan, manifest, load.pieces)
-        bad = [index for index in load.pieces if not plan.held >> index & 1]
+        await self.verify_pieces(plan, manifest, pieces)
+        bad = [index for index in pieces if not plan.held >> index & 1]
+        self.proof.record_verified(manifest, bad)
         if bad:
-            load.bad_layers = layer_ranges.layers_of(bad, plan.chunk_count, manifest.layers)
-            self.record_spoilt_load(load, bad)
+            self.spoilt_loads += 1
+            metrics.loads_total.labels("never").inc()
+            logs.warning("load_spoilt", version=manifest.version, pieces=bad)
             return
-        self.unproven = None
         metrics.loads_total.labels("after").inc()
-        logs.event("load_proven", version=load.version)
+        logs.event("load_proven", version=manifest.version)
         if self.report is not None:
-            self.on_report_changed(self.report)
-
-    def record_spoilt_load(self, load: UnprovenLoad, bad: Sequence[int]) -> None:
-        """Record that the engine may have taken bad pieces."""
-        self.spoilt_loads += 1
-        metrics.loads_total.labels("never").inc()
-        logs.warning(
-            "load_spoilt", version=load.version, pieces=bad, layers=sorted(load.bad_layers)
-        )
+            self.send_report(self.report)
 
     async def discard_bad_layers(self, manifest: fleet.Manifest) -> bool:
         """Make the engine give up the bad layers that it holds; return whether it does.
 
         Otherwise it would answer an order to load the version that it has done so.
         """
-        load = self.unproven
-        if load is None or not load.bad_layers:
+        kept = self.proof.layers_to_keep(manifest)
+        if kept is None:
             return False
-        kept = layer_ranges.layers_to_keep(load.bad_layers, manifest.layers)
-        status = await self.engine.load_staged_weights(load.model, load.version, False, kept)
+        status = await self.engine.load_staged_weights(
+            manifest.model, manifest.version, False, kept
+        )
         logs.event(
-            "layers_discarded", version=load.version, kept=[kept.start, kept.stop], status=status
+            "layers_discarded",
+            version=manifest.version,
+            kept=[kept.start, kept.stop],
+            status=status,
         )
         if status != engine_client.STATUS_ACCEPTED:
             self.spoilt_loads += 1
             return False
-        load.bad_layers &= set(kept)
+        self.proof.discard(kept)
         deadline = self.clock() + DISCARD_TIMEOUT_S
         while self.holds(manifest) and self.clock() < deadline:
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
         return not self.holds(manifest)
 
+    def send_report(self, report: fleet.EngineReport) -> None:
+        """Send a report to entries."""
+        self.on_report_changed(self.proof.report_for_entries(report))
+
     # Messages from peers
 
     async def serve_piece(self, request: node_messages.PieceRequest) -> node_messages.PieceReply:
--- a/tests/test_load_proof.py
+++ b/tests/test_load_proof.py
@@ -12,7 +12,7 @@
 
 from merlinthread import errors
 from merlinthread.coordination import fleet as fleet_types
-from merlinthread.coordination import layer_ranges, piece_readings
+from merlinthread.coordination import layer_ranges, load_proof, piece_readings
 from merlinthread.nodes import piece_verifier, weights_task
 from tests import fleet_nodes
 from tests.test_weights_task import PIECES, make_pieces, run
@@ -142,7 +142,7 @@
 def test_engine_too_slow_for_recent_readings_loads_and_is_proven_afterwards(monkeypatch, turns_bad):
     monkeypatch.setattr(piece_verifier, "READERS_MAX", 1)
     monkeypatch.setattr(weights_task, "VERIFICATION_TTL_S", 0.1)
-    monkeypatch.setattr(weights_task, "PROOF_AGE_MAX_S", 0.3)
+    monkeypatch.setattr(load_proof, "PROOF_AGE_MAX_S", 0.3)
 
     async def load(watched, *arguments):
         if turns_bad:
@@ -233,12 +233,53 @@
     assert layer_ranges.layers_to_keep(bad, 16) == range(*kept)
 
 
-def test_all_bad_layers_are_loaded_again_in_two_steps():
-    rng = random.Random(1)
-    for _ in range(200):
-        bad = set(rng.sample(range(16), rng.randint(1, 16)))
-        steps = 0
-        while bad:
-            bad &= set(layer_ranges.layers_to_keep(bad, 16))
-            steps += 1
-        assert steps <= 2
+MANIFEST = fleet_types.Manifest("m", 2, 16, [""] * 16)
+WHOLE = fleet_types.Weights("m", 2, 16)
+
+
+def make_spoilt(bad) -> load_proof.LoadProof:
+    """Return the proof of a load that took `bad` pieces, one for each layer."""
+    proof = load_proof.LoadProof()
+    proof.begin(MANIFEST, [fleet_types.Weights("m", 1, 16)])
+    proof.accept(range(16))
+    assert list(proof.pieces_to_verify(MANIFEST)) == list(range(16))
+    proof.record_verified(MANIFEST, sorted(bad))
+    return proof
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_bad_layers_are_loaded_again_in_two_steps_at_most(seed):
+    rng = random.Random(seed)
+    bad = set(rng.sample(range(16), rng.randint(1, 16)))
+    proof = make_spoilt(bad)
+    steps = 0
+    while (kept := proof.layers_to_keep(MANIFEST)) is not None:
+        steps += 1
+        bad &= set(kept)
+        proof.discard(kept)
+        proof.begin(MANIFEST, [fleet_types.Weights("m", 2, len(kept))])
+        assert proof.proven_weights(fleet_types.EngineReport(weights=[WHOLE])) == []
+        proof.accept([])
+    assert not bad and proof.unproven is None and steps <= 2
+
+
+def test_load_after_a_crash_keeps_no_bad_layer():
+    proof = make_spoilt({3})
+    proof.begin(MANIFEST, [fleet_types.Weights("m", 2, 0)])
+    proof.accept([])
+    assert proof.unproven is None
+
+
+def test_load_that_is_not_accepted_proves_nothing():
+    proof = make_spoilt({3})
+    proof.begin(MANIFEST, [WHOLE])
+    proof.cancel()
+    assert proof.layers_to_keep(MANIFEST) == range(4, 16)
+    report = fleet_types.EngineReport(weights=[WHOLE])
+    assert proof.report_for_entries(report).is_busy
+
+
+def test_weights_of_another_version_are_not_affected():
+    proof = make_spoilt({3})
+    report = fleet_types.EngineReport(weights=[fleet_types.Weights("m", 3, 16)])
+    assert proof.report_for_entries(report) is report
