--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -13,6 +13,9 @@
 # and in which a request to join that a VM had sent before it lost its disk removed its later
 # members (50003, 60041).
 REGRESSION_SEEDS = (17, 23, 31, 50003, 60041)
+# Seeds in which no leader was elected any more after further faults during a replacement: the
+# former leader counted as silent although it had voted, or the higher term was not told.
+OVERLAP_REGRESSION_SEEDS = (3048, 3184, 3285)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, *REGRESSION_SEEDS])
@@ -21,6 +24,12 @@
     assert not problem
 
 
+@pytest.mark.parametrize("seed", OVERLAP_REGRESSION_SEEDS)
+def test_leader_is_elected_after_faults_during_a_replacement(seed):
+    problem, _ = control_simulation.simulate(control_simulation.Shape(overlaps=True), seed)
+    assert not problem
+
+
 def test_six_control_vms_keep_their_promises_under_random_faults():
     shape = control_simulation.Shape(members=6, tolerated=2, seconds=20.0)
     problem, _ = control_simulation.simulate(shape, 1)
