Heartbeats: refuse an address without IP or port, and numbers beyond 64 bits

Cause: an address was any text where it comes in, and was split where it is used, in a task whose failure ends the process. Whole numbers had no bound: above 64 bits a control VM can't encode them for its nodes.

Change: both are checked once, at the border (platform/bodies.py), and refused with field and remedy; the state of all others is unchanged. Entries and agents ignore an address that they can't use, since control VMs of the former build accept and tell it.

Two tests used addresses such as "h:1", which are none now; they use IP addresses, with the same checks.

--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -346,6 +346,10 @@
         heartbeat = record.heartbeat
         if heartbeat.instance in self.gone:
             return
+        if not node_settings.is_address(heartbeat.address):
+            # Control VMs of former builds accept and tell it.
+            logs.debug("address_unusable", instance=heartbeat.instance, address=heartbeat.address)
+            return
         self.missing.pop(heartbeat.instance, None)
         known = self.instances.get(heartbeat.instance)
         if known is not None and known.sequence > heartbeat.sequence:
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -1,9 +1,12 @@
 """The settings of a node, and the bounds from which its timers derive."""
 
 import dataclasses
+import ipaddress
 
 from merlinthread.nodes import node_policy
 
+PORT_MAX = 65535
+
 
 @dataclasses.dataclass(slots=True)
 class Bounds:
@@ -69,6 +72,17 @@
         return 1 if self.regions.get(zone) == self.region else 2
 
 
+def is_address(address: str) -> bool:
+    """Return whether `address` is "IP:port" with an IPv4 address and a port number."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(PORT_MAX))
+    return is_number and 0 < int(port) <= PORT_MAX
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split "IP:port" into the IP address and the port number."""
     host, _, port = address.rpartition(":")
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -6,10 +6,13 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet, incarnations
+from merlinthread.nodes import node_settings
 
 MS_PER_S = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
-Version = Annotated[int, msgspec.Meta(ge=0)]
+# Larger numbers can't be encoded in messages between nodes and in entries of the log.
+INT64_MAX = 2**63 - 1
+Count = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
 # The year 2100 as Unix time; later start times are rejected.
 BORN_MS_MAX = 4_102_444_800_000
 HEARTBEAT_STATES = {"ready": fleet.READY, "draining": fleet.DRAINING}
@@ -99,7 +102,7 @@
 class ConfigurationBody(msgspec.Struct):
     """A complete configuration."""
 
-    version: Version
+    version: Count
     routes: list[RouteBody]
     services: list[ServiceBody]
     limits: ClientLimitsBody = msgspec.field(default_factory=ClientLimitsBody)
@@ -109,16 +112,16 @@
 class LayersBody(msgspec.Struct):
     """The loaded layers: `first` up to, but not including, `target_version`."""
 
-    first: int = msgspec.field(name="from", default=0)
-    target_version: int = 0
-    version: int = 0
+    first: Count = msgspec.field(name="from", default=0)
+    target_version: Count = 0
+    version: Count = 0
 
 
 class LoadedModelBody(msgspec.Struct):
     """A model that a back end has loaded, and the version of its weights."""
 
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -127,9 +130,9 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
-    sequence: int
+    sequence: Count
     cold_remaining_ms: float = 0.0
     models: list[msgspec.Raw] = []
     layers: LayersBody | None = None
@@ -141,9 +144,9 @@
 
     models: list[msgspec.Raw] = []
     busy: bool = False
-    sequence: int = 0
-    queued: int = 0
-    running: int = 0
+    sequence: Count = 0
+    queued: Count = 0
+    running: Count = 0
     kv_used: float = 0.0
     kv_total: float = 0.0
     pace: float = 1.0
@@ -155,16 +158,16 @@
     """The digests of the pieces of one version of weights."""
 
     model: str
-    version: int
+    version: Count
     digests: list[str]
-    layers: int = 1
+    layers: Count = 1
 
 
 class VersionBody(msgspec.Struct):
     """The publication of a version of weights."""
 
     model: str
-    version: int
+    version: Count
 
 
 CONFIGURATION_DECODER = msgspec.json.Decoder(ConfigurationBody)
@@ -278,6 +281,17 @@
     logs.event("word_unreadable", field=field, value=repr(value), reason=reason)
 
 
+def check_address(address: str) -> None:
+    """Raise ProtocolError unless an address of a back end is "IP:port"."""
+    if node_settings.is_address(address):
+        return
+    record_unreadable("address", address, "not an IP address and a port")
+    raise errors.ProtocolError(
+        f"address: {address[:80]!r} is not an IP address and a port, such as '10.128.0.9:8080'",
+        field="address",
+    )
+
+
 def parse_heartbeat(instance_id: str, body: bytes) -> fleet.Heartbeat:
     """Parse the heartbeat of the back end `instance_id`; raise ProtocolError if it is invalid."""
     decoded = decode(HEARTBEAT_DECODER, body)
@@ -287,6 +301,7 @@
         raise errors.ProtocolError(
             f"state: {decoded.state!r} is neither 'ready' nor 'draining'", field="state"
         )
+    check_address(decoded.address)
     return fleet.Heartbeat(
         incarnations.Incarnation(instance_id, parse_born_ms(decoded.born)).name(),
         decoded.service,
--- a/tests/test_conflict_index.py
+++ b/tests/test_conflict_index.py
@@ -10,7 +10,7 @@
 from tests import fleet_nodes
 
 NAMES = st.sampled_from(["a", "b", "a@1", "a@2", "b@7", "c@x"])
-ADDRESSES = st.sampled_from(["h:1", "h:2", "h:3"])
+ADDRESSES = st.sampled_from(["10.0.0.9:1", "10.0.0.9:2", "10.0.0.9:3"])
 BACKENDS = 600
 # A name may be parsed a few times when it is added, regardless of the number of others.
 PARSED_MAX = 12
@@ -67,7 +67,7 @@
 def test_registry_does_not_scan_all_back_ends_for_a_heartbeat(monkeypatch):
     registry, parsed = instances.InstanceRegistry(0.5), count_parsed(monkeypatch)
     for number in range(BACKENDS):
-        assert registry.record_heartbeat(beat(f"i-{number}@1", f"h:{number}"), 0.0)
+        assert registry.record_heartbeat(beat(f"i-{number}@1", f"10.0.0.9:{1 + number}"), 0.0)
     assert len(parsed) <= PARSED_MAX * BACKENDS
 
 
@@ -75,19 +75,21 @@
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
     parsed = count_parsed(monkeypatch)
     for number in range(BACKENDS):
-        watcher.apply_instance(instances.Instance(beat(f"i-{number}@1", f"h:{number}")), 0.0)
+        watcher.apply_instance(
+            instances.Instance(beat(f"i-{number}@1", f"10.0.0.9:{1 + number}")), 0.0
+        )
     assert len(watcher.instances) == BACKENDS
     assert len(parsed) <= PARSED_MAX * BACKENDS
 
 
 def test_watcher_ignores_older_heartbeat_except_for_draining():
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
-    reported = [beat("i-1", "h:2", sequence=5), beat("i-1", "h:1", sequence=4)]
+    reported = [beat("i-1", "10.0.0.9:2", sequence=5), beat("i-1", "10.0.0.9:1", sequence=4)]
     for heartbeat in reported:
         watcher.apply_instance(instances.Instance(heartbeat), 0.0)
-    assert watcher.instances["i-1"].address == "h:2"
-    leaving = beat("i-1", "h:1", sequence=3)
+    assert watcher.instances["i-1"].address == "10.0.0.9:2"
+    leaving = beat("i-1", "10.0.0.9:1", sequence=3)
     leaving.state = fleet.DRAINING
     watcher.apply_instance(instances.Instance(leaving), 0.0)
     known = watcher.instances["i-1"]
-    assert (known.address, known.state) == ("h:2", fleet.DRAINING)
+    assert (known.address, known.state) == ("10.0.0.9:2", fleet.DRAINING)
--- a/tests/test_watcher_full_updates.py
+++ b/tests/test_watcher_full_updates.py
@@ -17,7 +17,7 @@
 def make_instance(name: str) -> instances.Instance:
     body = {
         "service": "s",
-        "address": f"{name}:1",
+        "address": f"10.0.0.{int.from_bytes(name.encode()[-1:])}:1",
         "zone": "zone-a",
         "slots": 4,
         "state": "ready",
