--- a/bench/upgrade_builds.py
+++ b/bench/upgrade_builds.py
@@ -10,6 +10,7 @@
 
 # Commits of the last releases, newest first, which a fleet may run during an upgrade.
 RELEASED_COMMITS = (
+    "9ce909199521ee178d42170eff72cfa72cdee2df",
     "b3a75c218baaba0fef9623c118b8af7020052d67",
     "e50aefd424375498785de571c458026d0f940458",
     "6a7c99ae915282e56ea2d6ce0f965c0da019a52d",
