Tests: reports of engines and manifests that are accepted can be told to other nodes

A comment of JoinRequests says why two requests of one VM must not be in effect together. No behaviour changed.

--- a/src/merlinthread/coordination/join_requests.py
+++ b/src/merlinthread/coordination/join_requests.py
@@ -8,8 +8,8 @@
 class JoinRequests:
     """The time at which the leader last received a request, by the name of the joining member.
 
-    A VM that lost its data asks under a new member name. The request under its former name must not
-    outlive that member, or it would be taken for one of its successor's successor.
+    A VM that lost its data asks under a new member name. A request under a former name must not
+    stay in effect beside it, since each of the two would remove the member of the other.
     """
 
     def __init__(self, expiry_s: float) -> None:
--- a/tests/test_heartbeat_input.py
+++ b/tests/test_other_writers.py
@@ -1,9 +1,10 @@
-"""Heartbeats of other writers are refused with field and remedy, and harm nobody else.
+"""What other writers send is refused with field and remedy, or can be told and used anywhere.
 
 Guards against a heartbeat that ends each entry, since its address has no port, and against numbers
-that control VMs can't encode for other nodes.
+that nodes can't encode for other nodes.
 """
 
+import contextlib
 import json
 
 import hypothesis
@@ -28,6 +29,19 @@
     "models": [{"name": "m", "version": 1}],
     "layers": {"from": 0, "target_version": 16, "version": 1},
 }
+REPORT = {
+    "models": [{"name": "m", "version": 1}],
+    "layers": {"from": 0, "target_version": 16, "version": 1},
+    "busy": False,
+    "sequence": 1,
+    "queued": 0,
+    "running": 0,
+    "kv_used": 0,
+    "kv_total": 10,
+    "pace": 1.0,
+    "born": 1767000000000,
+}
+MANIFEST = {"model": "m", "version": 1, "digests": ["a" * 64], "layers": 16}
 HUGE = [2**63, 2**64, 10**30, -1]
 
 
@@ -113,6 +127,21 @@
         codec.encode(node_messages.HeartbeatBatch("c", [heartbeat]))
 
 
+@hypothesis.given(
+    st.dictionaries(st.sampled_from([*REPORT]), JSON),
+    st.dictionaries(st.sampled_from([*MANIFEST]), JSON),
+)
+@hypothesis.settings(max_examples=300, deadline=None)
+def test_accepted_reports_and_manifests_can_be_told(report_changes, manifest_changes):
+    codec = fleet_nodes.make_codec()
+    with contextlib.suppress(errors.MerlinthreadError):
+        report = bodies.parse_report(json.dumps(REPORT | report_changes).encode())
+        codec.encode(node_messages.LoadUpdate("10.0.0.1:1", 1, report))
+    with contextlib.suppress(errors.MerlinthreadError):
+        manifest = bodies.parse_manifest(json.dumps(MANIFEST | manifest_changes).encode())
+        codec.encode(node_messages.ManifestReply(manifest))
+
+
 # Control VMs of a former build accept and tell such a heartbeat.
 @pytest.mark.parametrize("address", ["10.128.0.9", "", "unknown"])
 def test_entry_ignores_an_unusable_address_told_by_a_control_vm(address):
