--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -13,8 +13,8 @@
 # and in which a request to join that a VM had sent before it lost its disk removed its later
 # members (50003, 60041).
 REGRESSION_SEEDS = (17, 23, 31, 50003, 60041)
-# Seeds in which no leader was elected any more after further faults during a replacement: the
-# former leader counted as silent although it had voted, or the higher term was not told.
+# Seeds in which, after further faults during a replacement, each elected leader stepped down at
+# once: the former leader counted as silent although it had voted.
 OVERLAP_REGRESSION_SEEDS = (3048, 3184, 3285)
 
 
