--- a/bench/control_faults.py
+++ b/bench/control_faults.py
@@ -1,12 +1,14 @@
 """Faults of simulated control VMs, drawn at random within what the deployment tolerates."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable
 
 from bench import simulated_control
-from merlinthread import registry
+from merlinthread import errors, registry
+from merlinthread.coordination import fleet_state
 
 Fault = Callable[["FaultSchedule"], Awaitable[None]]
 FAULTS: registry.Registry[Fault] = registry.Registry("control fault")
@@ -15,6 +17,8 @@
 # Temporary faults, which may also strike while a replaced VM catches up.
 TEMPORARY = ("kill", "freeze", "cut", "one-way cut", "stalled disk", "power loss")
 SLOW_SYNC_S = 0.15
+# Less than the latency of a message.
+POLL_INTERVAL_S = 0.0005
 
 
 @dataclasses.dataclass
@@ -233,6 +237,64 @@
     schedule.recover(vm)
 
 
+async def lose_candidate(schedule: FaultSchedule) -> bool:
+    """Lose a leader whose last entry is not sent, and a candidate with its disk; both come back.
+
+    The losses overlap, and one disk is lost. Returns False if the candidate had won or there was no
+    leader, so that nothing was lost.
+    """
+    leader = schedule.group.leader()
+    if leader is None:
+        return False
+    followers = [vm for vm in schedule.group.vms if vm is not leader]
+    for vm in followers:
+        vm.freeze()
+    await append_entry(leader)
+    schedule.record(f"kill {leader.ip}, whose last entry is not sent")
+    leader.kill()
+    for vm in followers:
+        vm.thaw()
+    candidate = await find_candidate(followers)
+    if candidate is not None:
+        schedule.record(f"lose disk of {candidate.ip}, a candidate")
+        candidate.kill()
+        candidate.empty_disk()
+        await asyncio.sleep(2.0)
+        schedule.group.start(candidate)
+        await asyncio.sleep(1.0)
+    schedule.group.start(leader)
+    schedule.record("all are back")
+    return candidate is not None
+
+
+async def append_entry(leader: simulated_control.ControlVm) -> None:
+    """Let a leader that reaches no other member save one more entry."""
+    log = leader.node.member.raft.log
+    last_index = log.last_index()
+    command = fleet_state.NameVersion("model", 1)
+    task = asyncio.get_running_loop().create_task(leader.node.submit(command))
+    while log.saved_index <= last_index:
+        await asyncio.sleep(POLL_INTERVAL_S)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError, errors.MerlinthreadError):
+        await task
+
+
+async def find_candidate(
+    vms: list[simulated_control.ControlVm],
+) -> simulated_control.ControlVm | None:
+    """Wait until another VM has voted for one; return that one, or None if it leads by then."""
+    while True:
+        for vm in vms:
+            member = vm.node.member.raft
+            voters = [other for other in vms if other is not vm]
+            if member.is_leader():
+                return None
+            if any(other.node.member.raft.hard_state.voted_for == member.name for other in voters):
+                return vm if member.hard_state.voted_for == member.name else None
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 @FAULTS.add("slow disk")
 async def slow_disk(schedule: FaultSchedule) -> None:
     """Let the syncs of a VM take long for some seconds."""
--- a/bench/control_simulation.py
+++ b/bench/control_simulation.py
@@ -49,6 +49,8 @@
     overlaps: bool = False
     # Of builds that break it early, later faults are found without this check.
     checks_age: bool = True
+    # Whether a candidate is lost before the random faults.
+    loses_candidate: bool = False
 
 
 class BrokenPromiseError(AssertionError):
@@ -99,6 +101,8 @@
         operator = loop.create_task(self.change_repeatedly())
         try:
             await asyncio.sleep(STARTUP_S)
+            if self.shape.loses_candidate:
+                await self.wait_for(self.lose_candidate(), checks)
             await self.wait_for(self.faults.run(self.shape.seconds), checks)
             await self.wait_for(self.cause_final_fault(), checks)
             await self.wait_for(self.check_recovery(), checks)
@@ -117,6 +121,12 @@
             checks.result()
         await part
 
+    async def lose_candidate(self) -> None:
+        """Lose a leader and a candidate; the group must recover and replace the lost disk."""
+        await control_faults.lose_candidate(self.faults)
+        await self.check_recovery()
+        self.faults.begin_catching_up()
+
     async def cause_final_fault(self) -> None:
         """Cause the last fault right after a change was acknowledged."""
         kind = self.rng.choice(FINAL_FAULTS)
@@ -321,6 +331,7 @@
     parser.add_argument("--tolerated", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--overlaps", action="store_true", help="faults while a VM catches up")
+    parser.add_argument("--lost-candidate", action="store_true", help="lose a candidate first")
     parser.add_argument("--no-age", action="store_true", help="skip the check of ages")
     parser.add_argument("--log", action="store_true", help="print the logs of the last seed")
     options = parser.parse_args(arguments)
@@ -330,6 +341,7 @@
         options.seconds,
         overlaps=options.overlaps,
         checks_age=not options.no_age,
+        loses_candidate=options.lost_candidate,
     )
     broken = []
     simulation = None
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -30,6 +30,13 @@
     assert not problem
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_group_recovers_after_a_leader_and_a_candidate_with_its_disk_are_lost(seed):
+    shape = control_simulation.Shape(loses_candidate=True, seconds=5.0)
+    problem, _ = control_simulation.simulate(shape, seed)
+    assert not problem
+
+
 def test_six_control_vms_keep_their_promises_under_random_faults():
     shape = control_simulation.Shape(members=6, tolerated=2, seconds=20.0)
     problem, _ = control_simulation.simulate(shape, 1)
