Dispatch: expect the typical load of engines whose load is unknown

An engine whose agent does not reply (narrow link, lost or suspended agent) counted as idle, so that all entries sent to it at once: in one overloaded second five such engines of 20 got half of all requests and refused, delayed or never accepted most of them. Its load is now expected to be the mean of the service's other engines, or the last known one if that is higher.

--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -26,6 +26,9 @@
 SLOW_FOR_S = 3.0
 # Age up to which an agent's reply to a probe shows that its VM is responsive.
 RESPONSIVE_WITHIN_S = 0.05
+# Weight of one known load in the typical load of a service. With some 50 reports and replies a
+# second, the mean follows a change of the load within half a second.
+TYPICAL_LOAD_SMOOTHING = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +44,22 @@
         self.mean_s += max(RESPONSE_SMOOTHING, 1.0 / self.responses) * (response_s - self.mean_s)
 
 
+@dataclasses.dataclass(slots=True)
+class TypicalLoad:
+    """The mean load by other entries of the engines of a service whose load is known."""
+
+    attempts: float = 0.0
+    unread_tokens: float = 0.0
+    samples: int = 0
+
+    def record(self, attempts: float, unread_tokens: float) -> None:
+        """Add the known load of one engine."""
+        self.samples += 1
+        weight = max(TYPICAL_LOAD_SMOOTHING, 1.0 / self.samples)
+        self.attempts += weight * (attempts - self.attempts)
+        self.unread_tokens += weight * (unread_tokens - self.unread_tokens)
+
+
 @dataclasses.dataclass(slots=True)
 class Backend:
     """One back end as seen by an entry; times are on the entry's clock, in seconds.
@@ -51,7 +70,8 @@
     None if unknown. `probe_unanswered` is set while the agent has not replied to the last load
     probe. `ready_at` is when usable weights are expected, or None if they are loaded or no time is
     known. `availability` outlives this record. `response_time` is the mean of this back end,
-    `service_response_time` that of all back ends of its service. `accepted_at` is when the last
+    `service_response_time` that of all back ends of its service, and `typical_load` the mean load of
+    the service's engines. `accepted_at` is when the last
     request that it accepted was sent, `rejected_at` when it last refused or failed one. `silent_at`
     is when it was last found silent and has not continued since. `trials` counts the attempts in
     flight that were sent while it was doubtful.
@@ -89,6 +109,7 @@
     trials: int = 0
     service_response_time: ResponseTime = dataclasses.field(default_factory=ResponseTime)
     response_time: ResponseTime = dataclasses.field(default_factory=ResponseTime)
+    typical_load: TypicalLoad = dataclasses.field(default_factory=TypicalLoad)
     ready_at: float | None = None
     missing_since: float | None = None
     availability: backend_availability.Availability = dataclasses.field(
@@ -106,9 +127,24 @@
             self.response_time.mean_s - self.service_response_time.mean_s
         )
 
-    def load(self, now: float) -> int:
-        """Return the number of requests known to be running or queued."""
-        return self.in_flight + (self.others if self.has_fresh_load(now) else 0)
+    def load(self, now: float) -> float:
+        """Return the number of requests known or expected to be running or queued."""
+        return self.in_flight + self.others_load(now)
+
+    def is_load_known(self, now: float) -> bool:
+        """Return whether the load of other entries is current and its agent replies to probes."""
+        return self.has_fresh_load(now) and not self.probe_unanswered
+
+    def others_load(self, now: float) -> float:
+        """Return the number of other entries' requests.
+
+        An engine of which nothing is heard is not idle: all entries would send to it at once. Its
+        load is expected to be that of the other engines, or the last known one if that is higher.
+        """
+        known = self.others if self.has_fresh_load(now) else 0
+        if self.is_load_known(now):
+            return known
+        return max(known, self.typical_load.attempts)
 
     def has_room(self, now: float) -> bool:
         """Return whether slots are known to be free and no prompt is unread."""
@@ -188,6 +224,8 @@
         self.weights = report.weights
         self.ready_at = None if report.ready_in_s is None else now + report.ready_in_s
         self.reported_at = now
+        if others is not None:
+            self.typical_load.record(others.attempts, others.unread_tokens)
 
     def apply_probe_reply(self, reply: load_tracker.EngineLoad | None, now: float) -> None:
         """Apply the reply to a load probe; None means that the probe timed out."""
@@ -198,6 +236,7 @@
             self.is_busy = reply.is_busy
             self.pace = max(1.0, reply.pace)
             self.probe_replied_at = now
+            self.typical_load.record(reply.others.attempts, reply.others.unread_tokens)
 
     def stop_reports(self) -> None:
         """Discard the report state after unsubscribing, so that missing reports cost nothing."""
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -73,26 +73,30 @@
     """
     load = backend.load(now)
     if engine is None or not engine.read_tokens_per_s:
-        waiting = max(0, load - backend.slots + 1)
+        waiting = max(0.0, load - backend.slots + 1)
         response_s = backend.expected_response_s()
         running_s = load * max(response_s, GENERIC_RUNNING_COST_S)
         return response_s * (1 + waiting / max(1, backend.slots)) + running_s
     pass_s = engine.step_s * engine.steps_per_pass
-    unread = backend.unread_tokens
-    if backend.has_fresh_load(now):
-        unread += estimate_others_unread(backend, engine)
+    unread = backend.unread_tokens + estimate_others_unread(backend, engine, now)
     unread_s = prompt_read_s(engine, unread + tokens)
-    waiting = max(0, load - backend.slots + 1)
+    waiting = max(0.0, load - backend.slots + 1)
     request_s = engine.usual_response_tokens * engine.step_s * FULL_SLOWDOWN
     waiting_s = waiting / max(1, backend.slots) * request_s
     return BASE_LATENCY_S + backend.pace * (pass_s + unread_s + waiting_s + load * RUNNING_COST_S)
 
 
-def estimate_others_unread(backend: backend_record.Backend, engine: fleet.Engine) -> float:
-    """Return the known or estimated tokens of other entries' unread prompts."""
-    if backend.others_unread_tokens is None:
-        return backend.others_queued * engine.usual_prompt_tokens
-    return backend.others_unread_tokens
+def estimate_others_unread(
+    backend: backend_record.Backend, engine: fleet.Engine, now: float
+) -> float:
+    """Return the known or expected tokens of other entries' unread prompts."""
+    known = backend.others_unread_tokens
+    if known is None:
+        known = backend.others_queued * engine.usual_prompt_tokens
+    if backend.is_load_known(now):
+        return known
+    known = known if backend.has_fresh_load(now) else 0.0
+    return max(known, backend.typical_load.unread_tokens)
 
 
 def half_ready_in_s(backends: Sequence[backend_record.Backend], now: float) -> float | None:
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -19,7 +19,7 @@
     doubt = ", refused or failed its last request" if backend.is_doubtful() else ""
     unread = round(backend.unread_tokens + (backend.others_unread_tokens or 0.0))
     return (
-        f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, "
+        f"{backend.instance} after {waited_ms} ms, load {backend.load(now):.3g}, "
         f"unread {unread}, pace {backend.pace:.2g}, age {age_ms} ms, "
         f"first byte expected in {expected_ms} ms{doubt}{describe_limit(backend, permit, now)}"
     )
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -95,6 +95,7 @@
         self.signals = signals
         self.recorder = signal_recorder.SignalRecorder(signals, reporter, clock)
         self.response_times: dict[str, backend_record.ResponseTime] = {}
+        self.typical_loads: dict[str, backend_record.TypicalLoad] = {}
         self.queues: dict[str, wait_queue.WaitQueue] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.started_at = clock()
@@ -152,6 +153,9 @@
                 service_response_time=self.response_times.setdefault(
                     heartbeat.service, backend_record.ResponseTime()
                 ),
+                typical_load=self.typical_loads.setdefault(
+                    heartbeat.service, backend_record.TypicalLoad()
+                ),
             )
             self.backends[instance] = backend
         backend.slots = heartbeat.slots
