Load of engines by urgency, and slot time from measured responses

Engines admit waiting requests by urgency, but an entry counted everything that waits at an engine: urgent requests were refused because of less urgent ones that they would have overtaken. Entries now tell agents the urgency of their attempts, agents tell the unread prompts by urgency in replies to probes, and the expected wait leaves out what is overtaken. Only where routes or accounts of a service differ in priority; old builds ignore the fields and count as most urgent.

The time for which a request holds a slot of a full engine was taken three times as long as a response takes. The mean of the responses so far is now used if it is lower.

--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -70,11 +70,12 @@
     None if unknown. `probe_unanswered` is set while the agent has not replied to the last load
     probe. `ready_at` is when usable weights are expected, or None if they are loaded or no time is
     known. `availability` outlives this record. `response_time` is the mean of this back end,
-    `service_response_time` that of all back ends of its service, and `typical_load` the mean load of
-    the service's engines. `accepted_at` is when the last
-    request that it accepted was sent, `rejected_at` when it last refused or failed one. `silent_at`
-    is when it was last found silent and has not continued since. `trials` counts the attempts in
-    flight that were sent while it was doubtful.
+    `service_response_time` that of all back ends of its service, and `typical_load` the mean load
+    of the service's engines. `accepted_at` is when the last request that it accepted was sent,
+    `rejected_at` when it last refused or failed one. `silent_at` is when it was last found silent
+    and has not continued since. `trials` counts the attempts in flight that were sent while it was
+    doubtful. `others_unread_by_urgency` is of the last reply to a probe, and empty if requests do
+    not differ in urgency.
     """
 
     instance: str
@@ -92,6 +93,12 @@
     others: int = 0
     others_queued: int = 0
     others_unread_tokens: float | None = None
+    others_unread_by_urgency: list[load_tracker.UnreadPrompts] = dataclasses.field(
+        default_factory=list
+    )
+    own_unread_by_urgency: dict[int, load_tracker.UnreadPrompts] = dataclasses.field(
+        default_factory=dict
+    )
     pace: float = 1.0
     probe_unanswered: bool = False
     probe_replied_at: float = float("-inf")
@@ -146,6 +153,27 @@
             return known
         return max(known, self.typical_load.attempts)
 
+    def count_own_unread(self, urgency: int, attempts: int, tokens: float) -> None:
+        """Add unread prompts of this entry, or remove them with negative numbers."""
+        unread = self.own_unread_by_urgency.setdefault(urgency, load_tracker.UnreadPrompts(urgency))
+        unread.attempts += attempts
+        unread.tokens += tokens
+        if unread.attempts <= 0:
+            del self.own_unread_by_urgency[urgency]
+
+    def less_urgent_unread(self, urgency: int, now: float) -> load_tracker.UnreadPrompts:
+        """Return the known unread prompts that are less urgent than `urgency`, as one sum.
+
+        The engine admits a request of `urgency` before those that still wait for a slot.
+        """
+        found = load_tracker.UnreadPrompts(urgency)
+        others = self.others_unread_by_urgency if self.has_fresh_load(now) else []
+        for unread in [*self.own_unread_by_urgency.values(), *others]:
+            if unread.urgency > urgency:
+                found.attempts += unread.attempts
+                found.tokens += unread.tokens
+        return found
+
     def has_room(self, now: float) -> bool:
         """Return whether slots are known to be free and no prompt is unread."""
         if not self.has_fresh_load(now) or self.load(now) > ROOM_SHARE * self.slots:
@@ -233,6 +261,7 @@
         if reply is not None:
             self.others = reply.others.attempts
             self.others_unread_tokens = reply.others.unread_tokens
+            self.others_unread_by_urgency = reply.unread_by_urgency
             self.is_busy = reply.is_busy
             self.pace = max(1.0, reply.pace)
             self.probe_replied_at = now
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from merlinthread.coordination import backend_record, fleet
+from merlinthread.coordination import backend_record, fleet, load_tracker
 
 DISTANCE_COST_S = (0.0, 0.008, 0.025)
 RUNNING_COST_S = 0.002
@@ -25,6 +25,8 @@
 STALE_REPORTS_COST_S = 0.3
 # Factor by which a full engine's steps take longer, since it also reads prompts.
 FULL_SLOWDOWN = 3.0
+# Responses after which their mean duration is used as the time for which a request holds a slot.
+SLOT_TIME_RESPONSES_MIN = 20
 # Requests to a VM whose agent did not reply to a probe may be delayed too.
 UNANSWERED_PROBE_COST_S = 0.06
 # Minimum cost per running request on a back end without engine parameters.
@@ -37,7 +39,8 @@
 
     `version_soon` becomes mandatory shortly. Until then a back end with an older version may serve
     only if it is responsive, so that the attempt starts in time. `is_retry` is set if the request
-    had an attempt before, `may_be_retried` if it may have another one after this.
+    had an attempt before, `may_be_retried` if it may have another one after this. `urgency` is None
+    if the requests of the service do not differ in urgency.
     """
 
     service: str
@@ -48,6 +51,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     is_retry: bool = False
     may_be_retried: bool = True
+    urgency: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,11 +69,17 @@
 
 
 def expected_first_byte_s(
-    backend: backend_record.Backend, engine: fleet.Engine | None, tokens: float, now: float
+    backend: backend_record.Backend,
+    engine: fleet.Engine | None,
+    tokens: float,
+    now: float,
+    urgency: int | None = None,
 ) -> float:
     """Return the expected time to the first byte of a request sent now, in seconds.
 
-    An engine alternates between passes of several token steps and reading queued prompts.
+    An engine alternates between passes of several token steps and reading queued prompts. It admits
+    more urgent requests first, so a request of a known `urgency` does not wait for less urgent ones
+    that have no slot yet.
     """
     load = backend.load(now)
     if engine is None or not engine.read_tokens_per_s:
@@ -79,13 +89,43 @@
         return response_s * (1 + waiting / max(1, backend.slots)) + running_s
     pass_s = engine.step_s * engine.steps_per_pass
     unread = backend.unread_tokens + estimate_others_unread(backend, engine, now)
+    if urgency is not None:
+        overtaken = overtaken_prompts(backend, urgency, load, now)
+        unread = max(0.0, unread - overtaken.tokens)
+        load -= overtaken.attempts
     unread_s = prompt_read_s(engine, unread + tokens)
     waiting = max(0.0, load - backend.slots + 1)
-    request_s = engine.usual_response_tokens * engine.step_s * FULL_SLOWDOWN
-    waiting_s = waiting / max(1, backend.slots) * request_s
+    waiting_s = waiting / max(1, backend.slots) * slot_time_s(backend, engine)
     return BASE_LATENCY_S + backend.pace * (pass_s + unread_s + waiting_s + load * RUNNING_COST_S)
 
 
+def overtaken_prompts(
+    backend: backend_record.Backend, urgency: int, load: float, now: float
+) -> load_tracker.UnreadPrompts:
+    """Return the less urgent prompts that a request sent now overtakes in the engine's queue.
+
+    Prompts of requests that have a slot are read first, whatever their urgency.
+    """
+    behind = backend.less_urgent_unread(urgency, now)
+    queued = max(0, int(load) - backend.slots)
+    if behind.attempts <= queued:
+        return behind
+    share = queued / behind.attempts
+    return load_tracker.UnreadPrompts(urgency, queued, share * behind.tokens)
+
+
+def slot_time_s(backend: backend_record.Backend, engine: fleet.Engine) -> float:
+    """Return how long a request is expected to hold a slot of a full engine, in seconds.
+
+    The mean of the responses so far is used once there are enough, if it is lower than the time in
+    which a full engine generates a response of the usual length: many responses are shorter.
+    """
+    usual_s = engine.usual_response_tokens * engine.step_s * FULL_SLOWDOWN
+    if backend.service_response_time.responses < SLOT_TIME_RESPONSES_MIN:
+        return usual_s
+    return min(usual_s, backend.expected_response_s())
+
+
 def estimate_others_unread(
     backend: backend_record.Backend, engine: fleet.Engine, now: float
 ) -> float:
@@ -355,7 +395,9 @@
     now: float,
 ) -> Choice:
     """Return a back end with its expected times and cost for an attempt."""
-    first_byte_s = expected_first_byte_s(backend, engine, requirements.prompt_tokens, now)
+    first_byte_s = expected_first_byte_s(
+        backend, engine, requirements.prompt_tokens, now, requirements.urgency
+    )
     cost_s = first_byte_s + DISTANCE_COST_S[backend.distance]
     if now < backend.cold_until:
         cost_s += first_byte_s
--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -12,14 +12,36 @@
 ATTEMPT_EXPIRY_S = 60.0
 
 
+# The urgency assumed for attempts of builds that do not report it, so that all others wait for
+# them.
+UNKNOWN_URGENCY = 0
+
+
 @dataclasses.dataclass(slots=True)
 class OpenAttempt:
-    """One open attempt of an entry; `tokens` are those of its prompt."""
+    """One open attempt of an entry; `tokens` are those of its prompt.
+
+    `urgency` is None if the requests of its service do not differ in urgency.
+    """
 
     entry: str
     began_at: float
     tokens: float
     is_read: bool = False
+    urgency: int | None = None
+
+    def is_unread(self, now: float) -> bool:
+        """Return whether its prompt is not known to have been read and it is not out of date."""
+        return not self.is_read and now - self.began_at <= UNREAD_EXPIRY_S
+
+
+@dataclasses.dataclass(slots=True)
+class UnreadPrompts:
+    """The number and the tokens of unread prompts of one urgency; 0 is the most urgent."""
+
+    urgency: int
+    attempts: int = 0
+    tokens: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,12 +58,14 @@
     """An agent's reply to a load probe: other entries' load and the engine's state.
 
     `is_busy` is set while the engine changes its weights; a `pace` above 1 means that it is slower
-    than configured.
+    than configured. `unread_by_urgency` divides the unread prompts of other entries by urgency. It
+    is empty if requests do not differ in urgency, or if the agent's build does not report it.
     """
 
     others: Outstanding
     is_busy: bool = False
     pace: float = 1.0
+    unread_by_urgency: list[UnreadPrompts] = dataclasses.field(default_factory=list)
 
 
 class LoadTracker:
@@ -51,9 +75,11 @@
         self.open: dict[tuple[str, int], OpenAttempt] = {}
         self.unattributed = 0
 
-    def record_start(self, entry: str, number: int, tokens: float, now: float) -> None:
+    def record_start(
+        self, entry: str, number: int, tokens: float, now: float, urgency: int | None = None
+    ) -> None:
         """Record that an entry sent an attempt."""
-        self.open[entry, number] = OpenAttempt(entry, now, tokens)
+        self.open[entry, number] = OpenAttempt(entry, now, tokens, urgency=urgency)
 
     def record_first_byte(self, entry: str, number: int) -> None:
         """Record an attempt's first byte, which means that its prompt was read."""
@@ -79,8 +105,28 @@
             if attempt.entry == entry:
                 continue
             found.attempts += 1
-            if not attempt.is_read and now - attempt.began_at <= UNREAD_EXPIRY_S:
+            if attempt.is_unread(now):
                 found.unread += 1
                 found.unread_tokens += attempt.tokens
         found.attempts = max(found.unread, found.attempts + self.unattributed)
         return found
+
+    def unread_by_urgency(self, entry: str, now: float) -> list[UnreadPrompts]:
+        """Return the unread prompts of all entries but `entry` by urgency, the most urgent first.
+
+        The list is empty if no attempt has a known urgency.
+        """
+        unread = [
+            attempt
+            for attempt in self.open.values()
+            if attempt.entry != entry and attempt.is_unread(now)
+        ]
+        if all(attempt.urgency is None for attempt in unread):
+            return []
+        found: dict[int, UnreadPrompts] = {}
+        for attempt in unread:
+            urgency = UNKNOWN_URGENCY if attempt.urgency is None else attempt.urgency
+            of_urgency = found.setdefault(urgency, UnreadPrompts(urgency))
+            of_urgency.attempts += 1
+            of_urgency.tokens += attempt.tokens
+        return [found[urgency] for urgency in sorted(found)]
--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -1,5 +1,6 @@
 """Lookup of routes, services and accounts in a configuration, and its validation."""
 
+import math
 import random
 
 from merlinthread import errors
@@ -22,6 +23,8 @@
             self.hosts.setdefault(route.host, []).append(route)
         for routes in self.hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
+        self.objectives = find_objectives(configuration)
+        self.services_with_urgencies = find_services_with_urgencies(configuration)
 
     def find(self, host: str, path: str) -> fleet.Route | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -34,6 +37,20 @@
         """Return the account that holds `key`, or None."""
         return self.accounts.get(key)
 
+    def has_several_urgencies(self, service: str) -> bool:
+        """Return whether requests of a service may differ in urgency."""
+        return service in self.services_with_urgencies
+
+    def strictest_objective_s(self, service: str, urgency: int) -> float:
+        """Return the shortest objective of a service's streaming routes of at least `urgency`.
+
+        Infinity if there is none.
+        """
+        objectives = self.objectives.get(service, {})
+        return min(
+            (objectives[other] for other in objectives if other <= urgency), default=math.inf
+        )
+
     def service_of_model(self, model: str) -> fleet.Service | None:
         """Return the service whose engines run `model`, or None."""
         for service in self.services.values():
@@ -46,6 +63,36 @@
         return next((service for service in self.services.values() if service.origin), None)
 
 
+def find_objectives(configuration: fleet.Configuration) -> dict[str, dict[int, float]]:
+    """Return the shortest objective of the streaming routes by service and priority, in seconds."""
+    found: dict[str, dict[int, float]] = {}
+    for route in configuration.routes:
+        if route.kind != fleet.STREAMING:
+            continue
+        for share in route.shares:
+            objectives = found.setdefault(share.service, {})
+            shortest_s = objectives.get(route.priority, math.inf)
+            objectives[route.priority] = min(shortest_s, route.objective_s)
+    return found
+
+
+def find_services_with_urgencies(configuration: fleet.Configuration) -> set[str]:
+    """Return the services whose routes and client accounts give requests different urgencies.
+
+    The priority of an account overrides that of a route.
+    """
+    of_accounts = {account.priority for account in configuration.accounts}
+    overriding = of_accounts - {None}
+    found: dict[str, set[int | None]] = {}
+    for route in configuration.routes:
+        urgencies = {route.priority} if not overriding or None in of_accounts else set()
+        if route.is_public:
+            urgencies = {route.priority}
+        for share in route.shares:
+            found.setdefault(share.service, set()).update(urgencies | overriding)
+    return {service for service, urgencies in found.items() if len(urgencies) > 1}
+
+
 def choose_service(route: fleet.Route, rng: random.Random) -> str:
     """Return one of the route's services at random, by weight."""
     if len(route.shares) == 1:
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -102,7 +102,8 @@
         """Reply to a load query, unless the engine is lost or silent."""
         if self.last_report is None or not self.is_responsive():
             return
-        outstanding = self.load_tracker.outstanding(query.address, self.clock())
+        now = self.clock()
+        outstanding = self.load_tracker.outstanding(query.address, now)
         reply = node_messages.LoadReply(
             query.number,
             outstanding.attempts,
@@ -110,13 +111,16 @@
             outstanding.unread_tokens,
             self.last_report.is_busy,
             self.last_report.pace,
+            unread_by_urgency=self.load_tracker.unread_by_urgency(query.address, now),
         )
         self.datagrams.send(query.address, reply)
 
     def record_attempt_stage(self, notice: node_messages.AttemptNotice) -> None:
         """Record the stage that an attempt has reached."""
         if notice.stage is node_messages.AttemptStage.SENT:
-            self.load_tracker.record_start(notice.entry, notice.number, notice.tokens, self.clock())
+            self.load_tracker.record_start(
+                notice.entry, notice.number, notice.tokens, self.clock(), notice.urgency
+            )
         elif notice.stage is node_messages.AttemptStage.READ:
             self.load_tracker.record_first_byte(notice.entry, notice.number)
         else:
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -94,6 +94,7 @@
         pool: backend_pool.BackendPool,
         backend: backend_record.Backend,
         permit: permits.Permit | None = None,
+        urgency: int | None = None,
     ) -> None:
         self.context = context
         self.permit = permit
@@ -102,7 +103,7 @@
         self.pool = pool
         self.clock = pool.clock
         self.backend = backend
-        self.reservation = pool.reserve(backend, context.call.prompt_tokens)
+        self.reservation = pool.reserve(backend, context.call.prompt_tokens, urgency)
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -63,6 +63,7 @@
     agent: str = ""
     is_read: bool = False
     is_trial: bool = False
+    urgency: int | None = None
 
 
 class BackendPool:
@@ -311,17 +312,28 @@
         service = table.services.get(service_name) if table else None
         return service.engine if service else None
 
+    def has_several_urgencies(self, service: str) -> bool:
+        """Return whether the configuration gives requests of a service different urgencies."""
+        table = self.watcher.table
+        return table is not None and table.has_several_urgencies(service)
+
     def agent_of(self, backend: backend_record.Backend) -> str:
         """Return the address of the agent on a back end's VM."""
         host, _ = node_settings.split_address(backend.address)
         return f"{host}:{self.settings.agent_port}"
 
-    def reserve(self, backend: backend_record.Backend, tokens: float) -> Reservation:
+    def reserve(
+        self, backend: backend_record.Backend, tokens: float, urgency: int | None = None
+    ) -> Reservation:
         """Add an attempt to a back end's load."""
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
-        reservation = Reservation(backend, tokens, self.clock(), next(self.reservation_numbers))
+        if urgency is not None:
+            backend.count_own_unread(urgency, 1, tokens)
+        reservation = Reservation(
+            backend, tokens, self.clock(), next(self.reservation_numbers), urgency=urgency
+        )
         if backend.is_doubtful():
             reservation.is_trial = True
             backend.trials += 1
@@ -334,7 +346,11 @@
         """Notify the back end's agent, if any, of the stage that an attempt has reached."""
         if reservation.agent:
             self.prober.send_notice(
-                reservation.agent, reservation.number, stage, reservation.tokens
+                reservation.agent,
+                reservation.number,
+                stage,
+                reservation.tokens,
+                reservation.urgency,
             )
 
     def record_prompt_read(self, reservation: Reservation) -> None:
@@ -347,6 +363,8 @@
         reservation.backend.record_first_byte_delay(now - reservation.started_at, now)
         reservation.backend.unread -= 1
         reservation.backend.unread_tokens -= reservation.tokens
+        if reservation.urgency is not None:
+            reservation.backend.count_own_unread(reservation.urgency, -1, -reservation.tokens)
 
     def release(self, reservation: Reservation) -> None:
         """Remove an ended attempt from its back end's load, and wake a queued request."""
--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -47,10 +47,18 @@
         future = self.pending_queries.pop(reply.number, None)
         if future is not None and not future.done():
             others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
-            future.set_result(load_tracker.EngineLoad(others, reply.is_busy, reply.pace))
+            load = load_tracker.EngineLoad(
+                others, reply.is_busy, reply.pace, reply.unread_by_urgency
+            )
+            future.set_result(load)
 
     def send_notice(
-        self, agent: str, number: int, stage: node_messages.AttemptStage, tokens: float
+        self,
+        agent: str,
+        number: int,
+        stage: node_messages.AttemptStage,
+        tokens: float,
+        urgency: int | None = None,
     ) -> None:
         """Notify an agent of the stage that an attempt has reached."""
-        self.send(agent, node_messages.AttemptNotice(self.address, number, stage, tokens))
+        self.send(agent, node_messages.AttemptNotice(self.address, number, stage, tokens, urgency))
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -256,7 +256,8 @@
     """The reply to the LoadQuery `number`: the outstanding work of other entries on the engine.
 
     `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
-    is slower than it reports. `permit` is set in the reply of a control VM.
+    is slower than it reports. `permit` is set in the reply of a control VM. `unread_by_urgency` is
+    described at `load_tracker.EngineLoad`.
     """
 
     number: int
@@ -266,6 +267,7 @@
     is_busy: bool = False
     pace: float = 1.0
     permit: PermitReply | None = None
+    unread_by_urgency: list[load_tracker.UnreadPrompts] = dataclasses.field(default_factory=list)
 
 
 class AttemptStage(enum.StrEnum):
@@ -279,12 +281,16 @@
 @MESSAGES.add("node.attempt")
 @dataclasses.dataclass(slots=True)
 class AttemptNotice:
-    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt."""
+    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt.
+
+    `urgency` is None if the requests of the service do not differ in urgency.
+    """
 
     entry: str
     number: int
     stage: AttemptStage
     tokens: float = 0.0
+    urgency: int | None = None
 
 
 @MESSAGES.add("node.piece_note")
