Agents count the attempts that queries of entries announce

Ten entries that queried an engine within 10 ms all saw the same room: an engine that had just joined got ten prompts at once, which are read in one pass of 0.54 s, so that nine of ten were late. The agent now adds the attempts that recent queries of other entries announce, by the share of queries that attempts have followed. An engine whose load is unknown is expected to need 0.1 s more: five engines behind narrow links still drew requests that then failed to connect within 0.3 s.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -29,6 +29,9 @@
 SLOT_TIME_RESPONSES_MIN = 20
 # Requests to a VM whose agent did not reply to a probe may be delayed too.
 UNANSWERED_PROBE_COST_S = 0.06
+# Added to the expected wait at an engine whose load is not known: in doubt, a request goes where it
+# is known to be in time.
+UNKNOWN_LOAD_WAIT_S = 0.1
 # Minimum cost per running request on a back end without engine parameters.
 GENERIC_RUNNING_COST_S = 0.05
 
@@ -96,7 +99,11 @@
     unread_s = prompt_read_s(engine, unread + tokens)
     waiting = max(0.0, load - backend.slots + 1)
     waiting_s = waiting / max(1, backend.slots) * slot_time_s(backend, engine)
-    return BASE_LATENCY_S + backend.pace * (pass_s + unread_s + waiting_s + load * RUNNING_COST_S)
+    expected_s = pass_s + unread_s + waiting_s + load * RUNNING_COST_S
+    first_byte_s = BASE_LATENCY_S + backend.pace * expected_s
+    if backend.typical_load.samples and not backend.is_load_known(now):
+        first_byte_s += UNKNOWN_LOAD_WAIT_S
+    return first_byte_s
 
 
 def overtaken_prompts(
--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -5,8 +5,16 @@
 combines the notifications with the last report to tell an entry the current load of all others.
 """
 
+import collections
 import dataclasses
 
+# Time after a query in which its attempt arrives, if one follows: the entry waits for its other
+# probes, which time out after 15 ms, and connects.
+QUERY_EXPIRY_S = 0.03
+# Share of the queries that attempts follow until it is known: entries query two engines for each.
+QUERY_SHARE_PRIOR = 0.5
+# Weight of one query or attempt in the means.
+MEAN_SMOOTHING = 0.05
 # Timeouts for attempts whose notification of the first byte, or of the end, was lost.
 UNREAD_EXPIRY_S = 3.0
 ATTEMPT_EXPIRY_S = 60.0
@@ -68,18 +76,66 @@
     unread_by_urgency: list[UnreadPrompts] = dataclasses.field(default_factory=list)
 
 
+class ExpectedAttempts:
+    """The attempts that queries of entries announce, which have not been sent yet.
+
+    Entries that query an engine within the same few milliseconds would otherwise all see the same
+    room and send to it at once. A query is followed by an attempt with the mean frequency of the
+    past ones.
+    """
+
+    def __init__(self) -> None:
+        self.queries: collections.deque[tuple[float, str]] = collections.deque()
+        self.share = QUERY_SHARE_PRIOR
+        self.mean_tokens = 0.0
+        self.attempts = 0
+
+    def record_query(self, entry: str, now: float) -> None:
+        """Record that an entry queries the engine's load."""
+        self.expire(now)
+        self.queries.append((now, entry))
+
+    def record_attempt(self, entry: str, tokens: float, now: float) -> None:
+        """Record that an entry sent an attempt, which one of its queries has announced."""
+        self.expire(now)
+        self.attempts += 1
+        weight = max(MEAN_SMOOTHING, 1.0 / self.attempts)
+        self.mean_tokens += weight * (tokens - self.mean_tokens)
+        announced = next((query for query in self.queries if query[1] == entry), None)
+        if announced is not None:
+            self.queries.remove(announced)
+            self.share += MEAN_SMOOTHING * (1.0 - self.share)
+
+    def expire(self, now: float) -> None:
+        """Drop the queries that no attempt has followed in time."""
+        while self.queries and now - self.queries[0][0] > QUERY_EXPIRY_S:
+            self.queries.popleft()
+            self.share -= MEAN_SMOOTHING * self.share
+
+    def count_from_others(self, entry: str, now: float) -> int:
+        """Return the number of attempts that entries other than `entry` are expected to send."""
+        self.expire(now)
+        return round(self.share * sum(asker != entry for _, asker in self.queries))
+
+
 class LoadTracker:
     """The open attempts on one engine, by entry and attempt number."""
 
     def __init__(self) -> None:
         self.open: dict[tuple[str, int], OpenAttempt] = {}
         self.unattributed = 0
+        self.expected = ExpectedAttempts()
 
     def record_start(
         self, entry: str, number: int, tokens: float, now: float, urgency: int | None = None
     ) -> None:
         """Record that an entry sent an attempt."""
         self.open[entry, number] = OpenAttempt(entry, now, tokens, urgency=urgency)
+        self.expected.record_attempt(entry, tokens, now)
+
+    def record_query(self, entry: str, now: float) -> None:
+        """Record that an entry queries the load, which it does just before an attempt."""
+        self.expected.record_query(entry, now)
 
     def record_first_byte(self, entry: str, number: int) -> None:
         """Record an attempt's first byte, which means that its prompt was read."""
@@ -99,7 +155,7 @@
         self.unattributed = running - len(self.open)
 
     def outstanding(self, entry: str, now: float) -> Outstanding:
-        """Return the current load of all entries but `entry`."""
+        """Return the load of all entries but `entry`, with the attempts expected of them."""
         found = Outstanding()
         for attempt in self.open.values():
             if attempt.entry == entry:
@@ -109,6 +165,10 @@
                 found.unread += 1
                 found.unread_tokens += attempt.tokens
         found.attempts = max(found.unread, found.attempts + self.unattributed)
+        expected = self.expected.count_from_others(entry, now)
+        found.attempts += expected
+        found.unread += expected
+        found.unread_tokens += expected * self.expected.mean_tokens
         return found
 
     def unread_by_urgency(self, entry: str, now: float) -> list[UnreadPrompts]:
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -104,6 +104,7 @@
             return
         now = self.clock()
         outstanding = self.load_tracker.outstanding(query.address, now)
+        self.load_tracker.record_query(query.address, now)
         reply = node_messages.LoadReply(
             query.number,
             outstanding.attempts,
