Admission in a module of its own; less urgent classes yield by a level

Cause: requests that one back end had refused were sent to any other, however long its queue was. Less urgent requests took the slots that more urgent ones then lacked: engines do not interrupt them. Each load report woke four queued requests, which probe up to four agents each over narrow links.

Change: coordination/admission.py decides how long a request is queued and at which expected wait it is admitted. While more urgent requests find no place at once, less urgent ones are admitted only to an engine with free slots; a level, kept by each entry, says how many yield. A request that has not run is refused if no back end is expected to answer in time, also after an attempt. A load report wakes as many requests as the engine has free slots.

Test of the entry node changed where it sets the share that has moved; same check.

--- /dev/null
+++ b/src/merlinthread/coordination/admission.py
@@ -0,0 +1,100 @@
+"""Admission of requests to engines that have too little room for all of them.
+
+An overloaded service answers many requests late if it accepts them all, although it could answer
+most of them in time. A request is therefore admitted only to a back end whose first byte is
+expected in time, waits a short while for one, and is otherwise refused with a retry delay.
+
+While more urgent requests find no place at once, less urgent ones yield: they are admitted only to
+a back end with room. How many yield follows a level, as in DAGOR (Zhou et al., SoCC 2018), but the
+level is kept by each entry for itself, and a back end with room is never left unused.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Sequence
+
+# Share of a route's objective that a request may be queued before it is refused. Its client loses
+# less than an eighth of the objective.
+QUEUE_TIME_SHARE = 0.12
+# Share of the objective within which the first byte must be expected. The time to read the
+# request's own prompt is not counted, so that long prompts are not refused more often.
+FIRST_BYTE_SHARE = 0.7
+# The same for a last try: a second refusal costs its client more than a late response.
+LAST_TRY_FIRST_BYTE_SHARE = 0.85
+# A client with less than this share of the route's timeout left has probably been refused before.
+LAST_TRY_TIME_SHARE = 0.8
+# Time between two choices of a back end for a queued request that is not woken before.
+RETRY_INTERVAL_S = 0.05
+# By how much the level rises with a request that finds no place at once. An entry with three urgent
+# requests a second reaches a whole class within a second of overload.
+LEVEL_STEP = 0.5
+# Time constant with which the level falls, about as long as a retry delay lasts.
+LEVEL_DECAY_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Terms:
+    """What the admission of a request depends on; times are on the entry's clock, in seconds.
+
+    `objective_s` is the objective for the first byte, or that of a more urgent class of the service
+    if that is shorter: a less urgent request must not be admitted where a more urgent one would be
+    refused.
+    """
+
+    arrived_at: float
+    objective_s: float
+    is_last_try: bool = False
+
+    def queue_deadline(self) -> float:
+        """Return until when the request may be queued."""
+        return self.arrived_at + QUEUE_TIME_SHARE * self.objective_s
+
+    def wait_max_s(self, now: float) -> float:
+        """Return the longest expected wait, in seconds from now, at which it is admitted."""
+        share = LAST_TRY_FIRST_BYTE_SHARE if self.is_last_try else FIRST_BYTE_SHARE
+        return self.arrived_at + share * self.objective_s - now
+
+
+def is_last_try(remaining_s: float | None, timeout_s: float) -> bool:
+    """Return whether a client has so little time left that it was probably refused before.
+
+    `remaining_s` is the time until its deadline, or None if it has none; `timeout_s` is the timeout
+    of its route.
+    """
+    return remaining_s is not None and remaining_s < LAST_TRY_TIME_SHARE * timeout_s
+
+
+class AdmissionLevel:
+    """How many of a service's classes yield to more urgent ones.
+
+    At level 1 all requests of the least urgent class yield, at level 1.5 also half of those of the
+    next one. `urgencies` are those of the service, the most urgent first.
+    """
+
+    def __init__(self, urgencies: Sequence[int]) -> None:
+        self.urgencies = sorted(urgencies)
+        self.level = 0.0
+        self.updated_at = -math.inf
+
+    def less_urgent_classes(self, urgency: int) -> int:
+        """Return the number of classes that are less urgent than a request of `urgency`."""
+        return sum(other > urgency for other in self.urgencies)
+
+    def current(self, now: float) -> float:
+        """Return the level; it falls while all requests find a place."""
+        age_s = now - self.updated_at
+        return self.level * math.exp(-age_s / LEVEL_DECAY_S) if self.level else 0.0
+
+    def record_no_place(self, urgency: int, now: float) -> None:
+        """Record that a request found no place at once, so that less urgent ones yield to it."""
+        level_max = self.less_urgent_classes(urgency)
+        current = self.current(now)
+        if current < level_max:
+            self.level = min(level_max, current + LEVEL_STEP)
+            self.updated_at = now
+
+    def must_yield(self, urgency: int, now: float, rng: random.Random) -> bool:
+        """Return whether a request is admitted only to a back end with room."""
+        share = self.current(now) - self.less_urgent_classes(urgency)
+        return share > 0 and rng.random() < share
--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -21,6 +21,8 @@
 # An engine with up to this share of its slots in use has room for another request: that lengthens
 # the steps of the others by some percent, apart from the time to read its prompt.
 ROOM_SHARE = 0.5
+# An engine with up to this share of its slots in use takes requests that yield to more urgent ones.
+FREE_SLOTS_SHARE = 0.75
 # A back end whose first byte takes longer than this counts as slow for SLOW_FOR_S.
 SLOW_FIRST_S = 0.6
 SLOW_FOR_S = 3.0
@@ -181,6 +183,10 @@
         unread = self.unread_tokens + (self.others_unread_tokens or 0.0)
         return unread == 0 and not self.others_queued
 
+    def has_free_slots(self, now: float) -> bool:
+        """Return whether so many slots are known to be free that urgent requests find one too."""
+        return self.is_load_known(now) and self.load(now) <= FREE_SLOTS_SHARE * self.slots
+
     def has_fresh_load(self, now: float) -> bool:
         """Return whether the load of other entries is known from a current report."""
         return now - self.load_updated_at() <= REPORT_FRESH_S
--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -24,7 +24,7 @@
         for routes in self.hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
         self.objectives = find_objectives(configuration)
-        self.services_with_urgencies = find_services_with_urgencies(configuration)
+        self.urgencies = find_urgencies(configuration)
 
     def find(self, host: str, path: str) -> fleet.Route | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -39,7 +39,11 @@
 
     def has_several_urgencies(self, service: str) -> bool:
         """Return whether requests of a service may differ in urgency."""
-        return service in self.services_with_urgencies
+        return len(self.urgencies_of(service)) > 1
+
+    def urgencies_of(self, service: str) -> list[int]:
+        """Return the urgencies that requests of a service may have, the most urgent first."""
+        return self.urgencies.get(service, [])
 
     def strictest_objective_s(self, service: str, urgency: int) -> float:
         """Return the shortest objective of a service's streaming routes of at least `urgency`.
@@ -76,21 +80,21 @@
     return found
 
 
-def find_services_with_urgencies(configuration: fleet.Configuration) -> set[str]:
-    """Return the services whose routes and client accounts give requests different urgencies.
+def find_urgencies(configuration: fleet.Configuration) -> dict[str, list[int]]:
+    """Return the urgencies that routes and client accounts give the requests of each service.
 
     The priority of an account overrides that of a route.
     """
     of_accounts = {account.priority for account in configuration.accounts}
-    overriding = of_accounts - {None}
-    found: dict[str, set[int | None]] = {}
+    overriding = {priority for priority in of_accounts if priority is not None}
+    found: dict[str, set[int]] = {}
     for route in configuration.routes:
         urgencies = {route.priority} if not overriding or None in of_accounts else set()
         if route.is_public:
             urgencies = {route.priority}
         for share in route.shares:
             found.setdefault(share.service, set()).update(urgencies | overriding)
-    return {service for service, urgencies in found.items() if len(urgencies) > 1}
+    return {service: sorted(urgencies) for service, urgencies in found.items()}
 
 
 def choose_service(route: fleet.Route, rng: random.Random) -> str:
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from merlinthread.coordination import (
+    admission,
     backend_availability,
     backend_record,
     dispatch,
@@ -98,6 +99,7 @@
         self.response_times: dict[str, backend_record.ResponseTime] = {}
         self.typical_loads: dict[str, backend_record.TypicalLoad] = {}
         self.queues: dict[str, wait_queue.WaitQueue] = {}
+        self.levels: dict[str, admission.AdmissionLevel] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.started_at = clock()
         self.reservation_numbers = itertools.count(1)
@@ -199,10 +201,13 @@
         backend = self.backends_by_address.get(load.address)
         if backend is None or not is_same_incarnation(load.report, backend):
             return
-        backend.apply_report(load.report, self.clock(), load.others)
+        now = self.clock()
+        backend.apply_report(load.report, now, load.others)
         queue = self.queues.get(backend.service)
         if queue is not None and len(queue):
-            queue.wake(REQUESTS_WOKEN)
+            # Each request that is woken probes agents, whose links are narrow.
+            free_slots = max(0, int(backend.slots - backend.load(now)))
+            queue.wake(min(REQUESTS_WOKEN, free_slots))
 
     def startup_wait_s(self) -> float:
         """Return how long a node needs after its start to learn of all back ends."""
@@ -312,6 +317,15 @@
         service = table.services.get(service_name) if table else None
         return service.engine if service else None
 
+    def admission_level(self, service: str) -> admission.AdmissionLevel:
+        """Return the admission level of a service, at 0 again if its urgencies have changed."""
+        table = self.watcher.table
+        urgencies = table.urgencies_of(service) if table is not None else []
+        level = self.levels.get(service)
+        if level is None or level.urgencies != urgencies:
+            level = self.levels[service] = admission.AdmissionLevel(urgencies)
+        return level
+
     def has_several_urgencies(self, service: str) -> bool:
         """Return whether the configuration gives requests of a service different urgencies."""
         table = self.watcher.table
--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -48,7 +48,10 @@
         if future is not None and not future.done():
             others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
             load = load_tracker.EngineLoad(
-                others, reply.is_busy, reply.pace, reply.unread_by_urgency
+                others,
+                reply.is_busy,
+                reply.pace,
+                reply.unread_by_urgency,
             )
             future.set_result(load)
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -7,7 +7,7 @@
 import math
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import dispatch, fleet, retry_delays, route_table
+from merlinthread.coordination import admission, dispatch, fleet, retry_delays, route_table
 from merlinthread.nodes import (
     attempt_descriptions,
     attempts,
@@ -22,16 +22,6 @@
 from merlinthread.protocol import error_responses
 from merlinthread.transport import http_messages, stream_server
 
-# Share of a route's objective that a request may be queued before it is refused. Its client loses
-# less than an eighth of the objective.
-QUEUE_TIME_SHARE = 0.12
-# Share of the objective within which the first byte must be expected. The time to read the
-# request's own prompt is not counted, so that long prompts are not refused more often.
-ADMISSION_SHARE = 0.7
-# The same for a client that has probably been refused before, because less than RETRY_TIME_SHARE of
-# the route's timeout remains until its deadline.
-RETRY_ADMISSION_SHARE = 0.85
-RETRY_TIME_SHARE = 0.8
 CONNECT_FAILURES_MAX = 4
 # Delay before further attempts of a request that may have run, once that many have failed.
 RECONNECT_DELAY_S = 0.2
@@ -57,6 +47,9 @@
         self.arrived_at = arrived_at
         self.call: fleet.RequestHead | None = None
         self.context: request_context.RequestContext | None = None
+        self.terms: admission.Terms | None = None
+        # Whether the request is admitted only to a back end with room.
+        self.must_yield = False
         self.service = ""
         self.relay = response_relay.ResponseRelay(
             exchange, pool.clock, arrived_at, self.log_response
@@ -106,9 +99,33 @@
         deadline = self.arrived_at + max(0.0, timeout_s)
         body = self.exchange.request.body
         self.context = request_context.RequestContext(self.call, route, account, deadline, body)
+        self.terms = self.admission_terms()
+        if self.urgency() is not None and route.kind == fleet.STREAMING:
+            level = self.pool.admission_level(self.service)
+            self.must_yield = level.must_yield(self.context.urgency(), self.clock(), self.pool.rng)
         self.check_hold()
         self.pool.budget(self.service).record_first_attempt(self.arrived_at)
 
+    def admission_terms(self) -> admission.Terms:
+        """Return the terms on which this request is admitted."""
+        assert self.context is not None and self.table is not None
+        route = self.context.route
+        objective_s = route.objective_s
+        urgency = self.urgency()
+        if urgency is not None and route.kind == fleet.STREAMING:
+            strictest_s = self.table.strictest_objective_s(self.service, urgency)
+            objective_s = min(objective_s, strictest_s)
+        remaining_s = self.context.call.deadline_s
+        is_last_try = admission.is_last_try(remaining_s, route.timeout_s)
+        return admission.Terms(self.arrived_at, objective_s, is_last_try)
+
+    def urgency(self) -> int | None:
+        """Return the request's urgency, or None if the requests of its service do not differ."""
+        assert self.context is not None
+        if not self.pool.has_several_urgencies(self.service):
+            return None
+        return self.context.urgency()
+
     def check_hold(self) -> None:
         """Raise RequestError if this request is held, or a part of its prompt.
 
@@ -333,6 +350,7 @@
             bool(self.attempts),
             self.sent_count() + 1 < self.context.route.attempts
             and self.pool.budget(self.service).allows(now),
+            self.urgency(),
         )
 
     async def acquire_backend(self) -> dispatch.Choice:
@@ -341,20 +359,24 @@
         Raises RequestError if none is available before the queue time is over. A request that may
         have run gains nothing from an early error, so it waits until its deadline.
         """
-        assert self.context is not None
-        queue_deadline = self.arrived_at + QUEUE_TIME_SHARE * self.context.route.objective_s
+        assert self.context is not None and self.terms is not None
+        queue_deadline = self.terms.queue_deadline()
         give_up_at = self.context.deadline if self.may_have_run else queue_deadline
         queue = self.pool.queue(self.service)
+        is_queued = False
         while True:
             # Other entries may have reported crashes while this request was queued.
             self.check_hold()
             now = self.clock()
-            remaining_s = self.admission_deadline() - now
-            choice = await self.choose(remaining_s)
+            wait_max_s = self.wait_max_s(now)
+            choice = await self.choose(wait_max_s)
             is_expired = now >= queue_deadline
-            if choice is not None and (is_expired or self.is_admissible(choice, remaining_s)):
+            if not is_queued and (choice is None or not self.is_admissible(choice, wait_max_s)):
+                self.record_no_place()
+                is_queued = True
+            if choice is not None and (is_expired or self.is_admissible(choice, wait_max_s)):
                 choice_with_permit = await self.with_permit(
-                    self.admit(choice, remaining_s), queue_deadline
+                    self.admit(choice, wait_max_s), queue_deadline
                 )
                 if choice_with_permit is not None:
                     return choice_with_permit
@@ -368,7 +390,7 @@
                     self.check_availability(queue_deadline)
                 if now >= give_up_at:
                     raise self.unavailable("no back end is free", self.retry_after_s(True))
-            timeout_s = min(give_up_at - now, 0.05)
+            timeout_s = min(give_up_at - now, admission.RETRY_INTERVAL_S)
             await queue.wait(self.context.urgency(), self.arrived_at, timeout_s)
 
     async def choose_for_hedge(self) -> dispatch.Choice | None:
@@ -451,45 +473,52 @@
             f"all back ends are at rest for {available_in_s:.2f} s", retry_delay_s
         )
 
-    def is_admissible(self, choice: dispatch.Choice, remaining_s: float) -> bool:
+    def is_admissible(self, choice: dispatch.Choice, wait_max_s: float) -> bool:
         """Return whether the first byte is expected in time, or the engine has room.
 
-        If it has room, the engine is not the cause of the delay, and a refusal would add to it.
+        If it has room, the engine is not the cause of the delay, and a refusal would add to it. A
+        request that yields to more urgent ones is admitted only if there is room.
         """
-        return choice.wait_s <= remaining_s or choice.backend.has_room(self.clock())
-
-    def admission_deadline(self) -> float:
-        """Return the time by which the first byte must be expected for admission."""
-        assert self.context is not None
-        if self.exchange.is_started:
-            return self.context.deadline
-        share = RETRY_ADMISSION_SHARE if self.is_client_retry() else ADMISSION_SHARE
-        return self.arrived_at + share * self.context.route.objective_s
+        now = self.clock()
+        if choice.backend.has_room(now):
+            return True
+        if choice.wait_s > wait_max_s:
+            return False
+        return not self.must_yield or choice.backend.has_free_slots(now)
 
-    def is_client_retry(self) -> bool:
-        """Return whether the client has so little time left that it was probably refused before.
+    def record_no_place(self) -> None:
+        """Record that no back end could take the request at once.
 
-        A second refusal costs it more than a late response.
+        If it yields itself, that is no reason for others to do so.
         """
         assert self.context is not None
-        remaining_s = self.context.call.deadline_s
-        return (
-            remaining_s is not None
-            and remaining_s < RETRY_TIME_SHARE * self.context.route.timeout_s
-        )
+        if not self.must_yield and self.context.route.kind == fleet.STREAMING:
+            level = self.pool.admission_level(self.service)
+            level.record_no_place(self.context.urgency(), self.clock())
 
-    def admit(self, choice: dispatch.Choice, remaining_s: float) -> dispatch.Choice:
+    def wait_max_s(self, now: float) -> float:
+        """Return the longest expected wait at which the next attempt is admitted, in seconds."""
+        assert self.context is not None and self.terms is not None
+        if self.exchange.is_started:
+            return self.context.deadline - now
+        return self.terms.wait_max_s(now)
+
+    def admit(self, choice: dispatch.Choice, wait_max_s: float) -> dispatch.Choice:
         """Return `choice` if the request is admitted; raise RequestError otherwise.
 
-        Only new streaming requests are refused because of a late first byte.
+        Only streaming requests are refused because of a late first byte, and only if they have not
+        run: another attempt would be late too, and delay those that can be in time. An ejected
+        back end is the last resort, unless it is known to be busy.
         """
-        assert self.context is not None
-        if self.is_admissible(choice, remaining_s):
+        assert self.context is not None and self.terms is not None
+        if self.is_admissible(choice, wait_max_s):
+            return choice
+        if self.may_have_run or self.exchange.is_started:
             return choice
-        has_begun = self.sent_count() > 0 or self.exchange.is_started
-        if has_begun or self.context.route.kind != fleet.STREAMING:
+        if self.context.route.kind != fleet.STREAMING:
             return choice
-        if choice.backend.is_ejected(self.clock()):
+        is_ejected = choice.backend.is_ejected(self.clock())
+        if is_ejected and choice.first_byte_s <= self.terms.objective_s:
             return choice
         reason = f"every back end is busy: {self.describe_choice(choice)}"
         raise self.unavailable(reason, self.retry_after_s(False))
@@ -510,7 +539,13 @@
         assert self.context is not None
         self.tried.add(choice.backend.instance)
         attempt = attempts.Attempt(
-            self.context, self.relay, self.dialect, self.pool, choice.backend, self.permit
+            self.context,
+            self.relay,
+            self.dialect,
+            self.pool,
+            choice.backend,
+            self.permit,
+            self.urgency(),
         )
         attempt.description = self.describe_choice(choice)
         attempt.may_send = self.use_retry
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -8,8 +8,8 @@
 import pytest
 
 from merlinthread import errors, logs
-from merlinthread.coordination import dispatch, fleet, load_tracker, reload_schedule
-from merlinthread.nodes import attempts, request_task
+from merlinthread.coordination import admission, dispatch, fleet, load_tracker, reload_schedule
+from merlinthread.nodes import attempts
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -419,7 +419,7 @@
         backend = entry.node.pool.backends[worker.instance]
         report = fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)])
         # As after connection timeouts: the time for admission is over.
-        monkeypatch.setattr(request_task, "ADMISSION_SHARE", -1.0)
+        monkeypatch.setattr(admission, "FIRST_BYTE_SHARE", -1.0)
         backend.apply_report(report, entry.node.clock())
         assert (await entry.request("/model/", "id-1", **STREAM)).status == 200
         # Without room, a late request would also delay the queued ones.
