Entries: keep requests in the regions that their route and account allow

Change: `allowed_regions` on routes and tenants of the configuration; both lists apply, empty or null means anywhere. `dispatch.can_serve_with_permit` refuses other back ends, so that first attempts, retries, hedges, permits and resumed streams keep to the regions. A zone without a region in the settings is not allowed. Route splits draw only services that have a back end in the regions which is not leaving. Without such a back end the request gets 503 with a retry delay at once. Samples of back ends are taken from the allowed ones.

The error for an invalid configuration carries the field in `field` and names it as the one to correct. The `request` log line has `allowed_regions`. New metrics: merlinthread_region_refusals_total, merlinthread_backends_without_region.

The soak test is not extended yet.

--- a/src/merlinthread/cli/losses.py
+++ b/src/merlinthread/cli/losses.py
@@ -17,6 +17,8 @@
 REFUSAL_CAUSES = (
     ("no back end is free", "refused: none may serve"),
     ("every back end is busy", "refused: no place in time"),
+    ("in an allowed region", "refused: none in an allowed region"),
+    ("in allowed regions", "refused: none in an allowed region"),
     ("back ends are full", "refused: back ends were full"),
     ("can't be reached", "refused: back ends not reached"),
     ("no configuration", "refused: no configuration yet"),
--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -54,7 +54,8 @@
     `service_response_time` that of all back ends of its service. `accepted_at` is when the last
     request that it accepted was sent, `rejected_at` when it last refused or failed one. `silent_at`
     is when it was last found silent and has not continued since. `trials` counts the attempts in
-    flight that were sent while it was doubtful.
+    flight that were sent while it was doubtful. `region` is None if the settings name no region of
+    its zone.
     """
 
     instance: str
@@ -91,6 +92,7 @@
     response_time: ResponseTime = dataclasses.field(default_factory=ResponseTime)
     ready_at: float | None = None
     missing_since: float | None = None
+    region: str | None = None
     availability: backend_availability.Availability = dataclasses.field(
         default_factory=backend_availability.Availability
     )
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from merlinthread.coordination import backend_record, fleet
+from merlinthread.coordination import allowed_regions, backend_record, fleet
 
 DISTANCE_COST_S = (0.0, 0.008, 0.025)
 RUNNING_COST_S = 0.002
@@ -37,7 +37,8 @@
 
     `version_soon` becomes mandatory shortly. Until then a back end with an older version may serve
     only if it is responsive, so that the attempt starts in time. `is_retry` is set if the request
-    had an attempt before, `may_be_retried` if it may have another one after this.
+    had an attempt before, `may_be_retried` if it may have another one after this. If
+    `allowed_regions` is not None, only back ends in these regions may serve.
     """
 
     service: str
@@ -48,6 +49,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     is_retry: bool = False
     may_be_retried: bool = True
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,6 +163,8 @@
         return False
     if backend.instance in requirements.tried:
         return False
+    if not allowed_regions.is_allowed(backend, requirements.allowed_regions):
+        return False
     if now < backend.full_until or backend.is_changing(now):
         return False
     if backend.availability.is_unavailable(now):
@@ -312,6 +316,8 @@
     skipped: int = 0,
 ) -> list[backend_record.Backend]:
     """Return the `count` cheapest back ends of a sample after the `skipped` cheapest."""
+    # Selected before the sample, which might contain no back end of an allowed region.
+    backends = allowed_regions.select(backends, requirements.allowed_regions)
     if len(backends) > SAMPLE_MAX:
         backends = rng.sample(backends, SAMPLE_MAX)
     eligible = candidates(backends, requirements, engine, now)
--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -29,7 +29,8 @@
     """The route of requests with one host and path prefix, and how they may be handled.
 
     `objective_s` is the target latency of the first byte, `gap_s` the target for the longest gap
-    between events; `priority` 0 is the most urgent.
+    between events; `priority` 0 is the most urgent. Only back ends in `allowed_regions` may run
+    the requests; empty means any.
     """
 
     name: str
@@ -44,6 +45,7 @@
     is_public: bool = False
     is_resumable: bool = False
     gap_s: float = 0.0
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,11 +82,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Account:
-    """A client account: its name and the API keys of its clients."""
+    """A client account: its name and the API keys of its clients.
+
+    Only back ends in `allowed_regions` may run its requests; empty means any.
+    """
 
     name: str
     keys: list[str]
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -1,6 +1,7 @@
 """Lookup of routes, services and accounts in a configuration, and its validation."""
 
 import random
+from collections.abc import Container
 
 from merlinthread import errors
 from merlinthread.coordination import fleet
@@ -46,12 +47,21 @@
         return next((service for service in self.services.values() if service.origin), None)
 
 
-def choose_service(route: fleet.Route, rng: random.Random) -> str:
-    """Return one of the route's services at random, by weight."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    return rng.choices([share.service for share in route.shares], weights)[0]
+def choose_service(
+    route: fleet.Route, rng: random.Random, usable: Container[str] | None = None
+) -> str:
+    """Return one of the route's services at random, by weight.
+
+    If `usable` is given, choose only among the services in it, unless none of those has a weight.
+    """
+    shares = route.shares
+    if usable is not None:
+        usable_shares = [share for share in shares if share.weight > 0 and share.service in usable]
+        shares = usable_shares or shares
+    if len(shares) == 1:
+        return shares[0].service
+    weights = [share.weight for share in shares]
+    return rng.choices([share.service for share in shares], weights)[0]
 
 
 def validate(configuration: fleet.Configuration) -> None:
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -86,6 +86,15 @@
 backends = prometheus_client.Gauge(
     "merlinthread_backends", "Back ends known to this node, by state.", ["state"]
 )
+backends_without_region = prometheus_client.Gauge(
+    "merlinthread_backends_without_region",
+    "Back ends in zones without a region in the settings; no restricted request is sent to them.",
+)
+region_refusals_total = prometheus_client.Counter(
+    "merlinthread_region_refusals_total",
+    "Requests refused because back ends in their allowed regions are missing or leaving.",
+    ["cause"],
+)
 backends_closed = prometheus_client.Gauge(
     "merlinthread_backends_closed",
     "Back ends that asked for no further requests, by reason; includes those that have left.",
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -5,9 +5,11 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from merlinthread import metrics
 from merlinthread.coordination import (
+    allowed_regions,
     backend_availability,
     backend_record,
     dispatch,
@@ -117,6 +119,9 @@
         for backend in self.backends.values():
             self.backends_by_service.setdefault(backend.service, []).append(backend)
             self.backends_by_address[backend.address] = backend
+        metrics.backends_without_region.set(
+            sum(backend.region is None for backend in self.backends.values())
+        )
         self.update_subscriptions()
         for queue in self.queues.values():
             queue.wake(REQUESTS_WOKEN)
@@ -155,6 +160,7 @@
             )
             self.backends[instance] = backend
         backend.slots = heartbeat.slots
+        backend.region = self.settings.regions.get(heartbeat.zone)
         if heartbeat.state != fleet.READY:
             backend.availability.record_leaving(
                 backend_availability.LeavingSource.CONTROL_VM, self.clock()
@@ -185,9 +191,26 @@
         backends = self.backends_by_service.get(requirements.service, [])
         return dispatch.permit_candidates(backends, requirements, engine, self.clock())
 
-    def available_at(self, service: str) -> float | None:
-        """Return when a back end of a service is available again, or None if one is now."""
-        return dispatch.available_at(self.backends_by_service.get(service, []), self.clock())
+    def available_at(self, service: str, regions: frozenset[str] | None = None) -> float | None:
+        """Return when a back end of a service is available again, or None if one is now.
+
+        If `regions` is not None, only the back ends there count.
+        """
+        return dispatch.available_at(self.backends_in(service, regions), self.clock())
+
+    def backends_in(
+        self, service: str, regions: frozenset[str] | None
+    ) -> list[backend_record.Backend]:
+        """Return the back ends of a service in some regions, or all if `regions` is None."""
+        return allowed_regions.select(self.backends_by_service.get(service, []), regions)
+
+    def services_in(self, services: Iterable[str], regions: frozenset[str]) -> set[str]:
+        """Return the services that have a back end in the regions that is not leaving."""
+        return {
+            service
+            for service in services
+            if any(not backend.is_draining for backend in self.backends_in(service, regions))
+        }
 
     def apply_load_update(self, load: node_messages.LoadUpdate) -> None:
         """Apply an agent's load report, unless it is of another incarnation."""
@@ -294,12 +317,14 @@
         for backend in probed:
             backend.apply_probe_reply(replies[self.agent_of(backend)], self.clock())
 
-    def ready_in_s(self, service: str) -> float | None:
+    def ready_in_s(self, service: str, regions: frozenset[str] | None = None) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
 
-        Only subscribed engines count, since this entry has no forecast of the others.
+        Only subscribed engines count, since this entry has no forecast of the others. If `regions`
+        is not None, only the engines there count.
         """
-        return dispatch.half_ready_in_s(self.subscribed.get(service, []), self.clock())
+        subscribed = allowed_regions.select(self.subscribed.get(service, []), regions)
+        return dispatch.half_ready_in_s(subscribed, self.clock())
 
     def engine_of(self, service_name: str) -> fleet.Engine | None:
         """Return the engine that a service's back ends run, or None if they run none."""
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 
-from merlinthread.coordination import fingerprints, fleet
+from merlinthread.coordination import allowed_regions, fingerprints, fleet
 
 URGENCY_MAX = 9
 LABEL_CHARACTERS_MAX = 120
@@ -64,6 +64,10 @@
             self.route.kind == fleet.STREAMING and self.route.is_resumable
         )
 
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Return the regions whose back ends may run the request, or None if all may."""
+        return allowed_regions.for_request(self.route, self.account)
+
     def urgency(self) -> int:
         """Return the urgency, 0 to URGENCY_MAX, 0 first; an account overrides its route."""
         priority = self.route.priority
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -98,7 +98,6 @@
         retry_delay_s = self.pool.startup_wait_s()
         is_current = self.pool.watcher.is_current()
         route, account = route_finder.find_route(self.table, self.call, is_current, retry_delay_s)
-        self.service = route_table.choose_service(route, self.pool.rng)
         self.relay.last_event_id = self.call.last_event_id
         timeout_s = route.timeout_s
         if self.call.deadline_s is not None:
@@ -106,9 +105,21 @@
         deadline = self.arrived_at + max(0.0, timeout_s)
         body = self.exchange.request.body
         self.context = request_context.RequestContext(self.call, route, account, deadline, body)
+        self.service = self.choose_service()
         self.check_hold()
         self.pool.budget(self.service).record_first_attempt(self.arrived_at)
 
+    def choose_service(self) -> str:
+        """Return one of the route's services that have back ends in the allowed regions."""
+        assert self.context is not None
+        route = self.context.route
+        regions = self.context.allowed_regions()
+        usable = None
+        if regions is not None:
+            services = [share.service for share in route.shares]
+            usable = self.pool.services_in(services, regions)
+        return route_table.choose_service(route, self.pool.rng, usable)
+
     def check_hold(self) -> None:
         """Raise RequestError if this request is held, or a part of its prompt.
 
@@ -333,6 +344,7 @@
             bool(self.attempts),
             self.sent_count() + 1 < self.context.route.attempts
             and self.pool.budget(self.service).allows(now),
+            self.context.allowed_regions(),
         )
 
     async def acquire_backend(self) -> dispatch.Choice:
@@ -430,7 +442,8 @@
                 candidate for candidate in candidates if candidate.instance == result.instance
             )
             return self.pool.evaluate(backend, requirements)
-        if self.pool.available_at(self.service) is not None and not self.may_have_run:
+        regions = self.context.allowed_regions()
+        if self.pool.available_at(self.service, regions) is not None and not self.may_have_run:
             reason = f"all back ends have rate limits; next permit in {result.back_in_s:.2f} s"
             raise self.unavailable(f"{reason} ({result.source})", result.back_in_s)
         return None
@@ -440,7 +453,11 @@
 
         Waiting would only reduce the time that the client has left for a retry.
         """
-        available_at = self.pool.available_at(self.service)
+        assert self.context is not None
+        regions = self.context.allowed_regions()
+        if regions is not None:
+            self.check_regions(regions)
+        available_at = self.pool.available_at(self.service, regions)
         if available_at is None or available_at <= queue_deadline:
             return
         if math.isinf(available_at):
@@ -451,6 +468,18 @@
             f"all back ends are at rest for {available_in_s:.2f} s", retry_delay_s
         )
 
+    def check_regions(self, regions: frozenset[str]) -> None:
+        """Raise RequestError if no back end in the allowed regions may serve, now or later."""
+        backends = self.pool.backends_in(self.service, regions)
+        if not all(backend.is_draining for backend in backends):
+            return
+        names = ", ".join(sorted(regions)) or "none"
+        cause, reason = "missing", f"no back end is in an allowed region ({names})"
+        if backends:
+            cause, reason = "leaving", f"all back ends in allowed regions ({names}) are leaving"
+        metrics.region_refusals_total.labels(cause).inc()
+        raise self.unavailable(reason, self.retry_after_s(True))
+
     def is_admissible(self, choice: dispatch.Choice, remaining_s: float) -> bool:
         """Return whether the first byte is expected in time, or the engine has room.
 
@@ -501,7 +530,8 @@
         """
         assert self.context is not None
         remaining_s = self.context.deadline - self.clock()
-        ready_in_s = self.pool.ready_in_s(self.service) if is_unavailable else None
+        regions = self.context.allowed_regions()
+        ready_in_s = self.pool.ready_in_s(self.service, regions) if is_unavailable else None
         refusal = retry_delays.Refusal(remaining_s, is_unavailable, ready_in_s)
         return self.pool.retry_delay_policy(refusal, self.pool.rng)
 
@@ -548,6 +578,7 @@
     def log_outcome(self, outcome: str, status: int) -> None:
         """Log the outcome of this request with a description of each attempt."""
         route = self.context.route if self.context else None
+        regions = self.context.allowed_regions() if self.context else None
         metrics.requests_total.labels(route.kind if route else "unknown", outcome).inc()
         logs.event(
             "request",
@@ -557,6 +588,7 @@
             route=route.name if route else "",
             configuration=self.table.version if self.table else 0,
             service=self.service,
+            allowed_regions=None if regions is None else sorted(regions),
             sent=self.sent_count(),
             ms=round(1000 * (self.clock() - self.arrived_at)),
             first_ms=(
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -1,5 +1,6 @@
 """JSON bodies of the platform's HTTP interface, and their validation and conversion."""
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -15,6 +16,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
 # The year 2100 as Unix time; later start times are rejected.
 BORN_MS_MAX = 4_102_444_800_000
+# The end of a `msgspec` error, which names the field, such as "at `$.routes[0].name`".
+FIELD_PATH = re.compile(r"at `\$\.?(.+)`$")
 HEARTBEAT_STATES = {"ready": fleet.READY, "draining": fleet.DRAINING}
 
 
@@ -41,6 +44,7 @@
     public: bool = False
     resumable: bool = False
     target_gap_ms: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class ModelBody(msgspec.Struct):
@@ -97,6 +101,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class ConfigurationBody(msgspec.Struct):
@@ -183,7 +188,9 @@
     try:
         decoded = CONFIGURATION_DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise errors.ConfigurationError(f"invalid configuration: {error}")
+        field = field_of(error)
+        remedy = f"; correct {field}" if field else ""
+        raise errors.ConfigurationError(f"invalid configuration: {error}{remedy}", field=field)
     limits = fleet.ClientLimits(
         decoded.limits.max_header_bytes,
         decoded.limits.max_body_bytes,
@@ -194,11 +201,17 @@
         decoded.version,
         [convert_route(item) for item in decoded.routes],
         [convert_service(item) for item in decoded.services],
-        [fleet.Account(item.name, item.api_keys, item.priority) for item in decoded.tenants],
+        [convert_tenant(item) for item in decoded.tenants],
         limits,
     )
 
 
+def field_of(error: Exception) -> str:
+    """Return the path of the field that a decoding error names, or an empty string."""
+    match = FIELD_PATH.search(str(error))
+    return match[1] if match is not None else ""
+
+
 def convert_route(body: RouteBody) -> fleet.Route:
     """Convert a route to its internal type."""
     if body.traffic_split is not None:
@@ -218,6 +231,14 @@
         body.public,
         body.resumable,
         body.target_gap_ms / MS_PER_S,
+        frozenset(body.allowed_regions or ()),
+    )
+
+
+def convert_tenant(body: TenantBody) -> fleet.Account:
+    """Convert a client account to its internal type."""
+    return fleet.Account(
+        body.name, body.api_keys, body.priority, frozenset(body.allowed_regions or ())
     )
 
 
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -254,8 +254,12 @@
         gone=(),
         leader_age_s=0.0,
         draining=(),
+        zones: dict[fleet_worker.Worker, str] | None = None,
     ) -> None:
-        """Send the entry a configuration and its workers, as a control VM would."""
+        """Send the entry a configuration and its workers, as a control VM would.
+
+        Workers are in zone-a unless `zones` names another one.
+        """
         self.sequence += 1
         instances = [
             instance_records.Instance(
@@ -265,7 +269,7 @@
                         {
                             "service": service,
                             "address": worker.address,
-                            "zone": "zone-a",
+                            "zone": (zones or {}).get(worker, "zone-a"),
                             "slots": 4,
                             "state": "draining" if worker in draining else "ready",
                             "sequence": self.sequence,
