losses: report overloaded seconds by class, account and zone

Cause: `merlinthread losses` counted causes in windows of time. It did not tell which class, account or zone lost what in the seconds of overload, nor how much of that the engines could have served (docs/overload-and-placement.md, part 7).

With `--engines SERVICE=COUNT` it fills the engine time of the second, most urgent requests first, then by worth per engine second, and compares the result with what was served. The output without `--overloaded` is unchanged; numeric options refuse `inf`.

The `request` log line has account, urgency, zone, objective_ms, prompt_tokens, response_tokens_max and is_client_retry; the `configuration` line has the engines' figures, which options can override.

--- a/src/merlinthread/cli/losses.py
+++ b/src/merlinthread/cli/losses.py
@@ -1,15 +1,20 @@
-"""The `losses` command, which counts failed and late requests in the log files of entries."""
+"""The `losses` command, which counts failed and late requests in the log files of entries.
+
+With `--overloaded`, it reports each overloaded second (`cli.overload_report`).
+"""
 
 import collections
 import dataclasses
 import json
+import math
 import pathlib
 import re
+from typing import Any
 
 from cleo.helpers import option
 
 from merlinthread import errors
-from merlinthread.cli import base, explain
+from merlinthread.cli import base, explain, overload_report
 
 IN_TIME = "in time"
 CLIENT_LEFT = "the client left"
@@ -26,6 +31,14 @@
 # A late request that waited longer than this fraction of the objective for its first attempt is
 # counted as late because of that wait.
 WAIT_FRACTION = 0.25
+GROUP_FIELDS = ("route", "account", "zone")
+# Maps each option that overrides a figure of the engines to its name in the `configuration` line.
+ENGINE_OPTIONS = {
+    "slots": "slots",
+    "step-ms": "step_ms",
+    "read-per-s": "read_per_s",
+    "response-tokens": "response_tokens",
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +69,46 @@
         option(
             "window-s", None, "Time span that each row covers, in seconds.", flag=False, default="2"
         ),
+        option(
+            "overloaded",
+            None,
+            "Report each second with refusals or late answers instead, by group, and the share of "
+            "the best possible split that was achieved.",
+        ),
+        option(
+            "by",
+            None,
+            "Fields that make a group, of route, account and zone (of the entry).",
+            flag=False,
+            default="route,account,zone",
+        ),
+        option(
+            "engines",
+            None,
+            "Engines of each service, as SERVICE=COUNT,SERVICE=COUNT; without it, no split is "
+            "reported.",
+            flag=False,
+        ),
+        option(
+            "worth",
+            None,
+            "Worth of a request that is served in time, as ROUTE=WORTH,ROUTE=WORTH (default: 1).",
+            flag=False,
+        ),
+        option("slots", None, "Slots of an engine (default: from the logs).", flag=False),
+        option("step-ms", None, "Time of an engine's step (default: from the logs).", flag=False),
+        option(
+            "read-per-s",
+            None,
+            "Prompt tokens that an engine reads in a second (default: from the logs).",
+            flag=False,
+        ),
+        option(
+            "response-tokens",
+            None,
+            "Mean tokens of a response (default: from the logs).",
+            flag=False,
+        ),
         base.JSON_OPTION,
     ]
 
@@ -67,6 +120,8 @@
         objective_ms = self.positive_number("objective-ms")
         window_s = self.positive_number("window-s")
         lines = [line for path in sorted(folder.iterdir()) for line in explain.read_log_file(path)]
+        if self.option("overloaded"):
+            return self.report_overload(lines, objective_ms)
         outcomes = classify_requests(lines, objective_ms)
         if not outcomes:
             raise errors.RequestError(
@@ -86,10 +141,89 @@
             value = float(text)
         except ValueError:
             value = 0.0
-        if value <= 0:
+        if not 0 < value < math.inf:
             raise errors.RequestError(f"--{name}: {text!r} is not a number above 0")
         return value
 
+    def report_overload(self, lines: list[explain.LogLine], objective_ms: float) -> int:
+        """Print the overloaded seconds by group, and the splits if the engines are known."""
+        by = self.option("by").split(",")
+        unknown = [name for name in by if name not in GROUP_FIELDS]
+        if unknown:
+            raise errors.RequestError(
+                f"--by: {unknown[0]!r} is none of {', '.join(GROUP_FIELDS)}; pass some of these"
+            )
+        figures = self.engine_figures(overload_report.read_figures(lines))
+        worth = self.numbers_by_name("worth")
+        tries = overload_report.read_tries(lines, objective_ms)
+        if not tries:
+            raise errors.RequestError("the logs have no line of a request; add those of entries")
+        seconds = overload_report.overloaded_seconds(tries)
+        rows = overload_report.make_rows(seconds, by)
+        splits = overload_report.make_splits(seconds, figures, worth)
+        dropped = overload_report.count_dropped_lines(lines)
+        if self.option("json"):
+            body = {
+                "groups": [group_fields(row, by) for row in rows],
+                "splits": [split_fields(split) for split in splits],
+                "log_lines_left_out": dropped,
+            }
+            print(json.dumps(body))
+            return 0
+        self.print_rows([group_fields(row, by) for row in rows])
+        self.print_rows([split_fields(split) for split in splits])
+        if dropped:
+            print(f"{dropped} log lines were left out by their processes; requests may be missing")
+        return 0
+
+    def print_rows(self, rows: list[dict[str, Any]]) -> None:
+        """Print rows with the same fields as a table."""
+        if rows:
+            names = [name.replace("_", " ") for name in rows[0]]
+            cells = [["" if cell is None else cell for cell in row.values()] for row in rows]
+            self.print_table(names, cells)
+
+    def engine_figures(
+        self, logged: dict[str, dict[str, float]]
+    ) -> dict[str, overload_report.EngineFigures]:
+        """Return the figures of the services in `--engines`; raise RequestError if one is unknown.
+
+        Options override the figures that entries logged.
+        """
+        figures = {}
+        for service, count in self.numbers_by_name("engines").items():
+            known = dict(logged.get(service, {}))
+            for name, field in ENGINE_OPTIONS.items():
+                if self.option(name) is not None:
+                    known[field] = self.positive_number(name)
+                if known.get(field, 0) <= 0:
+                    raise errors.RequestError(
+                        f"--{name}: the logs do not tell it for {service}; pass this option"
+                    )
+            figures[service] = overload_report.EngineFigures(
+                count,
+                known["slots"],
+                known["step_ms"] / 1000,
+                known["read_per_s"],
+                known["response_tokens"],
+            )
+        return figures
+
+    def numbers_by_name(self, name: str) -> dict[str, float]:
+        """Return an option's NAME=NUMBER pairs; raise RequestError if one is invalid."""
+        numbers: dict[str, float] = {}
+        for pair in filter(None, (self.option(name) or "").split(",")):
+            key, _, value = pair.rpartition("=")
+            try:
+                numbers[key] = float(value)
+            except ValueError:
+                numbers[key] = 0.0
+            if not key or not 0 < numbers[key] < math.inf:
+                raise errors.RequestError(
+                    f"--{name}: {pair!r} is not a name, '=' and a number above 0"
+                )
+        return numbers
+
     def print_counts(self, rows: list[tuple[float, collections.Counter[str]]]) -> None:
         """Print the counts as a table, with the most frequent causes first."""
         total: collections.Counter[str] = collections.Counter()
@@ -100,6 +234,31 @@
         self.print_table(["second", *names], [*table, ["all", *(total[name] for name in names)]])
 
 
+def group_fields(row: overload_report.Row, by: list[str]) -> dict[str, Any]:
+    """Return the columns of a group's row."""
+    return {
+        "second": row.second,
+        **dict(zip(by, row.group, strict=True)),
+        "offered": row.offered,
+        **{str(result): count for result, count in row.counts.items()},
+        "refusal_p50_ms": row.refusal_p50_ms,
+        "refusal_p95_ms": row.refusal_p95_ms,
+    }
+
+
+def split_fields(split: overload_report.Split) -> dict[str, Any]:
+    """Return the columns of a split's row."""
+    return {
+        "second": split.second,
+        "service": split.service,
+        "offered_engine_s": round(split.offered_engine_s, 3),
+        "capacity_engine_s": split.capacity_engine_s,
+        "best_worth": round(split.best_worth, 3),
+        "achieved_worth": round(split.achieved_worth, 3),
+        "share": None if split.share is None else round(split.share, 3),
+    }
+
+
 def classify_requests(lines: list[explain.LogLine], objective_ms: float) -> list[RequestOutcome]:
     """Return the outcomes of all requests in the lines, in order of arrival."""
     outcomes = [
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -286,6 +286,7 @@
             before=old,
             control=address,
             leader_age_s=reply.leader_age_s,
+            engines=describe_engines(self.table),
         )
 
     def apply_versions(self, reply: node_messages.WatchReply, now: float) -> None:
@@ -401,3 +402,17 @@
                 self.positions = {}
                 self.remove(instance)
                 logs.event("instance", instance=instance, state="missing", since_s=now - since)
+
+
+def describe_engines(table: route_table.RouteTable) -> dict[str, dict[str, float]]:
+    """Return the figures of each service's engines by which `merlinthread losses` judges a load."""
+    return {
+        name: {
+            "slots": service.engine.slots,
+            "step_ms": 1000 * service.engine.step_s,
+            "read_per_s": service.engine.read_tokens_per_s,
+            "response_tokens": service.engine.usual_response_tokens,
+        }
+        for name, service in table.services.items()
+        if service.engine is not None
+    }
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -589,6 +589,7 @@
             configuration=self.table.version if self.table else 0,
             service=self.service,
             allowed_regions=None if regions is None else sorted(regions),
+            **self.describe_load(),
             sent=self.sent_count(),
             ms=round(1000 * (self.clock() - self.arrived_at)),
             first_ms=(
@@ -600,6 +601,21 @@
             attempts=self.describe_attempts(),
         )
 
+    def describe_load(self) -> dict[str, object]:
+        """Return the log fields by which `merlinthread losses` reports overloaded seconds."""
+        fields: dict[str, object] = {"zone": self.pool.settings.zone}
+        if self.context is not None:
+            account = self.context.account
+            fields |= {
+                "account": account.name if account is not None else "",
+                "urgency": self.context.urgency(),
+                "objective_ms": round(1000 * self.context.route.objective_s),
+                "prompt_tokens": self.context.call.prompt_tokens,
+                "response_tokens_max": self.context.call.response_tokens,
+                "is_client_retry": self.is_client_retry(),
+            }
+        return fields
+
     def describe_attempts(self) -> list[str]:
         """Return a description of each attempt, and the reason if the request was refused."""
         described = [attempt.describe() for attempt in self.attempts]
