--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -77,7 +77,7 @@
     `rejected_at` when it last refused or failed one. `silent_at` is when it was last found silent
     and has not continued since. `trials` counts the attempts in flight that were sent while it was
     doubtful. `others_unread_by_urgency` is of the last reply to a probe, and empty if requests do
-    not differ in urgency.
+    not differ in urgency. `region` is None if the settings name no region of its zone.
     """
 
     instance: str
@@ -121,6 +121,7 @@
     typical_load: TypicalLoad = dataclasses.field(default_factory=TypicalLoad)
     ready_at: float | None = None
     missing_since: float | None = None
+    region: str | None = None
     availability: backend_availability.Availability = dataclasses.field(
         default_factory=backend_availability.Availability
     )
