--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Modules whose tests use no processes, sockets or sleeps.
 QUICK_MODULES = {
+    "test_account_shares.py",
     "test_backend_signals.py",
     "test_reload_schedule.py",
     "test_chunk_announcements.py",
