Numbers in clients' headers: ignore those of more than 12 digits

Fault: a request whose X-Merlinthread-Token-Usage has more than 4300 digits, or whose X-Merlinthread-Deadline-Ms has more than 308, ends without an answer (ValueError or OverflowError in the parser, logged as handler_failed). Found by reading; a prompt of 400 digits is parsed, but does not fit a float where its tokens are sent to an agent.

Change: platform/dialect.py reads all three numbers with one function. A longer number counts as missing, as other invalid ones do.

--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -11,6 +11,8 @@
 from merlinthread.protocol import rate_limit, retry_after
 from merlinthread.transport import http_messages
 
+# Longer numbers in clients' headers are invalid: they may be too large for a float.
+COUNT_DIGITS_MAX = 12
 JSON_TYPE = (b"content-type", b"application/json")
 KNOWN_RESPONSE_HEADERS = (
     names.READ_RESPONSE_HEADERS
@@ -238,12 +240,19 @@
     return target.encode("ascii")
 
 
+def parse_count(value: bytes | None) -> int | None:
+    """Parse a whole number of at most COUNT_DIGITS_MAX digits; None if missing or invalid."""
+    digits = (value or b"").strip()
+    return int(digits) if digits.isdigit() and len(digits) <= COUNT_DIGITS_MAX else None
+
+
 def parse_token_usage(value: bytes) -> tuple[int, int]:
     """Parse the numbers of prompt and answer tokens; a missing or invalid one is 0."""
     prompt, _, answer = value.partition(b",")
-    if not prompt.isdigit():
+    prompt_tokens = parse_count(prompt)
+    if prompt_tokens is None:
         return 0, 0
-    return int(prompt), int(answer) if answer.isdigit() else 0
+    return prompt_tokens, parse_count(answer) or 0
 
 
 def parse_shared_parts(value: bytes) -> tuple[str, ...]:
@@ -257,6 +266,5 @@
 
 def parse_deadline_s(value: bytes | None) -> float | None:
     """Parse a deadline in milliseconds; return seconds, or None if missing or invalid."""
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000
+    deadline_ms = parse_count(value)
+    return None if deadline_ms is None else deadline_ms / 1000
--- a/tests/test_parser_properties.py
+++ b/tests/test_parser_properties.py
@@ -54,12 +54,16 @@
     refused_or_read(dialect.PlatformDialect().parse_control_call, request)
 
 
+LONG_NUMBER = st.integers(1, 5000).map(lambda digits: b"9" * digits)
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(
             st.sampled_from(
                 [
                     b"X-Merlinthread-Token-Usage",
+                    b"X-Merlinthread-Length-Hint",
                     b"X-Merlinthread-Deadline-Ms",
                     b"X-Merlinthread-Model",
                     b"Host",
@@ -67,7 +71,7 @@
                     b"Last-Event-Id",
                 ]
             ),
-            st.binary(max_size=12),
+            st.binary(max_size=12) | LONG_NUMBER,
         ),
         max_size=6,
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -148,3 +148,12 @@
     headers = [(b"X-Merlinthread-Prompt-Prefix", value)]
     request = http_messages.Request(b"POST", b"/x", headers, b"")
     assert dialect.PlatformDialect().parse_request_head(request).shared_parts == shared
+
+
+# Guards against a number that ends a request without an answer, as ones too large for a float did.
+@pytest.mark.parametrize("digits", [13, 400, 5000])
+@pytest.mark.parametrize("name", [b"X-Merlinthread-Token-Usage", b"X-Merlinthread-Deadline-Ms"])
+def test_numbers_of_clients_with_too_many_digits_are_ignored(name, digits):
+    request = http_messages.Request(b"POST", b"/x", [(name, b"9" * digits)], b"")
+    head = dialect.PlatformDialect().parse_request_head(request)
+    assert (head.prompt_tokens, head.response_tokens, head.deadline_s) == (0, 0, None)
