--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -178,7 +178,8 @@
     """The parts of a client request's head that routing depends on.
 
     `deadline_s` is the client's timeout, counted from when the head was read. `shared_parts` are
-    the ids of the parts of its prompt that other requests may have too, in order.
+    the ids of the parts of its prompt that other requests may have too, in order. `response_tokens`
+    is the most that it allows to generate, 0 if unknown, and `length_hint` the client's estimate.
     """
 
     request_id: str
@@ -192,6 +193,7 @@
     response_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
     last_event_id: str = ""
+    length_hint: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -77,6 +77,7 @@
             answer,
             parse_shared_parts(headers.get(names.PROMPT_PREFIX, b"")),
             headers.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
+            parse_count(headers.get(names.LENGTH_HINT)),
         )
 
     def error_headers(self, call: fleet.RequestHead | None) -> http_messages.Headers:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,7 @@
     "test_crash_tracker.py",
     "test_part_tracker.py",
     "test_coordination.py",
+    "test_expected_cost.py",
     "test_fleet_coordination.py",
     "test_incarnations.py",
     "test_layers.py",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -157,3 +157,15 @@
     request = http_messages.Request(b"POST", b"/x", [(name, b"9" * digits)], b"")
     head = dialect.PlatformDialect().parse_request_head(request)
     assert (head.prompt_tokens, head.response_tokens, head.deadline_s) == (0, 0, None)
+
+
+# Guards against an invalid estimate being taken for a short response.
+@pytest.mark.parametrize(
+    ("value", "hint"),
+    [(b"250", 250), (b" 250 ", 250), (b"0", 0), (b"", None), (b"-3", None), (b"2.5", None)]
+    + [(b"9" * 5000, None), (b"\xb2", None), (b"1,2", None)],
+)
+def test_length_hint_is_a_whole_number(value, hint):
+    headers = [(b"X-Merlinthread-Length-Hint", value)]
+    request = http_messages.Request(b"POST", b"/x", headers, b"")
+    assert dialect.PlatformDialect().parse_request_head(request).length_hint == hint
