Agents: reply whether a client account is over its share of the engine

Change: LoadQuery has the account of the request and the tokens that it asks for, AttemptNotice the account and the expected cost, LoadReply `is_over_share`; all optional, at the end. The engine has room while it has fewer attempts than slots; then no account is over its share. An agent that restarted, or whose entries name no account, holds none back. Numbers that are no valid cost are not recorded.

Log: account_over_share once, and account_within_share after 10 s without. Metrics: merlinthread_share_queries_total, merlinthread_accounts_over_share. No entry sends the new fields yet.

--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -36,12 +36,14 @@
     """An agent's reply to a load probe: other entries' load and the engine's state.
 
     `is_busy` is set while the engine changes its weights; a `pace` above 1 means that it is slower
-    than configured.
+    than configured. `is_over_share` is set if requests of other accounts go before those of the
+    account for which the agent was asked.
     """
 
     others: Outstanding
     is_busy: bool = False
     pace: float = 1.0
+    is_over_share: bool = False
 
 
 class LoadTracker:
@@ -72,6 +74,10 @@
                 del self.open[key]
         self.unattributed = running - len(self.open)
 
+    def count(self) -> int:
+        """Return the current number of attempts of all entries, including those not notified."""
+        return max(0, len(self.open) + self.unattributed)
+
     def outstanding(self, entry: str, now: float) -> Outstanding:
         """Return the current load of all entries but `entry`."""
         found = Outstanding()
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -176,3 +176,12 @@
     "merlinthread_limited_per_second",
     "Sum of the rate limits of back ends known to this control VM, in requests per second.",
 )
+share_queries_total = prometheus_client.Counter(
+    "merlinthread_share_queries_total",
+    "Load queries that name a client account, by this agent's reply: over or within its share.",
+    ["reply"],
+)
+accounts_over_share = prometheus_client.Gauge(
+    "merlinthread_accounts_over_share",
+    "Client accounts that were over their share of this agent's engine lately.",
+)
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -7,8 +7,15 @@
 
 from merlinthread import clocks, errors, logs
 from merlinthread.coordination import fleet, load_feed, load_tracker
+from merlinthread.nodes import (
+    account_meter,
+    engine_client,
+    fleet_watcher,
+    node_roles,
+    node_settings,
+    weights_task,
+)
 from merlinthread.nodes import dialect as dialects
-from merlinthread.nodes import engine_client, fleet_watcher, node_roles, node_settings, weights_task
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -57,6 +64,7 @@
             codec, self.dispatch_request, lambda: self.weights.server.upload_pacer.bytes_per_s
         )
         self.load_tracker = load_tracker.LoadTracker()
+        self.account_meter = account_meter.AccountMeter(clock)
         self.subscribers: dict[str, float] = {}
         self.last_report: fleet.EngineReport | None = None
         self.last_sent_at = float("-inf")
@@ -110,13 +118,22 @@
             outstanding.unread_tokens,
             self.last_report.is_busy,
             self.last_report.pace,
+            is_over_share=self.account_meter.record_query(query, self.has_room()),
         )
         self.datagrams.send(query.address, reply)
 
+    def has_room(self) -> bool:
+        """Return whether the engine has a free slot, or its number of slots is unknown."""
+        service = self.weights.view.service()
+        if service is None or service.engine is None:
+            return True
+        return self.load_tracker.count() < service.engine.slots
+
     def record_attempt_stage(self, notice: node_messages.AttemptNotice) -> None:
         """Record the stage that an attempt has reached."""
         if notice.stage is node_messages.AttemptStage.SENT:
             self.load_tracker.record_start(notice.entry, notice.number, notice.tokens, self.clock())
+            self.account_meter.record_sent(notice)
         elif notice.stage is node_messages.AttemptStage.READ:
             self.load_tracker.record_first_byte(notice.entry, notice.number)
         else:
@@ -161,6 +178,7 @@
         self.set_engine_reachable(True, "")
         self.weights.record_engine_report(report)
         report.ready_in_s = self.weights.ready_in_s()
+        self.account_meter.update()
         self.load_tracker.apply_report(report.running + report.queued, self.clock())
         self.weights.send_report(report)
 
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -226,11 +226,17 @@
 
     With `permit`, it requests a permit from a control VM instead. The same message is used so that
     builds without permits can read it.
+
+    `account` is the client account of the request that is to be sent, empty if there is none.
+    `asked_tokens` is the part of its expected cost that is asked of this engine: the first query of
+    a request divides it among the agents, later ones have 0.
     """
 
     address: str
     number: int
     permit: rate_limits.PermitRequest | None = None
+    account: str = ""
+    asked_tokens: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -256,7 +262,8 @@
     """The reply to the LoadQuery `number`: the outstanding work of other entries on the engine.
 
     `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
-    is slower than it reports. `permit` is set in the reply of a control VM.
+    is slower than it reports. `permit` is set in the reply of a control VM. `is_over_share` is true
+    if requests of other accounts go before those of the account in the query.
     """
 
     number: int
@@ -266,6 +273,7 @@
     is_busy: bool = False
     pace: float = 1.0
     permit: PermitReply | None = None
+    is_over_share: bool = False
 
 
 class AttemptStage(enum.StrEnum):
@@ -279,12 +287,18 @@
 @MESSAGES.add("node.attempt")
 @dataclasses.dataclass(slots=True)
 class AttemptNotice:
-    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt."""
+    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt.
+
+    `account` is the client account, empty if there is none, and `cost_tokens` the expected length
+    of prompt and response.
+    """
 
     entry: str
     number: int
     stage: AttemptStage
     tokens: float = 0.0
+    account: str = ""
+    cost_tokens: float = 0.0
 
 
 @MESSAGES.add("node.piece_note")
