Entries: tell agents the account and cost of requests, and learn who is over its share

Change: the expected cost is computed once for a request. Its first choice asks for it, divided among the agents that are asked; later choices of the same request ask for nothing, so that waiting requests are not counted again. A repetition by the client is a new request and counts. Notices have the account and the cost. dispatch.Choice tells whether the account is over its share at the chosen engine; an engine whose agent was not asked counts like the asked ones if these agree. A request over the share whose engine has a wait above the reduced limit looks at other engines as well. The reply is kept with the request's requirements and not in the record of the back end, which requests of several accounts use at the same time.

Old agents omit the field: no account is over its share.

Three stand-ins for LoadProber.query take the new arguments; no check changed.

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -38,6 +38,9 @@
     `version_soon` becomes mandatory shortly. Until then a back end with an older version may serve
     only if it is responsive, so that the attempt starts in time. `is_retry` is set if the request
     had an attempt before, `may_be_retried` if it may have another one after this.
+
+    `account` is the client account, `asked_tokens` the expected cost that no agent has been told
+    yet. `over_share` tells, by instance, whether agents replied that the account is over its share.
     """
 
     service: str
@@ -48,6 +51,18 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     is_retry: bool = False
     may_be_retried: bool = True
+    account: str = ""
+    asked_tokens: float = 0.0
+    over_share: dict[str, bool] = dataclasses.field(default_factory=dict)
+
+    def is_over_share(self, backend: backend_record.Backend) -> bool:
+        """Return whether the account is over its share at a back end.
+
+        One whose agent was not asked, or did not reply, is taken to be like the others if these
+        agree. Otherwise an account over its share would go where that is not known.
+        """
+        replies = self.over_share.values()
+        return self.over_share.get(backend.instance, bool(replies) and all(replies))
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,13 +70,15 @@
     """A back end with its expected time to the first byte, in seconds.
 
     `wait_s` excludes the time to read the request's own prompt. `cost_s` adds penalties, such as
-    those for distance and a cold start. Both are infinite for an ejected back end.
+    those for distance and a cold start. Both are infinite for an ejected back end. `is_over_share`
+    is set if requests of other accounts go before this one there.
     """
 
     backend: backend_record.Backend
     first_byte_s: float
     wait_s: float
     cost_s: float
+    is_over_share: bool = False
 
 
 def expected_first_byte_s(
@@ -359,13 +376,15 @@
         cost_s += STALE_REPORTS_COST_S
     if backend.probe_unanswered:
         cost_s += UNANSWERED_PROBE_COST_S
+    is_over_share = requirements.is_over_share(backend)
     if backend.is_ejected(now):
-        return Choice(backend, first_byte_s, math.inf, math.inf)
+        return Choice(backend, first_byte_s, math.inf, math.inf, is_over_share)
     return Choice(
         backend,
         first_byte_s,
         first_byte_s - prompt_read_s(engine, requirements.prompt_tokens),
         cost_s,
+        is_over_share,
     )
 
 
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -17,6 +17,7 @@
     waited_ms = round(1000 * (now - arrived_at))
     expected_ms = round(1000 * choice.first_byte_s)
     doubt = ", refused or failed its last request" if backend.is_doubtful() else ""
+    doubt += ", account over its share" if choice.is_over_share else ""
     unread = round(backend.unread_tokens + (backend.others_unread_tokens or 0.0))
     return (
         f"{backend.instance} after {waited_ms} ms, load {backend.load(now)}, "
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -102,7 +102,9 @@
         self.pool = pool
         self.clock = pool.clock
         self.backend = backend
-        self.reservation = pool.reserve(backend, context.call.prompt_tokens)
+        self.reservation = pool.reserve(
+            backend, context.call.prompt_tokens, context.account_name(), context.cost_tokens
+        )
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 
 from merlinthread.coordination import (
+    admission,
     backend_availability,
     backend_record,
     dispatch,
+    expected_cost,
     fleet,
     incarnations,
     load_feed,
@@ -53,7 +55,8 @@
 
     `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
     the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
-    is set if the back end was doubtful when the attempt began.
+    is set if the back end was doubtful when the attempt began. `account` and `cost_tokens` are the
+    client account and the expected tokens of prompt and response.
     """
 
     backend: backend_record.Backend
@@ -63,6 +66,8 @@
     agent: str = ""
     is_read: bool = False
     is_trial: bool = False
+    account: str = ""
+    cost_tokens: float = 0.0
 
 
 class BackendPool:
@@ -99,6 +104,7 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.started_at = clock()
         self.reservation_numbers = itertools.count(1)
+        self.response_means = expected_cost.ResponseMeans()
         self.connections = backend_connections.BackendConnections(clock)
 
     # State
@@ -255,15 +261,17 @@
         probed = dispatch.shortlist(
             subscribed, requirements, engine, self.clock(), self.rng, PROBE_AGENTS
         )
-        await self.probe(probed)
+        await self.probe(probed, requirements)
         choice = dispatch.choose_best(probed, requirements, engine, self.clock())
-        if choice is not None and choice.wait_s <= wait_s_max:
+        if choice is not None and choice.wait_s <= admission.wait_limit_s(
+            wait_s_max, choice.is_over_share
+        ):
             return choice
         others = self.unsubscribed(backends, subscribed)
         probed = dispatch.shortlist(
             others, requirements, engine, self.clock(), self.rng, PROBE_AGENTS
         )
-        await self.probe(probed)
+        await self.probe(probed, requirements)
         known = [*subscribed, *(backend for backend in probed if not backend.probe_unanswered)]
         # Unsubscribed engines that did not reply to the probe are the last resort.
         choice = dispatch.choose_best(known, requirements, engine, self.clock(), wait_s_max)
@@ -285,14 +293,23 @@
         known = {backend.instance for backend in subscribed}
         return [backend for backend in backends if backend.instance not in known]
 
-    async def probe(self, probed: list[backend_record.Backend]) -> None:
-        """Probe engines for their load through their agents."""
+    async def probe(
+        self, probed: list[backend_record.Backend], requirements: dispatch.Requirements
+    ) -> None:
+        """Probe engines for their load, and the shares of the account, through their agents."""
         agents = list({self.agent_of(backend): None for backend in probed})
-        replies = await self.prober.query(agents, PROBE_TIMEOUT_S)
+        asked_tokens = requirements.asked_tokens if agents else 0.0
+        requirements.asked_tokens -= asked_tokens
+        replies = await self.prober.query(
+            agents, PROBE_TIMEOUT_S, requirements.account, asked_tokens
+        )
         # Engines on one VM share an agent. Its timeout must count against all of them; otherwise
         # an engine without the penalty would get all requests.
         for backend in probed:
-            backend.apply_probe_reply(replies[self.agent_of(backend)], self.clock())
+            reply = replies[self.agent_of(backend)]
+            backend.apply_probe_reply(reply, self.clock())
+            if reply is not None:
+                requirements.over_share[backend.instance] = reply.is_over_share
 
     def ready_in_s(self, service: str) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
@@ -312,12 +329,29 @@
         host, _ = node_settings.split_address(backend.address)
         return f"{host}:{self.settings.agent_port}"
 
-    def reserve(self, backend: backend_record.Backend, tokens: float) -> Reservation:
+    def cost_tokens(self, call: fleet.RequestHead, route: fleet.Route, service: str) -> float:
+        """Return the expected tokens of a new request's prompt and response."""
+        return self.response_means.cost_tokens(call, route.name, self.engine_of(service))
+
+    def reserve(
+        self,
+        backend: backend_record.Backend,
+        tokens: float,
+        account: str = "",
+        cost_tokens: float = 0.0,
+    ) -> Reservation:
         """Add an attempt to a back end's load."""
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
-        reservation = Reservation(backend, tokens, self.clock(), next(self.reservation_numbers))
+        reservation = Reservation(
+            backend,
+            tokens,
+            self.clock(),
+            next(self.reservation_numbers),
+            account=account,
+            cost_tokens=cost_tokens,
+        )
         if backend.is_doubtful():
             reservation.is_trial = True
             backend.trials += 1
@@ -330,7 +364,12 @@
         """Notify the back end's agent, if any, of the stage that an attempt has reached."""
         if reservation.agent:
             self.prober.send_notice(
-                reservation.agent, reservation.number, stage, reservation.tokens
+                reservation.agent,
+                reservation.number,
+                stage,
+                reservation.tokens,
+                reservation.account,
+                reservation.cost_tokens,
             )
 
     def record_prompt_read(self, reservation: Reservation) -> None:
--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -25,15 +25,22 @@
         self.pending_queries: dict[int, asyncio.Future[load_tracker.EngineLoad]] = {}
 
     async def query(
-        self, agents: Sequence[str], wait_s: float
+        self, agents: Sequence[str], wait_s: float, account: str = "", asked_tokens: float = 0.0
     ) -> dict[str, load_tracker.EngineLoad | None]:
-        """Return the loads of the agents' engines; None for those without a reply in `wait_s`."""
+        """Return the loads of the agents' engines; None for those without a reply in `wait_s`.
+
+        `account` is the one whose request asks for `asked_tokens` of the engines together.
+        """
         loop = asyncio.get_running_loop()
         numbers = {agent: next(self.query_numbers) for agent in agents}
         futures = {agent: loop.create_future() for agent in agents}
+        part_tokens = asked_tokens / max(1, len(agents))
         for agent, number in numbers.items():
             self.pending_queries[number] = futures[agent]
-            self.send(agent, node_messages.LoadQuery(self.address, number))
+            query = node_messages.LoadQuery(
+                self.address, number, account=account, asked_tokens=part_tokens
+            )
+            self.send(agent, query)
         if futures:
             await asyncio.wait(futures.values(), timeout=wait_s)
         for number in numbers.values():
@@ -47,10 +54,21 @@
         future = self.pending_queries.pop(reply.number, None)
         if future is not None and not future.done():
             others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
-            future.set_result(load_tracker.EngineLoad(others, reply.is_busy, reply.pace))
+            future.set_result(
+                load_tracker.EngineLoad(others, reply.is_busy, reply.pace, reply.is_over_share)
+            )
 
     def send_notice(
-        self, agent: str, number: int, stage: node_messages.AttemptStage, tokens: float
+        self,
+        agent: str,
+        number: int,
+        stage: node_messages.AttemptStage,
+        tokens: float,
+        account: str = "",
+        cost_tokens: float = 0.0,
     ) -> None:
         """Notify an agent of the stage that an attempt has reached."""
-        self.send(agent, node_messages.AttemptNotice(self.address, number, stage, tokens))
+        notice = node_messages.AttemptNotice(
+            self.address, number, stage, tokens, account, cost_tokens
+        )
+        self.send(agent, notice)
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
-    """A client's request with its route, account and deadline."""
+    """A client's request with its route, account, deadline and expected cost in tokens."""
 
     call: fleet.RequestHead
     route: fleet.Route
@@ -32,6 +32,11 @@
     body: bytes = b""
     cached_fingerprint: str = ""
     cached_parts: tuple[PromptPart, ...] | None = None
+    cost_tokens: float = 0.0
+
+    def account_name(self) -> str:
+        """Return the name of the client account, or an empty string if there is none."""
+        return self.account.name if self.account is not None else ""
 
     def fingerprint(self) -> str:
         """Return the request's fingerprint, computed on first use."""
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -75,6 +75,8 @@
         self.reserved_at: float | None = None
         self.retry_waits_s: list[float] = []
         self.refusal = ""
+        # The part of the expected cost that has not been part of a choice yet.
+        self.unasked_tokens = 0.0
 
     async def run(self) -> None:
         """Process the request and send its final response."""
@@ -106,6 +108,8 @@
         deadline = self.arrived_at + max(0.0, timeout_s)
         body = self.exchange.request.body
         self.context = request_context.RequestContext(self.call, route, account, deadline, body)
+        self.context.cost_tokens = self.pool.cost_tokens(self.call, route, self.service)
+        self.unasked_tokens = self.context.cost_tokens
         self.check_hold()
         self.pool.budget(self.service).record_first_attempt(self.arrived_at)
 
@@ -333,6 +337,7 @@
             bool(self.attempts),
             self.sent_count() + 1 < self.context.route.attempts
             and self.pool.budget(self.service).allows(now),
+            account=self.context.account_name(),
         )
 
     async def acquire_backend(self) -> dispatch.Choice:
@@ -393,7 +398,9 @@
         again. Raises RequestError after the deadline.
         """
         assert self.context is not None
-        choice = await self.pool.choose(self.requirements(), remaining_s)
+        requirements = self.requirements()
+        requirements.asked_tokens, self.unasked_tokens = self.unasked_tokens, 0.0
+        choice = await self.pool.choose(requirements, remaining_s)
         if choice is None and self.tried and self.context.is_idempotent():
             self.tried.clear()
             choice = await self.pool.choose(self.requirements(), remaining_s)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -301,7 +301,7 @@
         entry.node.settings.bounds.version_s = bound_s
         entry.node.settings.agent_port = 1
 
-        async def reply_at_once(agents, wait_s):
+        async def reply_at_once(agents, wait_s, *_):
             nothing = load_tracker.EngineLoad(load_tracker.Outstanding())
             return {agent: nothing for agent in agents}
 
@@ -442,7 +442,7 @@
         report = fleet.EngineReport(running=8, queued=4, weights=[fleet.Weights("m", 1, 16)])
         subscribed.apply_report(report, pool.clock())
 
-        async def reply_for_subscribed_engine(agents, wait_s):
+        async def reply_for_subscribed_engine(agents, wait_s, *_):
             others = load_tracker.Outstanding(12, 4, 100_000.0)
             known = load_tracker.EngineLoad(others)
             return {agent: known if agent == subscribed.instance else None for agent in agents}
@@ -494,3 +494,77 @@
         assert max(len(worker.runs) for worker in workers) <= 24
 
     asyncio.run(scenario())
+
+
+class FakeAgents:
+    """Replies to load queries in place of the agents, and records the queries and notices."""
+
+    def __init__(self, entry, unread_tokens=0.0):
+        self.over_share = set()
+        self.queries, self.notices = [], []
+        self.others = load_tracker.Outstanding(4, 1, unread_tokens)
+        pool = entry.node.pool
+        entry.node.settings.agent_port = 1
+        pool.agent_of = lambda backend: backend.instance
+        pool.prober.query, pool.prober.send = self.query, self.send
+
+    async def query(self, agents, wait_s, account, asked_tokens):
+        self.queries.append((agents, account, asked_tokens))
+        return {
+            agent: load_tracker.EngineLoad(self.others, is_over_share=agent in self.over_share)
+            for agent in agents
+        }
+
+    def send(self, agent, message):
+        self.notices.append(message)
+
+
+# Guards against counting a request again each time its entry chooses, and notices without cost.
+def test_agents_are_told_of_the_cost_of_a_request_once():
+    async def scenario():
+        entry, _, _ = await make_entry("model", 2, "m")
+        # So much is unread that the request waits in the entry's queue and is refused.
+        agents = FakeAgents(entry, unread_tokens=1e6)
+        headers = STREAM | {"Api_Key": "key-1", "X_Merlinthread_Length_Hint": "15"}
+        assert (await entry.request("/model/", "id-1", **headers)).status == 503
+        assert {account for _, account, _ in agents.queries} == {"account-1"}
+        asked = [tokens for asked_agents, _, tokens in agents.queries if asked_agents]
+        assert len(asked) > 1 and asked[0] == 115.0 and not any(asked[1:])
+        assert not agents.notices
+        agents.others = load_tracker.Outstanding()
+        assert (await entry.request("/model/", "id-2", **headers)).status == 200
+        sent = [notice for notice in agents.notices if notice.stage == "sent"]
+        assert [(notice.account, notice.cost_tokens) for notice in sent] == [("account-1", 115.0)]
+
+    asyncio.run(scenario())
+
+
+# Guards against an account over its share that goes to engines whose agents were not asked.
+def test_choice_tells_whether_the_account_is_over_its_share():
+    async def scenario():
+        entry, workers, _ = await make_entry("model", 4, "m")
+        pool = entry.node.pool
+        # About 0.2 s of reading: more than an account over its share may wait for, of 0.28 s.
+        agents = FakeAgents(entry, unread_tokens=20_000.0)
+        names = [worker.instance for worker in workers]
+        pool.subscribed = {"model": [pool.backends[name] for name in names[:3]]}
+
+        async def choose(over_share):
+            agents.over_share, agents.queries = set(over_share), []
+            requirements = dispatch.Requirements("model", "m", 1, account="a", asked_tokens=9.0)
+            choice = await pool.choose(requirements, 0.28)
+            return choice, requirements
+
+        choice, requirements = await choose([])
+        assert not choice.is_over_share and len(agents.queries) == 1
+        choice, requirements = await choose(names)
+        assert choice.is_over_share and len(agents.queries) == 2, "other engines may have room"
+        unasked = next(name for name in names if name not in requirements.over_share)
+        assert requirements.is_over_share(pool.backends[unasked])
+        asked = next(iter(requirements.over_share))
+        requirements.over_share[asked] = False
+        assert not requirements.is_over_share(pool.backends[unasked])
+        assert not requirements.is_over_share(pool.backends[asked])
+        assert not dispatch.Requirements("model").is_over_share(pool.backends[asked])
+
+    asyncio.run(scenario())
--- a/tests/test_load_prober.py
+++ b/tests/test_load_prober.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import msgspec
+
 from merlinthread.coordination import load_tracker
 from merlinthread.nodes import load_prober
 from merlinthread.protocol import node_messages
+from tests import fleet_nodes
 
 
 def run(scenario):
@@ -46,3 +49,38 @@
         assert await prober.query([], 60.0) == {}
 
     run(scenario)
+
+
+# Guards against counting a request in full at each agent that is asked about it.
+def test_tokens_asked_for_are_divided_among_agents():
+    async def scenario(prober, sent):
+        task = asyncio.ensure_future(prober.query(["a", "b"], 60.0, "account-1", 300.0))
+        while len(sent) < 2:
+            await asyncio.sleep(0)
+        for agent, query in sent:
+            assert (query.account, query.asked_tokens) == ("account-1", 150.0)
+            reply = make_reply(query, 10.0)
+            reply.is_over_share = agent == "b"
+            prober.receive(reply)
+        replies = await asyncio.wait_for(task, 5.0)
+        assert {agent: reply.is_over_share for agent, reply in replies.items()} == {
+            "a": False,
+            "b": True,
+        }
+
+    run(scenario)
+
+
+# Guards against messages that builds before or after this one can't read.
+def test_messages_without_the_fields_of_accounts_are_read():
+    codec = fleet_nodes.make_codec()
+    old = {
+        "node.query": {"address": "e:1", "number": 1},
+        "node.pulse": {"number": 1, "attempts": 2, "unread": 0, "tokens": 0.0},
+        "node.attempt": {"entry": "e:1", "number": 1, "stage": "sent", "tokens": 5.0},
+    }
+    for name, fields in old.items():
+        frame = bytes(24) + b"\0" + msgspec.msgpack.encode((name, fields))
+        message = codec.decode(frame)
+        assert getattr(message, "account", "") == ""
+        assert not getattr(message, "is_over_share", False)
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -86,7 +86,7 @@
         """Let each load probe be answered at once, as by an idle engine's agent."""
         self.entry.node.settings.agent_port = 1
 
-        async def reply_at_once(agents, wait_s):
+        async def reply_at_once(agents, wait_s, *_):
             idle = load_tracker.EngineLoad(load_tracker.Outstanding())
             return dict.fromkeys(agents, idle)
 
