--- a/src/merlinthread/coordination/admission.py
+++ b/src/merlinthread/coordination/admission.py
@@ -14,6 +14,8 @@
 import random
 from collections.abc import Sequence
 
+from merlinthread.coordination import dispatch
+
 # Share of a route's objective that a request may be queued before it is refused. Its client loses
 # less than an eighth of the objective.
 QUEUE_TIME_SHARE = 0.12
@@ -24,6 +26,9 @@
 LAST_TRY_FIRST_BYTE_SHARE = 0.85
 # A client with less than this share of the route's timeout left has probably been refused before.
 LAST_TRY_TIME_SHARE = 0.8
+# Share of the queueing time that requests of an account over its share may use. The rest is kept
+# for the others.
+OVER_SHARE_WAIT_SHARE = 0.25
 # Time between two choices of a back end for a queued request that is not woken before.
 RETRY_INTERVAL_S = 0.05
 # By how much the level rises with a request that finds no place at once. An entry with three urgent
@@ -56,6 +61,19 @@
         return self.arrived_at + share * self.objective_s - now
 
 
+def wait_limit_s(wait_max_s: float, is_over_share: bool) -> float:
+    """Return the longest expected wait at which a request is admitted, in seconds.
+
+    `wait_max_s` is that of the terms. The limit is reduced for an account over its share, so that
+    its requests are refused before any others have to be. Latency that is no queueing is left as it
+    is.
+    """
+    queueing_s = wait_max_s - dispatch.BASE_LATENCY_S
+    if not is_over_share or queueing_s <= 0:
+        return wait_max_s
+    return dispatch.BASE_LATENCY_S + OVER_SHARE_WAIT_SHARE * queueing_s
+
+
 def is_last_try(remaining_s: float | None, timeout_s: float) -> bool:
     """Return whether a client has so little time left that it was probably refused before.
 
--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -68,12 +68,15 @@
     `is_busy` is set while the engine changes its weights; a `pace` above 1 means that it is slower
     than configured. `unread_by_urgency` divides the unread prompts of other entries by urgency. It
     is empty if requests do not differ in urgency, or if the agent's build does not report it.
+    `is_over_share` is set if requests of other accounts go before those of the account for which it
+    was asked.
     """
 
     others: Outstanding
     is_busy: bool = False
     pace: float = 1.0
     unread_by_urgency: list[UnreadPrompts] = dataclasses.field(default_factory=list)
+    is_over_share: bool = False
 
 
 class ExpectedAttempts:
@@ -154,6 +157,10 @@
                 del self.open[key]
         self.unattributed = running - len(self.open)
 
+    def count(self) -> int:
+        """Return the current number of attempts of all entries, including those not notified."""
+        return max(0, len(self.open) + self.unattributed)
+
     def outstanding(self, entry: str, now: float) -> Outstanding:
         """Return the load of all entries but `entry`, with the attempts expected of them."""
         found = Outstanding()
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -103,7 +103,13 @@
         self.pool = pool
         self.clock = pool.clock
         self.backend = backend
-        self.reservation = pool.reserve(backend, context.call.prompt_tokens, urgency)
+        self.reservation = pool.reserve(
+            backend,
+            context.call.prompt_tokens,
+            urgency=urgency,
+            account=context.account_name(),
+            cost_tokens=context.cost_tokens,
+        )
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -68,6 +68,8 @@
         self.reserved_at: float | None = None
         self.retry_waits_s: list[float] = []
         self.refusal = ""
+        # The part of the expected cost that has not been part of a choice yet.
+        self.unasked_tokens = 0.0
 
     async def run(self) -> None:
         """Process the request and send its final response."""
@@ -99,6 +101,8 @@
         body = self.exchange.request.body
         self.context = request_context.RequestContext(self.call, route, account, deadline, body)
         self.service = self.choose_service()
+        self.context.cost_tokens = self.pool.cost_tokens(self.call, route, self.service)
+        self.unasked_tokens = self.context.cost_tokens
         self.terms = self.admission_terms()
         if self.urgency() is not None and route.kind == fleet.STREAMING:
             level = self.pool.admission_level(self.service)
@@ -361,8 +365,9 @@
             bool(self.attempts),
             self.sent_count() + 1 < self.context.route.attempts
             and self.pool.budget(self.service).allows(now),
-            self.urgency(),
-            self.context.allowed_regions(),
+            urgency=self.urgency(),
+            allowed_regions=self.context.allowed_regions(),
+            account=self.context.account_name(),
         )
 
     async def acquire_backend(self) -> dispatch.Choice:
@@ -427,7 +432,9 @@
         again. Raises RequestError after the deadline.
         """
         assert self.context is not None
-        choice = await self.pool.choose(self.requirements(), remaining_s)
+        requirements = self.requirements()
+        requirements.asked_tokens, self.unasked_tokens = self.unasked_tokens, 0.0
+        choice = await self.pool.choose(requirements, remaining_s)
         if choice is None and self.tried and self.context.is_idempotent():
             self.tried.clear()
             choice = await self.pool.choose(self.requirements(), remaining_s)
@@ -511,7 +518,7 @@
         now = self.clock()
         if choice.backend.has_room(now):
             return True
-        if choice.wait_s > wait_max_s:
+        if choice.wait_s > admission.wait_limit_s(wait_max_s, choice.is_over_share):
             return False
         return not self.must_yield or choice.backend.has_free_slots(now)
 
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -226,11 +226,19 @@
 
     With `permit`, it requests a permit from a control VM instead. The same message is used so that
     builds without permits can read it.
+
+    `account` is the client account of the request that is to be sent, empty if there is none.
+    `asked_tokens` is the part of its expected cost that is asked of this engine: the first query of
+    a request divides it among the agents, later ones have 0. `urgency` is that of the request, None
+    if the requests of the service do not differ in urgency.
     """
 
     address: str
     number: int
     permit: rate_limits.PermitRequest | None = None
+    account: str = ""
+    asked_tokens: float = 0.0
+    urgency: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -257,7 +265,8 @@
 
     `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
     is slower than it reports. `permit` is set in the reply of a control VM. `unread_by_urgency` is
-    described at `load_tracker.EngineLoad`.
+    described at `load_tracker.EngineLoad`. `is_over_share` is true
+    if requests of other accounts go before those of the account in the query.
     """
 
     number: int
@@ -268,6 +277,7 @@
     pace: float = 1.0
     permit: PermitReply | None = None
     unread_by_urgency: list[load_tracker.UnreadPrompts] = dataclasses.field(default_factory=list)
+    is_over_share: bool = False
 
 
 class AttemptStage(enum.StrEnum):
@@ -284,6 +294,8 @@
     """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt.
 
     `urgency` is None if the requests of the service do not differ in urgency.
+    `account` is the client account, empty if there is none, and `cost_tokens` the expected length
+    of prompt and response.
     """
 
     entry: str
@@ -291,6 +303,8 @@
     stage: AttemptStage
     tokens: float = 0.0
     urgency: int | None = None
+    account: str = ""
+    cost_tokens: float = 0.0
 
 
 @MESSAGES.add("node.piece_note")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,12 +15,14 @@
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Modules whose tests use no processes, sockets or sleeps.
 QUICK_MODULES = {
+    "test_account_shares.py",
     "test_backend_signals.py",
     "test_reload_schedule.py",
     "test_chunk_announcements.py",
     "test_crash_tracker.py",
     "test_part_tracker.py",
     "test_coordination.py",
+    "test_expected_cost.py",
     "test_fleet_coordination.py",
     "test_incarnations.py",
     "test_layers.py",
