Urgency: the priority of an account goes before that of a route, not in its place

Cause: an account's priority replaced that of its routes.

Change: requests are ordered by the account's priority and then by the route's. Engines get the rank among the combinations of the service; where there is only one, the priority that was sent before.

Tests: test_admission, entry node, silent back ends, platform: passed.

--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -8,6 +8,8 @@
 from merlinthread.coordination import fleet
 
 ROUTES_MAX = 100_000
+# The least urgent urgency that engines know.
+URGENCY_MAX = 9
 
 
 class RouteTable:
@@ -25,7 +27,7 @@
         for routes in self.hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
         self.objectives = find_objectives(configuration)
-        self.urgencies = find_urgencies(configuration)
+        self.priorities = find_priorities(configuration)
 
     def find(self, host: str, path: str) -> fleet.Route | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -40,11 +42,23 @@
 
     def has_several_urgencies(self, service: str) -> bool:
         """Return whether requests of a service may differ in urgency."""
-        return len(self.urgencies_of(service)) > 1
+        return len(self.priorities.get(service, [])) > 1
 
     def urgencies_of(self, service: str) -> list[int]:
         """Return the urgencies that requests of a service may have, the most urgent first."""
-        return self.urgencies.get(service, [])
+        count = len(self.priorities.get(service, []))
+        return sorted({urgency_of_rank(rank, count) for rank in range(count)})
+
+    def urgency_of(self, service: str, route: fleet.Route, account: fleet.Account | None) -> int:
+        """Return the urgency of a request, 0 to URGENCY_MAX, 0 first.
+
+        The priority of the account decides; routes order the requests of accounts that are alike.
+        """
+        priorities = self.priorities.get(service, [])
+        if len(priorities) < 2:
+            return max(0, min(URGENCY_MAX, combined_priority(route, account)[0]))
+        rank = priorities.index(combined_priority(route, account))
+        return urgency_of_rank(rank, len(priorities))
 
     def strictest_objective_s(self, service: str, urgency: int) -> float:
         """Return the shortest objective of a service's streaming routes of at least `urgency`.
@@ -81,21 +95,34 @@
     return found
 
 
-def find_urgencies(configuration: fleet.Configuration) -> dict[str, list[int]]:
-    """Return the urgencies that routes and client accounts give the requests of each service.
+def combined_priority(route: fleet.Route, account: fleet.Account | None) -> tuple[int, int]:
+    """Return the priorities of the account and the route, in the order in which they count."""
+    if account is None or account.priority is None:
+        return route.priority, route.priority
+    return account.priority, route.priority
 
-    The priority of an account overrides that of a route.
-    """
-    of_accounts = {account.priority for account in configuration.accounts}
-    overriding = {priority for priority in of_accounts if priority is not None}
-    found: dict[str, set[int]] = {}
+
+def find_priorities(configuration: fleet.Configuration) -> dict[str, list[tuple[int, int]]]:
+    """Return the combined priorities of the requests of each service, the most urgent first."""
+    # Accounts with the same priority are alike.
+    alike = {account.priority: account for account in configuration.accounts}
+    found: dict[str, set[tuple[int, int]]] = {}
     for route in configuration.routes:
-        urgencies = {route.priority} if not overriding or None in of_accounts else set()
-        if route.is_public:
-            urgencies = {route.priority}
+        accounts: list[fleet.Account | None] = list(alike.values())
+        if route.is_public or not accounts:
+            accounts.append(None)
         for share in route.shares:
-            found.setdefault(share.service, set()).update(urgencies | overriding)
-    return {service: sorted(urgencies) for service, urgencies in found.items()}
+            priorities = found.setdefault(share.service, set())
+            priorities.update(combined_priority(route, account) for account in accounts)
+    return {service: sorted(priorities) for service, priorities in found.items()}
+
+
+def urgency_of_rank(rank: int, count: int) -> int:
+    """Return the urgency of the `rank`th of `count` combined priorities.
+
+    Engines know URGENCY_MAX + 1 urgencies; neighbouring priorities share one if there are more.
+    """
+    return rank if count <= URGENCY_MAX + 1 else rank * (URGENCY_MAX + 1) // count
 
 
 def choose_service(
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -256,7 +256,7 @@
             self.context.account is not None,
             self.expected_version(),
             self.relay.last_event_id,
-            self.context.urgency(),
+            self.context.urgency,
         )
         return self.dialect.target_request(self.relay.exchange.request, target)
 
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -5,7 +5,6 @@
 
 from merlinthread.coordination import allowed_regions, fingerprints, fleet
 
-URGENCY_MAX = 9
 LABEL_CHARACTERS_MAX = 120
 # Bounds the work and the records for a request; the parts of a prompt beyond these are ignored.
 PARTS_MAX = 16
@@ -23,7 +22,10 @@
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
-    """A client's request with its route, account, deadline and expected cost in tokens."""
+    """A client's request with its route, account, deadline and expected cost in tokens.
+
+    `urgency` is from 0 to `route_table.URGENCY_MAX`, 0 first.
+    """
 
     call: fleet.RequestHead
     route: fleet.Route
@@ -33,6 +35,7 @@
     cached_fingerprint: str = ""
     cached_parts: tuple[PromptPart, ...] | None = None
     cost_tokens: float = 0.0
+    urgency: int = 0
 
     def account_name(self) -> str:
         """Return the name of the client account, or an empty string if there is none."""
@@ -73,13 +76,6 @@
         """Return the regions whose back ends may run the request, or None if all may."""
         return allowed_regions.for_request(self.route, self.account)
 
-    def urgency(self) -> int:
-        """Return the urgency, 0 to URGENCY_MAX, 0 first; an account overrides its route."""
-        priority = self.route.priority
-        if self.account is not None and self.account.priority is not None:
-            priority = self.account.priority
-        return max(0, min(URGENCY_MAX, priority))
-
 
 @functools.lru_cache(CACHED_PARTS_MAX)
 def make_part(model: str, part_id: str) -> PromptPart:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -101,12 +101,14 @@
         body = self.exchange.request.body
         self.context = request_context.RequestContext(self.call, route, account, deadline, body)
         self.service = self.choose_service()
+        assert self.table is not None
+        self.context.urgency = self.table.urgency_of(self.service, route, account)
         self.context.cost_tokens = self.pool.cost_tokens(self.call, route, self.service)
         self.unasked_tokens = self.context.cost_tokens
         self.terms = self.admission_terms()
         if self.urgency() is not None and route.kind == fleet.STREAMING:
             level = self.pool.admission_level(self.service)
-            self.must_yield = level.must_yield(self.context.urgency(), self.clock(), self.pool.rng)
+            self.must_yield = level.must_yield(self.context.urgency, self.clock(), self.pool.rng)
         self.check_hold()
         self.pool.budget(self.service).record_first_attempt(self.arrived_at)
 
@@ -115,9 +117,8 @@
         assert self.context is not None and self.table is not None
         route = self.context.route
         objective_s = route.objective_s
-        urgency = self.urgency()
-        if urgency is not None and route.kind == fleet.STREAMING:
-            strictest_s = self.table.strictest_objective_s(self.service, urgency)
+        if self.urgency() is not None and route.kind == fleet.STREAMING:
+            strictest_s = self.table.strictest_objective_s(self.service, route.priority)
             objective_s = min(objective_s, strictest_s)
         remaining_s = self.context.call.deadline_s
         is_last_try = admission.is_last_try(remaining_s, route.timeout_s)
@@ -128,7 +129,7 @@
         assert self.context is not None
         if not self.pool.has_several_urgencies(self.service):
             return None
-        return self.context.urgency()
+        return self.context.urgency
 
     def choose_service(self) -> str:
         """Return one of the route's services that have back ends in the allowed regions."""
@@ -408,7 +409,7 @@
                 if now >= give_up_at:
                     raise self.unavailable("no back end is free", self.retry_after_s(True))
             timeout_s = min(give_up_at - now, admission.RETRY_INTERVAL_S)
-            await queue.wait(self.context.urgency(), self.arrived_at, timeout_s)
+            await queue.wait(self.context.urgency, self.arrived_at, timeout_s)
 
     async def choose_for_hedge(self) -> dispatch.Choice | None:
         """Return a back end for an attempt beside the open ones, or None if there is none.
@@ -530,7 +531,7 @@
         assert self.context is not None
         if not self.must_yield and self.context.route.kind == fleet.STREAMING:
             level = self.pool.admission_level(self.service)
-            level.record_no_place(self.context.urgency(), self.clock())
+            level.record_no_place(self.context.urgency, self.clock())
 
     def wait_max_s(self, now: float) -> float:
         """Return the longest expected wait at which the next attempt is admitted, in seconds."""
@@ -650,7 +651,7 @@
             account = self.context.account
             fields |= {
                 "account": account.name if account is not None else "",
-                "urgency": self.context.urgency(),
+                "urgency": self.context.urgency,
                 "objective_ms": round(1000 * self.context.route.objective_s),
                 "prompt_tokens": self.context.call.prompt_tokens,
                 "response_tokens_max": self.context.call.response_tokens,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -131,6 +131,43 @@
     assert table.strictest_objective_s("s", 2) == 0.406
 
 
+def make_table(account_priorities, route_priorities):
+    routes = [
+        fleet.Route(f"r{p}", "h", f"/{p}/", fleet.STREAMING, 6.0, 0.4, p, [fleet.Share("s")])
+        for p in route_priorities
+    ]
+    accounts = [
+        fleet.Account(f"a{number}", [f"k{number}"], priority)
+        for number, priority in enumerate(account_priorities)
+    ]
+    services = [fleet.Service("s", engine=ENGINE)]
+    return (
+        routes,
+        accounts,
+        route_table.RouteTable(fleet.Configuration(1, routes, services, accounts)),
+    )
+
+
+def test_account_priority_goes_before_route_priority_and_does_not_hide_it():
+    routes, accounts, table = make_table([1, 0], [0, 1, 2])
+    order = [(account, route) for account in reversed(accounts) for route in routes]
+    urgencies = [table.urgency_of("s", route, account) for account, route in order]
+    assert urgencies == [0, 1, 2, 3, 4, 5]
+    assert table.urgencies_of("s") == urgencies
+
+
+def test_many_priorities_share_the_urgencies_that_engines_know():
+    routes, accounts, table = make_table([0, 1, 2, 3, None], range(6))
+    urgencies = {table.urgency_of("s", route, account) for route in routes for account in accounts}
+    assert urgencies == set(range(10))
+
+
+def test_only_priority_of_a_service_is_sent_as_it_is():
+    routes, accounts, table = make_table([1, 1], [2])
+    assert not table.has_several_urgencies("s")
+    assert table.urgency_of("s", routes[0], accounts[0]) == 1
+
+
 @pytest.mark.parametrize(
     ("account_priorities", "is_public", "expected"),
     [
