Replicated log: evacuations of availability zones, at format level 3

Cause: operators have no way to keep requests away from the back ends of a zone.

Change: the commands fleet.evacuate and fleet.end_evacuation and the state `evacuated`, with a revision that grows with each change, need format level 3. With a third level, the window in which a rollback stays possible is kept for each level: with one window for the newest level, a group of old and new control VMs would have accepted no first hold. An entry of a level that the log already holds is accepted whatever is known of the members: one that can't read it is blocked already, and an accepted call would otherwise be refused after a power loss of all VMs until the last of them is heard from.

--- a/src/merlinthread/coordination/fleet_state.py
+++ b/src/merlinthread/coordination/fleet_state.py
@@ -1,6 +1,7 @@
 """The state machine of a deployment's replicated log.
 
-It holds the configuration, the named weight versions, departed instances and holds on requests.
+It holds the configuration, the named weight versions, departed instances, holds on requests and
+evacuated zones.
 Every replica applies the same commands in the same order, so nothing here uses a clock. The highest
 version wins: a configuration that is not newer is acknowledged and ignored.
 """
@@ -68,7 +69,27 @@
     state: crash_tracker.HoldState
 
 
-Command = Configure | NameVersion | Depart | PlaceHold | ReleaseHold
+@COMMANDS.add("fleet.evacuate")
+@levels.requires_level(levels.FormatLevel.EVACUATIONS)
+@dataclasses.dataclass(slots=True)
+class EvacuateZone:
+    """Send no more requests to the back ends of an availability zone."""
+
+    zone: str
+
+
+@COMMANDS.add("fleet.end_evacuation")
+@levels.requires_level(levels.FormatLevel.EVACUATIONS)
+@dataclasses.dataclass(slots=True)
+class WithdrawEvacuation:
+    """Allow requests to the back ends of an availability zone again."""
+
+    zone: str
+
+
+Command = (
+    Configure | NameVersion | Depart | PlaceHold | ReleaseHold | EvacuateZone | WithdrawEvacuation
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +108,7 @@
 
     `level` is the highest format level of any entry so far; a build that can't read it can't apply
     the log. It is part of snapshots, where builds that do not know the field ignore it.
+    `evacuation_revision` counts the changes of `evacuated`, the evacuated zones.
     """
 
     version: int = 0
@@ -95,6 +117,8 @@
     departed: dict[str, str] = dataclasses.field(default_factory=dict)
     held: dict[str, HeldRequest] = dataclasses.field(default_factory=dict)
     level: int = levels.LOWEST
+    evacuated: list[str] = dataclasses.field(default_factory=list)
+    evacuation_revision: int = 0
 
     def apply(self, command: Command) -> bool:
         """Apply a committed command; return whether the state changed."""
@@ -107,6 +131,10 @@
             return self.place_hold(command)
         if isinstance(command, ReleaseHold):
             return self.release_hold(command)
+        if isinstance(command, EvacuateZone):
+            return self.set_evacuated(command.zone, True)
+        if isinstance(command, WithdrawEvacuation):
+            return self.set_evacuated(command.zone, False)
         return self.depart(command)
 
     def configure(self, command: Configure) -> bool:
@@ -157,3 +185,17 @@
             return False
         held.hold = hold
         return True
+
+    def set_evacuated(self, zone: str, is_evacuated: bool) -> bool:
+        """Add a zone to the evacuated ones, or remove it, unless that is already so.
+
+        Control VMs accept only the zones in their settings, which bounds the number of zones.
+        """
+        if (zone in self.evacuated) == is_evacuated:
+            return False
+        if is_evacuated:
+            self.evacuated.append(zone)
+        else:
+            self.evacuated.remove(zone)
+        self.evacuation_revision += 1
+        return True
--- a/src/merlinthread/coordination/levels.py
+++ b/src/merlinthread/coordination/levels.py
@@ -10,6 +10,7 @@
 """
 
 import enum
+import math
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
@@ -23,6 +24,8 @@
     DEPARTURES = 1
     # Holds on requests, and reports of the process crashes that led to them.
     HELD_REQUESTS = 2
+    # Evacuations of availability zones and their withdrawals.
+    EVACUATIONS = 3
 
 
 LOWEST = min(FormatLevel)
@@ -108,32 +111,45 @@
     def __init__(self, members: MemberLevels, first_level: int) -> None:
         self.members = members
         self.first_level = first_level
-        # The time since which all other members are known to read `NEWEST`, None if one is not.
-        self.readable_since: float | None = None
+        # The time since which all other members are known to read each level; a level that one of
+        # them is not known to read is missing.
+        self.readable_since: dict[FormatLevel, float] = {}
 
     def update(self, others: Iterable[str], now: float) -> None:
-        """Record whether all other members can read `NEWEST`."""
-        if self.members.below(others, NEWEST):
-            self.readable_since = None
-        elif self.readable_since is None:
-            self.readable_since = now
+        """Record which levels all other members can read.
+
+        Each level has its own window: while a group runs builds of two levels, entries of the lower
+        one must not wait until all members read the higher one.
+        """
+        addresses = list(others)
+        for level in FormatLevel:
+            if self.members.below(addresses, level):
+                self.readable_since.pop(level, None)
+            else:
+                self.readable_since.setdefault(level, now)
 
     def reason_not_writable(
         self, level: FormatLevel, others: Iterable[str], written: int, now: float
     ) -> str:
         """Return why an entry of `level` may not be written yet, or "" if it may.
 
-        `written` is the highest level of any entry so far; a rollback below it is not possible.
+        `written` is the highest level of any entry so far; a rollback below it is not possible. A
+        member that can't read that level is blocked already, so further entries of it do no harm.
+        Without this, a command that was accepted once would be refused after a power loss of all
+        VMs until the last of them is heard from or removed.
         """
+        if level <= written:
+            return ""
         behind = self.members.below(others, level)
         if behind:
             return (
                 f"level {level} is needed, and {', '.join(behind)} are not known to read it; it is "
                 "written once they run newer builds"
             )
-        if level <= max(written, self.first_level, self.members.inferred_max):
+        if level <= max(self.first_level, self.members.inferred_max):
             return ""
-        if self.readable_since is not None and now - self.readable_since >= ROLLBACK_WINDOW_S:
+        readable_since = self.readable_since.get(level, math.inf)
+        if now - readable_since >= ROLLBACK_WINDOW_S:
             return ""
         return (
             f"level {level} is written {ROLLBACK_WINDOW_S:.0f} s after the last VM that did not "
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -336,6 +336,8 @@
         return {"model": command.model, "version": command.version}
     if isinstance(command, fleet_state.PlaceHold | fleet_state.ReleaseHold):
         return {"fingerprint": command.fingerprint, "times": command.times}
+    if isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+        return {"zone": command.zone}
     return {"instance": command.instance, "state": command.state}
 
 
