Control VMs learn the levels of all members from forwarded heartbeats

Cause: only the leader, and a candidate, hear the format levels of the others. When a zone with the leader and another member is lost, the next leader may never have heard from that member and would refuse the evacuation of just that zone until the member is removed.

Change: the reply to a batch of heartbeats, which already has the level, is recorded too. No message is added. Back ends beat at all control VMs, so each learns the levels within seconds.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -313,9 +313,14 @@
                     asyncio.get_running_loop().create_task(self.send_batch(address, message))
 
     async def send_batch(self, address: str, message: node_messages.HeartbeatBatch) -> None:
-        """Send a batch to one control VM; errors are ignored, since heartbeats are sent again."""
+        """Send a batch to one control VM; errors are ignored, since heartbeats are sent again.
+
+        The reply has the format level of the VM. Members that do not lead learn it from no other
+        message, and one that begins to lead after the VM was lost would count it as an older build.
+        """
         with contextlib.suppress(errors.MerlinthreadError):
-            await self.rpc_client.call(address, message, control_api.FORWARD_TIMEOUT_S)
+            reply = await self.rpc_client.call(address, message, control_api.FORWARD_TIMEOUT_S)
+            self.member.sender.record_reply(address, reply)
 
     async def expire_instances(self) -> None:
         """Remove instances that sent no heartbeat for EXPIRY_HEARTBEATS intervals, periodically."""
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -1,6 +1,7 @@
 """Sends Raft messages to the other members of the replicated log, in order and in batches."""
 
 import asyncio
+from typing import Any
 
 from merlinthread import errors, logs
 from merlinthread.coordination import levels, raft_members, raft_messages
@@ -62,6 +63,10 @@
         except errors.MerlinthreadError:
             self.levels.record_unreachable(address)
             return
+        self.record_reply(address, reply)
+
+    def record_reply(self, address: str, reply: Any) -> None:
+        """Record the format level in a member's reply."""
         if not isinstance(reply, node_messages.Acknowledgement):
             logs.warning("member_answer_unknown", member=address, answer=type(reply).__name__)
         elif self.levels.record_reported(address, reply.level):
