Control VMs: calls to evacuate a zone, to withdraw that and to list the zones

Cause: operators need to take an availability zone out of use within seconds.

Change: POST and DELETE /evacuations/ZONE commit the change before they are acknowledged. Each repeated call is committed again, since the VM that receives it may not know of a later call of another operator. GET /evacuations asks the leader, with ConfigurationRequest and an optional field in its reply; an older leader leaves the field out, which gives 503. A name that is no zone of the settings gets 400 with the name, shortened, and the known zones.

--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -15,6 +15,8 @@
 # The timeout of a request to another control VM.
 FORWARD_TIMEOUT_S = 0.9
 ZLIB_LEVEL = 6
+# Longest part of an unknown zone's name that is repeated in the error.
+ZONE_SHOWN_MAX = 64
 
 Submit = Callable[[fleet_state.Command], Awaitable[bool]]
 
@@ -77,6 +79,12 @@
             if call.version > self.member.state.named.get(call.model, 0):
                 await self.submit(fleet_state.NameVersion(call.model, call.version))
             return ok_response()
+        if isinstance(call, dialects.EvacuateZone):
+            return await self.change_evacuation(fleet_state.EvacuateZone(call.zone))
+        if isinstance(call, dialects.WithdrawEvacuation):
+            return await self.change_evacuation(fleet_state.WithdrawEvacuation(call.zone))
+        if isinstance(call, dialects.GetEvacuations):
+            return await self.get_evacuations()
         return await self.get_configuration()
 
     async def receive_heartbeat(self, heartbeat: fleet.Heartbeat) -> http_messages.Response:
@@ -112,25 +120,57 @@
         body = zlib.decompress(reply.body)
         return http_messages.Response(200, [(b"content-type", b"application/json")], body)
 
-    async def read_configuration(self) -> node_messages.ConfigurationReply:
-        """Read the newest configuration from the leader.
+    async def change_evacuation(
+        self, command: fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation
+    ) -> http_messages.Response:
+        """Commit that a zone is evacuated, or no longer; raise RequestError for an unknown zone.
 
+        A repeated call is committed again: this VM may not know of a later call of another operator
+        that the repeated one must replace. Zones that are evacuated remain known if a change of the
+        settings removes them, so that they can be withdrawn.
+        """
+        zone, known = command.zone, self.member.settings.zones()
+        if zone not in known and zone not in self.member.state.evacuated:
+            shown = zone if len(zone) <= ZONE_SHOWN_MAX else f"{zone[:ZONE_SHOWN_MAX]}..."
+            raise errors.RequestError(
+                f"zone: {shown!r} is not a zone of this deployment; known: {', '.join(known)}",
+                field="zone",
+            )
+        await self.submit(command)
+        return ok_response()
+
+    async def get_evacuations(self) -> http_messages.Response:
+        """Return the evacuated zones; raise ControlError unless the leader confirms them."""
+        reply = await self.read_configuration(self.member.state.version)
+        if reply.evacuated is None:
+            raise errors.ControlError(
+                "the leader runs a build without evacuations; ask again after the upgrade"
+            )
+        body = msgspec.json.encode({"zones": reply.evacuated})
+        return http_messages.Response(200, [(b"content-type", b"application/json")], body)
+
+    async def read_configuration(self, known: int = 0) -> node_messages.ConfigurationReply:
+        """Read the newest configuration and the evacuated zones from the leader.
+
+        The body is omitted if the newest version is `known`.
         Raises NotLeaderError if the leader is unknown, and the errors of `RpcClient.call`.
         """
         if self.member.raft.is_leader():
-            return self.read_local_configuration()
+            return self.read_local_configuration(known)
         leader = self.member.leader_address()
         if not leader or leader == self.member.address:
             raise errors.NotLeaderError("no leader is known", "")
         return await self.rpc_client.call(
-            leader, node_messages.ConfigurationRequest(), FORWARD_TIMEOUT_S
+            leader, node_messages.ConfigurationRequest(known), FORWARD_TIMEOUT_S
         )
 
-    def read_local_configuration(self) -> node_messages.ConfigurationReply:
+    def read_local_configuration(self, known: int = 0) -> node_messages.ConfigurationReply:
         """Return this member's configuration; raise NotLeaderError unless it holds the lease."""
         if not self.member.holds_lease():
             raise errors.NotLeaderError("this member does not hold the leader's lease", "")
-        return node_messages.ConfigurationReply(self.member.state.version, self.member.state.body)
+        state = self.member.state
+        body = b"" if state.version == known else state.body
+        return node_messages.ConfigurationReply(state.version, body, list(state.evacuated))
 
 
 def ok_response() -> http_messages.Response:
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -213,7 +213,7 @@
                 is_changed = await self.member.propose(message.command)
             return node_messages.CommandReply(is_changed, self.member.state.version)
         if isinstance(message, node_messages.ConfigurationRequest):
-            return self.api.read_local_configuration()
+            return self.api.read_local_configuration(message.known)
         if isinstance(message, node_messages.JoinRequest):
             return await self.member.member_changes.reply_to_join(message)
         if isinstance(message, node_messages.LeaveRequest):
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -46,7 +46,35 @@
     instance: str
 
 
-ControlCall = PutConfiguration | GetConfiguration | NameVersion | ReceiveHeartbeat | RemoveInstance
+@dataclasses.dataclass(slots=True)
+class GetEvacuations:
+    """Return the evacuated zones."""
+
+
+@dataclasses.dataclass(slots=True)
+class EvacuateZone:
+    """Send no more requests to the back ends of a zone; the zone may be unknown."""
+
+    zone: str
+
+
+@dataclasses.dataclass(slots=True)
+class WithdrawEvacuation:
+    """Allow requests to the back ends of a zone again; the zone may be unknown."""
+
+    zone: str
+
+
+ControlCall = (
+    PutConfiguration
+    | GetConfiguration
+    | NameVersion
+    | ReceiveHeartbeat
+    | RemoveInstance
+    | GetEvacuations
+    | EvacuateZone
+    | WithdrawEvacuation
+)
 
 
 class Dialect(Protocol):
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -65,6 +65,10 @@
         """Return the RPC addresses of the control VMs in the settings."""
         return [f"{ip}:{self.control_port}" for ip in self.control_ips]
 
+    def zones(self) -> list[str]:
+        """Return the availability zones of the deployment, in order of their names."""
+        return sorted({self.zone, *self.regions})
+
     def distance(self, zone: str) -> int:
         """Return 0 for this node's zone, 1 for another in its region, 2 for any other."""
         if zone == self.zone:
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -47,6 +47,13 @@
                 return dialects.ReceiveHeartbeat(bodies.parse_heartbeat(instance, request.body))
             if request.method == b"DELETE":
                 return dialects.RemoveInstance(instance)
+        if path == names.EVACUATIONS_PATH and request.method == b"GET":
+            return dialects.GetEvacuations()
+        if path.startswith(names.EVACUATIONS_PATH + b"/"):
+            if request.method == b"POST":
+                return dialects.EvacuateZone(parse_zone(path))
+            if request.method == b"DELETE":
+                return dialects.WithdrawEvacuation(parse_zone(path))
         raise errors.RequestError(
             f"unknown call: {request.method.decode()} {path.decode('ascii', 'replace')}",
             kind=errors.ErrorKind.UNKNOWN_ROUTE,
@@ -206,6 +213,12 @@
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
 
 
+def parse_zone(path: bytes) -> str:
+    """Return the zone in the path of an evacuation; bytes that are not UTF-8 are escaped."""
+    encoded = urllib.parse.unquote_to_bytes(path[len(names.EVACUATIONS_PATH) + 1 :])
+    return encoded.decode("utf-8", "backslashreplace")
+
+
 def parse_retry_after(status: int, headers: http_messages.Headers) -> retry_after.RetryAfter:
     """Parse the Retry-After header of a back end's refusal; other statuses have none."""
     if status not in names.REFUSAL_STATUSES:
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -138,16 +138,25 @@
 @MESSAGES.add("node.read")
 @dataclasses.dataclass(slots=True)
 class ConfigurationRequest:
-    """Request the newest configuration from the leader."""
+    """Request the newest configuration and the evacuated zones from the leader.
+
+    The body is omitted if the sender's version `known` is the newest.
+    """
+
+    known: int = 0
 
 
 @MESSAGES.add("node.read_reply")
 @dataclasses.dataclass(slots=True)
 class ConfigurationReply:
-    """The newest configuration, unmodified; `version` is 0 if there is none."""
+    """The newest configuration, unmodified; `version` is 0 if there is none.
+
+    `evacuated` are the evacuated zones, or None from builds without evacuations.
+    """
 
     version: int
     body: bytes
+    evacuated: list[str] | None = None
 
 
 @MESSAGES.add("node.join")
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -1,5 +1,10 @@
 """Evacuations at control VMs on loopback: calls of operators, failures and older builds."""
 
+import asyncio
+import json
+
+import pytest
+
 from merlinthread.coordination import fleet_state, levels
 from tests import fleet_nodes
 from tests.test_control_nodes import heartbeat, put_configuration, run
@@ -43,3 +48,147 @@
             assert each.member.state.level == level
 
     run(tmp_path, scenario)
+
+
+async def evacuate(controls, zone: str = "zone-a") -> None:
+    await controls.until_acknowledged("POST", f"/evacuations/{zone}")
+
+
+async def withdraw(controls, zone: str = "zone-a") -> None:
+    await controls.until_acknowledged("DELETE", f"/evacuations/{zone}")
+
+
+async def read_zones(controls) -> list[str]:
+    response = await controls.until_acknowledged("GET", "/evacuations")
+    return json.loads(response.body)["zones"]
+
+
+def test_repeated_calls_to_any_vm_are_acknowledged(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        assert await read_zones(controls) == []
+        await evacuate(controls)
+        for ip in controls.ips:
+            assert (await controls.call(ip, "POST", "/evacuations/zone%2Da")).status == 200
+        assert await read_zones(controls) == ["zone-a"]
+        await evacuate(controls, "zone-b")
+        await withdraw(controls)
+        for ip in controls.ips:
+            assert (await controls.call(ip, "DELETE", "/evacuations/zone-a")).status == 200
+        assert await read_zones(controls) == ["zone-b"]
+
+    run(tmp_path, scenario)
+
+
+def test_evacuation_survives_kill_of_leader_and_of_all_control_vms(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        controls.kill(controls.leader())
+        assert await read_zones(controls) == ["zone-a"]
+        await evacuate(controls, "zone-b")
+        for ip in list(controls.nodes):
+            controls.kill(ip)
+        for ip in controls.ips:
+            await controls.start(ip)
+        assert await read_zones(controls) == ["zone-a", "zone-b"]
+
+    run(tmp_path, scenario)
+
+
+def test_evacuation_survives_compaction_and_loss_of_a_disk(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for node in controls.nodes.values():
+            await fleet_nodes.until(lambda node=node: node.member.state.evacuated)
+            node.member.compact(node.member.clock())
+        lost = controls.leader()
+        controls.kill(lost)
+        await controls.start(lost, folder=f"{lost}-empty")
+        assert await read_zones(controls) == ["zone-a"]
+        new = controls.nodes[lost].member
+        await fleet_nodes.until(lambda: new.state.evacuated == ["zone-a"], 15)
+
+    run(tmp_path, scenario)
+
+
+# Guards against a call that was accepted once and is refused while a VM is lost after all lost
+# power.
+def test_calls_are_accepted_after_power_loss_with_a_vm_lost(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for ip in controls.ips:
+            controls.kill(ip)
+        for ip in controls.ips[:2]:
+            await controls.start(ip)
+        await evacuate(controls)
+        await withdraw(controls)
+        assert await read_zones(controls) == []
+
+    run(tmp_path, scenario)
+
+
+def test_zones_are_not_listed_without_majority(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        remaining = controls.leader()
+        for ip in controls.ips:
+            if ip != remaining:
+                controls.kill(ip)
+        await fleet_nodes.until(lambda: not controls.nodes[remaining].member.holds_lease())
+        assert (await controls.call(remaining, "GET", "/evacuations")).status == 503
+        assert (await controls.call(remaining, "POST", "/evacuations/zone-a")).status >= 500
+
+    run(tmp_path, scenario)
+
+
+# Guards against control VMs that differ after calls of two operators, and against a lost call.
+def test_two_operators_at_once_leave_one_state(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for _ in range(5):
+            await asyncio.gather(
+                evacuate(controls), withdraw(controls), evacuate(controls, "zone-b")
+            )
+        found = await read_zones(controls)
+        assert "zone-b" in found
+        for node in controls.nodes.values():
+            await fleet_nodes.until(lambda node=node: node.member.state.evacuated == found)
+        revisions = {node.member.state.evacuation_revision for node in controls.nodes.values()}
+        assert len(revisions) == 1
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    "zone",
+    [
+        "zone-x",
+        "",
+        "zone-a/",
+        "%2e%2e%2fzone-a",
+        "zone%00a",
+        "%ff",
+        "%zz",
+        "z" * 9000,
+        "%C3" * 3000,
+    ],
+)
+def test_unknown_zone_is_refused_with_its_name_and_the_known_zones(tmp_path, zone):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        ip = controls.ips[0]
+        for method in ("POST", "DELETE"):
+            response = await controls.call(ip, method, f"/evacuations/{zone}")
+            error = json.loads(response.body)
+            assert (response.status, error["field"]) == (400, "zone")
+            assert "known: zone-a, zone-b" in error["message"]
+            assert len(error["message"]) < 300
+        await evacuate(controls)
+        assert await read_zones(controls) == ["zone-a"]
+
+    run(tmp_path, scenario, 1)
--- a/tests/test_parser_properties.py
+++ b/tests/test_parser_properties.py
@@ -1,6 +1,7 @@
 """Property tests: input from outside is parsed or rejected with a MerlinthreadError."""
 
 import json
+import urllib.parse
 import zlib
 
 import hypothesis
@@ -54,6 +55,18 @@
     refused_or_read(dialect.PlatformDialect().parse_control_call, request)
 
 
+# Guards against a name of a zone that ends the process or is read as another zone.
+@hypothesis.given(st.sampled_from([b"POST", b"DELETE"]), st.binary(max_size=40) | st.text())
+@hypothesis.settings(max_examples=400)
+def test_an_evacuation_of_any_zone(method, zone):
+    raw = zone if isinstance(zone, bytes) else urllib.parse.quote(zone, safe="").encode()
+    request = http_messages.Request(method, b"/evacuations/" + raw, [])
+    if isinstance(zone, str):
+        assert dialect.PlatformDialect().parse_control_call(request).zone == zone
+    else:
+        refused_or_read(dialect.PlatformDialect().parse_control_call, request)
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -120,6 +120,9 @@
         ("GET", "/config", dialects.GetConfiguration),
         ("POST", "/version-put", dialects.NameVersion),
         ("DELETE", "/instances/i-1", dialects.RemoveInstance),
+        ("GET", "/evacuations", dialects.GetEvacuations),
+        ("POST", "/evacuations/zone-a", dialects.EvacuateZone),
+        ("DELETE", "/evacuations/zone-a", dialects.WithdrawEvacuation),
     ],
 )
 def test_control_calls_are_recognized_by_method_and_path(method, path, kind):
