Nodes receive evacuated zones in the long poll for the fleet state

Cause: a committed evacuation has to reach all entries within the bound of the deployment.

Change: WatchRequest and WatchReply have optional fields for the last revision and the zones. The highest revision wins, so that a control VM that is behind undoes nothing, and an entry that is cut off goes on with what it knows. The setting bounds.evacuate_ms (5000) is checked against the timers of the watcher, which need 3.6 s at most; a shorter one is logged. Each change is logged at control VMs and entries, and counted in merlinthread_evacuated_zones.

--- a/src/merlinthread/cli/explain.py
+++ b/src/merlinthread/cli/explain.py
@@ -20,6 +20,7 @@
     "control_lost",
     "control_found",
     "configuration",
+    "evacuations",
     "weights_named",
     "instance",
     "news_in_full",
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -153,6 +153,10 @@
     "merlinthread_held_requests",
     "Requests held back because back-end processes crashed while running them.",
 )
+evacuated_zones = prometheus_client.Gauge(
+    "merlinthread_evacuated_zones",
+    "Availability zones whose back ends get no requests, as known to this node.",
+)
 unreadable_words_total = prometheus_client.Counter(
     "merlinthread_unreadable_words_total",
     "Invalid values received from back ends and other external systems, by field.",
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from merlinthread import clocks, errors, logs
+from merlinthread import clocks, errors, logs, metrics
 from merlinthread.coordination import (
     fleet,
     fleet_state,
@@ -59,6 +59,7 @@
         self.changed = asyncio.Event()
         self.outgoing_heartbeats: list[fleet.Heartbeat] = []
         self.limits = limit_registry.LimitRegistry(clock, self.notify_watchers)
+        self.evacuated: set[str] = set()
         self.member = log_member.LogMember(
             settings, codec, self.rpc_client, clock, self.on_applied, self.on_restored
         )
@@ -123,6 +124,8 @@
             self.registry.advance()
         elif isinstance(command, fleet_state.PlaceHold | fleet_state.ReleaseHold):
             self.crashes.apply_holds()
+        elif isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+            self.apply_evacuations()
         name = self.member.command_names[type(command)]
         logs.event("applied", command=name, **log_fields(command))
         self.notify_watchers()
@@ -134,8 +137,20 @@
         for model in self.member.state.named:
             self.named_at.setdefault(model, self.clock() - log_member.UNKNOWN_AGE_S)
         self.crashes.apply_holds()
+        self.apply_evacuations()
         self.notify_watchers()
 
+    def apply_evacuations(self) -> None:
+        """Log which zones the replicated state has evacuated or not any more, and count them."""
+        zones = set(self.member.state.evacuated)
+        revision = self.member.state.evacuation_revision
+        for zone in sorted(zones - self.evacuated):
+            logs.event("zone_evacuated", zone=zone, revision=revision)
+        for zone in sorted(self.evacuated - zones):
+            logs.event("zone_evacuation_withdrawn", zone=zone, revision=revision)
+        self.evacuated = zones
+        metrics.evacuated_zones.set(len(zones))
+
     def mark_departed(self, instance: str, state: str) -> None:
         """Mark an instance as draining or gone in the registry."""
         if state == fleet.GONE:
@@ -240,6 +255,8 @@
             return True
         if 0 <= watch.limits < self.limits.table.revision:
             return True
+        if 0 <= watch.evacuations < self.member.state.evacuation_revision:
+            return True
         return watch.configuration < self.member.state.version
 
     def changes_for(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
@@ -253,6 +270,11 @@
         suspicions = (
             self.crashes.tracker.changes_since(suspicions_from, now) if suspicions_from >= 0 else []
         )
+        evacuations = None
+        if 0 <= watch.evacuations < state.evacuation_revision:
+            evacuations = node_messages.Evacuations(
+                state.evacuation_revision, list(state.evacuated)
+            )
         limits_from = watch.limits if watch.feed == self.feed else min(0, watch.limits)
         return node_messages.WatchReply(
             self.feed,
@@ -272,6 +294,7 @@
             self.crashes.tracker.reported_revision,
             self.limits.changes_since(limits_from),
             self.limits.table.revision,
+            evacuations,
         )
 
     # Heartbeats
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -35,6 +35,12 @@
 SEARCH_INTERVAL_S = 0.4
 STALE_AFTER_S = 1.6
 MISSING_GRACE_HEARTBEATS = 4
+# The longest time after a commit in which a node in contact with the control VMs learns of it: its
+# control VM loses contact with the majority just before, its last poll times out, and another one
+# is searched for. Elections, which take up to 1.5 s, run at the same time.
+PROPAGATION_MAX_S = (
+    STALE_AFTER_S + WATCH_TIMEOUT_S + RETRY_DELAY_S + SEARCH_INTERVAL_S + SEARCH_TIMEOUT_S
+)
 # Smaller differences between reported ages may be due to latency, up to WATCH_TIMEOUT_S.
 AGE_TOLERANCE_S = 2.0
 
@@ -83,6 +89,8 @@
         self.missing: dict[str, float] = {}
         self.named: dict[str, int] = {}
         self.named_at: dict[str, dict[int, float]] = {}
+        # Never older than an earlier state: a control VM that is behind must not undo a change.
+        self.evacuations = node_messages.Evacuations(0, [])
         self.controls: list[str] = settings.control_rpc_addresses()
         self.current_control_vm = ""
         self.positions: dict[str, FeedPosition] = {}
@@ -92,6 +100,13 @@
 
     async def run(self) -> None:
         """Watch the fleet state until cancelled."""
+        if self.settings.bounds.evacuate_s < PROPAGATION_MAX_S:
+            logs.warning(
+                "evacuate_bound_not_met",
+                bound_s=self.settings.bounds.evacuate_s,
+                needed_s=round(PROPAGATION_MAX_S, 3),
+                remedy="set bounds.evacuate_ms to at least the time that is needed",
+            )
         while True:
             if not self.current_control_vm or (
                 not self.is_fresh and self.clock() >= self.next_search_at
@@ -166,6 +181,7 @@
             wait_s,
             suspicions,
             limits,
+            self.evacuations.revision,
         )
         try:
             return await self.rpc_client.call(address, watch, timeout_s)
@@ -251,6 +267,7 @@
             )
         self.apply_configuration(reply, address)
         self.apply_versions(reply, now)
+        self.apply_evacuations(reply, address)
         self.apply_instances(reply, address, now)
         if self.suspect_tracker is not None:
             for suspicion in reply.suspicions:
@@ -264,6 +281,7 @@
     def update_metrics(self) -> None:
         """Update the metrics of the fleet state."""
         metrics.configuration_version.set(self.version)
+        metrics.evacuated_zones.set(len(self.evacuations.zones))
         metrics.control_age_seconds.set(self.clock() - self.confirmed_at)
         for state in (fleet.READY, fleet.DRAINING):
             count = sum(1 for known in self.instances.values() if known.state == state)
@@ -304,6 +322,25 @@
             named_at[named.version] = now - named.age_s
             logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
 
+    def apply_evacuations(self, reply: node_messages.WatchReply, address: str) -> None:
+        """Apply the evacuated zones if they are newer."""
+        found = reply.evacuations
+        if found is None or found.revision <= self.evacuations.revision:
+            return
+        logs.event(
+            "evacuations",
+            zones=found.zones,
+            before=self.evacuations.zones,
+            revision=found.revision,
+            control=address,
+            leader_age_s=reply.leader_age_s,
+        )
+        self.evacuations = found
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether the back ends of a zone must get no requests."""
+        return zone in self.evacuations.zones
+
     def newest_version_with_age(self, model: str, now: float, min_age_s: float) -> int:
         """Return the newest version of a model published at least `min_age_s` seconds ago, or 0.
 
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -27,6 +27,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
     pass_s: float = 0.12
+    evacuate_s: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -26,6 +26,7 @@
     budget_window_s: float = 10.0
     budget_slack: float = 100.0
     pass_ms: float = 120.0
+    evacuate_ms: float = 5000.0
 
 
 class MachineLimitsBody(msgspec.Struct):
@@ -121,5 +122,6 @@
             bounds.budget_window_s,
             bounds.budget_slack,
             bounds.pass_ms / MS_PER_S,
+            bounds.evacuate_ms / MS_PER_S,
         ),
     )
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -53,7 +53,8 @@
     """Request changes from a control VM by long polling, for up to `wait_s` seconds.
 
     `position` is the last one received, and `feed` identifies the run of the control VM that sent
-    it. `suspicions` and `limits` are the last revisions received of each, or -1 to request none.
+    it. `suspicions`, `limits` and `evacuations` are the last revisions received of each, or -1 to
+    request none; builds without evacuations omit the field.
     """
 
     node: str
@@ -63,6 +64,15 @@
     wait_s: float
     suspicions: int = -1
     limits: int = -1
+    evacuations: int = -1
+
+
+@dataclasses.dataclass(slots=True)
+class Evacuations:
+    """The evacuated zones after the change `revision`; a higher revision is newer."""
+
+    revision: int
+    zones: list[str]
 
 
 @MESSAGES.add("node.news")
@@ -73,7 +83,8 @@
     With `is_full`, `instances` is the complete list and replaces the receiver's. `leader_age_s` is
     the time since this control VM was last known to be up to date with a majority.
     `configuration` is empty if the receiver's is up to date. `suspicions` and `limits` are those
-    that changed, up to `suspicion_revision` and `limit_revision`.
+    that changed, up to `suspicion_revision` and `limit_revision`. `evacuations` is None if the
+    receiver's revision is up to date, or newer.
     """
 
     feed: str
@@ -90,6 +101,7 @@
     suspicion_revision: int = 0
     limits: list[limit_table.LimitReport] = dataclasses.field(default_factory=list)
     limit_revision: int = 0
+    evacuations: Evacuations | None = None
 
 
 @MESSAGES.add("node.beats")
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -1,11 +1,13 @@
 """Evacuations at control VMs on loopback: calls of operators, failures and older builds."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 
 from merlinthread.coordination import fleet_state, levels
+from merlinthread.nodes import fleet_watcher, node_settings
 from tests import fleet_nodes
 from tests.test_control_nodes import heartbeat, put_configuration, run
 
@@ -84,6 +86,7 @@
     async def scenario(controls):
         await put_configuration(controls, 1)
         await evacuate(controls)
+        await fleet_nodes.until(controls.leader)
         controls.kill(controls.leader())
         assert await read_zones(controls) == ["zone-a"]
         await evacuate(controls, "zone-b")
@@ -103,6 +106,7 @@
         for node in controls.nodes.values():
             await fleet_nodes.until(lambda node=node: node.member.state.evacuated)
             node.member.compact(node.member.clock())
+        await fleet_nodes.until(controls.leader)
         lost = controls.leader()
         controls.kill(lost)
         await controls.start(lost, folder=f"{lost}-empty")
@@ -134,6 +138,7 @@
     async def scenario(controls):
         await put_configuration(controls, 1)
         await evacuate(controls)
+        await fleet_nodes.until(controls.leader)
         remaining = controls.leader()
         for ip in controls.ips:
             if ip != remaining:
@@ -192,3 +197,103 @@
         assert await read_zones(controls) == ["zone-a"]
 
     run(tmp_path, scenario, 1)
+
+
+def make_watcher(controls) -> fleet_watcher.FleetWatcher:
+    settings = fleet_nodes.make_settings(
+        "entry", control_port=controls.port, control_ips=controls.ips
+    )
+    return fleet_nodes.make_watcher(settings)
+
+
+@contextlib.contextmanager
+def running(*watchers: fleet_watcher.FleetWatcher):
+    """Run watchers, and cancel them afterwards."""
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(watcher.run()) for watcher in watchers]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+EVACUATE_S = node_settings.Bounds().evacuate_s
+
+
+def test_default_bound_covers_the_timers_of_entries():
+    assert fleet_watcher.PROPAGATION_MAX_S < EVACUATE_S
+
+
+def test_entries_learn_of_evacuations_and_withdrawals(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.version)
+            await evacuate(controls)
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-a"), 1.0)
+            await withdraw(controls)
+            await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), 1.0)
+
+    run(tmp_path, scenario)
+
+
+# Guards against an acknowledged evacuation that entries miss: only the leader knows that it is
+# committed when it acknowledges the call.
+@pytest.mark.timed
+def test_evacuation_reaches_entries_if_leader_is_killed_after_acknowledging(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watchers = [make_watcher(controls) for _ in range(3)]
+        with running(*watchers):
+            await fleet_nodes.until(lambda: all(watcher.version for watcher in watchers))
+            await fleet_nodes.until(controls.leader)
+            leader = controls.leader()
+            node = controls.nodes[leader]
+            await node.submit(fleet_state.EvacuateZone("zone-a"))
+            controls.kill(leader)
+            for watcher in watchers:
+                await fleet_nodes.until(
+                    lambda watcher=watcher: watcher.is_evacuated("zone-a"), EVACUATE_S
+                )
+
+    run(tmp_path, scenario)
+
+
+def test_entry_that_was_cut_off_during_the_call_learns_of_it(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.version)
+            await evacuate(controls, "zone-b")
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-b"), 1.0)
+        # Without contact, it goes on with what it knows.
+        await evacuate(controls)
+        await withdraw(controls, "zone-b")
+        assert watcher.is_evacuated("zone-b") and not watcher.is_evacuated("zone-a")
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.evacuations.zones == ["zone-a"], EVACUATE_S)
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.timed
+def test_entries_keep_evacuations_while_all_control_vms_lose_power(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await evacuate(controls)
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-a"), 1.0)
+            for ip in controls.ips:
+                controls.kill(ip)
+            await fleet_nodes.until(lambda: not watcher.is_fresh)
+            assert watcher.is_evacuated("zone-a")
+            for ip in controls.ips:
+                await controls.start(ip)
+            await withdraw(controls)
+            await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), EVACUATE_S)
+
+    run(tmp_path, scenario)
