Entries send nothing to back ends in evacuated zones

Cause: entries know the evacuated zones, but still choose back ends there.

Change: such a back end is not eligible, and each attempt checks the zone again just before the request is sent, since an evacuation may arrive while the connection is opened. Requests and streams that run continue. If all back ends of a service are leaving or evacuated, a request gets 503 at once. Engines in evacuated zones are the last whose load reports an entry subscribes to; otherwise an entry would know only the load of engines that it can't use.

--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -54,7 +54,7 @@
     `service_response_time` that of all back ends of its service. `accepted_at` is when the last
     request that it accepted was sent, `rejected_at` when it last refused or failed one. `silent_at`
     is when it was last found silent and has not continued since. `trials` counts the attempts in
-    flight that were sent while it was doubtful.
+    flight that were sent while it was doubtful. `is_evacuated` is set while its zone is evacuated.
     """
 
     instance: str
@@ -64,6 +64,7 @@
     distance: int
     slots: int
     is_draining: bool = False
+    is_evacuated: bool = False
     cold_until: float = 0.0
     weights: list[fleet.Weights] = dataclasses.field(default_factory=list)
     in_flight: int = 0
@@ -95,6 +96,10 @@
         default_factory=backend_availability.Availability
     )
 
+    def is_out_of_use(self) -> bool:
+        """Return whether it gets no requests, for a time that this entry does not know."""
+        return self.is_draining or self.is_evacuated
+
     def expected_response_s(self) -> float:
         """Return the expected response time of a request, in seconds.
 
--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -100,7 +100,7 @@
 
     Return None if fewer than half have a forecast.
     """
-    staying = [backend for backend in backends if not backend.is_draining]
+    staying = [backend for backend in backends if not backend.is_out_of_use()]
     ready_times = sorted(backend.ready_at for backend in staying if backend.ready_at is not None)
     half = (len(staying) + 1) // 2
     if not half or len(ready_times) < half:
@@ -111,12 +111,13 @@
 def available_at(backends: Iterable[backend_record.Backend], now: float) -> float | None:
     """Return when the first back end becomes available, if none is available now.
 
-    Return infinity if all are draining, or None if one is available or the list is empty.
+    Return infinity if all are draining or evacuated, or None if one is available or the list is
+    empty.
     """
     found = list(backends)
     if not found:
         return None
-    staying = [backend.availability for backend in found if not backend.is_draining]
+    staying = [backend.availability for backend in found if not backend.is_out_of_use()]
     first_at = min((availability.available_at(now) for availability in staying), default=math.inf)
     return first_at if first_at > now else None
 
@@ -159,6 +160,8 @@
     """Return whether a back end can serve this attempt given a permit, ejected or not."""
     if backend.service != requirements.service or backend.is_draining:
         return False
+    if backend.is_evacuated:
+        return False
     if backend.instance in requirements.tried:
         return False
     if now < backend.full_until or backend.is_changing(now):
--- a/src/merlinthread/coordination/load_feed.py
+++ b/src/merlinthread/coordination/load_feed.py
@@ -29,12 +29,18 @@
 ) -> list[backend_record.Backend]:
     """Return the engines that an entry subscribes to: the `count` nearest.
 
+    Those in evacuated zones come last, so that the entry knows the load of engines that it can use.
+
     Rendezvous hashing (Thaler and Ravishankar 1998) orders those at the same distance. It spreads
     entries over engines, and adding or removing an engine changes at most one subscription.
     """
     ordered = sorted(
         engines,
-        key=lambda engine: (engine.distance, rendezvous_key(entry, engine.instance)),
+        key=lambda engine: (
+            engine.is_evacuated,
+            engine.distance,
+            rendezvous_key(entry, engine.instance),
+        ),
     )
     return ordered[:count]
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -193,6 +193,8 @@
         availability while the connection was being opened.
         """
         now = self.clock()
+        if self.pool.watcher.is_evacuated(self.backend.zone):
+            raise UnavailableError(f"the zone {self.backend.zone} is evacuated")
         availability = self.pool.signals.availability_of(self.backend.instance)
         if availability.is_unavailable(now):
             raise UnavailableError(
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -161,6 +161,7 @@
             )
         # A heartbeat in state `ready` does not revoke an earlier leaving signal.
         backend.is_draining = backend.availability.is_leaving
+        backend.is_evacuated = self.watcher.is_evacuated(backend.zone)
         backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
         if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
@@ -189,6 +190,10 @@
         """Return when a back end of a service is available again, or None if one is now."""
         return dispatch.available_at(self.backends_by_service.get(service, []), self.clock())
 
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether a back end of a service is in an evacuated zone."""
+        return any(backend.is_evacuated for backend in self.backends_by_service.get(service, []))
+
     def apply_load_update(self, load: node_messages.LoadUpdate) -> None:
         """Apply an agent's load report, unless it is of another incarnation."""
         backend = self.backends_by_address.get(load.address)
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -444,7 +444,10 @@
         if available_at is None or available_at <= queue_deadline:
             return
         if math.isinf(available_at):
-            raise self.unavailable("all back ends are leaving", self.retry_after_s(True))
+            reason = "all back ends are leaving"
+            if self.pool.has_evacuated(self.service):
+                reason += " or in evacuated zones"
+            raise self.unavailable(reason, self.retry_after_s(True))
         available_in_s = available_at - self.clock()
         retry_delay_s = retry_delays.delay_after_rest(available_in_s, self.pool.rng)
         raise self.unavailable(
