Nodes of older builds get back ends of evacuated zones as draining

Cause: an entry of an older build ignores the evacuated zones in a watch reply and would go on sending requests to their back ends during an upgrade.

Change: to a node whose WatchRequest does not say that it reads evacuations, a control VM reports these back ends as draining, also those that appear later. An evacuation marks the back ends of the zone as changed, so that such nodes are sent them at once. Draining is final in older builds: after the withdrawal they use these back ends again once they are restarted.

--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -137,6 +137,13 @@
         known.heartbeat = dataclasses.replace(known.heartbeat, state=fleet.DRAINING)
         known.position = self.advance()
 
+    def resend_zone(self, zone: str) -> None:
+        """Send the instances of a zone to nodes again, since their reported state has changed."""
+        position = self.advance()
+        for known in self.known.values():
+            if known.heartbeat.zone == zone:
+                known.position = position
+
     def mark_gone(self, instance: str) -> None:
         """Mark an instance as permanently gone."""
         self.discard(instance)
@@ -186,6 +193,20 @@
         return is_full, changed, gone
 
 
+def with_zones_draining(reported: list[Instance], zones: set[str]) -> list[Instance]:
+    """Return instances with those in `zones` reported as draining."""
+    return [
+        (
+            dataclasses.replace(
+                instance, heartbeat=dataclasses.replace(instance.heartbeat, state=fleet.DRAINING)
+            )
+            if instance.heartbeat.zone in zones
+            else instance
+        )
+        for instance in reported
+    ]
+
+
 def affects_routing(old: fleet.Heartbeat, new: fleet.Heartbeat) -> bool:
     """Return whether two heartbeats differ in anything that routing depends on."""
     same_sequence = dataclasses.replace(new, sequence=old.sequence, cold_s=old.cold_s)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -146,6 +146,8 @@
         revision = self.member.state.evacuation_revision
         for zone in sorted(zones - self.evacuated):
             logs.event("zone_evacuated", zone=zone, revision=revision)
+            # Nodes that do not read evacuations get the back ends as draining.
+            self.registry.resend_zone(zone)
         for zone in sorted(self.evacuated - zones):
             logs.event("zone_evacuation_withdrawn", zone=zone, revision=revision)
         self.evacuated = zones
@@ -271,6 +273,10 @@
             self.crashes.tracker.changes_since(suspicions_from, now) if suspicions_from >= 0 else []
         )
         evacuations = None
+        if watch.evacuations < 0 and self.evacuated:
+            # Draining is final there, so after the withdrawal an entry of an older build uses these
+            # back ends again only once it is restarted, as its upgrade does.
+            changed = instances.with_zones_draining(changed, self.evacuated)
         if 0 <= watch.evacuations < state.evacuation_revision:
             evacuations = node_messages.Evacuations(
                 state.evacuation_revision, list(state.evacuated)
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from merlinthread.coordination import fleet_state, levels
+from merlinthread.coordination import fleet, fleet_state, levels
 from merlinthread.nodes import fleet_watcher, node_settings
+from merlinthread.protocol import node_messages
 from tests import fleet_nodes
 from tests.test_control_nodes import heartbeat, put_configuration, run
 
@@ -297,3 +298,38 @@
             await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), EVACUATE_S)
 
     run(tmp_path, scenario)
+
+
+def watched_states(node, evacuations: int, position: int = 0) -> dict[str, str]:
+    """Return the states of back ends in a reply to a node that has received up to `position`."""
+    watch = node_messages.WatchRequest("entry", node.feed, position, 0, 0.0, 0, 0, evacuations)
+    reported = node.changes_for(watch).instances
+    return {record.heartbeat.instance: record.heartbeat.state for record in reported}
+
+
+# Guards against an entry of an older build that goes on sending to an evacuated zone.
+def test_node_that_does_not_read_evacuations_gets_back_ends_as_draining(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        node = controls.nodes[controls.leader()]
+        in_b = heartbeat("i-2", address="1.2.3.5:80") | {"zone": "zone-b"}
+        await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
+        await controls.until_acknowledged("PUT", "/instances/i-2", in_b)
+        await fleet_nodes.until(lambda: len(node.registry.known) == 2)
+        position = node.registry.position
+        await evacuate(controls)
+        await fleet_nodes.until(lambda: node.evacuated)
+        # It is sent the change although the back ends themselves have not changed.
+        assert watched_states(node, -1, position) == {"i-1": fleet.DRAINING}
+        assert watched_states(node, -1) == {"i-1": fleet.DRAINING, "i-2": fleet.READY}
+        assert watched_states(node, 0) == {"i-1": fleet.READY, "i-2": fleet.READY}
+        # A back end that starts meanwhile is draining too.
+        late = heartbeat("i-3", address="1.2.3.6:80")
+        await controls.until_acknowledged("PUT", "/instances/i-3", late)
+        await fleet_nodes.until(lambda: "i-3" in node.registry.known)
+        assert watched_states(node, -1)["i-3"] == fleet.DRAINING
+        await withdraw(controls)
+        await fleet_nodes.until(lambda: not node.evacuated)
+        assert set(watched_states(node, -1).values()) == {fleet.READY}
+
+    run(tmp_path, scenario, 1)
--- /dev/null
+++ b/tests/test_evacuation_upgrade.py
@@ -0,0 +1,158 @@
+"""Evacuations while a control VM and an entry run the released build.
+
+Guards against entries of the log that the old build can't read, against changes that a group of two
+builds no longer accepts, and against an old entry that sends requests to an evacuated zone.
+"""
+
+import asyncio
+import contextlib
+import json
+import signal
+
+import pytest
+
+from bench import soak_nodes, upgrade_builds
+from merlinthread.transport import http_messages, stream_client
+from stand_ins import fleet_worker
+
+WORKER_IP = f"{soak_nodes.NETWORK}.31"
+OLD_CONTROL_IP = soak_nodes.CONTROL_IPS[2]
+OLD_ENTRY_IP, NEW_ENTRY_IP = soak_nodes.ENTRY_IPS
+TIMEOUT_S = 25.0
+
+
+class MixedFleet:
+    """Three control VMs and two entries, one of each running the old build, and one worker."""
+
+    def __init__(self, folder, old) -> None:
+        ips = list(soak_nodes.CONTROL_IPS)
+        self.nodes = {
+            ip: soak_nodes.Node(folder, f"{role}-{ip}", role, ip, ips)
+            for role, role_ips in (("control", ips), ("entry", soak_nodes.ENTRY_IPS))
+            for ip in role_ips
+        }
+        for ip in (OLD_CONTROL_IP, OLD_ENTRY_IP):
+            self.nodes[ip].source = old
+        self.pool = stream_client.ConnectionPool(1.0, 1.0, 2.0)
+        self.worker = fleet_worker.Worker("i-1")
+        self.sequence = 0
+
+    async def start(self) -> None:
+        """Start the nodes and the worker, and put a configuration in force."""
+        await self.worker.start(WORKER_IP)
+        for node in self.nodes.values():
+            node.start()
+        await self.until_status(200, "PUT", "/config", soak_nodes.make_configuration(1))
+
+    async def call(self, ip: str, method: str, path: str, body=None) -> http_messages.Response:
+        """Send a call to a control VM, or a client's request to an entry."""
+        data = json.dumps(body).encode() if body is not None else b""
+        headers = [
+            (b"host", b"h.example"),
+            (b"content-length", b"%d" % len(data)),
+            (b"x-merlinthread-request-id", b"id"),
+            (b"api-key", b"key-1"),
+        ]
+        port = soak_nodes.FRONT_PORT if ip in soak_nodes.ENTRY_IPS else soak_nodes.CONTROL_PORT
+        request = http_messages.Request(method.encode(), path.encode(), headers, data)
+        return await self.pool.request(f"{ip}:{port}", request, 3.0)
+
+    async def until_status(
+        self, status: int, method: str, path: str, body=None, ips=soak_nodes.CONTROL_IPS
+    ) -> http_messages.Response:
+        """Repeat a call, to each VM in turn, until one answers with `status`."""
+        seen = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TIMEOUT_S):
+                while True:
+                    for ip in ips:
+                        with contextlib.suppress(Exception):
+                            response = await self.call(ip, method, path, body)
+                            if response.status == status:
+                                return response
+                            seen.append((ip, response.status, response.body[:200]))
+                    await asyncio.sleep(0.1)
+        raise AssertionError(f"{method} {path} never got {status}: {seen[-4:]}")
+
+    async def send_heartbeats(self) -> None:
+        """Send heartbeats of the worker until cancelled."""
+        while True:
+            self.sequence += 1
+            body = {
+                "service": "safe",
+                "address": self.worker.address,
+                "zone": "zone-a",
+                "slots": 4,
+                "state": "ready",
+                "sequence": self.sequence,
+            }
+            for ip in soak_nodes.CONTROL_IPS:
+                with contextlib.suppress(Exception):
+                    await self.call(ip, "PUT", "/instances/i-1", body)
+            await asyncio.sleep(0.3)
+
+    async def restart_with_new_build(self, ip: str) -> None:
+        """Stop a node as planned and start it with this build."""
+        node = self.nodes[ip]
+        node.signal(signal.SIGTERM)
+        assert node.process is not None
+        await asyncio.to_thread(node.process.wait, 15)
+        node.source = soak_nodes.ROOT / "src"
+        node.start()
+
+    async def serve(self, ip: str) -> None:
+        """Wait until an entry serves a request."""
+        await self.until_status(200, "POST", "/safe/x", ips=(ip,))
+
+    def kill(self) -> None:
+        """Kill all processes of the nodes."""
+        for node in self.nodes.values():
+            node.signal(signal.SIGKILL)
+            if node.process is not None:
+                node.process.wait()
+
+
+async def run_upgrade(fleet: MixedFleet) -> None:
+    await fleet.start()
+    heartbeats = asyncio.create_task(fleet.send_heartbeats())
+    for ip in soak_nodes.ENTRY_IPS:
+        await fleet.serve(ip)
+    # No control VM accepts an evacuation, and all other changes are accepted.
+    for _ in range(3):
+        for ip in soak_nodes.CONTROL_IPS:
+            response = await fleet.call(ip, "POST", "/evacuations/zone-a")
+            assert response.status in (404, 503), (ip, response)
+    refused = await fleet.until_status(503, "POST", "/evacuations/zone-a")
+    assert b"level 3" in refused.body or b"newer" in refused.body, refused.body
+    await fleet.until_status(200, "PUT", "/config", soak_nodes.make_configuration(2))
+    await fleet.restart_with_new_build(OLD_CONTROL_IP)
+    await fleet.until_status(200, "POST", "/evacuations/zone-a")
+    await fleet.until_status(503, "POST", "/safe/x", ips=(OLD_ENTRY_IP,))
+    await fleet.until_status(503, "POST", "/safe/x", ips=(NEW_ENTRY_IP,))
+    runs = len(fleet.worker.runs)
+    for _ in range(10):
+        for ip in soak_nodes.ENTRY_IPS:
+            assert (await fleet.call(ip, "POST", "/safe/x")).status == 503
+    assert len(fleet.worker.runs) == runs
+    await fleet.until_status(200, "DELETE", "/evacuations/zone-a")
+    await fleet.serve(NEW_ENTRY_IP)
+    # In the old build, draining is final until the process ends.
+    assert (await fleet.call(OLD_ENTRY_IP, "POST", "/safe/x")).status == 503
+    await fleet.restart_with_new_build(OLD_ENTRY_IP)
+    await fleet.serve(OLD_ENTRY_IP)
+    assert all(node.process.poll() is None for node in fleet.nodes.values())
+    heartbeats.cancel()
+
+
+@pytest.mark.timed
+def test_evacuation_during_a_rolling_upgrade(tmp_path):
+    try:
+        with upgrade_builds.checkout_build(upgrade_builds.RELEASED_COMMITS[0]) as old:
+            fleet = MixedFleet(tmp_path, old)
+            try:
+                asyncio.run(run_upgrade(fleet))
+            finally:
+                fleet.kill()
+    except upgrade_builds.MissingCommitError as error:
+        print(f"not run: {error}")
+        pytest.skip(str(error))
