Command line: show, start and withdraw evacuations of zones

Cause: operators have only the HTTP calls.

Change: `merlinthread evacuations`, `merlinthread evacuate ZONE` and `--withdraw`, with the options of the commands that read. A control VM of an older build answers that it does not know the call; the command says what to do instead. The path and the response are in protocol.operator_calls, since the command line and the platform package both use them and neither may import the other.

--- a/bench/pages.py
+++ b/bench/pages.py
@@ -83,9 +83,10 @@
         "# The command line",
         "",
         "Made by `python -m bench pages` from the code; a test keeps it true.",
-        "`merlinthread` drives the system through the bundle and otherwise only reads. Tables by",
-        "default, one JSON object with `--json`. Commands that change something have a request id:",
-        "sent again with the same `--request-id` it gives its first answer. Shell completion:",
+        "`merlinthread` drives the system through the bundle, evacuates availability zones and",
+        "otherwise only reads. Tables by default, one JSON object with `--json`. Commands that",
+        "change the bundle have a request id: sent again with the same `--request-id` it gives its",
+        "first answer. `evacuate` may be repeated as it is. Shell completion:",
         "`merlinthread completions`.",
     ]
     application = cli.make_application()
--- a/src/merlinthread/cli/main.py
+++ b/src/merlinthread/cli/main.py
@@ -15,6 +15,8 @@
     "bundle rollback": ("bundle_commands", "Rollback"),
     "bundle show": ("bundle_commands", "Show"),
     "bundle history": ("bundle_commands", "History"),
+    "evacuations": ("evacuations", "Evacuations"),
+    "evacuate": ("evacuations", "Evacuate"),
     "status": ("other_commands", "Status"),
     "explain": ("explain", "Explain"),
     "losses": ("losses", "Losses"),
--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -9,7 +9,7 @@
 from merlinthread.coordination import fleet, fleet_state, instances
 from merlinthread.nodes import dialect as dialects
 from merlinthread.nodes import log_member
-from merlinthread.protocol import error_responses, node_messages
+from merlinthread.protocol import error_responses, node_messages, operator_calls
 from merlinthread.transport import http_messages, node_bus, stream_server
 
 # The timeout of a request to another control VM.
@@ -146,7 +146,7 @@
             raise errors.ControlError(
                 "the leader runs a build without evacuations; ask again after the upgrade"
             )
-        body = msgspec.json.encode({"zones": reply.evacuated})
+        body = msgspec.json.encode(operator_calls.EvacuatedZones(reply.evacuated))
         return http_messages.Response(200, [(b"content-type", b"application/json")], body)
 
     async def read_configuration(self, known: int = 0) -> node_messages.ConfigurationReply:
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -8,10 +8,11 @@
 from merlinthread.coordination import fleet, incarnations, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
-from merlinthread.protocol import rate_limit, retry_after
+from merlinthread.protocol import operator_calls, rate_limit, retry_after
 from merlinthread.transport import http_messages
 
 JSON_TYPE = (b"content-type", b"application/json")
+EVACUATIONS_PATH = operator_calls.EVACUATIONS_PATH.encode()
 KNOWN_RESPONSE_HEADERS = (
     names.READ_RESPONSE_HEADERS
     | names.IGNORED_RESPONSE_HEADERS
@@ -47,9 +48,9 @@
                 return dialects.ReceiveHeartbeat(bodies.parse_heartbeat(instance, request.body))
             if request.method == b"DELETE":
                 return dialects.RemoveInstance(instance)
-        if path == names.EVACUATIONS_PATH and request.method == b"GET":
+        if path == EVACUATIONS_PATH and request.method == b"GET":
             return dialects.GetEvacuations()
-        if path.startswith(names.EVACUATIONS_PATH + b"/"):
+        if path.startswith(EVACUATIONS_PATH + b"/"):
             if request.method == b"POST":
                 return dialects.EvacuateZone(parse_zone(path))
             if request.method == b"DELETE":
@@ -215,7 +216,7 @@
 
 def parse_zone(path: bytes) -> str:
     """Return the zone in the path of an evacuation; bytes that are not UTF-8 are escaped."""
-    encoded = urllib.parse.unquote_to_bytes(path[len(names.EVACUATIONS_PATH) + 1 :])
+    encoded = urllib.parse.unquote_to_bytes(path[len(EVACUATIONS_PATH) + 1 :])
     return encoded.decode("utf-8", "backslashreplace")
 
 
--- a/src/merlinthread/protocol/operator_calls.py
+++ b/src/merlinthread/protocol/operator_calls.py
@@ -138,3 +138,14 @@
 
     line: BundleSummary
     bundle: dict[str, Any]
+
+
+# The path of the calls on evacuations of zones, which the command line and control VMs share.
+EVACUATIONS_PATH = "/evacuations"
+
+
+@dataclasses.dataclass(slots=True)
+class EvacuatedZones:
+    """The evacuated zones, the response to GET EVACUATIONS_PATH."""
+
+    zones: list[str]
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -333,3 +335,44 @@
         assert set(watched_states(node, -1).values()) == {fleet.READY}
 
     run(tmp_path, scenario, 1)
+
+
+async def run_command(controls, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the command line tool with the addresses of the control VMs."""
+    addresses = ",".join(f"{ip}:{controls.public_port}" for ip in controls.ips)
+    command = [sys.executable, "-m", "merlinthread.cli.main", *arguments, "--controls", addresses]
+    return await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True)
+
+
+def test_command_line_evacuates_and_withdraws(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        done = await run_command(controls, "evacuate", "zone-a", "--json")
+        assert (done.returncode, json.loads(done.stdout)) == (
+            0,
+            {"zone": "zone-a", "evacuated": True},
+        ), done.stderr
+        shown = await run_command(controls, "evacuations", "--json")
+        assert json.loads(shown.stdout) == {"zones": ["zone-a"]}
+        assert "zone-a" in (await run_command(controls, "evacuations")).stdout
+        done = await run_command(controls, "evacuate", "zone-a", "--withdraw")
+        assert (done.returncode, "in use" in done.stdout) == (0, True), done.stderr
+        assert "none" in (await run_command(controls, "evacuations")).stdout
+        unknown = await run_command(controls, "evacuate", "zone x/y")
+        assert unknown.returncode == 2
+        assert "'zone x/y'" in unknown.stderr and "known: zone-a, zone-b" in unknown.stderr
+
+    run(tmp_path, scenario)
+
+
+# Guards against an operator who is not told why a call is refused during an upgrade.
+def test_command_line_reports_member_of_older_build(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        for node in controls.nodes.values():
+            node.member.levels.get = lambda address: levels.FormatLevel.HELD_REQUESTS
+        done = await run_command(controls, "evacuate", "zone-a", "--timeout-s", "2")
+        assert done.returncode == 8
+        assert "level 3" in done.stderr
+
+    run(tmp_path, scenario)
