Evacuation calls: nothing is written without a change, and no entry is shared

Cause: concurrent calls with the same command share one log entry. For an evacuation, that of an earlier call may precede a withdrawal that was acknowledged before the later call, which was then acknowledged without effect. Repeated calls each wrote an entry, and so did the withdrawal of an evacuation that never was, after which no rollback was possible.

Change: evacuations and withdrawals do not share entries, and the leader is asked first whether the call changes anything.

Without the change of `submit`, test_evacuation_after_a_withdrawal_does_not_share_the_entry_of_an_earlier_call fails.

--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -125,9 +125,11 @@
     ) -> http_messages.Response:
         """Commit that a zone is evacuated, or no longer; raise RequestError for an unknown zone.
 
-        A repeated call is committed again: this VM may not know of a later call of another operator
-        that the repeated one must replace. Zones that are evacuated remain known if a change of the
-        settings removes them, so that they can be withdrawn.
+        Nothing is written if the leader confirms that it is so already: a repeated call needs no
+        further entry, and a rollback to a build without evacuations stays possible after the
+        withdrawal of an evacuation that never was. This VM's own state is not enough, since it may
+        lack a later call of another operator. Zones that are evacuated remain known if a change of
+        the settings removes them, so that they can be withdrawn.
         """
         zone, known = command.zone, self.member.settings.zones()
         if zone not in known and zone not in self.member.state.evacuated:
@@ -136,9 +138,22 @@
                 f"zone: {shown!r} is not a zone of this deployment; known: {', '.join(known)}",
                 field="zone",
             )
-        await self.submit(command)
+        zones = await self.read_evacuated()
+        is_evacuation = isinstance(command, fleet_state.EvacuateZone)
+        if zones is None or (zone in zones) != is_evacuation:
+            await self.submit(command)
         return ok_response()
 
+    async def read_evacuated(self) -> list[str] | None:
+        """Return the evacuated zones, or None if no leader or one of an older build was asked."""
+        try:
+            return (await self.read_configuration(self.member.state.version)).evacuated
+        except errors.MerlinthreadError as error:
+            # A leader that has no lease at the moment may still commit.
+            if error.kind is not errors.ErrorKind.NOT_LEADER:
+                raise
+            return None
+
     async def get_evacuations(self) -> http_messages.Response:
         """Return the evacuated zones; raise ControlError unless the leader confirms them."""
         reply = await self.read_configuration(self.member.state.version)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -168,10 +168,14 @@
     async def submit(self, command: fleet_state.Command) -> bool:
         """Commit a command here or at the leader; return whether it changed the state.
 
-        Concurrent calls with the same command share one log entry. Raises NotLeaderError,
-        UnreachableError, ControlError or TimeoutError if the command is not known to be committed.
+        Concurrent calls with the same command share one log entry, except those that a later
+        command can revert: the entry of an earlier call may precede a withdrawal that was
+        acknowledged before this call. Raises NotLeaderError, UnreachableError, ControlError or
+        TimeoutError if the command is not known to be committed.
         """
         encoded = self.member.encode_command(command)
+        if isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+            return await self.commit(encoded)
         commit = self.pending_commits.get(encoded)
         if commit is None:
             loop = asyncio.get_running_loop()
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -153,6 +153,64 @@
     run(tmp_path, scenario)
 
 
+def last_index(controls) -> int:
+    return max(node.member.raft.log.last_index() for node in controls.nodes.values())
+
+
+# Guards against a log that grows with each repeated call, and against a group that can no longer go
+# back to the previous build although no zone was ever evacuated.
+def test_calls_that_change_nothing_are_not_written(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await fleet_nodes.until(controls.leader)
+        before = last_index(controls)
+        term = controls.nodes[controls.leader()].member.raft.hard_state.term
+        await withdraw(controls)
+        node = controls.nodes[controls.leader()]
+        if node.member.raft.hard_state.term == term:
+            assert last_index(controls) == before
+        assert node.member.state.level == levels.LOWEST
+        await evacuate(controls)
+        await fleet_nodes.until(lambda: node.member.state.evacuated)
+        for ip in controls.ips:
+            await controls.call(ip, "POST", "/evacuations/zone-a")
+        assert node.member.state.evacuation_revision == 1
+
+    run(tmp_path, scenario)
+
+
+# Guards against an acknowledged evacuation that does not hold, since it shared the entry of an
+# earlier call that precedes the withdrawal.
+def test_evacuation_after_a_withdrawal_does_not_share_the_entry_of_an_earlier_call(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await fleet_nodes.until(controls.leader)
+        follower = next(ip for ip in controls.ips if ip != controls.leader())
+        node = controls.nodes[follower]
+        commit, is_released = node.commit, asyncio.Event()
+
+        async def commit_with_late_reply(encoded):
+            is_changed = await commit(encoded)
+            await is_released.wait()
+            return is_changed
+
+        node.commit = commit_with_late_reply
+        command = fleet_state.EvacuateZone("zone-a")
+        first = asyncio.create_task(node.submit(command))
+        others = [controls.nodes[ip].member for ip in controls.ips if ip != follower]
+        await fleet_nodes.until(lambda: any(other.state.evacuated for other in others))
+        node.commit = commit
+        leader = controls.nodes[controls.leader()]
+        await leader.submit(fleet_state.WithdrawEvacuation("zone-a"))
+        second = asyncio.create_task(node.submit(command))
+        await asyncio.sleep(0.05)
+        is_released.set()
+        await asyncio.gather(first, second)
+        assert await read_zones(controls) == ["zone-a"]
+
+    run(tmp_path, scenario)
+
+
 # Guards against control VMs that differ after calls of two operators, and against a lost call.
 def test_two_operators_at_once_leave_one_state(tmp_path):
     async def scenario(controls):
