Test: a zone is evacuated after the loss of the leader and another member

Cause: no test showed that a call is accepted just when a zone is lost with the leader and a follower whose format level the next leader has not heard itself.

--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -434,3 +434,29 @@
         assert "level 3" in done.stderr
 
     run(tmp_path, scenario)
+
+
+# Guards against a call that is refused just when a zone is lost with the leader and another member,
+# whose level the next leader would know only from having led before.
+@pytest.mark.timed
+def test_zone_is_evacuated_after_loss_of_leader_and_another_member(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        for ip in controls.ips:
+            member = controls.nodes[ip].member
+            await fleet_nodes.until(lambda m=member: len(m.raft.log.membership.voters) == 5, 15)
+            beat = heartbeat(f"i-{ip}", address=f"{ip}:80")
+            assert (await controls.call(ip, "PUT", f"/instances/i-{ip}", beat)).status == 200
+        level = levels.FormatLevel.EVACUATIONS
+        for node in controls.nodes.values():
+            others = node.member.other_addresses()
+            await fleet_nodes.until(lambda n=node, o=others: not n.member.levels.below(o, level))
+        await fleet_nodes.until(controls.leader)
+        leader = controls.leader()
+        lost = next(ip for ip in controls.ips if ip != leader)
+        controls.kill(leader)
+        controls.kill(lost)
+        async with asyncio.timeout(EVACUATE_S):
+            await evacuate(controls)
+
+    run(tmp_path, scenario, 5)
