--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -78,6 +78,7 @@
     and has not continued since. `trials` counts the attempts in flight that were sent while it was
     doubtful. `others_unread_by_urgency` is of the last reply to a probe, and empty if requests do
     not differ in urgency. `region` is None if the settings name no region of its zone.
+    `is_evacuated` is set while its zone is evacuated.
     """
 
     instance: str
@@ -87,6 +88,7 @@
     distance: int
     slots: int
     is_draining: bool = False
+    is_evacuated: bool = False
     cold_until: float = 0.0
     weights: list[fleet.Weights] = dataclasses.field(default_factory=list)
     in_flight: int = 0
@@ -126,6 +128,10 @@
         default_factory=backend_availability.Availability
     )
 
+    def is_out_of_use(self) -> bool:
+        """Return whether it gets no requests, for a time that this entry does not know."""
+        return self.is_draining or self.is_evacuated
+
     def expected_response_s(self) -> float:
         """Return the expected response time of a request, in seconds.
 
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -179,6 +179,7 @@
             )
         # A heartbeat in state `ready` does not revoke an earlier leaving signal.
         backend.is_draining = backend.availability.is_leaving
+        backend.is_evacuated = self.watcher.is_evacuated(backend.zone)
         backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
         if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
@@ -217,13 +218,17 @@
         return allowed_regions.select(self.backends_by_service.get(service, []), regions)
 
     def services_in(self, services: Iterable[str], regions: frozenset[str]) -> set[str]:
-        """Return the services that have a back end in the regions that is not leaving."""
+        """Return the services that have a back end in the regions that is in use."""
         return {
             service
             for service in services
-            if any(not backend.is_draining for backend in self.backends_in(service, regions))
+            if any(not backend.is_out_of_use() for backend in self.backends_in(service, regions))
         }
 
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether a back end of a service is in an evacuated zone."""
+        return any(backend.is_evacuated for backend in self.backends_by_service.get(service, []))
+
     def apply_load_update(self, load: node_messages.LoadUpdate) -> None:
         """Apply an agent's load report, unless it is of another incarnation."""
         backend = self.backends_by_address.get(load.address)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from merlinthread import clocks, errors, logs
+from merlinthread import clocks, errors, logs, metrics
 from merlinthread.coordination import (
     fleet,
     fleet_state,
@@ -59,6 +59,7 @@
         self.changed = asyncio.Event()
         self.outgoing_heartbeats: list[fleet.Heartbeat] = []
         self.limits = limit_registry.LimitRegistry(clock, self.notify_watchers)
+        self.evacuated: set[str] = set()
         self.member = log_member.LogMember(
             settings, codec, self.rpc_client, clock, self.on_applied, self.on_restored
         )
@@ -123,6 +124,8 @@
             self.registry.advance()
         elif isinstance(command, fleet_state.PlaceHold | fleet_state.ReleaseHold):
             self.crashes.apply_holds()
+        elif isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+            self.apply_evacuations()
         name = self.member.command_names[type(command)]
         logs.event("applied", command=name, **log_fields(command))
         self.notify_watchers()
@@ -134,8 +137,22 @@
         for model in self.member.state.named:
             self.named_at.setdefault(model, self.clock() - log_member.UNKNOWN_AGE_S)
         self.crashes.apply_holds()
+        self.apply_evacuations()
         self.notify_watchers()
 
+    def apply_evacuations(self) -> None:
+        """Log which zones the replicated state has evacuated or not any more, and count them."""
+        zones = set(self.member.state.evacuated)
+        revision = self.member.state.evacuation_revision
+        for zone in sorted(zones - self.evacuated):
+            logs.event("zone_evacuated", zone=zone, revision=revision)
+            # Nodes that do not read evacuations get the back ends as draining.
+            self.registry.resend_zone(zone)
+        for zone in sorted(self.evacuated - zones):
+            logs.event("zone_evacuation_withdrawn", zone=zone, revision=revision)
+        self.evacuated = zones
+        metrics.evacuated_zones.set(len(zones))
+
     def mark_departed(self, instance: str, state: str) -> None:
         """Mark an instance as draining or gone in the registry."""
         if state == fleet.GONE:
@@ -151,10 +168,14 @@
     async def submit(self, command: fleet_state.Command) -> bool:
         """Commit a command here or at the leader; return whether it changed the state.
 
-        Concurrent calls with the same command share one log entry. Raises NotLeaderError,
-        UnreachableError, ControlError or TimeoutError if the command is not known to be committed.
+        Concurrent calls with the same command share one log entry, except those that a later
+        command can revert: the entry of an earlier call may precede a withdrawal that was
+        acknowledged before this call. Raises NotLeaderError, UnreachableError, ControlError or
+        TimeoutError if the command is not known to be committed.
         """
         encoded = self.member.encode_command(command)
+        if isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+            return await self.commit(encoded)
         commit = self.pending_commits.get(encoded)
         if commit is None:
             loop = asyncio.get_running_loop()
@@ -213,7 +234,7 @@
                 is_changed = await self.member.propose(message.command)
             return node_messages.CommandReply(is_changed, self.member.state.version)
         if isinstance(message, node_messages.ConfigurationRequest):
-            return self.api.read_local_configuration()
+            return self.api.read_local_configuration(message.known)
         if isinstance(message, node_messages.JoinRequest):
             return await self.member.member_changes.reply_to_join(message)
         if isinstance(message, node_messages.LeaveRequest):
@@ -240,6 +261,8 @@
             return True
         if 0 <= watch.limits < self.limits.table.revision:
             return True
+        if 0 <= watch.evacuations < self.member.state.evacuation_revision:
+            return True
         return watch.configuration < self.member.state.version
 
     def changes_for(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
@@ -253,6 +276,15 @@
         suspicions = (
             self.crashes.tracker.changes_since(suspicions_from, now) if suspicions_from >= 0 else []
         )
+        evacuations = None
+        if watch.evacuations < 0 and self.evacuated:
+            # Draining is final there, so after the withdrawal an entry of an older build uses these
+            # back ends again only once it is restarted, as its upgrade does.
+            changed = instances.with_zones_draining(changed, self.evacuated)
+        if 0 <= watch.evacuations < state.evacuation_revision:
+            evacuations = node_messages.Evacuations(
+                state.evacuation_revision, list(state.evacuated)
+            )
         limits_from = watch.limits if watch.feed == self.feed else min(0, watch.limits)
         return node_messages.WatchReply(
             self.feed,
@@ -272,6 +304,7 @@
             self.crashes.tracker.reported_revision,
             self.limits.changes_since(limits_from),
             self.limits.table.revision,
+            evacuations,
         )
 
     # Heartbeats
@@ -313,9 +346,14 @@
                     asyncio.get_running_loop().create_task(self.send_batch(address, message))
 
     async def send_batch(self, address: str, message: node_messages.HeartbeatBatch) -> None:
-        """Send a batch to one control VM; errors are ignored, since heartbeats are sent again."""
+        """Send a batch to one control VM; errors are ignored, since heartbeats are sent again.
+
+        The reply has the format level of the VM. Members that do not lead learn it from no other
+        message, and one that begins to lead after the VM was lost would count it as an older build.
+        """
         with contextlib.suppress(errors.MerlinthreadError):
-            await self.rpc_client.call(address, message, control_api.FORWARD_TIMEOUT_S)
+            reply = await self.rpc_client.call(address, message, control_api.FORWARD_TIMEOUT_S)
+            self.member.sender.record_reply(address, reply)
 
     async def expire_instances(self) -> None:
         """Remove instances that sent no heartbeat for EXPIRY_HEARTBEATS intervals, periodically."""
@@ -336,6 +374,8 @@
         return {"model": command.model, "version": command.version}
     if isinstance(command, fleet_state.PlaceHold | fleet_state.ReleaseHold):
         return {"fingerprint": command.fingerprint, "times": command.times}
+    if isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
+        return {"zone": command.zone}
     return {"instance": command.instance, "state": command.state}
 
 
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -27,6 +27,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
     pass_s: float = 0.12
+    evacuate_s: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +66,10 @@
         """Return the RPC addresses of the control VMs in the settings."""
         return [f"{ip}:{self.control_port}" for ip in self.control_ips]
 
+    def zones(self) -> list[str]:
+        """Return the availability zones of the deployment, in order of their names."""
+        return sorted({self.zone, *self.regions})
+
     def distance(self, zone: str) -> int:
         """Return 0 for this node's zone, 1 for another in its region, 2 for any other."""
         if zone == self.zone:
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -491,7 +491,10 @@
         if available_at is None or available_at <= queue_deadline:
             return
         if math.isinf(available_at):
-            raise self.unavailable("all back ends are leaving", self.retry_after_s(True))
+            reason = "all back ends are leaving"
+            if self.pool.has_evacuated(self.service):
+                reason += " or in evacuated zones"
+            raise self.unavailable(reason, self.retry_after_s(True))
         available_in_s = available_at - self.clock()
         retry_delay_s = retry_delays.delay_after_rest(available_in_s, self.pool.rng)
         raise self.unavailable(
@@ -501,12 +504,15 @@
     def check_regions(self, regions: frozenset[str]) -> None:
         """Raise RequestError if no back end in the allowed regions may serve, now or later."""
         backends = self.pool.backends_in(self.service, regions)
-        if not all(backend.is_draining for backend in backends):
+        if not all(backend.is_out_of_use() for backend in backends):
             return
         names = ", ".join(sorted(regions)) or "none"
         cause, reason = "missing", f"no back end is in an allowed region ({names})"
         if backends:
-            cause, reason = "leaving", f"all back ends in allowed regions ({names}) are leaving"
+            cause, reason = (
+                "leaving",
+                f"all back ends in allowed regions ({names}) are leaving or evacuated",
+            )
         metrics.region_refusals_total.labels(cause).inc()
         raise self.unavailable(reason, self.retry_after_s(True))
 
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -8,12 +8,13 @@
 from merlinthread.coordination import fleet, incarnations, route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, names
-from merlinthread.protocol import rate_limit, retry_after
+from merlinthread.protocol import operator_calls, rate_limit, retry_after
 from merlinthread.transport import http_messages
 
 # Longer numbers in clients' headers are invalid: they may be too large for a float.
 COUNT_DIGITS_MAX = 12
 JSON_TYPE = (b"content-type", b"application/json")
+EVACUATIONS_PATH = operator_calls.EVACUATIONS_PATH.encode()
 KNOWN_RESPONSE_HEADERS = (
     names.READ_RESPONSE_HEADERS
     | names.IGNORED_RESPONSE_HEADERS
@@ -49,6 +50,13 @@
                 return dialects.ReceiveHeartbeat(bodies.parse_heartbeat(instance, request.body))
             if request.method == b"DELETE":
                 return dialects.RemoveInstance(instance)
+        if path == EVACUATIONS_PATH and request.method == b"GET":
+            return dialects.GetEvacuations()
+        if path.startswith(EVACUATIONS_PATH + b"/"):
+            if request.method == b"POST":
+                return dialects.EvacuateZone(parse_zone(path))
+            if request.method == b"DELETE":
+                return dialects.WithdrawEvacuation(parse_zone(path))
         raise errors.RequestError(
             f"unknown call: {request.method.decode()} {path.decode('ascii', 'replace')}",
             kind=errors.ErrorKind.UNKNOWN_ROUTE,
@@ -209,6 +217,12 @@
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
 
 
+def parse_zone(path: bytes) -> str:
+    """Return the zone in the path of an evacuation; bytes that are not UTF-8 are escaped."""
+    encoded = urllib.parse.unquote_to_bytes(path[len(EVACUATIONS_PATH) + 1 :])
+    return encoded.decode("utf-8", "backslashreplace")
+
+
 def parse_retry_after(status: int, headers: http_messages.Headers) -> retry_after.RetryAfter:
     """Parse the Retry-After header of a back end's refusal; other statuses have none."""
     if status not in names.REFUSAL_STATUSES:
--- /dev/null
+++ b/tests/test_evacuation_calls.py
@@ -0,0 +1,462 @@
+"""Evacuations at control VMs on loopback: calls of operators, failures and older builds."""
+
+import asyncio
+import contextlib
+import json
+import subprocess
+import sys
+
+import pytest
+
+from merlinthread.coordination import fleet, fleet_state, levels
+from merlinthread.nodes import fleet_watcher, node_settings
+from merlinthread.protocol import node_messages
+from tests import fleet_nodes
+from tests.test_control_nodes import heartbeat, put_configuration, run
+
+
+# Guards against a leader that refuses calls because it never heard from a member that was lost
+# together with the former leader.
+def test_followers_learn_levels_of_all_members_from_heartbeats(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        level = levels.FormatLevel.EVACUATIONS
+        for number, (ip, node) in enumerate(controls.nodes.items()):
+            beat = heartbeat(f"i-{number}", address=f"1.2.3.4:{80 + number}")
+            assert (await controls.call(ip, "PUT", f"/instances/i-{number}", beat)).status == 200
+            others = node.member.other_addresses()
+            await fleet_nodes.until(
+                lambda node=node, others=others: not node.member.levels.below(others, level)
+            )
+
+    run(tmp_path, scenario)
+
+
+def test_evacuation_is_not_written_while_a_member_runs_an_older_build(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        node = controls.nodes[controls.leader()]
+        others = node.member.other_addresses()
+        await fleet_nodes.until(lambda: not node.member.levels.below(others, levels.NEWEST))
+        node.member.levels.reported[others[0]] = levels.FormatLevel.HELD_REQUESTS
+        level = levels.FormatLevel.EVACUATIONS
+        written = node.member.state.level
+        reason = node.member.write_gate.reason_not_writable(
+            level, others, written, node.member.clock()
+        )
+        assert others[0] in reason and "newer builds" in reason
+        # Its next reply reports the new level, as after an upgrade.
+        await fleet_nodes.until(lambda: not node.member.levels.below(others, level))
+        assert await node.submit(fleet_state.EvacuateZone("zone-a"))
+        for each in controls.nodes.values():
+            await fleet_nodes.until(lambda each=each: each.member.state.evacuated == ["zone-a"])
+            assert each.member.state.level == level
+
+    run(tmp_path, scenario)
+
+
+async def evacuate(controls, zone: str = "zone-a") -> None:
+    await controls.until_acknowledged("POST", f"/evacuations/{zone}")
+
+
+async def withdraw(controls, zone: str = "zone-a") -> None:
+    await controls.until_acknowledged("DELETE", f"/evacuations/{zone}")
+
+
+async def read_zones(controls) -> list[str]:
+    response = await controls.until_acknowledged("GET", "/evacuations")
+    return json.loads(response.body)["zones"]
+
+
+def test_repeated_calls_to_any_vm_are_acknowledged(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        assert await read_zones(controls) == []
+        await evacuate(controls)
+        for ip in controls.ips:
+            assert (await controls.call(ip, "POST", "/evacuations/zone%2Da")).status == 200
+        assert await read_zones(controls) == ["zone-a"]
+        await evacuate(controls, "zone-b")
+        await withdraw(controls)
+        for ip in controls.ips:
+            assert (await controls.call(ip, "DELETE", "/evacuations/zone-a")).status == 200
+        assert await read_zones(controls) == ["zone-b"]
+
+    run(tmp_path, scenario)
+
+
+def test_evacuation_survives_kill_of_leader_and_of_all_control_vms(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        await fleet_nodes.until(controls.leader)
+        controls.kill(controls.leader())
+        assert await read_zones(controls) == ["zone-a"]
+        await evacuate(controls, "zone-b")
+        for ip in list(controls.nodes):
+            controls.kill(ip)
+        for ip in controls.ips:
+            await controls.start(ip)
+        assert await read_zones(controls) == ["zone-a", "zone-b"]
+
+    run(tmp_path, scenario)
+
+
+def test_evacuation_survives_compaction_and_loss_of_a_disk(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for node in controls.nodes.values():
+            await fleet_nodes.until(lambda node=node: node.member.state.evacuated)
+            node.member.compact(node.member.clock())
+        await fleet_nodes.until(controls.leader)
+        lost = controls.leader()
+        controls.kill(lost)
+        await controls.start(lost, folder=f"{lost}-empty")
+        assert await read_zones(controls) == ["zone-a"]
+        new = controls.nodes[lost].member
+        await fleet_nodes.until(lambda: new.state.evacuated == ["zone-a"], 15)
+
+    run(tmp_path, scenario)
+
+
+# Guards against a call that was accepted once and is refused while a VM is lost after all lost
+# power.
+def test_calls_are_accepted_after_power_loss_with_a_vm_lost(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for ip in controls.ips:
+            controls.kill(ip)
+        for ip in controls.ips[:2]:
+            await controls.start(ip)
+        await evacuate(controls)
+        await withdraw(controls)
+        assert await read_zones(controls) == []
+
+    run(tmp_path, scenario)
+
+
+def test_zones_are_not_listed_without_majority(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        await fleet_nodes.until(controls.leader)
+        remaining = controls.leader()
+        for ip in controls.ips:
+            if ip != remaining:
+                controls.kill(ip)
+        await fleet_nodes.until(lambda: not controls.nodes[remaining].member.holds_lease())
+        assert (await controls.call(remaining, "GET", "/evacuations")).status == 503
+        assert (await controls.call(remaining, "POST", "/evacuations/zone-a")).status >= 500
+
+    run(tmp_path, scenario)
+
+
+def last_index(controls) -> int:
+    return max(node.member.raft.log.last_index() for node in controls.nodes.values())
+
+
+# Guards against a log that grows with each repeated call, and against a group that can no longer go
+# back to the previous build although no zone was ever evacuated.
+def test_calls_that_change_nothing_are_not_written(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await fleet_nodes.until(controls.leader)
+        before = last_index(controls)
+        term = controls.nodes[controls.leader()].member.raft.hard_state.term
+        await withdraw(controls)
+        node = controls.nodes[controls.leader()]
+        if node.member.raft.hard_state.term == term:
+            assert last_index(controls) == before
+        assert node.member.state.level == levels.LOWEST
+        await evacuate(controls)
+        await fleet_nodes.until(lambda: node.member.state.evacuated)
+        for ip in controls.ips:
+            await controls.call(ip, "POST", "/evacuations/zone-a")
+        assert node.member.state.evacuation_revision == 1
+
+    run(tmp_path, scenario)
+
+
+# Guards against an acknowledged evacuation that does not hold, since it shared the entry of an
+# earlier call that precedes the withdrawal.
+def test_evacuation_after_a_withdrawal_does_not_share_the_entry_of_an_earlier_call(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await fleet_nodes.until(controls.leader)
+        follower = next(ip for ip in controls.ips if ip != controls.leader())
+        node = controls.nodes[follower]
+        commit, is_released = node.commit, asyncio.Event()
+
+        async def commit_with_late_reply(encoded):
+            is_changed = await commit(encoded)
+            await is_released.wait()
+            return is_changed
+
+        node.commit = commit_with_late_reply
+        command = fleet_state.EvacuateZone("zone-a")
+        first = asyncio.create_task(node.submit(command))
+        others = [controls.nodes[ip].member for ip in controls.ips if ip != follower]
+        await fleet_nodes.until(lambda: any(other.state.evacuated for other in others))
+        node.commit = commit
+        leader = controls.nodes[controls.leader()]
+        await leader.submit(fleet_state.WithdrawEvacuation("zone-a"))
+        second = asyncio.create_task(node.submit(command))
+        await asyncio.sleep(0.05)
+        is_released.set()
+        await asyncio.gather(first, second)
+        assert await read_zones(controls) == ["zone-a"]
+
+    run(tmp_path, scenario)
+
+
+# Guards against control VMs that differ after calls of two operators, and against a lost call.
+def test_two_operators_at_once_leave_one_state(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        await evacuate(controls)
+        for _ in range(5):
+            await asyncio.gather(
+                evacuate(controls), withdraw(controls), evacuate(controls, "zone-b")
+            )
+        found = await read_zones(controls)
+        assert "zone-b" in found
+        for node in controls.nodes.values():
+            await fleet_nodes.until(lambda node=node: node.member.state.evacuated == found)
+        revisions = {node.member.state.evacuation_revision for node in controls.nodes.values()}
+        assert len(revisions) == 1
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    "zone",
+    [
+        "zone-x",
+        "",
+        "zone-a/",
+        "%2e%2e%2fzone-a",
+        "zone%00a",
+        "%ff",
+        "%zz",
+        "z" * 9000,
+        "%C3" * 3000,
+    ],
+)
+def test_unknown_zone_is_refused_with_its_name_and_the_known_zones(tmp_path, zone):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        ip = controls.ips[0]
+        for method in ("POST", "DELETE"):
+            response = await controls.call(ip, method, f"/evacuations/{zone}")
+            error = json.loads(response.body)
+            assert (response.status, error["field"]) == (400, "zone")
+            assert "known: zone-a, zone-b" in error["message"]
+            assert len(error["message"]) < 300
+        await evacuate(controls)
+        assert await read_zones(controls) == ["zone-a"]
+
+    run(tmp_path, scenario, 1)
+
+
+def make_watcher(controls) -> fleet_watcher.FleetWatcher:
+    settings = fleet_nodes.make_settings(
+        "entry", control_port=controls.port, control_ips=controls.ips
+    )
+    return fleet_nodes.make_watcher(settings)
+
+
+@contextlib.contextmanager
+def running(*watchers: fleet_watcher.FleetWatcher):
+    """Run watchers, and cancel them afterwards."""
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(watcher.run()) for watcher in watchers]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+EVACUATE_S = node_settings.Bounds().evacuate_s
+
+
+def test_default_bound_covers_the_timers_of_entries():
+    assert fleet_watcher.PROPAGATION_MAX_S < EVACUATE_S
+
+
+def test_entries_learn_of_evacuations_and_withdrawals(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.version)
+            await evacuate(controls)
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-a"), 1.0)
+            await withdraw(controls)
+            await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), 1.0)
+
+    run(tmp_path, scenario)
+
+
+# Guards against an acknowledged evacuation that entries miss: only the leader knows that it is
+# committed when it acknowledges the call.
+@pytest.mark.timed
+def test_evacuation_reaches_entries_if_leader_is_killed_after_acknowledging(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watchers = [make_watcher(controls) for _ in range(3)]
+        with running(*watchers):
+            await fleet_nodes.until(lambda: all(watcher.version for watcher in watchers))
+            await fleet_nodes.until(controls.leader)
+            leader = controls.leader()
+            node = controls.nodes[leader]
+            await node.submit(fleet_state.EvacuateZone("zone-a"))
+            controls.kill(leader)
+            for watcher in watchers:
+                await fleet_nodes.until(
+                    lambda watcher=watcher: watcher.is_evacuated("zone-a"), EVACUATE_S
+                )
+
+    run(tmp_path, scenario)
+
+
+def test_entry_that_was_cut_off_during_the_call_learns_of_it(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.version)
+            await evacuate(controls, "zone-b")
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-b"), 1.0)
+        # Without contact, it goes on with what it knows.
+        await evacuate(controls)
+        await withdraw(controls, "zone-b")
+        assert watcher.is_evacuated("zone-b") and not watcher.is_evacuated("zone-a")
+        with running(watcher):
+            await fleet_nodes.until(lambda: watcher.evacuations.zones == ["zone-a"], EVACUATE_S)
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.timed
+def test_entries_keep_evacuations_while_all_control_vms_lose_power(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        watcher = make_watcher(controls)
+        with running(watcher):
+            await evacuate(controls)
+            await fleet_nodes.until(lambda: watcher.is_evacuated("zone-a"), 1.0)
+            for ip in controls.ips:
+                controls.kill(ip)
+            await fleet_nodes.until(lambda: not watcher.is_fresh)
+            assert watcher.is_evacuated("zone-a")
+            for ip in controls.ips:
+                await controls.start(ip)
+            await withdraw(controls)
+            await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), EVACUATE_S)
+
+    run(tmp_path, scenario)
+
+
+def watched_states(node, evacuations: int, position: int = 0) -> dict[str, str]:
+    """Return the states of back ends in a reply to a node that has received up to `position`."""
+    watch = node_messages.WatchRequest("entry", node.feed, position, 0, 0.0, 0, 0, evacuations)
+    reported = node.changes_for(watch).instances
+    return {record.heartbeat.instance: record.heartbeat.state for record in reported}
+
+
+# Guards against an entry of an older build that goes on sending to an evacuated zone.
+def test_node_that_does_not_read_evacuations_gets_back_ends_as_draining(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        node = controls.nodes[controls.leader()]
+        in_b = heartbeat("i-2", address="1.2.3.5:80") | {"zone": "zone-b"}
+        await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
+        await controls.until_acknowledged("PUT", "/instances/i-2", in_b)
+        await fleet_nodes.until(lambda: len(node.registry.known) == 2)
+        position = node.registry.position
+        await evacuate(controls)
+        await fleet_nodes.until(lambda: node.evacuated)
+        # It is sent the change although the back ends themselves have not changed.
+        assert watched_states(node, -1, position) == {"i-1": fleet.DRAINING}
+        assert watched_states(node, -1) == {"i-1": fleet.DRAINING, "i-2": fleet.READY}
+        assert watched_states(node, 0) == {"i-1": fleet.READY, "i-2": fleet.READY}
+        # A back end that starts meanwhile is draining too.
+        late = heartbeat("i-3", address="1.2.3.6:80")
+        await controls.until_acknowledged("PUT", "/instances/i-3", late)
+        await fleet_nodes.until(lambda: "i-3" in node.registry.known)
+        assert watched_states(node, -1)["i-3"] == fleet.DRAINING
+        await withdraw(controls)
+        await fleet_nodes.until(lambda: not node.evacuated)
+        assert set(watched_states(node, -1).values()) == {fleet.READY}
+
+    run(tmp_path, scenario, 1)
+
+
+async def run_command(controls, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the command line tool with the addresses of the control VMs."""
+    addresses = ",".join(f"{ip}:{controls.public_port}" for ip in controls.ips)
+    command = [sys.executable, "-m", "merlinthread.cli.main", *arguments, "--controls", addresses]
+    return await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True)
+
+
+def test_command_line_evacuates_and_withdraws(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        done = await run_command(controls, "evacuate", "zone-a", "--json")
+        assert (done.returncode, json.loads(done.stdout)) == (
+            0,
+            {"zone": "zone-a", "evacuated": True},
+        ), done.stderr
+        shown = await run_command(controls, "evacuations", "--json")
+        assert json.loads(shown.stdout) == {"zones": ["zone-a"]}
+        assert "zone-a" in (await run_command(controls, "evacuations")).stdout
+        done = await run_command(controls, "evacuate", "zone-a", "--withdraw")
+        assert (done.returncode, "in use" in done.stdout) == (0, True), done.stderr
+        assert "none" in (await run_command(controls, "evacuations")).stdout
+        unknown = await run_command(controls, "evacuate", "zone x/y")
+        assert unknown.returncode == 2
+        assert "'zone x/y'" in unknown.stderr and "known: zone-a, zone-b" in unknown.stderr
+
+    run(tmp_path, scenario)
+
+
+# Guards against an operator who is not told why a call is refused during an upgrade.
+def test_command_line_reports_member_of_older_build(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        for node in controls.nodes.values():
+            node.member.levels.get = lambda address: levels.FormatLevel.HELD_REQUESTS
+        done = await run_command(controls, "evacuate", "zone-a", "--timeout-s", "2")
+        assert done.returncode == 8
+        assert "level 3" in done.stderr
+
+    run(tmp_path, scenario)
+
+
+# Guards against a call that is refused just when a zone is lost with the leader and another member,
+# whose level the next leader would know only from having led before.
+@pytest.mark.timed
+def test_zone_is_evacuated_after_loss_of_leader_and_another_member(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        for ip in controls.ips:
+            member = controls.nodes[ip].member
+            await fleet_nodes.until(lambda m=member: len(m.raft.log.membership.voters) == 5, 15)
+            beat = heartbeat(f"i-{ip}", address=f"{ip}:80")
+            assert (await controls.call(ip, "PUT", f"/instances/i-{ip}", beat)).status == 200
+        level = levels.FormatLevel.EVACUATIONS
+        for node in controls.nodes.values():
+            others = node.member.other_addresses()
+            await fleet_nodes.until(lambda n=node, o=others: not n.member.levels.below(o, level))
+        await fleet_nodes.until(controls.leader)
+        leader = controls.leader()
+        lost = next(ip for ip in controls.ips if ip != leader)
+        controls.kill(leader)
+        controls.kill(lost)
+        async with asyncio.timeout(EVACUATE_S):
+            await evacuate(controls)
+
+    run(tmp_path, scenario, 5)
