Bound the responses that entries and agents read from other nodes

Cause: h11 bounds only an incomplete head, chunk header or trailer (16 KiB). A body, informational responses, small chunks and chunk extensions went on until the connection was closed, and data that nobody read was buffered without a bound. An event in many parts took quadratic time.

Change: ClientConnection counts body bytes, other bytes, chunks and informational responses of each response, and stops reading its socket above 1 MiB of unread data. Calls of agents and nodes have a bound on the body: reports, manifests, pieces (from the configured chunk_bytes), messages. At entries a response that is read as a whole may have 1/16 of the VM's memory, and a stream 4 MiB without a new event. Blank lines between events are no longer passed on as events. A response over a bound is a ProtocolError, so that the attempt counts as one failure and the request is repeated or gets 502.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -18,6 +18,7 @@
     attempt_descriptions,
     backend_pool,
     crash_detector,
+    memory_limits,
     permits,
     request_context,
     response_relay,
@@ -32,6 +33,9 @@
 FIRST_EVENT_MIN_S = 0.8
 GAP_FACTOR = 2.0
 GAP_MIN_S = 0.6
+# Bytes of a stream without an event that the client does not have yet. A back end that ignores
+# Last-Event-ID repeats the events before it, which is more than one event.
+SKIPPED_BYTES_MAX = 4 * event_stream.EVENT_BYTES_MAX
 
 
 class VersionExpiredError(errors.UnreachableError):
@@ -415,11 +419,13 @@
         metrics.silences_total.labels(outcome).inc()
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
-        """Return the complete body."""
-        chunks = []
+        """Return the complete body; raise ProtocolError if it is over the bound for one."""
+        memory_bytes = self.pool.settings.memory_bytes
+        connection.body_bytes_max = memory_limits.derive(memory_bytes).response_bytes
+        body = bytearray()
         while isinstance(event := await connection.next_event(), h11.Data):
-            chunks.append(bytes(event.data))
-        return b"".join(chunks)
+            body += event.data
+        return bytes(body)
 
     async def relay_stream(
         self,
@@ -428,15 +434,21 @@
     ) -> Outcome:
         """Relay complete events of a stream as they arrive.
 
-        Partial events are dropped, so that another attempt can resume a broken stream.
+        Partial events are dropped, so that another attempt can resume a broken stream. Raises
+        ProtocolError after SKIPPED_BYTES_MAX bytes without a new event.
         """
         splitter = event_stream.EventSplitter()
+        skipped_bytes = 0
         while isinstance(event := await self.stream_event(connection), h11.Data):
+            skipped_bytes += len(event.data)
             for item in splitter.feed(bytes(event.data)):
                 self.pool.record_prompt_read(self.reservation)
                 if self.relay.is_new(item):
+                    skipped_bytes = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
+            if skipped_bytes > SKIPPED_BYTES_MAX:
+                raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
         if splitter.buffer.strip():
             raise errors.ProtocolError("the stream ended inside an event")
         self.on_data()
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -14,6 +14,13 @@
 LOCAL_TIMEOUT_S = 1.0
 MANIFEST_TIMEOUT_S = 2.0
 PIECE_TIMEOUT_S = 3.0
+# Bounds on the bodies of responses. A manifest has 67 bytes for each piece.
+REPORT_BYTES_MAX = 1024 * 1024
+MANIFEST_BYTES_MAX = 4 * 1024 * 1024
+# A piece may be twice as long as configured, so that a wrong size in the configuration does not
+# prevent downloads; a piece with a wrong digest is refused anyway.
+PIECE_BYTES_FACTOR = 2
+PIECE_BYTES_MIN = 64 * 1024
 # Upper bound for Retry-After of the origin, the only source of new weights.
 ORIGIN_RETRY_DELAY_MAX_S = 30.0
 
@@ -33,20 +40,34 @@
         self.dialect = dialect
         self.engine = engine
         self.pool = stream_client.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        # The configured size of a piece, or 0 if it is not known.
+        self.piece_bytes = 0
+
+    def piece_bytes_max(self) -> int:
+        """Return the bound on the length of a piece."""
+        if not self.piece_bytes:
+            return stream_client.WHOLE_BODY_BYTES_MAX
+        return max(PIECE_BYTES_MIN, PIECE_BYTES_FACTOR * self.piece_bytes)
 
     async def fetch_report(self) -> fleet.EngineReport:
         """Return the engine's status report."""
         request = self.dialect.report_request(self.engine)
-        response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
+        response = await self.request_engine(request, REPORT_BYTES_MAX)
         return self.dialect.parse_report(require_success(response).body)
 
+    async def request_engine(
+        self, request: http_messages.Request, body_bytes_max: int
+    ) -> http_messages.Response:
+        """Send a request to the engine and return its response."""
+        return await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S, body_bytes_max)
+
     async def fetch_manifest(self, origin: str, model: str, version: int) -> fleet.Manifest:
         """Return the manifest of a version; version 0 is the newest published one.
 
         Raises WeightsError if the origin no longer has the version.
         """
         request = self.dialect.manifest_request(origin, model, version)
-        response = await self.pool.request(origin, request, MANIFEST_TIMEOUT_S)
+        response = await self.pool.request(origin, request, MANIFEST_TIMEOUT_S, MANIFEST_BYTES_MAX)
         if response.status == STATUS_GONE:
             raise errors.WeightsError(
                 f"{model} version {version} is no longer at the origin",
@@ -67,7 +88,7 @@
         Raises WeightsError if its digest is wrong or the origin no longer has the version.
         """
         request = self.dialect.piece_request(origin, manifest.model, manifest.version, index)
-        response = await self.pool.request(origin, request, PIECE_TIMEOUT_S)
+        response = await self.pool.request(origin, request, PIECE_TIMEOUT_S, self.piece_bytes_max())
         if response.status == STATUS_GONE:
             raise errors.WeightsError(
                 f"{manifest.model} version {manifest.version} is no longer at the origin",
@@ -81,12 +102,12 @@
     async def stage_piece(self, model: str, index: int, data: bytes) -> None:
         """Upload a piece to the engine's staging area."""
         request = self.dialect.stage_request(self.engine, model, index, data)
-        require_success(await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S))
+        require_success(await self.request_engine(request, REPORT_BYTES_MAX))
 
     async def read_staged_piece(self, manifest: fleet.Manifest, index: int) -> bytes | None:
         """Return a piece from the engine's staging area, or None if it is missing or corrupt."""
         request = self.dialect.staged_request(self.engine, manifest.model, index)
-        response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
+        response = await self.request_engine(request, self.piece_bytes_max())
         if response.status != 200 or sha256_hex(response.body) != manifest.digests[index]:
             return None
         return response.body
@@ -99,7 +120,7 @@
         It loads the layers of this version that it does not hold, and gives up the others.
         """
         request = self.dialect.load_request(self.engine, model, version, truncates_streams, layers)
-        response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
+        response = await self.request_engine(request, REPORT_BYTES_MAX)
         return response.status
 
 
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -79,6 +79,7 @@
         started = self.clock()
         logged_at = started
         self.rate = pacing.RecentRate(RATE_WINDOW_S)
+        self.engine.piece_bytes = self.view.piece_bytes()
         running: set[asyncio.Task] = set()
         try:
             while not plan.is_complete() and not self.view.is_superseded(manifest):
--- a/src/merlinthread/protocol/event_stream.py
+++ b/src/merlinthread/protocol/event_stream.py
@@ -19,17 +19,30 @@
     """Buffers bytes and returns the events that are complete."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[RawEvent]:
-        """Return the events that `data` completes.
+        """Return the events that `data` completes; blank lines alone are no event.
 
         Raises ProtocolError if the incomplete event exceeds EVENT_BYTES_MAX.
         """
-        *complete, self.buffer = (self.buffer + data).split(b"\n\n")
+        if self.buffer:
+            # Only the new bytes are searched, so that an event in many parts takes linear time.
+            search_from = len(self.buffer) - 1
+            self.buffer += data
+            if self.buffer.find(b"\n\n", search_from) < 0:
+                self.check_size()
+                return []
+            data = bytes(self.buffer)
+        *complete, rest = data.split(b"\n\n")
+        self.buffer = bytearray(rest)
+        self.check_size()
+        return [RawEvent(text + b"\n\n", parse_event_id(text)) for text in complete if text]
+
+    def check_size(self) -> None:
+        """Raise ProtocolError if the incomplete event is too long."""
         if len(self.buffer) > EVENT_BYTES_MAX:
             raise errors.ProtocolError(f"an event is longer than {EVENT_BYTES_MAX} bytes")
-        return [RawEvent(text + b"\n\n", parse_event_id(text)) for text in complete]
 
 
 def parse_event_id(text: bytes) -> str:
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -49,7 +49,7 @@
         ]
         request = http_messages.Request(b"POST", PATH, headers, body)
         try:
-            response = await self.pool.request(address, request, timeout_s)
+            response = await self.pool.request(address, request, timeout_s, MESSAGE_BYTES_MAX)
         except errors.ProtocolError as error:
             # The node was terminated while it replied; the request itself is valid.
             raise errors.UnreachableError(f"{address}: {error.message}")
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -8,6 +8,21 @@
 from merlinthread import clocks, errors
 from merlinthread.transport import http_messages, sockets, timeouts
 
+# Bounds of a response. `h11` bounds only an incomplete head, chunk header or trailer (16 KiB).
+BODY_BYTES_MAX = 64 * 1024 * 1024
+# Body of a response that is read as a whole; a call may set a lower bound.
+WHOLE_BODY_BYTES_MAX = 16 * 1024 * 1024
+INTERIM_RESPONSES_MAX = 8
+# Bytes other than the body (heads, chunk headers, trailers) that are read beyond as many as the
+# body has.
+FRAMING_BYTES_MAX = 64 * 1024
+# Chunks read regardless of their size; further ones must have CHUNK_BYTES_MIN bytes on average.
+# Each chunk takes processor time, and a single read can contain 40,000 chunks of one byte.
+SMALL_CHUNKS_MAX = 8192
+CHUNK_BYTES_MIN = 8
+# Received bytes that wait for their reader, above which the socket is not read.
+UNREAD_BYTES_MAX = 1024 * 1024
+
 
 class ClientConnection(asyncio.Protocol):
     """A connection to a server; handles one request at a time."""
@@ -25,8 +40,19 @@
         self.is_idle = True
         self.is_reused = False
         self.received: collections.deque[bytes] = collections.deque()
-        # The events of the response that `receive` has read so far.
-        self.events: list[h11.Event] = []
+        # The bytes in `received`, and whether the socket is not read because there are too many.
+        self.unread_bytes = 0
+        self.unread_bytes_max = UNREAD_BYTES_MAX
+        self.is_paused = False
+        # The head and body of the response that `receive` has read so far.
+        self.head: h11.Response | None = None
+        self.body = bytearray()
+        # Counters of the current response, and the bound on its body.
+        self.body_bytes_max = BODY_BYTES_MAX
+        self.body_bytes = 0
+        self.wire_bytes = 0
+        self.chunks = 0
+        self.interim_responses = 0
 
     # asyncio.Protocol callbacks
 
@@ -35,12 +61,19 @@
         self.transport = transport  # type: ignore[assignment]
 
     def data_received(self, data: bytes) -> None:
-        """Buffer received data; close the connection if no request is in progress."""
+        """Buffer received data; close the connection if no request is in progress.
+
+        Above `unread_bytes_max`, the socket is not read until the reader has taken some data.
+        """
         if self.is_idle:
             self.has_unexpected_data = True
             self.close()
             return
         self.received.append(data)
+        self.unread_bytes += len(data)
+        if self.unread_bytes > self.unread_bytes_max and self.transport is not None:
+            self.is_paused = True
+            self.transport.pause_reading()
         self.wake_reader()
 
     def eof_received(self) -> bool:
@@ -62,9 +95,11 @@
 
     # Requests and responses
 
-    def send(self, request: http_messages.Request) -> None:
-        """Send a request."""
+    def send(self, request: http_messages.Request, body_bytes_max: int = BODY_BYTES_MAX) -> None:
+        """Send a request whose response may have a body of `body_bytes_max` bytes."""
         self.is_idle = False
+        self.body_bytes_max = body_bytes_max
+        self.body_bytes = self.wire_bytes = self.chunks = self.interim_responses = 0
         head = h11.Request(method=request.method, target=request.target, headers=request.headers)
         data = self.parser.send(head)
         if request.body:
@@ -77,7 +112,7 @@
         """Return the next event of the response.
 
         Raises UnreachableError if the connection is lost first, and ProtocolError if the response
-        is malformed or incomplete.
+        is malformed, incomplete or over one of the bounds at the top of this module.
         """
         while True:
             try:
@@ -87,13 +122,42 @@
             if event is h11.PAUSED:
                 raise errors.ProtocolError("read past the end of the response")
             if event is not h11.NEED_DATA:
+                self.check_event(event)
                 return event  # type: ignore[return-value]
             await self.feed_parser()
 
+    def check_event(self, event: object) -> None:
+        """Count an event of the response; raise ProtocolError if it is over a bound."""
+        if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
+            self.chunks += event.chunk_start
+            if self.body_bytes > self.body_bytes_max:
+                raise errors.ProtocolError(
+                    f"the body of the response exceeds {self.body_bytes_max} bytes"
+                )
+            if self.chunks > SMALL_CHUNKS_MAX + self.body_bytes // CHUNK_BYTES_MIN:
+                raise errors.ProtocolError(
+                    f"the response has {self.chunks} chunks in {self.body_bytes} bytes"
+                )
+        elif isinstance(event, h11.InformationalResponse):
+            self.interim_responses += 1
+            if self.interim_responses > INTERIM_RESPONSES_MAX:
+                raise errors.ProtocolError(
+                    f"more than {INTERIM_RESPONSES_MAX} informational responses"
+                )
+
     async def feed_parser(self) -> None:
-        """Pass the next received data to the parser, waiting for some if there is none."""
+        """Pass the next received data to the parser, waiting for some if there is none.
+
+        Raises ProtocolError if the response has too many bytes other than its body.
+        """
         if self.received:
-            self.parser.receive_data(self.received.popleft())
+            # The parser has returned all events of earlier data, so `body_bytes` is up to date.
+            if self.wire_bytes > FRAMING_BYTES_MAX + 2 * self.body_bytes:
+                raise errors.ProtocolError(
+                    f"the response has {self.wire_bytes} bytes, of which {self.body_bytes} are body"
+                )
+            self.parser.receive_data(self.take_received())
             return
         if self.is_lost and (self.error is not None or not self.has_eof):
             raise errors.UnreachableError(f"connection lost: {self.error}")
@@ -103,6 +167,17 @@
         self.waiter = asyncio.get_running_loop().create_future()
         await self.waiter
 
+    def take_received(self) -> bytes:
+        """Return the next received data, and read the socket again if it was paused."""
+        data = self.received.popleft()
+        self.wire_bytes += len(data)
+        self.unread_bytes -= len(data)
+        if self.is_paused and self.unread_bytes <= self.unread_bytes_max:
+            self.is_paused = False
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+        return data
+
     async def receive(self) -> http_messages.Response:
         """Return the complete response; raise the same errors as `next_event`.
 
@@ -112,13 +187,19 @@
             event = await self.next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if not self.events and not isinstance(event, h11.Response):
-                raise errors.ProtocolError(f"expected a response head, got {type(event).__name__}")
-            if self.events and not isinstance(event, h11.Data):
+            if self.head is None:
+                if not isinstance(event, h11.Response):
+                    raise errors.ProtocolError(
+                        f"expected a response head, got {type(event).__name__}"
+                    )
+                self.head = event
+            elif isinstance(event, h11.Data):
+                # Many small chunks take far more memory as separate objects.
+                self.body += event.data
+            else:
                 break
-            self.events.append(event)
-        (head, *chunks), self.events = self.events, []
-        body = b"".join(bytes(chunk.data) for chunk in chunks)
+        head, body = self.head, bytes(self.body)
+        self.head, self.body = None, bytearray()
         return http_messages.Response(head.status_code, list(head.headers.raw_items()), body)
 
     def prepare_reuse(self, now: float, keep_alive_s: float) -> bool:
@@ -279,12 +360,16 @@
             connection.close()
 
     async def request(
-        self, address: str, request: http_messages.Request, timeout_s: float
+        self,
+        address: str,
+        request: http_messages.Request,
+        timeout_s: float,
+        body_bytes_max: int = WHOLE_BODY_BYTES_MAX,
     ) -> http_messages.Response:
         """Send an idempotent request and return its response.
 
         Raises UnreachableError if there is no response within `timeout_s`, and ProtocolError if the
-        response is malformed or incomplete.
+        response is malformed, incomplete or has a body of more than `body_bytes_max` bytes.
         """
         connection = self.acquire(address, clocks.now(), self.keep_alive_s)
         loop = asyncio.get_running_loop()
@@ -293,7 +378,7 @@
             if connection is None:
                 connect_timeout_s = min(self.connect_timeout_s, timeout_s)
                 connection = await connect(address, connect_timeout_s, self.user_timeout_s)
-            connection.send(request)
+            connection.send(request, body_bytes_max)
             response = await timeouts.wait_for(connection.receive, deadline - loop.time())
         except TimeoutError:
             if connection is not None:
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -13,6 +13,9 @@
 
 DEFAULT_EVENT_COUNT = 5
 LAYERS = 16
+FLOOD_BLOCK_BYTES = 16 * 1024
+# Ends a flood that its reader does not end, so that a failed test does not fill the memory.
+FLOOD_BYTES_MAX = 128 * 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -48,6 +51,8 @@
     retry_after: str | None = None
     # The Server-Limit value of every response, in requests per second.
     limit: str | None = None
+    # Sends a response without end: bytes after its headers, and bytes that are then repeated.
+    flood: tuple[bytes, bytes] | None = None
     # Further headers of every response.
     extra_headers: http_messages.Headers = dataclasses.field(default_factory=list)
     echoes_request_id: bool = True
@@ -90,6 +95,8 @@
         self.cancelled: list[str] = []
         # The number of stream events that the worker has sent, over all runs.
         self.events_sent = 0
+        # The bytes that the worker has sent of its last response without end.
+        self.flood_bytes = 0
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
         # The pieces that each layer took, and whether an order is in progress.
@@ -192,6 +199,9 @@
         if not self.behaviour.is_unsigned:
             stamp = f"{self.instance}.{request_id}".encode()
             response_headers.append((b"X-Merlinthread-Response-Stamp", stamp))
+        if self.behaviour.flood is not None:
+            await self.send_flood(exchange, response_headers, *self.behaviour.flood)
+            return
         if self.behaviour.lacks_length:
             await self.send_without_length(exchange, response_headers, headers)
             return
@@ -253,6 +263,29 @@
         else:
             exchange.connection.close()
 
+    async def send_flood(
+        self,
+        exchange: stream_server.Exchange,
+        response_headers: http_messages.Headers,
+        first: bytes,
+        repeated: bytes,
+    ) -> None:
+        """Send a response that goes on until the client closes the connection, or FLOOD_BYTES_MAX.
+
+        `first` follows the headers; if it begins with a status line, it replaces them.
+        """
+        lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in response_headers)]
+        is_whole = first.startswith(b"HTTP/")
+        exchange.connection.write_raw(first if is_whole else b"\r\n".join(lines) + first)
+        block = repeated * (1 + FLOOD_BLOCK_BYTES // len(repeated))
+        self.flood_bytes = 0
+        while self.flood_bytes < FLOOD_BYTES_MAX:
+            exchange.connection.write_raw(block)
+            self.flood_bytes += len(block)
+            await exchange.connection.flow.wait_writable()
+            await asyncio.sleep(0)
+        exchange.abort()
+
     def common_headers(self) -> http_messages.Headers:
         """Return the headers that every response carries."""
         headers = [(b"Server-Leaving", b"1")] if self.behaviour.is_leaving else []
