--- a/src/merlinthread/roles/entry.py
+++ b/src/merlinthread/roles/entry.py
@@ -17,6 +17,7 @@
 LEASE_S = 3.0
 RPC_TIMEOUT_S = 0.5
 LEADER_STALE_S = 1.5
+PLATFORM_BYTES_MAX = 4 * 1024 * 1024
 PLATFORM_POLL_INTERVAL_S = 0.5
 OUTCOME_RETRY_INTERVAL_S = 0.5
 KEEPALIVE_INTERVAL_S = 1.5
@@ -370,7 +371,10 @@
         assert self.config.platform_url is not None
         try:
             response = self.client.request(
-                "GET", f"{self.config.platform_url}/v1/vms", timeout_s=2.0
+                "GET",
+                f"{self.config.platform_url}/v1/vms",
+                timeout_s=2.0,
+                limit_bytes=PLATFORM_BYTES_MAX,
             )
             vm_list = msgspec.json.decode(response.body, type=PlatformVmList)
         except (errors.MerlinthreadError, msgspec.DecodeError) as error:
--- a/src/merlinthread/roles/target.py
+++ b/src/merlinthread/roles/target.py
@@ -14,6 +14,7 @@
 from merlinthread.transport import http_client, http_server
 
 STATUS_TIMEOUT_S = 2.0
+STATUS_BYTES_MAX = 1024 * 1024
 ORDER_TIMEOUT_S = 600.0
 THROUGHPUT_INTERVAL_S = 1.0
 
@@ -133,7 +134,10 @@
             return
         try:
             response = self.client.request_ok(
-                "GET", f"{self.config.target_url}/v1/status", timeout_s=STATUS_TIMEOUT_S
+                "GET",
+                f"{self.config.target_url}/v1/status",
+                timeout_s=STATUS_TIMEOUT_S,
+                limit_bytes=STATUS_BYTES_MAX,
             )
             status = msgspec.json.decode(response.body, type=engine_calls.EngineStatus)
         except (errors.MerlinthreadError, msgspec.DecodeError) as error:
@@ -148,7 +152,10 @@
         """Poll the health check of a plain service."""
         try:
             self.client.request_ok(
-                "GET", f"{self.config.target_url}/healthz", timeout_s=STATUS_TIMEOUT_S
+                "GET",
+                f"{self.config.target_url}/healthz",
+                timeout_s=STATUS_TIMEOUT_S,
+                limit_bytes=STATUS_BYTES_MAX,
             )
         except errors.MerlinthreadError as error:
             self.mark_unreachable(error.message)
@@ -366,6 +373,7 @@
                 msgspec.json.encode({"request_id": attempt_id}),
                 {"Content-Type": "application/json"},
                 STATUS_TIMEOUT_S,
+                STATUS_BYTES_MAX,
             )
         except errors.MerlinthreadError as error:
             logs.debug("cancel_failed", attempt=attempt_id, reason=error.message)
--- a/src/merlinthread/roles/weights.py
+++ b/src/merlinthread/roles/weights.py
@@ -20,6 +20,7 @@
 MANIFEST_RETRY_S = 0.5
 PEER_TIMEOUT_S = 1.0
 ORIGIN_TIMEOUT_S = 20.0
+MANIFEST_BYTES_MAX = 16 * 1024 * 1024
 ORIGIN_RETRY_S = 0.5
 ORIGIN_MISMATCH_LIMIT = 2
 
@@ -279,7 +280,9 @@
                 f"no peer has manifest {digest} and agent.weight_store_url is not set"
             )
         url = f"{self.config.weight_store_url}/manifests/{digest}"
-        return self.client.request_ok("GET", url, timeout_s=ORIGIN_TIMEOUT_S).body
+        return self.client.request_ok(
+            "GET", url, timeout_s=ORIGIN_TIMEOUT_S, limit_bytes=MANIFEST_BYTES_MAX
+        ).body
 
     def download_from_origin(self, download: Download, action: fetch.OriginRead) -> None:
         """Download one chunk from the origin."""
@@ -295,6 +298,7 @@
                 f"{self.config.origin_url}/objects/{name}",
                 headers={"Range": f"bytes={offset}-{offset + size - 1}"},
                 timeout_s=ORIGIN_TIMEOUT_S,
+                limit_bytes=size,
             )
             data = response.body
         except errors.MerlinthreadError as error:
--- a/src/merlinthread/transport/http_client.py
+++ b/src/merlinthread/transport/http_client.py
@@ -5,11 +5,22 @@
 
 import urllib3
 
-from merlinthread import errors
+from merlinthread import clocks, errors
 from merlinthread.protocol import error_responses
+from merlinthread.transport import bounded_responses
 
 CONNECT_TIMEOUT_S = 1.0
 READ_CHUNK_BYTES = 65536
+# Bounds of a response; bytes include chunk headers. The head must arrive within the timeout of one
+# read. The whole may take longer, since a stream goes on while its client reads.
+STREAM_BYTES_MAX = 64 * 1024 * 1024
+FRAMING_BYTES_MAX = 64 * 1024
+LINE_BYTES_MAX = 1024 * 1024
+BODY_TIMEOUT_FACTOR = 4.0
+BODY_TIMEOUT_MIN_S = 10.0
+# What is read of a response after the part that its caller needed, to use the connection again.
+DRAIN_BYTES_MAX = 64 * 1024
+DRAIN_TIMEOUT_S = 1.0
 
 
 class NotSentError(errors.UnreachableError):
@@ -29,51 +40,83 @@
     body: bytes
 
 
+class ResponseBoundError(errors.UnreachableError):
+    """The response is over its bound in bytes or time; the request may have been processed."""
+
+    kind = errors.ErrorKind.OUTCOME_UNKNOWN
+
+
 class StreamingResponse:
     """A response whose body is read incrementally; header names are lower case.
 
     Call `release` once the body is read, or `close` to abandon the rest.
     """
 
-    def __init__(self, response: urllib3.BaseHTTPResponse, url: str) -> None:
+    def __init__(self, response: urllib3.BaseHTTPResponse, url: str, timeout_s: float) -> None:
         self.response = response
+        self.reader = bounded_responses.reader_of(response)
+        self.deadline = clocks.now() + max(BODY_TIMEOUT_MIN_S, BODY_TIMEOUT_FACTOR * timeout_s)
+        self.allow(STREAM_BYTES_MAX)
         self.url = url
         self.status = response.status
         self.headers = {name.lower(): value for name, value in response.headers.items()}
 
+    def allow(self, byte_count: int) -> None:
+        """Set the number of bytes of the connection that may still be read."""
+        if self.reader is not None:
+            self.reader.allow(byte_count, self.deadline)
+
     def iter_chunks(self) -> Iterator[bytes]:
-        """Yield chunks of the body as they arrive; raise UnreachableError if it ends early."""
+        """Yield chunks of the body as they arrive.
+
+        Raises UnreachableError if it ends early, and ResponseBoundError if it is over its bound.
+        """
         try:
             while chunk := self.response.read1(READ_CHUNK_BYTES):
                 yield chunk
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            self.close()
+            if self.reader is not None and self.reader.is_exceeded:
+                raise ResponseBoundError(f"{self.url}: response without end: {error!r}")
             raise errors.UnreachableError(f"{self.url}: response body ended early: {error!r}")
 
     def iter_lines(self) -> Iterator[bytes]:
-        """Yield lines of the body without line endings; raise UnreachableError if it ends early."""
-        buffer = b""
+        """Yield lines of the body without line endings.
+
+        Raises the errors of `iter_chunks`, and ResponseBoundError if a line is longer than
+        LINE_BYTES_MAX.
+        """
+        parts: list[bytes] = []
+        size = 0
         for chunk in self.iter_chunks():
-            *lines, buffer = (buffer + chunk).split(b"\n")
-            yield from lines
-        if buffer:
-            yield buffer
+            parts.append(chunk)
+            size += len(chunk)
+            if b"\n" in chunk:
+                *lines, rest = b"".join(parts).split(b"\n")
+                yield from lines
+                parts, size = [rest], len(rest)
+            if size > LINE_BYTES_MAX:
+                self.close()
+                raise ResponseBoundError(
+                    f"{self.url}: a line of the response exceeds {LINE_BYTES_MAX} bytes"
+                )
+        if size:
+            yield b"".join(parts)
 
     def read(self, limit_bytes: int) -> bytes:
         """Return the rest of the body.
 
-        Raises MerlinthreadError (too_large) if it is longer than `limit_bytes`, and
-        UnreachableError if it ends early.
+        Raises ResponseBoundError if it is longer than `limit_bytes`, and the errors of
+        `iter_chunks`.
         """
+        self.allow(FRAMING_BYTES_MAX + 2 * limit_bytes)
         chunks = []
         size = 0
         for chunk in self.iter_chunks():
             size += len(chunk)
             if size > limit_bytes:
                 self.close()
-                raise errors.MerlinthreadError(
-                    f"{self.url}: response body exceeds {limit_bytes} bytes",
-                    kind=errors.ErrorKind.TOO_LARGE,
-                )
+                raise ResponseBoundError(f"{self.url}: response body exceeds {limit_bytes} bytes")
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -85,13 +128,19 @@
         """Drain the body and return the connection to the pool.
 
         Bytes left unread, such as the last chunk, would be parsed as the start of the next response
-        on that connection.
+        on that connection. A response that goes on is closed instead.
         """
+        self.deadline = min(self.deadline, clocks.now() + DRAIN_TIMEOUT_S)
+        self.allow(DRAIN_BYTES_MAX)
         try:
             self.response.drain_conn()
         except (urllib3.exceptions.HTTPError, OSError, ValueError):
             self.close()
             return
+        if self.reader is not None and self.reader.is_exceeded:
+            # `drain_conn` ignores errors.
+            self.close()
+            return
         self.response.release_conn()
 
 
@@ -102,6 +151,7 @@
         self.pool = urllib3.PoolManager(
             maxsize=connections, num_pools=256, retries=False, block=False
         )
+        self.pool.pool_classes_by_scheme = bounded_responses.POOL_CLASSES
 
     def open(
         self,
@@ -113,9 +163,9 @@
     ) -> StreamingResponse:
         """Send a request and return its response as soon as the headers are received.
 
-        `timeout_s` applies to the connect and to each read. Raises NotSentError if no connection
-        could be established, and UnreachableError if the request may have been sent but no response
-        was received.
+        `timeout_s` applies to the connect, the headers and each read of the body. Raises
+        NotSentError if no connection could be established, and UnreachableError if the request may
+        have been sent but no response was received.
         """
         timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
         try:
@@ -136,7 +186,7 @@
             raise NotSentError(f"{url}: {error}")
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.UnreachableError(f"{url}: {error!r}")
-        return StreamingResponse(response, url)
+        return StreamingResponse(response, url, timeout_s)
 
     def request(
         self,
@@ -163,9 +213,10 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 10.0,
+        limit_bytes: int = 64 * 1024 * 1024,
     ) -> Response:
         """Like `request`, but raise the error described by a response of status 400 or above."""
-        response = self.request(method, url, body, headers, timeout_s)
+        response = self.request(method, url, body, headers, timeout_s, limit_bytes)
         if response.status >= 400:
             raise error_responses.parse_error(response.body, response.status)
         return response
