Bound the memory that an entry holds for clients that read slowly

Cause: while a client did not read, the data of its back end was buffered without a bound, and the bodies of requests and responses of all clients together had none either. A body in small chunks took many times its size as separate objects. A client that did not read made its back end count as silent, and a complete response was cut off at the deadline while its client was reading it.

Change: each connection of a client has a count of the bytes held for it. A complete response goes on being sent after the deadline and is given up after 5 s without progress. Log line connection_shed, metrics merlinthread_held_bytes and merlinthread_connections_shed_total.

--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -144,6 +144,17 @@
     "Attempts without a complete response, by whether the back end's process had ended.",
     ["proof"],
 )
+held_bytes = prometheus_client.Gauge(
+    "merlinthread_held_bytes",
+    "Bytes that this entry holds for clients: requests, responses that are not sent yet, and data "
+    "of back ends that waits to be sent.",
+)
+connections_shed_total = prometheus_client.Counter(
+    "merlinthread_connections_shed_total",
+    "Connections of clients that this entry closed, by reason: the memory for all clients was used "
+    "up, or the client took no data after its request's deadline.",
+    ["reason"],
+)
 retries_total = prometheus_client.Counter(
     "merlinthread_retries_total",
     "Attempts beyond the first of a request, by stage: decided on, or sent to a back end.",
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -18,7 +18,6 @@
     attempt_descriptions,
     backend_pool,
     crash_detector,
-    memory_limits,
     permits,
     request_context,
     response_relay,
@@ -120,6 +119,8 @@
         self.result_text = ""
         self.signals_text = ""
         self.is_other_instance = False
+        # The bytes of the response that are kept until it continues or is complete.
+        self.held_bytes = 0
 
     @property
     def is_silent(self) -> bool:
@@ -133,6 +134,9 @@
             connection = await self.pool.connections.connect(
                 self.backend, self.context.is_idempotent()
             )
+            connection.hold_for(
+                self.relay.exchange.holder, self.pool.memory_limits.connection_bytes
+            )
             self.check_available()
             if not self.may_send():
                 raise UnavailableError("the retry budget is exhausted")
@@ -147,6 +151,8 @@
             self.record_outcome(outcome)
             return outcome
         except TimeoutError:
+            if not self.relay.exchange.is_client_reading():
+                return self.end_slow_read()
             self.handle_timeout(connection)
             if not self.relay.exchange.is_started:
                 dispatch.record_silence(self.backend, self.clock())
@@ -162,9 +168,20 @@
         finally:
             if self.is_silent:
                 self.end_silence("ended")
+            self.hold(0)
             if connection is not None:
                 connection.close()
 
+    def end_slow_read(self) -> Outcome:
+        """Return the outcome of an attempt whose client has not taken its data by the deadline.
+
+        The back end is not to blame. A complete response goes on being sent.
+        """
+        if self.relay.exchange.is_finished:
+            dispatch.record_success(self.backend, self.clock() - self.reservation.started_at)
+            return Outcome(State.DONE, "answered, not yet taken by the client")
+        return Outcome(State.UNKNOWN, "the client did not take its data before the deadline")
+
     def release(self) -> None:
         """Remove the attempt, which has ended, from its back end's load."""
         self.pool.release(self.reservation)
@@ -420,13 +437,19 @@
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
         """Return the complete body; raise ProtocolError if it is over the bound for one."""
-        memory_bytes = self.pool.settings.memory_bytes
-        connection.body_bytes_max = memory_limits.derive(memory_bytes).response_bytes
+        connection.body_bytes_max = self.pool.memory_limits.response_bytes
         body = bytearray()
         while isinstance(event := await connection.next_event(), h11.Data):
             body += event.data
+            self.hold(len(body))
         return bytes(body)
 
+    def hold(self, byte_count: int) -> None:
+        """Count `byte_count` bytes as held by this attempt for the client."""
+        if byte_count != self.held_bytes:
+            added, self.held_bytes = byte_count - self.held_bytes, byte_count
+            self.relay.exchange.holder.add(added)
+
     async def relay_stream(
         self,
         connection: stream_client.ClientConnection,
@@ -447,6 +470,7 @@
                     skipped_bytes = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
+            self.hold(len(splitter.buffer))
             if skipped_bytes > SKIPPED_BYTES_MAX:
                 raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
         if splitter.buffer.strip():
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -25,6 +25,7 @@
     fleet_watcher,
     limit_reporter,
     load_prober,
+    memory_limits,
     node_settings,
     permits,
     signal_recorder,
@@ -81,6 +82,7 @@
         reporter: limit_reporter.LimitReporter,
     ) -> None:
         self.settings = settings
+        self.memory_limits = memory_limits.derive(settings.memory_bytes)
         self.permits = permits
         self.prober = prober
         self.crashes = crashes
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from merlinthread import clocks, logs
+from merlinthread import clocks, logs, metrics
 from merlinthread.coordination import backend_availability, crash_tracker
 from merlinthread.nodes import (
     backend_pool,
@@ -77,6 +77,8 @@
             self.reporter,
         )
         self.server = stream_server.Server(self.serve)
+        self.server.held.bytes_max = self.pool.memory_limits.total_bytes
+        metrics.held_bytes.set_function(lambda: self.server.held.byte_count)
         self.ready_server = stream_server.Server(self.serve_ready)
         self.is_leaving = False
         self.was_ready = False
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -6,6 +6,7 @@
 import h11
 
 from merlinthread import clocks, errors
+from merlinthread.coordination import held_bytes
 from merlinthread.transport import http_messages, sockets, timeouts
 
 # Bounds of a response. `h11` bounds only an incomplete head, chunk header or trailer (16 KiB).
@@ -44,6 +45,8 @@
         self.unread_bytes = 0
         self.unread_bytes_max = UNREAD_BYTES_MAX
         self.is_paused = False
+        # The count of the bytes held for the client for whom the response is read, if any.
+        self.holder: held_bytes.Holder | None = None
         # The head and body of the response that `receive` has read so far.
         self.head: h11.Response | None = None
         self.body = bytearray()
@@ -71,10 +74,17 @@
             return
         self.received.append(data)
         self.unread_bytes += len(data)
-        if self.unread_bytes > self.unread_bytes_max and self.transport is not None:
+        if self.holder is not None:
+            self.holder.add(len(data))
+        if self.unread_bytes > self.unread_bytes_max:
+            self.pause_reading()
+        self.wake_reader()
+
+    def pause_reading(self) -> None:
+        """Stop reading the socket until the reader has taken some data."""
+        if self.transport is not None:
             self.is_paused = True
             self.transport.pause_reading()
-        self.wake_reader()
 
     def eof_received(self) -> bool:
         """Record that the server has closed its sending side."""
@@ -108,6 +118,11 @@
         if self.transport is not None:
             self.transport.write(data)
 
+    def hold_for(self, holder: held_bytes.Holder, unread_bytes_max: int) -> None:
+        """Count unread data as held for a client, and bound it, until the response is complete."""
+        self.holder = holder
+        self.unread_bytes_max = unread_bytes_max
+
     async def next_event(self) -> h11.Event:
         """Return the next event of the response.
 
@@ -135,7 +150,8 @@
                 raise errors.ProtocolError(
                     f"the body of the response exceeds {self.body_bytes_max} bytes"
                 )
-            if self.chunks > SMALL_CHUNKS_MAX + self.body_bytes // CHUNK_BYTES_MIN:
+            small_chunks = self.chunks - SMALL_CHUNKS_MAX
+            if small_chunks > 0 and small_chunks * CHUNK_BYTES_MIN > self.body_bytes:
                 raise errors.ProtocolError(
                     f"the response has {self.chunks} chunks in {self.body_bytes} bytes"
                 )
@@ -172,6 +188,8 @@
         data = self.received.popleft()
         self.wire_bytes += len(data)
         self.unread_bytes -= len(data)
+        if self.holder is not None:
+            self.holder.add(-len(data))
         if self.is_paused and self.unread_bytes <= self.unread_bytes_max:
             self.is_paused = False
             if self.transport is not None and not self.transport.is_closing():
@@ -219,6 +237,7 @@
             self.close()
             return False
         self.parser.start_next_cycle()
+        self.holder = None
         self.is_idle = True
         self.idle_since = now
         self.expires_at = now + keep_alive_s
@@ -236,6 +255,9 @@
         If a request is in progress, the connection is reset, which discards request data that is
         still buffered.
         """
+        if self.holder is not None:
+            self.holder.add(-self.unread_bytes)
+            self.holder = None
         if self.transport is None:
             return
         if not self.is_idle:
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -9,10 +9,18 @@
 
 import h11
 
-from merlinthread import logs
+from merlinthread import clocks, logs, metrics
+from merlinthread.coordination import held_bytes
 from merlinthread.transport import http_messages, sockets
 
 READ_AHEAD_BYTES_MAX = 256 * 1024
+# Small parts of a body are joined to blocks of up to this size: a part of two bytes as an object of
+# its own takes over 40 bytes.
+BODY_BLOCK_BYTES = 64 * 1024
+# How often clients that take their data slowly are checked, and for how long they may take none
+# once their request's handler has ended.
+STALL_CHECK_INTERVAL_S = 0.5
+STALL_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1024
 
 
@@ -52,6 +60,15 @@
         self.is_started = False
         self.is_finished = False
 
+    @property
+    def holder(self) -> held_bytes.Holder:
+        """Return the count of the bytes held for this client."""
+        return self.connection.holder
+
+    def is_client_reading(self) -> bool:
+        """Return whether there is room to write."""
+        return not self.connection.flow.is_paused
+
     async def respond(self, response: http_messages.Response) -> None:
         """Send a complete response with a Content-Length header."""
         headers = [*response.headers, (b"content-length", b"%d" % len(response.body))]
@@ -100,7 +117,10 @@
         self.is_draining = False
         self.is_shutting_down = False
         self.listener: asyncio.Server | None = None
-        self.buffered_bytes = 0
+        self.held = held_bytes.Budget(clocks.now)
+        # The connections whose client takes its data more slowly than it is written.
+        self.slow_connections: set[ServerConnection] = set()
+        self.stall_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Start listening on `host`:`port`."""
@@ -123,6 +143,25 @@
             if connection.is_idle():
                 connection.close()
 
+    def watch_slow_connection(self, connection: "ServerConnection") -> None:
+        """Check a connection regularly until its client has taken its data."""
+        self.slow_connections.add(connection)
+        if self.stall_timer is None:
+            loop = asyncio.get_running_loop()
+            self.stall_timer = loop.call_later(STALL_CHECK_INTERVAL_S, self.check_slow_connections)
+
+    def check_slow_connections(self) -> None:
+        """Close the connections of clients that take no data and whose request has ended."""
+        self.stall_timer = None
+        now = clocks.now()
+        for connection in list(self.slow_connections):
+            connection.update_progress(now)
+            if connection.is_stalled(now):
+                connection.shed("stalled", now)
+        if self.slow_connections:
+            loop = asyncio.get_running_loop()
+            self.stall_timer = loop.call_later(STALL_CHECK_INTERVAL_S, self.check_slow_connections)
+
     def count_active_requests(self) -> int:
         """Return how many requests are in progress."""
         return sum(1 for connection in self.connections if connection.task is not None)
@@ -140,8 +179,12 @@
         self.flow = FlowControl()
         self.task: asyncio.Task | None = None
         self.request: http_messages.Request | None = None
-        self.body_chunks: list[bytes] = []
+        self.body_chunks: list[bytearray] = []
         self.body_size = 0
+        self.holder = server.held.open(lambda now: self.shed("memory", now), self.update_progress)
+        # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
+        self.request_bytes = 0
+        self.write_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
         self.is_head_pending = False
         self.is_reading = True
@@ -168,6 +211,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Unregister the connection and cancel its handler task."""
         self.server.connections.discard(self)
+        self.server.slow_connections.discard(self)
+        self.holder.release()
         self.set_timer(None, None)
         self.flow.resume()
         if self.task is not None:
@@ -176,11 +221,49 @@
     def pause_writing(self) -> None:
         """Make tasks that write wait until the transport's buffer has room."""
         self.flow.pause()
+        self.update_write_bytes()
+        self.holder.progress_at = clocks.now()
+        self.server.watch_slow_connection(self)
 
     def resume_writing(self) -> None:
         """Let tasks that write continue."""
+        self.server.slow_connections.discard(self)
+        self.holder.add(-self.write_bytes)
+        self.write_bytes = 0
+        self.holder.progress_at = clocks.now()
         self.flow.resume()
 
+    def update_write_bytes(self) -> None:
+        """Update the count of the bytes in the transport's buffer while it is full."""
+        if self.transport is not None:
+            byte_count = self.transport.get_write_buffer_size()
+            added, self.write_bytes = byte_count - self.write_bytes, byte_count
+            self.holder.add(added)
+
+    def update_progress(self, now: float) -> None:
+        """Record whether the client has taken data since the last call."""
+        if not self.flow.is_paused or self.transport is None:
+            return
+        if self.transport.get_write_buffer_size() < self.write_bytes:
+            self.holder.progress_at = now
+            self.update_write_bytes()
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the client takes no data although its request's handler has ended."""
+        return self.task is None and now - self.holder.progress_at > STALL_TIMEOUT_S
+
+    def shed(self, reason: str, now: float) -> None:
+        """Close the connection of a client that holds too much memory or takes no data."""
+        metrics.connections_shed_total.labels(reason).inc()
+        logs.warning(
+            "connection_shed",
+            reason=reason,
+            held_bytes=self.holder.byte_count,
+            all_held_bytes=self.server.held.byte_count,
+            stalled_s=round(now - self.holder.progress_at, 3),
+        )
+        self.abort()
+
     def eof_received(self) -> bool:
         """Handle the close of the client's sending side like a disconnect.
 
@@ -199,6 +282,9 @@
         than `READ_AHEAD_BYTES_MAX`.
         """
         self.parser.receive_data(data)
+        self.request_bytes += len(data)
+        self.holder.progress_at = clocks.now()
+        self.holder.add(len(data))
         if self.task is not None:
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > READ_AHEAD_BYTES_MAX and self.transport is not None:
@@ -225,7 +311,7 @@
         if isinstance(event, h11.Request):
             return self.handle_head(event)
         if isinstance(event, h11.Data):
-            return self.handle_body(bytes(event.data))
+            return self.handle_body(event.data)
         if isinstance(event, h11.EndOfMessage):
             self.start_handler()
         return False
@@ -258,13 +344,16 @@
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
-    def handle_body(self, data: bytes) -> bool:
+    def handle_body(self, data: bytes | bytearray) -> bool:
         """Handle a part of a request's body."""
         self.body_size += len(data)
         if self.body_size > self.server.limits.body_bytes:
             self.send_error(413)
             return False
-        self.body_chunks.append(data)
+        if self.body_chunks and len(self.body_chunks[-1]) + len(data) <= BODY_BLOCK_BYTES:
+            self.body_chunks[-1] += data
+        else:
+            self.body_chunks.append(bytearray(data))
         return True
 
     def start_handler(self) -> None:
@@ -298,6 +387,9 @@
     def finish_exchange(self, exchange: Exchange) -> None:
         """Continue with the next request on this connection, or close it."""
         self.task = None
+        unread_bytes = len(self.parser.trailing_data[0])
+        self.holder.add(unread_bytes - self.request_bytes)
+        self.request_bytes = unread_bytes
         if not exchange.is_finished:
             self.abort()
             return
@@ -331,6 +423,8 @@
         data = self.parser.send(event)
         if data and self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
+            if self.flow.is_paused:
+                self.update_write_bytes()
 
     def write_raw(self, data: bytes) -> None:
         """Send bytes without `h11`; used by stand-ins to send malformed responses."""
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -25,7 +25,11 @@
     work_s: float = 0.0
     gap_s: float = 0.0
     events: int = DEFAULT_EVENT_COUNT
+    # Bytes that each event has beyond its number.
+    event_padding: int = 0
     status: int = 200
+    # Bytes that the body of a plain response has beyond its text.
+    body_padding: int = 0
     is_full: bool = False
     cut_after_events: int | None = None
     closes_without_response: bool = False
@@ -209,6 +213,7 @@
             await self.stream(exchange, response_headers, headers)
             return
         body = f"answer of {self.instance} to {request_id}".encode()
+        body += bytes(self.behaviour.body_padding)
         await exchange.respond(
             http_messages.Response(self.behaviour.status, response_headers, body)
         )
@@ -229,7 +234,8 @@
                 exchange.connection.write_raw(b"10\r\nid: 9")
                 exchange.abort()
                 return
-            await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+            padding = "x" * self.behaviour.event_padding
+            await exchange.send(f"id: {number}\ndata: {number}{padding}\n\n".encode())
             self.events_sent += 1
             await asyncio.sleep(self.behaviour.gap_s)
         await exchange.finish()
