Pass received data straight to a parser whose reader waits for it

Change: data that a reader waits for skips the queue of unread data and one further call of the parser.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -470,7 +470,8 @@
                     skipped_bytes = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
-            self.hold(len(splitter.buffer))
+            if splitter.buffer or self.held_bytes:
+                self.hold(len(splitter.buffer))
             if skipped_bytes > SKIPPED_BYTES_MAX:
                 raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
         if splitter.buffer.strip():
--- a/src/merlinthread/protocol/event_stream.py
+++ b/src/merlinthread/protocol/event_stream.py
@@ -35,8 +35,9 @@
                 return []
             data = bytes(self.buffer)
         *complete, rest = data.split(b"\n\n")
-        self.buffer = bytearray(rest)
-        self.check_size()
+        if rest or self.buffer:
+            self.buffer = bytearray(rest)
+            self.check_size()
         return [RawEvent(text + b"\n\n", parse_event_id(text)) for text in complete if text]
 
     def check_size(self) -> None:
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -66,12 +66,18 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received data; close the connection if no request is in progress.
 
-        Above `unread_bytes_max`, the socket is not read until the reader has taken some data.
+        Data goes straight to the parser if the reader waits for it. Above `unread_bytes_max`, the
+        socket is not read until the reader has taken some data.
         """
         if self.is_idle:
             self.has_unexpected_data = True
             self.close()
             return
+        if self.waiter is not None and not self.waiter.done() and not self.received:
+            self.wire_bytes += len(data)
+            self.parser.receive_data(data)
+            self.waiter.set_result(None)
+            return
         self.received.append(data)
         self.unread_bytes += len(data)
         if self.holder is not None:
@@ -137,25 +143,30 @@
             if event is h11.PAUSED:
                 raise errors.ProtocolError("read past the end of the response")
             if event is not h11.NEED_DATA:
-                self.check_event(event)
+                if type(event) is not h11.Data:
+                    self.check_informational(event)
+                    return event  # type: ignore[return-value]
+                self.body_bytes += len(event.data)
+                self.chunks += event.chunk_start
+                if self.body_bytes > self.body_bytes_max or self.chunks > SMALL_CHUNKS_MAX:
+                    self.check_body()
                 return event  # type: ignore[return-value]
             await self.feed_parser()
 
-    def check_event(self, event: object) -> None:
-        """Count an event of the response; raise ProtocolError if it is over a bound."""
-        if isinstance(event, h11.Data):
-            self.body_bytes += len(event.data)
-            self.chunks += event.chunk_start
-            if self.body_bytes > self.body_bytes_max:
-                raise errors.ProtocolError(
-                    f"the body of the response exceeds {self.body_bytes_max} bytes"
-                )
-            small_chunks = self.chunks - SMALL_CHUNKS_MAX
-            if small_chunks > 0 and small_chunks * CHUNK_BYTES_MIN > self.body_bytes:
-                raise errors.ProtocolError(
-                    f"the response has {self.chunks} chunks in {self.body_bytes} bytes"
-                )
-        elif isinstance(event, h11.InformationalResponse):
+    def check_body(self) -> None:
+        """Raise ProtocolError if the body is too long or has too many small chunks."""
+        if self.body_bytes > self.body_bytes_max:
+            raise errors.ProtocolError(
+                f"the body of the response exceeds {self.body_bytes_max} bytes"
+            )
+        if (self.chunks - SMALL_CHUNKS_MAX) * CHUNK_BYTES_MIN > self.body_bytes:
+            raise errors.ProtocolError(
+                f"the response has {self.chunks} chunks in {self.body_bytes} bytes"
+            )
+
+    def check_informational(self, event: object) -> None:
+        """Count an informational response; raise ProtocolError if there are too many."""
+        if isinstance(event, h11.InformationalResponse):
             self.interim_responses += 1
             if self.interim_responses > INTERIM_RESPONSES_MAX:
                 raise errors.ProtocolError(
@@ -167,12 +178,12 @@
 
         Raises ProtocolError if the response has too many bytes other than its body.
         """
+        # The parser has returned all events of earlier data, so `body_bytes` is up to date.
+        if self.wire_bytes > FRAMING_BYTES_MAX + 2 * self.body_bytes:
+            raise errors.ProtocolError(
+                f"the response has {self.wire_bytes} bytes, of which {self.body_bytes} are body"
+            )
         if self.received:
-            # The parser has returned all events of earlier data, so `body_bytes` is up to date.
-            if self.wire_bytes > FRAMING_BYTES_MAX + 2 * self.body_bytes:
-                raise errors.ProtocolError(
-                    f"the response has {self.wire_bytes} bytes, of which {self.body_bytes} are body"
-                )
             self.parser.receive_data(self.take_received())
             return
         if self.is_lost and (self.error is not None or not self.has_eof):
