--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -32,6 +32,9 @@
 FIRST_EVENT_MIN_S = 0.8
 GAP_FACTOR = 2.0
 GAP_MIN_S = 0.6
+# Bytes of a stream without an event that the client does not have yet. A back end that ignores
+# Last-Event-ID repeats the events before it, which is more than one event.
+SKIPPED_BYTES_MAX = 4 * event_stream.EVENT_BYTES_MAX
 
 
 class VersionExpiredError(errors.UnreachableError):
@@ -123,6 +126,8 @@
         self.result_text = ""
         self.signals_text = ""
         self.is_other_instance = False
+        # The bytes of the response that are kept until it continues or is complete.
+        self.held_bytes = 0
 
     @property
     def is_silent(self) -> bool:
@@ -136,6 +141,9 @@
             connection = await self.pool.connections.connect(
                 self.backend, self.context.is_idempotent()
             )
+            connection.hold_for(
+                self.relay.exchange.holder, self.pool.memory_limits.connection_bytes
+            )
             self.check_available()
             if not self.may_send():
                 raise UnavailableError("the retry budget is exhausted")
@@ -150,6 +158,8 @@
             self.record_outcome(outcome)
             return outcome
         except TimeoutError:
+            if not self.relay.exchange.is_client_reading():
+                return self.end_slow_read()
             self.handle_timeout(connection)
             if not self.relay.exchange.is_started:
                 dispatch.record_silence(self.backend, self.clock())
@@ -165,9 +175,20 @@
         finally:
             if self.is_silent:
                 self.end_silence("ended")
+            self.hold(0)
             if connection is not None:
                 connection.close()
 
+    def end_slow_read(self) -> Outcome:
+        """Return the outcome of an attempt whose client has not taken its data by the deadline.
+
+        The back end is not to blame. A complete response goes on being sent.
+        """
+        if self.relay.exchange.is_finished:
+            dispatch.record_success(self.backend, self.clock() - self.reservation.started_at)
+            return Outcome(State.DONE, "answered, not yet taken by the client")
+        return Outcome(State.UNKNOWN, "the client did not take its data before the deadline")
+
     def release(self) -> None:
         """Remove the attempt, which has ended, from its back end's load."""
         self.pool.release(self.reservation)
@@ -424,11 +445,19 @@
         metrics.silences_total.labels(outcome).inc()
 
     async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
-        """Return the complete body."""
-        chunks = []
+        """Return the complete body; raise ProtocolError if it is over the bound for one."""
+        connection.body_bytes_max = self.pool.memory_limits.response_bytes
+        body = bytearray()
         while isinstance(event := await connection.next_event(), h11.Data):
-            chunks.append(bytes(event.data))
-        return b"".join(chunks)
+            body += event.data
+            self.hold(len(body))
+        return bytes(body)
+
+    def hold(self, byte_count: int) -> None:
+        """Count `byte_count` bytes as held by this attempt for the client."""
+        if byte_count != self.held_bytes:
+            added, self.held_bytes = byte_count - self.held_bytes, byte_count
+            self.relay.exchange.holder.add(added)
 
     async def relay_stream(
         self,
@@ -437,15 +466,23 @@
     ) -> Outcome:
         """Relay complete events of a stream as they arrive.
 
-        Partial events are dropped, so that another attempt can resume a broken stream.
+        Partial events are dropped, so that another attempt can resume a broken stream. Raises
+        ProtocolError after SKIPPED_BYTES_MAX bytes without a new event.
         """
         splitter = event_stream.EventSplitter()
+        skipped_bytes = 0
         while isinstance(event := await self.stream_event(connection), h11.Data):
+            skipped_bytes += len(event.data)
             for item in splitter.feed(bytes(event.data)):
                 self.pool.record_prompt_read(self.reservation)
                 if self.relay.is_new(item):
+                    skipped_bytes = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
+            if splitter.buffer or self.held_bytes:
+                self.hold(len(splitter.buffer))
+            if skipped_bytes > SKIPPED_BYTES_MAX:
+                raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
         if splitter.buffer.strip():
             raise errors.ProtocolError("the stream ended inside an event")
         self.on_data()
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -29,6 +29,7 @@
     fleet_watcher,
     limit_reporter,
     load_prober,
+    memory_limits,
     node_settings,
     permits,
     signal_recorder,
@@ -89,6 +90,7 @@
         reporter: limit_reporter.LimitReporter,
     ) -> None:
         self.settings = settings
+        self.memory_limits = memory_limits.derive(settings.memory_bytes)
         self.permits = permits
         self.prober = prober
         self.crashes = crashes
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -13,6 +13,9 @@
 
 DEFAULT_EVENT_COUNT = 5
 LAYERS = 16
+FLOOD_BLOCK_BYTES = 16 * 1024
+# Ends a flood that its reader does not end, so that a failed test does not fill the memory.
+FLOOD_BYTES_MAX = 128 * 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -22,7 +25,11 @@
     work_s: float = 0.0
     gap_s: float = 0.0
     events: int = DEFAULT_EVENT_COUNT
+    # Bytes that each event has beyond its number.
+    event_padding: int = 0
     status: int = 200
+    # Bytes that the body of a plain response has beyond its text.
+    body_padding: int = 0
     is_full: bool = False
     cut_after_events: int | None = None
     closes_without_response: bool = False
@@ -48,6 +55,8 @@
     retry_after: str | None = None
     # The Server-Limit value of every response, in requests per second.
     limit: str | None = None
+    # Sends a response without end: bytes after its headers, and bytes that are then repeated.
+    flood: tuple[bytes, bytes] | None = None
     # Further headers of every response.
     extra_headers: http_messages.Headers = dataclasses.field(default_factory=list)
     echoes_request_id: bool = True
@@ -90,6 +99,8 @@
         self.cancelled: list[str] = []
         # The number of stream events that the worker has sent, over all runs.
         self.events_sent = 0
+        # The bytes that the worker has sent of its last response without end.
+        self.flood_bytes = 0
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
         # The pieces that each layer took, and whether an order is in progress.
@@ -192,6 +203,9 @@
         if not self.behaviour.is_unsigned:
             stamp = f"{self.instance}.{request_id}".encode()
             response_headers.append((b"X-Merlinthread-Response-Stamp", stamp))
+        if self.behaviour.flood is not None:
+            await self.send_flood(exchange, response_headers, *self.behaviour.flood)
+            return
         if self.behaviour.lacks_length:
             await self.send_without_length(exchange, response_headers, headers)
             return
@@ -199,6 +213,7 @@
             await self.stream(exchange, response_headers, headers)
             return
         body = f"answer of {self.instance} to {request_id}".encode()
+        body += bytes(self.behaviour.body_padding)
         await exchange.respond(
             http_messages.Response(self.behaviour.status, response_headers, body)
         )
@@ -219,7 +234,8 @@
                 exchange.connection.write_raw(b"10\r\nid: 9")
                 exchange.abort()
                 return
-            await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+            padding = "x" * self.behaviour.event_padding
+            await exchange.send(f"id: {number}\ndata: {number}{padding}\n\n".encode())
             self.events_sent += 1
             await asyncio.sleep(self.behaviour.gap_s)
         await exchange.finish()
@@ -253,6 +269,29 @@
         else:
             exchange.connection.close()
 
+    async def send_flood(
+        self,
+        exchange: stream_server.Exchange,
+        response_headers: http_messages.Headers,
+        first: bytes,
+        repeated: bytes,
+    ) -> None:
+        """Send a response that goes on until the client closes the connection, or FLOOD_BYTES_MAX.
+
+        `first` follows the headers; if it begins with a status line, it replaces them.
+        """
+        lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in response_headers)]
+        is_whole = first.startswith(b"HTTP/")
+        exchange.connection.write_raw(first if is_whole else b"\r\n".join(lines) + first)
+        block = repeated * (1 + FLOOD_BLOCK_BYTES // len(repeated))
+        self.flood_bytes = 0
+        while self.flood_bytes < FLOOD_BYTES_MAX:
+            exchange.connection.write_raw(block)
+            self.flood_bytes += len(block)
+            await exchange.connection.flow.wait_writable()
+            await asyncio.sleep(0)
+        exchange.abort()
+
     def common_headers(self) -> http_messages.Headers:
         """Return the headers that every response carries."""
         headers = [(b"Server-Leaving", b"1")] if self.behaviour.is_leaving else []
