Cold back ends: read the fields of configuration, settings, heartbeats and responses

A back end that started during traffic handles fewer requests for some time. What it says about that was ignored or only used as a cost.

Services have cold_per_s and cold_start_s, the bounds have cold_overage (None: no bound) and cold_slack. Heartbeats tell whether they report a cold start at all, and the header X-Merlinthread-Cold-Ms is parsed. Nothing acts on them yet.

--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -66,7 +66,9 @@
 class Service:
     """A set of back ends that run the same requests, or an origin of weights (`origin`).
 
-    `link_bytes_per_s` is the bandwidth of the origin's link, 0 if it is not known.
+    `link_bytes_per_s` is the bandwidth of the origin's link, 0 if it is not known. A back end that
+    started during traffic is cold for `cold_start_s`; meanwhile it can handle `cold_per_s` requests
+    per second, 0 if that is not limited.
     """
 
     name: str
@@ -76,6 +78,8 @@
     origin: str = ""
     zone: str = ""
     link_bytes_per_s: float = 0.0
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,7 +132,8 @@
 class Heartbeat:
     """A back end's report of its own state; `sequence` grows with every report of an instance.
 
-    `instance` names its incarnation (`coordination.incarnations`).
+    `instance` names its incarnation (`coordination.incarnations`). `cold_s` is how long it will
+    still be cold. Without `reports_cold`, which older builds omit, a `cold_s` of 0 means unknown.
     """
 
     instance: str
@@ -140,6 +145,7 @@
     sequence: int
     cold_s: float = 0.0
     weights: list[Weights] = dataclasses.field(default_factory=list)
+    reports_cold: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,7 +154,8 @@
 
     `ready_in_s` is added by its agent: the forecast time until it has usable weights, None if it
     already serves or there is no forecast. `born_ms` is the engine's start time in Unix
-    milliseconds, 0 if it is not reported.
+    milliseconds, 0 if it is not reported. `cold_s` is how long the engine will still be cold, None
+    if it does not report that.
     """
 
     is_busy: bool = False
@@ -161,6 +168,7 @@
     weights: list[Weights] = dataclasses.field(default_factory=list)
     ready_in_s: float | None = None
     born_ms: int = 0
+    cold_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -216,7 +224,8 @@
     `is_other_instance` means that the response is not from the instance that was addressed.
     `limit_per_s` is the number of requests per second that the back end accepts from all callers
     together, None without a limit; `limit_problem` is why a limit was invalid. `unknown_headers`
-    holds the names of headers that are not known.
+    holds the names of headers that are not known. `cold_s` is how long the back end will still be
+    cold, None if it does not say; `cold_problem` is why such a value was invalid.
     """
 
     request_id: str | None
@@ -231,3 +240,5 @@
     limit_per_s: float | None = None
     limit_problem: str = ""
     unknown_headers: frozenset[str] = frozenset()
+    cold_s: float | None = None
+    cold_problem: str = ""
--- a/src/merlinthread/coordination/route_table.py
+++ b/src/merlinthread/coordination/route_table.py
@@ -62,6 +62,7 @@
         raise invalid_field("routes", f"more than {ROUTES_MAX}; send fewer")
     validate_routes(configuration)
     validate_accounts(configuration)
+    validate_services(configuration)
 
 
 def validate_routes(configuration: fleet.Configuration) -> None:
@@ -100,6 +101,17 @@
                 )
 
 
+def validate_services(configuration: fleet.Configuration) -> None:
+    """Raise ConfigurationError if the values for cold back ends of a service are below 0."""
+    for service in configuration.services:
+        for name in ("cold_per_s", "cold_start_s"):
+            value = getattr(service, name)
+            if value < 0:
+                raise invalid_field(
+                    f"services[{service.name}].{name}", f"must be 0 or more, not {value:g}"
+                )
+
+
 def invalid_field(field: str, message: str) -> errors.ConfigurationError:
     """Return the error for an invalid field of the configuration."""
     return errors.ConfigurationError(f"{field}: {message}", field=field)
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -74,6 +74,12 @@
     ) -> fleet.ResponseHead:
         """Parse the head of a back end's response."""
 
+    def parse_cold(self, headers: http_messages.Headers) -> tuple[float | None, str]:
+        """Parse how long a back end will still be cold, in seconds, or why that is invalid.
+
+        The time is None if the headers do not say.
+        """
+
     def error_headers(self, call: fleet.RequestHead | None) -> http_messages.Headers:
         """Return the headers of an error response that the node itself sends."""
 
--- a/src/merlinthread/nodes/node_settings.py
+++ b/src/merlinthread/nodes/node_settings.py
@@ -13,7 +13,8 @@
     """The guarantees of the deployment, from which the timers of nodes derive.
 
     Fields ending in `_s` are seconds. `retry_ratio` bounds the retries within `retry_window_s`,
-    relative to the first attempts.
+    relative to the first attempts. In any second, a cold back end gets at most its `cold_per_s`
+    times `cold_overage` plus `cold_slack` requests; there is no bound if `cold_overage` is None.
     """
 
     contact_s: float = 3.0
@@ -27,6 +28,8 @@
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
     pass_s: float = 0.12
+    cold_overage: float | None = None
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -80,6 +80,8 @@
     origin: str = ""
     zone: str = ""
     link_mbps: float = 0.0
+    cold_per_s: float | None = None
+    cold_start_s: float | None = None
 
 
 class ClientLimitsBody(msgspec.Struct):
@@ -133,7 +135,7 @@
     slots: Count
     state: str
     sequence: Count
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: float | None = None
     models: list[msgspec.Raw] = []
     layers: LayersBody | None = None
     born: object = None
@@ -245,6 +247,8 @@
         body.origin,
         body.zone,
         body.link_mbps * BYTES_PER_MEGABIT,
+        body.cold_per_s or 0.0,
+        body.cold_start_s or 0.0,
     )
 
 
@@ -310,8 +314,9 @@
         decoded.slots,
         state,
         decoded.sequence,
-        decoded.cold_remaining_ms / MS_PER_S,
+        max(0.0, decoded.cold_remaining_ms or 0.0) / MS_PER_S,
         parse_weights(decoded.models, decoded.layers),
+        decoded.cold_remaining_ms is not None,
     )
 
 
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -11,6 +11,8 @@
 from merlinthread.protocol import rate_limit, retry_after
 from merlinthread.transport import http_messages
 
+# More digits are no time for which a back end can be cold.
+COLD_DIGITS_MAX = 12
 JSON_TYPE = (b"content-type", b"application/json")
 KNOWN_RESPONSE_HEADERS = (
     names.READ_RESPONSE_HEADERS
@@ -122,6 +124,7 @@
         instance = http_messages.get_header(headers, names.INSTANCE) or b""
         retry = parse_retry_after(status, headers)
         limit = rate_limit.parse(http_messages.get_header(headers, names.LIMIT))
+        cold_s, cold_problem = self.parse_cold(headers)
         return fleet.ResponseHead(
             request_id.decode("latin-1") if request_id is not None else None,
             not_run or status == names.STATUS_MISDIRECTED,
@@ -136,8 +139,20 @@
             limit.per_s,
             limit.problem,
             unknown_header_names(headers),
+            cold_s,
+            cold_problem,
         )
 
+    def parse_cold(self, headers: http_messages.Headers) -> tuple[float | None, str]:
+        """Parse how long a back end will still be cold; return seconds and the problem, if any."""
+        value = http_messages.get_header(headers, names.COLD)
+        if value is None:
+            return None, ""
+        text = value.strip()
+        if not text.isdigit() or len(text) > COLD_DIGITS_MAX:
+            return None, "not a whole number of milliseconds"
+        return int(text) / bodies.MS_PER_S, ""
+
     # Engine and origin
 
     def report_request(self, address: str) -> http_messages.Request:
--- a/src/merlinthread/platform/names.py
+++ b/src/merlinthread/platform/names.py
@@ -20,15 +20,14 @@
 NOT_RUN = b"x-merlinthread-not-run"
 LEAVING = b"server-leaving"
 LIMIT = b"server-limit"
+COLD = b"x-merlinthread-cold-ms"
 CONTENT_ENCODING = b"content-encoding"
 
 # Response headers of back ends that are read, and those that are known but ignored.
 READ_RESPONSE_HEADERS = frozenset(
-    {REQUEST_ID, INSTANCE, STAMP, NOT_RUN, LEAVING, LIMIT, CONTENT_ENCODING}
-)
-IGNORED_RESPONSE_HEADERS = frozenset(
-    {b"x-merlinthread-weight-versions", b"at-server", b"x-merlinthread-cold-ms"}
+    {REQUEST_ID, INSTANCE, STAMP, NOT_RUN, LEAVING, LIMIT, COLD, CONTENT_ENCODING}
 )
+IGNORED_RESPONSE_HEADERS = frozenset({b"x-merlinthread-weight-versions", b"at-server"})
 # Standard HTTP response headers, which are known as well.
 HTTP_RESPONSE_HEADERS = frozenset(
     {
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -1,6 +1,7 @@
 """The platform's settings file, and its conversion to `nodes.node_settings`."""
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -26,6 +27,8 @@
     budget_window_s: float = 10.0
     budget_slack: float = 100.0
     pass_ms: float = 120.0
+    cold_overage: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class MachineLimitsBody(msgspec.Struct):
@@ -121,5 +124,7 @@
             bounds.budget_window_s,
             bounds.budget_slack,
             bounds.pass_ms / MS_PER_S,
+            bounds.cold_overage,
+            bounds.cold_slack,
         ),
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from merlinthread import errors
+from merlinthread.coordination import route_table
 from merlinthread.nodes import dialect as dialects
 from merlinthread.platform import bodies, dialect, names, settings_file
 from merlinthread.transport import http_messages
@@ -98,6 +99,54 @@
     assert configuration.accounts[0].keys == ["key-1"]
 
 
+# Guards against a bound that is in force where a deployment sets none.
+def test_bound_of_cold_back_ends_is_optional():
+    def bounds(changes):
+        body = msgspec.json.encode(SETTINGS | {"bounds": changes})
+        decoded = msgspec.json.decode(body, type=settings_file.SettingsBody)
+        return settings_file.translate(decoded).bounds
+
+    assert (bounds({}).cold_overage, bounds({"cold_overage": None}).cold_overage) == (None, None)
+    found = bounds({"cold_overage": 1.5, "cold_slack": 5})
+    assert (found.cold_overage, found.cold_slack) == (1.5, 5.0)
+
+
+# Guards against a negative rate, with which no permit would ever be granted.
+@pytest.mark.parametrize("name", ["cold_per_s", "cold_start_s"])
+def test_negative_value_for_cold_back_ends_is_refused_with_its_field(name):
+    body = fleet_nodes.configuration(7, ["safe"])
+    body["services"][0][name] = None
+    route_table.validate(bodies.parse_configuration(json.dumps(body).encode()))
+    body["services"][0][name] = -1
+    with pytest.raises(errors.ConfigurationError) as raised:
+        route_table.validate(bodies.parse_configuration(json.dumps(body).encode()))
+    assert raised.value.field == f"services[safe].{name}"
+
+
+@hypothesis.given(st.binary(max_size=30))
+@hypothesis.example(b" 2500 ")
+@hypothesis.example(b"9" * 30)
+def test_any_cold_header_is_a_time_or_a_problem(value):
+    headers = [(b"X-Merlinthread-Cold-Ms", value)]
+    head = dialect.PlatformDialect().parse_response_head(200, headers)
+    assert (head.cold_s is None) == bool(head.cold_problem)
+    if value == b" 2500 ":
+        assert head.cold_s == 2.5
+
+
+# Guards against heartbeats without the field that count as "not cold".
+def test_heartbeat_says_whether_it_reports_a_cold_start():
+    body = {"service": "s", "address": "10.0.0.1:1", "zone": "z", "slots": 1, "state": "ready"}
+    body |= {"sequence": 1}
+    found = [
+        bodies.parse_heartbeat("i", json.dumps(body | more).encode())
+        for more in ({}, {"cold_remaining_ms": None}, {"cold_remaining_ms": 0})
+    ]
+    assert [heartbeat.reports_cold for heartbeat in found] == [False, False, True]
+    negative = bodies.parse_heartbeat("i", json.dumps(body | {"cold_remaining_ms": -5}).encode())
+    assert negative.cold_s == 0.0
+
+
 @hypothesis.given(st.binary(max_size=300))
 def test_any_body_is_read_or_refused_clearly(data):
     for read in (bodies.parse_configuration, bodies.parse_report, bodies.parse_manifest):
