--- a/src/merlinthread/nodes/permit_server.py
+++ b/src/merlinthread/nodes/permit_server.py
@@ -4,18 +4,14 @@
 state is not replicated: a new leader knows of no granted permits and has no unused ones.
 """
 
-import bisect
 import math
 from collections.abc import Callable
 
 from merlinthread import logs, metrics
-from merlinthread.coordination import rate_limits
+from merlinthread.coordination import entry_ranks, rate_limits
 from merlinthread.nodes import log_member
 from merlinthread.protocol import node_messages
 
-# Entries that have sent no query for this long no longer share the limits.
-ENTRY_EXPIRY_S = 60.0
-PRUNE_INTERVAL_S = 5.0
 # A query repeated within this time gets the same reply again instead of a second permit.
 REPEAT_WINDOW_S = 1.0
 REPLIES_MAX = 1024
@@ -28,13 +24,9 @@
         self.member = member
         self.clock = clock
         self.allocator: rate_limits.PermitAllocator | None = None
-        # The time of each entry's last query, by its address.
-        self.queried_at: dict[str, float] = {}
-        # The addresses of these entries, in order.
-        self.ranked: list[str] = []
+        self.entries = entry_ranks.EntryRanks()
         # The last replies and their times, by the address and number of the query.
         self.replies: dict[tuple[str, int], tuple[float, node_messages.PermitReply]] = {}
-        self.pruned_at = float("-inf")
 
     def reply_to(self, query: node_messages.LoadQuery) -> node_messages.PermitReply:
         """Return the reply to a query; one repeated within REPEAT_WINDOW_S gets the same reply."""
@@ -62,24 +54,12 @@
         if self.allocator is None:
             self.allocator = rate_limits.PermitAllocator(now)
             logs.event("permits_counted_here", entry=entry)
-        self.record_query(entry, now)
+        self.entries.record(entry, now)
         decision = self.allocator.decide(request, now)
         metrics.permits_total.labels("given" if decision.instance else "denied").inc()
         self.update_metrics()
-        rank = bisect.bisect_left(self.ranked, entry)
-        return node_messages.PermitReply(decision, "", len(self.ranked), rank, now)
-
-    def record_query(self, address: str, now: float) -> None:
-        """Record a query of an entry; drop entries without queries for ENTRY_EXPIRY_S."""
-        if now - self.pruned_at > PRUNE_INTERVAL_S:
-            self.pruned_at = now
-            self.queried_at = {
-                entry: at for entry, at in self.queried_at.items() if now - at <= ENTRY_EXPIRY_S
-            }
-            self.ranked = sorted(self.queried_at)
-        if address not in self.queried_at:
-            bisect.insort(self.ranked, address)
-        self.queried_at[address] = now
+        rank = self.entries.rank_of(entry)
+        return node_messages.PermitReply(decision, "", len(self.entries.ranked), rank, now)
 
     def update_metrics(self) -> None:
         """Update the metric of the total limit of all back ends."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,7 @@
     "test_backend_signals.py",
     "test_reload_schedule.py",
     "test_chunk_announcements.py",
+    "test_cold_limits.py",
     "test_crash_tracker.py",
     "test_part_tracker.py",
     "test_coordination.py",
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -10,7 +10,12 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.coordination import backend_availability, backend_record, rate_limits
+from merlinthread.coordination import (
+    backend_availability,
+    backend_record,
+    entry_ranks,
+    rate_limits,
+)
 from merlinthread.nodes import permit_server, permits
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
@@ -94,7 +99,7 @@
         server.reply_to(query(number, name))
     reply = server.reply_to(query(9, "b"))
     assert (reply.entries, reply.rank, reply.at) == (3, 1, times[0])
-    times[0] += 2 * permit_server.ENTRY_EXPIRY_S
+    times[0] += 2 * entry_ranks.ENTRY_EXPIRY_S
     reply = server.reply_to(query(10, "b"))
     assert (reply.entries, reply.rank) == (1, 0)
 
