Cold back ends: agents grant permits for their engine

Nothing limited the requests of all entries together to an engine that is cold.

An agent decides on LoadQuery.permit and replies in LoadReply.permit, beside the load. Notices say whether an attempt has a permit (has_permit); attempts without one, such as those of older entries, count too. Reports of engines are read for X-Merlinthread-Cold-Ms, which replies pass on (cold_s). Older builds ignore the new fields.

--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -169,9 +169,18 @@
 )
 permits_asked_total = prometheus_client.Counter(
     "merlinthread_permits_asked_total",
-    "Permits that this entry requested, by outcome and by whether the leader or a turn decided.",
+    "Permits that this entry requested, by outcome and by who decided: the leader, a turn in its "
+    "place, the agent of a cold engine, or a turn in place of that.",
     ["outcome", "by"],
 )
+cold_permits_total = prometheus_client.Counter(
+    "merlinthread_cold_permits_total",
+    "Decisions of this agent on permits for its engine while that is cold, by outcome.",
+    ["outcome"],
+)
+backends_cold = prometheus_client.Gauge(
+    "merlinthread_backends_cold", "Back ends that are cold, as far as this entry knows."
+)
 limited_per_second = prometheus_client.Gauge(
     "merlinthread_limited_per_second",
     "Sum of the rate limits of back ends known to this control VM, in requests per second.",
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -7,8 +7,15 @@
 
 from merlinthread import clocks, errors, logs
 from merlinthread.coordination import fleet, load_feed, load_tracker
+from merlinthread.nodes import (
+    cold_grants,
+    engine_client,
+    fleet_watcher,
+    node_roles,
+    node_settings,
+    weights_task,
+)
 from merlinthread.nodes import dialect as dialects
-from merlinthread.nodes import engine_client, fleet_watcher, node_roles, node_settings, weights_task
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
@@ -57,6 +64,9 @@
             codec, self.dispatch_request, lambda: self.weights.server.upload_pacer.bytes_per_s
         )
         self.load_tracker = load_tracker.LoadTracker()
+        self.grants = cold_grants.ColdGrants(settings, self.watcher, clock)
+        # Until when the engine is cold by its last report, None if it does not report that.
+        self.cold_until: float | None = None
         self.subscribers: dict[str, float] = {}
         self.last_report: fleet.EngineReport | None = None
         self.last_sent_at = float("-inf")
@@ -91,6 +101,7 @@
         """Handle a datagram from an entry or another agent."""
         if isinstance(message, node_messages.LoadSubscription):
             self.subscribers[message.address] = self.clock() + SUBSCRIPTION_TTL_S
+            self.grants.entries.record(message.address, self.clock())
         elif isinstance(message, node_messages.AttemptNotice):
             self.record_attempt_stage(message)
         elif isinstance(message, node_messages.PieceNotice | node_messages.PieceClaim):
@@ -110,13 +121,20 @@
             outstanding.unread_tokens,
             self.last_report.is_busy,
             self.last_report.pace,
+            self.grants.reply_to(query),
+            self.cold_s(),
         )
         self.datagrams.send(query.address, reply)
 
+    def cold_s(self) -> float | None:
+        """Return how long the engine will still be cold, or None if it does not report that."""
+        return None if self.cold_until is None else max(0.0, self.cold_until - self.clock())
+
     def record_attempt_stage(self, notice: node_messages.AttemptNotice) -> None:
         """Record the stage that an attempt has reached."""
         if notice.stage is node_messages.AttemptStage.SENT:
             self.load_tracker.record_start(notice.entry, notice.number, notice.tokens, self.clock())
+            self.grants.record_attempt(notice)
         elif notice.stage is node_messages.AttemptStage.READ:
             self.load_tracker.record_first_byte(notice.entry, notice.number)
         else:
@@ -159,6 +177,7 @@
         self.unanswered_since = None
         self.detect_restart(report)
         self.set_engine_reachable(True, "")
+        self.cold_until = None if report.cold_s is None else self.clock() + report.cold_s
         self.weights.record_engine_report(report)
         report.ready_in_s = self.weights.ready_in_s()
         self.load_tracker.apply_report(report.running + report.queued, self.clock())
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from merlinthread import errors
+from merlinthread import errors, metrics
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import retry_after
@@ -38,7 +38,11 @@
         """Return the engine's status report."""
         request = self.dialect.report_request(self.engine)
         response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
-        return self.dialect.parse_report(require_success(response).body)
+        report = self.dialect.parse_report(require_success(response).body)
+        report.cold_s, problem = self.dialect.parse_cold(response.headers)
+        if problem:
+            metrics.unreadable_words_total.labels("cold").inc()
+        return report
 
     async def fetch_manifest(self, origin: str, model: str, version: int) -> fleet.Manifest:
         """Return the manifest of a version; version 0 is the newest published one.
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -224,8 +224,8 @@
 class LoadQuery:
     """Request the current load of an agent's engine; the reply goes to `address`.
 
-    With `permit`, it requests a permit from a control VM instead. The same message is used so that
-    builds without permits can read it.
+    With `permit`, it requests a permit from a control VM instead, or from the agent of a cold
+    engine in addition. The same message is used so that builds without permits can read it.
     """
 
     address: str
@@ -235,12 +235,12 @@
 
 @dataclasses.dataclass(slots=True)
 class PermitReply:
-    """A control VM's reply to a request for a permit.
+    """A control VM's or an agent's reply to a request for a permit.
 
     `decision` is None unless the control VM is certain to be the leader; `leader` then names the
-    leader, or is empty if unknown. The other fields are for times when no leader replies: `entries`
-    is the number of entries with recent requests, `rank` the receiver's position among them, and
-    `at` the time on the leader's clock, in seconds.
+    leader, or is empty if unknown. The other fields are for times when the sender does not reply:
+    `entries` is the number of entries with recent requests, `rank` the receiver's position among
+    them, and `at` the time on the sender's clock, in seconds.
     """
 
     decision: rate_limits.Decision | None
@@ -256,7 +256,9 @@
     """The reply to the LoadQuery `number`: the outstanding work of other entries on the engine.
 
     `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
-    is slower than it reports. `permit` is set in the reply of a control VM.
+    is slower than it reports. `permit` is set in the reply of a control VM, and in that of an agent
+    that decided on a permit. `cold_s` is how long the engine will still be cold, None if that is
+    unknown.
     """
 
     number: int
@@ -266,6 +268,7 @@
     is_busy: bool = False
     pace: float = 1.0
     permit: PermitReply | None = None
+    cold_s: float | None = None
 
 
 class AttemptStage(enum.StrEnum):
@@ -279,12 +282,16 @@
 @MESSAGES.add("node.attempt")
 @dataclasses.dataclass(slots=True)
 class AttemptNotice:
-    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt."""
+    """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt.
+
+    With `has_permit`, the agent granted a permit for it, since the engine is cold.
+    """
 
     entry: str
     number: int
     stage: AttemptStage
     tokens: float = 0.0
+    has_permit: bool = False
 
 
 @MESSAGES.add("node.piece_note")
