Cold back ends: entries know which are cold, and until when

An entry knew a cold start only from heartbeats, and control VMs told it only of the beginning and the end: a back end that became cold again while it was cold counted as warm too early.

The state is kept with the availability of an incarnation (cold_limits.ColdState). It is merged from heartbeats, responses and the agents' reports and replies. Control VMs tell entries when the end of a cold start moves by more than a second. A back end that has just appeared and does not report is assumed to be cold for cold_start_s.

--- a/src/merlinthread/coordination/backend_availability.py
+++ b/src/merlinthread/coordination/backend_availability.py
@@ -1,4 +1,4 @@
-"""Availability of back ends: leaving, resting, or limited to a rate.
+"""Availability of back ends: leaving, resting, limited to a rate, or cold.
 
 A back end signals its state in its responses, and in heartbeats that control VMs relay. Either
 channel may be late or lose messages, so the more restrictive signal wins:
@@ -10,6 +10,8 @@
   circuit breaker, would leave capacity unused where all back ends return at once.
 - A rate limit covers the requests of all VMs together and stays until a response changes it. Each
   request then needs a permit (`coordination.rate_limits`).
+- A back end is cold after its start, and may become so again. While it is, each request needs a
+  permit of its agent, or of the leader if it has none (`coordination.cold_limits`).
 
 This state is kept apart from `backend_record.Backend`, which is discarded whenever a back end
 disappears from the fleet state, even briefly.
@@ -18,7 +20,7 @@
 import dataclasses
 import enum
 
-from merlinthread.coordination import limit_table
+from merlinthread.coordination import cold_limits, limit_table
 
 # Longest accepted rest; the back end may ask for another one afterwards.
 REST_MAX_S = 300.0
@@ -40,7 +42,9 @@
 
     `leaving_source` and `leaving_since` describe the first signal that it is leaving.
     `limit_per_s` is the advertised limit for all VMs together, received at `limit_received_at`, or
-    None for no limit. No permit is available before `next_permit_at`.
+    None for no limit. No permit of the leader is available before `next_permit_at`, and none of the
+    agent before `next_cold_permit_at`. `cold_limit` is the limit while the back end is cold, None
+    if there is none; `has_agent` tells who grants permits then.
     """
 
     is_leaving: bool = False
@@ -50,6 +54,10 @@
     limit_per_s: float | None = None
     limit_received_at: float = float("-inf")
     next_permit_at: float = float("-inf")
+    cold: cold_limits.ColdState = dataclasses.field(default_factory=cold_limits.ColdState)
+    cold_limit: cold_limits.ColdLimit | None = None
+    has_agent: bool = False
+    next_cold_permit_at: float = float("-inf")
 
     def is_resting(self, now: float) -> bool:
         """Return whether a rest is in effect."""
@@ -60,17 +68,58 @@
         return self.is_leaving or self.is_resting(now)
 
     def is_limited(self) -> bool:
-        """Return whether each request needs a permit."""
+        """Return whether the back end advertises a rate limit."""
         return self.limit_per_s is not None
 
+    def is_cold_limited(self, now: float) -> bool:
+        """Return whether the back end is cold and limited meanwhile."""
+        return self.cold_limit is not None and self.cold.is_cold(now)
+
+    def needs_agent_permit(self, now: float) -> bool:
+        """Return whether each request needs a permit of the back end's agent."""
+        return self.has_agent and self.is_cold_limited(now)
+
+    def needs_leader_permit(self, now: float) -> bool:
+        """Return whether each request needs a permit of the leader of the control VMs."""
+        return self.is_limited() or (not self.has_agent and self.is_cold_limited(now))
+
+    def leader_limit_per_s(self, now: float, validity_s: float) -> float:
+        """Return the rate for permits of the leader that are valid for `validity_s`."""
+        limits = [self.limit_per_s] if self.limit_per_s is not None else []
+        if self.cold_limit is not None and not self.has_agent and self.cold.is_cold(now):
+            limits.append(self.cold_limit.paced_per_s(validity_s))
+        return min(limits)
+
+    def leader_limit_received_at(self, now: float) -> float:
+        """Return when the rate for permits of the leader last changed."""
+        if self.cold_limit is None or self.has_agent:
+            return self.limit_received_at
+        if self.cold.is_cold(now):
+            return max(self.limit_received_at, self.cold.reported_at)
+        has_expired = self.cold.until > self.cold.reported_at
+        return (
+            max(self.limit_received_at, self.cold.until)
+            if has_expired
+            else (self.limit_received_at)
+        )
+
     def lacks_permit(self, now: float) -> bool:
         """Return whether a permit is needed and known to be unavailable now."""
-        return self.is_limited() and now < self.next_permit_at
+        return self.permit_at(now) > now
+
+    def permit_at(self, now: float) -> float:
+        """Return when the required permits are available: `now` if none is required."""
+        at = now
+        if self.needs_leader_permit(now):
+            at = max(at, self.next_permit_at)
+        if self.needs_agent_permit(now):
+            # The back end may stop being cold earlier.
+            at = max(at, min(self.next_cold_permit_at, self.cold.until))
+        return at
 
     def available_at(self, now: float) -> float:
         """Return when the next request may be sent: `now`, or the end of a rest or permit delay."""
-        next_permit_at = self.next_permit_at if self.is_limited() else now
-        return max(now, self.rest_until, next_permit_at)
+        return max(now, self.rest_until, self.permit_at(now))
 
     def record_limit(self, per_s: float | None, sent_at: float, now: float) -> bool:
         """Record the limit in a response; return whether it changed.
@@ -140,7 +189,8 @@
         absent = [name for name in self.availabilities if name not in present]
         for name in absent:
             availability = self.availabilities[name]
-            if not availability.is_unavailable(now) and not availability.is_limited():
+            is_active = availability.is_unavailable(now) or availability.cold.is_cold(now)
+            if not is_active and not availability.is_limited():
                 del self.availabilities[name]
         while len(self.availabilities) > RECORDS_MAX + len(present):
             oldest = next(name for name in self.availabilities if name not in present)
@@ -154,6 +204,10 @@
         """Return how many incarnations have a rate limit."""
         return sum(availability.is_limited() for availability in self.availabilities.values())
 
+    def count_cold(self, now: float) -> int:
+        """Return how many incarnations are cold."""
+        return sum(availability.cold.is_cold(now) for availability in self.availabilities.values())
+
     def count_resting(self, now: float) -> int:
         """Return how many incarnations are resting."""
         return sum(availability.is_resting(now) for availability in self.availabilities.values())
--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -15,6 +15,9 @@
 GONE_IN_FULL_UPDATE_MAX = 256
 # An instance with a sequence up to this counts as just started, since its first calls may be lost.
 INITIAL_SEQUENCE_MAX = 3
+# The end of a cold start that a heartbeat moves by more than this is sent to the nodes. Heartbeats
+# may be late by less.
+COLD_END_TOLERANCE_S = 1.0
 # An instance is alive if it was heard from within this many heartbeat intervals.
 ALIVE_HEARTBEATS = 1.5
 
@@ -66,7 +69,9 @@
             return False
         if known.heartbeat.state == fleet.DRAINING:
             heartbeat = dataclasses.replace(heartbeat, state=fleet.DRAINING)
-        is_changed = affects_routing(known.heartbeat, heartbeat)
+        is_changed = affects_routing(known.heartbeat, heartbeat) or moves_cold_end(
+            known, heartbeat, now
+        )
         known.heartbeat = heartbeat
         known.heard_at = now
         self.index.put(heartbeat)
@@ -192,6 +197,12 @@
     return same_sequence != old or (new.cold_s > 0) != (old.cold_s > 0)
 
 
+def moves_cold_end(known: InstanceRecord, heartbeat: fleet.Heartbeat, now: float) -> bool:
+    """Return whether a heartbeat shows that an instance has become cold again while it was cold."""
+    moved_s = (now + heartbeat.cold_s) - (known.heard_at + known.heartbeat.cold_s)
+    return heartbeat.cold_s > 0 and abs(moved_s) > COLD_END_TOLERANCE_S
+
+
 def is_newer(heartbeat: fleet.Heartbeat, other: fleet.Heartbeat) -> bool:
     """Return whether `heartbeat` is known to be from a later incarnation of `other`'s back end."""
     return incarnations.parse(heartbeat.instance).is_newer(incarnations.parse(other.instance))
--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -36,12 +36,13 @@
     """An agent's reply to a load probe: other entries' load and the engine's state.
 
     `is_busy` is set while the engine changes its weights; a `pace` above 1 means that it is slower
-    than configured.
+    than configured. `cold_s` is how long it will still be cold, None if that is unknown.
     """
 
     others: Outstanding
     is_busy: bool = False
     pace: float = 1.0
+    cold_s: float | None = None
 
 
 class LoadTracker:
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -53,6 +53,10 @@
         parts.append(f"accepts {head.limit_per_s:g} requests per second")
     if head.limit_problem:
         parts.append(f"advertises an invalid limit: {head.limit_problem}")
+    if head.cold_s is not None:
+        parts.append(f"says that it is cold for {head.cold_s:g} s")
+    if head.cold_problem:
+        parts.append(f"sends an invalid cold time: {head.cold_problem}")
     if parts and head.request_id is None:
         parts.append("without the request id")
     return ", ".join(parts)
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -319,6 +319,12 @@
         )
         if response_head.is_leaving and is_authentic:
             self.pool.record_leaving(self.backend, request_id)
+        if response_head.cold_problem:
+            metrics.unreadable_words_total.labels("cold").inc()
+        elif response_head.cold_s is not None and is_authentic:
+            self.pool.recorder.record_cold(
+                self.backend.instance, response_head.cold_s, self.sent_at, request_id
+            )
         if response_head.limit_problem:
             metrics.unreadable_words_total.labels("limit").inc()
         elif is_authentic:
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -7,9 +7,11 @@
 import random
 from collections.abc import Callable
 
+from merlinthread import logs
 from merlinthread.coordination import (
     backend_availability,
     backend_record,
+    cold_limits,
     dispatch,
     fleet,
     incarnations,
@@ -97,6 +99,8 @@
         self.response_times: dict[str, backend_record.ResponseTime] = {}
         self.queues: dict[str, wait_queue.WaitQueue] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        # The back ends that were cold at the last update, for the log.
+        self.cold_instances: set[str] = set()
         self.started_at = clock()
         self.reservation_numbers = itertools.count(1)
         self.connections = backend_connections.BackendConnections(clock)
@@ -110,6 +114,7 @@
             del self.backends[instance]
         for instance, heartbeat in self.watcher.instances.items():
             self.update_backend(instance, heartbeat)
+        self.log_cold_starts()
         self.signals.prune(set(self.backends), self.clock())
         self.recorder.update_metrics()
         self.backends_by_service = {}
@@ -161,10 +166,56 @@
             )
         # A heartbeat in state `ready` does not revoke an earlier leaving signal.
         backend.is_draining = backend.availability.is_leaving
-        backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
+        self.update_cold_start(backend)
         if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
 
+    def update_cold_start(self, backend: backend_record.Backend) -> None:
+        """Apply the limit while a back end is cold, and the cold start in its last heartbeat."""
+        availability = backend.availability
+        table = self.watcher.table
+        service = table.services.get(backend.service) if table is not None else None
+        if service is not None:
+            bounds = self.settings.bounds
+            availability.cold_limit = cold_limits.make_limit(
+                service.cold_per_s, bounds.cold_overage, bounds.cold_slack
+            )
+            availability.has_agent = service.engine is not None and self.settings.agent_port > 0
+        heard_at = self.watcher.heard_at.get(backend.instance)
+        until = self.watcher.cold_until.get(backend.instance)
+        if heard_at is not None and until is not None:
+            availability.cold.record(until, heard_at - cold_limits.REPORT_DELAY_S, heard_at)
+        backend.cold_until = availability.cold.until
+
+    def log_cold_starts(self) -> None:
+        """Log which back ends have become cold or have stopped being so since the last update."""
+        now = self.clock()
+        cold = {
+            instance: backend.availability
+            for instance, backend in self.backends.items()
+            if backend.availability.cold.is_cold(now)
+        }
+        for instance in sorted(self.cold_instances - set(cold)):
+            logs.event("backend_warm", instance=instance)
+        for instance in sorted(set(cold) - self.cold_instances):
+            limit = cold[instance].cold_limit
+            logs.event(
+                "backend_cold",
+                instance=instance,
+                cold_s=round(cold[instance].cold.until - now, 3),
+                bound_per_s=limit.bound if limit is not None else None,
+            )
+        self.cold_instances = set(cold)
+
+    def apply_agent_report(self, backend: backend_record.Backend, cold_s: float | None) -> None:
+        """Apply an agent's report of how long its engine will still be cold, None if unknown."""
+        if cold_s is None:
+            return
+        now = self.clock()
+        state = backend.availability.cold
+        state.record(now + cold_s, now - cold_limits.REPORT_DELAY_S, now)
+        backend.cold_until = state.until
+
     def record_leaving(self, backend: backend_record.Backend, request_id: str) -> None:
         """Record that a back end announced in a response that it is leaving."""
         backend.is_draining = True
@@ -195,6 +246,7 @@
         if backend is None or not is_same_incarnation(load.report, backend):
             return
         backend.apply_report(load.report, self.clock(), load.others)
+        self.apply_agent_report(backend, load.report.cold_s)
         queue = self.queues.get(backend.service)
         if queue is not None and len(queue):
             queue.wake(REQUESTS_WOKEN)
@@ -292,7 +344,9 @@
         # Engines on one VM share an agent. Its timeout must count against all of them; otherwise
         # an engine without the penalty would get all requests.
         for backend in probed:
-            backend.apply_probe_reply(replies[self.agent_of(backend)], self.clock())
+            reply = replies[self.agent_of(backend)]
+            backend.apply_probe_reply(reply, self.clock())
+            self.apply_agent_report(backend, reply.cold_s if reply is not None else None)
 
     def ready_in_s(self, service: str) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -328,7 +328,7 @@
         for instance in reply.gone:
             self.mark_gone(instance)
         for record in reply.instances:
-            self.apply_instance(record, now)
+            self.apply_instance(record, now, reply.is_full)
         if reply.is_full:
             present = {record.heartbeat.instance for record in reply.instances}
             absent = sorted(set(self.instances) - present)
@@ -341,8 +341,11 @@
                 self.positions = {address: self.position_of(address)}
         self.remove_missing(now)
 
-    def apply_instance(self, record: instances.Instance, now: float) -> None:
-        """Apply the state of one back end; draining and gone are final."""
+    def apply_instance(self, record: instances.Instance, now: float, is_full: bool = True) -> None:
+        """Apply the state of one back end; draining and gone are final.
+
+        Without `is_full`, a back end that is not known yet has just appeared.
+        """
         heartbeat = record.heartbeat
         if heartbeat.instance in self.gone:
             return
@@ -367,6 +370,7 @@
                 state=heartbeat.state,
                 age_s=record.age_s,
             )
+        is_new = heartbeat.instance not in self.heard_at
         self.heard_at[heartbeat.instance] = now - record.age_s
         for name in self.index.conflicts(heartbeat):
             # Of instances with the same address or id, the one with the latest heartbeat wins.
@@ -377,7 +381,22 @@
             logs.event("instance", instance=name, state="replaced", by=heartbeat.instance)
         self.instances[heartbeat.instance] = heartbeat
         self.index.put(heartbeat)
-        self.cold_until[heartbeat.instance] = now + heartbeat.cold_s - record.age_s
+        self.apply_cold_start(heartbeat, now - record.age_s, is_new, is_full)
+
+    def apply_cold_start(
+        self, heartbeat: fleet.Heartbeat, heard_at: float, is_new: bool, is_full: bool
+    ) -> None:
+        """Record until when a back end is cold.
+
+        One that has just started and does not say is assumed to be cold for the usual time.
+        """
+        if heartbeat.reports_cold or heartbeat.cold_s > 0:
+            self.cold_until[heartbeat.instance] = heard_at + heartbeat.cold_s
+            return
+        has_started = not is_full or heartbeat.sequence <= instances.INITIAL_SEQUENCE_MAX
+        service = self.table.services.get(heartbeat.service) if self.table is not None else None
+        if is_new and has_started and service is not None:
+            self.cold_until[heartbeat.instance] = heard_at + service.cold_start_s
 
     def remove(self, instance: str) -> bool:
         """Remove a back end; return whether it was present."""
--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -47,7 +47,8 @@
         future = self.pending_queries.pop(reply.number, None)
         if future is not None and not future.done():
             others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
-            future.set_result(load_tracker.EngineLoad(others, reply.is_busy, reply.pace))
+            load = load_tracker.EngineLoad(others, reply.is_busy, reply.pace, reply.cold_s)
+            future.set_result(load)
 
     def send_notice(
         self, agent: str, number: int, stage: node_messages.AttemptStage, tokens: float
--- a/src/merlinthread/nodes/signal_recorder.py
+++ b/src/merlinthread/nodes/signal_recorder.py
@@ -71,8 +71,23 @@
         self.reporter.report(limit_table.LimitReport(instance, per_s, 0.0))
         self.update_metrics()
 
+    def record_cold(self, instance: str, cold_s: float, sent_at: float, request_id: str) -> None:
+        """Record how long a back end will still be cold, from a response to a request.
+
+        `sent_at` is when the request was sent. Other entries hear of it from heartbeats and agents.
+        """
+        now = self.clock()
+        state = self.signals.availability_of(instance).cold
+        was_cold = state.is_cold(now)
+        state.record(now + cold_s, sent_at, now)
+        if state.is_cold(now) != was_cold:
+            logs.event(
+                "backend_cold_reported", instance=instance, cold_s=cold_s, request=request_id
+            )
+
     def update_metrics(self) -> None:
-        """Update the gauges of back ends that are resting, leaving or limited."""
+        """Update the gauges of back ends that are resting, leaving, limited or cold."""
         metrics.backends_closed.labels("resting").set(self.signals.count_resting(self.clock()))
         metrics.backends_closed.labels("leaving").set(self.signals.count_leaving())
         metrics.backends_limited.set(self.signals.count_limited())
+        metrics.backends_cold.set(self.signals.count_cold(self.clock()))
