Cold back ends: entries send only with a permit, by time slots if the agent does not decide

An entry that has chosen a cold engine asks its agent for a permit; the reply is a load probe too. If it is denied, the request tries another back end, and the engine is left out until its next permit. If all are at their limit, the agent reserves a permit within the queue time, or the request is refused with the time of the next one. Permits are valid for 0.15 s; an attempt whose connection took longer, or whose engine became cold meanwhile, asks again before it sends. An agent that does not reply in 15 ms, or omits the decision, is replaced by 96 time slots or more, ranked by its last reply, and asked again after 0.25 s. Back ends without an agent get permits of the leader. Engines that are not cold cost no query.

The cold time of an engine's report is sent in replies only (LoadReply.cold_s) and no longer in EngineReport: there it made the load update 295 bytes, where 292 are assumed (test_load_update_fits_assumed_datagram_size failed).

--- a/src/merlinthread/coordination/dispatch.py
+++ b/src/merlinthread/coordination/dispatch.py
@@ -221,7 +221,7 @@
         and starts_in_time(backend, requirements, engine, now)
         and not backend.is_ejected(now)
     ]
-    if not all(backend.availability.is_limited() for backend in serving):
+    if not all(backend.availability.needs_leader_permit(now) for backend in serving):
         return []
     return sorted(
         serving,
@@ -232,6 +232,26 @@
     )
 
 
+def cold_candidates(
+    backends: Iterable[backend_record.Backend],
+    requirements: Requirements,
+    engine: fleet.Engine | None,
+    now: float,
+) -> list[Choice]:
+    """Return the cold back ends that lack only a permit of their agent, the soonest free first."""
+    serving = [
+        backend
+        for backend in backends
+        if backend.availability.needs_agent_permit(now)
+        and not backend.availability.needs_leader_permit(now)
+        and can_serve_with_permit(backend, requirements, engine, now)
+        and starts_in_time(backend, requirements, engine, now)
+        and not backend.is_ejected(now)
+    ]
+    serving.sort(key=lambda backend: backend.availability.permit_at(now))
+    return [evaluate(backend, requirements, engine, now) for backend in serving]
+
+
 def choose(
     backends: Iterable[backend_record.Backend],
     requirements: Requirements,
--- a/src/merlinthread/coordination/fleet.py
+++ b/src/merlinthread/coordination/fleet.py
@@ -154,8 +154,7 @@
 
     `ready_in_s` is added by its agent: the forecast time until it has usable weights, None if it
     already serves or there is no forecast. `born_ms` is the engine's start time in Unix
-    milliseconds, 0 if it is not reported. `cold_s` is how long the engine will still be cold, None
-    if it does not report that.
+    milliseconds, 0 if it is not reported.
     """
 
     is_busy: bool = False
@@ -168,7 +167,6 @@
     weights: list[Weights] = dataclasses.field(default_factory=list)
     ready_in_s: float | None = None
     born_ms: int = 0
-    cold_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -46,7 +46,7 @@
         self.clock = clock
         self.rpc_client = node_bus.RpcClient(codec)
         self.watcher = fleet_watcher.FleetWatcher(
-            settings, dialect, self.rpc_client, clock, lambda: None
+            settings, dialect, self.rpc_client, clock, self.apply_fleet_update
         )
         self.engine = engine_client.EngineClient(dialect, settings.engine)
         self.datagrams = node_bus.DatagramEndpoint(codec, self.dispatch_datagram)
@@ -93,6 +93,10 @@
         """Replace the addresses of the initial control VMs; other settings need a restart."""
         self.settings.control_ips = settings.control_ips
 
+    def apply_fleet_update(self) -> None:
+        """Apply an update of the fleet state."""
+        self.grants.update()
+
     async def stop(self) -> None:
         """Stop accepting connections from peers."""
         self.rpc_server.server.stop_accepting()
@@ -177,7 +181,8 @@
         self.unanswered_since = None
         self.detect_restart(report)
         self.set_engine_reachable(True, "")
-        self.cold_until = None if report.cold_s is None else self.clock() + report.cold_s
+        cold_s = self.engine.cold_s
+        self.cold_until = None if cold_s is None else self.clock() + cold_s
         self.weights.record_engine_report(report)
         report.ready_in_s = self.weights.ready_in_s()
         self.load_tracker.apply_report(report.running + report.queued, self.clock())
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -30,6 +30,8 @@
 ) -> str:
     """Describe a back end's rate limit and the permit used; return "" if it has no limit."""
     availability = backend.availability
+    if availability.is_cold_limited(now):
+        return describe_cold_limit(backend, permit, now)
     if availability.limit_per_s is None:
         return ""
     source = permit.source if permit is not None else "none"
@@ -40,6 +42,15 @@
     )
 
 
+def describe_cold_limit(
+    backend: backend_record.Backend, permit: permits.Permit | None, now: float
+) -> str:
+    """Describe for how long a back end is still cold, and the permit used."""
+    source = permit.source if permit is not None else "none"
+    cold_s = backend.availability.cold.until - now
+    return f", cold for {cold_s:.2f} s, permit from {source}"
+
+
 def describe_signals(head: fleet.ResponseHead) -> str:
     """Describe the availability signals in a response."""
     parts = []
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -94,15 +94,22 @@
         pool: backend_pool.BackendPool,
         backend: backend_record.Backend,
         permit: permits.Permit | None = None,
+        cold_permit: permits.Permit | None = None,
     ) -> None:
         self.context = context
+        # The permits of the leader and of the back end's agent, if it needed them when chosen.
         self.permit = permit
+        self.cold_permit = cold_permit
         self.relay = relay
         self.dialect = dialect
         self.pool = pool
         self.clock = pool.clock
         self.backend = backend
-        self.reservation = pool.reserve(backend, context.call.prompt_tokens)
+        self.reservation = pool.reserve(
+            backend,
+            context.call.prompt_tokens,
+            cold_permit is not None and cold_permit.is_counted_by_agent,
+        )
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
@@ -129,6 +136,7 @@
             connection = await self.pool.connections.connect(
                 self.backend, self.context.is_idempotent()
             )
+            await self.renew_cold_permit()
             self.check_available()
             if not self.may_send():
                 raise UnavailableError("the retry budget is exhausted")
@@ -186,6 +194,23 @@
             parts.append(self.signals_text)
         return ", ".join(parts)
 
+    async def renew_cold_permit(self) -> None:
+        """Acquire a permit if the back end is cold and there is no valid one any more.
+
+        It may have become cold after it was chosen, and a new connection takes up to 0.3 s.
+        """
+        availability = self.pool.signals.availability_of(self.backend.instance)
+        if not availability.needs_agent_permit(self.clock()) or self.has_cold_permit():
+            return
+        permit = await self.pool.acquire_cold_permit(self.backend, 0.0)
+        self.cold_permit = permit if isinstance(permit, permits.Permit) else None
+
+    def has_cold_permit(self) -> bool:
+        """Return whether there is a valid permit of the back end's agent."""
+        return self.cold_permit is not None and self.cold_permit.is_valid(
+            self.backend.instance, self.clock()
+        )
+
     def check_available(self) -> None:
         """Raise UnavailableError if the back end may not get this request.
 
@@ -198,7 +223,9 @@
             raise UnavailableError(
                 "the back end is leaving" if availability.is_leaving else "the back end is resting"
             )
-        if not availability.is_limited():
+        if availability.needs_agent_permit(now) and not self.has_cold_permit():
+            raise UnavailableError("the back end is cold and there is no valid permit")
+        if not availability.needs_leader_permit(now):
             return
         if self.permit is None or not self.permit.is_valid(self.backend.instance, now):
             raise UnavailableError("the back end has a rate limit and there is no valid permit")
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -16,6 +16,7 @@
     fleet,
     incarnations,
     load_feed,
+    load_tracker,
     reload_schedule,
     retry_budget,
     retry_delays,
@@ -23,6 +24,7 @@
 )
 from merlinthread.nodes import (
     backend_connections,
+    cold_permits,
     crash_detector,
     fleet_watcher,
     limit_reporter,
@@ -55,7 +57,8 @@
 
     `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
     the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
-    is set if the back end was doubtful when the attempt began.
+    is set if the back end was doubtful when the attempt began, `has_permit` if the agent granted a
+    permit for it.
     """
 
     backend: backend_record.Backend
@@ -65,6 +68,7 @@
     agent: str = ""
     is_read: bool = False
     is_trial: bool = False
+    has_permit: bool = False
 
 
 class BackendPool:
@@ -85,6 +89,9 @@
         self.settings = settings
         self.permits = permits
         self.prober = prober
+        self.cold_permits = cold_permits.ColdPermitClient(
+            prober, clock, rng, self.apply_probe_reply
+        )
         self.crashes = crashes
         self.watcher = watcher
         self.clock = clock
@@ -240,13 +247,19 @@
         """Return when a back end of a service is available again, or None if one is now."""
         return dispatch.available_at(self.backends_by_service.get(service, []), self.clock())
 
+    def are_cold(self, service: str) -> bool:
+        """Return whether all back ends of a service that are not leaving are cold and limited."""
+        now = self.clock()
+        backends = self.backends_by_service.get(service, [])
+        staying = [backend.availability for backend in backends if not backend.is_draining]
+        return bool(staying) and all(each.is_cold_limited(now) for each in staying)
+
     def apply_load_update(self, load: node_messages.LoadUpdate) -> None:
         """Apply an agent's load report, unless it is of another incarnation."""
         backend = self.backends_by_address.get(load.address)
         if backend is None or not is_same_incarnation(load.report, backend):
             return
         backend.apply_report(load.report, self.clock(), load.others)
-        self.apply_agent_report(backend, load.report.cold_s)
         queue = self.queues.get(backend.service)
         if queue is not None and len(queue):
             queue.wake(REQUESTS_WOKEN)
@@ -344,9 +357,26 @@
         # Engines on one VM share an agent. Its timeout must count against all of them; otherwise
         # an engine without the penalty would get all requests.
         for backend in probed:
-            reply = replies[self.agent_of(backend)]
-            backend.apply_probe_reply(reply, self.clock())
-            self.apply_agent_report(backend, reply.cold_s if reply is not None else None)
+            self.apply_probe_reply(backend, replies[self.agent_of(backend)])
+
+    def apply_probe_reply(
+        self, backend: backend_record.Backend, reply: load_tracker.EngineLoad | None
+    ) -> None:
+        """Apply an agent's reply to a load probe; None means that there was none."""
+        backend.apply_probe_reply(reply, self.clock())
+        self.apply_agent_report(backend, reply.cold_s if reply is not None else None)
+
+    async def acquire_cold_permit(
+        self, backend: backend_record.Backend, patience_s: float
+    ) -> permits.Permit | permits.Denial:
+        """Wait for a permit of a cold back end's agent for up to `patience_s` seconds."""
+        return await self.cold_permits.acquire(backend, self.agent_of(backend), patience_s)
+
+    def cold_candidates(self, requirements: dispatch.Requirements) -> list[dispatch.Choice]:
+        """Return the cold back ends that lack only a permit of their agent, the soonest first."""
+        engine = self.engine_of(requirements.service)
+        backends = self.backends_by_service.get(requirements.service, [])
+        return dispatch.cold_candidates(backends, requirements, engine, self.clock())
 
     def ready_in_s(self, service: str) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
@@ -366,12 +396,16 @@
         host, _ = node_settings.split_address(backend.address)
         return f"{host}:{self.settings.agent_port}"
 
-    def reserve(self, backend: backend_record.Backend, tokens: float) -> Reservation:
-        """Add an attempt to a back end's load."""
+    def reserve(
+        self, backend: backend_record.Backend, tokens: float, has_permit: bool = False
+    ) -> Reservation:
+        """Add an attempt to a back end's load; `has_permit` is set if its agent has counted it."""
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
-        reservation = Reservation(backend, tokens, self.clock(), next(self.reservation_numbers))
+        reservation = Reservation(
+            backend, tokens, self.clock(), next(self.reservation_numbers), has_permit=has_permit
+        )
         if backend.is_doubtful():
             reservation.is_trial = True
             backend.trials += 1
@@ -384,7 +418,11 @@
         """Notify the back end's agent, if any, of the stage that an attempt has reached."""
         if reservation.agent:
             self.prober.send_notice(
-                reservation.agent, reservation.number, stage, reservation.tokens
+                reservation.agent,
+                reservation.number,
+                stage,
+                reservation.tokens,
+                reservation.has_permit,
             )
 
     def record_prompt_read(self, reservation: Reservation) -> None:
--- a/src/merlinthread/nodes/cold_grants.py
+++ b/src/merlinthread/nodes/cold_grants.py
@@ -41,6 +41,14 @@
         bounds = self.settings.bounds
         return cold_limits.make_limit(service.cold_per_s, bounds.cold_overage, bounds.cold_slack)
 
+    def update(self) -> None:
+        """Begin with a limit as soon as the configuration has one.
+
+        The first permits are withheld for some time from then on, which should have passed before
+        one is requested.
+        """
+        self.current_limiter()
+
     def current_limiter(self) -> cold_limits.ColdLimiter | None:
         """Return the limiter with the limit of the current configuration, or None without one.
 
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -32,6 +32,9 @@
     def __init__(self, dialect: dialects.Dialect, engine: str) -> None:
         self.dialect = dialect
         self.engine = engine
+        # How long the engine was still cold at its last report, None if it did not say. It is kept
+        # out of `fleet.EngineReport`, which is sent to all entries several times a second.
+        self.cold_s: float | None = None
         self.pool = stream_client.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     async def fetch_report(self) -> fleet.EngineReport:
@@ -39,7 +42,7 @@
         request = self.dialect.report_request(self.engine)
         response = await self.pool.request(self.engine, request, LOCAL_TIMEOUT_S)
         report = self.dialect.parse_report(require_success(response).body)
-        report.cold_s, problem = self.dialect.parse_cold(response.headers)
+        self.cold_s, problem = self.dialect.parse_cold(response.headers)
         if problem:
             metrics.unreadable_words_total.labels("cold").inc()
         return report
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -106,10 +106,11 @@
         """Dispatch a load report, or a reply to a query of this entry."""
         if isinstance(message, node_messages.LoadUpdate):
             self.pool.apply_load_update(message)
-        elif isinstance(message, node_messages.LoadReply) and message.permit is not None:
-            self.permits.receive(message.number, message.permit)
         elif isinstance(message, node_messages.LoadReply):
-            self.prober.receive(message)
+            if message.permit is not None and message.number < load_prober.FIRST_QUERY_NUMBER:
+                self.permits.receive(message.number, message.permit)
+            else:
+                self.prober.receive(message)
 
     def apply_fleet_update(self) -> None:
         """Apply an update of the fleet state."""
--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -9,10 +9,15 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from merlinthread.coordination import load_tracker
+from merlinthread.coordination import backend_record, load_tracker, rate_limits
 from merlinthread.protocol import node_messages
 
 Send = Callable[[str, Any], None]
+# Applies the load that an agent replied to its back end, None if it did not reply.
+OnLoad = Callable[[backend_record.Backend, load_tracker.EngineLoad | None], None]
+# The numbers of queries to control VMs are below this (`permits.FIRST_QUERY_NUMBER_MAX`); their
+# replies have the same type.
+FIRST_QUERY_NUMBER = 2**40
 
 
 class LoadProber:
@@ -21,19 +26,33 @@
     def __init__(self, address: str, send: Send) -> None:
         self.address = address
         self.send = send
-        self.query_numbers = itertools.count(1)
-        self.pending_queries: dict[int, asyncio.Future[load_tracker.EngineLoad]] = {}
+        self.query_numbers = itertools.count(FIRST_QUERY_NUMBER)
+        self.pending_queries: dict[int, asyncio.Future[node_messages.LoadReply]] = {}
 
     async def query(
         self, agents: Sequence[str], wait_s: float
     ) -> dict[str, load_tracker.EngineLoad | None]:
         """Return the loads of the agents' engines; None for those without a reply in `wait_s`."""
+        replies = await self.request_replies(agents, None, wait_s)
+        return {agent: load_of(reply) for agent, reply in replies.items()}
+
+    async def query_permit(
+        self, agent: str, permit: rate_limits.PermitRequest, wait_s: float
+    ) -> tuple[load_tracker.EngineLoad | None, node_messages.PermitReply | None]:
+        """Return the load of an agent's engine and its decision on a permit, None if missing."""
+        reply = (await self.request_replies([agent], permit, wait_s))[agent]
+        return load_of(reply), reply.permit if reply is not None else None
+
+    async def request_replies(
+        self, agents: Sequence[str], permit: rate_limits.PermitRequest | None, wait_s: float
+    ) -> dict[str, node_messages.LoadReply | None]:
+        """Query agents; return their replies, None for those that do not reply in `wait_s`."""
         loop = asyncio.get_running_loop()
         numbers = {agent: next(self.query_numbers) for agent in agents}
         futures = {agent: loop.create_future() for agent in agents}
         for agent, number in numbers.items():
             self.pending_queries[number] = futures[agent]
-            self.send(agent, node_messages.LoadQuery(self.address, number))
+            self.send(agent, node_messages.LoadQuery(self.address, number, permit))
         if futures:
             await asyncio.wait(futures.values(), timeout=wait_s)
         for number in numbers.values():
@@ -46,12 +65,24 @@
         """Accept an agent's reply, or drop it if the query has timed out."""
         future = self.pending_queries.pop(reply.number, None)
         if future is not None and not future.done():
-            others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
-            load = load_tracker.EngineLoad(others, reply.is_busy, reply.pace, reply.cold_s)
-            future.set_result(load)
+            future.set_result(reply)
 
     def send_notice(
-        self, agent: str, number: int, stage: node_messages.AttemptStage, tokens: float
+        self,
+        agent: str,
+        number: int,
+        stage: node_messages.AttemptStage,
+        tokens: float,
+        has_permit: bool = False,
     ) -> None:
         """Notify an agent of the stage that an attempt has reached."""
-        self.send(agent, node_messages.AttemptNotice(self.address, number, stage, tokens))
+        notice = node_messages.AttemptNotice(self.address, number, stage, tokens, has_permit)
+        self.send(agent, notice)
+
+
+def load_of(reply: node_messages.LoadReply | None) -> load_tracker.EngineLoad | None:
+    """Return the load in an agent's reply, or None if there is no reply."""
+    if reply is None:
+        return None
+    others = load_tracker.Outstanding(reply.attempts, reply.unread, reply.tokens)
+    return load_tracker.EngineLoad(others, reply.is_busy, reply.pace, reply.cold_s)
--- a/src/merlinthread/nodes/permits.py
+++ b/src/merlinthread/nodes/permits.py
@@ -36,12 +36,14 @@
 class Permit:
     """Permission to send one request to a back end until `expires_at`.
 
-    `source` is the address of the leader that granted it, or describes the time slot, for the log.
+    `source` is the address of the leader or agent that granted it, or describes the time slot, for
+    the log. `is_counted_by_agent` is set if the back end's agent granted it.
     """
 
     instance: str
     expires_at: float
     source: str
+    is_counted_by_agent: bool = False
 
     def is_valid(self, instance: str, now: float) -> bool:
         """Return whether a request may be sent to `instance` now."""
@@ -258,7 +260,8 @@
 def advertised_limit(backend: backend_record.Backend, now: float) -> rate_limits.AdvertisedLimit:
     """Return a back end's limit in the form that the control VMs expect."""
     availability = backend.availability
-    assert availability.limit_per_s is not None
     return rate_limits.AdvertisedLimit(
-        backend.instance, availability.limit_per_s, max(0.0, now - availability.limit_received_at)
+        backend.instance,
+        availability.leader_limit_per_s(now, PERMIT_VALIDITY_S),
+        max(0.0, now - availability.leader_limit_received_at(now)),
     )
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -33,6 +33,8 @@
 RETRY_ADMISSION_SHARE = 0.85
 RETRY_TIME_SHARE = 0.8
 CONNECT_FAILURES_MAX = 4
+# Agents of cold engines that a request asks for a permit ahead of time, if no engine is free now.
+COLD_AGENTS_ASKED = 2
 # Delay before further attempts of a request that may have run, once that many have failed.
 RECONNECT_DELAY_S = 0.2
 DEADLINE_MARGIN_S = 0.03
@@ -64,8 +66,10 @@
         self.tried: set[str] = set()
         self.attempts: list[attempts.Attempt] = []
         self.open = open_attempts.OpenAttempts(self.cancel_retry)
-        # The permit for the next attempt, if its back end has a rate limit.
+        # The permits for the next attempt: of the leader, if its back end has a rate limit, and of
+        # its agent, if it is cold.
         self.permit: permits.Permit | None = None
+        self.cold_permit: permits.Permit | None = None
         self.may_have_run = False
         # The outcome of the last attempt that was sent.
         self.last_sent_outcome: attempts.Outcome | None = None
@@ -230,7 +234,7 @@
     def describe_choice(self, choice: dispatch.Choice) -> str:
         """Describe the known state of a chosen back end for the log."""
         return attempt_descriptions.describe_choice(
-            choice, self.permit, self.arrived_at, self.clock()
+            choice, self.cold_permit or self.permit, self.arrived_at, self.clock()
         )
 
     def may_retry(self, state: attempts.State) -> bool:
@@ -358,7 +362,8 @@
                 )
                 if choice_with_permit is not None:
                     return choice_with_permit
-                if not self.may_have_run:
+                is_denied_by_agent = choice.backend.availability.needs_agent_permit(now)
+                if not self.may_have_run or is_denied_by_agent:
                     continue
             if choice is None:
                 choice_with_permit = await self.with_permit(None, queue_deadline)
@@ -411,9 +416,9 @@
         permit and none is available in time, unless the request may have run.
         """
         assert self.context is not None
-        self.permit = None
-        if choice is not None and not choice.backend.availability.is_limited():
-            return choice
+        self.permit = self.cold_permit = None
+        if choice is not None and not choice.backend.availability.needs_leader_permit(self.clock()):
+            return await self.with_cold_permit(choice, 0.0)
         requirements = self.requirements()
         candidates = self.pool.permit_candidates(requirements)
         patience_s = queue_deadline - self.clock()
@@ -421,7 +426,7 @@
             # Other back ends have no limit, so there is no reason to wait for this one's permit.
             candidates, patience_s = [choice.backend], 0.0
         if not candidates:
-            return None
+            return await self.wait_for_cold_permit(requirements, patience_s)
         account = self.context.account.name if self.context.account is not None else ""
         result = await self.pool.permits.acquire(self.service, account, patience_s, candidates)
         if isinstance(result, permits.Permit):
@@ -429,12 +434,42 @@
             backend = next(
                 candidate for candidate in candidates if candidate.instance == result.instance
             )
-            return self.pool.evaluate(backend, requirements)
+            return await self.with_cold_permit(self.pool.evaluate(backend, requirements), 0.0)
         if self.pool.available_at(self.service) is not None and not self.may_have_run:
             reason = f"all back ends have rate limits; next permit in {result.back_in_s:.2f} s"
             raise self.unavailable(f"{reason} ({result.source})", result.back_in_s)
         return None
 
+    async def with_cold_permit(
+        self, choice: dispatch.Choice, patience_s: float
+    ) -> dispatch.Choice | None:
+        """Return `choice`, with a permit if its engine is cold, or None if its agent denies one."""
+        if not choice.backend.availability.needs_agent_permit(self.clock()):
+            return choice
+        result = await self.pool.acquire_cold_permit(choice.backend, patience_s)
+        if not isinstance(result, permits.Permit):
+            return None
+        self.cold_permit = result
+        return choice
+
+    async def wait_for_cold_permit(
+        self, requirements: dispatch.Requirements, patience_s: float
+    ) -> dispatch.Choice | None:
+        """Return a cold engine whose agent grants a permit within `patience_s`, or None.
+
+        The agent reserves the permit, so that requests need not ask again at the same moment.
+        """
+        for choice in self.pool.cold_candidates(requirements)[:COLD_AGENTS_ASKED]:
+            remaining_s = self.admission_deadline() - self.clock()
+            if not self.may_have_run and not self.is_admissible(choice, remaining_s):
+                continue
+            started_at = self.clock()
+            found = await self.with_cold_permit(choice, patience_s)
+            if found is not None:
+                return found
+            patience_s -= self.clock() - started_at
+        return None
+
     def check_availability(self, queue_deadline: float) -> None:
         """Raise RequestError if no back end will be available before the queue time is over.
 
@@ -447,6 +482,9 @@
             raise self.unavailable("all back ends are leaving", self.retry_after_s(True))
         available_in_s = available_at - self.clock()
         retry_delay_s = retry_delays.delay_after_rest(available_in_s, self.pool.rng)
+        if self.pool.are_cold(self.service):
+            reason = f"all back ends are cold; next permit in {available_in_s:.2f} s"
+            raise self.unavailable(reason, retry_delay_s)
         raise self.unavailable(
             f"all back ends are at rest for {available_in_s:.2f} s", retry_delay_s
         )
@@ -510,7 +548,13 @@
         assert self.context is not None
         self.tried.add(choice.backend.instance)
         attempt = attempts.Attempt(
-            self.context, self.relay, self.dialect, self.pool, choice.backend, self.permit
+            self.context,
+            self.relay,
+            self.dialect,
+            self.pool,
+            choice.backend,
+            self.permit,
+            self.cold_permit,
         )
         attempt.description = self.describe_choice(choice)
         attempt.may_send = self.use_retry
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -50,6 +50,8 @@
     limit: str | None = None
     # Further headers of every response.
     extra_headers: http_messages.Headers = dataclasses.field(default_factory=list)
+    # Further headers of status reports.
+    report_headers: http_messages.Headers = dataclasses.field(default_factory=list)
     echoes_request_id: bool = True
 
 
@@ -286,7 +288,8 @@
             "queued": 0,
             "running": self.running,
         }
-        await exchange.respond(http_messages.Response(200, [], json.dumps(body).encode()))
+        headers = self.behaviour.report_headers
+        await exchange.respond(http_messages.Response(200, headers, json.dumps(body).encode()))
 
     async def stage(self, exchange: stream_server.Exchange, path: str) -> None:
         """Store or return a staged piece."""
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -25,6 +25,8 @@
         self.workers: list[crashing_worker.CrashingWorker] = []
         self.heartbeat_tasks: list[asyncio.Task[None]] = []
         self.request_count = 0
+        # How long the workers say that they are still cold.
+        self.cold_ms = 0
         self.entry_port = fleet_nodes.free_port()
 
     async def start(self, entries: int, workers: int, **behaviour) -> None:
@@ -82,7 +84,7 @@
             "version": "v1",
             "slots": 16,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms,
             "sequence": worker.sequence,
             "models": [{"name": worker.model, "version": 1}],
         }
