Cold back ends: bound the rate of a configuration

A rate above 1e300 would have ended entries: the number of a time slot is infinite then. cold_limits computes with at most a million requests a second, and a test takes any finite numbers.

--- a/src/merlinthread/coordination/cold_limits.py
+++ b/src/merlinthread/coordination/cold_limits.py
@@ -25,6 +25,8 @@
 ARRIVAL_DELAY_S = 0.05
 # Largest burst, as a share of the requests of one second.
 BURST_SHARE = 0.5
+# Higher rates are no limit in practice, and could not be computed with.
+COLD_PER_S_MAX = 1e6
 # A back end is expected to be cold for tens of seconds; longer times are not believed.
 COLD_MAX_S = 600.0
 # How much older than its arrival at a control VM the content of a heartbeat may be.
@@ -73,6 +75,7 @@
     """Return the limit for a service, or None if its cold back ends are not limited."""
     if overage is None or cold_per_s <= 0:
         return None
+    cold_per_s = min(cold_per_s, COLD_PER_S_MAX)
     return ColdLimit(cold_per_s, cold_per_s * overage + slack)
 
 
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -46,6 +46,23 @@
     assert (LIMIT.per_s(), LIMIT.bound) == (18.0, 32.0)
 
 
+# Guards against a configuration that ends an entry or an agent.
+@hypothesis.given(st.floats(0, allow_nan=False, allow_infinity=False), st.floats(0, 1e308))
+@hypothesis.example(1e308, 1.5)
+@hypothesis.example(5e-324, 0.0)
+def test_any_rate_and_bound_can_be_used(cold_per_s, overage):
+    limit = cold_limits.make_limit(cold_per_s, overage, 0.0)
+    if limit is None:
+        assert cold_per_s == 0
+        return
+    limiter = cold_limits.ColdLimiter(limit, 0.0)
+    limiter.record_unpermitted(50.0)
+    assert limiter.decide("i", 0.0, 100.0).instance == "i"
+    advertised = rate_limits.AdvertisedLimit("i", limit.paced_per_s(), 0.0)
+    slots = permit_slots.PermitSlots(0)
+    assert slots.decide(rate_limits.PermitRequest("s", "", 9e3, [advertised]), 1e5).instance
+
+
 # Guards against all entries choosing the same empty engine, and permits used as late as possible.
 @hypothesis.given(limits, st.integers(0, 1000), st.floats(0.0, 0.1))
 def test_any_second_of_a_burst_stays_within_the_bound(limit, seed, patience_s):
