--- a/src/merlinthread/coordination/load_tracker.py
+++ b/src/merlinthread/coordination/load_tracker.py
@@ -69,7 +69,7 @@
     than configured. `unread_by_urgency` divides the unread prompts of other entries by urgency. It
     is empty if requests do not differ in urgency, or if the agent's build does not report it.
     `is_over_share` is set if requests of other accounts go before those of the account for which it
-    was asked.
+    was asked. `cold_s` is how long it will still be cold, None if that is unknown.
     """
 
     others: Outstanding
@@ -77,6 +77,7 @@
     pace: float = 1.0
     unread_by_urgency: list[UnreadPrompts] = dataclasses.field(default_factory=list)
     is_over_share: bool = False
+    cold_s: float | None = None
 
 
 class ExpectedAttempts:
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -9,6 +9,7 @@
 from merlinthread.coordination import fleet, load_feed, load_tracker
 from merlinthread.nodes import (
     account_meter,
+    cold_grants,
     engine_client,
     fleet_watcher,
     node_roles,
@@ -46,7 +47,7 @@
         self.clock = clock
         self.rpc_client = node_bus.RpcClient(codec)
         self.watcher = fleet_watcher.FleetWatcher(
-            settings, dialect, self.rpc_client, clock, lambda: None
+            settings, dialect, self.rpc_client, clock, self.apply_fleet_update
         )
         self.engine = engine_client.EngineClient(dialect, settings.engine)
         self.datagrams = node_bus.DatagramEndpoint(codec, self.dispatch_datagram)
@@ -65,6 +66,9 @@
         )
         self.load_tracker = load_tracker.LoadTracker()
         self.account_meter = account_meter.AccountMeter(clock)
+        self.grants = cold_grants.ColdGrants(settings, self.watcher, clock)
+        # Until when the engine is cold by its last report, None if it does not report that.
+        self.cold_until: float | None = None
         self.subscribers: dict[str, float] = {}
         self.last_report: fleet.EngineReport | None = None
         self.last_sent_at = float("-inf")
@@ -91,6 +95,10 @@
         """Replace the addresses of the initial control VMs; other settings need a restart."""
         self.settings.control_ips = settings.control_ips
 
+    def apply_fleet_update(self) -> None:
+        """Apply an update of the fleet state."""
+        self.grants.update()
+
     async def stop(self) -> None:
         """Stop accepting connections from peers."""
         self.rpc_server.server.stop_accepting()
@@ -99,6 +107,7 @@
         """Handle a datagram from an entry or another agent."""
         if isinstance(message, node_messages.LoadSubscription):
             self.subscribers[message.address] = self.clock() + SUBSCRIPTION_TTL_S
+            self.grants.entries.record(message.address, self.clock())
         elif isinstance(message, node_messages.AttemptNotice):
             self.record_attempt_stage(message)
         elif isinstance(message, node_messages.PieceNotice | node_messages.PieceClaim):
@@ -120,6 +129,8 @@
             outstanding.unread_tokens,
             self.last_report.is_busy,
             self.last_report.pace,
+            self.grants.reply_to(query),
+            cold_s=self.cold_s(),
             unread_by_urgency=self.load_tracker.unread_by_urgency(query.address, now),
             is_over_share=self.account_meter.record_query(query, self.has_room()),
         )
@@ -132,6 +143,10 @@
             return True
         return self.load_tracker.count() < service.engine.slots
 
+    def cold_s(self) -> float | None:
+        """Return how long the engine will still be cold, or None if it does not report that."""
+        return None if self.cold_until is None else max(0.0, self.cold_until - self.clock())
+
     def record_attempt_stage(self, notice: node_messages.AttemptNotice) -> None:
         """Record the stage that an attempt has reached."""
         if notice.stage is node_messages.AttemptStage.SENT:
@@ -139,6 +154,7 @@
                 notice.entry, notice.number, notice.tokens, self.clock(), notice.urgency
             )
             self.account_meter.record_sent(notice)
+            self.grants.record_attempt(notice)
         elif notice.stage is node_messages.AttemptStage.READ:
             self.load_tracker.record_first_byte(notice.entry, notice.number)
         else:
@@ -181,6 +197,8 @@
         self.unanswered_since = None
         self.detect_restart(report)
         self.set_engine_reachable(True, "")
+        cold_s = self.engine.cold_s
+        self.cold_until = None if cold_s is None else self.clock() + cold_s
         self.weights.record_engine_report(report)
         report.ready_in_s = self.weights.ready_in_s()
         self.account_meter.update()
--- a/src/merlinthread/nodes/attempt_descriptions.py
+++ b/src/merlinthread/nodes/attempt_descriptions.py
@@ -31,6 +31,8 @@
 ) -> str:
     """Describe a back end's rate limit and the permit used; return "" if it has no limit."""
     availability = backend.availability
+    if availability.is_cold_limited(now):
+        return describe_cold_limit(backend, permit, now)
     if availability.limit_per_s is None:
         return ""
     source = permit.source if permit is not None else "none"
@@ -41,6 +43,15 @@
     )
 
 
+def describe_cold_limit(
+    backend: backend_record.Backend, permit: permits.Permit | None, now: float
+) -> str:
+    """Describe for how long a back end is still cold, and the permit used."""
+    source = permit.source if permit is not None else "none"
+    cold_s = backend.availability.cold.until - now
+    return f", cold for {cold_s:.2f} s, permit from {source}"
+
+
 def describe_signals(head: fleet.ResponseHead) -> str:
     """Describe the availability signals in a response."""
     parts = []
@@ -54,6 +65,10 @@
         parts.append(f"accepts {head.limit_per_s:g} requests per second")
     if head.limit_problem:
         parts.append(f"advertises an invalid limit: {head.limit_problem}")
+    if head.cold_s is not None:
+        parts.append(f"says that it is cold for {head.cold_s:g} s")
+    if head.cold_problem:
+        parts.append(f"sends an invalid cold time: {head.cold_problem}")
     if parts and head.request_id is None:
         parts.append("without the request id")
     return ", ".join(parts)
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -97,10 +97,13 @@
         pool: backend_pool.BackendPool,
         backend: backend_record.Backend,
         permit: permits.Permit | None = None,
+        cold_permit: permits.Permit | None = None,
         urgency: int | None = None,
     ) -> None:
         self.context = context
+        # The permits of the leader and of the back end's agent, if it needed them when chosen.
         self.permit = permit
+        self.cold_permit = cold_permit
         self.relay = relay
         self.dialect = dialect
         self.pool = pool
@@ -112,6 +115,7 @@
             urgency=urgency,
             account=context.account_name(),
             cost_tokens=context.cost_tokens,
+            has_permit=cold_permit is not None and cold_permit.is_counted_by_agent,
         )
         self.is_sent = False
         self.sent_at = float("-inf")
@@ -144,6 +148,7 @@
             connection.hold_for(
                 self.relay.exchange.holder, self.pool.memory_limits.connection_bytes
             )
+            await self.renew_cold_permit()
             self.check_available()
             if not self.may_send():
                 raise UnavailableError("the retry budget is exhausted")
@@ -214,6 +219,23 @@
             parts.append(self.signals_text)
         return ", ".join(parts)
 
+    async def renew_cold_permit(self) -> None:
+        """Acquire a permit if the back end is cold and there is no valid one any more.
+
+        It may have become cold after it was chosen, and a new connection takes up to 0.3 s.
+        """
+        availability = self.pool.signals.availability_of(self.backend.instance)
+        if not availability.needs_agent_permit(self.clock()) or self.has_cold_permit():
+            return
+        permit = await self.pool.acquire_cold_permit(self.backend, 0.0)
+        self.cold_permit = permit if isinstance(permit, permits.Permit) else None
+
+    def has_cold_permit(self) -> bool:
+        """Return whether there is a valid permit of the back end's agent."""
+        return self.cold_permit is not None and self.cold_permit.is_valid(
+            self.backend.instance, self.clock()
+        )
+
     def check_available(self) -> None:
         """Raise UnavailableError if the back end may not get this request.
 
@@ -228,7 +250,9 @@
             raise UnavailableError(
                 "the back end is leaving" if availability.is_leaving else "the back end is resting"
             )
-        if not availability.is_limited():
+        if availability.needs_agent_permit(now) and not self.has_cold_permit():
+            raise UnavailableError("the back end is cold and there is no valid permit")
+        if not availability.needs_leader_permit(now):
             return
         if self.permit is None or not self.permit.is_valid(self.backend.instance, now):
             raise UnavailableError("the back end has a rate limit and there is no valid permit")
@@ -349,6 +373,12 @@
         )
         if response_head.is_leaving and is_authentic:
             self.pool.record_leaving(self.backend, request_id)
+        if response_head.cold_problem:
+            metrics.unreadable_words_total.labels("cold").inc()
+        elif response_head.cold_s is not None and is_authentic:
+            self.pool.recorder.record_cold(
+                self.backend.instance, response_head.cold_s, self.sent_at, request_id
+            )
         if response_head.limit_problem:
             metrics.unreadable_words_total.labels("limit").inc()
         elif is_authentic:
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -7,17 +7,19 @@
 import random
 from collections.abc import Callable, Iterable
 
-from merlinthread import metrics
+from merlinthread import logs, metrics
 from merlinthread.coordination import (
     admission,
     allowed_regions,
     backend_availability,
     backend_record,
+    cold_limits,
     dispatch,
     expected_cost,
     fleet,
     incarnations,
     load_feed,
+    load_tracker,
     reload_schedule,
     retry_budget,
     retry_delays,
@@ -25,6 +27,7 @@
 )
 from merlinthread.nodes import (
     backend_connections,
+    cold_permits,
     crash_detector,
     fleet_watcher,
     limit_reporter,
@@ -59,7 +62,8 @@
     `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
     the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
     is set if the back end was doubtful when the attempt began. `account` and `cost_tokens` are the
-    client account and the expected tokens of prompt and response.
+    client account and the expected tokens of prompt and response. `has_permit` is set if the agent
+    granted a permit for it.
     """
 
     backend: backend_record.Backend
@@ -72,6 +76,7 @@
     urgency: int | None = None
     account: str = ""
     cost_tokens: float = 0.0
+    has_permit: bool = False
 
 
 class BackendPool:
@@ -93,6 +98,9 @@
         self.memory_limits = memory_limits.derive(settings.memory_bytes)
         self.permits = permits
         self.prober = prober
+        self.cold_permits = cold_permits.ColdPermitClient(
+            prober, clock, rng, self.apply_probe_reply
+        )
         self.crashes = crashes
         self.watcher = watcher
         self.clock = clock
@@ -109,6 +117,8 @@
         self.queues: dict[str, wait_queue.WaitQueue] = {}
         self.levels: dict[str, admission.AdmissionLevel] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        # The back ends that were cold at the last update, for the log.
+        self.cold_instances: set[str] = set()
         self.started_at = clock()
         self.reservation_numbers = itertools.count(1)
         self.response_means = expected_cost.ResponseMeans()
@@ -123,6 +133,7 @@
             del self.backends[instance]
         for instance, heartbeat in self.watcher.instances.items():
             self.update_backend(instance, heartbeat)
+        self.log_cold_starts()
         self.signals.prune(set(self.backends), self.clock())
         self.recorder.update_metrics()
         self.backends_by_service = {}
@@ -182,10 +193,56 @@
         # A heartbeat in state `ready` does not revoke an earlier leaving signal.
         backend.is_draining = backend.availability.is_leaving
         backend.is_evacuated = self.watcher.is_evacuated(backend.zone)
-        backend.cold_until = self.watcher.cold_until.get(instance, 0.0)
+        self.update_cold_start(backend)
         if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
 
+    def update_cold_start(self, backend: backend_record.Backend) -> None:
+        """Apply the limit while a back end is cold, and the cold start in its last heartbeat."""
+        availability = backend.availability
+        table = self.watcher.table
+        service = table.services.get(backend.service) if table is not None else None
+        if service is not None:
+            bounds = self.settings.bounds
+            availability.cold_limit = cold_limits.make_limit(
+                service.cold_per_s, bounds.cold_overage, bounds.cold_slack
+            )
+            availability.has_agent = service.engine is not None and self.settings.agent_port > 0
+        heard_at = self.watcher.heard_at.get(backend.instance)
+        until = self.watcher.cold_until.get(backend.instance)
+        if heard_at is not None and until is not None:
+            availability.cold.record(until, heard_at - cold_limits.REPORT_DELAY_S, heard_at)
+        backend.cold_until = availability.cold.until
+
+    def log_cold_starts(self) -> None:
+        """Log which back ends have become cold or have stopped being so since the last update."""
+        now = self.clock()
+        cold = {
+            instance: backend.availability
+            for instance, backend in self.backends.items()
+            if backend.availability.cold.is_cold(now)
+        }
+        for instance in sorted(self.cold_instances - set(cold)):
+            logs.event("backend_warm", instance=instance)
+        for instance in sorted(set(cold) - self.cold_instances):
+            limit = cold[instance].cold_limit
+            logs.event(
+                "backend_cold",
+                instance=instance,
+                cold_s=round(cold[instance].cold.until - now, 3),
+                bound_per_s=limit.bound if limit is not None else None,
+            )
+        self.cold_instances = set(cold)
+
+    def apply_agent_report(self, backend: backend_record.Backend, cold_s: float | None) -> None:
+        """Apply an agent's report of how long its engine will still be cold, None if unknown."""
+        if cold_s is None:
+            return
+        now = self.clock()
+        state = backend.availability.cold
+        state.record(now + cold_s, now - cold_limits.REPORT_DELAY_S, now)
+        backend.cold_until = state.until
+
     def record_leaving(self, backend: backend_record.Backend, request_id: str) -> None:
         """Record that a back end announced in a response that it is leaving."""
         backend.is_draining = True
@@ -231,6 +288,13 @@
         """Return whether a back end of a service is in an evacuated zone."""
         return any(backend.is_evacuated for backend in self.backends_by_service.get(service, []))
 
+    def are_cold(self, service: str) -> bool:
+        """Return whether all back ends of a service that are not leaving are cold and limited."""
+        now = self.clock()
+        backends = self.backends_by_service.get(service, [])
+        staying = [backend.availability for backend in backends if not backend.is_draining]
+        return bool(staying) and all(each.is_cold_limited(now) for each in staying)
+
     def apply_load_update(self, load: node_messages.LoadUpdate) -> None:
         """Apply an agent's load report, unless it is of another incarnation."""
         backend = self.backends_by_address.get(load.address)
@@ -346,10 +410,29 @@
         # an engine without the penalty would get all requests.
         for backend in probed:
             reply = replies[self.agent_of(backend)]
-            backend.apply_probe_reply(reply, self.clock())
+            self.apply_probe_reply(backend, reply)
             if reply is not None:
                 requirements.over_share[backend.instance] = reply.is_over_share
 
+    def apply_probe_reply(
+        self, backend: backend_record.Backend, reply: load_tracker.EngineLoad | None
+    ) -> None:
+        """Apply an agent's reply to a load probe; None means that there was none."""
+        backend.apply_probe_reply(reply, self.clock())
+        self.apply_agent_report(backend, reply.cold_s if reply is not None else None)
+
+    async def acquire_cold_permit(
+        self, backend: backend_record.Backend, patience_s: float
+    ) -> permits.Permit | permits.Denial:
+        """Wait for a permit of a cold back end's agent for up to `patience_s` seconds."""
+        return await self.cold_permits.acquire(backend, self.agent_of(backend), patience_s)
+
+    def cold_candidates(self, requirements: dispatch.Requirements) -> list[dispatch.Choice]:
+        """Return the cold back ends that lack only a permit of their agent, the soonest first."""
+        engine = self.engine_of(requirements.service)
+        backends = self.backends_by_service.get(requirements.service, [])
+        return dispatch.cold_candidates(backends, requirements, engine, self.clock())
+
     def ready_in_s(self, service: str, regions: frozenset[str] | None = None) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
 
@@ -395,8 +478,9 @@
         urgency: int | None = None,
         account: str = "",
         cost_tokens: float = 0.0,
+        has_permit: bool = False,
     ) -> Reservation:
-        """Add an attempt to a back end's load."""
+        """Add an attempt to a back end's load; `has_permit` is set if its agent has counted it."""
         backend.in_flight += 1
         backend.unread += 1
         backend.unread_tokens += tokens
@@ -410,6 +494,7 @@
             urgency=urgency,
             account=account,
             cost_tokens=cost_tokens,
+            has_permit=has_permit,
         )
         if backend.is_doubtful():
             reservation.is_trial = True
@@ -430,6 +515,7 @@
                 reservation.urgency,
                 reservation.account,
                 reservation.cost_tokens,
+                reservation.has_permit,
             )
 
     def record_prompt_read(self, reservation: Reservation) -> None:
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from merlinthread import errors
+from merlinthread import errors, metrics
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import retry_after
@@ -39,6 +39,9 @@
     def __init__(self, dialect: dialects.Dialect, engine: str) -> None:
         self.dialect = dialect
         self.engine = engine
+        # How long the engine was still cold at its last report, None if it did not say. It is kept
+        # out of `fleet.EngineReport`, which is sent to all entries several times a second.
+        self.cold_s: float | None = None
         self.pool = stream_client.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
         # The configured size of a piece, or 0 if it is not known.
         self.piece_bytes = 0
@@ -53,7 +56,11 @@
         """Return the engine's status report."""
         request = self.dialect.report_request(self.engine)
         response = await self.request_engine(request, REPORT_BYTES_MAX)
-        return self.dialect.parse_report(require_success(response).body)
+        report = self.dialect.parse_report(require_success(response).body)
+        self.cold_s, problem = self.dialect.parse_cold(response.headers)
+        if problem:
+            metrics.unreadable_words_total.labels("cold").inc()
+        return report
 
     async def request_engine(
         self, request: http_messages.Request, body_bytes_max: int
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -1,6 +1,7 @@
 """The platform's settings file, and its conversion to `nodes.node_settings`."""
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,8 @@
     budget_slack: float = 100.0
     pass_ms: float = 120.0
     evacuate_ms: float = 5000.0
+    cold_overage: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class MachineLimitsBody(msgspec.Struct):
@@ -123,5 +126,7 @@
             bounds.budget_slack,
             bounds.pass_ms / MS_PER_S,
             bounds.evacuate_ms / MS_PER_S,
+            bounds.cold_overage,
+            bounds.cold_slack,
         ),
     )
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -245,8 +245,8 @@
 class LoadQuery:
     """Request the current load of an agent's engine; the reply goes to `address`.
 
-    With `permit`, it requests a permit from a control VM instead. The same message is used so that
-    builds without permits can read it.
+    With `permit`, it requests a permit from a control VM instead, or from the agent of a cold
+    engine in addition. The same message is used so that builds without permits can read it.
 
     `account` is the client account of the request that is to be sent, empty if there is none.
     `asked_tokens` is the part of its expected cost that is asked of this engine: the first query of
@@ -264,12 +264,12 @@
 
 @dataclasses.dataclass(slots=True)
 class PermitReply:
-    """A control VM's reply to a request for a permit.
+    """A control VM's or an agent's reply to a request for a permit.
 
     `decision` is None unless the control VM is certain to be the leader; `leader` then names the
-    leader, or is empty if unknown. The other fields are for times when no leader replies: `entries`
-    is the number of entries with recent requests, `rank` the receiver's position among them, and
-    `at` the time on the leader's clock, in seconds.
+    leader, or is empty if unknown. The other fields are for times when the sender does not reply:
+    `entries` is the number of entries with recent requests, `rank` the receiver's position among
+    them, and `at` the time on the sender's clock, in seconds.
     """
 
     decision: rate_limits.Decision | None
@@ -285,9 +285,10 @@
     """The reply to the LoadQuery `number`: the outstanding work of other entries on the engine.
 
     `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
-    is slower than it reports. `permit` is set in the reply of a control VM. `unread_by_urgency` is
-    described at `load_tracker.EngineLoad`. `is_over_share` is true
-    if requests of other accounts go before those of the account in the query.
+    is slower than it reports. `permit` is set in the reply of a control VM, and in that of an agent
+    that decided on a permit. `cold_s` is how long the engine will still be cold, None if that is
+    unknown. `unread_by_urgency` is described at `load_tracker.EngineLoad`. `is_over_share`
+    is true if requests of other accounts go before those of the account in the query.
     """
 
     number: int
@@ -299,6 +300,7 @@
     permit: PermitReply | None = None
     unread_by_urgency: list[load_tracker.UnreadPrompts] = dataclasses.field(default_factory=list)
     is_over_share: bool = False
+    cold_s: float | None = None
 
 
 class AttemptStage(enum.StrEnum):
@@ -314,9 +316,9 @@
 class AttemptNotice:
     """Notify an agent of an attempt on its engine; `tokens` is the length of the prompt.
 
-    `urgency` is None if the requests of the service do not differ in urgency.
-    `account` is the client account, empty if there is none, and `cost_tokens` the expected length
-    of prompt and response.
+    `urgency` is None if the requests of the service do not differ in urgency. `account` is the
+    client account, empty if there is none, and `cost_tokens` the expected length of prompt and
+    response. With `has_permit`, the agent granted a permit for it, since the engine is cold.
     """
 
     entry: str
@@ -326,6 +328,7 @@
     urgency: int | None = None
     account: str = ""
     cost_tokens: float = 0.0
+    has_permit: bool = False
 
 
 @MESSAGES.add("node.piece_note")
