Cold back ends: a request without permit never advances the next permit

ColdLimiter.record_unpermitted bounded the time of the next permit to one second from now, also if a granted permit had already set it later. With an interval above a second (0.5 a second allowed, or a bound that leaves one permit in 10 s), each attempt without permit made a permit free early. The bound now applies only to the delay that the request itself adds.

Run: tests/test_cold_limits.py: the new test failed before the change; all passed after it.

--- a/src/merlinthread/coordination/cold_limits.py
+++ b/src/merlinthread/coordination/cold_limits.py
@@ -124,10 +124,12 @@
         """Record a request for which this agent granted no permit.
 
         Entries send these while the back end is not cold, and by their time slots. Those of more
-        than a window ago no longer matter, which bounds the delay of the next permit.
+        than a window ago no longer matter, which bounds the delay of the next permit. A longer
+        delay by granted permits remains: the interval of a low limit is longer than a window.
         """
+        due_at = self.due_at
         self.consume(now)
-        self.due_at = min(self.due_at, now + WINDOW_S + self.tolerance_s())
+        self.due_at = max(due_at, min(self.due_at, now + WINDOW_S + self.tolerance_s()))
 
     def consume(self, at: float) -> None:
         """Consume the next permit, for use at `at`."""
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -174,3 +174,11 @@
     entries.record("e1", 1.0)
     entries.record("a", entry_ranks.ENTRY_EXPIRY_S + 1.0)
     assert entries.ranked == ["a", "e1"] and entries.rank_of("e1") == 1
+
+
+# Guards against an attempt without permit that makes the next permit of a slow engine free earlier.
+def test_request_without_permit_never_advances_the_next_permit():
+    limiter = cold_limits.ColdLimiter(cold_limits.make_limit(0.5, 1.5, 0.0), 0.0)
+    before = limiter.free_at()
+    limiter.record_unpermitted(0.1)
+    assert limiter.free_at() >= before
