Cold back ends: validity of a permit counts from its decision

A permit was valid for 0.15 s from the moment at which the entry had received it and had woken up. The event loop of a busy entry delays both, so a request could reach the engine later than the 0.2 s after its grant that the bound allows for. The validity now counts from before the query, plus the time until the permit may be used. An attempt whose permit has expired asks again, as before.

Run: tests/test_cold_permits.py: the new test failed in both cases before the change; all passed after it. tests/test_cold_back_ends.py with -n 2: passed.

--- a/src/merlinthread/nodes/cold_permits.py
+++ b/src/merlinthread/nodes/cold_permits.py
@@ -72,11 +72,13 @@
         )
         request = rate_limits.PermitRequest(backend.service, "", max(0.0, patience_s), [limit])
         state = self.state_of(agent)
+        decided_at = self.clock()
         decision = await self.query(backend, agent, request)
         by, source = "agent", f"agent {agent}"
         if decision is None:
             by = "agent_turns"
             source = f"slot {state.slots.rank} of {state.slots.entries}"
+            decided_at = self.clock()
             decision = self.decide_by_slot(state, request)
         metrics.permits_asked_total.labels("given" if decision.instance else "denied", by).inc()
         now = self.clock()
@@ -87,7 +89,8 @@
             availability.next_cold_permit_at = now + decision.free_in_s[0]
         if decision.start_in_s > 0:
             await asyncio.sleep(decision.start_in_s)
-        expires_at = self.clock() + cold_limits.PERMIT_VALIDITY_S
+        # From the decision, at the earliest: a busy entry may receive it or wake up late.
+        expires_at = decided_at + decision.start_in_s + cold_limits.PERMIT_VALIDITY_S
         return permits.Permit(decision.instance, expires_at, source, by == "agent")
 
     def state_of(self, agent: str) -> AgentState:
--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -4,13 +4,20 @@
 old, lost or restarted too, and against requests that wait although no engine is cold.
 """
 
+import asyncio
+import random
 import types
 
 import pytest
 
 from merlinthread import logs
-from merlinthread.coordination import cold_limits, fleet, rate_limits
-from merlinthread.nodes import cold_grants, node_settings
+from merlinthread.coordination import (
+    backend_availability,
+    cold_limits,
+    fleet,
+    rate_limits,
+)
+from merlinthread.nodes import cold_grants, cold_permits, node_settings
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
 
@@ -116,3 +123,27 @@
     assert [(name, fields["per_s"]) for name, fields in lines] == [
         ("cold_permits_granted_here", 18.0)
     ]
+
+
+# Guards against a permit that a busy entry uses later than its agent reckons with.
+@pytest.mark.parametrize(("reply_delay_s", "wake_delay_s"), [(0.3, 0.0), (0.0, 0.3)])
+def test_delay_of_the_entry_does_not_prolong_a_permit(reply_delay_s, wake_delay_s, monkeypatch):
+    now = [100.0]
+
+    class Prober:
+        async def query_permit(self, agent, permit, wait_s):
+            now[0] += reply_delay_s
+            return None, node_messages.PermitReply(rate_limits.Decision("i", 0.02, [0.1]))
+
+    async def sleep(seconds):
+        now[0] += seconds + wake_delay_s
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    client = cold_permits.ColdPermitClient(
+        Prober(), lambda: now[0], random.Random(1), lambda *_: None
+    )
+    availability = backend_availability.Availability(cold_limit=LIMIT, has_agent=True)
+    backend = types.SimpleNamespace(instance="i", service="model", availability=availability)
+    permit = asyncio.run(client.acquire(backend, "agent:1", 0.1))
+    assert permit.is_valid("i", 100.0 + 0.02 + cold_limits.PERMIT_VALIDITY_S - 0.001)
+    assert not permit.is_valid("i", now[0])
