Cold back ends: define the limit for the leader when a cold start has just ended

leader_limit_per_s raised ValueError (min of an empty list) if the cold start of a back end without agent ended between the choice of candidates and the request for a permit, which read the clock separately. The client's request ended with that error. The limit of the cold start is used then.

Run: tests/test_cold_permits.py: the new test failed before the change; all passed after it. tests/test_permits.py, test_backend_signals.py, test_limited_back_ends.py: passed.

--- a/src/merlinthread/coordination/backend_availability.py
+++ b/src/merlinthread/coordination/backend_availability.py
@@ -84,9 +84,14 @@
         return self.is_limited() or (not self.has_agent and self.is_cold_limited(now))
 
     def leader_limit_per_s(self, now: float, validity_s: float) -> float:
-        """Return the rate for permits of the leader that are valid for `validity_s`."""
+        """Return the rate for permits of the leader that are valid for `validity_s`.
+
+        The cold start may have ended since `needs_leader_permit` was asked; its limit is returned
+        then, unless the back end advertises one.
+        """
         limits = [self.limit_per_s] if self.limit_per_s is not None else []
-        if self.cold_limit is not None and not self.has_agent and self.cold.is_cold(now):
+        is_cold = not self.has_agent and self.is_cold_limited(now)
+        if self.cold_limit is not None and (is_cold or not limits):
             limits.append(self.cold_limit.paced_per_s(validity_s))
         return min(limits)
 
--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -17,7 +17,7 @@
     fleet,
     rate_limits,
 )
-from merlinthread.nodes import cold_grants, cold_permits, node_settings
+from merlinthread.nodes import cold_grants, cold_permits, node_settings, permits
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
 
@@ -147,3 +147,12 @@
     permit = asyncio.run(client.acquire(backend, "agent:1", 0.1))
     assert permit.is_valid("i", 100.0 + 0.02 + cold_limits.PERMIT_VALIDITY_S - 0.001)
     assert not permit.is_valid("i", now[0])
+
+
+# Guards against a request that fails because a cold start ends just before its permit is requested.
+def test_limit_for_the_leader_is_defined_when_a_cold_start_has_just_ended():
+    availability = backend_availability.Availability(cold_limit=LIMIT)
+    availability.cold.record(20.0, 9.5, 10.0)
+    assert availability.needs_leader_permit(19.999)
+    backend = types.SimpleNamespace(instance="i", availability=availability)
+    assert 0.0 < permits.advertised_limit(backend, 20.001).per_s <= LIMIT.cold_per_s
