Cold back ends: a request that may have run reserves a permit after its queue time

Such a request waits until its deadline, but asked for permits with no patience once its queue time was over. New requests reserve permits within their queue time, so under overload none was free at once, and the request ended with 504 although its engine served others. It now reserves as far ahead as a new request does.

--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -459,6 +459,14 @@
 
         The agent reserves the permit, so that requests need not ask again at the same moment.
         """
+        assert self.context is not None
+        if self.may_have_run:
+            # It waits until its deadline. New requests reserve permits within their queue time, so
+            # it would never get one without a reservation as far ahead.
+            patience_s = min(
+                QUEUE_TIME_SHARE * self.context.route.objective_s,
+                self.context.deadline - self.clock(),
+            )
         for choice in self.pool.cold_candidates(requirements)[:COLD_AGENTS_ASKED]:
             remaining_s = self.admission_deadline() - self.clock()
             if not self.may_have_run and not self.is_admissible(choice, remaining_s):
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -277,3 +277,33 @@
         await fleet_nodes.until(lambda: fleet.agents[0].cold_until is None)
 
     run_fleet(scenario, entries=1)
+
+
+# Guards against a request that may have run and never gets a permit, because new requests reserve
+# all permits in advance.
+def test_retry_after_the_queue_time_gets_a_permit_beside_new_requests():
+    async def scenario(fleet):
+        fleet.cold_s[0] = 60.0
+        fleet.announce()
+        await fleet.until_permits_are_unused()
+        limiter, behaviour = fleet.agents[0].grants.limiter, fleet.engines[0].behaviour
+        decide = limiter.decide
+
+        def decide_beside_others(instance, patience_s, now):
+            # Others have reserved the permits of the next 0.03 s.
+            limiter.due_at = max(limiter.due_at, now + 0.03 + limiter.tolerance_s())
+            return decide(instance, patience_s, now)
+
+        limiter.decide = decide_beside_others
+        behaviour.closes_without_response = True
+        behaviour.work_s = 0.2
+        request = asyncio.ensure_future(fleet.send_one())
+        await fleet_nodes.until(lambda: fleet.engines[0].runs)
+        await asyncio.sleep(0.1)
+        behaviour.work_s = 0.0
+        await fleet_nodes.until(lambda: not fleet.engines[0].running)
+        behaviour.closes_without_response = False
+        await request
+        assert (fleet.statuses, len(fleet.engines[0].runs)) == ([200], 2)
+
+    run_fleet(scenario, entries=1)
