Evacuation calls: one without a change waits for no uncommitted change to undo it

Cause: a call that changes nothing is acknowledged without an entry after a read from the leader. An opposite change that the leader had appended but not committed, such as that of a call that timed out, was committed afterwards and undid the acknowledged call.

Change: the leader's reply says whether a change of the evacuated zones is in its log without being applied. If so, the later call is written too, behind it. Builds that omit the field count as not settled.

--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -145,9 +145,14 @@
         return ok_response()
 
     async def read_evacuated(self) -> list[str] | None:
-        """Return the evacuated zones, or None if no leader or one of an older build was asked."""
+        """Return the evacuated zones, or None if they are not known or may be about to change.
+
+        An entry in the leader's log that is not committed yet may still be: a call that is
+        acknowledged now without an entry of its own would be undone by it.
+        """
         try:
-            return (await self.read_configuration(self.member.state.version)).evacuated
+            reply = await self.read_configuration(self.member.state.version)
+            return reply.evacuated if reply.is_settled else None
         except errors.MerlinthreadError as error:
             # A leader that has no lease at the moment may still commit.
             if error.kind is not errors.ErrorKind.NOT_LEADER:
@@ -185,7 +190,12 @@
             raise errors.NotLeaderError("this member does not hold the leader's lease", "")
         state = self.member.state
         body = b"" if state.version == known else state.body
-        return node_messages.ConfigurationReply(state.version, body, list(state.evacuated))
+        is_settled = not self.member.has_unapplied(
+            fleet_state.EvacuateZone, fleet_state.WithdrawEvacuation
+        )
+        return node_messages.ConfigurationReply(
+            state.version, body, list(state.evacuated), is_settled
+        )
 
 
 def ok_response() -> http_messages.Response:
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -372,6 +372,14 @@
         self.wakeup.set()
         return future
 
+    def has_unapplied(self, *kinds: type) -> bool:
+        """Return whether the log has commands of these kinds that are not applied here yet."""
+        names = [self.command_names[kind] for kind in kinds]
+        return any(
+            entry.kind == "command" and self.envelope_decoder.decode(entry.data)[0] in names
+            for entry in self.raft.log.entries_between(self.applied, self.raft.log.last_index())
+        )
+
     def holds_lease(self) -> bool:
         """Return whether this member holds the leader's lease."""
         return self.raft.holds_lease(self.clock())
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -163,12 +163,14 @@
 class ConfigurationReply:
     """The newest configuration, unmodified; `version` is 0 if there is none.
 
-    `evacuated` are the evacuated zones, or None from builds without evacuations.
+    `evacuated` are the evacuated zones, or None from builds without evacuations. `is_settled` is
+    set if no change of them is in the leader's log without being applied.
     """
 
     version: int
     body: bytes
     evacuated: list[str] | None = None
+    is_settled: bool = False
 
 
 @MESSAGES.add("node.join")
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -211,6 +211,29 @@
     run(tmp_path, scenario)
 
 
+# Guards against an acknowledged call that an earlier one undoes: its entry was in the leader's log
+# but not committed, and the later call was acknowledged without an entry.
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_call_is_in_force_after_an_uncommitted_opposite_one(tmp_path, is_evacuated):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        opposite: fleet_state.Command = fleet_state.EvacuateZone("zone-a")
+        command: fleet_state.Command = fleet_state.WithdrawEvacuation("zone-a")
+        if is_evacuated:
+            await evacuate(controls)
+            opposite, command = command, opposite
+        await fleet_nodes.until(
+            lambda: controls.leader() and controls.nodes[controls.leader()].member.holds_lease()
+        )
+        node = controls.nodes[controls.leader()]
+        uncommitted = node.member.propose(node.member.encode_command(opposite))
+        await node.api.change_evacuation(command)
+        await uncommitted
+        assert await read_zones(controls) == (["zone-a"] if is_evacuated else [])
+
+    run(tmp_path, scenario)
+
+
 # Guards against control VMs that differ after calls of two operators, and against a lost call.
 def test_two_operators_at_once_leave_one_state(tmp_path):
     async def scenario(controls):
