Command line: a zone that is not UTF-8 is refused without a traceback

Cause: quoting the argument raised UnicodeEncodeError, which no command handles.

Change: the bytes are sent as given, and the control VM refuses them with the known zones.

Run: tests/test_evacuation_calls.py -k command_line (3 passed); the new test failed before.

--- a/src/merlinthread/cli/evacuations.py
+++ b/src/merlinthread/cli/evacuations.py
@@ -60,7 +60,9 @@
         zone = self.argument("zone")
         is_evacuated = not self.option("withdraw")
         method = "POST" if is_evacuated else "DELETE"
-        path = f"{operator_calls.EVACUATIONS_PATH}/{urllib.parse.quote(zone, safe='')}"
+        # Bytes of the argument that are not UTF-8 are sent as they are, and refused there.
+        encoded = urllib.parse.quote(zone, safe="", errors="surrogateescape")
+        path = f"{operator_calls.EVACUATIONS_PATH}/{encoded}"
         self.call(method, path)
         state = "evacuated" if is_evacuated else "in use"
         self.print_result(
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -446,6 +446,17 @@
     run(tmp_path, scenario)
 
 
+# Guards against a command that ends with a traceback instead of the control VM's refusal.
+def test_command_line_reports_zone_that_is_not_utf_8(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        unknown = await run_command(controls, "evacuate", "zone-\udcff")
+        assert unknown.returncode == 2, unknown.stderr
+        assert "xff" in unknown.stderr and "known: zone-a, zone-b" in unknown.stderr
+
+    run(tmp_path, scenario, 1)
+
+
 # Guards against an operator who is not told why a call is refused during an upgrade.
 def test_command_line_reports_member_of_older_build(tmp_path):
     async def scenario(controls):
