--- a/src/merlinthread/cli/base.py
+++ b/src/merlinthread/cli/base.py
@@ -1,6 +1,7 @@
 """Base class and common options of the commands."""
 
 import json
+import math
 import sys
 from typing import Any
 
@@ -63,8 +64,10 @@
         try:
             timeout_s = float(self.option("timeout-s"))
         except ValueError:
+            timeout_s = math.nan
+        if not 0 < timeout_s < math.inf:
             raise errors.RequestError(
-                f"--timeout-s: {self.option('timeout-s')!r} is not a number of seconds"
+                f"--timeout-s: {self.option('timeout-s')!r} is not a number of seconds above 0"
             )
         return client.ControlClient(client.parse_addresses(self.option("controls")), timeout_s)
 
--- a/tests/test_input_validation.py
+++ b/tests/test_input_validation.py
@@ -206,3 +206,11 @@
     )
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
     assert loaded.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize("timeout_s", ["nan", "inf", "-1", "0", "soon"])
+def test_the_command_line_refuses_a_time_limit_that_would_never_end(timeout_s):
+    arguments = ["status", "--controls", "127.0.0.1:1", f"--timeout-s={timeout_s}"]
+    done = run_module("merlinthread.cli.main", *arguments)
+    assert "--timeout-s" in done.stderr and done.returncode != 0
+    assert "Traceback" not in done.stderr
