--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -18,6 +18,8 @@
 BORN_MS_MAX = 4_102_444_800_000
 # The end of a `msgspec` error, which names the field, such as "at `$.routes[0].name`".
 FIELD_PATH = re.compile(r"at `\$\.?(.+)`$")
+# `msgspec` raises RecursionError for values that are nested too deeply, also in unknown fields.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 HEARTBEAT_STATES = {"ready": fleet.READY, "draining": fleet.DRAINING}
 
 
@@ -189,10 +191,11 @@
     """Parse a configuration; raise ConfigurationError, which names the field, if it is invalid."""
     try:
         decoded = CONFIGURATION_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         field = field_of(error)
-        remedy = f"; correct {field}" if field else ""
-        raise errors.ConfigurationError(f"invalid configuration: {error}{remedy}", field=field)
+        raise errors.ConfigurationError(
+            f"invalid configuration: {error}; {remedy_for(field)}", field=field
+        )
     limits = fleet.ClientLimits(
         decoded.limits.max_header_bytes,
         decoded.limits.max_body_bytes,
@@ -214,6 +217,11 @@
     return match[1] if match is not None else ""
 
 
+def remedy_for(field: str) -> str:
+    """Return what to do about a decoding error, which names `field` if it is not empty."""
+    return f"correct {field}" if field else "send valid JSON in UTF-8"
+
+
 def convert_route(body: RouteBody) -> fleet.Route:
     """Convert a route to its internal type."""
     if body.traffic_split is not None:
@@ -282,7 +290,7 @@
     for entry in entries:
         try:
             models.append(LOADED_MODEL_DECODER.decode(entry))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             record_unreadable("models", bytes(entry)[:80], str(error))
     if layers is None:
         return [fleet.Weights(model.name, model.version) for model in models]
@@ -367,5 +375,5 @@
     """Decode a JSON body; raise ProtocolError if it is invalid."""
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise errors.ProtocolError(f"invalid body: {error}")
--- a/src/merlinthread/platform/settings_file.py
+++ b/src/merlinthread/platform/settings_file.py
@@ -27,7 +27,7 @@
     budget_window_s: float = 10.0
     budget_slack: float = 100.0
     pass_ms: float = 120.0
-    evacuate_ms: float = 5000.0
+    evacuate_ms: Annotated[float, msgspec.Meta(ge=0)] = 5000.0
     cold_overage: Annotated[float, msgspec.Meta(ge=0)] | None = None
     cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
@@ -77,8 +77,9 @@
         body = msgspec.json.decode(path.read_bytes(), type=SettingsBody)
     except OSError as error:
         raise errors.SettingsError(f"{path}: {error.strerror}; set the path of a readable file")
-    except msgspec.DecodeError as error:
-        raise errors.SettingsError(f"{path}: {error}; correct the file")
+    except bodies.DECODE_ERRORS as error:
+        field = bodies.field_of(error)
+        raise errors.SettingsError(f"{path}: {error}; correct {field or 'the file'}", field=field)
     settings = translate(body)
     settings.policy = policy or node_policy.NodePolicy()
     return settings
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -227,9 +227,8 @@
         headers: dict[str, str],
     ) -> None:
         """Send numbered events, starting after the client's Last-Event-ID."""
-        first = int(headers.get("last-event-id", "0")) + 1
-        if self.behaviour.ignores_last_event_id:
-            first = 1
+        is_ignored = self.behaviour.ignores_last_event_id
+        first = 1 if is_ignored else int(headers.get("last-event-id", "0")) + 1
         exchange.start_response(200, [*response_headers, (b"Content-Type", b"text/event-stream")])
         for sent_count, number in enumerate(range(first, self.behaviour.events + 1)):
             if sent_count == self.behaviour.cut_after_events:
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -363,6 +363,25 @@
     asyncio.run(scenario())
 
 
+# Guards against an id that ends the request with an error of this entry.
+@pytest.mark.parametrize(
+    ("last_event_id", "expected"),
+    [("\u0663", [1, 2, 3]), ("9" * 5000, []), ("0" * 5000 + "2", [3])],
+    ids=["no number", "5,000 digits", "5,000 zeros"],
+)
+def test_client_may_send_any_last_event_id(last_event_id, expected):
+    async def scenario():
+        entry, (worker,), _ = await make_entry("model", 1, "m")
+        worker.behaviour.events = 3
+        worker.behaviour.ignores_last_event_id = True
+        headers = STREAM | {"last_event_id": last_event_id}
+        response = await entry.request("/model/", "id-1", **headers)
+        assert (response.status, event_ids(response.body)) == (200, expected)
+        assert worker.runs[0].headers["last-event-id"] == last_event_id
+
+    asyncio.run(scenario())
+
+
 def test_safe_request_that_may_have_run_is_not_reported_as_not_run():
     async def scenario():
         entry, (lost, full), _ = await make_entry("safe", 2)
