Soak test with allowed regions, evacuations and cold back ends

The soak test covered none of the three. `python -m bench soak_placement` is the same run in four zones of two regions, with an agent process beside each engine, a route and an account with allowed regions, evacuations that overlap the other faults, one evacuation that lasts until the end, and back ends that become cold under load or return cold after an evacuation.

- no back end outside the allowed regions gets a request;
- none in an evacuated zone gets one from `evacuate_ms` after the acknowledgement until the withdrawal is called (entries that were stopped, suspended or started within that time are left out);
- `GET /evacuations` agrees with the acknowledged calls, and the evacuation of an unknown zone is never acknowledged;
- no cold back end gets more than its bound in a window of a second; windows that begin with a stall of the harness are shortened by it.

The seeds of `bench soak` draw the same faults as before: the new kinds belong to a class of their own, and the base class draws nothing more.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,8 @@
     "soak_faults",
     "soak_fleet",
     "soak_limits",
+    "soak_cold",
+    "soak_evacuations",
     "soak_nodes",
     "soak_signals",
     "swarm",
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import tempfile
+from collections.abc import Callable
 
 from bench import measure, soak_faults, soak_fleet, soak_limits, soak_nodes, soak_signals
 from merlinthread import errors
@@ -37,6 +38,8 @@
     reads: int = 0
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
     violations: list[str] = dataclasses.field(default_factory=list)
+    # Further counts of a derived run.
+    figures: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Soak:
@@ -47,8 +50,8 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
-        self.fleet = soak_fleet.SoakFleet(folder)
-        self.fault_injector = soak_faults.FaultInjector(self.fleet, self.rng, kinds)
+        self.fleet = self.make_fleet(folder)
+        self.fault_injector = self.make_fault_injector(kinds)
         self.sequences: collections.Counter = collections.Counter()
         self.soak_result = SoakResult()
         self.version = 0
@@ -59,6 +62,14 @@
         self.limit_checker = soak_limits.LimitChecker(self.signal_checker)
         self.fault_injector.limit_checker = self.limit_checker
 
+    def make_fleet(self, folder: pathlib.Path) -> soak_fleet.SoakFleet:
+        """Return the fleet of the run, which is not started."""
+        return soak_fleet.SoakFleet(folder)
+
+    def make_fault_injector(self, kinds: tuple[str, ...]) -> soak_faults.FaultInjector:
+        """Return the injector of the run's faults."""
+        return soak_faults.FaultInjector(self.fleet, self.rng, kinds)
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats of all workers until cancelled."""
         while True:
@@ -73,17 +84,21 @@
         Return whether it was acknowledged.
         """
         self.sequences[worker.instance] += 1
-        body = {
+        body = self.heartbeat_body(worker)
+        status, _ = await self.call_control("PUT", f"/instances/{worker.instance}", body, ip)
+        return status == 200
+
+    def heartbeat_body(self, worker: fleet_worker.Worker) -> dict:
+        """Return the body of a worker's next heartbeat."""
+        return {
             "service": self.fleet.workers.get(worker, "safe"),
             "address": worker.address,
-            "zone": "zone-a",
+            "zone": worker.zone,
             "slots": 8,
             "state": "ready",
             "sequence": self.sequences[worker.instance],
             "models": [{"name": "m", "version": worker.version}] if worker.model else [],
         }
-        status, _ = await self.call_control("PUT", f"/instances/{worker.instance}", body, ip)
-        return status == 200
 
     async def call_control(
         self, method: str, path: str, body: dict | None = None, ip: str = ""
@@ -154,15 +169,16 @@
         """Return the IP of the entry for a client's next request."""
         return self.rng.choice(soak_nodes.ENTRY_IPS)
 
-    async def send_request(self, service: str) -> bool:
+    async def send_request(self, service: str, key: str = "key-1") -> bool:
         """Send a request and check its response; return whether it was served."""
         self.request_count += 1
         request_id = f"r{self.request_count}"
+        self.record_request(request_id, service, key)
         headers = [
             (b"Host", b"h.example"),
             (b"X-Merlinthread-Request-Id", request_id.encode()),
             (b"X-Merlinthread-Deadline-Ms", b"2500"),
-            (b"Api-Key", b"key-1"),
+            (b"Api-Key", key.encode()),
             (b"content-length", b"0"),
         ]
         if service == "model":
@@ -181,6 +197,9 @@
         self.signal_checker.record_response(entry_ip, response)
         return self.check_response(service, request_id, response)
 
+    def record_request(self, request_id: str, service: str, key: str) -> None:
+        """Record what a request may do, for further checks of a derived run."""
+
     def check_response(
         self, service: str, request_id: str, response: http_messages.Response
     ) -> bool:
@@ -286,7 +305,11 @@
 
 
 def run_seed(
-    seed: int, seconds: float, keep: pathlib.Path | None = None, kinds: tuple[str, ...] = ()
+    seed: int,
+    seconds: float,
+    keep: pathlib.Path | None = None,
+    kinds: tuple[str, ...] = (),
+    make_soak: Callable[..., Soak] = Soak,
 ) -> SoakResult:
     """Run one seed with faults of `kinds`, by default those in `soak_faults.DEFAULT_KINDS`.
 
@@ -294,33 +317,37 @@
     """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        result = asyncio.run(Soak(seed, seconds, folder, kinds).run())
+        result = asyncio.run(make_soak(seed, seconds, folder, kinds).run())
         if result.violations and keep is not None:
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
     return result
 
 
-def main(arguments: list[str]) -> int:
+def main(
+    arguments: list[str],
+    name: str = "soak",
+    make_soak: Callable[..., Soak] = Soak,
+    kinds: tuple[str, ...] = tuple(soak_faults.FAULTS.entries),
+) -> int:
     """Run a range of seeds; return 1 if any of them violated an invariant."""
-    parser = argparse.ArgumentParser(prog="python -m bench soak")
+    parser = argparse.ArgumentParser(prog=f"python -m bench {name}")
     parser.add_argument("--seed", type=int, default=random.randrange(10**6))
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs of failed seeds")
-    parser.add_argument(
-        "--faults", nargs="+", choices=list(soak_faults.FAULTS), default=(), metavar="KIND"
-    )
+    parser.add_argument("--faults", nargs="+", choices=kinds, default=(), metavar="KIND")
     options = parser.parse_args(arguments)
     violations: dict[int, list[str]] = {}
     for seed in range(options.seed, options.seed + options.seeds):
-        result = run_seed(seed, options.seconds, options.keep, tuple(options.faults))
+        result = run_seed(seed, options.seconds, options.keep, tuple(options.faults), make_soak)
         print(
             f"seed {seed}: {result.answered} of {result.sent} answered, {result.refused} refused,"
             f" {result.failed} failed, {result.acknowledged} configurations, {result.reads} reads,"
-            f" faults {result.faults}, violations {result.violations}",
+            f" faults {result.faults}, {result.figures or 'no further figures'},"
+            f" violations {result.violations}",
             flush=True,
         )
         if result.violations:
             violations[seed] = result.violations
     figures = {"seeds": options.seeds, "first": options.seed, "broken": violations}
-    return measure.print_results("soak", figures) or (1 if violations else 0)
+    return measure.print_results(name, figures) or (1 if violations else 0)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -67,13 +67,17 @@
             if kind == "replace_control" and not self.may_replace_control():
                 continue
             self.injected[kind] += 1
-            task = asyncio.create_task(FAULTS.get(kind)(self))
+            task = asyncio.create_task(self.inject(kind))
             self.open_faults.add(task)
             task.add_done_callback(self.open_faults.discard)
             if self.rng.random() < 0.7:
                 # The end of the run must not interrupt a fault before it is healed.
                 await asyncio.shield(task)
 
+    async def inject(self, kind: str) -> None:
+        """Inject one fault, and return once it is healed."""
+        await FAULTS.get(kind)(self)
+
     async def wait_until_healed(self) -> None:
         """Wait until all injected faults have ended."""
         await asyncio.gather(*self.open_faults)
@@ -240,6 +244,7 @@
         new = fleet_worker.Worker(f"{old.instance}x", old.model)
         new.runs = old.runs
         new.refusals = old.refusals
+        new.zone = old.zone
         await self.fleet.start_worker(new)
         self.fleet.workers[new] = service
 
--- /dev/null
+++ b/bench/soak_placement.py
@@ -0,0 +1,333 @@
+"""Soak test with allowed regions, evacuations of zones, and cold back ends.
+
+`python -m bench soak_placement --seed N --seconds S --seeds COUNT`. Two regions have four zones.
+Engines run beside an agent, which is a process as the other nodes are. Workers have no proxy links,
+whose threads would delay arrivals.
+"""
+
+import asyncio
+import json
+import math
+import pathlib
+
+from bench import soak, soak_cold, soak_evacuations, soak_faults, soak_fleet, soak_nodes
+from stand_ins import fleet_worker
+
+REGIONS = {"zone-a": "home", "zone-b": "home", "zone-c": "away", "zone-d": "home"}
+# Zones that are evacuated for a while, and one that stays so once it is.
+CHANGING_ZONES = ("zone-b", "zone-c")
+LASTING_ZONE = "zone-d"
+PLACES = [
+    *(("safe", zone) for zone in REGIONS),
+    *(("unsafe", zone) for zone in ("zone-a", "zone-b", "zone-c")),
+    *(("model", zone) for zone in ("zone-a", "zone-b")),
+]
+# The regions allowed by a route and by an account; none is a restriction to no region.
+ROUTE_REGIONS = {"away-only": ["away"]}
+ACCOUNT_REGIONS = {"key-2": ["home"]}
+ENGINE_IPS = tuple(f"{soak_nodes.NETWORK}.{number}" for number in (21, 22))
+REQUEST_INTERVAL_S = 0.012
+# How long operators repeat a call, and how often evacuations are read.
+CALL_S = 5.0
+READ_INTERVAL_S = 0.2
+HOLD_S = (soak_evacuations.EVACUATE_S + 1.0, soak_evacuations.EVACUATE_S + 3.0)
+COLD_S = (soak_cold.KNOWN_S + 3.0, soak_cold.KNOWN_S + 5.0)
+KINDS = (
+    "evacuate",
+    "become_cold",
+    "return_cold",
+    "kill",
+    "freeze",
+    "stop",
+    "stop_control",
+    "kill_controls",
+    "replace_control",
+    "misbehave",
+)
+
+
+class PlacementFleet(soak_fleet.SoakFleet):
+    """The fleet of the soak test in several zones, with an agent beside each engine."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        super().__init__(folder)
+        self.workers = {}
+        engine_ips = iter(ENGINE_IPS)
+        self.engine_ips: dict[fleet_worker.Worker, str] = {}
+        for service, zone in PLACES:
+            worker = fleet_worker.Worker(f"{service}-{zone}", "m" if service == "model" else "")
+            worker.zone = zone
+            self.workers[worker] = service
+            if service == "model":
+                self.engine_ips[worker] = ip = next(engine_ips)
+                self.nodes.append(self.make_node("agent", ip))
+
+    def make_node(self, role: str, ip: str) -> soak_nodes.Node:
+        """Return a new node that is not started."""
+        node = super().make_node(role, ip)
+        node.extra_settings = {
+            "zones": REGIONS,
+            "region": REGIONS["zone-a"],
+            "bounds": {
+                "grace_s": 4,
+                "catch_up_s": soak_nodes.CATCH_UP_S,
+                "evacuate_ms": 1000 * soak_evacuations.EVACUATE_S,
+                "cold_overage": soak_cold.OVERAGE,
+                "cold_slack": soak_cold.SLACK,
+            },
+        }
+        return node
+
+    async def start_worker(self, worker: fleet_worker.Worker) -> None:
+        """Start a worker; an engine gets its agent's IP and is added to the agent's settings."""
+        worker.behaviour.events = soak_fleet.EVENT_COUNT
+        await worker.start(self.engine_ips.get(worker, "127.0.0.1"))
+        for node in self.nodes:
+            if node.ip == self.engine_ips.get(worker):
+                node.extra_settings |= {
+                    "zone": worker.zone,
+                    "app": worker.address,
+                    "service": "model",
+                }
+
+
+class PlacementFaults(soak_faults.FaultInjector):
+    """The faults of a run, with evacuations and cold back ends among them."""
+
+    def __init__(self, run: "PlacementSoak", kinds: tuple[str, ...]) -> None:
+        super().__init__(run.fleet, run.rng, kinds or KINDS)
+        self.run_of_faults = run
+        self.busy_zones: set[str] = set()
+
+    async def inject(self, kind: str) -> None:
+        """Inject one fault; those of placement are healed in the background."""
+        own = {
+            "evacuate": self.evacuate,
+            "become_cold": self.become_cold,
+            "return_cold": self.return_cold,
+        }
+        if kind not in own:
+            await super().inject(kind)
+            return
+        # In the background, so that other faults happen meanwhile.
+        task = asyncio.create_task(own[kind]())
+        self.open_faults.add(task)
+        task.add_done_callback(self.open_faults.discard)
+
+    async def evacuate(self, is_cold: bool = False) -> None:
+        """Evacuate a zone and withdraw that; with `is_cold`, its workers are cold after it."""
+        free = [zone for zone in CHANGING_ZONES if zone not in self.busy_zones]
+        if not free:
+            return
+        zone = self.rng.choice(free)
+        self.busy_zones.add(zone)
+        run, now = self.run_of_faults, asyncio.get_running_loop().time
+        evacuation = await run.evacuate(zone)
+        await asyncio.sleep(self.rng.uniform(*HOLD_S))
+        if is_cold:
+            duration_s = self.rng.uniform(*COLD_S)
+            for worker in run.fleet.workers:
+                if worker.zone == zone:
+                    run.cold_checker.begin(worker, now(), duration_s)
+            # The zone's back ends are known to be cold when they return.
+            await asyncio.sleep(soak_cold.KNOWN_S)
+        await run.withdraw(evacuation)
+        self.busy_zones.discard(zone)
+
+    async def return_cold(self) -> None:
+        """Let all back ends of a zone be cold when its evacuation is withdrawn."""
+        await self.evacuate(is_cold=True)
+
+    async def become_cold(self) -> None:
+        """Let one or all back ends of a service become cold while they serve requests."""
+        run, now = self.run_of_faults, asyncio.get_running_loop().time
+        service = self.rng.choice(("safe", "model"))
+        workers = [worker for worker, of in run.fleet.workers.items() if of == service]
+        if self.rng.random() < 0.5:
+            workers = [self.rng.choice(workers)]
+        duration_s = self.rng.uniform(*COLD_S)
+        for worker in workers:
+            if not run.cold_checker.remaining_ms(worker, now()):
+                run.cold_checker.begin(worker, now(), duration_s)
+        await asyncio.sleep(duration_s)
+
+
+class PlacementSoak(soak.Soak):
+    """A run with one seed."""
+
+    def __init__(
+        self, seed: int, seconds: float, folder: pathlib.Path, kinds: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(seed, seconds, folder, kinds)
+        self.cold_checker = soak_cold.ColdChecker()
+        self.evacuation_checker = soak_evacuations.EvacuationChecker(self.signal_checker)
+        # The regions in which each restricted request may run.
+        self.allowed: dict[str, frozenset[str]] = {}
+
+    def make_fleet(self, folder: pathlib.Path) -> soak_fleet.SoakFleet:
+        """Return the fleet of the run, which is not started."""
+        return PlacementFleet(folder)
+
+    def make_fault_injector(self, kinds: tuple[str, ...]) -> soak_faults.FaultInjector:
+        """Return the injector of the run's faults."""
+        return PlacementFaults(self, kinds)
+
+    def make_configuration(self, version: int) -> dict:
+        """Return the configuration that the operator sends as `version`."""
+        body = soak_nodes.make_configuration(version, ("key-1", "key-2"))
+        restricted = body["routes"][0] | {"name": "r-away", "path_prefix": "/away-only/"}
+        body["routes"].append(restricted | {"allowed_regions": ROUTE_REGIONS["away-only"]})
+        body["tenants"][1]["allowed_regions"] = ACCOUNT_REGIONS["key-2"]
+        for service in body["services"]:
+            if service["name"] != "unsafe":
+                service |= {"cold_per_s": soak_cold.COLD_PER_S, "cold_start_s": 2.0}
+        return body
+
+    def heartbeat_body(self, worker: fleet_worker.Worker) -> dict:
+        """Return the body of a worker's next heartbeat, which says how long it is cold."""
+        now = asyncio.get_running_loop().time()
+        # A fault may have replaced the behaviour.
+        self.cold_checker.update(worker, now)
+        remaining_ms = self.cold_checker.remaining_ms(worker, now)
+        return super().heartbeat_body(worker) | {"cold_remaining_ms": remaining_ms}
+
+    def record_request(self, request_id: str, service: str, key: str) -> None:
+        """Record the regions in which a request may run."""
+        lists = [ROUTE_REGIONS.get(service), ACCOUNT_REGIONS.get(key)]
+        sets = [frozenset(regions) for regions in lists if regions is not None]
+        if sets:
+            self.allowed[request_id] = frozenset.intersection(*sets)
+
+    async def run_clients(self) -> None:
+        """Send concurrent client requests until cancelled."""
+        services = ("safe", "safe", "unsafe", "model", "model", "away-only")
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / REQUEST_INTERVAL_S))
+            key = self.rng.choice(("key-1", "key-1", "key-2"))
+            asyncio.create_task(self.send_request(self.rng.choice(services), key))
+
+    async def run_scenario(self) -> None:
+        """Run the scenario of the soak test beside the readers of evacuations."""
+        tasks = [
+            asyncio.create_task(self.read_evacuations()),
+            asyncio.create_task(self.evacuate_lastingly()),
+            asyncio.create_task(self.cold_checker.watch_stalls()),
+        ]
+        try:
+            await super().run_scenario()
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def run(self) -> soak.SoakResult:
+        """Start the fleet, run the soak, and return its results."""
+        result = await super().run()
+        evacuations = self.evacuation_checker.evacuations
+        result.figures = {
+            "restricted requests": len(self.allowed),
+            "evacuations": len(evacuations),
+            "acknowledged": sum(e.acknowledged_at < math.inf for e in evacuations),
+            "cold windows": self.cold_checker.counted_windows,
+            "skipped cold windows": self.cold_checker.skipped_windows,
+            "fullest cold window": self.cold_checker.largest,
+        }
+        return result
+
+    async def evacuate_lastingly(self) -> None:
+        """Evacuate a zone amid the faults, until the end of the run."""
+        await asyncio.sleep(self.seconds / 4)
+        evacuation = await self.evacuate(LASTING_ZONE)
+        if evacuation.acknowledged_at == math.inf:
+            await self.call_until_acknowledged("POST", LASTING_ZONE, math.inf)
+            evacuation.acknowledged_at = asyncio.get_running_loop().time()
+
+    async def evacuate(self, zone: str) -> soak_evacuations.Evacuation:
+        """Evacuate a zone, repeating the call as operators do; it may stay unacknowledged."""
+        now = asyncio.get_running_loop().time
+        evacuation = soak_evacuations.Evacuation(zone, now())
+        self.evacuation_checker.evacuations.append(evacuation)
+        if await self.call_until_acknowledged("POST", zone, CALL_S):
+            evacuation.acknowledged_at = now()
+        return evacuation
+
+    async def withdraw(self, evacuation: soak_evacuations.Evacuation) -> None:
+        """Withdraw an evacuation, repeating the call until it is acknowledged."""
+        now = asyncio.get_running_loop().time
+        evacuation.withdrawal_called_at = now()
+        await self.call_until_acknowledged("DELETE", evacuation.zone, math.inf)
+        evacuation.withdrawn_at = now()
+
+    async def call_until_acknowledged(self, method: str, zone: str, within_s: float) -> bool:
+        """Repeat a call, each time to a random control VM; return whether it was acknowledged."""
+        now = asyncio.get_running_loop().time
+        deadline = now() + within_s
+        while now() < deadline:
+            status, _ = await self.call_control(method, f"/evacuations/{zone}")
+            if status == 200:
+                return True
+            if 400 <= status < 500:
+                self.record_violation(f"{method} of {zone} was rejected with status {status}")
+                return False
+            await asyncio.sleep(0.1)
+        return False
+
+    async def read_evacuations(self) -> None:
+        """Read the evacuated zones and call an unknown one, until cancelled."""
+        while True:
+            await asyncio.sleep(READ_INTERVAL_S)
+            await self.read_evacuated()
+            status, _ = await self.call_control("POST", "/evacuations/zone-unknown")
+            if 200 <= status < 300:
+                self.record_violation("the evacuation of an unknown zone was acknowledged")
+
+    async def read_evacuated(self) -> bool:
+        """Read and check the evacuated zones; return whether the read succeeded."""
+        now = asyncio.get_running_loop().time
+        since = now()
+        status, body = await self.call_control("GET", "/evacuations")
+        if status != 200:
+            return False
+        zones = json.loads(body)["zones"]
+        for text in self.evacuation_checker.check_reading(zones, since, now()):
+            self.record_violation(text)
+        return True
+
+    async def wait_until_served(self, when: str) -> None:
+        """Wait until reads and requests succeed, and evacuations can be read."""
+        await super().wait_until_served(when)
+        deadline = asyncio.get_running_loop().time() + soak_fleet.RECOVERY_TIMEOUT_S
+        while not await self.read_evacuated():
+            if asyncio.get_running_loop().time() > deadline:
+                self.record_violation(f"{when}: evacuations were not read")
+                return
+            await asyncio.sleep(0.1)
+
+    def check_invariants(self) -> None:
+        """Check the requests that reached workers."""
+        super().check_invariants()
+        workers = list(self.fleet.workers)
+        for text in [
+            *self.evacuation_checker.violations(workers),
+            *self.cold_checker.violations(),
+            *self.requests_outside_regions(),
+        ]:
+            self.record_violation(text)
+        if not any(e.zone == LASTING_ZONE for e in self.evacuation_checker.evacuations):
+            self.record_violation("the lasting evacuation was never called")
+
+    def requests_outside_regions(self) -> list[str]:
+        """Describe the requests that reached a worker outside their allowed regions."""
+        found = []
+        for worker in self.fleet.workers:
+            arrivals = [run.request_id for run in worker.runs]
+            arrivals += [refusal.request_id for refusal in worker.refusals]
+            for request_id in arrivals:
+                allowed = self.allowed.get(request_id)
+                if allowed is not None and REGIONS[worker.zone] not in allowed:
+                    found.append(f"{request_id} reached {worker.instance}, allowed {set(allowed)}")
+        return found
+
+
+def main(arguments: list[str]) -> int:
+    """Run a range of seeds; return 1 if any of them violated an invariant."""
+    return soak.main(arguments, "soak_placement", PlacementSoak, KINDS)
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -110,6 +110,7 @@
         self.is_busy = False
         self.server = stream_server.Server(self.serve)
         self.address = ""
+        self.zone = "zone-a"
         self.running = 0
         self.refusals: list[Refusal] = []
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench import soak
+from bench import soak, soak_placement
 
 # Seeds that failed before, each with the fault that it found.
 REGRESSION_SEEDS: dict[int, str] = {
@@ -38,3 +38,13 @@
     result = soak.run_seed(3, 12.0, tmp_path, fault_kinds)
     assert result.violations == [], f"logs are in {tmp_path}"
     assert result.faults["name_limit"] > 0
+
+
+# Guards against requests outside their allowed regions, against requests to an evacuated zone or
+# evacuations that are lost, and against bursts at cold back ends, while nodes are lost.
+def test_allowed_regions_evacuations_and_cold_limits_hold_under_faults(tmp_path):
+    kinds = ("evacuate", "return_cold", "become_cold", "kill", "kill_controls", "stop", "freeze")
+    result = soak.run_seed(6005, 18.0, tmp_path, kinds, soak_placement.PlacementSoak)
+    assert result.violations == [], f"logs are in {tmp_path}"
+    assert result.answered > 100 and result.figures["restricted requests"] > 100
+    assert result.figures["acknowledged"] > 1 and result.faults.keys() & {"kill", "kill_controls"}
