Soak: exceptions that no code handles are violations

A node that ends by an exception is started again by the run, and a request that ends by one counts as failed, so neither was noticed. The run with allowed regions, evacuations and cold back ends searches the nodes' logs for them.

--- a/bench/soak_placement.py
+++ b/bench/soak_placement.py
@@ -32,6 +32,8 @@
 READ_INTERVAL_S = 0.2
 HOLD_S = (soak_evacuations.EVACUATE_S + 1.0, soak_evacuations.EVACUATE_S + 3.0)
 COLD_S = (soak_cold.KNOWN_S + 3.0, soak_cold.KNOWN_S + 5.0)
+# Events of the log with an exception that no code handles, and the header of Python's own output.
+UNEXPECTED_EVENTS = ("handler_failed", "task_ended", "Traceback (most recent call last)")
 KINDS = (
     "evacuate",
     "become_cold",
@@ -310,6 +312,7 @@
             *self.evacuation_checker.violations(workers),
             *self.cold_checker.violations(),
             *self.requests_outside_regions(),
+            *self.unexpected_errors(),
         ]:
             self.record_violation(text)
         if not any(e.zone == LASTING_ZONE for e in self.evacuation_checker.evacuations):
@@ -327,6 +330,18 @@
                     found.append(f"{request_id} reached {worker.instance}, allowed {set(allowed)}")
         return found
 
+    def unexpected_errors(self) -> list[str]:
+        """Describe the exceptions in the nodes' logs that no code handles.
+
+        A node that ends by one is restarted by the run, so that nothing else shows it.
+        """
+        found = []
+        for path in sorted(self.fleet.folder.glob("*.log")):
+            for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+                if any(name in line for name in UNEXPECTED_EVENTS):
+                    found.append(f"{path.name}: {line[:200]}")
+        return found
+
 
 def main(arguments: list[str]) -> int:
     """Run a range of seeds; return 1 if any of them violated an invariant."""
