Dispatch: the estimates of waits in a module of their own

No change of behaviour. Tests of shares, entry node, fleet coordination, admission, layers: passed; they import the new module where they name moved functions.

--- a/src/merlinthread/coordination/admission.py
+++ b/src/merlinthread/coordination/admission.py
@@ -14,7 +14,7 @@
 import random
 from collections.abc import Sequence
 
-from merlinthread.coordination import dispatch
+from merlinthread.coordination import expected_wait
 
 # Share of a route's objective that a request may be queued before it is refused. Its client loses
 # less than an eighth of the objective.
@@ -68,10 +68,10 @@
     its requests are refused before any others have to be. Latency that is no queueing is left as it
     is.
     """
-    queueing_s = wait_max_s - dispatch.BASE_LATENCY_S
+    queueing_s = wait_max_s - expected_wait.BASE_LATENCY_S
     if not is_over_share or queueing_s <= 0:
         return wait_max_s
-    return dispatch.BASE_LATENCY_S + OVER_SHARE_WAIT_SHARE * queueing_s
+    return expected_wait.BASE_LATENCY_S + OVER_SHARE_WAIT_SHARE * queueing_s
 
 
 def is_last_try(remaining_s: float | None, timeout_s: float) -> bool:
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from merlinthread.coordination import account_shares, admission, dispatch
+from merlinthread.coordination import account_shares, admission, expected_wait
 
 ENGINES = 6
 REQUEST_TOKENS = 100.0
@@ -74,9 +74,9 @@
         self.asked[account] += 1
         self.marked[account] += is_over
         limit_s = admission.wait_limit_s(
-            WAIT_LIMIT_S + dispatch.BASE_LATENCY_S, is_over and self.is_shared
+            WAIT_LIMIT_S + expected_wait.BASE_LATENCY_S, is_over and self.is_shared
         )
-        if best.queued / ENGINE_TOKENS_PER_S + dispatch.BASE_LATENCY_S > limit_s:
+        if best.queued / ENGINE_TOKENS_PER_S + expected_wait.BASE_LATENCY_S > limit_s:
             return False
         best.queued += tokens
         best.shares.record_served(account, tokens, now)
@@ -200,7 +200,7 @@
 
 
 def test_wait_limit_is_reduced_over_the_share_only():
-    base_s = dispatch.BASE_LATENCY_S
+    base_s = expected_wait.BASE_LATENCY_S
     assert admission.wait_limit_s(0.4, False) == 0.4
     assert base_s < admission.wait_limit_s(0.4, True) < 0.2
     # Less time than the latency of an idle engine is left as it is.
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -8,7 +8,14 @@
 import pytest
 
 from merlinthread import errors, logs
-from merlinthread.coordination import admission, dispatch, fleet, load_tracker, reload_schedule
+from merlinthread.coordination import (
+    admission,
+    dispatch,
+    expected_wait,
+    fleet,
+    load_tracker,
+    reload_schedule,
+)
 from merlinthread.nodes import attempts
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
@@ -120,7 +127,7 @@
         entry, (worker,), _ = await make_entry("model", 1, "m")
         backend = entry.node.pool.backends[worker.instance]
         # The expected first byte, 0.31 s, is above the admission share of the objective of 0.4 s.
-        unread = 100_000 * (0.31 - dispatch.BASE_LATENCY_S)
+        unread = 100_000 * (0.31 - expected_wait.BASE_LATENCY_S)
         report = fleet.EngineReport(weights=[fleet.Weights("m", 1, 16)])
         waits = []
         for number in range(8):
--- a/tests/test_fleet_coordination.py
+++ b/tests/test_fleet_coordination.py
@@ -9,6 +9,7 @@
 from merlinthread.coordination import (
     backend_record,
     dispatch,
+    expected_wait,
     fetch,
     fetch_policies,
     fleet,
@@ -345,7 +346,7 @@
     found = []
     for load in range(backend.slots - 2, backend.slots + 2):
         backend.in_flight = load
-        found.append(dispatch.expected_first_byte_s(backend, ENGINE, 0.0, 10.0))
+        found.append(expected_wait.expected_first_byte_s(backend, ENGINE, 0.0, 10.0))
     steps = [after - before for before, after in zip(found, found[1:], strict=False)]
     slot_wait_s = ENGINE.usual_response_tokens * ENGINE.step_s / backend.slots
     assert steps[0] < slot_wait_s < 2 * slot_wait_s < steps[1] == pytest.approx(steps[2])
