Admission: refuse at once what no chance can bring in time

While it is queued, its expected wait and its time fall alike. It is now refused with the first choice.

--- a/src/merlinthread/coordination/admission.py
+++ b/src/merlinthread/coordination/admission.py
@@ -29,6 +29,9 @@
 # Share of the queueing time that requests of an account over its share may use. The rest is kept
 # for the others.
 OVER_SHARE_WAIT_SHARE = 0.25
+# Factor of the longest wait above which a request is refused without being queued. While it is
+# queued, its expected wait and the time that it has left fall alike; only chance makes up for less.
+QUEUED_WAIT_FACTOR = 1.5
 # Time between two choices of a back end for a queued request that is not woken before.
 RETRY_INTERVAL_S = 0.05
 # By how much the level rises with a request that finds no place at once. An entry with three urgent
@@ -74,6 +77,14 @@
     return expected_wait.BASE_LATENCY_S + OVER_SHARE_WAIT_SHARE * queueing_s
 
 
+def is_worth_queueing(wait_s: float, wait_max_s: float) -> bool:
+    """Return whether a request may find a place in time while it is queued.
+
+    `wait_s` is the expected wait at the best back end, infinite if that is ejected.
+    """
+    return math.isinf(wait_s) or wait_s <= QUEUED_WAIT_FACTOR * wait_max_s
+
+
 def is_last_try(remaining_s: float | None, timeout_s: float) -> bool:
     """Return whether a client has so little time left that it was probably refused before.
 
--- a/src/merlinthread/nodes/backend_selection.py
+++ b/src/merlinthread/nodes/backend_selection.py
@@ -109,6 +109,10 @@
             if not is_queued and (choice is None or not self.is_admissible(choice, wait_max_s)):
                 self.record_no_place()
                 is_queued = True
+                if choice is not None and not admission.is_worth_queueing(
+                    choice.wait_s, wait_max_s
+                ):
+                    is_expired = self.may_refuse()
             if choice is not None and (is_expired or self.is_admissible(choice, wait_max_s)):
                 choice_with_permit = await self.with_permit(
                     self.admit(choice, wait_max_s), queue_deadline
@@ -286,6 +290,15 @@
             return False
         return not self.must_yield or choice.backend.has_free_slots(now)
 
+    def may_refuse(self) -> bool:
+        """Return whether the request may be refused because of a late first byte.
+
+        Only streaming requests are, and only if they have not run.
+        """
+        if self.history.may_have_run or self.exchange.is_started:
+            return False
+        return self.context.route.kind == fleet.STREAMING
+
     def record_no_place(self) -> None:
         """Record that no back end could take the request at once.
 
@@ -304,15 +317,12 @@
     def admit(self, choice: dispatch.Choice, wait_max_s: float) -> dispatch.Choice:
         """Return `choice` if the request is admitted; raise RequestError otherwise.
 
-        Only streaming requests are refused because of a late first byte, and only if they have not
-        run: another attempt would be late too, and delay those that can be in time. An ejected
-        back end is the last resort, unless it is known to be busy.
+        Another attempt of a request that a back end has refused would be late too, and delay those
+        that can be in time. An ejected back end is the last resort, unless it is known to be busy.
         """
         if self.is_admissible(choice, wait_max_s):
             return choice
-        if self.history.may_have_run or self.exchange.is_started:
-            return choice
-        if self.context.route.kind != fleet.STREAMING:
+        if not self.may_refuse():
             return choice
         is_ejected = choice.backend.is_ejected(self.clock())
         if is_ejected and choice.first_byte_s <= self.terms.objective_s:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 import pytest
@@ -294,3 +295,12 @@
     assert first.wait_max_s(NOW) < last.wait_max_s(NOW) < URGENT_OBJECTIVE_S
     assert admission.is_last_try(4.0, 6.0) and not admission.is_last_try(5.9, 6.0)
     assert not admission.is_last_try(None, 6.0)
+
+
+def test_request_that_no_chance_can_help_is_not_queued():
+    terms = admission.Terms(NOW, URGENT_OBJECTIVE_S)
+    wait_max_s = terms.wait_max_s(NOW)
+    assert not admission.is_worth_queueing(2.0, wait_max_s)
+    assert admission.is_worth_queueing(1.2 * wait_max_s, wait_max_s)
+    # An ejected back end has no expected wait, and others may come back.
+    assert admission.is_worth_queueing(math.inf, wait_max_s)
