--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -61,9 +61,10 @@
 
     `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
     the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
-    is set if the back end was doubtful when the attempt began. `account` and `cost_tokens` are the
-    client account and the expected tokens of prompt and response. `has_permit` is set if the agent
-    granted a permit for it.
+    is set if the back end was doubtful when the attempt began. `urgency` is None if the requests of
+    the service do not differ in it. `account` and `cost_tokens` are the client account and the
+    expected tokens of prompt and response. `has_permit` is set if the agent granted a permit for
+    it.
     """
 
     backend: backend_record.Backend
