--- a/bench/upgrade_builds.py
+++ b/bench/upgrade_builds.py
@@ -10,6 +10,7 @@
 
 # Commits of the last releases, newest first, which a fleet may run during an upgrade.
 RELEASED_COMMITS = (
+    "c365c9003983426b650a60b02c1ca0494f62b01c",
     "9ce909199521ee178d42170eff72cfa72cdee2df",
     "b3a75c218baaba0fef9623c118b8af7020052d67",
     "e50aefd424375498785de571c458026d0f940458",
