--- a/src/merlinthread/coordination/admission.py
+++ b/src/merlinthread/coordination/admission.py
@@ -32,9 +32,6 @@
 # Factor of the longest wait above which a request is refused without being queued. While it is
 # queued, its expected wait and the time that it has left fall alike; only chance makes up for less.
 QUEUED_WAIT_FACTOR = 1.5
-# Share of the remaining time for which a last try that can't be in time may be expected to wait in
-# the queue of an engine, behind all requests that can.
-LATE_WAIT_SHARE = 0.15
 # Time between two choices of a back end for a queued request that is not woken before.
 RETRY_INTERVAL_S = 0.05
 # By how much the level rises with a request that finds no place at once. An entry with three urgent
@@ -66,13 +63,6 @@
         share = LAST_TRY_FIRST_BYTE_SHARE if self.is_last_try else FIRST_BYTE_SHARE
         return self.arrived_at + share * self.objective_s - now
 
-    def late_wait_max_s(self, remaining_s: float) -> float:
-        """Return the longest expected wait at which it is admitted behind all others, in seconds.
-
-        `remaining_s` is the time until its deadline. Only a last try is: a refusal would be final.
-        """
-        return LATE_WAIT_SHARE * remaining_s if self.is_last_try else 0.0
-
 
 def wait_limit_s(wait_max_s: float, is_over_share: bool) -> float:
     """Return the longest expected wait at which a request is admitted, in seconds.
--- a/src/merlinthread/coordination/expected_wait.py
+++ b/src/merlinthread/coordination/expected_wait.py
@@ -41,9 +41,8 @@
         return response_s * (1 + waiting / max(1, backend.slots)) + running_s
     pass_s = engine.step_s * engine.steps_per_pass
     unread = backend.unread_tokens + estimate_others_unread(backend, engine, now)
-    if urgency is not None or backend.others_unread_by_urgency:
-        # Where requests do not differ otherwise, those that are late already are less urgent.
-        overtaken = overtaken_prompts(backend, urgency or 0, load, now)
+    if urgency is not None:
+        overtaken = overtaken_prompts(backend, urgency, load, now)
         unread = max(0.0, unread - overtaken.tokens)
         load -= overtaken.attempts
     unread_s = prompt_read_s(engine, unread + tokens)
--- a/src/merlinthread/nodes/backend_selection.py
+++ b/src/merlinthread/nodes/backend_selection.py
@@ -46,8 +46,6 @@
         self.cold_permit: permits.Permit | None = None
         # The part of the expected cost that has not been part of a choice yet.
         self.unasked_tokens = context.cost_tokens
-        # Whether the request waits behind all others in the engine's queue.
-        self.is_behind_others = False
         self.terms = self.admission_terms(table)
         # Whether the request is admitted only to a back end with room.
         self.must_yield = False
@@ -68,7 +66,7 @@
 
     def urgency(self) -> int | None:
         """Return the request's urgency, or None if the requests of its service do not differ."""
-        if not self.pool.has_several_urgencies(self.service) and not self.is_behind_others:
+        if not self.pool.has_several_urgencies(self.service):
             return None
         return self.context.urgency
 
@@ -326,32 +324,12 @@
             return choice
         if not self.may_refuse():
             return choice
-        if self.admit_behind_others(choice):
-            return choice
         is_ejected = choice.backend.is_ejected(self.clock())
         if is_ejected and choice.first_byte_s <= self.terms.objective_s:
             return choice
         reason = f"every back end is busy: {self.describe_choice(choice)}"
         raise self.history.unavailable(reason, self.retry_after_s(False))
 
-    def admit_behind_others(self, choice: dispatch.Choice) -> bool:
-        """Return whether the request is admitted late, behind all that can be in time.
-
-        From then on it has the least urgency. Where requests differ in urgency, the places that are
-        left belong to less urgent ones, which can still be in time.
-        """
-        if self.pool.has_several_urgencies(self.service):
-            return False
-        remaining_s = self.context.deadline - self.clock()
-        requirements = self.requirements()
-        requirements.urgency = route_table.URGENCY_MAX
-        wait_s = self.pool.evaluate(choice.backend, requirements).wait_s
-        if wait_s > self.terms.late_wait_max_s(remaining_s):
-            return False
-        self.context.urgency = route_table.URGENCY_MAX
-        self.is_behind_others = True
-        return True
-
     def retry_after_s(self, is_unavailable: bool) -> float:
         """Return the retry delay for a refusal, in seconds.
 
