--- a/src/merlinthread/nodes/backend_selection.py
+++ b/src/merlinthread/nodes/backend_selection.py
@@ -139,7 +139,10 @@
         A back end that failed or was silent lately would use up the attempt.
         """
         now = self.clock()
-        choice = await self.pool.choose(self.requirements(), self.context.deadline - now)
+        requirements = self.requirements()
+        # It may be late on its way to a busy VM, and would then begin on weights that have expired.
+        requirements.version = max(requirements.version, requirements.version_soon)
+        choice = await self.pool.choose(requirements, self.context.deadline - now)
         if choice is None or choice.backend.is_ejected(now):
             return None
         try:
