Soak of placement: every kind of fault comes once in a round

Cause: the kinds were drawn independently. No promise was broken.

Change: this soak draws rounds in which each kind comes once. Runs of the other soaks draw as before.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -61,9 +61,7 @@
         """Inject one fault after another, some of them overlapping, until cancelled."""
         while True:
             await asyncio.sleep(self.rng.uniform(0.3, 1.2))
-            kind = self.rng.choice(self.kinds)
-            if self.first_kind:
-                kind, self.first_kind = self.first_kind, ""
+            kind = self.next_kind()
             if kind == "replace_control" and not self.may_replace_control():
                 continue
             self.injected[kind] += 1
@@ -74,6 +72,13 @@
                 # The end of the run must not interrupt a fault before it is healed.
                 await asyncio.shield(task)
 
+    def next_kind(self) -> str:
+        """Return the kind of the next fault."""
+        kind = self.rng.choice(self.kinds)
+        if self.first_kind:
+            kind, self.first_kind = self.first_kind, ""
+        return kind
+
     async def inject(self, kind: str) -> None:
         """Inject one fault, and return once it is healed."""
         await FAULTS.get(kind)(self)
--- a/bench/soak_placement.py
+++ b/bench/soak_placement.py
@@ -100,6 +100,16 @@
         super().__init__(run.fleet, run.rng, kinds or KINDS)
         self.run_of_faults = run
         self.busy_zones: set[str] = set()
+        self.round: list[str] = []
+
+    def next_kind(self) -> str:
+        """Return the kind of the next fault; each kind comes once in a round of random order.
+
+        A short run on a busy machine has few faults, and independent draws would leave out kinds.
+        """
+        if not self.round:
+            self.round = self.rng.sample(self.kinds, len(self.kinds))
+        return self.round.pop()
 
     async def inject(self, kind: str) -> None:
         """Inject one fault; those of placement are healed in the background."""
