--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -504,7 +504,7 @@
         while isinstance(event := await self.stream_event(connection), h11.Data):
             skipped_bytes += len(event.data)
             for item in splitter.feed(bytes(event.data)):
-                self.pool.record_prompt_read(self.reservation)
+                self.pool.reservations.record_prompt_read(self.reservation)
                 if self.relay.is_new(item):
                     skipped_bytes = 0
                     self.on_data()
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -2,18 +2,15 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import itertools
 import random
 from collections.abc import Callable, Iterable
 
-from merlinthread import logs, metrics
+from merlinthread import metrics
 from merlinthread.coordination import (
     admission,
     allowed_regions,
     backend_availability,
     backend_record,
-    cold_limits,
     dispatch,
     expected_cost,
     fleet,
@@ -28,6 +25,7 @@
 from merlinthread.nodes import (
     backend_connections,
     cold_permits,
+    cold_starts,
     crash_detector,
     fleet_watcher,
     limit_reporter,
@@ -35,6 +33,7 @@
     memory_limits,
     node_settings,
     permits,
+    reservations,
     signal_recorder,
 )
 from merlinthread.protocol import node_messages
@@ -55,31 +54,6 @@
 VERSION_SOON_MARGIN_S = reload_schedule.EXPIRY_MARGIN_S + 1.5
 
 
-@dataclasses.dataclass(slots=True)
-class Reservation:
-    """The load that an attempt adds to a back end.
-
-    `tokens` is the length of its prompt, and `is_read` whether the prompt has been read. `agent` is
-    the address of the agent that counts the attempt, or empty if the back end has none. `is_trial`
-    is set if the back end was doubtful when the attempt began. `urgency` is None if the requests of
-    the service do not differ in it. `account` and `cost_tokens` are the client account and the
-    expected tokens of prompt and response. `has_permit` is set if the agent granted a permit for
-    it.
-    """
-
-    backend: backend_record.Backend
-    tokens: float
-    started_at: float
-    number: int = 0
-    agent: str = ""
-    is_read: bool = False
-    is_trial: bool = False
-    urgency: int | None = None
-    account: str = ""
-    cost_tokens: float = 0.0
-    has_permit: bool = False
-
-
 class BackendPool:
     """Chooses back ends for attempts and tracks their load."""
 
@@ -118,10 +92,9 @@
         self.queues: dict[str, wait_queue.WaitQueue] = {}
         self.levels: dict[str, admission.AdmissionLevel] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
-        # The back ends that were cold at the last update, for the log.
-        self.cold_instances: set[str] = set()
+        self.cold_starts = cold_starts.ColdStarts(settings, watcher, clock)
         self.started_at = clock()
-        self.reservation_numbers = itertools.count(1)
+        self.reservations = reservations.Reservations(prober, clock)
         self.response_means = expected_cost.ResponseMeans()
         self.connections = backend_connections.BackendConnections(clock)
 
@@ -134,7 +107,7 @@
             del self.backends[instance]
         for instance, heartbeat in self.watcher.instances.items():
             self.update_backend(instance, heartbeat)
-        self.log_cold_starts()
+        self.cold_starts.log_changes(self.backends)
         self.signals.prune(set(self.backends), self.clock())
         self.recorder.update_metrics()
         self.backends_by_service = {}
@@ -194,56 +167,10 @@
         # A heartbeat in state `ready` does not revoke an earlier leaving signal.
         backend.is_draining = backend.availability.is_leaving
         backend.is_evacuated = self.watcher.is_evacuated(backend.zone)
-        self.update_cold_start(backend)
+        self.cold_starts.update(backend)
         if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
             backend.weights = heartbeat.weights
 
-    def update_cold_start(self, backend: backend_record.Backend) -> None:
-        """Apply the limit while a back end is cold, and the cold start in its last heartbeat."""
-        availability = backend.availability
-        table = self.watcher.table
-        service = table.services.get(backend.service) if table is not None else None
-        if service is not None:
-            bounds = self.settings.bounds
-            availability.cold_limit = cold_limits.make_limit(
-                service.cold_per_s, bounds.cold_overage, bounds.cold_slack
-            )
-            availability.has_agent = service.engine is not None and self.settings.agent_port > 0
-        heard_at = self.watcher.heard_at.get(backend.instance)
-        until = self.watcher.cold_until.get(backend.instance)
-        if heard_at is not None and until is not None:
-            availability.cold.record(until, heard_at - cold_limits.REPORT_DELAY_S, heard_at)
-        backend.cold_until = availability.cold.until
-
-    def log_cold_starts(self) -> None:
-        """Log which back ends have become cold or have stopped being so since the last update."""
-        now = self.clock()
-        cold = {
-            instance: backend.availability
-            for instance, backend in self.backends.items()
-            if backend.availability.cold.is_cold(now)
-        }
-        for instance in sorted(self.cold_instances - set(cold)):
-            logs.event("backend_warm", instance=instance)
-        for instance in sorted(set(cold) - self.cold_instances):
-            limit = cold[instance].cold_limit
-            logs.event(
-                "backend_cold",
-                instance=instance,
-                cold_s=round(cold[instance].cold.until - now, 3),
-                bound_per_s=limit.bound if limit is not None else None,
-            )
-        self.cold_instances = set(cold)
-
-    def apply_agent_report(self, backend: backend_record.Backend, cold_s: float | None) -> None:
-        """Apply an agent's report of how long its engine will still be cold, None if unknown."""
-        if cold_s is None:
-            return
-        now = self.clock()
-        state = backend.availability.cold
-        state.record(now + cold_s, now - cold_limits.REPORT_DELAY_S, now)
-        backend.cold_until = state.until
-
     def record_leaving(self, backend: backend_record.Backend, request_id: str) -> None:
         """Record that a back end announced in a response that it is leaving."""
         backend.is_draining = True
@@ -420,7 +347,7 @@
     ) -> None:
         """Apply an agent's reply to a load probe; None means that there was none."""
         backend.apply_probe_reply(reply, self.clock())
-        self.apply_agent_report(backend, reply.cold_s if reply is not None else None)
+        self.cold_starts.apply_agent_report(backend, reply.cold_s if reply is not None else None)
 
     async def acquire_cold_permit(
         self, backend: backend_record.Backend, patience_s: float
@@ -480,65 +407,25 @@
         account: str = "",
         cost_tokens: float = 0.0,
         has_permit: bool = False,
-    ) -> Reservation:
+    ) -> reservations.Reservation:
         """Add an attempt to a back end's load; `has_permit` is set if its agent has counted it."""
-        backend.in_flight += 1
-        backend.unread += 1
-        backend.unread_tokens += tokens
-        if urgency is not None:
-            backend.count_own_unread(urgency, 1, tokens)
-        reservation = Reservation(
+        agent = self.agent_of(backend) if self.engine_of(backend.service) is not None else ""
+        reservation = reservations.Reservation(
             backend,
             tokens,
             self.clock(),
-            next(self.reservation_numbers),
+            agent=agent,
             urgency=urgency,
             account=account,
             cost_tokens=cost_tokens,
             has_permit=has_permit,
         )
-        if backend.is_doubtful():
-            reservation.is_trial = True
-            backend.trials += 1
-        if self.engine_of(backend.service) is not None:
-            reservation.agent = self.agent_of(backend)
-        self.notify_agent(reservation, node_messages.AttemptStage.SENT)
+        self.reservations.add(reservation)
         return reservation
 
-    def notify_agent(self, reservation: Reservation, stage: node_messages.AttemptStage) -> None:
-        """Notify the back end's agent, if any, of the stage that an attempt has reached."""
-        if reservation.agent:
-            self.prober.send_notice(
-                reservation.agent,
-                reservation.number,
-                stage,
-                reservation.tokens,
-                reservation.urgency,
-                reservation.account,
-                reservation.cost_tokens,
-                reservation.has_permit,
-            )
-
-    def record_prompt_read(self, reservation: Reservation) -> None:
-        """Record that an attempt's prompt has been read; repeated calls have no effect."""
-        if reservation.is_read:
-            return
-        reservation.is_read = True
-        self.notify_agent(reservation, node_messages.AttemptStage.READ)
-        now = self.clock()
-        reservation.backend.record_first_byte_delay(now - reservation.started_at, now)
-        reservation.backend.unread -= 1
-        reservation.backend.unread_tokens -= reservation.tokens
-        if reservation.urgency is not None:
-            reservation.backend.count_own_unread(reservation.urgency, -1, -reservation.tokens)
-
-    def release(self, reservation: Reservation) -> None:
+    def release(self, reservation: reservations.Reservation) -> None:
         """Remove an ended attempt from its back end's load, and wake a queued request."""
-        self.record_prompt_read(reservation)
-        self.notify_agent(reservation, node_messages.AttemptStage.ENDED)
-        reservation.backend.in_flight -= 1
-        if reservation.is_trial:
-            reservation.backend.trials -= 1
+        self.reservations.remove(reservation)
         queue = self.queues.get(reservation.backend.service)
         if queue is not None:
             queue.wake()
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -118,11 +118,11 @@
     entry = make_entry()
     cold_for_s(entry, heartbeat(cold_s=9.0, reports_cold=True), age_s=2.0)
     backend = entry.node.pool.backends["i"]
-    entry.node.pool.apply_agent_report(backend, None)
+    entry.node.pool.cold_starts.apply_agent_report(backend, None)
     assert backend.availability.cold.is_cold(entry.node.clock())
-    entry.node.pool.apply_agent_report(backend, 0.0)
+    entry.node.pool.cold_starts.apply_agent_report(backend, 0.0)
     assert not backend.availability.cold.is_cold(entry.node.clock())
-    entry.node.pool.apply_agent_report(backend, 5.0)
+    entry.node.pool.cold_starts.apply_agent_report(backend, 5.0)
     assert backend.availability.cold.is_cold(entry.node.clock())
 
 
@@ -132,7 +132,7 @@
     entry = make_entry()
     cold_for_s(entry, heartbeat(cold_s=9.0, reports_cold=True), age_s=2.0)
     entry.node.pool.update()
-    entry.node.pool.apply_agent_report(entry.node.pool.backends["i"], 0.0)
+    entry.node.pool.cold_starts.apply_agent_report(entry.node.pool.backends["i"], 0.0)
     entry.node.pool.update()
     assert [name for name in lines if name.startswith("backend_")] == [
         "backend_cold",
