--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -372,8 +372,7 @@
 
     def engine_of(self, service_name: str) -> fleet.Engine | None:
         """Return the engine that a service's back ends run, or None if they run none."""
-        table = self.watcher.table
-        service = table.services.get(service_name) if table else None
+        service = self.watcher.service(service_name)
         return service.engine if service else None
 
     def admission_level(self, service: str) -> admission.AdmissionLevel:
--- a/src/merlinthread/nodes/cold_grants.py
+++ b/src/merlinthread/nodes/cold_grants.py
@@ -34,8 +34,7 @@
 
     def limit(self) -> cold_limits.ColdLimit | None:
         """Return the limit of the engine while it is cold, or None if there is none."""
-        table = self.watcher.table
-        service = table.services.get(self.settings.engine_service) if table is not None else None
+        service = self.watcher.service(self.settings.engine_service)
         if service is None:
             return None
         bounds = self.settings.bounds
--- a/src/merlinthread/nodes/cold_starts.py
+++ b/src/merlinthread/nodes/cold_starts.py
@@ -25,8 +25,7 @@
     def update(self, backend: backend_record.Backend) -> None:
         """Apply the limit while a back end is cold, and the cold start in its last heartbeat."""
         availability = backend.availability
-        table = self.watcher.table
-        service = table.services.get(backend.service) if table is not None else None
+        service = self.watcher.service(backend.service)
         if service is not None:
             bounds = self.settings.bounds
             availability.cold_limit = cold_limits.make_limit(
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -338,6 +338,10 @@
         )
         self.evacuations = found
 
+    def service(self, name: str) -> fleet.Service | None:
+        """Return a service of the configuration, or None if it is not configured."""
+        return self.table.services.get(name) if self.table is not None else None
+
     def is_evacuated(self, zone: str) -> bool:
         """Return whether the back ends of a zone must get no requests."""
         return zone in self.evacuations.zones
@@ -432,7 +436,7 @@
             self.cold_until[heartbeat.instance] = heard_at + heartbeat.cold_s
             return
         has_started = not is_full or heartbeat.sequence <= instances.INITIAL_SEQUENCE_MAX
-        service = self.table.services.get(heartbeat.service) if self.table is not None else None
+        service = self.service(heartbeat.service)
         if is_new and has_started and service is not None:
             self.cold_until[heartbeat.instance] = heard_at + service.cold_start_s
 
--- a/src/merlinthread/nodes/weights_view.py
+++ b/src/merlinthread/nodes/weights_view.py
@@ -22,8 +22,7 @@
 
     def service(self) -> fleet.Service | None:
         """Return the service of the local engine, or None if it is not configured."""
-        table = self.watcher.table
-        return table.services.get(self.settings.engine_service) if table else None
+        return self.watcher.service(self.settings.engine_service)
 
     def model(self) -> str:
         """Return the model whose weights the local engine needs, or an empty string."""
