Entries: new requests give way to queued ones

Cause: a new request chose a back end before it looked at those queued at its entry, so that it took the place for which an earlier or more urgent one waited up to 50 ms between two choices.

Change: where a service's requests differ in urgency, a request whose engine has no slots for all wakes the first that is queued ahead of it and waits for 20 ms, once. A queued request keeps its place while it chooses.

--- a/src/merlinthread/coordination/admission.py
+++ b/src/merlinthread/coordination/admission.py
@@ -34,6 +34,9 @@
 QUEUED_WAIT_FACTOR = 1.5
 # Time between two choices of a back end for a queued request that is not woken before.
 RETRY_INTERVAL_S = 0.05
+# How long a new request waits once if others are queued ahead of it. The first of them is woken and
+# has chosen by then: its load probe takes up to 15 ms.
+GIVE_WAY_S = 0.02
 # By how much the level rises with a request that finds no place at once. An entry with three urgent
 # requests a second reaches a whole class within a second of overload.
 LEVEL_STEP = 0.5
--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -194,6 +194,10 @@
         """Return whether so many slots are known to be free that urgent requests find one too."""
         return self.is_load_known(now) and self.load(now) <= FREE_SLOTS_SHARE * self.slots
 
+    def has_slots_for(self, count: int, now: float) -> bool:
+        """Return whether slots are known to be free for that many requests."""
+        return self.is_load_known(now) and self.load(now) + count <= self.slots
+
     def has_fresh_load(self, now: float) -> bool:
         """Return whether the load of other entries is known from a current report."""
         return now - self.load_updated_at() <= REPORT_FRESH_S
--- a/src/merlinthread/coordination/wait_queue.py
+++ b/src/merlinthread/coordination/wait_queue.py
@@ -8,16 +8,19 @@
 
 @dataclasses.dataclass(slots=True, order=True)
 class Waiter:
-    """A waiting request; the lowest `urgency` goes first, then the earliest arrival."""
+    """A request; the lowest `urgency` goes first, then the earliest arrival.
+
+    `woken` is set while it waits, and None while it tries to find capacity.
+    """
 
     urgency: int
     arrived_at: float
     number: int
-    woken: asyncio.Future = dataclasses.field(compare=False)
+    woken: asyncio.Future | None = dataclasses.field(default=None, compare=False)
 
 
 class WaitQueue:
-    """The waiting requests of one service."""
+    """The requests of one service that have waited and have not found capacity yet."""
 
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
@@ -26,28 +29,36 @@
     def __len__(self) -> int:
         return len(self.waiters)
 
-    async def wait(self, urgency: int, arrived_at: float, timeout_s: float) -> bool:
+    def make_waiter(self, urgency: int, arrived_at: float) -> Waiter:
+        """Return the place of a request, which is queued once it waits and until it is removed."""
+        return Waiter(urgency, arrived_at, next(self.numbers))
+
+    async def wait(self, waiter: Waiter, timeout_s: float) -> bool:
         """Wait until woken to try again; return False after `timeout_s` seconds."""
-        woken = asyncio.get_running_loop().create_future()
-        waiter = Waiter(urgency, arrived_at, next(self.numbers), woken)
-        heapq.heappush(self.waiters, waiter)
+        if waiter not in self.waiters:
+            self.waiters.append(waiter)
+        waiter.woken = asyncio.get_running_loop().create_future()
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
-                await woken
+                await waiter.woken
             return True
         except TimeoutError:
             return False
         finally:
-            self.remove(waiter)
+            waiter.woken = None
 
     def remove(self, waiter: Waiter) -> None:
-        """Remove a waiter, if it is still queued."""
+        """Remove a request that has found capacity or does not wait any more."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
-            heapq.heapify(self.waiters)
+
+    def count_ahead(self, waiter: Waiter) -> int:
+        """Return the number of queued requests that go before a request."""
+        return sum(other < waiter for other in self.waiters)
 
     def wake(self, count: int = 1) -> None:
-        """Wake the first `count` waiters, so that they try again."""
-        for waiter in heapq.nsmallest(count, self.waiters):
-            if not waiter.woken.done():
+        """Wake the first `count` requests that wait, so that they try again."""
+        waiting = [waiter for waiter in self.waiters if waiter.woken is not None]
+        for waiter in heapq.nsmallest(count, waiting):
+            if waiter.woken is not None and not waiter.woken.done():
                 waiter.woken.set_result(None)
--- a/src/merlinthread/nodes/backend_selection.py
+++ b/src/merlinthread/nodes/backend_selection.py
@@ -3,7 +3,14 @@
 import math
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import admission, dispatch, fleet, retry_delays, route_table
+from merlinthread.coordination import (
+    admission,
+    dispatch,
+    fleet,
+    retry_delays,
+    route_table,
+    wait_queue,
+)
 from merlinthread.nodes import (
     attempt_descriptions,
     attempt_history,
@@ -95,10 +102,20 @@
         Raises RequestError if none is available before the queue time is over. A request that may
         have run gains nothing from an early error, so it waits until its deadline.
         """
+        queue = self.pool.queue(self.service)
+        waiter = queue.make_waiter(self.context.urgency, self.arrived_at)
+        try:
+            return await self.acquire_in_turn(queue, waiter)
+        finally:
+            queue.remove(waiter)
+
+    async def acquire_in_turn(
+        self, queue: wait_queue.WaitQueue, waiter: wait_queue.Waiter
+    ) -> dispatch.Choice:
+        """Return a back end for a request that gives way once to those queued ahead of it."""
         queue_deadline = self.terms.queue_deadline()
         give_up_at = self.context.deadline if self.history.may_have_run else queue_deadline
-        queue = self.pool.queue(self.service)
-        is_queued = False
+        is_queued = has_given_way = False
         while True:
             # Other entries may have reported crashes while this request was queued.
             self.holds.check()
@@ -113,6 +130,11 @@
                     choice.wait_s, wait_max_s
                 ):
                     is_expired = self.may_refuse()
+            if not is_queued and not has_given_way and self.must_give_way(choice, queue, waiter):
+                has_given_way = True
+                queue.wake()
+                await queue.wait(waiter, min(admission.GIVE_WAY_S, queue_deadline - now))
+                continue
             if choice is not None and (is_expired or self.is_admissible(choice, wait_max_s)):
                 choice_with_permit = await self.with_permit(
                     self.admit(choice, wait_max_s), queue_deadline
@@ -131,7 +153,7 @@
                 if now >= give_up_at:
                     raise self.history.unavailable("no back end is free", self.retry_after_s(True))
             timeout_s = min(give_up_at - now, admission.RETRY_INTERVAL_S)
-            await queue.wait(self.context.urgency, self.arrived_at, timeout_s)
+            await queue.wait(waiter, timeout_s)
 
     async def choose_for_hedge(self) -> dispatch.Choice | None:
         """Return a back end for an attempt beside the open ones, or None if there is none.
@@ -293,6 +315,21 @@
             return False
         return not self.must_yield or choice.backend.has_free_slots(now)
 
+    def must_give_way(
+        self,
+        choice: dispatch.Choice | None,
+        queue: wait_queue.WaitQueue,
+        waiter: wait_queue.Waiter,
+    ) -> bool:
+        """Return whether requests queued ahead of this one need the capacity that it has found.
+
+        The order holds only where the requests of a service differ in urgency.
+        """
+        if choice is None or self.urgency() is None:
+            return False
+        ahead_count = queue.count_ahead(waiter)
+        return ahead_count > 0 and not choice.backend.has_slots_for(ahead_count + 1, self.clock())
+
     def may_refuse(self) -> bool:
         """Return whether the request may be refused because of a late first byte.
 
