--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -32,8 +32,8 @@
     def __init__(self, cold_per_s: float = 18.0, bounds: node_settings.Bounds = BOUNDS) -> None:
         self.now = 0.0
         self.service = fleet.Service("model", cold_per_s=cold_per_s)
-        table = types.SimpleNamespace(services={"model": self.service})
-        self.watcher = types.SimpleNamespace(table=table)
+        self.services = {"model": self.service}
+        self.watcher = types.SimpleNamespace(service=lambda name: self.services.get(name))
         settings = fleet_nodes.make_settings("agent", engine_service="model", bounds=bounds)
         self.grants = cold_grants.ColdGrants(settings, self.watcher, lambda: self.now)
 
@@ -58,7 +58,7 @@
 
 def test_agent_without_configuration_decides_nothing():
     grants = Grants()
-    grants.watcher.table = None
+    grants.services.clear()
     assert grants.ask() is None
 
 
