--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -9,7 +9,7 @@
 import pytest
 
 from merlinthread import metrics
-from merlinthread.coordination import rate_limits
+from merlinthread.coordination import cold_limits, rate_limits
 from merlinthread.nodes import cold_permits, permits
 from merlinthread.protocol import node_messages
 from merlinthread.transport import http_messages
@@ -94,6 +94,8 @@
         fleet.announce()
         await asyncio.gather(*(fleet.send_one() for _ in range(60)))
         assert fleet.statuses.count(503) > 0
+        # An earlier end is taken only from a report that is surely newer than the one before.
+        await asyncio.sleep(cold_limits.REPORT_DELAY_S)
         fleet.cold_s[0] = 0.3
         fleet.announce()
         await asyncio.sleep(0.3)
