--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import enum
-import math
 from collections.abc import Callable
 
 import h11
@@ -20,27 +19,18 @@
     crash_detector,
     permits,
     request_context,
+    response_reader,
     response_relay,
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import event_stream
-from merlinthread.transport import http_messages, stream_client, timeouts
-
-# Time without data after which a back end counts as silent: before the first event and between
-# events, as multiples of the route's values.
-FIRST_EVENT_OBJECTIVE_FACTOR = 2.0
-FIRST_EVENT_MIN_S = 0.8
-GAP_FACTOR = 2.0
-GAP_MIN_S = 0.6
+from merlinthread.transport import http_messages, stream_client
+
 # Bytes of a stream without an event that the client does not have yet. A back end that ignores
 # Last-Event-ID repeats the events before it, which is more than one event.
 SKIPPED_BYTES_MAX = 4 * event_stream.EVENT_BYTES_MAX
 
 
-class VersionExpiredError(errors.UnreachableError):
-    """The weights version of an attempt expired before the first event of the response."""
-
-
 class UnavailableError(errors.UnreachableError):
     """A back end or the retry budget became unavailable after the back end was chosen."""
 
@@ -66,27 +56,17 @@
     response: http_messages.Response | None = None
 
 
-def ignore() -> None:
-    """Do nothing; the default of an attempt's callbacks."""
-
-
 def always() -> bool:
     """Return True."""
     return True
 
 
-def never() -> float:
-    """Return infinity, the time until something that does not happen."""
-    return math.inf
-
-
 class Attempt:
     """One attempt; `is_sent` is set once the request has been sent to the back end.
 
-    `may_send` is called just before that and returns whether the retry budget allows it.
-    `on_silence` is called each time its back end has sent nothing for the time after which it
-    counts as silent, and `on_data` before data of its response is sent to the client. Silence does
-    not end an attempt: the back end may continue.
+    `may_send` is called just before that and returns whether the retry budget allows it. `on_data`
+    is called before data of its response is sent to the client. `reader` reads that response and
+    notices silence, which does not end an attempt: the back end may continue.
     """
 
     def __init__(
@@ -120,23 +100,15 @@
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
-        self.on_silence: Callable[[], None] = ignore
-        self.on_data: Callable[[], None] = ignore
-        # The time of the last data before the current silence, or None.
-        self.silent_since: float | None = None
-        self.longest_silence_s = 0.0
+        self.on_data: Callable[[], None] = lambda: None
+        self.reader = response_reader.ResponseReader(
+            context, pool, self.reservation, relay.exchange.holder
+        )
         # The choice of the back end, the result and the availability signals, for the log.
         self.description = ""
         self.result_text = ""
         self.signals_text = ""
         self.is_other_instance = False
-        # The bytes of the response that are kept until it continues or is complete.
-        self.held_bytes = 0
-
-    @property
-    def is_silent(self) -> bool:
-        """Return whether the back end has been silent since its last data."""
-        return self.silent_since is not None
 
     async def run(self) -> Outcome:
         """Send the request and relay a successful response; return the outcome."""
@@ -165,22 +137,23 @@
         except TimeoutError:
             if not self.relay.exchange.is_client_reading():
                 return self.end_slow_read()
-            self.handle_timeout(connection)
+            if connection is not None:
+                self.pool.connections.handle_timeout(self.backend.instance, connection)
             if not self.relay.exchange.is_started:
                 dispatch.record_silence(self.backend, self.clock())
             self.record_break(True)
             return Outcome(State.UNKNOWN, "deadline exceeded")
         except errors.MerlinthreadError as error:
-            if not isinstance(error, VersionExpiredError | UnavailableError):
+            if not isinstance(error, response_reader.VersionExpiredError | UnavailableError):
                 dispatch.record_failure(self.backend, self.clock())
             if self.is_sent:
-                self.record_break(isinstance(error, VersionExpiredError))
+                self.record_break(isinstance(error, response_reader.VersionExpiredError))
                 return Outcome(State.UNKNOWN, error.message)
             return Outcome(State.UNSENT, f"unsent: {error.message}")
         finally:
-            if self.is_silent:
-                self.end_silence("ended")
-            self.hold(0)
+            if self.reader.is_silent:
+                self.reader.end_silence("ended")
+            self.reader.hold(0)
             if connection is not None:
                 connection.close()
 
@@ -204,8 +177,8 @@
         The caller cancels this attempt.
         """
         self.result_text = "given up, since another attempt has sent data"
-        if self.is_silent:
-            self.end_silence("given_up")
+        if self.reader.is_silent:
+            self.reader.end_silence("given_up")
             self.record_break(True)
 
     def describe(self) -> str:
@@ -213,8 +186,8 @@
         parts = [
             f"{self.description}: {self.result_text}" if self.result_text else self.description
         ]
-        if self.longest_silence_s:
-            parts.append(f"silent for {self.longest_silence_s:.2f} s")
+        if self.reader.longest_silence_s:
+            parts.append(f"silent for {self.reader.longest_silence_s:.2f} s")
         if self.signals_text:
             parts.append(self.signals_text)
         return ", ".join(parts)
@@ -271,11 +244,6 @@
         )
         self.pool.crashes.record_break(broken, is_timeout)
 
-    def handle_timeout(self, connection: stream_client.ClientConnection | None) -> None:
-        """Report a response timeout to the connection pool, if a connection was opened."""
-        if connection is not None:
-            self.pool.connections.handle_timeout(self.backend.instance, connection)
-
     def to_loop_time(self, at: float) -> float:
         """Convert a time of this node's clock to the event loop's clock."""
         return asyncio.get_running_loop().time() + (at - self.clock())
@@ -324,7 +292,7 @@
 
         Raises ProtocolError if the response is for another request or is not a valid success.
         """
-        head = await self.read_head(connection)
+        head = await self.reader.read_head(connection)
         headers = list(head.headers.raw_items())
         response_head = self.dialect.parse_response_head(head.status_code, headers)
         if (
@@ -347,7 +315,7 @@
         if is_success and self.context.route.kind == fleet.STREAMING:
             response = http_messages.Response(head.status_code, headers)
             return await self.relay_stream(connection, response), headers
-        body = await self.read_body(connection)
+        body = await self.reader.read_body(connection)
         response = http_messages.Response(head.status_code, headers, body)
         if response_head.is_not_run:
             return Outcome(State.NOT_RUN, f"{head.status_code} not run", response), headers
@@ -390,105 +358,6 @@
         elif response_head.rest_problem:
             metrics.unreadable_words_total.labels("retry-after").inc()
 
-    async def read_head(self, connection: stream_client.ClientConnection) -> h11.Response:
-        """Return the response head, skipping informational responses."""
-        event = await self.first_event(connection)
-        while isinstance(event, h11.InformationalResponse):
-            event = await self.first_event(connection)
-        if not isinstance(event, h11.Response):
-            raise errors.ProtocolError(f"{type(event).__name__} received before a response head")
-        return event
-
-    async def first_event(self, connection: stream_client.ClientConnection) -> h11.Event:
-        """Return the next event before the first data of a response.
-
-        Raises VersionExpiredError if the loaded weights version of a stream expires earlier.
-        """
-        if self.context.route.kind != fleet.STREAMING:
-            return await connection.next_event()
-        return await self.next_event(connection, self.first_event_timeout_s(), self.start_in_s)
-
-    def start_in_s(self) -> float:
-        """Return the seconds until the loaded weights version expires; infinite if it does not."""
-        deadline = self.pool.start_deadline(self.backend, self.context.call.model)
-        return max(0.0, deadline - self.clock())
-
-    def first_event_timeout_s(self) -> float:
-        """Return when a back end counts as silent; never if the request can't be retried."""
-        if not self.context.is_idempotent():
-            return math.inf
-        return max(FIRST_EVENT_MIN_S, FIRST_EVENT_OBJECTIVE_FACTOR * self.context.route.objective_s)
-
-    def event_gap_timeout_s(self) -> float:
-        """Return how long after an event a back end counts as silent."""
-        if not self.context.is_idempotent() or not self.context.route.gap_s:
-            return self.first_event_timeout_s()
-        return max(GAP_MIN_S, GAP_FACTOR * self.context.route.gap_s)
-
-    async def next_event(
-        self,
-        connection: stream_client.ClientConnection,
-        timeout_s: float,
-        expires_in_s: Callable[[], float] = never,
-    ) -> h11.Event:
-        """Return the next event; report silence after each `timeout_s` seconds without one.
-
-        Raises VersionExpiredError after `expires_in_s()` seconds.
-        """
-        waiting_since = self.clock()
-        while True:
-            # Asked again after each silence: a newer version may have been named meanwhile.
-            expiry_s = expires_in_s()
-            wait_s = min(timeout_s, expiry_s)
-            if wait_s == math.inf:
-                return await connection.next_event()
-            try:
-                event = await timeouts.wait_for(connection.next_event, wait_s)
-            except TimeoutError:
-                if expiry_s <= timeout_s:
-                    raise VersionExpiredError(
-                        "no response before the loaded weights version expired"
-                    )
-                self.record_silence(connection, waiting_since)
-                continue
-            if self.is_silent:
-                self.end_silence("continued")
-                dispatch.record_continued(self.backend, self.clock())
-            return event
-
-    def record_silence(
-        self, connection: stream_client.ClientConnection, waiting_since: float
-    ) -> None:
-        """Record that the back end is silent, so that it gets no requests if others can serve."""
-        if not self.is_silent:
-            self.silent_since = waiting_since
-            self.handle_timeout(connection)
-            dispatch.record_silence(self.backend, self.clock())
-        self.on_silence()
-
-    def end_silence(self, outcome: str) -> None:
-        """Record how a silence ended, for the log and the metrics."""
-        assert self.silent_since is not None
-        silence_s = self.clock() - self.silent_since
-        self.longest_silence_s = max(self.longest_silence_s, silence_s)
-        self.silent_since = None
-        metrics.silences_total.labels(outcome).inc()
-
-    async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
-        """Return the complete body; raise ProtocolError if it is over the bound for one."""
-        connection.body_bytes_max = self.pool.memory_limits.response_bytes
-        body = bytearray()
-        while isinstance(event := await connection.next_event(), h11.Data):
-            body += event.data
-            self.hold(len(body))
-        return bytes(body)
-
-    def hold(self, byte_count: int) -> None:
-        """Count `byte_count` bytes as held by this attempt for the client."""
-        if byte_count != self.held_bytes:
-            added, self.held_bytes = byte_count - self.held_bytes, byte_count
-            self.relay.exchange.holder.add(added)
-
     async def relay_stream(
         self,
         connection: stream_client.ClientConnection,
@@ -501,7 +370,7 @@
         """
         splitter = event_stream.EventSplitter()
         skipped_bytes = 0
-        while isinstance(event := await self.stream_event(connection), h11.Data):
+        while isinstance(event := await self.reader.stream_event(connection), h11.Data):
             skipped_bytes += len(event.data)
             for item in splitter.feed(bytes(event.data)):
                 self.pool.reservations.record_prompt_read(self.reservation)
@@ -509,8 +378,8 @@
                     skipped_bytes = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
-            if splitter.buffer or self.held_bytes:
-                self.hold(len(splitter.buffer))
+            if splitter.buffer or self.reader.held_bytes:
+                self.reader.hold(len(splitter.buffer))
             if skipped_bytes > SKIPPED_BYTES_MAX:
                 raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
         if splitter.buffer.strip():
@@ -518,9 +387,3 @@
         self.on_data()
         await self.relay.finish(head)
         return Outcome(State.DONE, "answered", head)
-
-    async def stream_event(self, connection: stream_client.ClientConnection) -> h11.Event:
-        """Return the next event of a stream."""
-        if not self.reservation.is_read:
-            return await self.first_event(connection)
-        return await self.next_event(connection, self.event_gap_timeout_s())
--- a/src/merlinthread/nodes/open_attempts.py
+++ b/src/merlinthread/nodes/open_attempts.py
@@ -24,7 +24,7 @@
 
     def start(self, attempt: attempts.Attempt) -> None:
         """Start an attempt in a task of its own."""
-        attempt.on_silence = self.changed_event.set
+        attempt.reader.on_silence = self.changed_event.set
         attempt.on_data = lambda: self.keep_only(attempt)
         task = asyncio.get_running_loop().create_task(attempt.run())
         # A task that is cancelled before its first step runs no code of its own.
@@ -45,7 +45,7 @@
 
     def are_silent(self) -> bool:
         """Return whether the back ends of all open attempts are silent."""
-        return bool(self.tasks) and all(attempt.is_silent for attempt in self.tasks)
+        return bool(self.tasks) and all(attempt.reader.is_silent for attempt in self.tasks)
 
     def keep_only(self, kept: attempts.Attempt | None) -> None:
         """Give up all open attempts except `kept`."""
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -16,7 +16,7 @@
     load_tracker,
     reload_schedule,
 )
-from merlinthread.nodes import attempts
+from merlinthread.nodes import response_reader
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -299,7 +299,7 @@
 
 def test_attempt_without_response_at_version_expiry_is_retried_elsewhere(monkeypatch):
     # The attempt must not time out before the version expires.
-    monkeypatch.setattr(attempts, "FIRST_EVENT_MIN_S", 5.0)
+    monkeypatch.setattr(response_reader, "FIRST_EVENT_MIN_S", 5.0)
 
     async def scenario():
         entry, (old, new), _ = await make_entry("model", 2, "m")
@@ -427,8 +427,8 @@
         pool = entry.node.pool.connections.pool
         assert len(pool.idle["i-0"]) == 3
         workers[0].behaviour.never_responds = True
-        monkeypatch.setattr(attempts, "FIRST_EVENT_MIN_S", 0.05)
-        monkeypatch.setattr(attempts, "FIRST_EVENT_OBJECTIVE_FACTOR", 0.0)
+        monkeypatch.setattr(response_reader, "FIRST_EVENT_MIN_S", 0.05)
+        monkeypatch.setattr(response_reader, "FIRST_EVENT_OBJECTIVE_FACTOR", 0.0)
         task = asyncio.ensure_future(entry.request("/model/", "id-9", **STREAM))
         await fleet_nodes.until(lambda: count_runs(workers) == 4)
         await fleet_nodes.until(lambda: not pool.idle.get("i-0"), 3.0)
