--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -102,10 +102,10 @@
 
     def update(self) -> None:
         """Update the back ends from the fleet state."""
-        for instance in set(self.backends) - set(self.watcher.instances):
+        for instance in set(self.backends) - set(self.watcher.instance_table.instances):
             self.connections.close_idle(instance)
             del self.backends[instance]
-        for instance, heartbeat in self.watcher.instances.items():
+        for instance, heartbeat in self.watcher.instance_table.instances.items():
             self.update_backend(instance, heartbeat)
         self.cold_starts.log_changes(self.backends)
         self.signals.prune(set(self.backends), self.clock())
@@ -247,11 +247,11 @@
         queued at the back end.
         """
         bound_s = self.settings.bounds.version_s - reload_schedule.EXPIRY_MARGIN_S
-        return self.watcher.newest_version_with_age(model, now, bound_s)
+        return self.watcher.published_versions.newest_version_with_age(model, now, bound_s)
 
     def version_soon(self, model: str, now: float) -> int:
         """Return the newest version of a model's weights that is required soon, or 0."""
-        return self.watcher.newest_version_with_age(
+        return self.watcher.published_versions.newest_version_with_age(
             model, now, self.settings.bounds.version_s - VERSION_SOON_MARGIN_S
         )
 
@@ -266,7 +266,7 @@
             return float("inf")
         loaded = self.loaded_version(backend, model)
         bound_s = self.settings.bounds.version_s - START_MARGIN_S
-        return self.watcher.usable_until(model, loaded, bound_s)
+        return self.watcher.published_versions.usable_until(model, loaded, bound_s)
 
     # Choice and reservations
 
--- a/src/merlinthread/nodes/cold_starts.py
+++ b/src/merlinthread/nodes/cold_starts.py
@@ -32,8 +32,8 @@
                 service.cold_per_s, bounds.cold_overage, bounds.cold_slack
             )
             availability.has_agent = service.engine is not None and self.settings.agent_port > 0
-        heard_at = self.watcher.heard_at.get(backend.instance)
-        until = self.watcher.cold_until.get(backend.instance)
+        heard_at = self.watcher.instance_table.heard_at.get(backend.instance)
+        until = self.watcher.instance_table.cold_until.get(backend.instance)
         if heard_at is not None and until is not None:
             availability.cold.record(until, heard_at - cold_limits.REPORT_DELAY_S, heard_at)
         backend.cold_until = availability.cold.until
--- a/src/merlinthread/nodes/crash_detector.py
+++ b/src/merlinthread/nodes/crash_detector.py
@@ -89,7 +89,7 @@
         if self.is_replaced(backend):
             self.record_crashes([attempt], REPLACED_REASON)
             return
-        if backend.instance in self.watcher.gone:
+        if backend.instance in self.watcher.instance_table.gone:
             return
         if is_timeout:
             self.keep_unconfirmed([attempt])
@@ -184,7 +184,8 @@
     def instances_by_address(self) -> dict[str, str]:
         """Return the instance present at each address."""
         return {
-            heartbeat.address: heartbeat.instance for heartbeat in self.watcher.instances.values()
+            heartbeat.address: heartbeat.instance
+            for heartbeat in self.watcher.instance_table.instances.values()
         }
 
     def confirm_replaced(self) -> None:
@@ -200,7 +201,7 @@
                 continue
             if by_address.get(backend.address, backend.instance) != backend.instance:
                 replaced.append(attempt)
-            elif backend.instance not in self.watcher.gone:
+            elif backend.instance not in self.watcher.instance_table.gone:
                 remaining.append(attempt)
         self.unconfirmed = remaining
         if replaced:
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -7,21 +7,18 @@
 
 import asyncio
 import dataclasses
-import math
 import zlib
 from collections.abc import Callable
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import (
     backend_availability,
-    conflict_index,
     crash_tracker,
     fleet,
-    instances,
     route_table,
 )
 from merlinthread.nodes import dialect as dialects
-from merlinthread.nodes import node_settings
+from merlinthread.nodes import instance_table, node_settings, published_versions
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
@@ -34,15 +31,12 @@
 # Time between searches while no control VM in contact with a majority is known.
 SEARCH_INTERVAL_S = 0.4
 STALE_AFTER_S = 1.6
-MISSING_GRACE_HEARTBEATS = 4
 # The longest time after a commit in which a node in contact with the control VMs learns of it: its
 # control VM loses contact with the majority just before, its last poll times out, and another one
 # is searched for. Elections, which take up to 1.5 s, run at the same time.
 PROPAGATION_MAX_S = (
     STALE_AFTER_S + WATCH_TIMEOUT_S + RETRY_DELAY_S + SEARCH_INTERVAL_S + SEARCH_TIMEOUT_S
 )
-# Smaller differences between reported ages may be due to latency, up to WATCH_TIMEOUT_S.
-AGE_TOLERANCE_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,14 +75,8 @@
         self.signals = signals
         self.table: route_table.RouteTable | None = None
         self.version = 0
-        self.instances: dict[str, fleet.Heartbeat] = {}
-        self.index = conflict_index.ConflictIndex()
-        self.cold_until: dict[str, float] = {}
-        self.heard_at: dict[str, float] = {}
-        self.gone: set[str] = set()
-        self.missing: dict[str, float] = {}
-        self.named: dict[str, int] = {}
-        self.named_at: dict[str, dict[int, float]] = {}
+        self.instance_table = instance_table.InstanceTable(settings.heartbeat_s, self.service)
+        self.published_versions = published_versions.PublishedVersions()
         # Never older than an earlier state: a control VM that is behind must not undo a change.
         self.evacuations = node_messages.Evacuations(0, [])
         self.controls: list[str] = settings.control_rpc_addresses()
@@ -266,7 +254,7 @@
                 reply.feed, reply.position, reply.suspicion_revision, reply.limit_revision
             )
         self.apply_configuration(reply, address)
-        self.apply_versions(reply, now)
+        self.published_versions.apply(reply.named, now)
         self.apply_evacuations(reply, address)
         self.apply_instances(reply, address, now)
         if self.suspect_tracker is not None:
@@ -284,7 +272,9 @@
         metrics.evacuated_zones.set(len(self.evacuations.zones))
         metrics.control_age_seconds.set(self.clock() - self.confirmed_at)
         for state in (fleet.READY, fleet.DRAINING):
-            count = sum(1 for known in self.instances.values() if known.state == state)
+            count = sum(
+                1 for known in self.instance_table.instances.values() if known.state == state
+            )
             metrics.backends.labels(state).set(count)
 
     def apply_configuration(self, reply: node_messages.WatchReply, address: str) -> None:
@@ -307,22 +297,6 @@
             engines=describe_engines(self.table),
         )
 
-    def apply_versions(self, reply: node_messages.WatchReply, now: float) -> None:
-        """Apply published weights versions, with the earliest possible time of their publication.
-
-        A control VM that was disconnected may report too high an age, which is corrected by a lower
-        one from another control VM.
-        """
-        for named in reply.named:
-            named_at = self.named_at.setdefault(named.model, {})
-            if now - named.age_s > named_at.get(named.version, math.inf) + AGE_TOLERANCE_S:
-                named_at[named.version] = now - named.age_s
-            if named.version <= self.named.get(named.model, 0):
-                continue
-            self.named[named.model] = named.version
-            named_at[named.version] = now - named.age_s
-            logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
-
     def apply_evacuations(self, reply: node_messages.WatchReply, address: str) -> None:
         """Apply the evacuated zones if they are newer."""
         found = reply.evacuations
@@ -346,122 +320,16 @@
         """Return whether the back ends of a zone must get no requests."""
         return zone in self.evacuations.zones
 
-    def newest_version_with_age(self, model: str, now: float, min_age_s: float) -> int:
-        """Return the newest version of a model published at least `min_age_s` seconds ago, or 0.
-
-        A later publication does not postpone the time at which an earlier version is required.
-        """
-        named_at = self.named_at.get(model, {})
-        return max(
-            (version for version, at in named_at.items() if now - at >= min_age_s), default=0
-        )
-
-    def usable_until(self, model: str, version: int, validity_s: float) -> float:
-        """Return until when a request may begin on a version of a model's weights.
-
-        This is `validity_s` seconds after the first newer version was published.
-        """
-        named_at = self.named_at.get(model, {})
-        newer = [at for named, at in named_at.items() if named > version]
-        return min(newer, default=float("inf")) + validity_s
-
     def apply_instances(self, reply: node_messages.WatchReply, address: str, now: float) -> None:
-        """Apply changes of back ends; a full reply also shows which ones are missing."""
-        for instance in reply.gone:
-            self.mark_gone(instance)
-        for record in reply.instances:
-            self.apply_instance(record, now, reply.is_full)
-        if reply.is_full:
-            present = {record.heartbeat.instance for record in reply.instances}
-            absent = sorted(set(self.instances) - present)
-            logs.event("news_in_full", told=len(present), gone=len(reply.gone), absent=absent[:8])
-            for instance in absent:
-                self.missing.setdefault(instance, now)
-            if absent:
-                # A control VM that has just started may not know them yet. The others send them
-                # again only if their positions are reset.
-                self.positions = {address: self.position_of(address)}
-        self.remove_missing(now)
-
-    def apply_instance(self, record: instances.Instance, now: float, is_full: bool = True) -> None:
-        """Apply the state of one back end; draining and gone are final.
-
-        Without `is_full`, a back end that is not known yet has just appeared.
-        """
-        heartbeat = record.heartbeat
-        if heartbeat.instance in self.gone:
-            return
-        if not node_settings.is_address(heartbeat.address):
-            # Control VMs of former builds accept and tell it.
-            logs.debug("address_unusable", instance=heartbeat.instance, address=heartbeat.address)
-            return
-        self.missing.pop(heartbeat.instance, None)
-        known = self.instances.get(heartbeat.instance)
-        if known is not None and known.sequence > heartbeat.sequence:
-            if heartbeat.state == fleet.DRAINING:
-                known.state = fleet.DRAINING
-            return
-        if known is not None and known.state == fleet.DRAINING:
-            heartbeat.state = fleet.DRAINING
-        if known is None or known.state != heartbeat.state:
-            logs.event(
-                "instance",
-                instance=heartbeat.instance,
-                service=heartbeat.service,
-                address=heartbeat.address,
-                state=heartbeat.state,
-                age_s=record.age_s,
-            )
-        is_new = heartbeat.instance not in self.heard_at
-        self.heard_at[heartbeat.instance] = now - record.age_s
-        for name in self.index.conflicts(heartbeat):
-            # Of instances with the same address or id, the one with the latest heartbeat wins.
-            if self.heard_at[name] > now - record.age_s:
-                return
-            # Not marked as gone, since a late heartbeat may have caused the conflict.
-            self.remove(name)
-            logs.event("instance", instance=name, state="replaced", by=heartbeat.instance)
-        self.instances[heartbeat.instance] = heartbeat
-        self.index.put(heartbeat)
-        self.apply_cold_start(heartbeat, now - record.age_s, is_new, is_full)
-
-    def apply_cold_start(
-        self, heartbeat: fleet.Heartbeat, heard_at: float, is_new: bool, is_full: bool
-    ) -> None:
-        """Record until when a back end is cold.
+        """Apply changes of back ends; a full reply also shows which ones are missing.
 
-        One that has just started and does not say is assumed to be cold for the usual time.
+        The control VMs send missing back ends again only if their positions are reset.
         """
-        if heartbeat.reports_cold or heartbeat.cold_s > 0:
-            self.cold_until[heartbeat.instance] = heard_at + heartbeat.cold_s
-            return
-        has_started = not is_full or heartbeat.sequence <= instances.INITIAL_SEQUENCE_MAX
-        service = self.service(heartbeat.service)
-        if is_new and has_started and service is not None:
-            self.cold_until[heartbeat.instance] = heard_at + service.cold_start_s
-
-    def remove(self, instance: str) -> bool:
-        """Remove a back end; return whether it was present."""
-        self.index.discard(instance)
-        return self.instances.pop(instance, None) is not None
-
-    def mark_gone(self, instance: str) -> None:
-        """Remove a back end permanently."""
-        self.gone.add(instance)
-        self.missing.pop(instance, None)
-        self.cold_until.pop(instance, None)
-        if self.remove(instance):
-            logs.event("instance", instance=instance, state=fleet.GONE)
-
-    def remove_missing(self, now: float) -> None:
-        """Remove back ends that have been missing for several heartbeats; they may return."""
-        grace_s = MISSING_GRACE_HEARTBEATS * self.settings.heartbeat_s
-        for instance, since in list(self.missing.items()):
-            if now - since > grace_s:
-                del self.missing[instance]
-                self.positions = {}
-                self.remove(instance)
-                logs.event("instance", instance=instance, state="missing", since_s=now - since)
+        if self.instance_table.apply(reply, now):
+            # The control VM that does not know them may have just started.
+            self.positions = {address: self.position_of(address)}
+        if self.instance_table.remove_missing(now):
+            self.positions = {}
 
 
 def describe_engines(table: route_table.RouteTable) -> dict[str, dict[str, float]]:
--- a/src/merlinthread/nodes/weights_view.py
+++ b/src/merlinthread/nodes/weights_view.py
@@ -61,7 +61,7 @@
     def peers(self) -> list[fetch.Peer]:
         """Return the other agents whose engines belong to the same service."""
         found = []
-        for heartbeat in self.watcher.instances.values():
+        for heartbeat in self.watcher.instance_table.instances.values():
             if heartbeat.service != self.settings.engine_service:
                 continue
             host, _ = node_settings.split_address(heartbeat.address)
@@ -82,7 +82,7 @@
 
     def newest_version(self, model: str) -> int:
         """Return the newest published version of a model, or 0 if there is none."""
-        return self.watcher.named.get(model, 0)
+        return self.watcher.published_versions.named.get(model, 0)
 
     def is_superseded(self, manifest: fleet.Manifest) -> bool:
         """Return whether a newer version than the manifest's has been published."""
@@ -91,9 +91,11 @@
     def is_usable(self, model: str, version: int) -> bool:
         """Return whether entries still send requests to engines with this version."""
         validity_s = self.settings.bounds.version_s - reload_schedule.EXPIRY_MARGIN_S
-        return self.clock() < self.watcher.usable_until(model, version, validity_s)
+        return self.clock() < self.watcher.published_versions.usable_until(
+            model, version, validity_s
+        )
 
     def expires_at(self, manifest: fleet.Manifest) -> float:
         """Return when versions older than the manifest's expire."""
-        named_at = self.watcher.named_at.get(manifest.model, {})
+        named_at = self.watcher.published_versions.named_at.get(manifest.model, {})
         return named_at.get(manifest.version, self.clock()) + self.settings.bounds.version_s
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -115,7 +115,9 @@
                 }
                 heartbeat = bodies.parse_heartbeat(engine.instance, json.dumps(body).encode())
                 watcher = entry.node.watcher
-                watcher.apply_instance(instances.Instance(heartbeat), entry.node.clock())
+                watcher.instance_table.apply_instance(
+                    instances.Instance(heartbeat), entry.node.clock()
+                )
             entry.node.apply_fleet_update()
 
     async def send_one(self) -> None:
--- a/tests/test_cold_back_ends.py
+++ b/tests/test_cold_back_ends.py
@@ -199,7 +199,7 @@
         served = fleet.statuses.count(200)
         fleet.engines[0].instance = "i-0@5"
         for entry in fleet.entries:
-            entry.node.watcher.mark_gone("i-0")
+            entry.node.watcher.instance_table.mark_gone("i-0")
         fleet.announce()
         await asyncio.gather(*(fleet.send_one() for _ in range(60)))
         assert 0 < served
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -37,7 +37,7 @@
 def cold_for_s(entry, beat, is_full=False, age_s=0.0) -> float:
     """Return how long the entry takes a back end for cold after a heartbeat."""
     now = entry.node.clock()
-    entry.node.watcher.apply_instance(instances.Instance(beat, age_s), now, is_full)
+    entry.node.watcher.instance_table.apply_instance(instances.Instance(beat, age_s), now, is_full)
     entry.node.pool.update()
     return max(0.0, entry.node.pool.backends["i"].availability.cold.until - now)
 
@@ -65,7 +65,9 @@
     assert cold_for_s(entry, heartbeat(10)) == pytest.approx(COLD_START_S, abs=1.0)
     later = entry.node.clock() + 2 * cold_limits.REPORT_DELAY_S
     watcher = entry.node.watcher
-    watcher.apply_instance(instances.Instance(heartbeat(11, reports_cold=True)), later)
+    watcher.instance_table.apply_instance(
+        instances.Instance(heartbeat(11, reports_cold=True)), later
+    )
     entry.node.pool.update()
     assert not entry.node.pool.backends["i"].availability.cold.is_cold(later)
 
@@ -74,7 +76,7 @@
 def test_back_end_that_reappears_is_not_assumed_to_be_cold():
     entry = make_entry()
     cold_for_s(entry, heartbeat(reports_cold=True))
-    entry.node.watcher.remove("i")
+    entry.node.watcher.instance_table.remove("i")
     entry.node.pool.update()
     assert cold_for_s(entry, heartbeat(30)) == 0.0
 
@@ -83,7 +85,9 @@
     entry = make_entry()
     cold_for_s(entry, heartbeat(reports_cold=True))
     next_one = fleet.Heartbeat("i@5", "safe", "10.0.0.1:1", "z", 4, fleet.READY, 1)
-    entry.node.watcher.apply_instance(instances.Instance(next_one), entry.node.clock(), False)
+    entry.node.watcher.instance_table.apply_instance(
+        instances.Instance(next_one), entry.node.clock(), False
+    )
     entry.node.pool.update()
     assert entry.node.pool.backends["i@5"].availability.cold.is_cold(entry.node.clock())
 
--- a/tests/test_conflict_index.py
+++ b/tests/test_conflict_index.py
@@ -75,10 +75,10 @@
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
     parsed = count_parsed(monkeypatch)
     for number in range(BACKENDS):
-        watcher.apply_instance(
+        watcher.instance_table.apply_instance(
             instances.Instance(beat(f"i-{number}@1", f"10.0.0.9:{1 + number}")), 0.0
         )
-    assert len(watcher.instances) == BACKENDS
+    assert len(watcher.instance_table.instances) == BACKENDS
     assert len(parsed) <= PARSED_MAX * BACKENDS
 
 
@@ -86,10 +86,10 @@
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
     reported = [beat("i-1", "10.0.0.9:2", sequence=5), beat("i-1", "10.0.0.9:1", sequence=4)]
     for heartbeat in reported:
-        watcher.apply_instance(instances.Instance(heartbeat), 0.0)
-    assert watcher.instances["i-1"].address == "10.0.0.9:2"
+        watcher.instance_table.apply_instance(instances.Instance(heartbeat), 0.0)
+    assert watcher.instance_table.instances["i-1"].address == "10.0.0.9:2"
     leaving = beat("i-1", "10.0.0.9:1", sequence=3)
     leaving.state = fleet.DRAINING
-    watcher.apply_instance(instances.Instance(leaving), 0.0)
-    known = watcher.instances["i-1"]
+    watcher.instance_table.apply_instance(instances.Instance(leaving), 0.0)
+    known = watcher.instance_table.instances["i-1"]
     assert (known.address, known.state) == ("10.0.0.9:2", fleet.DRAINING)
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -207,11 +207,11 @@
         await put_configuration(controls, 2)
         await fleet_nodes.until(lambda: watcher.version == 2)
         await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
-        await fleet_nodes.until(lambda: "i-1" in watcher.instances)
+        await fleet_nodes.until(lambda: "i-1" in watcher.instance_table.instances)
         await controls.until_acknowledged("DELETE", "/instances/i-1")
-        await fleet_nodes.until(lambda: "i-1" not in watcher.instances)
+        await fleet_nodes.until(lambda: "i-1" not in watcher.instance_table.instances)
         await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
-        await fleet_nodes.until(lambda: watcher.named == {"m": 2})
+        await fleet_nodes.until(lambda: watcher.published_versions.named == {"m": 2})
         task.cancel()
 
     run(tmp_path, scenario)
@@ -348,17 +348,15 @@
 
     def receive(age_s: float) -> None:
         named = [node_messages.NamedVersion("m", 2, age_s)]
-        watcher.apply_versions(
-            node_messages.WatchReply("f", 1, False, [], [], named, 0, b"", [], 0.0), 100.0
-        )
+        watcher.published_versions.apply(named, 100.0)
 
     receive(60.0)
     receive(3.0)
     receive(30.0)
-    assert watcher.named_at["m"][2] == 97.0
+    assert watcher.published_versions.named_at["m"][2] == 97.0
     # A difference that network latency alone can explain does not change the time.
     receive(2.0)
-    assert watcher.named_at["m"][2] == 97.0
+    assert watcher.published_versions.named_at["m"][2] == 97.0
 
 
 def test_watcher_restores_instance_wrongly_replaced():
@@ -372,9 +370,9 @@
     receive("new", 0.5, [])
     receive("old", 0.0, [])
     receive("new", 0.1, ["old"])
-    assert set(watcher.instances) == {"new"}
+    assert set(watcher.instance_table.instances) == {"new"}
     receive("old", 0.0, [])
-    assert set(watcher.instances) == {"new"}
+    assert set(watcher.instance_table.instances) == {"new"}
 
 
 def test_state_survives_power_loss_with_loss_of_leader_disk(tmp_path):
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -288,9 +288,9 @@
 
 def test_each_weights_version_is_due_by_its_own_naming_time():
     entry = fleet_nodes.Entry()
-    watcher = entry.node.watcher
-    watcher.named_at = {"m": {2: 100.0, 3: 102.0}}
-    assert [watcher.newest_version_with_age("m", now, 7.0) for now in (106.0, 107.5, 109.5)] == [
+    versions = entry.node.watcher.published_versions
+    versions.named_at = {"m": {2: 100.0, 3: 102.0}}
+    assert [versions.newest_version_with_age("m", now, 7.0) for now in (106.0, 107.5, 109.5)] == [
         0,
         2,
         3,
@@ -321,7 +321,8 @@
             held = 1 if backend.instance == old.instance else 2
             backend.apply_report(fleet.EngineReport(weights=[fleet.Weights("m", held, 16)]), now)
         pool.backends[new.instance].is_draining = True
-        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        versions = watcher.published_versions
+        versions.named, versions.named_at = {"m": 2}, {"m": {2: now}}
         connection = await entry.send("/model/", "id-1", **STREAM)
         await fleet_nodes.until(lambda: count_runs([old]) == 1)
         pool.backends[new.instance].is_draining = False
@@ -344,7 +345,8 @@
         now = pool.clock()
         report = fleet.EngineReport(weights=[fleet.Weights("m", 3, 16)])
         pool.backends[engine.instance].apply_report(report, now)
-        watcher.named, watcher.named_at = {"m": 3}, {"m": {2: now - 60.0, 3: now}}
+        versions = watcher.published_versions
+        versions.named, versions.named_at = {"m": 3}, {"m": {2: now - 60.0, 3: now}}
         assert pool.required_version("m", now) == 2
         response = await entry.request("/model/", "id-1", **STREAM)
         assert (response.status, count_runs([engine])) == (200, 1)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -125,7 +125,7 @@
         watcher.apply(node_messages.WatchReply("f", 1, False, reported, [], [], 0, b"", [], 0.0))
         reported = [instances.Instance(make_heartbeat(STARTED_MS + 1, address="2.2.2.2:2"))]
         watcher.apply(node_messages.WatchReply("f", 2, False, reported, [], [], 0, b"", [], 0.0))
-        assert [known.state for known in watcher.instances.values()] == [fleet.READY]
+        assert [known.state for known in watcher.instance_table.instances.values()] == [fleet.READY]
 
     asyncio.run(scenario())
 
@@ -193,7 +193,7 @@
     async def scenario():
         entry = fleet_nodes.Entry()
         pool = entry.node.pool
-        pool.watcher.instances = {
+        pool.watcher.instance_table.instances = {
             make_heartbeat(STARTED_MS + 1).instance: make_heartbeat(STARTED_MS + 1)
         }
         pool.update()
--- a/tests/test_leaving_signals.py
+++ b/tests/test_leaving_signals.py
@@ -57,7 +57,7 @@
         fleet_.announce(fleet_.workers)
         assert await fleet_.count_arrivals(leaving) == 0
         # It disappears from the fleet state for a moment.
-        del fleet_.entry.node.watcher.instances[leaving.instance]
+        del fleet_.entry.node.watcher.instance_table.instances[leaving.instance]
         fleet_.announce(fleet_.workers[1:])
         assert leaving.instance not in fleet_.entry.node.pool.backends
         fleet_.announce(fleet_.workers)
@@ -74,7 +74,7 @@
         leaving.behaviour.is_leaving, leaving.behaviour.work_s = True, 0.1
         pending = asyncio.create_task(fleet_.request())
         await fleet_nodes.until(lambda: leaving.runs)
-        del fleet_.entry.node.watcher.instances[leaving.instance]
+        del fleet_.entry.node.watcher.instance_table.instances[leaving.instance]
         fleet_.entry.node.apply_fleet_update()
         fleet_.announce(fleet_.workers)
         assert (await pending).status == 200
@@ -102,9 +102,10 @@
         leaving.behaviour.is_leaving = False
         watcher = fleet_.entry.node.watcher
         next_incarnation = dataclasses.replace(
-            watcher.instances[leaving.instance], instance=f"{leaving.instance}@1767000000001"
+            watcher.instance_table.instances[leaving.instance],
+            instance=f"{leaving.instance}@1767000000001",
         )
-        watcher.apply_instance(instances.Instance(next_incarnation), watcher.clock())
+        watcher.instance_table.apply_instance(instances.Instance(next_incarnation), watcher.clock())
         watcher.on_update()
         assert await fleet_.is_used(leaving)
 
@@ -210,6 +211,6 @@
         for _ in range(REQUESTS):
             assert (await fleet_.request(0, b"")).status == 200
         assert len(leaving.runs) == before
-        assert leaving.instance in watcher.gone
+        assert leaving.instance in watcher.instance_table.gone
 
     asyncio.run(scenario())
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -148,7 +148,7 @@
     entry = fleet_nodes.Entry()
     heartbeat = parse()
     heartbeat.address = address
-    entry.node.watcher.apply_instance(instances.Instance(heartbeat), 0.0)
-    assert not entry.node.watcher.instances
-    entry.node.watcher.apply_instance(instances.Instance(parse()), 0.0)
-    assert list(entry.node.watcher.instances) == ["i"]
+    entry.node.watcher.instance_table.apply_instance(instances.Instance(heartbeat), 0.0)
+    assert not entry.node.watcher.instance_table.instances
+    entry.node.watcher.instance_table.apply_instance(instances.Instance(parse()), 0.0)
+    assert list(entry.node.watcher.instance_table.instances) == ["i"]
--- a/tests/test_resting_back_ends.py
+++ b/tests/test_resting_back_ends.py
@@ -192,14 +192,14 @@
         await fleet.request_until_refused([worker])
         before = worker.refusal_count
         watcher = fleet.entry.node.watcher
-        known = watcher.instances.pop(worker.instance)
+        known = watcher.instance_table.instances.pop(worker.instance)
         watcher.on_update()
         assert (await fleet.request()).status == 503
         fleet.announce(fleet.workers)
         assert (await fleet.request()).status == 503
         assert worker.refusal_count == before
         next_incarnation = dataclasses.replace(known, instance=f"{worker.instance}@1767000000001")
-        watcher.apply_instance(instances.Instance(next_incarnation), watcher.clock())
+        watcher.instance_table.apply_instance(instances.Instance(next_incarnation), watcher.clock())
         watcher.on_update()
         worker.behaviour.is_full = False
         assert (await fleet.request()).status == 200
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -379,7 +379,7 @@
         if is_replaced:
             replace(fleet, silent)
         else:
-            fleet.entry.node.watcher.remove(silent.worker.instance)
+            fleet.entry.node.watcher.instance_table.remove(silent.worker.instance)
             fleet.entry.node.pool.update()
         assert silent.worker.instance not in fleet.entry.node.pool.backends
         await stream.read_whole()
@@ -404,7 +404,8 @@
         pool.backends[new.instance].is_draining = True
         bounds = fleet.entry.node.settings.bounds
         bounds.version_s = reload_schedule.EXPIRY_MARGIN_S + 0.4
-        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        versions = watcher.published_versions
+        versions.named, versions.named_at = {"m": 2}, {"m": {2: now}}
         expires_at = asyncio.get_running_loop().time() + bounds.version_s
         # Sent at the last moment at which the old weights may be used, to an engine that is silent.
         await asyncio.sleep(0.2)
@@ -482,7 +483,8 @@
         bounds = fleet.entry.node.settings.bounds
         bounds.version_s = 1.6
         now = pool.clock()
-        watcher.named, watcher.named_at = {"m": 2}, {"m": {2: now}}
+        versions = watcher.published_versions
+        versions.named, versions.named_at = {"m": 2}, {"m": {2: now}}
         await fleet_nodes.until(lambda: old.cancelled)
         assert pool.clock() - now < bounds.version_s
 
--- a/tests/test_watcher_full_updates.py
+++ b/tests/test_watcher_full_updates.py
@@ -42,7 +42,8 @@
         INFORMED not in watcher.positions
     ), "a control VM sends only changes after a known position"
     watcher.apply(make_reply("feed-a", 5, True, ["a", "b"]), INFORMED)
-    assert not watcher.missing and set(watcher.instances) == {"a", "b"}
+    table = watcher.instance_table
+    assert not table.missing and set(table.instances) == {"a", "b"}
 
 
 # Guards against a reply that was on its way when the positions were discarded.
@@ -63,7 +64,7 @@
     watcher.apply(make_reply("feed-b", 1, True, []), NEWLY_STARTED)
     times[0] += 100.0
     watcher.apply(make_reply("feed-b", 2, False, []), NEWLY_STARTED)
-    assert not watcher.instances
+    assert not watcher.instance_table.instances
     assert not watcher.positions, "with a position, a control VM would send only changes"
 
 
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -88,11 +88,13 @@
                     "state": "ready",
                     "sequence": self.sequence,
                 }
-                agent.watcher.instances[engine.instance] = dialect.bodies.parse_heartbeat(
-                    engine.instance, json.dumps(heartbeat).encode()
+                agent.watcher.instance_table.instances[engine.instance] = (
+                    dialect.bodies.parse_heartbeat(engine.instance, json.dumps(heartbeat).encode())
                 )
-            agent.watcher.named["m"] = version
-            agent.watcher.named_at["m"] = {version: asyncio.get_running_loop().time()}
+            agent.watcher.published_versions.named["m"] = version
+            agent.watcher.published_versions.named_at["m"] = {
+                version: asyncio.get_running_loop().time()
+            }
 
     def stop_agent(self, number: int) -> None:
         """Stop an agent abruptly, as if its process was killed."""
@@ -544,7 +546,7 @@
         )
         # A newer version was published so long ago that the old one has expired.
         watcher = weights.view.watcher
-        watcher.named_at["m"] = {2: asyncio.get_running_loop().time() - 60.0}
+        watcher.published_versions.named_at["m"] = {2: asyncio.get_running_loop().time() - 60.0}
         assert not weights.is_serving()
         await weights.serve_piece(node_messages.PieceRequest("m", 1, b"\xff"))
         alone = piece_server.IDLE_UPLOAD_SHARE * link
