--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -1,4 +1,7 @@
-"""The back ends known to an entry, with their load, wait queues and retry budgets."""
+"""The back ends known to an entry, with their load, wait queues and retry budgets.
+
+`backend_chooser` chooses among them.
+"""
 
 import asyncio
 import contextlib
@@ -39,9 +42,6 @@
 from merlinthread.protocol import node_messages
 
 REQUESTS_WOKEN = 4
-# Agents probed for one choice, and the timeout for their replies.
-PROBE_AGENTS = 2
-PROBE_TIMEOUT_S = 0.015
 # Share of the retry budget that is used; the rest is a margin for changes in the set of entries.
 BUDGET_SHARE = 0.75
 FREE_RETRIES = 3
@@ -55,7 +55,7 @@
 
 
 class BackendPool:
-    """Chooses back ends for attempts and tracks their load."""
+    """Keeps the records of back ends, and tracks the load of this entry's attempts on them."""
 
     def __init__(
         self,
@@ -180,17 +180,6 @@
             known.is_draining = True
         self.recorder.record_leaving(backend.instance, request_id)
 
-    def permit_candidates(
-        self, requirements: dispatch.Requirements
-    ) -> list[backend_record.Backend]:
-        """Return the back ends that could take an attempt with a permit, best first.
-
-        The list is empty if a back end could take it without a permit.
-        """
-        engine = self.engine_of(requirements.service)
-        backends = self.backends_by_service.get(requirements.service, [])
-        return dispatch.permit_candidates(backends, requirements, engine, self.clock())
-
     def available_at(self, service: str, regions: frozenset[str] | None = None) -> float | None:
         """Return when a back end of a service is available again, or None if one is now.
 
@@ -268,80 +257,12 @@
         bound_s = self.settings.bounds.version_s - START_MARGIN_S
         return self.watcher.published_versions.usable_until(model, loaded, bound_s)
 
-    # Choice and reservations
+    # Queues, permits and reservations
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
         """Return the wait queue of a service."""
         return self.queues.setdefault(service, wait_queue.WaitQueue())
 
-    async def choose(
-        self, requirements: dispatch.Requirements, wait_s_max: float
-    ) -> dispatch.Choice | None:
-        """Choose a back end, if possible with an expected wait of at most `wait_s_max` seconds.
-
-        For engines, probe the best few first, since other entries may have sent requests since the
-        last load reports. If none of the subscribed engines is good enough, probe some others.
-        """
-        engine = self.engine_of(requirements.service)
-        backends = self.backends_by_service.get(requirements.service, [])
-        if engine is None or not self.settings.agent_port:
-            return dispatch.choose(
-                backends, requirements, engine, self.clock(), self.rng, wait_s_max
-            )
-        subscribed = self.subscribed.get(requirements.service, [])
-        probed = dispatch.shortlist(
-            subscribed, requirements, engine, self.clock(), self.rng, PROBE_AGENTS
-        )
-        await self.probe(probed, requirements)
-        choice = dispatch.choose_best(probed, requirements, engine, self.clock())
-        if choice is not None and choice.wait_s <= admission.wait_limit_s(
-            wait_s_max, choice.is_over_share
-        ):
-            return choice
-        others = self.unsubscribed(backends, subscribed)
-        probed = dispatch.shortlist(
-            others, requirements, engine, self.clock(), self.rng, PROBE_AGENTS
-        )
-        await self.probe(probed, requirements)
-        known = [*subscribed, *(backend for backend in probed if not backend.probe_unanswered)]
-        # Unsubscribed engines that did not reply to the probe are the last resort.
-        choice = dispatch.choose_best(known, requirements, engine, self.clock(), wait_s_max)
-        return choice or dispatch.choose_best(probed, requirements, engine, self.clock())
-
-    def evaluate(
-        self, backend: backend_record.Backend, requirements: dispatch.Requirements
-    ) -> dispatch.Choice:
-        """Return the choice of a given back end, with its expected wait."""
-        engine = self.engine_of(requirements.service)
-        return dispatch.evaluate(backend, requirements, engine, self.clock())
-
-    def unsubscribed(
-        self, backends: list[backend_record.Backend], subscribed: list[backend_record.Backend]
-    ) -> list[backend_record.Backend]:
-        """Return the engines whose load reports this entry does not subscribe to."""
-        if len(subscribed) == len(backends):
-            return []
-        known = {backend.instance for backend in subscribed}
-        return [backend for backend in backends if backend.instance not in known]
-
-    async def probe(
-        self, probed: list[backend_record.Backend], requirements: dispatch.Requirements
-    ) -> None:
-        """Probe engines for their load, and the shares of the account, through their agents."""
-        agents = list({self.agent_of(backend): None for backend in probed})
-        asked_tokens = requirements.asked_tokens if agents else 0.0
-        requirements.asked_tokens -= asked_tokens
-        replies = await self.prober.query(
-            agents, PROBE_TIMEOUT_S, requirements.account, asked_tokens, requirements.urgency
-        )
-        # Engines on one VM share an agent. Its timeout must count against all of them; otherwise
-        # an engine without the penalty would get all requests.
-        for backend in probed:
-            reply = replies[self.agent_of(backend)]
-            self.apply_probe_reply(backend, reply)
-            if reply is not None:
-                requirements.over_share[backend.instance] = reply.is_over_share
-
     def apply_probe_reply(
         self, backend: backend_record.Backend, reply: load_tracker.EngineLoad | None
     ) -> None:
@@ -355,12 +276,6 @@
         """Wait for a permit of a cold back end's agent for up to `patience_s` seconds."""
         return await self.cold_permits.acquire(backend, self.agent_of(backend), patience_s)
 
-    def cold_candidates(self, requirements: dispatch.Requirements) -> list[dispatch.Choice]:
-        """Return the cold back ends that lack only a permit of their agent, the soonest first."""
-        engine = self.engine_of(requirements.service)
-        backends = self.backends_by_service.get(requirements.service, [])
-        return dispatch.cold_candidates(backends, requirements, engine, self.clock())
-
     def ready_in_s(self, service: str, regions: frozenset[str] | None = None) -> float | None:
         """Return the seconds until half of a service's engines are expected to serve, or None.
 
--- a/src/merlinthread/nodes/backend_selection.py
+++ b/src/merlinthread/nodes/backend_selection.py
@@ -14,6 +14,7 @@
 from merlinthread.nodes import (
     attempt_descriptions,
     attempt_history,
+    backend_chooser,
     backend_pool,
     hold_check,
     permits,
@@ -35,6 +36,7 @@
         arrived_at: float,
         table: route_table.RouteTable,
         pool: backend_pool.BackendPool,
+        chooser: backend_chooser.BackendChooser,
         exchange: stream_server.Exchange,
         history: attempt_history.AttemptHistory,
         holds: hold_check.HoldCheck,
@@ -43,6 +45,7 @@
         self.service = service
         self.arrived_at = arrived_at
         self.pool = pool
+        self.chooser = chooser
         self.clock = pool.clock
         self.exchange = exchange
         self.history = history
@@ -164,7 +167,7 @@
         requirements = self.requirements()
         # It may be late on its way to a busy VM, and would then begin on weights that have expired.
         requirements.version = max(requirements.version, requirements.version_soon)
-        choice = await self.pool.choose(requirements, self.context.deadline - now)
+        choice = await self.chooser.choose(requirements, self.context.deadline - now)
         if choice is None or choice.backend.is_ejected(now):
             return None
         try:
@@ -180,10 +183,10 @@
         """
         requirements = self.requirements()
         requirements.asked_tokens, self.unasked_tokens = self.unasked_tokens, 0.0
-        choice = await self.pool.choose(requirements, remaining_s)
+        choice = await self.chooser.choose(requirements, remaining_s)
         if choice is None and self.history.tried and self.context.is_idempotent():
             self.history.tried.clear()
-            choice = await self.pool.choose(self.requirements(), remaining_s)
+            choice = await self.chooser.choose(self.requirements(), remaining_s)
         # The VM may have been suspended meanwhile.
         if self.clock() >= self.context.deadline:
             raise errors.RequestError("deadline exceeded", kind=errors.ErrorKind.DEADLINE_EXCEEDED)
@@ -201,7 +204,7 @@
         if choice is not None and not choice.backend.availability.needs_leader_permit(self.clock()):
             return await self.with_cold_permit(choice, 0.0)
         requirements = self.requirements()
-        candidates = self.pool.permit_candidates(requirements)
+        candidates = self.chooser.permit_candidates(requirements)
         patience_s = queue_deadline - self.clock()
         if choice is not None and choice.backend not in candidates:
             # Other back ends have no limit, so there is no reason to wait for this one's permit.
@@ -215,7 +218,7 @@
             backend = next(
                 candidate for candidate in candidates if candidate.instance == result.instance
             )
-            return await self.with_cold_permit(self.pool.evaluate(backend, requirements), 0.0)
+            return await self.with_cold_permit(self.chooser.evaluate(backend, requirements), 0.0)
         regions = self.context.allowed_regions()
         if (
             self.pool.available_at(self.service, regions) is not None
@@ -251,7 +254,7 @@
                 admission.QUEUE_TIME_SHARE * self.context.route.objective_s,
                 self.context.deadline - self.clock(),
             )
-        for choice in self.pool.cold_candidates(requirements)[:COLD_AGENTS_ASKED]:
+        for choice in self.chooser.cold_candidates(requirements)[:COLD_AGENTS_ASKED]:
             wait_max_s = self.wait_max_s(self.clock())
             if not self.history.may_have_run and not self.is_admissible(choice, wait_max_s):
                 continue
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -8,6 +8,7 @@
 from merlinthread import clocks, logs, metrics
 from merlinthread.coordination import backend_availability, crash_tracker
 from merlinthread.nodes import (
+    backend_chooser,
     backend_pool,
     crash_detector,
     fleet_watcher,
@@ -76,6 +77,7 @@
             signals,
             self.reporter,
         )
+        self.chooser = backend_chooser.BackendChooser(self.pool)
         self.server = stream_server.Server(self.serve)
         self.server.held.bytes_max = self.pool.memory_limits.total_bytes
         metrics.held_bytes.set_function(lambda: self.server.held.byte_count)
@@ -145,7 +147,7 @@
     async def serve(self, exchange: stream_server.Exchange) -> None:
         """Serve one client request."""
         task = request_task.RequestTask(
-            exchange, self.dialect, self.pool, self.watcher.table, self.clock()
+            exchange, self.dialect, self.pool, self.chooser, self.watcher.table, self.clock()
         )
         await task.run()
 
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -10,6 +10,7 @@
 from merlinthread.nodes import (
     attempt_history,
     attempts,
+    backend_chooser,
     backend_pool,
     backend_selection,
     hold_check,
@@ -37,12 +38,14 @@
         exchange: stream_server.Exchange,
         dialect: dialects.Dialect,
         pool: backend_pool.BackendPool,
+        chooser: backend_chooser.BackendChooser,
         table: route_table.RouteTable | None,
         arrived_at: float,
     ) -> None:
         self.exchange = exchange
         self.dialect = dialect
         self.pool = pool
+        self.chooser = chooser
         self.table = table
         self.clock = pool.clock
         self.arrived_at = arrived_at
@@ -105,6 +108,7 @@
             self.arrived_at,
             self.table,
             self.pool,
+            self.chooser,
             self.exchange,
             self.history,
             self.holds,
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -476,10 +476,10 @@
             return {agent: known if agent == subscribed.instance else None for agent in agents}
 
         entry.node.prober.query = reply_for_subscribed_engine
-        choice = await pool.choose(dispatch.Requirements("model", "m", 1), 0.2)
+        choice = await entry.node.chooser.choose(dispatch.Requirements("model", "m", 1), 0.2)
         assert choice.backend is subscribed, "the load of the other engine is unknown"
         pool.subscribed = {"model": []}
-        choice = await pool.choose(
+        choice = await entry.node.chooser.choose(
             dispatch.Requirements("model", "m", 1, tried={subscribed.instance}), 0.2
         )
         assert choice.backend is unsubscribed
@@ -582,7 +582,7 @@
         async def choose(over_share):
             agents.over_share, agents.queries = set(over_share), []
             requirements = dispatch.Requirements("model", "m", 1, account="a", asked_tokens=9.0)
-            choice = await pool.choose(requirements, 0.28)
+            choice = await entry.node.chooser.choose(requirements, 0.28)
             return choice, requirements
 
         choice, requirements = await choose([])
--- a/tests/test_leaving_signals.py
+++ b/tests/test_leaving_signals.py
@@ -151,7 +151,8 @@
         # As if it had been chosen before its signal arrived.
         pool = fleet_.entry.node.pool
         backend = pool.backends[leaving.instance]
-        original_choose = pool.choose
+        chooser = fleet_.entry.node.chooser
+        original_choose = chooser.choose
         pending = [backend]
 
         async def choose(requirements, wait_s_max):
@@ -160,7 +161,7 @@
                 choice.backend = pending.pop()
             return choice
 
-        pool.choose = choose
+        chooser.choose = choose
         assert await fleet_.count_arrivals(leaving) == 0
         assert not pending
 
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -424,9 +424,9 @@
 # Guards against load that stays recorded for an attempt that is given up before it has begun.
 def test_attempt_given_up_before_it_begins_leaves_no_load():
     async def scenario(fleet):
-        pool = fleet.entry.node.pool
+        pool, chooser = fleet.entry.node.pool, fleet.entry.node.chooser
         connections = []
-        connect, choose = pool.connections.connect, pool.choose
+        connect, choose = pool.connections.connect, chooser.choose
 
         async def record_connection(backend, is_idempotent):
             connections.append(await connect(backend, is_idempotent))
@@ -438,7 +438,7 @@
                 connections[0].data_received(b"f\r\nid: 3\ndata: 3\n\n\r\n")
             return choice
 
-        pool.connections.connect, pool.choose = record_connection, choose_as_data_arrives
+        pool.connections.connect, chooser.choose = record_connection, choose_as_data_arrives
         for worker in fleet.workers:
             worker.behaviour.gap_s = 0.15
         stream = await fleet.stream()
@@ -562,7 +562,7 @@
         pool.update_subscriptions()
         requirements = dispatch.Requirements("model", "m")
         for _ in range(8):
-            choice = await pool.choose(requirements, 1.0)
+            choice = await fleet.entry.node.chooser.choose(requirements, 1.0)
             pool.reserve(choice.backend, 100)
         assert [backend.in_flight for backend in pool.backends.values()] == [2, 2, 2, 2]
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -85,14 +85,14 @@
     async def scenario():
         clock = fleet_nodes.SuspendableClock()
         entry, worker = await start_entry(clock)
-        pool = entry.node.pool
-        original_choose = pool.choose
+        chooser = entry.node.chooser
+        original_choose = chooser.choose
 
         async def choose_during_suspension(requirements, left_s):
             clock.suspended_s = 5.0
             return await original_choose(requirements, left_s)
 
-        pool.choose = choose_during_suspension
+        chooser.choose = choose_during_suspension
         response = await entry.request("/safe/", "id-1")
         assert (response.status, worker.runs) == (504, [])
 
