Attempts: weights that expire soon get no request after a slow connect

Cause: the version is checked when a back end is chosen; opening a connection takes up to 0.3 s after that, which is taken from the 1.4 s that remain for a request on its way. That the connect is the cause there is suspected, not shown. Change: the version is checked again just before sending, as the other conditions of a back end are. Before: the new test fails (the old engine gets the request). After: passes.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -218,6 +218,8 @@
         now = self.clock()
         if self.pool.watcher.is_evacuated(self.backend.zone):
             raise UnavailableError(f"the zone {self.backend.zone} is evacuated")
+        if self.pool.is_version_outdated(self.backend, self.context.call.model, now):
+            raise UnavailableError("its weights version expires too soon")
         availability = self.pool.signals.availability_of(self.backend.instance)
         if availability.is_unavailable(now):
             raise UnavailableError(
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -249,6 +249,12 @@
         engine = self.engine_of(backend.service)
         return backend.version_of(model, engine.layers) if engine is not None else 0
 
+    def is_version_outdated(self, backend: backend_record.Backend, model: str, now: float) -> bool:
+        """Return whether a back end's loaded version may not serve a request sent now."""
+        if not model or self.engine_of(backend.service) is None:
+            return False
+        return self.loaded_version(backend, model) < self.required_version(model, now)
+
     def start_deadline(self, backend: backend_record.Backend, model: str) -> float:
         """Return when an attempt must have begun, before the loaded weights version expires."""
         if not model or self.engine_of(backend.service) is None:
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -337,6 +337,34 @@
     asyncio.run(scenario())
 
 
+# Guards against a request that begins on expired weights, since its connection took long to open.
+def test_attempt_is_not_sent_if_its_version_is_no_longer_usable_once_connected():
+    async def scenario():
+        entry, (old, new), _ = await make_entry("model", 2, "m")
+        new.version = 2
+        pool, versions = entry.node.pool, entry.node.watcher.published_versions
+        now = pool.clock()
+        for backend in pool.backends.values():
+            held = 1 if backend.instance == old.instance else 2
+            backend.apply_report(fleet.EngineReport(weights=[fleet.Weights("m", held, 16)]), now)
+        pool.backends[new.instance].is_draining = True
+        versions.named, versions.named_at = {"m": 2}, {"m": {2: now}}
+        connect = pool.connections.connect
+
+        async def connect_slowly(backend, is_idempotent):
+            # The version becomes required while the connection is being opened.
+            entry.node.settings.bounds.version_s = 0.0
+            pool.backends[new.instance].is_draining = False
+            return await connect(backend, is_idempotent)
+
+        pool.connections.connect = connect_slowly
+        assert (await entry.request("/model/", "id-1", **STREAM)).status == 200
+        assert (count_runs([old]), count_runs([new])) == (0, 1)
+        assert pool.backends[old.instance].failures == 0
+
+    asyncio.run(scenario())
+
+
 def test_engine_ahead_of_required_version_serves():
     async def scenario():
         entry, (engine,), _ = await make_entry("model", 1, "m")
