Tests of evacuation calls: coroutine tests and shared set-up

Each test nested a coroutine and repeated its set-up. pytest now runs a test that is a coroutine function in an event loop of its own (tests/conftest.py), and fleet_nodes.running_controls starts control VMs, waits for a leader and kills them after the test, also after one that fails.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures for fleets of real processes, and the order and marks of all tests."""
 
+import asyncio
+import inspect
 import pathlib
 from collections.abc import Iterator
 
@@ -63,6 +65,15 @@
     items.sort(key=sort_key)
 
 
+def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
+    """Run a test that is a coroutine function in an event loop of its own."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = inspect.signature(pyfuncitem.obj).parameters
+    asyncio.run(pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}))
+    return True
+
+
 def sort_key(item: pytest.Item) -> int:
     """Return the sort key of a test: the index of its module in SLOW_MODULES, or the last."""
     return (
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -1,12 +1,13 @@
 """Helpers that run control VMs and entries on loopback, in the event loop of the test."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import random
 import socket
 import zlib
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from bench import soak_nodes
 from merlinthread import clocks
@@ -123,6 +124,16 @@
         abort_control_node(node)
         node.member.close()
 
+    def kill_all(self) -> None:
+        """Kill all control VMs."""
+        for ip in list(self.nodes):
+            self.kill(ip)
+
+    async def until_leader(self) -> str:
+        """Wait until a VM holds the leader's lease; return its IP."""
+        await until(self.leader)
+        return self.leader()
+
     def leader(self) -> str:
         """Return the IP of the VM that holds the leader's lease, or ""."""
         for ip, node in self.nodes.items():
@@ -156,6 +167,18 @@
         raise AssertionError(f"{method} {path} was never acknowledged")
 
 
+@contextlib.asynccontextmanager
+async def running_controls(folder: pathlib.Path, count: int = 3) -> AsyncIterator[Controls]:
+    """Start control VMs and wait for a leader; kill them afterwards."""
+    controls = Controls(folder, count)
+    try:
+        await controls.start_all()
+        await until(controls.leader)
+        yield controls
+    finally:
+        controls.kill_all()
+
+
 def abort_control_node(node: control_node.ControlNode) -> None:
     """Cancel the tasks and abort the connections of a control VM, as if its process was killed."""
     for task in node.tasks + node.member.sender.tasks():
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -23,12 +23,8 @@
 
 def run(tmp_path, scenario, count=3):
     async def run_scenario():
-        controls = fleet_nodes.Controls(tmp_path, count)
-        await controls.start_all()
-        await fleet_nodes.until(controls.leader)
-        await scenario(controls)
-        for ip in list(controls.nodes):
-            controls.kill(ip)
+        async with fleet_nodes.running_controls(tmp_path, count) as controls:
+            await scenario(controls)
 
     asyncio.run(run_scenario())
 
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -12,47 +12,57 @@
 from merlinthread.nodes import fleet_watcher, node_settings
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
-from tests.test_control_nodes import heartbeat, put_configuration, run
+from tests.test_control_nodes import heartbeat, put_configuration
+
+EVACUATIONS = levels.FormatLevel.EVACUATIONS
+EVACUATE_S = node_settings.Bounds().evacuate_s
+
+
+@contextlib.asynccontextmanager
+async def configured(tmp_path, count=3):
+    """Run control VMs with a configuration."""
+    async with fleet_nodes.running_controls(tmp_path, count) as controls:
+        await put_configuration(controls, 1)
+        yield controls
+
+
+async def until_levels_are_known(node, level=EVACUATIONS) -> list[str]:
+    """Wait until a control VM knows that all others read a level; return their addresses."""
+    others = node.member.other_addresses()
+    await fleet_nodes.until(lambda: not node.member.levels.below(others, level))
+    return others
+
+
+async def until_evacuated(node, *zones: str, seconds=10.0) -> None:
+    """Wait until the zones that a control VM has in its state are `zones`."""
+    await fleet_nodes.until(lambda: node.member.state.evacuated == list(zones), seconds)
 
 
 # Guards against a leader that refuses calls because it never heard from a member that was lost
 # together with the former leader.
-def test_followers_learn_levels_of_all_members_from_heartbeats(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
-        level = levels.FormatLevel.EVACUATIONS
+async def test_followers_learn_levels_of_all_members_from_heartbeats(tmp_path):
+    async with configured(tmp_path) as controls:
         for number, (ip, node) in enumerate(controls.nodes.items()):
             beat = heartbeat(f"i-{number}", address=f"1.2.3.4:{80 + number}")
             assert (await controls.call(ip, "PUT", f"/instances/i-{number}", beat)).status == 200
-            others = node.member.other_addresses()
-            await fleet_nodes.until(
-                lambda node=node, others=others: not node.member.levels.below(others, level)
-            )
-
-    run(tmp_path, scenario)
+            await until_levels_are_known(node)
 
 
-def test_evacuation_is_not_written_while_a_member_runs_an_older_build(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_evacuation_is_not_written_while_a_member_runs_an_older_build(tmp_path):
+    async with configured(tmp_path) as controls:
         node = controls.nodes[controls.leader()]
-        others = node.member.other_addresses()
-        await fleet_nodes.until(lambda: not node.member.levels.below(others, levels.NEWEST))
+        others = await until_levels_are_known(node, levels.NEWEST)
         node.member.levels.reported[others[0]] = levels.FormatLevel.HELD_REQUESTS
-        level = levels.FormatLevel.EVACUATIONS
-        written = node.member.state.level
         reason = node.member.write_gate.reason_not_writable(
-            level, others, written, node.member.clock()
+            EVACUATIONS, others, node.member.state.level, node.member.clock()
         )
         assert others[0] in reason and "newer builds" in reason
         # Its next reply reports the new level, as after an upgrade.
-        await fleet_nodes.until(lambda: not node.member.levels.below(others, level))
+        await until_levels_are_known(node)
         assert await node.submit(fleet_state.EvacuateZone("zone-a"))
         for each in controls.nodes.values():
-            await fleet_nodes.until(lambda each=each: each.member.state.evacuated == ["zone-a"])
-            assert each.member.state.level == level
-
-    run(tmp_path, scenario)
+            await until_evacuated(each, "zone-a")
+            assert each.member.state.level == EVACUATIONS
 
 
 async def evacuate(controls, zone: str = "zone-a") -> None:
@@ -68,9 +78,8 @@
     return json.loads(response.body)["zones"]
 
 
-def test_repeated_calls_to_any_vm_are_acknowledged(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_repeated_calls_to_any_vm_are_acknowledged(tmp_path):
+    async with configured(tmp_path) as controls:
         assert await read_zones(controls) == []
         await evacuate(controls)
         for ip in controls.ips:
@@ -82,67 +91,49 @@
             assert (await controls.call(ip, "DELETE", "/evacuations/zone-a")).status == 200
         assert await read_zones(controls) == ["zone-b"]
 
-    run(tmp_path, scenario)
 
-
-def test_evacuation_survives_kill_of_leader_and_of_all_control_vms(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_evacuation_survives_kill_of_leader_and_of_all_control_vms(tmp_path):
+    async with configured(tmp_path) as controls:
         await evacuate(controls)
-        await fleet_nodes.until(controls.leader)
-        controls.kill(controls.leader())
+        controls.kill(await controls.until_leader())
         assert await read_zones(controls) == ["zone-a"]
         await evacuate(controls, "zone-b")
-        for ip in list(controls.nodes):
-            controls.kill(ip)
+        controls.kill_all()
         for ip in controls.ips:
             await controls.start(ip)
         assert await read_zones(controls) == ["zone-a", "zone-b"]
 
-    run(tmp_path, scenario)
 
-
-def test_evacuation_survives_compaction_and_loss_of_a_disk(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_evacuation_survives_compaction_and_loss_of_a_disk(tmp_path):
+    async with configured(tmp_path) as controls:
         await evacuate(controls)
         for node in controls.nodes.values():
-            await fleet_nodes.until(lambda node=node: node.member.state.evacuated)
+            await until_evacuated(node, "zone-a")
             node.member.compact(node.member.clock())
-        await fleet_nodes.until(controls.leader)
-        lost = controls.leader()
+        lost = await controls.until_leader()
         controls.kill(lost)
         await controls.start(lost, folder=f"{lost}-empty")
         assert await read_zones(controls) == ["zone-a"]
-        new = controls.nodes[lost].member
-        await fleet_nodes.until(lambda: new.state.evacuated == ["zone-a"], 15)
-
-    run(tmp_path, scenario)
+        await until_evacuated(controls.nodes[lost], "zone-a", seconds=15)
 
 
 # Guards against a call that was accepted once and is refused while a VM is lost after all lost
 # power.
-def test_calls_are_accepted_after_power_loss_with_a_vm_lost(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_calls_are_accepted_after_power_loss_with_a_vm_lost(tmp_path):
+    async with configured(tmp_path) as controls:
         await evacuate(controls)
-        for ip in controls.ips:
-            controls.kill(ip)
+        controls.kill_all()
         for ip in controls.ips[:2]:
             await controls.start(ip)
         await evacuate(controls)
         await withdraw(controls)
         assert await read_zones(controls) == []
 
-    run(tmp_path, scenario)
-
 
-def test_zones_are_not_listed_without_majority(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_zones_are_not_listed_without_majority(tmp_path):
+    async with configured(tmp_path) as controls:
         await evacuate(controls)
-        await fleet_nodes.until(controls.leader)
-        remaining = controls.leader()
+        remaining = await controls.until_leader()
         for ip in controls.ips:
             if ip != remaining:
                 controls.kill(ip)
@@ -150,8 +141,6 @@
         assert (await controls.call(remaining, "GET", "/evacuations")).status == 503
         assert (await controls.call(remaining, "POST", "/evacuations/zone-a")).status >= 500
 
-    run(tmp_path, scenario)
-
 
 def last_index(controls) -> int:
     return max(node.member.raft.log.last_index() for node in controls.nodes.values())
@@ -159,10 +148,9 @@
 
 # Guards against a log that grows with each repeated call, and against a group that can no longer go
 # back to the previous build although no zone was ever evacuated.
-def test_calls_that_change_nothing_are_not_written(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
-        await fleet_nodes.until(controls.leader)
+async def test_calls_that_change_nothing_are_not_written(tmp_path):
+    async with configured(tmp_path) as controls:
+        await controls.until_leader()
         before = last_index(controls)
         term = controls.nodes[controls.leader()].member.raft.hard_state.term
         await withdraw(controls)
@@ -176,16 +164,13 @@
             await controls.call(ip, "POST", "/evacuations/zone-a")
         assert node.member.state.evacuation_revision == 1
 
-    run(tmp_path, scenario)
-
 
 # Guards against an acknowledged evacuation that does not hold, since it shared the entry of an
 # earlier call that precedes the withdrawal.
-def test_evacuation_after_a_withdrawal_does_not_share_the_entry_of_an_earlier_call(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
-        await fleet_nodes.until(controls.leader)
-        follower = next(ip for ip in controls.ips if ip != controls.leader())
+async def test_evacuation_after_a_withdrawal_does_not_share_the_entry_of_an_earlier_call(tmp_path):
+    async with configured(tmp_path) as controls:
+        leader = await controls.until_leader()
+        follower = next(ip for ip in controls.ips if ip != leader)
         node = controls.nodes[follower]
         commit, is_released = node.commit, asyncio.Event()
 
@@ -200,44 +185,34 @@
         others = [controls.nodes[ip].member for ip in controls.ips if ip != follower]
         await fleet_nodes.until(lambda: any(other.state.evacuated for other in others))
         node.commit = commit
-        leader = controls.nodes[controls.leader()]
-        await leader.submit(fleet_state.WithdrawEvacuation("zone-a"))
+        await controls.nodes[controls.leader()].submit(fleet_state.WithdrawEvacuation("zone-a"))
         second = asyncio.create_task(node.submit(command))
         await asyncio.sleep(0.05)
         is_released.set()
         await asyncio.gather(first, second)
         assert await read_zones(controls) == ["zone-a"]
 
-    run(tmp_path, scenario)
-
 
 # Guards against an acknowledged call that an earlier one undoes: its entry was in the leader's log
 # but not committed, and the later call was acknowledged without an entry.
 @pytest.mark.parametrize("is_evacuated", [False, True])
-def test_call_is_in_force_after_an_uncommitted_opposite_one(tmp_path, is_evacuated):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_call_is_in_force_after_an_uncommitted_opposite_one(tmp_path, is_evacuated):
+    async with configured(tmp_path) as controls:
         opposite: fleet_state.Command = fleet_state.EvacuateZone("zone-a")
         command: fleet_state.Command = fleet_state.WithdrawEvacuation("zone-a")
         if is_evacuated:
             await evacuate(controls)
             opposite, command = command, opposite
-        await fleet_nodes.until(
-            lambda: controls.leader() and controls.nodes[controls.leader()].member.holds_lease()
-        )
-        node = controls.nodes[controls.leader()]
+        node = controls.nodes[await controls.until_leader()]
         uncommitted = node.member.propose(node.member.encode_command(opposite))
         await node.api.change_evacuation(command)
         await uncommitted
         assert await read_zones(controls) == (["zone-a"] if is_evacuated else [])
 
-    run(tmp_path, scenario)
-
 
 # Guards against control VMs that differ after calls of two operators, and against a lost call.
-def test_two_operators_at_once_leave_one_state(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_two_operators_at_once_leave_one_state(tmp_path):
+    async with configured(tmp_path) as controls:
         await evacuate(controls)
         for _ in range(5):
             await asyncio.gather(
@@ -246,30 +221,18 @@
         found = await read_zones(controls)
         assert "zone-b" in found
         for node in controls.nodes.values():
-            await fleet_nodes.until(lambda node=node: node.member.state.evacuated == found)
+            await until_evacuated(node, *found)
         revisions = {node.member.state.evacuation_revision for node in controls.nodes.values()}
         assert len(revisions) == 1
 
-    run(tmp_path, scenario)
-
 
 @pytest.mark.parametrize(
     "zone",
-    [
-        "zone-x",
-        "",
-        "zone-a/",
-        "%2e%2e%2fzone-a",
-        "zone%00a",
-        "%ff",
-        "%zz",
-        "z" * 9000,
-        "%C3" * 3000,
-    ],
+    ["zone-x", "", "zone-a/", "%2e%2e%2fzone-a", "zone%00a", "%ff", "%zz"]
+    + ["z" * 9000, "%C3" * 3000],
 )
-def test_unknown_zone_is_refused_with_its_name_and_the_known_zones(tmp_path, zone):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_unknown_zone_is_refused_with_its_name_and_the_known_zones(tmp_path, zone):
+    async with configured(tmp_path, 1) as controls:
         ip = controls.ips[0]
         for method in ("POST", "DELETE"):
             response = await controls.call(ip, method, f"/evacuations/{zone}")
@@ -280,8 +243,6 @@
         await evacuate(controls)
         assert await read_zones(controls) == ["zone-a"]
 
-    run(tmp_path, scenario, 1)
-
 
 def make_watcher(controls) -> fleet_watcher.FleetWatcher:
     settings = fleet_nodes.make_settings(
@@ -302,16 +263,12 @@
             task.cancel()
 
 
-EVACUATE_S = node_settings.Bounds().evacuate_s
-
-
 def test_default_bound_covers_the_timers_of_entries():
     assert fleet_watcher.PROPAGATION_MAX_S < EVACUATE_S
 
 
-def test_entries_learn_of_evacuations_and_withdrawals(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_entries_learn_of_evacuations_and_withdrawals(tmp_path):
+    async with configured(tmp_path) as controls:
         watcher = make_watcher(controls)
         with running(watcher):
             await fleet_nodes.until(lambda: watcher.version)
@@ -320,34 +277,26 @@
             await withdraw(controls)
             await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), 1.0)
 
-    run(tmp_path, scenario)
-
 
 # Guards against an acknowledged evacuation that entries miss: only the leader knows that it is
 # committed when it acknowledges the call.
 @pytest.mark.timed
-def test_evacuation_reaches_entries_if_leader_is_killed_after_acknowledging(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_evacuation_reaches_entries_if_leader_is_killed_after_acknowledging(tmp_path):
+    async with configured(tmp_path) as controls:
         watchers = [make_watcher(controls) for _ in range(3)]
         with running(*watchers):
             await fleet_nodes.until(lambda: all(watcher.version for watcher in watchers))
-            await fleet_nodes.until(controls.leader)
-            leader = controls.leader()
-            node = controls.nodes[leader]
-            await node.submit(fleet_state.EvacuateZone("zone-a"))
+            leader = await controls.until_leader()
+            await controls.nodes[leader].submit(fleet_state.EvacuateZone("zone-a"))
             controls.kill(leader)
             for watcher in watchers:
                 await fleet_nodes.until(
                     lambda watcher=watcher: watcher.is_evacuated("zone-a"), EVACUATE_S
                 )
 
-    run(tmp_path, scenario)
-
 
-def test_entry_that_was_cut_off_during_the_call_learns_of_it(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_entry_that_was_cut_off_during_the_call_learns_of_it(tmp_path):
+    async with configured(tmp_path) as controls:
         watcher = make_watcher(controls)
         with running(watcher):
             await fleet_nodes.until(lambda: watcher.version)
@@ -360,19 +309,15 @@
         with running(watcher):
             await fleet_nodes.until(lambda: watcher.evacuations.zones == ["zone-a"], EVACUATE_S)
 
-    run(tmp_path, scenario)
-
 
 @pytest.mark.timed
-def test_entries_keep_evacuations_while_all_control_vms_lose_power(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_entries_keep_evacuations_while_all_control_vms_lose_power(tmp_path):
+    async with configured(tmp_path) as controls:
         watcher = make_watcher(controls)
         with running(watcher):
             await evacuate(controls)
             await fleet_nodes.until(lambda: watcher.is_evacuated("zone-a"), 1.0)
-            for ip in controls.ips:
-                controls.kill(ip)
+            controls.kill_all()
             await fleet_nodes.until(lambda: not watcher.is_fresh)
             assert watcher.is_evacuated("zone-a")
             for ip in controls.ips:
@@ -380,8 +325,6 @@
             await withdraw(controls)
             await fleet_nodes.until(lambda: not watcher.is_evacuated("zone-a"), EVACUATE_S)
 
-    run(tmp_path, scenario)
-
 
 def watched_states(node, evacuations: int, position: int = 0) -> dict[str, str]:
     """Return the states of back ends in a reply to a node that has received up to `position`."""
@@ -391,9 +334,8 @@
 
 
 # Guards against an entry of an older build that goes on sending to an evacuated zone.
-def test_node_that_does_not_read_evacuations_gets_back_ends_as_draining(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_node_that_does_not_read_evacuations_gets_back_ends_as_draining(tmp_path):
+    async with configured(tmp_path, 1) as controls:
         node = controls.nodes[controls.leader()]
         in_b = heartbeat("i-2", address="1.2.3.5:80") | {"zone": "zone-b"}
         await controls.until_acknowledged("PUT", "/instances/i-1", heartbeat())
@@ -415,8 +357,6 @@
         await fleet_nodes.until(lambda: not node.evacuated)
         assert set(watched_states(node, -1).values()) == {fleet.READY}
 
-    run(tmp_path, scenario, 1)
-
 
 async def run_command(controls, *arguments: str) -> subprocess.CompletedProcess:
     """Run the command line tool with the addresses of the control VMs."""
@@ -425,9 +365,8 @@
     return await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True)
 
 
-def test_command_line_evacuates_and_withdraws(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_command_line_evacuates_and_withdraws(tmp_path):
+    async with configured(tmp_path) as controls:
         done = await run_command(controls, "evacuate", "zone-a", "--json")
         assert (done.returncode, json.loads(done.stdout)) == (
             0,
@@ -443,54 +382,40 @@
         assert unknown.returncode == 2
         assert "'zone x/y'" in unknown.stderr and "known: zone-a, zone-b" in unknown.stderr
 
-    run(tmp_path, scenario)
-
 
 # Guards against a command that ends with a traceback instead of the control VM's refusal.
-def test_command_line_reports_zone_that_is_not_utf_8(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_command_line_reports_zone_that_is_not_utf_8(tmp_path):
+    async with configured(tmp_path, 1) as controls:
         unknown = await run_command(controls, "evacuate", "zone-\udcff")
         assert unknown.returncode == 2, unknown.stderr
         assert "xff" in unknown.stderr and "known: zone-a, zone-b" in unknown.stderr
 
-    run(tmp_path, scenario, 1)
-
 
 # Guards against an operator who is not told why a call is refused during an upgrade.
-def test_command_line_reports_member_of_older_build(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_command_line_reports_member_of_older_build(tmp_path):
+    async with configured(tmp_path) as controls:
         for node in controls.nodes.values():
             node.member.levels.get = lambda address: levels.FormatLevel.HELD_REQUESTS
         done = await run_command(controls, "evacuate", "zone-a", "--timeout-s", "2")
         assert done.returncode == 8
         assert "level 3" in done.stderr
 
-    run(tmp_path, scenario)
-
 
 # Guards against a call that is refused just when a zone is lost with the leader and another member,
 # whose level the next leader would know only from having led before.
 @pytest.mark.timed
-def test_zone_is_evacuated_after_loss_of_leader_and_another_member(tmp_path):
-    async def scenario(controls):
-        await put_configuration(controls, 1)
+async def test_zone_is_evacuated_after_loss_of_leader_and_another_member(tmp_path):
+    async with configured(tmp_path, 5) as controls:
         for ip in controls.ips:
             member = controls.nodes[ip].member
             await fleet_nodes.until(lambda m=member: len(m.raft.log.membership.voters) == 5, 15)
             beat = heartbeat(f"i-{ip}", address=f"{ip}:80")
             assert (await controls.call(ip, "PUT", f"/instances/i-{ip}", beat)).status == 200
-        level = levels.FormatLevel.EVACUATIONS
         for node in controls.nodes.values():
-            others = node.member.other_addresses()
-            await fleet_nodes.until(lambda n=node, o=others: not n.member.levels.below(o, level))
-        await fleet_nodes.until(controls.leader)
-        leader = controls.leader()
+            await until_levels_are_known(node)
+        leader = await controls.until_leader()
         lost = next(ip for ip in controls.ips if ip != leader)
         controls.kill(leader)
         controls.kill(lost)
         async with asyncio.timeout(EVACUATE_S):
             await evacuate(controls)
-
-    run(tmp_path, scenario, 5)
