Tests of allowed regions and evacuated back ends: shared fleet

TwoRegions repeated the start, the announcement and the requests of SingleEntryFleet and is derived from it now; SingleEntryFleet.request takes a body and headers. Nested scenarios are coroutine tests.

Tests: all keep their names, cases, assertions and bounds. The workers of TwoRegions are named i-0 to i-2, not after their zones.

--- a/tests/single_entry_fleet.py
+++ b/tests/single_entry_fleet.py
@@ -49,11 +49,13 @@
         body = fleet_nodes.configuration(1, services, self.service if self.model else "")
         self.entry.apply_update(body, {worker: self.service for worker in workers})
 
-    async def request(self) -> http_messages.Response:
+    async def request(self, body: bytes = b"", **headers) -> http_messages.Response:
         """Send a client request; return its response."""
         self.request_count += 1
-        headers = STREAM if self.model else {}
-        return await self.entry.request(f"/{self.service}/x", f"id-{self.request_count}", **headers)
+        if self.model:
+            headers = STREAM | headers
+        name = f"id-{self.request_count}"
+        return await self.entry.request(f"/{self.service}/x", name, body, **headers)
 
     def now(self) -> float:
         """Return the time on the entry's clock."""
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -23,12 +23,10 @@
 )
 from merlinthread.platform import bodies
 from merlinthread.transport import http_messages
-from stand_ins import fleet_worker
-from tests import fleet_nodes
+from tests import fleet_nodes, single_entry_fleet
 
 NONE: frozenset[str] = frozenset()
 EU, US = frozenset({"eu"}), frozenset({"us"})
-STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
 
 
 def make_backend(name: str, region: str | None, **changes) -> backend_record.Backend:
@@ -120,43 +118,23 @@
     assert parsed.accounts[1].allowed_regions == expected
 
 
-class TwoRegions:
+class TwoRegions(single_entry_fleet.SingleEntryFleet):
     """An entry in region "us" and one worker in each of "us", "eu" and a zone without a region."""
 
-    ZONES = ("zone-us", "zone-eu", "zone-x")
-
-    def __init__(self, service: str = "safe") -> None:
-        settings = fleet_nodes.make_settings(
-            "entry", zone="zone-us", region="us", regions={"zone-us": "us", "zone-eu": "eu"}
+    def __init__(self, service: str = "safe", **route_fields) -> None:
+        super().__init__(service, 3)
+        regions = {"zone-us": "us", "zone-eu": "eu"}
+        self.entry = fleet_nodes.Entry(
+            fleet_nodes.make_settings("entry", zone="zone-us", region="us", regions=regions)
         )
-        self.service = service
-        self.entry = fleet_nodes.Entry(settings)
-        model = "m" if service == "model" else ""
-        self.workers = [fleet_worker.Worker(zone, model) for zone in self.ZONES]
         self.us, self.eu, self.unknown = self.workers
-        self.count = 0
-
-    async def start(self, **route_fields) -> None:
-        await self.entry.start()
-        for worker in self.workers:
-            await worker.start()
-        self.announce(self.workers, **route_fields)
-
-    def announce(self, workers, draining=(), gone=(), **route_fields) -> None:
-        body = configuration(**({"allowed_regions": ["eu"]} | route_fields))
-        self.entry.apply_update(
-            body,
-            dict.fromkeys(workers, self.service),
-            gone,
-            draining=draining,
-            zones=dict(zip(self.workers, self.ZONES, strict=True)),
-        )
+        self.zones = {self.us: "zone-us", self.eu: "zone-eu", self.unknown: "zone-x"}
+        self.services = dict.fromkeys(self.workers, service)
+        self.body = configuration(**({"allowed_regions": ["eu"]} | route_fields))
 
-    async def request(self, **headers) -> http_messages.Response:
-        self.count += 1
-        if self.service == "model":
-            headers = STREAM | headers
-        return await self.entry.request(f"/{self.service}/x", f"id-{self.count}", b"b", **headers)
+    def announce(self, workers, draining=(), gone=()) -> None:
+        services = {worker: self.services[worker] for worker in workers}
+        self.entry.apply_update(self.body, services, gone, draining=draining, zones=self.zones)
 
     def check_others_unused(self) -> None:
         for worker in (self.us, self.unknown):
@@ -179,79 +157,60 @@
 
 
 @pytest.mark.parametrize(("service", "fault", "status"), FAULTS)
-def test_no_attempt_leaves_the_allowed_regions(service, fault, status):
-    async def scenario():
-        regions = TwoRegions(service)
-        await regions.start(target_latency_ms=400)
-        for name, value in fault.items():
-            setattr(regions.eu.behaviour, name, value)
-        for _ in range(3):
-            response = await regions.request(X_Merlinthread_Deadline_Ms="1300")
-            assert response.status == status or status is None
-        assert regions.eu.runs or regions.eu.refusals
-        regions.check_others_unused()
-
-    asyncio.run(scenario())
+async def test_no_attempt_leaves_the_allowed_regions(service, fault, status):
+    regions = await TwoRegions(service, target_latency_ms=400).start()
+    for name, value in fault.items():
+        setattr(regions.eu.behaviour, name, value)
+    for _ in range(3):
+        response = await regions.request(b"b", X_Merlinthread_Deadline_Ms="1300")
+        assert response.status == status or status is None
+    assert regions.eu.runs or regions.eu.refusals
+    regions.check_others_unused()
 
 
 @pytest.mark.parametrize("cause", ["leaving", "missing"])
 @pytest.mark.parametrize("service", ["safe", "model"])
-def test_request_is_refused_at_once_without_back_end_in_its_regions(monkeypatch, service, cause):
-    async def scenario():
-        lines = []
-        monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append((name, fields)))
-        regions = TwoRegions(service)
-        await regions.start()
-        if cause == "leaving":
-            regions.announce(regions.workers, draining=[regions.eu])
-        else:
-            regions.announce([regions.us, regions.unknown], gone=[regions.eu.instance])
-        started_at = time.monotonic()
-        response = await regions.request()
-        # The queue time is 1.8 s.
-        assert time.monotonic() - started_at < 1.0
-        assert response.status == 503
-        assert float(http_messages.get_header(response.headers, b"retry-after")) > 0
-        fields = next(fields for name, fields in lines if name == "request")
-        assert (fields["outcome"], fields["sent"]) == ("no_target", 0)
-        assert fields["allowed_regions"] == ["eu"]
-        assert "(eu)" in fields["attempts"][-1]
-        line = explain.LogLine(0.0, {"event": "request", **fields})
-        assert losses.classify_request(line, 400) == "refused: none in an allowed region"
-        regions.check_others_unused()
-
-    asyncio.run(scenario())
-
-
-def test_route_with_several_services_uses_the_one_in_the_allowed_region():
-    async def scenario():
-        regions = TwoRegions("safe")
-        body = configuration(allowed_regions=["eu"])
-        body["services"].append({"name": "other", "health_check_path": "/healthz"})
-        body["routes"][0]["traffic_split"] = [
-            {"service": "other", "weight": 95},
-            {"service": "safe", "weight": 5},
-        ]
-        await regions.entry.start()
-        for worker in regions.workers:
-            await worker.start()
-        services = {regions.us: "other", regions.unknown: "other", regions.eu: "safe"}
-        zones = dict(zip(regions.workers, regions.ZONES, strict=True))
-        regions.entry.apply_update(body, services, zones=zones)
-        assert [(await regions.request()).status for _ in range(20)] == [200] * 20
-        regions.check_others_unused()
-
-    asyncio.run(scenario())
-
-
-def test_request_without_list_uses_all_regions():
-    async def scenario():
-        regions = TwoRegions("safe")
-        await regions.start(allowed_regions=None)
-        for worker in regions.workers:
-            worker.behaviour.work_s = 0.02
-        responses = await asyncio.gather(*(regions.request() for _ in range(12)))
-        assert {response.status for response in responses} == {200}
-        assert regions.us.runs
-
-    asyncio.run(scenario())
+async def test_request_is_refused_at_once_without_back_end_in_its_regions(
+    monkeypatch, service, cause
+):
+    lines = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append((name, fields)))
+    regions = await TwoRegions(service).start()
+    if cause == "leaving":
+        regions.announce(regions.workers, draining=[regions.eu])
+    else:
+        regions.announce([regions.us, regions.unknown], gone=[regions.eu.instance])
+    started_at = time.monotonic()
+    response = await regions.request(b"b")
+    # The queue time is 1.8 s.
+    assert time.monotonic() - started_at < 1.0
+    assert response.status == 503
+    assert float(http_messages.get_header(response.headers, b"retry-after")) > 0
+    fields = next(fields for name, fields in lines if name == "request")
+    assert (fields["outcome"], fields["sent"]) == ("no_target", 0)
+    assert fields["allowed_regions"] == ["eu"]
+    assert "(eu)" in fields["attempts"][-1]
+    line = explain.LogLine(0.0, {"event": "request", **fields})
+    assert losses.classify_request(line, 400) == "refused: none in an allowed region"
+    regions.check_others_unused()
+
+
+async def test_route_with_several_services_uses_the_one_in_the_allowed_region():
+    regions = TwoRegions()
+    regions.body["services"].append({"name": "other", "health_check_path": "/healthz"})
+    split = {"other": 95, "safe": 5}
+    regions.body["routes"][0]["traffic_split"] = [
+        {"service": service, "weight": weight} for service, weight in split.items()
+    ]
+    regions.services |= {regions.us: "other", regions.unknown: "other"}
+    await regions.start()
+    assert [(await regions.request(b"b")).status for _ in range(20)] == [200] * 20
+    regions.check_others_unused()
+
+
+async def test_request_without_list_uses_all_regions():
+    regions = await TwoRegions(allowed_regions=None).start()
+    regions.set_behaviour(work_s=0.02)
+    responses = await asyncio.gather(*(regions.request(b"b") for _ in range(12)))
+    assert {response.status for response in responses} == {200}
+    assert regions.us.runs
--- a/tests/test_evacuated_back_ends.py
+++ b/tests/test_evacuated_back_ends.py
@@ -7,6 +7,7 @@
 import asyncio
 import statistics
 import time
+from typing import Self
 
 import pytest
 
@@ -24,7 +25,7 @@
 
     revision = 0
 
-    async def start(self) -> "EvacuatedFleet":
+    async def start(self) -> Self:
         """Start the entry and the workers."""
         await super().start()
         self.entry.node.pool.backends["i-0"].zone = "zone-b"
@@ -89,90 +90,75 @@
 
 
 @pytest.mark.parametrize("service", SERVICES)
-def test_evacuated_back_end_gets_no_requests_until_the_withdrawal(service):
-    async def scenario():
-        fleet = await EvacuatedFleet(service).start()
-        fleet.evacuate("zone-b")
-        assert await fleet.count_arrivals(fleet.workers[0]) == 0
-        # Heartbeats still say that it is ready.
-        fleet.announce(fleet.workers)
-        assert await fleet.count_arrivals(fleet.workers[0]) == 0
-        fleet.evacuate()
-        fleet.workers[1].behaviour.is_full = True
-        assert await fleet.count_arrivals(fleet.workers[0]) == REQUESTS
-
-    asyncio.run(scenario())
+async def test_evacuated_back_end_gets_no_requests_until_the_withdrawal(service):
+    fleet = await EvacuatedFleet(service).start()
+    fleet.evacuate("zone-b")
+    assert await fleet.count_arrivals(fleet.workers[0]) == 0
+    # Heartbeats still say that it is ready.
+    fleet.announce(fleet.workers)
+    assert await fleet.count_arrivals(fleet.workers[0]) == 0
+    fleet.evacuate()
+    fleet.workers[1].behaviour.is_full = True
+    assert await fleet.count_arrivals(fleet.workers[0]) == REQUESTS
 
 
 @pytest.mark.parametrize("service", SERVICES)
-def test_requests_are_refused_at_once_if_all_back_ends_are_evacuated(service):
-    async def scenario():
-        fleet = await EvacuatedFleet(service).start()
-        fleet.evacuate("zone-a", "zone-b")
-        delays_s = []
-        for _ in range(REQUESTS):
-            started = time.monotonic()
-            response = await fleet.request()
-            delays_s.append(time.monotonic() - started)
-            assert response.status == 503
-            assert b"retry-after" in {name.lower() for name, _ in response.headers}
-        # An eighth of the objective of 400 ms.
-        assert statistics.median(delays_s) < 0.05
-        assert not any(worker.runs for worker in fleet.workers)
-
-    asyncio.run(scenario())
-
-
-def test_queued_request_is_refused_once_all_back_ends_are_evacuated():
-    async def scenario():
-        fleet = await EvacuatedFleet(count=1).start()
-        backend = fleet.entry.node.pool.backends["i-0"]
-        backend.full_until = float("inf")
-        pending = asyncio.create_task(fleet.request())
-        await fleet_nodes.until(lambda: len(fleet.entry.node.pool.queue("safe")))
-        fleet.evacuate("zone-b")
-        assert (await pending).status == 503
-        assert not fleet.workers[0].runs
-
-    asyncio.run(scenario())
-
-
-def test_running_stream_of_evacuated_back_end_continues():
-    async def scenario():
-        fleet = await EvacuatedFleet("model", count=1).start()
-        worker = fleet.workers[0]
-        worker.behaviour.gap_s = 0.05
-        pending = asyncio.create_task(fleet.request())
-        await fleet_nodes.until(lambda: worker.events_sent)
-        fleet.evacuate("zone-b")
-        response = await pending
-        assert response.status == 200
-        assert worker.events_sent == worker.behaviour.events
-        assert (await fleet.request()).status == 503
-
-    asyncio.run(scenario())
+async def test_requests_are_refused_at_once_if_all_back_ends_are_evacuated(service):
+    fleet = await EvacuatedFleet(service).start()
+    fleet.evacuate("zone-a", "zone-b")
+    delays_s = []
+    for _ in range(REQUESTS):
+        started = time.monotonic()
+        response = await fleet.request()
+        delays_s.append(time.monotonic() - started)
+        assert response.status == 503
+        assert b"retry-after" in {name.lower() for name, _ in response.headers}
+    # An eighth of the objective of 400 ms.
+    assert statistics.median(delays_s) < 0.05
+    assert not any(worker.runs for worker in fleet.workers)
+
+
+async def test_queued_request_is_refused_once_all_back_ends_are_evacuated():
+    fleet = await EvacuatedFleet(count=1).start()
+    backend = fleet.entry.node.pool.backends["i-0"]
+    backend.full_until = float("inf")
+    pending = asyncio.create_task(fleet.request())
+    await fleet_nodes.until(lambda: len(fleet.entry.node.pool.queue("safe")))
+    fleet.evacuate("zone-b")
+    assert (await pending).status == 503
+    assert not fleet.workers[0].runs
+
+
+async def test_running_stream_of_evacuated_back_end_continues():
+    fleet = await EvacuatedFleet("model", count=1).start()
+    worker = fleet.workers[0]
+    worker.behaviour.gap_s = 0.05
+    pending = asyncio.create_task(fleet.request())
+    await fleet_nodes.until(lambda: worker.events_sent)
+    fleet.evacuate("zone-b")
+    response = await pending
+    assert response.status == 200
+    assert worker.events_sent == worker.behaviour.events
+    assert (await fleet.request()).status == 503
 
 
 # Guards against a request that is sent although the evacuation arrived while the connection to the
 # chosen back end was being opened.
 @pytest.mark.parametrize("service", SERVICES)
-def test_evacuation_during_connecting_moves_the_request(service):
-    async def scenario():
-        fleet = await EvacuatedFleet(service).start()
-        connections = fleet.entry.node.pool.connections
-        connect = connections.connect
-
-        async def connect_during_evacuation(backend, *arguments):
-            connection = await connect(backend, *arguments)
-            if not fleet.revision:
-                fleet.evacuate(backend.zone)
-            return connection
-
-        connections.connect = connect_during_evacuation
-        assert (await fleet.request()).status == 200
-        evacuated = fleet.entry.node.watcher.evacuations.zones
-        first, second = fleet.workers
-        assert len(first.runs if "zone-b" in evacuated else second.runs) == 0
-        assert len(first.runs) + len(second.runs) == 1
-
-    asyncio.run(scenario())
+async def test_evacuation_during_connecting_moves_the_request(service):
+    fleet = await EvacuatedFleet(service).start()
+    connections = fleet.entry.node.pool.connections
+    connect = connections.connect
+
+    async def connect_during_evacuation(backend, *arguments):
+        connection = await connect(backend, *arguments)
+        if not fleet.revision:
+            fleet.evacuate(backend.zone)
+        return connection
+
+    connections.connect = connect_during_evacuation
+    assert (await fleet.request()).status == 200
+    evacuated = fleet.entry.node.watcher.evacuations.zones
+    first, second = fleet.workers
+    assert len(first.runs if "zone-b" in evacuated else second.runs) == 0
+    assert len(first.runs) + len(second.runs) == 1
