--- a/tests/single_entry_fleet.py
+++ b/tests/single_entry_fleet.py
@@ -1,7 +1,9 @@
 """Test fleet of one entry and the workers of one service, on loopback and without control VMs."""
 
+import dataclasses
 from typing import Self
 
+from merlinthread.coordination import load_tracker
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -60,3 +62,35 @@
     def now(self) -> float:
         """Return the time on the entry's clock."""
         return self.entry.node.clock()
+
+
+class FakeAgents:
+    """Replies to an entry's load queries in place of the agents; records queries and notices."""
+
+    def __init__(self, entry: fleet_nodes.Entry, unread_tokens: float = 0.0) -> None:
+        self.others = load_tracker.Outstanding(4, 1, unread_tokens)
+        self.over_share: set[str] = set()
+        self.queries: list[tuple] = []
+        self.notices: list = []
+        pool = entry.node.pool
+        entry.node.settings.agent_port = 1
+        pool.agent_of = lambda backend: backend.instance
+        pool.prober.query, pool.prober.send = self.query, self.send
+
+    async def query(self, agents, wait_s, account, asked_tokens, urgency) -> dict:
+        """Return the load of each agent's engine."""
+        self.queries.append((agents, account, asked_tokens))
+        return {
+            agent: load_tracker.EngineLoad(
+                dataclasses.replace(self.others), is_over_share=agent in self.over_share
+            )
+            for agent in agents
+        }
+
+    def send(self, agent, message) -> None:
+        """Record a notice to an agent."""
+        self.notices.append(message)
+
+    def sent(self) -> list:
+        """Return the notices of requests that were sent."""
+        return [notice for notice in self.notices if notice.stage == "sent"]
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -19,7 +19,7 @@
 from merlinthread.nodes import response_reader
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
-from tests import fleet_nodes
+from tests import fleet_nodes, single_entry_fleet
 
 STREAM = {"X_Merlinthread_Model": "m", "X_Merlinthread_Token_Usage": "100,20"}
 
@@ -406,17 +406,14 @@
     [("\u0663", [1, 2, 3]), ("9" * 5000, []), ("0" * 5000 + "2", [3])],
     ids=["no number", "5,000 digits", "5,000 zeros"],
 )
-def test_client_may_send_any_last_event_id(last_event_id, expected):
-    async def scenario():
-        entry, (worker,), _ = await make_entry("model", 1, "m")
-        worker.behaviour.events = 3
-        worker.behaviour.ignores_last_event_id = True
-        headers = STREAM | {"last_event_id": last_event_id}
-        response = await entry.request("/model/", "id-1", **headers)
-        assert (response.status, event_ids(response.body)) == (200, expected)
-        assert worker.runs[0].headers["last-event-id"] == last_event_id
-
-    asyncio.run(scenario())
+async def test_client_may_send_any_last_event_id(last_event_id, expected):
+    entry, (worker,), _ = await make_entry("model", 1, "m")
+    worker.behaviour.events = 3
+    worker.behaviour.ignores_last_event_id = True
+    headers = STREAM | {"last_event_id": last_event_id}
+    response = await entry.request("/model/", "id-1", **headers)
+    assert (response.status, event_ids(response.body)) == (200, expected)
+    assert worker.runs[0].headers["last-event-id"] == last_event_id
 
 
 def test_safe_request_that_may_have_run_is_not_reported_as_not_run():
@@ -552,77 +549,48 @@
     asyncio.run(scenario())
 
 
-class FakeAgents:
-    """Replies to load queries in place of the agents, and records the queries and notices."""
-
-    def __init__(self, entry, unread_tokens=0.0):
-        self.over_share = set()
-        self.queries, self.notices = [], []
-        self.others = load_tracker.Outstanding(4, 1, unread_tokens)
-        pool = entry.node.pool
-        entry.node.settings.agent_port = 1
-        pool.agent_of = lambda backend: backend.instance
-        pool.prober.query, pool.prober.send = self.query, self.send
-
-    async def query(self, agents, wait_s, account, asked_tokens, urgency):
-        self.queries.append((agents, account, asked_tokens))
-        return {
-            agent: load_tracker.EngineLoad(self.others, is_over_share=agent in self.over_share)
-            for agent in agents
-        }
-
-    def send(self, agent, message):
-        self.notices.append(message)
-
-
 # Guards against counting a request again each time its entry chooses, and notices without cost.
-def test_agents_are_told_of_the_cost_of_a_request_once():
-    async def scenario():
-        entry, _, _ = await make_entry("model", 2, "m")
-        # So much is unread that the request waits in the entry's queue and is refused. With more,
-        # it would be refused without a wait.
-        unread_tokens = 100_000 * (0.31 - expected_wait.BASE_LATENCY_S)
-        agents = FakeAgents(entry, unread_tokens=unread_tokens)
-        headers = STREAM | {"Api_Key": "key-1", "X_Merlinthread_Length_Hint": "15"}
-        assert (await entry.request("/model/", "id-1", **headers)).status == 503
-        assert {account for _, account, _ in agents.queries} == {"account-1"}
-        asked = [tokens for asked_agents, _, tokens in agents.queries if asked_agents]
-        assert len(asked) > 1 and asked[0] == 115.0 and not any(asked[1:])
-        assert not agents.notices
-        agents.others = load_tracker.Outstanding()
-        assert (await entry.request("/model/", "id-2", **headers)).status == 200
-        sent = [notice for notice in agents.notices if notice.stage == "sent"]
-        assert [(notice.account, notice.cost_tokens) for notice in sent] == [("account-1", 115.0)]
-
-    asyncio.run(scenario())
+async def test_agents_are_told_of_the_cost_of_a_request_once():
+    entry, _, _ = await make_entry("model", 2, "m")
+    # So much is unread that the request waits in the entry's queue and is refused. With more,
+    # it would be refused without a wait.
+    unread_tokens = 100_000 * (0.31 - expected_wait.BASE_LATENCY_S)
+    agents = single_entry_fleet.FakeAgents(entry, unread_tokens=unread_tokens)
+    headers = STREAM | {"Api_Key": "key-1", "X_Merlinthread_Length_Hint": "15"}
+    assert (await entry.request("/model/", "id-1", **headers)).status == 503
+    assert {account for _, account, _ in agents.queries} == {"account-1"}
+    asked = [tokens for asked_agents, _, tokens in agents.queries if asked_agents]
+    assert len(asked) > 1 and asked[0] == 115.0 and not any(asked[1:])
+    assert not agents.notices
+    agents.others = load_tracker.Outstanding()
+    assert (await entry.request("/model/", "id-2", **headers)).status == 200
+    sent = [(notice.account, notice.cost_tokens) for notice in agents.sent()]
+    assert sent == [("account-1", 115.0)]
 
 
 # Guards against an account over its share that goes to engines whose agents were not asked.
-def test_choice_tells_whether_the_account_is_over_its_share():
-    async def scenario():
-        entry, workers, _ = await make_entry("model", 4, "m")
-        pool = entry.node.pool
-        # About 0.2 s of reading: more than an account over its share may wait for, of 0.28 s.
-        agents = FakeAgents(entry, unread_tokens=20_000.0)
-        names = [worker.instance for worker in workers]
-        pool.subscribed = {"model": [pool.backends[name] for name in names[:3]]}
-
-        async def choose(over_share):
-            agents.over_share, agents.queries = set(over_share), []
-            requirements = dispatch.Requirements("model", "m", 1, account="a", asked_tokens=9.0)
-            choice = await entry.node.chooser.choose(requirements, 0.28)
-            return choice, requirements
-
-        choice, requirements = await choose([])
-        assert not choice.is_over_share and len(agents.queries) == 1
-        choice, requirements = await choose(names)
-        assert choice.is_over_share and len(agents.queries) == 2, "other engines may have room"
-        unasked = next(name for name in names if name not in requirements.over_share)
-        assert requirements.is_over_share(pool.backends[unasked])
-        asked = next(iter(requirements.over_share))
-        requirements.over_share[asked] = False
-        assert not requirements.is_over_share(pool.backends[unasked])
-        assert not requirements.is_over_share(pool.backends[asked])
-        assert not dispatch.Requirements("model").is_over_share(pool.backends[asked])
-
-    asyncio.run(scenario())
+async def test_choice_tells_whether_the_account_is_over_its_share():
+    entry, workers, _ = await make_entry("model", 4, "m")
+    pool = entry.node.pool
+    # About 0.2 s of reading: more than an account over its share may wait for, of 0.28 s.
+    agents = single_entry_fleet.FakeAgents(entry, unread_tokens=20_000.0)
+    names = [worker.instance for worker in workers]
+    pool.subscribed = {"model": [pool.backends[name] for name in names[:3]]}
+
+    async def choose(over_share):
+        agents.over_share, agents.queries = set(over_share), []
+        requirements = dispatch.Requirements("model", "m", 1, account="a", asked_tokens=9.0)
+        choice = await entry.node.chooser.choose(requirements, 0.28)
+        return choice, requirements
+
+    choice, requirements = await choose([])
+    assert not choice.is_over_share and len(agents.queries) == 1
+    choice, requirements = await choose(names)
+    assert choice.is_over_share and len(agents.queries) == 2, "other engines may have room"
+    unasked = next(name for name in names if name not in requirements.over_share)
+    assert requirements.is_over_share(pool.backends[unasked])
+    asked = next(iter(requirements.over_share))
+    requirements.over_share[asked] = False
+    assert not requirements.is_over_share(pool.backends[unasked])
+    assert not requirements.is_over_share(pool.backends[asked])
+    assert not dispatch.Requirements("model").is_over_share(pool.backends[asked])
