Tests of admission, reports and cold permits: less repeated set-up

test_admission.py made routes and tables in three places and recorded the same 100 requests in three; the test of cold back ends in test_limited_back_ends.py repeated the walk over all entries' back ends and is a coroutine now.

Tests: all keep their names, cases, assertions, seeds and bounds.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -62,10 +62,10 @@
     engine: backend_record.Backend
     tracker: load_tracker.LoadTracker
 
-    def offer(self, number: int, urgency: int, objective_s: float) -> bool:
+    def offer(self, number: int, urgency: int) -> bool:
         """Offer a request of another entry; return whether it is admitted."""
         self.engine.apply_probe_reply(reply(self.tracker), NOW)
-        terms = admission.Terms(NOW, objective_s)
+        terms = admission.Terms(NOW, URGENT_OBJECTIVE_S)
         if expected_wait_s(self.engine, urgency) > terms.wait_max_s(NOW):
             return False
         self.tracker.record_start("other", number, PROMPT_TOKENS, NOW, urgency)
@@ -83,74 +83,56 @@
 def test_burst_of_least_urgent_class_takes_no_place_from_urgent_requests():
     alone, beside_burst = make_full_engine(), make_full_engine()
     for number in range(40):
-        beside_burst.offer(1000 + number, 2, URGENT_OBJECTIVE_S)
-    admitted_alone = sum(alone.offer(n, 0, URGENT_OBJECTIVE_S) for n in range(20))
-    admitted = sum(beside_burst.offer(n, 0, URGENT_OBJECTIVE_S) for n in range(20))
+        beside_burst.offer(1000 + number, 2)
+    admitted_alone = sum(alone.offer(n, 0) for n in range(20))
+    admitted = sum(beside_burst.offer(n, 0) for n in range(20))
     assert admitted_alone >= 1
     assert admitted == admitted_alone, f"{admitted} urgent requests for {admitted_alone}"
 
 
 def test_lasting_overload_of_urgent_class_leaves_no_place_for_less_urgent_ones():
     full = make_full_engine()
-    while full.offer(len(full.tracker.open), 0, URGENT_OBJECTIVE_S):
+    while full.offer(len(full.tracker.open), 0):
         pass
-    assert not full.offer(1000, 1, URGENT_OBJECTIVE_S)
-    assert not full.offer(1001, 2, URGENT_OBJECTIVE_S)
+    assert not full.offer(1000, 1)
+    assert not full.offer(1001, 2)
 
 
 def test_engine_queue_stays_short_enough_to_answer_in_time():
     full = make_full_engine()
     for number in range(100):
-        full.offer(number, 1, URGENT_OBJECTIVE_S)
+        full.offer(number, 1)
     queued = len(full.tracker.open) - ENGINE.slots
     # A slot becomes free every 1/12 s, so that the fourth in the queue would be late.
     assert 1 <= queued <= 3, f"{queued} requests queued"
 
 
-def test_less_urgent_class_with_long_objective_is_not_admitted_where_urgent_one_is_refused():
-    table = route_table.RouteTable(
-        fleet.Configuration(
-            1,
-            [
-                fleet.Route(
-                    f"r{priority}",
-                    "h",
-                    f"/{priority}/",
-                    fleet.STREAMING,
-                    6.0,
-                    objective_s,
-                    priority,
-                    [fleet.Share("s")],
-                )
-                for priority, objective_s in ((0, 0.406), (1, 0.406), (2, 0.805))
-            ],
-            [fleet.Service("s", engine=ENGINE)],
-            [],
-        )
+def make_route(p: int, objective_s: float = 0.4, **options) -> fleet.Route:
+    """Return a route of priority `p`."""
+    return fleet.Route(
+        f"r{p}", "h", f"/{p}/", fleet.STREAMING, 6.0, objective_s, p, [fleet.Share("s")], **options
     )
-    assert table.has_several_urgencies("s")
-    assert table.strictest_objective_s("s", 2) == 0.406
 
 
-def make_table(account_priorities, route_priorities):
-    routes = [
-        fleet.Route(f"r{p}", "h", f"/{p}/", fleet.STREAMING, 6.0, 0.4, p, [fleet.Share("s")])
-        for p in route_priorities
-    ]
+def make_table(account_priorities, routes) -> tuple[list[fleet.Account], route_table.RouteTable]:
     accounts = [
         fleet.Account(f"a{number}", [f"k{number}"], priority)
         for number, priority in enumerate(account_priorities)
     ]
     services = [fleet.Service("s", engine=ENGINE)]
-    return (
-        routes,
-        accounts,
-        route_table.RouteTable(fleet.Configuration(1, routes, services, accounts)),
-    )
+    return accounts, route_table.RouteTable(fleet.Configuration(1, routes, services, accounts))
+
+
+def test_less_urgent_class_with_long_objective_is_not_admitted_where_urgent_one_is_refused():
+    routes = [make_route(p, objective_s) for p, objective_s in ((0, 0.406), (1, 0.406), (2, 0.805))]
+    _, table = make_table([], routes)
+    assert table.has_several_urgencies("s")
+    assert table.strictest_objective_s("s", 2) == 0.406
 
 
 def test_account_priority_goes_before_route_priority_and_does_not_hide_it():
-    routes, accounts, table = make_table([1, 0], [0, 1, 2])
+    routes = [make_route(p) for p in range(3)]
+    accounts, table = make_table([1, 0], routes)
     order = [(account, route) for account in reversed(accounts) for route in routes]
     urgencies = [table.urgency_of("s", route, account) for account, route in order]
     assert urgencies == [0, 1, 2, 3, 4, 5]
@@ -158,15 +140,17 @@
 
 
 def test_many_priorities_share_the_urgencies_that_engines_know():
-    routes, accounts, table = make_table([0, 1, 2, 3, None], range(6))
+    routes = [make_route(p) for p in range(6)]
+    accounts, table = make_table([0, 1, 2, 3, None], routes)
     urgencies = {table.urgency_of("s", route, account) for route in routes for account in accounts}
     assert urgencies == set(range(10))
 
 
 def test_only_priority_of_a_service_is_sent_as_it_is():
-    routes, accounts, table = make_table([1, 1], [2])
+    route = make_route(2)
+    accounts, table = make_table([1, 1], [route])
     assert not table.has_several_urgencies("s")
-    assert table.urgency_of("s", routes[0], accounts[0]) == 1
+    assert table.urgency_of("s", route, accounts[0]) == 1
 
 
 @pytest.mark.parametrize(
@@ -181,16 +165,7 @@
 def test_urgency_is_used_only_where_routes_or_accounts_differ(
     account_priorities, is_public, expected
 ):
-    route = fleet.Route(
-        "r", "h", "/", fleet.STREAMING, 6.0, 0.4, 1, [fleet.Share("s")], is_public=is_public
-    )
-    accounts = [
-        fleet.Account(f"a{number}", [f"k{number}"], priority)
-        for number, priority in enumerate(account_priorities)
-    ]
-    table = route_table.RouteTable(
-        fleet.Configuration(1, [route], [fleet.Service("s", engine=ENGINE)], accounts)
-    )
+    _, table = make_table(account_priorities, [make_route(1, is_public=is_public)])
     assert table.has_several_urgencies("s") == expected
 
 
@@ -242,11 +217,14 @@
 
 
 class Overload:
-    """An entry that 36 urgent and 36 less urgent requests a minute find without a place."""
+    """An entry, where 100 requests of urgency `without_place` found no place within a second."""
 
-    def __init__(self) -> None:
+    def __init__(self, without_place: int | None = None) -> None:
         self.level = admission.AdmissionLevel([0, 1, 2])
         self.rng = random.Random(1)
+        if without_place is not None:
+            for number in range(100):
+                self.level.record_no_place(without_place, NOW + number / 100)
 
     def yielding_share(self, urgency: int, now: float) -> float:
         yields = [self.level.must_yield(urgency, now, self.rng) for _ in range(1000)]
@@ -267,25 +245,18 @@
 
 
 def test_least_urgent_requests_without_a_place_make_nobody_yield():
-    overload = Overload()
-    for number in range(100):
-        overload.level.record_no_place(2, NOW + number / 100)
+    overload = Overload(2)
     assert [overload.yielding_share(urgency, NOW + 1.0) for urgency in (0, 1, 2)] == [0, 0, 0]
 
 
 def test_middle_class_without_a_place_makes_only_the_least_urgent_one_yield():
-    overload = Overload()
-    for number in range(100):
-        overload.level.record_no_place(1, NOW + number / 100)
+    overload = Overload(1)
     assert overload.yielding_share(1, NOW + 1.0) == 0
     assert overload.yielding_share(2, NOW + 1.0) > 0.9
 
 
 def test_nobody_yields_soon_after_an_overload():
-    overload = Overload()
-    for number in range(100):
-        overload.level.record_no_place(0, NOW + number / 100)
-    assert overload.yielding_share(2, NOW + 8.0) < 0.1
+    assert Overload(0).yielding_share(2, NOW + 8.0) < 0.1
 
 
 def test_clients_that_come_back_are_admitted_at_a_longer_wait():
--- a/tests/test_limited_back_ends.py
+++ b/tests/test_limited_back_ends.py
@@ -220,40 +220,31 @@
 
 # Guards against plain back ends, which have no agent, that get all requests while they are cold.
 @pytest.mark.timed
-def test_cold_back_ends_without_agent_get_permits_of_the_leader(tmp_path):
-    async def scenario():
-        fleet = await start_fleet(tmp_path, workers=2)
-        body = fleet_nodes.configuration(2, ["safe"])
-        body["services"][0]["cold_per_s"] = 6
-        for entry in fleet.entries:
-            entry.node.settings.bounds.cold_overage = 1.5
-            entry.node.settings.bounds.cold_slack = 5.0
-        await fleet.controls.until_acknowledged("PUT", "/config", body)
-        fleet.cold_ms = 60_000
+async def test_cold_back_ends_without_agent_get_permits_of_the_leader(tmp_path):
+    fleet = await start_fleet(tmp_path, workers=2)
+    body = fleet_nodes.configuration(2, ["safe"])
+    body["services"][0]["cold_per_s"] = 6
+    for entry in fleet.entries:
+        entry.node.settings.bounds.cold_overage = 1.5
+        entry.node.settings.bounds.cold_slack = 5.0
+    await fleet.controls.until_acknowledged("PUT", "/config", body)
+    fleet.cold_ms = 60_000
+
+    def known() -> list[tuple]:
+        """Return what each entry knows of each back end, with the time on its clock."""
         pools = [entry.node.pool for entry in fleet.entries]
-        await fleet_nodes.until(
-            lambda: all(
-                backend.availability.needs_leader_permit(pool.clock())
-                for pool in pools
-                for backend in pool.backends.values()
-            )
-        )
-        since = await fleet.send_at_rate(30.0, 4.0) + PROPAGATION_S
-        await fleet.wait_for_responses()
-        for worker in fleet.workers:
-            # 6 x 1.5 + 5 in a second.
-            assert fleet.max_started_in(worker, 1.0, since, since + 3.0) <= 14
-        started = sum(fleet.count_started(worker, since, since + 3.0) for worker in fleet.workers)
-        assert started >= UTILISATION_MIN * 2 * 6 * 3.0, started
-        fleet.cold_ms = 0
-        await fleet_nodes.until(
-            lambda: not any(
-                backend.availability.lacks_permit(pool.clock())
-                or backend.availability.needs_leader_permit(pool.clock())
-                for pool in pools
-                for backend in pool.backends.values()
-            )
-        )
-        await fleet.stop()
+        return [(b.availability, pool.clock()) for pool in pools for b in pool.backends.values()]
 
-    asyncio.run(scenario())
+    await fleet_nodes.until(lambda: all(a.needs_leader_permit(now) for a, now in known()))
+    since = await fleet.send_at_rate(30.0, 4.0) + PROPAGATION_S
+    await fleet.wait_for_responses()
+    for worker in fleet.workers:
+        # 6 x 1.5 + 5 in a second.
+        assert fleet.max_started_in(worker, 1.0, since, since + 3.0) <= 14
+    started = sum(fleet.count_started(worker, since, since + 3.0) for worker in fleet.workers)
+    assert started >= UTILISATION_MIN * 2 * 6 * 3.0, started
+    fleet.cold_ms = 0
+    await fleet_nodes.until(
+        lambda: not any(a.lacks_permit(now) or a.needs_leader_permit(now) for a, now in known())
+    )
+    await fleet.stop()
--- a/tests/test_load_prober.py
+++ b/tests/test_load_prober.py
@@ -63,10 +63,7 @@
             reply.is_over_share = agent == "b"
             prober.receive(reply)
         replies = await asyncio.wait_for(task, 5.0)
-        assert {agent: reply.is_over_share for agent, reply in replies.items()} == {
-            "a": False,
-            "b": True,
-        }
+        assert {agent: r.is_over_share for agent, r in replies.items()} == {"a": False, "b": True}
 
     run(scenario)
 
--- a/tests/test_overload_report.py
+++ b/tests/test_overload_report.py
@@ -79,16 +79,8 @@
 
 
 def make_try(number: int, result: Result, urgency: int, prompt: float) -> overload_report.Try:
-    return overload_report.Try(
-        f"r{number}",
-        0.0,
-        result,
-        0.0,
-        f"r-{urgency}",
-        service="model",
-        urgency=urgency,
-        prompt_tokens=prompt,
-    )
+    fields = {"service": "model", "urgency": urgency, "prompt_tokens": prompt}
+    return overload_report.Try(f"r{number}", 0.0, result, 0.0, f"r-{urgency}", **fields)
 
 
 def test_best_split_serves_the_most_urgent_first_within_the_capacity():
@@ -110,14 +102,8 @@
     assert overload_report.make_split(0, "model", tries, ENGINES, {}).share == 1.0
 
 
-VALUE = (
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | st.text(max_size=3)
-    | st.just([10**30])
-)
+VALUE = st.none() | st.booleans() | st.integers() | st.floats()
+VALUE |= st.text(max_size=3) | st.just([10**30])
 FIELDS = ["ms", "first_ms", "objective_ms", "urgency", "prompt_tokens", "response_tokens_max"]
 FIELDS += ["route", "account", "zone", "request", "outcome", "status", "is_client_retry"]
 
