Soak of placement: shorter lists of arrivals and lasting evacuation

The lasting evacuation is called by the same code as the others, without a time limit. An unused field of EvacuationChecker is removed. The checks are the same.

--- a/bench/soak_evacuations.py
+++ b/bench/soak_evacuations.py
@@ -40,7 +40,6 @@
     def __init__(self, signal_checker: soak_signals.SignalChecker) -> None:
         self.signal_checker = signal_checker
         self.evacuations: list[Evacuation] = []
-        self.checked_s = 0.0
 
     def check_reading(self, zones: list[str], since: float, until: float) -> list[str]:
         """Return what is wrong with the evacuated zones in an answer to a call of that period."""
@@ -70,10 +69,9 @@
         out: it was not in contact with the control VMs all the time.
         """
         begin = evacuation.acknowledged_at + EVACUATE_S + IN_FLIGHT_S
-        arrivals = [(run.request_id, run.at) for run in worker.runs]
-        arrivals += [(refusal.request_id, refusal.at) for refusal in worker.refusals]
         found = []
-        for request_id, at in arrivals:
+        for arrival in [*worker.runs, *worker.refusals]:
+            request_id, at = arrival.request_id, arrival.at
             if not begin < at < evacuation.withdrawal_called_at:
                 continue
             entry_ip = self.signal_checker.sent[request_id].entry_ip
--- a/bench/soak_placement.py
+++ b/bench/soak_placement.py
@@ -248,17 +248,14 @@
     async def evacuate_lastingly(self) -> None:
         """Evacuate a zone amid the faults, until the end of the run."""
         await asyncio.sleep(self.seconds / 4)
-        evacuation = await self.evacuate(LASTING_ZONE)
-        if evacuation.acknowledged_at == math.inf:
-            await self.call_until_acknowledged("POST", LASTING_ZONE, math.inf)
-            evacuation.acknowledged_at = asyncio.get_running_loop().time()
+        await self.evacuate(LASTING_ZONE, math.inf)
 
-    async def evacuate(self, zone: str) -> soak_evacuations.Evacuation:
+    async def evacuate(self, zone: str, within_s: float = CALL_S) -> soak_evacuations.Evacuation:
         """Evacuate a zone, repeating the call as operators do; it may stay unacknowledged."""
         now = asyncio.get_running_loop().time
         evacuation = soak_evacuations.Evacuation(zone, now())
         self.evacuation_checker.evacuations.append(evacuation)
-        if await self.call_until_acknowledged("POST", zone, CALL_S):
+        if await self.call_until_acknowledged("POST", zone, within_s):
             evacuation.acknowledged_at = now()
         return evacuation
 
@@ -332,12 +329,11 @@
         """Describe the requests that reached a worker outside their allowed regions."""
         found = []
         for worker in self.fleet.workers:
-            arrivals = [run.request_id for run in worker.runs]
-            arrivals += [refusal.request_id for refusal in worker.refusals]
-            for request_id in arrivals:
-                allowed = self.allowed.get(request_id)
+            for arrival in [*worker.runs, *worker.refusals]:
+                name = arrival.request_id
+                allowed = self.allowed.get(name)
                 if allowed is not None and REGIONS[worker.zone] not in allowed:
-                    found.append(f"{request_id} reached {worker.instance}, allowed {set(allowed)}")
+                    found.append(f"{name} reached {worker.instance}, allowed {set(allowed)}")
         return found
 
     def unexpected_errors(self) -> list[str]:
