Cold back ends: time slots by numbers that do not shift

Cause: an agent told each entry its position in the sorted list of the entries that it had heard of. The list is short after a start of the agent, and also when many entries come at once, for instance after an evacuation. Positions told before others were added are too low, so several entries used the same slot if the agent was lost then. Entries with and without a position also exceeded the bound beside each other, since positions were consecutive slots.

Change: an agent gives each entry a number that stays the same while the agent runs (coordination/entry_numbers.py). It tells none for 10 s after its start; entries keep the number of its last run meanwhile. Entries spread the numbers evenly over the slots. Without any number an entry uses random slots at a lower rate, 13 a second for 18 at a bound of 32. The leader's ranks are as they were.

--- a/src/merlinthread/coordination/cold_limits.py
+++ b/src/merlinthread/coordination/cold_limits.py
@@ -23,6 +23,9 @@
 # Time from the check of a permit to the arrival of the request: latency between regions and delays
 # of a busy entry.
 ARRIVAL_DELAY_S = 0.05
+# By how many standard deviations the bound exceeds the mean, where entries chose their time slots
+# at random.
+RANDOM_SLOTS_DEVIATIONS = 4.0
 # Largest burst, as a share of the requests of one second.
 BURST_SHARE = 0.5
 # Higher rates are no limit in practice, and could not be computed with.
@@ -61,6 +64,16 @@
         """
         return self.rate_within(self.bound - 2, validity_s + ARRIVAL_DELAY_S)
 
+    def random_slots_per_s(self) -> float:
+        """Return the rate for time slots that entries chose at random, so that some share one.
+
+        The number of requests in a window is about Poisson-distributed: its variance is its mean.
+        """
+        deviations = RANDOM_SLOTS_DEVIATIONS
+        mean = ((math.sqrt(deviations**2 + 4.0 * self.bound) - deviations) / 2.0) ** 2
+        late_s = PERMIT_VALIDITY_S + ARRIVAL_DELAY_S
+        return min(self.paced_per_s(), self.rate_within(mean, late_s))
+
     def rate_within(self, count: float, late_s: float) -> float:
         """Return the rate that yields up to `count` requests a window if each is `late_s` late.
 
--- a/src/merlinthread/nodes/cold_grants.py
+++ b/src/merlinthread/nodes/cold_grants.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from merlinthread import logs, metrics
-from merlinthread.coordination import cold_limits, entry_ranks
+from merlinthread.coordination import cold_limits, entry_numbers
 from merlinthread.nodes import fleet_watcher, node_settings
 from merlinthread.protocol import node_messages
 
@@ -28,7 +28,7 @@
         self.settings = settings
         self.watcher = watcher
         self.clock = clock
-        self.entries = entry_ranks.EntryRanks()
+        self.entries = entry_numbers.EntryNumbers(clock())
         self.limiter: cold_limits.ColdLimiter | None = None
         self.asked_at = float("-inf")
 
@@ -85,8 +85,10 @@
                 burst=limiter.limit.burst(),
             )
         self.asked_at = now
-        rank = self.entries.rank_of(query.address)
-        return node_messages.PermitReply(decision, "", len(self.entries.ranked), rank, now)
+        number = self.entries.number_of(query.address, now)
+        if number is None:
+            return node_messages.PermitReply(decision, at=now)
+        return node_messages.PermitReply(decision, "", self.entries.count(), number, now)
 
     def record_attempt(self, notice: node_messages.AttemptNotice) -> None:
         """Count an attempt that an entry began without a permit of this agent."""
--- a/src/merlinthread/nodes/cold_permits.py
+++ b/src/merlinthread/nodes/cold_permits.py
@@ -11,8 +11,15 @@
 from collections.abc import Callable
 
 from merlinthread import logs, metrics
-from merlinthread.coordination import backend_record, cold_limits, permit_slots, rate_limits
+from merlinthread.coordination import (
+    backend_record,
+    cold_limits,
+    entry_numbers,
+    permit_slots,
+    rate_limits,
+)
 from merlinthread.nodes import load_prober, permits
+from merlinthread.protocol import node_messages
 
 # Timeout of a query: four round trips between regions, and within the time that a request may wait.
 REPLY_TIMEOUT_S = 0.015
@@ -28,9 +35,14 @@
 
 @dataclasses.dataclass(slots=True)
 class AgentState:
-    """The time slots to use while an agent does not decide, and whether it does."""
+    """The time slots to use while an agent does not decide, and whether it does.
+
+    `has_number` is set once the agent has told this entry its number among those that ask; its
+    time slots are chosen at random until then.
+    """
 
     slots: permit_slots.PermitSlots
+    has_number: bool = False
     decides: bool = True
     query_not_before: float = float("-inf")
 
@@ -52,8 +64,9 @@
         self.prober = prober
         self.clock = clock
         self.on_load = on_load
-        # Random, so that entries that have heard of no rank rarely use the same slots.
-        self.rank = rng.randrange(ENTRIES_MIN)
+        # The position of the slots used without a number, in [0, 1).
+        self.position = rng.random()
+        # The most entries that an agent has counted.
         self.entries = ENTRIES_MIN
         self.agents: dict[str, AgentState] = {}
 
@@ -67,11 +80,11 @@
         """
         availability = backend.availability
         assert availability.cold_limit is not None
+        state = self.state_of(agent)
         limit = rate_limits.AdvertisedLimit(
-            backend.instance, availability.cold_limit.paced_per_s(), 0.0
+            backend.instance, slots_per_s(availability.cold_limit, state), 0.0
         )
         request = rate_limits.PermitRequest(backend.service, "", max(0.0, patience_s), [limit])
-        state = self.state_of(agent)
         decided_at = self.clock()
         decision = await self.query(backend, agent, request)
         by, source = "agent", f"agent {agent}"
@@ -98,7 +111,6 @@
         state = self.agents.get(agent)
         if state is None:
             state = AgentState(permit_slots.PermitSlots(0))
-            state.slots.update(self.entries, self.rank, 0.0)
             self.agents[agent] = state
             while len(self.agents) > AGENTS_MAX:
                 del self.agents[next(iter(self.agents))]
@@ -120,13 +132,28 @@
             logs.event("cold_permits_from_agent", agent=agent, entries=reply.entries)
         state.decides = True
         state.query_not_before = float("-inf")
-        self.entries = max(ENTRIES_MIN, reply.entries)
-        state.slots.update(self.entries, reply.rank, reply.at - self.clock())
+        self.update_slots(state, reply)
         return reply.decision
 
+    def update_slots(self, state: AgentState, reply: node_messages.PermitReply) -> None:
+        """Update the time slots from a reply that tells this entry's number.
+
+        One without it changes nothing: the agent has just started, and a known number still
+        differs from those of the other entries that its last run told.
+        """
+        if reply.entries <= 0:
+            return
+        state.has_number = True
+        self.entries = max(self.entries, reply.entries)
+        slots = max(ENTRIES_MIN, reply.entries)
+        rank = entry_numbers.slot_of(reply.rank, slots)
+        state.slots.update(slots, rank, reply.at - self.clock())
+
     def record_undecided(self, agent: str, state: AgentState, has_replied: bool) -> None:
         """Record that an agent did not decide on a permit."""
         now = self.clock()
+        if not state.has_number:
+            state.slots.update(self.entries, int(self.position * self.entries), 0.0)
         if state.decides:
             logs.event(
                 "cold_permits_by_turns",
@@ -152,3 +179,8 @@
         decision.back_in_s = min(decision.back_in_s, retry_in_s)
         decision.free_in_s = [min(free_in_s, retry_in_s) for free_in_s in decision.free_in_s]
         return decision
+
+
+def slots_per_s(limit: cold_limits.ColdLimit, state: AgentState) -> float:
+    """Return the rate of all entries' time slots together, for the limit of an agent's engine."""
+    return limit.paced_per_s() if state.has_number else limit.random_slots_per_s()
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -271,7 +271,9 @@
     `decision` is None unless the control VM is certain to be the leader; `leader` then names the
     leader, or is empty if unknown. The other fields are for times when the sender does not reply:
     `entries` is the number of entries with recent requests, `rank` the receiver's position among
-    them, and `at` the time on the sender's clock, in seconds.
+    them, and `at` the time on the sender's clock, in seconds. From an agent, `entries` counts the
+    numbers that it has given to entries and `rank` is the receiver's; `entries` is 0 while it gives
+    none (`coordination.entry_numbers`).
     """
 
     decision: rate_limits.Decision | None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,7 @@
     "test_reload_schedule.py",
     "test_chunk_announcements.py",
     "test_cold_limits.py",
+    "test_cold_slots.py",
     "test_crash_tracker.py",
     "test_part_tracker.py",
     "test_coordination.py",
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -55,6 +55,7 @@
     if limit is None:
         assert cold_per_s == 0
         return
+    assert 0.0 < limit.random_slots_per_s() <= limit.paced_per_s()
     limiter = cold_limits.ColdLimiter(limit, 0.0)
     limiter.record_unpermitted(50.0)
     assert limiter.decide("i", 0.0, 100.0).instance == "i"
