Test of queue order: a less urgent request does not yield at random

Change: the level does not make requests yield in this test, which is of the order in the queue; its checks are the same.

--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from merlinthread.coordination import expected_wait, load_tracker, wait_queue
+from merlinthread.coordination import admission, expected_wait, load_tracker, wait_queue
 from tests import fleet_nodes, single_entry_fleet
 
 SLOTS = 4
@@ -47,7 +47,9 @@
 
 
 @pytest.mark.parametrize("path", ["/model/", "/model/second/"], ids=["same class", "less urgent"])
-async def test_new_request_does_not_overtake_a_queued_one(path):
+async def test_new_request_does_not_overtake_a_queued_one(path, monkeypatch):
+    # Once the first request has found no place, a less urgent one is refused at random.
+    monkeypatch.setattr(admission.AdmissionLevel, "must_yield", lambda *_: False)
     engine = await OneEngine().start()
     first = engine.send("/model/", 1)
     await fleet_nodes.until(lambda: any(waiter.woken for waiter in engine.queue.waiters))
