Stream server: flow control, request bodies and slow clients in modules of their own

No change in behaviour, except that the part of a body that exceeds its bound is kept until the connection is closed. Two tests use the new places.

--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -11,43 +11,18 @@
 
 from merlinthread import clocks, logs, metrics
 from merlinthread.coordination import held_bytes
-from merlinthread.transport import http_messages, sockets
+from merlinthread.transport import (
+    flow_control,
+    http_messages,
+    request_body,
+    slow_clients,
+    sockets,
+)
 
 READ_AHEAD_BYTES_MAX = 256 * 1024
-# Small parts of a body are joined to blocks of up to this size: a part of two bytes as an object of
-# its own takes over 40 bytes.
-BODY_BLOCK_BYTES = 64 * 1024
-# How often clients that take their data slowly are checked, and for how long they may take none
-# once their request's handler has ended.
-STALL_CHECK_INTERVAL_S = 0.5
-STALL_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1024
 
 
-class FlowControl:
-    """Flow control for writing: lets a task wait until the transport's buffer has room."""
-
-    def __init__(self) -> None:
-        self.waiter: asyncio.Future | None = None
-        self.is_paused = False
-
-    def pause(self) -> None:
-        """Record that the transport's buffer is full."""
-        self.is_paused = True
-
-    def resume(self) -> None:
-        """Record that the buffer has room, or that the transport is closed."""
-        self.is_paused = False
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
-
-    async def wait_writable(self) -> None:
-        """Wait until the buffer has room."""
-        while self.is_paused:
-            self.waiter = asyncio.get_running_loop().create_future()
-            await self.waiter
-
-
 class Exchange:
     """A request received on a connection, with methods to send the response.
 
@@ -118,9 +93,7 @@
         self.is_shutting_down = False
         self.listener: asyncio.Server | None = None
         self.held = held_bytes.Budget(clocks.now)
-        # The connections whose client takes its data more slowly than it is written.
-        self.slow_connections: set[ServerConnection] = set()
-        self.stall_timer: asyncio.TimerHandle | None = None
+        self.slow_clients = slow_clients.SlowClients()
 
     async def listen(self, host: str, port: int) -> None:
         """Start listening on `host`:`port`."""
@@ -143,25 +116,6 @@
             if connection.is_idle():
                 connection.close()
 
-    def watch_slow_connection(self, connection: "ServerConnection") -> None:
-        """Check a connection regularly until its client has taken its data."""
-        self.slow_connections.add(connection)
-        if self.stall_timer is None:
-            loop = asyncio.get_running_loop()
-            self.stall_timer = loop.call_later(STALL_CHECK_INTERVAL_S, self.check_slow_connections)
-
-    def check_slow_connections(self) -> None:
-        """Close the connections of clients that take no data and whose request has ended."""
-        self.stall_timer = None
-        now = clocks.now()
-        for connection in list(self.slow_connections):
-            connection.update_progress(now)
-            if connection.is_stalled(now):
-                connection.shed("stalled", now)
-        if self.slow_connections:
-            loop = asyncio.get_running_loop()
-            self.stall_timer = loop.call_later(STALL_CHECK_INTERVAL_S, self.check_slow_connections)
-
     def count_active_requests(self) -> int:
         """Return how many requests are in progress."""
         return sum(1 for connection in self.connections if connection.task is not None)
@@ -176,11 +130,10 @@
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
         self.transport: asyncio.Transport | None = None
-        self.flow = FlowControl()
+        self.flow = flow_control.FlowControl()
         self.task: asyncio.Task | None = None
         self.request: http_messages.Request | None = None
-        self.body_chunks: list[bytearray] = []
-        self.body_size = 0
+        self.body = request_body.RequestBody()
         self.holder = server.held.open(lambda now: self.shed("memory", now), self.update_progress)
         # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
         self.request_bytes = 0
@@ -211,7 +164,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Unregister the connection and cancel its handler task."""
         self.server.connections.discard(self)
-        self.server.slow_connections.discard(self)
+        self.server.slow_clients.discard(self)
         self.holder.release()
         self.set_timer(None, None)
         self.flow.resume()
@@ -223,11 +176,11 @@
         self.flow.pause()
         self.update_write_bytes()
         self.holder.progress_at = clocks.now()
-        self.server.watch_slow_connection(self)
+        self.server.slow_clients.watch(self)
 
     def resume_writing(self) -> None:
         """Let tasks that write continue."""
-        self.server.slow_connections.discard(self)
+        self.server.slow_clients.discard(self)
         self.holder.add(-self.write_bytes)
         self.write_bytes = 0
         self.holder.progress_at = clocks.now()
@@ -250,7 +203,7 @@
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the client takes no data although its request's handler has ended."""
-        return self.task is None and now - self.holder.progress_at > STALL_TIMEOUT_S
+        return self.task is None and now - self.holder.progress_at > slow_clients.STALL_TIMEOUT_S
 
     def shed(self, reason: str, now: float) -> None:
         """Close the connection of a client that holds too much memory or takes no data."""
@@ -311,7 +264,11 @@
         if isinstance(event, h11.Request):
             return self.handle_head(event)
         if isinstance(event, h11.Data):
-            return self.handle_body(event.data)
+            self.body.add(event.data)
+            if self.body.size > self.server.limits.body_bytes:
+                self.send_error(413)
+                return False
+            return True
         if isinstance(event, h11.EndOfMessage):
             self.start_handler()
         return False
@@ -333,8 +290,7 @@
         self.request = http_messages.Request(
             event.method, event.target, list(event.headers.raw_items())
         )
-        self.body_chunks = []
-        self.body_size = 0
+        self.body = request_body.RequestBody()
         length = http_messages.get_header(self.request.headers, b"content-length")
         if length is not None and int(length) > self.server.limits.body_bytes:
             self.send_error(413)
@@ -344,26 +300,14 @@
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
-    def handle_body(self, data: bytes | bytearray) -> bool:
-        """Handle a part of a request's body."""
-        self.body_size += len(data)
-        if self.body_size > self.server.limits.body_bytes:
-            self.send_error(413)
-            return False
-        if self.body_chunks and len(self.body_chunks[-1]) + len(data) <= BODY_BLOCK_BYTES:
-            self.body_chunks[-1] += data
-        else:
-            self.body_chunks.append(bytearray(data))
-        return True
-
     def start_handler(self) -> None:
         """Start a task that runs the handler for the complete request."""
         self.set_timer(None, None)
         assert self.request is not None
-        self.request.body = b"".join(self.body_chunks)
+        self.request.body = self.body.join()
         exchange = Exchange(self, self.request)
         self.request = None
-        self.body_chunks = []
+        self.body = request_body.RequestBody()
         self.task = asyncio.get_running_loop().create_task(self.run_handler(exchange))
 
     async def run_handler(self, exchange: Exchange) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -13,7 +13,7 @@
 from merlinthread import logs
 from merlinthread.coordination import held_bytes
 from merlinthread.nodes import memory_limits
-from merlinthread.transport import http_messages, stream_client, stream_server
+from merlinthread.transport import http_messages, slow_clients, stream_client, stream_server
 from tests import fleet_nodes, single_entry_fleet
 
 KIB = 1024
@@ -266,7 +266,7 @@
 async def test_response_of_a_client_that_does_not_read_is_given_up_after_its_deadline(
     shed, monkeypatch
 ):
-    monkeypatch.setattr(stream_server, "STALL_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(slow_clients, "STALL_TIMEOUT_S", 0.5)
 
     async with SlowFleet("safe") as fleet:
         fleet.set_behaviour(body_padding=12 * MIB)
@@ -360,8 +360,8 @@
     writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n")
     writer.write(b"2\r\nab\r\n" * 50_000)
     await writer.drain()
-    await fleet_nodes.until(lambda: any(c.body_size == 100_000 for c in server.connections))
+    await fleet_nodes.until(lambda: any(c.body.size == 100_000 for c in server.connections))
     (connection,) = server.connections
-    assert b"".join(connection.body_chunks) == b"ab" * 50_000
-    assert len(connection.body_chunks) <= 2
+    assert b"".join(connection.body.chunks) == b"ab" * 50_000
+    assert len(connection.body.chunks) <= 2
     writer.close()
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -221,7 +221,7 @@
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab")
-        while not any(connection.body_chunks for connection in server.connections):
+        while not any(connection.body.chunks for connection in server.connections):
             await asyncio.sleep(0)
         server.stop_accepting()
         writer.write(b"cd")
