--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -239,7 +239,9 @@
         assert sum(len(worker.runs) for worker in fleet.workers) == 1
 
 
-# Guards against an entry that ends, or serves nobody, since some clients do not read.
+# Guards against an entry that ends, or serves nobody, since some clients do not read. Marked, since
+# 8 MiB must be read within the deadline of 2.8 s.
+@pytest.mark.timed
 async def test_clients_that_do_not_read_are_closed_above_the_sum_and_others_are_served(shed):
     async with SlowFleet("model") as fleet:
         fleet.server.held.bytes_max = 3 * MIB
