--- a/bench/silence_fleet.py
+++ b/bench/silence_fleet.py
@@ -10,7 +10,7 @@
 
 from bench import silence_plan, soak_nodes
 from merlinthread import errors
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages
 from stand_ins import silent_worker
 
 EVENT_COUNT = 15
@@ -36,7 +36,7 @@
 
 
 async def call_control(
-    pool: stream_client.ConnectionPool, ip: str, method: str, path: str, body: dict | None = None
+    pool: connection_pool.ConnectionPool, ip: str, method: str, path: str, body: dict | None = None
 ) -> int:
     """Call a control VM; return the status, or 0 if there is no response."""
     data = json.dumps(body).encode() if body is not None else b""
@@ -49,9 +49,9 @@
     return response.status
 
 
-def make_pool() -> stream_client.ConnectionPool:
+def make_pool() -> connection_pool.ConnectionPool:
     """Return a pool that opens a connection for each request."""
-    return stream_client.ConnectionPool(0.0, 0.5, CALL_TIMEOUT_S)
+    return connection_pool.ConnectionPool(0.0, 0.5, CALL_TIMEOUT_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,7 +121,7 @@
 
 
 async def send_heartbeat(
-    pool: stream_client.ConnectionPool,
+    pool: connection_pool.ConnectionPool,
     ip: str,
     silent: silent_worker.SilentWorker,
     sequence: int,
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -7,7 +7,7 @@
 
 from bench import soak_nodes
 from merlinthread import errors
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages
 from stand_ins import fleet_worker, proxy
 
 RECOVERY_TIMEOUT_S = 12.0
@@ -34,7 +34,7 @@
             for number, service in enumerate(SERVICES)
         }
         self.links: dict[fleet_worker.Worker, proxy.Link] = {}
-        self.pool = stream_client.ConnectionPool(0.0, 0.5, 1.0)
+        self.pool = connection_pool.ConnectionPool(0.0, 0.5, 1.0)
 
     async def start(self) -> None:
         """Start all workers and control VMs, without waiting for the control VMs."""
--- a/bench/upgrade_balancer.py
+++ b/bench/upgrade_balancer.py
@@ -6,7 +6,7 @@
 
 from bench import soak_fleet, soak_nodes
 from merlinthread import errors
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages
 
 CHECK_INTERVAL_S = 1.0
 # An entry gets no new connections after this many failed checks in a row, until one succeeds.
@@ -16,7 +16,7 @@
 class Balancer:
     """Checks the readiness of all entries periodically."""
 
-    def __init__(self, pool: stream_client.ConnectionPool) -> None:
+    def __init__(self, pool: connection_pool.ConnectionPool) -> None:
         self.pool = pool
         # Consecutive failed checks, by the entry's IP.
         self.failures = dict.fromkeys(soak_nodes.ENTRY_IPS, FAILURES_MAX)
--- a/src/merlinthread/nodes/backend_connections.py
+++ b/src/merlinthread/nodes/backend_connections.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from merlinthread.coordination import backend_record
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages, stream_client
 
 KEEP_ALIVE_S = 20.0
 CONNECT_TIMEOUT_S = 0.3
@@ -20,7 +20,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
-        self.pool = stream_client.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.pool = connection_pool.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     async def connect(
         self, backend: backend_record.Backend, is_idempotent: bool
@@ -45,7 +45,7 @@
         headers: http_messages.Headers,
     ) -> None:
         """Return a connection to the pool, for as long as the response headers allow."""
-        keep_alive_s = stream_client.keep_alive_timeout_s(headers, KEEP_ALIVE_S)
+        keep_alive_s = connection_pool.keep_alive_timeout_s(headers, KEEP_ALIVE_S)
         self.pool.release(backend.instance, connection, self.clock(), keep_alive_s)
 
     def handle_timeout(self, instance: str, connection: stream_client.ClientConnection) -> None:
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -6,7 +6,7 @@
 from merlinthread.coordination import fleet
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import retry_after
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages
 
 KEEP_ALIVE_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
@@ -42,14 +42,14 @@
         # How long the engine was still cold at its last report, None if it did not say. It is kept
         # out of `fleet.EngineReport`, which is sent to all entries several times a second.
         self.cold_s: float | None = None
-        self.pool = stream_client.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+        self.pool = connection_pool.ConnectionPool(KEEP_ALIVE_S, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
         # The configured size of a piece, or 0 if it is not known.
         self.piece_bytes = 0
 
     def piece_bytes_max(self) -> int:
         """Return the bound on the length of a piece."""
         if not self.piece_bytes:
-            return stream_client.WHOLE_BODY_BYTES_MAX
+            return connection_pool.WHOLE_BODY_BYTES_MAX
         return max(PIECE_BYTES_MIN, PIECE_BYTES_FACTOR * self.piece_bytes)
 
     async def fetch_report(self) -> fleet.EngineReport:
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -12,7 +12,7 @@
 from merlinthread import errors, logs
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, stream_client, stream_server
+from merlinthread.transport import connection_pool, http_messages, stream_server
 
 PATH = b"/node"
 MEDIA_TYPE = b"application/msgpack"
@@ -31,7 +31,7 @@
 
     def __init__(self, codec: codecs.Codec) -> None:
         self.codec = codec
-        self.pool = stream_client.ConnectionPool(
+        self.pool = connection_pool.ConnectionPool(
             KEEP_ALIVE_S, CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S
         )
 
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -17,7 +17,7 @@
 from merlinthread.platform import dialect
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, node_bus, stream_client
+from merlinthread.transport import connection_pool, http_messages, node_bus, stream_client
 from stand_ins import fleet_worker
 
 # Parallel test processes use separate loopback addresses.
@@ -148,7 +148,7 @@
         data = json.dumps(body).encode() if body is not None else b""
         headers = [(b"host", b"c"), (b"content-length", b"%d" % len(data))]
         request = http_messages.Request(method.encode(), path.encode(), headers, data)
-        pool = stream_client.ConnectionPool(1.0, 1.0, 2.0)
+        pool = connection_pool.ConnectionPool(1.0, 1.0, 2.0)
         return await pool.request(f"{ip}:{self.public_port}", request, 3.0)
 
     async def until_acknowledged(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -13,7 +13,7 @@
 from merlinthread.nodes import engine_client
 from merlinthread.platform import dialect
 from merlinthread.protocol import event_stream
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages, stream_client
 from tests import floods, single_entry_fleet
 
 FLOOD_BYTES_MAX = 96 * 1024 * 1024
@@ -67,7 +67,7 @@
 async def test_call_ends_with_an_error_and_closes_the_connection(name):
     server = FloodServer(*floods.FLOODS[name])
     address = await server.start()
-    pool = stream_client.ConnectionPool(5.0, 1.0, 2.0)
+    pool = connection_pool.ConnectionPool(5.0, 1.0, 2.0)
     began = time.monotonic()
     with pytest.raises(errors.ProtocolError):
         await pool.request(address, get(), 5.0, 256 * KIB)
@@ -90,7 +90,7 @@
         writer.close()
 
     address = await listen(respond)
-    pool = stream_client.ConnectionPool(5.0, 1.0, 2.0)
+    pool = connection_pool.ConnectionPool(5.0, 1.0, 2.0)
     began = time.monotonic()
     with pytest.raises(errors.UnreachableError):
         await pool.request(address, get(), 0.3)
@@ -109,7 +109,7 @@
         await writer.drain()
         writer.close()
 
-    pool = stream_client.ConnectionPool(5.0, 1.0, 2.0)
+    pool = connection_pool.ConnectionPool(5.0, 1.0, 2.0)
     response = await pool.request(await listen(respond), get(), 5.0, len(body))
     assert response.body == body
 
--- a/tests/test_evacuation_upgrade.py
+++ b/tests/test_evacuation_upgrade.py
@@ -12,7 +12,7 @@
 import pytest
 
 from bench import soak_nodes, upgrade_builds
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.transport import connection_pool, http_messages
 from stand_ins import fleet_worker
 
 WORKER_IP = f"{soak_nodes.NETWORK}.31"
@@ -33,7 +33,7 @@
         }
         for ip in (OLD_CONTROL_IP, OLD_ENTRY_IP):
             self.nodes[ip].source = old
-        self.pool = stream_client.ConnectionPool(1.0, 1.0, 2.0)
+        self.pool = connection_pool.ConnectionPool(1.0, 1.0, 2.0)
         self.worker = fleet_worker.Worker("i-1")
         self.sequence = 0
 
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -10,7 +10,13 @@
 
 from merlinthread import errors
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, node_bus, stream_client, stream_server
+from merlinthread.transport import (
+    connection_pool,
+    http_messages,
+    node_bus,
+    stream_client,
+    stream_server,
+)
 from tests import fleet_nodes
 
 
@@ -43,7 +49,7 @@
 
 
 async def call(address: str) -> http_messages.Response:
-    pool = stream_client.ConnectionPool(5.0, 1.0, 2.0)
+    pool = connection_pool.ConnectionPool(5.0, 1.0, 2.0)
     return await pool.request(address, get(), 2.0)
 
 
@@ -56,7 +62,7 @@
             await exchange.respond(http_messages.Response(200, [], b"hello"))
 
         _, address = await serve(handler)
-        pool = stream_client.ConnectionPool(5.0, 1.0, 2.0)
+        pool = connection_pool.ConnectionPool(5.0, 1.0, 2.0)
         bodies = [(await pool.request(address, get(), 2.0)).body for _ in range(3)]
         assert bodies == [b"hello"] * 3
         assert len(set(connections)) == 1
@@ -313,7 +319,7 @@
     async def scenario():
         server = StallingServer()
         address = await server.start()
-        pool = stream_client.ConnectionPool(60.0, 1.0, 2.0)
+        pool = connection_pool.ConnectionPool(60.0, 1.0, 2.0)
         await asyncio.gather(*(pool.request(address, get(), 5.0) for _ in range(3)))
         assert server.connections == 3
         server.generation += 1
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -13,7 +13,7 @@
 from merlinthread import clocks, errors
 from merlinthread.coordination import crash_tracker, instances
 from merlinthread.protocol import node_messages
-from merlinthread.transport import http_messages, stream_client, stream_server
+from merlinthread.transport import connection_pool, http_messages, stream_client, stream_server
 from stand_ins import fleet_worker
 from tests import fleet_nodes, single_entry_fleet
 
@@ -186,7 +186,7 @@
         await server.listen("127.0.0.1", 0)
         port = server.listener.sockets[0].getsockname()[1]
         address = f"127.0.0.1:{port}"
-        pool = stream_client.ConnectionPool(1.0, 1.0, 2.0)
+        pool = connection_pool.ConnectionPool(1.0, 1.0, 2.0)
         request = http_messages.Request(b"GET", b"/", [(b"host", b"c")])
         # The connection is open, so that the pause falls into the wait for the response.
         await pool.request(address, request, 1.0)
