Placement soak: calls on evacuations move to a class of their own

Cause: the upgrade test is to evacuate zones too, and the calls were methods of the placement soak.

Change: soak_evacuations.ZoneOperator makes the calls and reads.

--- a/bench/soak_placement.py
+++ b/bench/soak_placement.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 import math
 import pathlib
 
@@ -27,9 +26,8 @@
 ACCOUNT_REGIONS = {"key-2": ["home"]}
 ENGINE_IPS = tuple(f"{soak_nodes.NETWORK}.{number}" for number in (21, 22))
 REQUEST_INTERVAL_S = 0.012
-# How long operators repeat a call, and how often evacuations are read.
+# How long operators repeat a call.
 CALL_S = 5.0
-READ_INTERVAL_S = 0.2
 HOLD_S = (soak_evacuations.EVACUATE_S + 1.0, soak_evacuations.EVACUATE_S + 3.0)
 COLD_S = (soak_cold.KNOWN_S + 3.0, soak_cold.KNOWN_S + 5.0)
 # Events of the log with an exception that no code handles, and the header of Python's own output.
@@ -134,7 +132,7 @@
         zone = self.rng.choice(free)
         self.busy_zones.add(zone)
         run, now = self.run_of_faults, asyncio.get_running_loop().time
-        evacuation = await run.evacuate(zone)
+        evacuation = await run.zone_operator.evacuate(zone, CALL_S)
         await asyncio.sleep(self.rng.uniform(*HOLD_S))
         if is_cold:
             duration_s = self.rng.uniform(*COLD_S)
@@ -143,7 +141,7 @@
                     run.cold_checker.begin(worker, now(), duration_s)
             # The zone's back ends are known to be cold when they return.
             await asyncio.sleep(soak_cold.KNOWN_S)
-        await run.withdraw(evacuation)
+        await run.zone_operator.withdraw(evacuation)
         self.busy_zones.discard(zone)
 
     async def return_cold(self) -> None:
@@ -173,6 +171,7 @@
         super().__init__(seed, seconds, folder, kinds)
         self.cold_checker = soak_cold.ColdChecker()
         self.evacuation_checker = soak_evacuations.EvacuationChecker(self.signal_checker)
+        self.zone_operator = soak_evacuations.ZoneOperator(self, self.evacuation_checker)
         # The regions in which each restricted request may run.
         self.allowed: dict[str, frozenset[str]] = {}
 
@@ -221,7 +220,7 @@
     async def run_scenario(self) -> None:
         """Run the scenario of the soak test beside the readers of evacuations."""
         tasks = [
-            asyncio.create_task(self.read_evacuations()),
+            asyncio.create_task(self.zone_operator.run_reads()),
             asyncio.create_task(self.evacuate_lastingly()),
             asyncio.create_task(self.cold_checker.watch_stalls()),
         ]
@@ -248,68 +247,12 @@
     async def evacuate_lastingly(self) -> None:
         """Evacuate a zone amid the faults, until the end of the run."""
         await asyncio.sleep(self.seconds / 4)
-        await self.evacuate(LASTING_ZONE, math.inf)
-
-    async def evacuate(self, zone: str, within_s: float = CALL_S) -> soak_evacuations.Evacuation:
-        """Evacuate a zone, repeating the call as operators do; it may stay unacknowledged."""
-        now = asyncio.get_running_loop().time
-        evacuation = soak_evacuations.Evacuation(zone, now())
-        self.evacuation_checker.evacuations.append(evacuation)
-        if await self.call_until_acknowledged("POST", zone, within_s):
-            evacuation.acknowledged_at = now()
-        return evacuation
-
-    async def withdraw(self, evacuation: soak_evacuations.Evacuation) -> None:
-        """Withdraw an evacuation, repeating the call until it is acknowledged."""
-        now = asyncio.get_running_loop().time
-        evacuation.withdrawal_called_at = now()
-        await self.call_until_acknowledged("DELETE", evacuation.zone, math.inf)
-        evacuation.withdrawn_at = now()
-
-    async def call_until_acknowledged(self, method: str, zone: str, within_s: float) -> bool:
-        """Repeat a call, each time to a random control VM; return whether it was acknowledged."""
-        now = asyncio.get_running_loop().time
-        deadline = now() + within_s
-        while now() < deadline:
-            status, _ = await self.call_control(method, f"/evacuations/{zone}")
-            if status == 200:
-                return True
-            if 400 <= status < 500:
-                self.record_violation(f"{method} of {zone} was rejected with status {status}")
-                return False
-            await asyncio.sleep(0.1)
-        return False
-
-    async def read_evacuations(self) -> None:
-        """Read the evacuated zones and call an unknown one, until cancelled."""
-        while True:
-            await asyncio.sleep(READ_INTERVAL_S)
-            await self.read_evacuated()
-            status, _ = await self.call_control("POST", "/evacuations/zone-unknown")
-            if 200 <= status < 300:
-                self.record_violation("the evacuation of an unknown zone was acknowledged")
-
-    async def read_evacuated(self) -> bool:
-        """Read and check the evacuated zones; return whether the read succeeded."""
-        now = asyncio.get_running_loop().time
-        since = now()
-        status, body = await self.call_control("GET", "/evacuations")
-        if status != 200:
-            return False
-        zones = json.loads(body)["zones"]
-        for text in self.evacuation_checker.check_reading(zones, since, now()):
-            self.record_violation(text)
-        return True
+        await self.zone_operator.evacuate(LASTING_ZONE, math.inf)
 
     async def wait_until_served(self, when: str) -> None:
         """Wait until reads and requests succeed, and evacuations can be read."""
         await super().wait_until_served(when)
-        deadline = asyncio.get_running_loop().time() + soak_fleet.RECOVERY_TIMEOUT_S
-        while not await self.read_evacuated():
-            if asyncio.get_running_loop().time() > deadline:
-                self.record_violation(f"{when}: evacuations were not read")
-                return
-            await asyncio.sleep(0.1)
+        await self.zone_operator.wait_until_read(when)
 
     def check_invariants(self) -> None:
         """Check the requests that reached workers."""
