Upgrade test: evacuations and lasting overload

Cause: no run upgraded VMs while zones are evacuated and part of the requests is refused.

Served numbers are compared with runs of the same length, load and evacuated zones; the last build starts as if its rollback window were over.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     "soak_nodes",
     "soak_signals",
     "swarm",
+    "upgrade_overload",
     "significance",
     "virtual_loop",
 )
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -36,6 +36,8 @@
     control_ips: list[str]
     is_first_start: bool = True
     source: pathlib.Path = ROOT / "src"
+    # The program that starts the node.
+    starter: str = STARTER
     process: subprocess.Popen | None = None
     # Additional settings of this node.
     extra_settings: dict = dataclasses.field(default_factory=dict)
@@ -48,7 +50,7 @@
         path = self.write_settings()
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-c", STARTER, self.role],
+                [sys.executable, "-c", self.starter, self.role],
                 env=os.environ | {"MERLINTHREAD_CONFIG": str(path), "PYTHONPATH": str(self.source)},
                 stdout=log,
                 stderr=log,
--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -5,7 +5,9 @@
 entries are processes; clients, workers and the operator run in this process. Each VM is stopped
 gracefully and started in place with the other build. Besides the invariants of the soak test, a run
 checks that no process exits by itself, that the last acknowledged configuration is read back, and
-that the success rate is at most SUCCESS_RATE_DROP_MAX below that of a run without an upgrade.
+that the success rate is at most SUCCESS_RATE_DROP_MAX below that of a run without an upgrade. With
+--overload, part of the requests is refused in all runs, and the numbers of served requests are
+compared instead: the runs have the same length, the same load and the same evacuated zones.
 """
 
 import argparse
@@ -24,13 +26,16 @@
 from bench import (
     measure,
     soak,
+    soak_evacuations,
     soak_limits,
     soak_nodes,
+    soak_placement,
     soak_signals,
     upgrade_balancer,
     upgrade_builds,
     upgrade_crashes,
     upgrade_faults,
+    upgrade_overload,
     upgrade_weights,
 )
 from stand_ins import fleet_worker
@@ -50,13 +55,33 @@
 SETTLE_S = 1.5
 STEADY_S = 3.0
 SUCCESS_RATE_DROP_MAX = 0.01
+SERVED_SHARE_MIN = 0.99
+# Load after the last upgrade with the fault "evacuations": one is held, withdrawn and followed by
+# another.
+EVACUATIONS_S = (
+    soak_placement.HOLD_S[1]
+    + upgrade_faults.FAULT_INTERVAL_S[1]
+    + soak_evacuations.EVACUATE_S
+    + 1.0
+)
+# Starts a build as if its rollback window were over. The window itself, in which evacuations
+# are refused, is tested in tests/test_control_nodes.py; it would add ten minutes to a run.
+WINDOW_OVER_STARTER = (
+    "from merlinthread.coordination import levels; levels.ROLLBACK_WINDOW_S = 0.0\n"
+    + soak_nodes.STARTER
+)
 # The rate limit that a worker advertises with --limited, in requests per second.
 LIMIT_PER_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """Options of a run; `troubles` are names in `upgrade_faults.FAULTS`."""
+    """Options of a run; `troubles` are names in `upgrade_faults.FAULTS`.
+
+    A run without an upgrade that is compared with a run that had one has the same duration of its
+    load, in seconds, and the same evacuations: a zone, and the seconds of the load at which its
+    evacuation was acknowledged and withdrawn.
+    """
 
     route: str
     order: str
@@ -65,6 +90,9 @@
     is_limited: bool = False
     has_weights: bool = False
     troubles: tuple[str, ...] = ()
+    is_overloaded: bool = False
+    duration_s: float = 0.0
+    evacuations: tuple[tuple[str, float, float], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,18 +102,27 @@
     `workers_ended` counts the workers that crashed on a request, `ended_late` those of them that
     crashed after the last VM was upgraded. `key_answers` counts the responses to a revoked key by
     status, before and after the revocation had to be effective. `named` is the last published
-    version of weights. `ended` are the processes that exited by themselves, `broken` the
-    violations.
+    version of weights. `sent_late` counts the requests of an overload that this process sent too
+    late; many of them make the numbers of served requests incomparable. `evacuations` are those
+    acknowledged, as in a plan, and `calls_refused` counts the other answers to these calls;
+    `old_entry_requests` counts the requests that entries of the old build sent to evacuated zones.
+    `ended` are the processes that exited by themselves, `broken` the violations.
     """
 
     plan: Plan
     asked: int = 0
     answered: int = 0
+    refused: int = 0
+    sent_late: int = 0
     acknowledged: int = 0
     workers_ended: int = 0
     ended_late: int = 0
     named: int = 1
     key_answers: list[dict[int, int]] = dataclasses.field(default_factory=list)
+    duration_s: float = 0.0
+    evacuations: list[tuple[str, float, float]] = dataclasses.field(default_factory=list)
+    calls_refused: int = 0
+    old_entry_requests: int = 0
     ended: list[str] = dataclasses.field(default_factory=list)
     broken: list[str] = dataclasses.field(default_factory=list)
 
@@ -117,6 +154,21 @@
         if self.weights_fleet is not None:
             self.fleet = self.weights_fleet
             self.signal_checker = soak_signals.SignalChecker(self.fleet)
+        self.has_evacuations = bool(plan.evacuations) or "evacuations" in plan.troubles
+        if plan.is_overloaded or self.has_evacuations:
+            is_overloaded = plan.is_overloaded
+            fleet = (
+                upgrade_overload.OverloadedFleet if is_overloaded else soak_placement.PlacementFleet
+            )
+            self.fleet = fleet(folder)
+            self.signal_checker = soak_signals.SignalChecker(self.fleet)
+        self.evacuation_checker = soak_evacuations.EvacuationChecker(
+            self.signal_checker, self.runs_new_build
+        )
+        self.zone_operator = soak_evacuations.ZoneOperator(
+            self, self.evacuation_checker, self.runs_new_build
+        )
+        self.load_began_at = math.inf
         self.limit_checker = soak_limits.LimitChecker(self.signal_checker, self.runs_new_build)
         # Times of starts and their builds, by the node's IP.
         self.starts: dict[str, list[tuple[float, str]]] = {}
@@ -138,7 +190,8 @@
         load.append(asyncio.create_task(self.balancer.run()))
         await self.start_nodes()
         await self.balancer.wait_until_ready()
-        self.soak_result.sent = self.soak_result.answered = 0
+        self.soak_result.sent = self.soak_result.answered = self.soak_result.refused = 0
+        self.load_began_at = asyncio.get_running_loop().time()
         load.append(asyncio.create_task(self.run_clients()))
         load.append(asyncio.create_task(self.watch_exits()))
         if self.crashing_fleet is not None:
@@ -151,31 +204,79 @@
             load.append(asyncio.create_task(upgrade_faults.FAULTS.get(kind)(self)))
         if self.weights_fleet is not None:
             load.append(asyncio.create_task(upgrade_weights.publish_versions(self)))
+        load.append(asyncio.create_task(upgrade_faults.repeat_evacuations(self)))
         for build in self.route[1:]:
             for node in self.ordered_nodes():
                 await self.upgrade_node(node, build)
                 await asyncio.sleep(SETTLE_S)
         upgraded_at = asyncio.get_running_loop().time()
-        await asyncio.sleep(STEADY_S)
+        is_accepted = "evacuations" in self.plan.troubles and self.route[-1] == NEW
+        steady_s = EVACUATIONS_S if is_accepted else STEADY_S
+        ends_at = max(upgraded_at + steady_s, self.load_began_at + self.plan.duration_s)
+        await asyncio.sleep(ends_at - upgraded_at)
         if self.crashing_fleet is not None:
             crash_times = self.crashing_fleet.crash_times()
             self.result.workers_ended = len(crash_times)
             self.result.ended_late = sum(at > upgraded_at for at in crash_times)
         sent, answered = self.soak_result.sent, self.soak_result.answered
+        self.result.refused = self.soak_result.refused
         if self.weights_fleet is not None:
             await upgrade_weights.check_loaded_weights(self)
+        self.result.duration_s = asyncio.get_running_loop().time() - self.load_began_at
         for task in load:
+            if task.done() and task.exception() is not None:
+                self.record_violation(f"a task of the run ended: {task.exception()!r}")
             task.cancel()
         await self.wait_until_read_back()
+        if self.has_evacuations:
+            await self.check_evacuations()
         self.result.asked, self.result.answered = sent, answered
         self.result.key_answers = [dict(found) for found in self.key_answers]
         self.check_invariants()
 
+    async def check_evacuations(self) -> None:
+        """Check that acknowledged evacuations are in force, and the requests in these zones."""
+        checker = self.evacuation_checker
+        acknowledged = [e for e in checker.evacuations if e.acknowledged_at < math.inf]
+        if self.route[-1] == NEW:
+            await self.zone_operator.wait_until_read("at the end")
+            if not acknowledged:
+                self.record_violation("no evacuation was acknowledged")
+        workers = list(self.fleet.workers)
+        for text in checker.violations(workers):
+            self.record_violation(text)
+        checker.is_bound = lambda entry_ip, at: not self.runs_new_build(entry_ip, at)
+        self.result.old_entry_requests = len(checker.violations(workers))
+        self.result.calls_refused = self.zone_operator.refused
+        self.result.evacuations = [
+            (
+                e.zone,
+                e.acknowledged_at - self.load_began_at,
+                min(e.withdrawn_at - self.load_began_at, self.result.duration_s),
+            )
+            for e in acknowledged
+        ]
+
+    async def run_clients(self) -> None:
+        """Send concurrent client requests until cancelled."""
+        if self.plan.is_overloaded:
+            await upgrade_overload.send_requests(self)
+        else:
+            await super().run_clients()
+
+    def heartbeat_body(self, worker: fleet_worker.Worker) -> dict:
+        """Return the body of a worker's next heartbeat."""
+        body = super().heartbeat_body(worker)
+        return body | {"slots": upgrade_overload.SLOTS} if self.plan.is_overloaded else body
+
     def make_configuration(self, version: int) -> dict:
         """Return the configuration that the operator sends as `version`."""
         is_valid = "revoke" in self.plan.troubles and version < self.revoked_from
-        keys = ("key-1", upgrade_faults.REVOKED_KEY) if is_valid else ("key-1",)
+        keys = upgrade_overload.KEYS if self.plan.is_overloaded else ("key-1",)
+        keys += (upgrade_faults.REVOKED_KEY,) if is_valid else ()
         body = soak_nodes.make_configuration(version, keys)
+        if self.plan.is_overloaded:
+            body = upgrade_overload.add_overload_settings(body)
         return (
             self.weights_fleet.add_weight_settings(body) if self.weights_fleet is not None else body
         )
@@ -207,6 +308,9 @@
             assert node.process is not None
             await asyncio.to_thread(node.process.wait)
             node.source = self.builds[build]
+            is_last = len(self.starts[node.ip]) + 1 == len(self.route)
+            if is_last and build == NEW and self.has_evacuations:
+                node.starter = WINDOW_OVER_STARTER
             self.starts[node.ip].append((asyncio.get_running_loop().time(), build))
             node.start()
             await self.fleet.wait_until_responding(node)
@@ -227,6 +331,12 @@
         """Return whether a node ran the new build at a time."""
         return [build for since, build in self.starts[ip] if since <= at][-1] == NEW
 
+    def is_upgraded(self, role: str) -> bool:
+        """Return whether all nodes of a role run the new build, and no rollback follows."""
+        nodes = [node for node in self.fleet.nodes if node.role == role]
+        is_last = all(len(self.starts[node.ip]) == len(self.route) for node in nodes)
+        return is_last and self.route[-1] == NEW
+
     async def watch_exits(self) -> None:
         """Record processes that exit by themselves, and restart them as the platform does."""
         while True:
@@ -260,10 +370,18 @@
     return upgrade.result
 
 
-def find_violations(result: UpgradeResult, baseline_rate: float) -> list[str]:
-    """Return the violations of a run, given the success rate of a run without an upgrade."""
+def find_violations(
+    result: UpgradeResult, baseline_rate: float, baseline_served: int = 0
+) -> list[str]:
+    """Return the violations of a run, given the results of a run without an upgrade.
+
+    These are its success rate and, in an overload, the number of requests that it served.
+    """
     found = [*result.broken, *(f"exited by itself: {name}" for name in result.ended)]
-    if result.success_rate() < baseline_rate - SUCCESS_RATE_DROP_MAX:
+    if result.plan.is_overloaded:
+        if result.answered < SERVED_SHARE_MIN * baseline_served:
+            found.append(f"{result.answered} served, without upgrade {baseline_served}")
+    elif result.success_rate() < baseline_rate - SUCCESS_RATE_DROP_MAX:
         found.append(
             f"success rate {result.success_rate():.3f}, without upgrade {baseline_rate:.3f}"
         )
@@ -288,29 +406,44 @@
         "--limited", action="store_true", help="let a worker advertise a rate limit"
     )
     parser.add_argument("--weights", action="store_true", help="distribute weights meanwhile")
+    parser.add_argument(
+        "--overload", action="store_true", help="send more requests than the workers can serve"
+    )
     parser.add_argument(
         "--trouble", nargs="+", choices=list(upgrade_faults.FAULTS), default=(), metavar="KIND"
     )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs of the nodes")
     options = parser.parse_args(arguments)
+    if (options.overload or "evacuations" in options.trouble) and (
+        options.deadly or options.weights
+    ):
+        parser.error("--deadly and --weights have other workers than --overload and evacuations")
     figures: dict[str, object] = {"from": options.commit, "runs": []}
     has_violations = False
     try:
         with upgrade_builds.checkout_build(options.commit) as old:
             for seed in range(options.seed, options.seed + options.seeds):
+                result = run_route(options.route, options, seed, old)
                 # The upgrade need not do better than either build does alone.
                 routes = ("calm", "calm-old") if OLD in ROUTES[options.route] else ("calm",)
-                baseline = min(
-                    run_route(route, options, seed, old).success_rate() for route in routes
-                )
-                result = run_route(options.route, options, seed, old)
-                found = find_violations(result, baseline)
+                calm = [run_route(route, options, seed, old, result) for route in routes]
+                baseline = min(other.success_rate() for other in calm)
+                served = {other.plan.route: other.answered for other in calm}
+                refused = {other.plan.route: other.refused for other in calm}
+                late = {other.plan.route: other.sent_late for other in calm}
+                found = find_violations(result, baseline, min(served.values()))
+                found += [f"without upgrade: {text}" for text in find_violations(calm[0], 0.0)]
                 has_violations |= bool(found)
                 print(
                     f"seed {seed}: success rate {result.success_rate():.4f}, without upgrade"
-                    f" {baseline:.4f}, {found}"
+                    f" {baseline:.4f}, served {result.answered} and refused {result.refused} of"
+                    f" {result.asked}, without upgrade served {served}, refused {refused}, late"
+                    f" at the client {result.sent_late}, without upgrade {late}, {found}",
+                    flush=True,
                 )
-                row = dataclasses.asdict(result) | {"calm": round(baseline, 4), "problems": found}
+                row = dataclasses.asdict(result)
+                row |= {"calm": round(baseline, 4), "calm_served": served, "calm_refused": refused}
+                row |= {"calm_sent_late": late, "problems": found}
                 figures["runs"].append(row)  # type: ignore[attr-defined]
     except upgrade_builds.MissingCommitError as error:
         print(f"upgrade: {error}")
@@ -319,9 +452,16 @@
 
 
 def run_route(
-    route: str, options: argparse.Namespace, seed: int, old: pathlib.Path
+    route: str,
+    options: argparse.Namespace,
+    seed: int,
+    old: pathlib.Path,
+    compared: UpgradeResult | None = None,
 ) -> UpgradeResult:
-    """Run a route in a folder that is deleted afterwards, unless --keep is given."""
+    """Run a route in a folder that is deleted afterwards, unless --keep is given.
+
+    A run without an upgrade is given the result that it is to be `compared` with.
+    """
     with contextlib.ExitStack() as stack:
         folder = options.keep
         if folder is None:
@@ -338,5 +478,12 @@
             options.limited,
             options.weights,
             troubles,
+            options.overload,
         )
+        if compared is not None and (plan.is_overloaded or compared.evacuations):
+            # The old build does not know evacuations.
+            evacuations = () if route == "calm-old" else tuple(compared.evacuations)
+            plan = dataclasses.replace(
+                plan, duration_s=compared.duration_s, evacuations=evacuations
+            )
         return run(plan, old, folder)
--- a/bench/upgrade_faults.py
+++ b/bench/upgrade_faults.py
@@ -7,11 +7,12 @@
 import asyncio
 import contextlib
 import json
+import math
 import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from bench import soak, soak_nodes
+from bench import soak, soak_evacuations, soak_nodes, soak_placement
 from merlinthread import errors, registry
 from merlinthread.transport import http_messages
 
@@ -94,6 +95,40 @@
             upgrade.record_violation("a revoked key was accepted")
 
 
+@FAULTS.add("evacuations")
+async def evacuate_zones(upgrade: Any) -> None:
+    """Evacuate one zone after another, and read the evacuated zones.
+
+    The calls are refused while a control VM may be replaced by a build that can't read them. An
+    evacuation is withdrawn only after the last upgrade of an entry: an old build's entry gets the
+    back ends of the zone back only when it restarts.
+    """
+    reads = asyncio.create_task(upgrade.zone_operator.run_reads())
+    try:
+        while True:
+            zone = upgrade.rng.choice(soak_placement.CHANGING_ZONES)
+            evacuation = await upgrade.zone_operator.evacuate(zone, math.inf)
+            if not upgrade.is_upgraded("control"):
+                upgrade.record_violation(f"the evacuation of {zone} was acknowledged too early")
+            await asyncio.sleep(upgrade.rng.uniform(*soak_placement.HOLD_S))
+            while not upgrade.is_upgraded("entry"):
+                await asyncio.sleep(0.1)
+            await upgrade.zone_operator.withdraw(evacuation)
+            await asyncio.sleep(upgrade.rng.uniform(*FAULT_INTERVAL_S))
+    finally:
+        reads.cancel()
+
+
+async def repeat_evacuations(upgrade: Any) -> None:
+    """Evacuate zones when a run with an upgrade did, so that the workers' capacity is the same."""
+    loop = asyncio.get_running_loop()
+    for zone, since_s, until_s in upgrade.plan.evacuations:
+        await asyncio.sleep(upgrade.load_began_at + since_s - loop.time())
+        evacuation = await upgrade.zone_operator.evacuate(zone, soak_evacuations.EVACUATE_S)
+        await asyncio.sleep(upgrade.load_began_at + until_s - loop.time())
+        await upgrade.zone_operator.withdraw(evacuation)
+
+
 async def send_with_key(upgrade: Any) -> int | None:
     """Send a request with the key; return the status of the response, or None if it fails."""
     upgrade.request_count += 1
--- a/tests/test_evacuation_upgrade.py
+++ b/tests/test_evacuation_upgrade.py
@@ -1,4 +1,4 @@
-"""Evacuations while a control VM and an entry run the released build.
+"""Evacuations and overload while part of the VMs run the released build.
 
 Guards against entries of the log that the old build can't read, against changes that a group of two
 builds no longer accepts, and against an old entry that sends requests to an evacuated zone.
@@ -11,7 +11,14 @@
 
 import pytest
 
-from bench import soak_nodes, upgrade_builds
+from bench import (
+    soak_evacuations,
+    soak_nodes,
+    soak_signals,
+    upgrade,
+    upgrade_builds,
+    upgrade_overload,
+)
 from merlinthread.transport import connection_pool, http_messages
 from stand_ins import fleet_worker
 
@@ -164,3 +171,102 @@
     except upgrade_builds.MissingCommitError as error:
         print(f"not run: {error}")
         pytest.skip(str(error))
+
+
+# Guards against an upgrade in which evacuations are lost or not obeyed while entries and agents of
+# both builds refuse part of the requests.
+@pytest.mark.timed
+def test_evacuations_are_obeyed_during_a_rolling_upgrade_in_an_overload(tmp_path):
+    plan = upgrade.Plan("forward", "controls", 1, troubles=("evacuations",), is_overloaded=True)
+    try:
+        with upgrade_builds.checkout_build(upgrade_builds.RELEASED_COMMITS[0]) as old:
+            result = upgrade.run(plan, old, tmp_path)
+    except upgrade_builds.MissingCommitError as error:
+        print(f"not run: {error}")
+        pytest.skip(str(error))
+    assert upgrade.find_violations(result, 0.0) == [], f"logs are in {tmp_path}"
+    assert result.calls_refused > 0 and len(result.evacuations) > 0
+    assert result.old_entry_requests == 0
+    assert result.answered > 500 and result.refused > 500
+
+
+# Guards against an upgrade in an overload that passes since other runs refuse many requests too.
+def test_served_requests_are_compared_in_an_overload():
+    plan = upgrade.Plan("forward", "controls", 1, is_overloaded=True)
+    result = upgrade.UpgradeResult(plan, asked=2000, answered=989, refused=1011)
+    assert upgrade.find_violations(result, 0.0, 1000) == ["989 served, without upgrade 1000"]
+    result.answered = 990
+    assert upgrade.find_violations(result, 0.9, 1000) == []
+
+
+class SignalCheckerFake:
+    """The entries that requests were sent to; every entry was started shortly before."""
+
+    def __init__(self, entry_ips) -> None:
+        self.sent = {
+            request_id: soak_signals.SentRequest(ip, 0.0) for request_id, ip in entry_ips.items()
+        }
+
+    def is_undisturbed(self, entry_ip, since, until) -> bool:
+        return False
+
+
+# Guards against requests of an entry to an evacuated zone that are excused by its upgrade.
+def test_restarted_entry_is_bound_by_earlier_evacuations():
+    requests = SignalCheckerFake({"r1": NEW_ENTRY_IP, "r2": OLD_ENTRY_IP, "r3": NEW_ENTRY_IP})
+    worker = fleet_worker.Worker("i-1")
+    worker.runs = [
+        fleet_worker.Run(request_id, {}, b"", "/", "i-1", at)
+        for request_id, at in (("r1", 12.0), ("r2", 12.0), ("r3", 1.0))
+    ]
+    checker = soak_evacuations.EvacuationChecker(requests, lambda ip, at: ip == NEW_ENTRY_IP)
+    checker.evacuations.append(soak_evacuations.Evacuation("zone-a", 0.0, 0.5))
+    (found,) = checker.violations([worker])
+    assert found.startswith(f"r1 of {NEW_ENTRY_IP} reached i-1 in zone-a 11.50 s after")
+    assert soak_evacuations.EvacuationChecker(requests).violations([worker]) == []
+
+
+async def use_slots() -> tuple[list[str], list[int]]:
+    """Return the order in which a worker served requests, and the statuses of all responses."""
+    worker = upgrade_overload.SlotWorker("i-1", "", "zone-a")
+    pool = connection_pool.ConnectionPool(1.0, 1.0, 2.0)
+    address = await worker.start()
+    served = []
+
+    async def send(request_id: str, urgency: int) -> int:
+        headers = [
+            (b"host", b"h"),
+            (b"content-length", b"0"),
+            (b"x-merlinthread-request-id", request_id.encode()),
+            (b"x-merlinthread-request-priority", b"%d" % urgency),
+        ]
+        request = http_messages.Request(b"POST", b"/", headers)
+        response = await pool.request(address, request, 5.0)
+        if response.status == 200:
+            served.append(request_id)
+        return response.status
+
+    tasks = []
+    places = upgrade_overload.SLOTS + upgrade_overload.WAITING_MAX
+    for number in range(places):
+        urgency = 0 if number == places - 1 else 1
+        tasks.append(asyncio.create_task(send(f"r{number}", urgency)))
+        while len(worker.runs) <= number:
+            await asyncio.sleep(0.001)
+    # Its client leaves, so that its place is free again.
+    tasks.pop(upgrade_overload.SLOTS).cancel()
+    while worker.running == places:
+        await asyncio.sleep(0.001)
+    tasks += [asyncio.create_task(send(f"late-{number}", 1)) for number in (1, 2)]
+    statuses = await asyncio.gather(*tasks)
+    worker.stop()
+    assert worker.free_slots == upgrade_overload.SLOTS
+    return served, statuses
+
+
+# Guards against a load that overloads nothing, or whose slots are lost with the clients that leave.
+def test_worker_with_slots_queues_by_urgency_and_refuses_the_rest():
+    served, statuses = asyncio.run(use_slots())
+    urgent = f"r{upgrade_overload.SLOTS + upgrade_overload.WAITING_MAX - 1}"
+    assert urgent in served[: 2 * upgrade_overload.SLOTS]
+    assert sorted(statuses) == [200] * (len(statuses) - 1) + [503]
