Control VMs tell all published versions that are not required yet

Cause: a reply had only the newest version of each model. A node that started between two publications did not know when the first one was required, and used older weights until the second one was. Change: control VMs keep the times of the latest versions (coordination/version_history.py) and tell them in ascending order; nodes record versions older than the newest known one too. Former builds read the list as they read one entry, in order. Before: the new test of control VMs fails ([3] for [2, 3]).

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -13,6 +13,7 @@
     instances,
     levels,
     raft_messages,
+    version_history,
 )
 from merlinthread.nodes import (
     control_api,
@@ -53,7 +54,7 @@
         self.clock = clock
         self.rpc_client = node_bus.RpcClient(codec)
         self.registry = instances.InstanceRegistry(settings.heartbeat_s)
-        self.named_at: dict[str, float] = {}
+        self.versions = version_history.VersionHistory(settings.bounds.version_s)
         # Identifies this process; nodes discard the positions that an earlier one has sent.
         self.feed = secrets.token_hex(8)
         self.changed = asyncio.Event()
@@ -120,7 +121,7 @@
             for instance in self.registry.incarnations_of(command.instance):
                 self.mark_departed(instance, command.state)
         elif isinstance(command, fleet_state.NameVersion):
-            self.named_at[command.model] = self.clock() - age_s
+            self.versions.record(command.model, command.version, self.clock() - age_s)
             self.registry.advance()
         elif isinstance(command, fleet_state.PlaceHold | fleet_state.ReleaseHold):
             self.crashes.apply_holds()
@@ -134,8 +135,8 @@
         """Update the state that is sent to nodes after a snapshot was restored."""
         for instance, state in self.member.state.departed.items():
             self.mark_departed(instance, state)
-        for model in self.member.state.named:
-            self.named_at.setdefault(model, self.clock() - log_member.UNKNOWN_AGE_S)
+        for model, version in self.member.state.named.items():
+            self.versions.restore(model, version, self.clock() - log_member.UNKNOWN_AGE_S)
         self.crashes.apply_holds()
         self.apply_evacuations()
         self.notify_watchers()
@@ -293,8 +294,9 @@
             changed,
             gone,
             [
-                node_messages.NamedVersion(model, version, now - self.named_at.get(model, now))
-                for model, version in state.named.items()
+                node_messages.NamedVersion(model, version, age_s)
+                for model, newest in state.named.items()
+                for version, age_s in self.versions.ages(model, newest, now)
             ],
             state.version,
             state.body if is_newer else b"",
--- a/src/merlinthread/nodes/published_versions.py
+++ b/src/merlinthread/nodes/published_versions.py
@@ -28,13 +28,15 @@
         """
         for named in reported:
             named_at = self.named_at.setdefault(named.model, {})
-            if now - named.age_s > named_at.get(named.version, math.inf) + AGE_TOLERANCE_S:
-                named_at[named.version] = now - named.age_s
-            if named.version <= self.named.get(named.model, 0):
+            known_at = named_at.get(named.version, -math.inf)
+            if now - named.age_s <= known_at + AGE_TOLERANCE_S:
                 continue
-            self.named[named.model] = named.version
             named_at[named.version] = now - named.age_s
-            logs.event("weights_named", model=named.model, version=named.version, age_s=named.age_s)
+            if named.version > self.named.get(named.model, 0):
+                self.named[named.model] = named.version
+                logs.event(
+                    "weights_named", model=named.model, version=named.version, age_s=named.age_s
+                )
 
     def newest_version_with_age(self, model: str, now: float, min_age_s: float) -> int:
         """Return the newest version of a model published at least `min_age_s` seconds ago, or 0.
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -40,7 +40,11 @@
 @MESSAGES.add("node.named_version")
 @dataclasses.dataclass(slots=True)
 class NamedVersion:
-    """The newest published version of a model's weights, confirmed at most `age_s` seconds ago."""
+    """A published version of a model's weights, confirmed at most `age_s` seconds ago.
+
+    A reply has the newest one of each model, and before it those that are not yet superseded by the
+    requirement of a later one (`coordination.version_history`); older builds send only the newest.
+    """
 
     model: str
     version: int
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -339,6 +339,30 @@
     run(tmp_path, scenario)
 
 
+# Guards against an entry that starts between two publications and begins requests on a version that
+# the first one has superseded, until the second one is required.
+def test_node_that_starts_between_publications_learns_the_times_of_both(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        for version in (2, 3):
+            await controls.until_acknowledged(
+                "POST", "/version-put", {"model": "m", "version": version}
+            )
+            await asyncio.sleep(0.1)
+        leader = controls.nodes[controls.leader()]
+        request = node_messages.WatchRequest("entry", "", 0, 0, 0.0)
+        watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
+        now = leader.clock()
+        watcher.published_versions.apply(leader.changes_for(request).named, now)
+        times = watcher.published_versions.named_at["m"]
+        assert sorted(times) == [2, 3] and times[3] - times[2] >= 0.1
+        between = now + leader.settings.bounds.version_s - (now - times[2])
+        versions = watcher.published_versions
+        assert versions.newest_version_with_age("m", between, leader.settings.bounds.version_s) == 2
+
+    run(tmp_path, scenario)
+
+
 def test_watcher_keeps_smallest_age_reported_for_version():
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
 
