--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -26,7 +26,7 @@
 def test_tests_named_in_promises_exist():
     known = set()
     for path in (ROOT / "tests").glob("test_*.py"):
-        known |= set(re.findall(r"^def (test_\w+)", path.read_text(), re.MULTILINE))
+        known |= set(re.findall(r"^(?:async )?def (test_\w+)", path.read_text(), re.MULTILINE))
         known |= set(re.findall(r"^(Test\w+) =", path.read_text(), re.MULTILINE))
     text = (ROOT / "docs" / "PROMISES.md").read_text()
     named = set(re.findall(r"`((?:test_|Test)\w+)`", text))
