Agents: an engine with a slow link gets no requests before its weights expire

Cause: 1.7 s before old weights expire, entries send nothing to engines that hold them; a request that is behind pieces of the new weights on a slow link takes longer. Change: in the 1.5 s before those 1.7 s, an agent whose pieces take longer than 0.3 s to arrive replies that its engine is busy, which all builds read. 0.3 s is the time that a request may take to start. Before: the new test of an agent fails ([False, False] for [False, True]). After: passes; test_weights_task, test_load_feed, test_load_proof and test_load_prober pass.

--- a/src/merlinthread/coordination/reload_schedule.py
+++ b/src/merlinthread/coordination/reload_schedule.py
@@ -16,6 +16,8 @@
 # Old weights get no requests this long before they expire: an engine that falls silent before it
 # starts a request starts it afterwards, even if the connection has been closed meanwhile.
 EXPIRY_MARGIN_S = backend_record.SOUND_SILENCE_S + START_TIME_S
+# For this long before that, only back ends that are expected to start requests at once get any.
+EXPIRES_SOON_S = 1.5
 # Time to drain the engine (about a second) and load the new weights (0.3 s).
 RELOAD_S = 1.25
 READY_ROUNDING_S = 0.25
@@ -45,6 +47,15 @@
     return round((fetched_in_s + RELOAD_S) / READY_ROUNDING_S) * READY_ROUNDING_S
 
 
+def is_too_slow_to_start(expires_at: float, transfer_s: float, now: float) -> bool:
+    """Return whether a request sent now might start after the engine's old weights have expired.
+
+    `transfer_s` is how long the last piece took to arrive: pieces and requests share the link of
+    the engine's VM, and several pieces may be on their way ahead of a request.
+    """
+    return now >= expires_at - EXPIRY_MARGIN_S - EXPIRES_SOON_S and transfer_s > START_TIME_S
+
+
 def reload_time(group: int, complete_at: float, expires_at: float) -> float:
     """Return when an engine of `group` starts to reload.
 
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -127,7 +127,7 @@
             outstanding.attempts,
             outstanding.unread,
             outstanding.unread_tokens,
-            self.last_report.is_busy,
+            self.last_report.is_busy or self.weights.is_too_slow_to_start(),
             self.last_report.pace,
             self.grants.reply_to(query),
             cold_s=self.cold_s(),
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -51,7 +51,7 @@
 # A node that has just started has heard from all back ends after this many heartbeat intervals.
 STARTUP_HEARTBEATS = 1.5
 # From this long before an old version expires, only responsive back ends get requests for it.
-VERSION_SOON_MARGIN_S = reload_schedule.EXPIRY_MARGIN_S + 1.5
+VERSION_SOON_MARGIN_S = reload_schedule.EXPIRY_MARGIN_S + reload_schedule.EXPIRES_SOON_S
 
 
 class BackendPool:
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -123,6 +123,17 @@
         missing = self.plan.chunk_count - self.plan.held.bit_count()
         return reload_schedule.ready_in_s(missing, self.fetcher.rate.per_s(), self.report.is_busy)
 
+    def is_too_slow_to_start(self) -> bool:
+        """Return whether a request might start after the old weights of the engine have expired.
+
+        That is while pieces of newer weights arrive slowly, shortly before the old ones expire.
+        """
+        if self.plan is None or self.manifest is None or self.plan.is_complete():
+            return False
+        transfer_s = self.fetcher.window.last_duration_s
+        expires_at = self.view.expires_at(self.manifest)
+        return reload_schedule.is_too_slow_to_start(expires_at, transfer_s, self.clock())
+
     # Update loop
 
     async def run(self) -> None:
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -292,11 +292,12 @@
 class LoadReply:
     """The reply to the LoadQuery `number`: the outstanding work of other entries on the engine.
 
-    `is_busy` is true while the engine changes its weights. `pace` is the factor by which the engine
-    is slower than it reports. `permit` is set in the reply of a control VM, and in that of an agent
-    that decided on a permit. `cold_s` is how long the engine will still be cold, None if that is
-    unknown. `unread_by_urgency` is described at `load_tracker.EngineLoad`. `is_over_share`
-    is true if requests of other accounts go before those of the account in the query.
+    `is_busy` is true while the engine changes its weights, and if a request might start after the
+    old ones have expired (`reload_schedule.is_too_slow_to_start`). `pace` is the factor by which
+    the engine is slower than it reports. `permit` is set in the reply of a control VM, and in that
+    of an agent that decided on a permit. `cold_s` is how long the engine will still be cold, None
+    if that is unknown. `unread_by_urgency` is described at `load_tracker.EngineLoad`.
+    `is_over_share` is true if requests of other accounts go before those of the account in the query.
     """
 
     number: int
--- a/tests/test_reload_schedule.py
+++ b/tests/test_reload_schedule.py
@@ -58,3 +58,13 @@
 def test_first_group_reloads_at_once_and_last_group_before_the_bound():
     assert reload_schedule.reload_time(reload_schedule.GROUP_COUNT - 1, 6.0, BOUND_S) == 8.3
     assert reload_schedule.reload_time(0, 6.0, BOUND_S) == 6.0
+
+
+# Guards against requests that are behind pieces of the new weights on a slow link, and reach their
+# engine when the old ones have expired.
+def test_engine_with_a_slow_link_gets_no_requests_shortly_before_its_weights_expire():
+    soon = BOUND_S - reload_schedule.EXPIRY_MARGIN_S - reload_schedule.EXPIRES_SOON_S
+    slow_s, usual_s = 0.35, 0.1
+    assert reload_schedule.is_too_slow_to_start(BOUND_S, slow_s, soon + 0.01)
+    assert not reload_schedule.is_too_slow_to_start(BOUND_S, slow_s, soon - 0.01)
+    assert not reload_schedule.is_too_slow_to_start(BOUND_S, usual_s, soon + 0.01)
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -648,3 +648,27 @@
         await fleet.wait_until_loaded(1)
 
     run(1, scenario)
+
+
+# Guards against entries that send requests to an engine whose link is slow, since its agent does
+# not tell.
+def test_agent_with_a_slow_link_tells_entries_before_the_old_weights_expire():
+    async def scenario(fleet):
+        fleet.publish(1)
+        await fleet.wait_until_loaded(1)
+        (agent,) = fleet.agents
+        replies = []
+        agent.datagrams.send = lambda address, reply: replies.append(reply.is_busy)
+        query = node_messages.LoadQuery("entry:1", 1)
+        agent.weights.fetcher.window.last_duration_s = 0.35
+        await fleet_nodes.until(lambda: agent.last_report and not agent.last_report.is_busy)
+        agent.reply_to_query(query)
+        fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
+        fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
+        fleet.publish(2)
+        await fleet_nodes.until(lambda: agent.weights.manifest.version == 2)
+        agent.weights.fetcher.window.last_duration_s = 0.35
+        agent.reply_to_query(query)
+        assert replies == [False, True]
+
+    run(1, scenario)
