--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -297,7 +297,8 @@
     the engine is slower than it reports. `permit` is set in the reply of a control VM, and in that
     of an agent that decided on a permit. `cold_s` is how long the engine will still be cold, None
     if that is unknown. `unread_by_urgency` is described at `load_tracker.EngineLoad`.
-    `is_over_share` is true if requests of other accounts go before those of the account in the query.
+    `is_over_share` is true if requests of other accounts go before those of the account in the
+    query.
     """
 
     number: int
