Answer a forwarded change that is not committed in time as one without a majority

Change: it raises the error of a change that is not known to be committed, as `ControlApi.serve` does. Before: test_forwarded_change_that_is_not_committed_in_time_is_an_expected_error fails (TimeoutError). After: it passes.

--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -51,9 +51,7 @@
             call = self.dialect.parse_control_call(request)
             response = await self.dispatch(call)
         except TimeoutError:
-            response = error_response(
-                errors.ControlError("no majority replied in time; send the request again")
-            )
+            response = error_response(not_committed_in_time())
         except errors.MerlinthreadError as error:
             response = error_response(error)
         if response.status >= 300:
@@ -203,6 +201,11 @@
     return http_messages.Response(200, [(b"content-type", b"application/json")], b"{}")
 
 
+def not_committed_in_time() -> errors.ControlError:
+    """Return the error for a command that may or may not be committed later."""
+    return errors.ControlError("no majority replied in time; send the request again")
+
+
 def error_response(error: errors.MerlinthreadError) -> http_messages.Response:
     """Return the JSON response for `error`, with a Retry-After header if it has a delay."""
     body = error_responses.error_body(error)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -231,9 +231,7 @@
             self.limits.merge_from_entry(message.limits)
             return node_messages.Acknowledgement(levels.NEWEST)
         if isinstance(message, node_messages.CommandRequest):
-            async with asyncio.timeout(control_api.FORWARD_TIMEOUT_S):
-                is_changed = await self.member.propose(message.command)
-            return node_messages.CommandReply(is_changed, self.member.state.version)
+            return await self.reply_to_command(message)
         if isinstance(message, node_messages.ConfigurationRequest):
             return self.api.read_local_configuration(message.known)
         if isinstance(message, node_messages.JoinRequest):
@@ -242,6 +240,20 @@
             return await self.member.member_changes.reply_to_leave(message)
         raise errors.ProtocolError(f"a control VM does not handle {type(message).__name__}")
 
+    async def reply_to_command(
+        self, request: node_messages.CommandRequest
+    ) -> node_messages.CommandReply:
+        """Commit a command that another control VM forwarded.
+
+        Raises ControlError if it is not known to be committed in time.
+        """
+        try:
+            async with asyncio.timeout(control_api.FORWARD_TIMEOUT_S):
+                is_changed = await self.member.propose(request.command)
+        except TimeoutError:
+            raise control_api.not_committed_in_time()
+        return node_messages.CommandReply(is_changed, self.member.state.version)
+
     async def reply_to_watch(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
         """Reply with the changes that the node lacks; wait for some until the request times out."""
         deadline = self.clock() + min(watch.wait_s, WATCH_WAIT_MAX_S)
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -129,6 +129,20 @@
     run(tmp_path, scenario)
 
 
+def test_forwarded_change_that_is_not_committed_in_time_is_an_expected_error(tmp_path):
+    """Guards against the error of a fault of this program for a leader that lost its majority."""
+
+    async def scenario(controls):
+        leader = controls.nodes[controls.leader()]
+        command = leader.member.encode_command(fleet_state.Depart("i-1", fleet.DRAINING))
+        leader.member.propose = lambda command: asyncio.get_running_loop().create_future()
+        with pytest.raises(errors.ControlError) as raised:
+            await leader.dispatch_request(node_messages.CommandRequest(command))
+        assert raised.value.kind is errors.ErrorKind.NO_MAJORITY
+
+    run(tmp_path, scenario)
+
+
 def test_older_or_equal_configuration_is_acknowledged_but_ignored(tmp_path):
     async def scenario(controls):
         await put_configuration(controls, 9)
