Entry: a heartbeat from before an agent's report does not replace its weights

Cause: once an agent's last report is older than REPORT_FRESH_S, each update of the fleet replaced the engine's weights by those of its last heartbeat, which may be older than the report. The engine got no requests for the new version until its next heartbeat, up to 1.2 s later. Change: the time of the weights is kept, and an older heartbeat does not replace them. Before: test_heartbeat_from_before_a_report_does_not_replace_its_weights fails. After: it passes.

--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -78,7 +78,8 @@
     and has not continued since. `trials` counts the attempts in flight that were sent while it was
     doubtful. `others_unread_by_urgency` is of the last reply to a probe, and empty if requests do
     not differ in urgency. `region` is None if the settings name no region of its zone.
-    `is_evacuated` is set while its zone is evacuated.
+    `is_evacuated` is set while its zone is evacuated. `weights_at` is when the state of `weights`
+    was received, from its agent or by a control VM.
     """
 
     instance: str
@@ -91,6 +92,7 @@
     is_evacuated: bool = False
     cold_until: float = 0.0
     weights: list[fleet.Weights] = dataclasses.field(default_factory=list)
+    weights_at: float = float("-inf")
     in_flight: int = 0
     unread: int = 0
     unread_tokens: float = 0.0
@@ -267,11 +269,24 @@
         self.probe_unanswered = False
         self.is_busy = report.is_busy
         self.weights = report.weights
+        self.weights_at = now
         self.ready_at = None if report.ready_in_s is None else now + report.ready_in_s
         self.reported_at = now
         if others is not None:
             self.typical_load.record(others.attempts, others.unread_tokens)
 
+    def apply_heartbeat_weights(
+        self, weights: list[fleet.Weights], heard_at: float, now: float
+    ) -> None:
+        """Apply the weights in a heartbeat that a control VM received at `heard_at`.
+
+        An agent's report is newer than the heartbeats before it, also once it is no longer fresh.
+        """
+        if now - self.reported_at <= REPORT_FRESH_S or heard_at < self.weights_at:
+            return
+        self.weights = weights
+        self.weights_at = heard_at
+
     def apply_probe_reply(self, reply: load_tracker.EngineLoad | None, now: float) -> None:
         """Apply the reply to a load probe; None means that the probe timed out."""
         self.probe_unanswered = reply is None
--- a/src/merlinthread/nodes/backend_pool.py
+++ b/src/merlinthread/nodes/backend_pool.py
@@ -168,8 +168,8 @@
         backend.is_draining = backend.availability.is_leaving
         backend.is_evacuated = self.watcher.is_evacuated(backend.zone)
         self.cold_starts.update(backend)
-        if self.clock() - backend.reported_at > backend_record.REPORT_FRESH_S:
-            backend.weights = heartbeat.weights
+        heard_at = self.watcher.instance_table.heard_at.get(instance, self.clock())
+        backend.apply_heartbeat_weights(heartbeat.weights, heard_at, self.clock())
 
     def record_leaving(self, backend: backend_record.Backend, request_id: str) -> None:
         """Record that a back end announced in a response that it is leaving."""
--- a/tests/test_load_feed.py
+++ b/tests/test_load_feed.py
@@ -115,3 +115,25 @@
         [engine], dispatch.Requirements("s"), None, 20.0, random.Random(1), 2
     )
     assert choices == [engine]
+
+
+def test_heartbeat_from_before_a_report_does_not_replace_its_weights():
+    """Guards against an engine without requests because its old weights are taken for current."""
+    old, new = ([fleet.Weights("m", version)] for version in (1, 2))
+    engine = engines(1, 1, 0)[0]
+    engine.apply_heartbeat_weights(old, 9.0, 9.5)
+    assert engine.weights == old
+    engine.apply_report(fleet.EngineReport(weights=new), 10.0)
+    stale_at = 10.0 + 2 * backend_record.REPORT_FRESH_S
+    engine.apply_heartbeat_weights(old, 9.9, stale_at)
+    assert engine.weights == new
+    # Neither once the entry has unsubscribed from its reports.
+    engine.stop_reports()
+    engine.apply_heartbeat_weights(old, 9.9, stale_at)
+    assert engine.weights == new
+    # A later heartbeat counts, but not while reports arrive.
+    engine.apply_heartbeat_weights(old, stale_at, stale_at)
+    assert engine.weights == old
+    engine.apply_report(fleet.EngineReport(weights=new), 20.0)
+    engine.apply_heartbeat_weights(old, 20.5, 20.6)
+    assert engine.weights == new
