Agents: transfers of pieces that time out count as slow before the old weights expire

Cause: an agent tells entries that its engine is busy shortly before its old weights expire, if its last piece took longer than 0.3 s. Failed transfers did not count. Change: a transfer that fails after more than the target of 0.4 s counts as the last duration, unless another one was quick meanwhile. Before: both new tests fail.

--- a/src/merlinthread/coordination/pacing.py
+++ b/src/merlinthread/coordination/pacing.py
@@ -67,6 +67,8 @@
         self.target_s = target_s
         self.size = float(max_size)
         self.halved_at = float("-inf")
+        # When the last transfer that took no longer than the target ended.
+        self.quick_at = float("-inf")
         self.last_duration_s = 0.0
 
     def has_room(self, in_flight: int) -> bool:
@@ -80,11 +82,22 @@
         """
         self.last_duration_s = took_s
         if took_s <= self.target_s:
+            self.quick_at = now
             self.size = min(self.max_size, self.size + 1 / self.size)
         elif now - took_s >= self.halved_at:
             self.size = max(1.0, self.size / 2)
             self.halved_at = now
 
+    def record_failure(self, took_s: float, now: float) -> None:
+        """Record a transfer that failed at `now`, `took_s` seconds after its start.
+
+        If it took longer than the target, the link here may be slow, unless another transfer was
+        quick meanwhile: then its sender failed. The window stays as it is, since it would grow too
+        slowly after the loss of a zone.
+        """
+        if took_s > self.target_s and self.quick_at < now - took_s:
+            self.last_duration_s = took_s
+
 
 class FeedbackPacer(Pacer):
     """A pacer that adapts its rate to the transfer times that receivers report.
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -242,10 +242,12 @@
             fetch.bitset_to_bytes(plan.held, count),
             self.last_transfer_s.pop(action.peer, 0.0),
         )
+        began = self.clock()
         try:
             reply = await self.rpc_client.call(action.peer, request, PEER_TIMEOUT_S)
         except errors.MerlinthreadError as error:
             plan.on_peer_failed(action.peer, self.clock())
+            self.window.record_failure(self.clock() - began, self.clock())
             logs.debug("peer_silent", peer=action.peer, reason=error.message)
             return None
         plan.on_peer_report(action.peer, fetch.bitset_from_bytes(reply.held, count), self.clock())
--- a/tests/test_transfer_simulation.py
+++ b/tests/test_transfer_simulation.py
@@ -77,6 +77,18 @@
     assert window.size == 8.0
 
 
+def test_transfers_that_time_out_are_slow_unless_others_were_quick():
+    """Guards against a link that is taken for quick because nothing arrives over it."""
+    window = pacing.TransferWindow(8, 0.4)
+    window.record(0.2, 10.0)
+    window.record_failure(0.1, 10.5)
+    assert window.last_duration_s == 0.2, "a peer refused at once"
+    window.record_failure(1.0, 10.6)
+    assert window.last_duration_s == 0.2, "one of two peers is slow"
+    window.record_failure(1.0, 11.6)
+    assert window.last_duration_s == 1.0 and window.size == 8.0
+
+
 def test_window_always_has_room_for_one_transfer():
     window = pacing.TransferWindow(8, 0.4)
     for number in range(20):
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from merlinthread import errors
 from merlinthread.coordination import fetch, reload_schedule
 from merlinthread.nodes import (
     agent_node,
@@ -672,3 +673,26 @@
         assert replies == [False, True]
 
     run(1, scenario)
+
+
+# Guards against requests that begin on expired weights behind pieces on a link so slow that no
+# piece arrives: the last one that did was quick.
+def test_agent_whose_transfers_all_time_out_tells_entries_before_the_old_weights_expire():
+    async def scenario(fleet):
+        fleet.publish(1)
+        await fleet.wait_until_loaded(1)
+        agent, peer = fleet.agents
+        window = agent.weights.fetcher.window
+
+        async def time_out(address, message, timeout_s):
+            await asyncio.sleep(0.45)
+            raise errors.UnreachableError("no reply")
+
+        agent.weights.fetcher.rpc_client.call = time_out
+        fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
+        window.record(0.1, agent.clock())
+        fleet.publish(2)
+        await fleet_nodes.until(lambda: window.last_duration_s > 0.4)
+        assert agent.weights.is_too_slow_to_start()
+
+    run(2, scenario)
