Move the record of back ends' failures out of dispatch to backend_health

Cause: `coordination/dispatch.py` chose back ends and also recorded their failures, silences, full answers and responses, with the constants of ejection. Change: `record_*`, EJECTION_S, EJECTION_MAX_S and FULL_BACKOFF_S are in `coordination/backend_health.py`. No change of behaviour.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -12,7 +12,7 @@
 import h11
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import backend_record, dispatch, fleet
+from merlinthread.coordination import backend_health, backend_record, fleet
 from merlinthread.nodes import (
     attempt_descriptions,
     backend_pool,
@@ -140,12 +140,12 @@
             if connection is not None:
                 self.pool.connections.handle_timeout(self.backend.instance, connection)
             if not self.relay.exchange.is_started:
-                dispatch.record_silence(self.backend, self.clock())
+                backend_health.record_silence(self.backend, self.clock())
             self.record_break(True)
             return Outcome(State.UNKNOWN, "deadline exceeded")
         except errors.MerlinthreadError as error:
             if not isinstance(error, response_reader.VersionExpiredError | UnavailableError):
-                dispatch.record_failure(self.backend, self.clock())
+                backend_health.record_failure(self.backend, self.clock())
             if self.is_sent:
                 self.record_break(isinstance(error, response_reader.VersionExpiredError))
                 return Outcome(State.UNKNOWN, error.message)
@@ -163,7 +163,7 @@
         The back end is not to blame. A complete response goes on being sent.
         """
         if self.relay.exchange.is_finished:
-            dispatch.record_success(self.backend, self.clock() - self.reservation.started_at)
+            backend_health.record_success(self.backend, self.clock() - self.reservation.started_at)
             return Outcome(State.DONE, "answered, not yet taken by the client")
         return Outcome(State.UNKNOWN, "the client did not take its data before the deadline")
 
@@ -256,10 +256,10 @@
         if self.pool.crashes.unconfirmed and not self.is_other_instance:
             self.pool.crashes.record_response(self.backend, self.sent_at)
         if outcome.state is State.DONE:
-            dispatch.record_success(self.backend, now - self.reservation.started_at)
+            backend_health.record_success(self.backend, now - self.reservation.started_at)
             self.pool.crashes.record_success(self.context)
         elif outcome.state is State.NOT_RUN:
-            dispatch.record_full(self.backend, now)
+            backend_health.record_full(self.backend, now)
 
     def build_request(self) -> http_messages.Request:
         """Return the request to send to the back end."""
@@ -313,7 +313,7 @@
                 "a successful response is unsigned or has a content encoding"
             )
         if is_success:
-            dispatch.record_accepted(self.backend, self.sent_at)
+            backend_health.record_accepted(self.backend, self.sent_at)
         if is_success and self.context.route.kind == fleet.STREAMING:
             response = http_messages.Response(head.status_code, headers)
             return await self.relay_stream(connection, response), headers
--- a/src/merlinthread/nodes/response_reader.py
+++ b/src/merlinthread/nodes/response_reader.py
@@ -10,7 +10,7 @@
 import h11
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import dispatch, fleet, held_bytes
+from merlinthread.coordination import backend_health, fleet, held_bytes
 from merlinthread.nodes import backend_pool, request_context, reservations
 from merlinthread.transport import stream_client, timeouts
 
@@ -126,7 +126,7 @@
                 continue
             if self.is_silent:
                 self.end_silence("continued")
-                dispatch.record_continued(self.backend, self.clock())
+                backend_health.record_continued(self.backend, self.clock())
             return event
 
     def record_silence(
@@ -136,7 +136,7 @@
         if not self.is_silent:
             self.silent_since = waiting_since
             self.pool.connections.handle_timeout(self.backend.instance, connection)
-            dispatch.record_silence(self.backend, self.clock())
+            backend_health.record_silence(self.backend, self.clock())
         self.on_silence()
 
     def end_silence(self, outcome: str) -> None:
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -16,6 +16,7 @@
 from merlinthread.coordination import (
     allowed_regions,
     backend_availability,
+    backend_health,
     backend_record,
     dispatch,
     fleet,
@@ -69,7 +70,7 @@
     assert dispatch.choose_best(backends, demand, None, 0.0).backend is only
     # A failed back end is the last resort if it has nothing in flight.
     only.in_flight = 0
-    dispatch.record_failure(only, 0.0)
+    backend_health.record_failure(only, 0.0)
     assert dispatch.candidates(backends, demand, None, 0.0) == [only]
     nowhere = dispatch.Requirements("s", allowed_regions=NONE)
     assert dispatch.candidates(backends, nowhere, None, 0.0) == []
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -10,6 +10,7 @@
 from merlinthread import errors, logs
 from merlinthread.coordination import (
     admission,
+    backend_health,
     dispatch,
     expected_wait,
     fleet,
@@ -440,7 +441,7 @@
     async def scenario():
         entry, (worker,), _ = await make_entry("safe", 1)
         backend = next(iter(entry.node.pool.backends.values()))
-        dispatch.record_failure(backend, entry.node.clock())
+        backend_health.record_failure(backend, entry.node.clock())
         assert (await entry.request("/safe/", "id-1")).status == 200
         assert count_runs([worker]) == 1
 
--- a/tests/test_fleet_coordination.py
+++ b/tests/test_fleet_coordination.py
@@ -7,6 +7,7 @@
 
 from merlinthread import errors
 from merlinthread.coordination import (
+    backend_health,
     backend_record,
     dispatch,
     expected_wait,
@@ -183,13 +184,13 @@
     backend = make_backend()
     ejections_s = []
     for _ in range(3):
-        dispatch.record_failure(backend, 100.0)
+        backend_health.record_failure(backend, 100.0)
         ejections_s.append(backend.ejected_until - 100.0)
     assert ejections_s == sorted(set(ejections_s))
     demand = dispatch.Requirements("s")
     assert not dispatch.is_eligible(backend, demand, None, 100.0)
     assert dispatch.is_eligible(backend, demand, None, 110.0)
-    dispatch.record_success(backend, 0.1)
+    backend_health.record_success(backend, 0.1)
     assert backend.failures == 0
 
 
@@ -197,12 +198,12 @@
 # were given up.
 def test_silence_ends_with_the_acceptance_of_a_later_request():
     backend = make_backend()
-    dispatch.record_silence(backend, 10.0)
+    backend_health.record_silence(backend, 10.0)
     assert backend.is_ejected(10.1) and not backend.is_accepting()
     # Some requests may be answered while others hang.
-    dispatch.record_accepted(backend, 9.9)
+    backend_health.record_accepted(backend, 9.9)
     assert backend.is_ejected(10.1) and not backend.is_accepting()
-    dispatch.record_accepted(backend, 10.2)
+    backend_health.record_accepted(backend, 10.2)
     assert not backend.is_ejected(10.3) and backend.is_accepting()
 
 
@@ -211,7 +212,7 @@
     demand = dispatch.Requirements("s")
     only, draining = make_backend("only"), make_backend("taken away")
     draining.is_draining = True
-    dispatch.record_failure(only, 10.0)
+    backend_health.record_failure(only, 10.0)
     choice = dispatch.choose([only, draining], demand, None, 10.05, random.Random(1))
     assert choice.backend is only
     assert choice.wait_s == math.inf, "a request waits for other back ends first"
--- a/tests/test_new_back_ends.py
+++ b/tests/test_new_back_ends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from merlinthread.coordination import backend_record, dispatch
+from merlinthread.coordination import backend_health, backend_record, dispatch
 from stand_ins import fleet_worker
 from tests import single_entry_fleet
 
@@ -54,10 +54,10 @@
         "i", "safe", "a:1", "zone", 0, 8, service_response_time=service_response_time
     )
     assert backend.expected_response_s() == pytest.approx(WORK_S)
-    dispatch.record_success(backend, 10 * WORK_S)
+    backend_health.record_success(backend, 10 * WORK_S)
     assert backend.expected_response_s() < 4 * WORK_S
     for _ in range(30):
-        dispatch.record_success(backend, 2 * WORK_S)
+        backend_health.record_success(backend, 2 * WORK_S)
     assert backend.expected_response_s() == pytest.approx(2 * WORK_S, rel=0.2)
 
 
@@ -69,7 +69,7 @@
         )
         for number in range(2)
     ]
-    dispatch.record_success(backends[0], WORK_S)
+    backend_health.record_success(backends[0], WORK_S)
     assert backends[1].expected_response_s() == pytest.approx(WORK_S)
 
 
--- a/tests/test_resting_back_ends.py
+++ b/tests/test_resting_back_ends.py
@@ -10,7 +10,7 @@
 import pytest
 
 from merlinthread import logs
-from merlinthread.coordination import dispatch, instances
+from merlinthread.coordination import backend_health, instances
 from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 from tests import fleet_nodes, single_entry_fleet
@@ -177,7 +177,7 @@
         fleet.refuse_requests([worker], value)
         await fleet.request_until_refused([worker])
         worker.behaviour.is_full = False
-        await asyncio.sleep(dispatch.FULL_BACKOFF_S)
+        await asyncio.sleep(backend_health.FULL_BACKOFF_S)
         assert (await fleet.request()).status == 200, value
 
     for value in ("nan", "-5", "1e400", "", "3, 4", "123456789012345678901", "x", "0"):
--- a/tests/test_silent_back_ends.py
+++ b/tests/test_silent_back_ends.py
@@ -9,7 +9,13 @@
 import pytest
 
 from merlinthread import logs
-from merlinthread.coordination import crash_tracker, dispatch, load_tracker, reload_schedule
+from merlinthread.coordination import (
+    backend_health,
+    crash_tracker,
+    dispatch,
+    load_tracker,
+    reload_schedule,
+)
 from merlinthread.coordination import fleet as fleets
 from merlinthread.nodes import request_context
 from merlinthread.protocol import event_stream
@@ -212,7 +218,7 @@
         # may last for its second period.
         await fleet_nodes.until(
             lambda: not any(backend.is_ejected(now()) for backend in backends),
-            2 * dispatch.EJECTION_S,
+            2 * backend_health.EJECTION_S,
         )
 
     run(scenario)
@@ -558,7 +564,7 @@
         now = pool.clock()
         for backend in pool.backends.values():
             backend.apply_report(fleets.EngineReport(weights=[fleets.Weights("m", 1, 16)]), now)
-            dispatch.record_silence(backend, now)
+            backend_health.record_silence(backend, now)
         pool.update_subscriptions()
         requirements = dispatch.Requirements("model", "m")
         for _ in range(8):
@@ -573,9 +579,9 @@
 def test_refusal_is_remembered_after_the_end_of_a_silence():
     async def scenario(fleet):
         (backend,) = fleet.entry.node.pool.backends.values()
-        dispatch.record_full(backend, 10.0)
-        dispatch.record_silence(backend, 11.0)
-        dispatch.record_continued(backend, 12.0)
+        backend_health.record_full(backend, 10.0)
+        backend_health.record_silence(backend, 11.0)
+        backend_health.record_continued(backend, 12.0)
         assert not backend.is_accepting()
 
     run(scenario, 1)
