Move the messages about pieces of weights to piece_messages

Those about pieces of weights and manifests are used by agents only. Change: they are in `protocol/piece_messages.py`, with a registry of their own that each codec lists. `bench.release_bytes` lists it if the build has it.

--- a/bench/permits.py
+++ b/bench/permits.py
@@ -15,7 +15,7 @@
 from merlinthread.coordination import rate_limits
 from merlinthread.nodes import permit_server
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 
 QUERIES = 5000
 # Size of UDP and IP headers.
@@ -57,7 +57,7 @@
 
 def run_queries(entries: int, backends: int, named: int, rng: random.Random) -> Totals:
     """Send random permit queries; each contains the limits of `named` back ends."""
-    codec = codecs.Codec([node_messages.MESSAGES], [])
+    codec = codecs.Codec([node_messages.MESSAGES, piece_messages.MESSAGES], [])
     times = [0.0]
     server = permit_server.PermitServer(Leader(), lambda: times[0])  # type: ignore[arg-type]
     names = [f"i-{rng.getrandbits(40):010x}@1767000000000" for _ in range(backends)]
--- a/bench/release_bytes.py
+++ b/bench/release_bytes.py
@@ -3,9 +3,10 @@
 `python -m bench.release_bytes write FILE` writes a JSON file with the encoded form of each message
 between nodes, each log command, a snapshot and a data folder, produced by the build on the path.
 `read FILE` decodes them with the build on the path and prints the name of each sample that it can't
-read. Both must also run with earlier builds, so this module imports only modules that those have.
+read. Both must also run with earlier builds, so this module requires only modules that those have.
 """
 
+import contextlib
 import dataclasses
 import enum
 import json
@@ -23,7 +24,13 @@
 from merlinthread.protocol import node_messages
 from merlinthread.state import journal
 
-CODEC = codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+REGISTRIES = [raft_messages.MESSAGES, node_messages.MESSAGES]
+# Earlier builds register the messages about pieces of weights in `node_messages`.
+with contextlib.suppress(ImportError):
+    from merlinthread.protocol import piece_messages
+
+    REGISTRIES.append(piece_messages.MESSAGES)
+CODEC = codecs.Codec(REGISTRIES, [])
 PRIMITIVES = {str: "s", int: 1, float: 1.5, bool: True, bytes: b"b"}
 
 
--- a/bench/simulated_control.py
+++ b/bench/simulated_control.py
@@ -17,7 +17,7 @@
 from merlinthread.nodes import control_node, node_settings
 from merlinthread.platform import dialect
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 
 CONTROL_PORT = 7500
 LATENCY_S = (0.001, 0.007)
@@ -133,7 +133,9 @@
             members_lost_max=tolerated,
             bounds=self.bounds,
         )
-        codec = codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+        codec = codecs.Codec(
+            [raft_messages.MESSAGES, node_messages.MESSAGES, piece_messages.MESSAGES], []
+        )
         token = current_vm.set(self.ip)
         self.node = control_node.ControlNode(settings, dialect.PlatformDialect(), codec, loop.time)
         member = self.node.member
--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -18,7 +18,7 @@
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import node_bus
 
 REPORT_INTERVAL_S = 0.2
@@ -110,7 +110,7 @@
             self.grants.entries.record(message.address, self.clock())
         elif isinstance(message, node_messages.AttemptNotice):
             self.record_attempt_stage(message)
-        elif isinstance(message, node_messages.PieceNotice | node_messages.PieceClaim):
+        elif isinstance(message, piece_messages.PieceNotice | piece_messages.PieceClaim):
             self.weights.record_notice(message)
         elif isinstance(message, node_messages.LoadQuery):
             self.reply_to_query(message)
@@ -168,9 +168,9 @@
 
     async def dispatch_request(self, message: Any) -> Any:
         """Handle a request from another agent; raise ProtocolError for other messages."""
-        if isinstance(message, node_messages.PieceRequest):
+        if isinstance(message, piece_messages.PieceRequest):
             return await self.weights.serve_piece(message)
-        if isinstance(message, node_messages.ManifestRequest):
+        if isinstance(message, piece_messages.ManifestRequest):
             return self.weights.serve_manifest(message)
         raise errors.ProtocolError(f"an agent does not handle {type(message).__name__}")
 
@@ -271,5 +271,5 @@
 @node_roles.NODES.add("agent")
 def make_agent_node(settings: node_settings.NodeSettings, dialect: dialects.Dialect) -> AgentNode:
     """Create an agent that uses the system clock."""
-    codec = codecs.Codec([node_messages.MESSAGES], [])
+    codec = codecs.Codec([node_messages.MESSAGES, piece_messages.MESSAGES], [])
     return AgentNode(settings, dialect, codec, clocks.now, random.Random())
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -26,7 +26,7 @@
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import http_messages, node_bus, stream_server
 
 HEARTBEAT_FORWARD_INTERVAL_S = 0.1
@@ -398,5 +398,7 @@
     settings: node_settings.NodeSettings, dialect: dialects.Dialect
 ) -> ControlNode:
     """Create a control VM that uses the system clock."""
-    codec = codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+    codec = codecs.Codec(
+        [raft_messages.MESSAGES, node_messages.MESSAGES, piece_messages.MESSAGES], []
+    )
     return ControlNode(settings, dialect, codec, clocks.now)
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -21,7 +21,7 @@
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import http_messages, node_bus, stream_server
 
 SUBSCRIBE_INTERVAL_S = 1.0
@@ -169,5 +169,5 @@
 @node_roles.NODES.add("entry")
 def make_entry_node(settings: node_settings.NodeSettings, dialect: dialects.Dialect) -> EntryNode:
     """Create an entry node that uses the clock of this process."""
-    codec = codecs.Codec([node_messages.MESSAGES], [])
+    codec = codecs.Codec([node_messages.MESSAGES, piece_messages.MESSAGES], [])
     return EntryNode(settings, dialect, codec, clocks.now, random.Random())
--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -17,7 +17,7 @@
 from merlinthread import errors, logs
 from merlinthread.coordination import fetch, fleet
 from merlinthread.nodes import engine_client
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import piece_messages
 from merlinthread.transport import node_bus
 
 # Delay before an agent reads from the origin, per predecessor. A usual read takes 20 to 100 ms.
@@ -151,21 +151,21 @@
 
     async def query_peers(
         self, peers: Sequence[str], model: str, version: int
-    ) -> node_messages.ManifestReply:
+    ) -> piece_messages.ManifestReply:
         """Query peers at once; return the manifest, or whether one of them is reading it."""
         replies = await asyncio.gather(*(self.query_peer(peer, model, version) for peer in peers))
         manifest = next((reply.manifest for reply in replies if reply.manifest is not None), None)
-        return node_messages.ManifestReply(manifest, any(reply.is_reading for reply in replies))
+        return piece_messages.ManifestReply(manifest, any(reply.is_reading for reply in replies))
 
-    async def query_peer(self, peer: str, model: str, version: int) -> node_messages.ManifestReply:
+    async def query_peer(self, peer: str, model: str, version: int) -> piece_messages.ManifestReply:
         """Return a peer's reply; one without a manifest if the call fails."""
-        request = node_messages.ManifestRequest(model, version)
+        request = piece_messages.ManifestRequest(model, version)
         with contextlib.suppress(errors.MerlinthreadError):
             reply = await self.rpc_client.call(peer, request, PEER_TIMEOUT_S)
             if reply.manifest is not None:
                 logs.event("manifest_from_peer", version=version, peer=peer)
             return reply
-        return node_messages.ManifestReply(None)
+        return piece_messages.ManifestReply(None)
 
 
 def zone_predecessors(own_address: str, manifest: str, peers: Sequence[fetch.Peer]) -> list[str]:
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -11,7 +11,7 @@
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fetch, fetch_policies, fleet, pacing, reload_schedule
 from merlinthread.nodes import engine_client, piece_store, weights_view
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import piece_messages
 from merlinthread.transport import node_bus
 
 TRANSFERS_MAX = 8
@@ -38,7 +38,7 @@
 RATE_WARMUP_S = 2.0
 RATE_WINDOW_S = 1.0
 
-SendNotice = Callable[[str, node_messages.PieceNotice | node_messages.PieceClaim], None]
+SendNotice = Callable[[str, piece_messages.PieceNotice | piece_messages.PieceClaim], None]
 
 
 class PieceFetcher:
@@ -134,7 +134,7 @@
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.OriginRead
     ) -> None:
         """Notify other readers of the origin that this agent reads a piece."""
-        claim = node_messages.PieceClaim(
+        claim = piece_messages.PieceClaim(
             manifest.model, manifest.version, self.view.own_address, action.index
         )
         for recipient in plan.claim_recipients():
@@ -231,10 +231,10 @@
 
     async def request_piece(
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.PeerRequest
-    ) -> node_messages.PieceReply | None:
+    ) -> piece_messages.PieceReply | None:
         """Request a piece from a peer; return its reply, or None if the call failed."""
         count = len(manifest.digests)
-        request = node_messages.PieceRequest(
+        request = piece_messages.PieceRequest(
             manifest.model,
             manifest.version,
             fetch.bitset_to_bytes(action.wanted, count),
@@ -257,7 +257,7 @@
         self, plan: fetch.FetchPlan, manifest: fleet.Manifest, action: fetch.Action, index: int
     ) -> None:
         """Notify the peers that the plan selects that this agent holds a piece."""
-        notice = node_messages.PieceNotice(
+        notice = piece_messages.PieceNotice(
             manifest.model, manifest.version, self.view.own_address, index
         )
         for peer in plan.announcement_recipients(action):
--- a/src/merlinthread/nodes/piece_server.py
+++ b/src/merlinthread/nodes/piece_server.py
@@ -6,7 +6,7 @@
 
 from merlinthread.coordination import fetch, fleet, pacing
 from merlinthread.nodes import piece_store
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import piece_messages
 
 # Share of the link for outgoing pieces; the engine's responses use the rest.
 UPLOAD_SHARE = 0.85
@@ -18,7 +18,7 @@
 # `piece_fetcher.TRANSFER_TARGET_S`).
 UPLOAD_TARGET_S = 0.4
 
-EMPTY_REPLY = node_messages.PieceReply(-1, b"", b"")
+EMPTY_REPLY = piece_messages.PieceReply(-1, b"", b"")
 
 
 class PieceServer:
@@ -45,8 +45,8 @@
         self.upload_pacer.set_full_rate(share * self.link_bytes_per_s)
 
     async def serve(
-        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, request: node_messages.PieceRequest
-    ) -> node_messages.PieceReply:
+        self, plan: fetch.FetchPlan, manifest: fleet.Manifest, request: piece_messages.PieceRequest
+    ) -> piece_messages.PieceReply:
         """Return a random requested piece that is held.
 
         The reply has the index -1 if there is none, or if the request is for another version than
@@ -64,29 +64,29 @@
             )
         wanted = fetch.bit_positions(fetch.bitset_from_bytes(request.wanted, count) & plan.held)
         if not wanted:
-            return node_messages.PieceReply(-1, b"", held)
+            return piece_messages.PieceReply(-1, b"", held)
         now = self.clock()
         free_in_s = self.upload_pacer.wait_s(now)
         if free_in_s > UPLOAD_WAIT_MAX_S:
-            return node_messages.PieceReply(-1, b"", held, True, round(free_in_s, 3))
+            return piece_messages.PieceReply(-1, b"", held, True, round(free_in_s, 3))
         index = self.rng.choice(wanted)
         data = await self.store.get(manifest, index)
         if data is None:
             plan.held &= ~(1 << index)
-            return node_messages.PieceReply(-1, b"", held)
+            return piece_messages.PieceReply(-1, b"", held)
         await asyncio.sleep(self.upload_pacer.reserve(len(data), now))
-        return node_messages.PieceReply(index, data, held)
+        return piece_messages.PieceReply(index, data, held)
 
 
 def serve_manifest(
-    manifest: fleet.Manifest | None, is_reading: bool, request: node_messages.ManifestRequest
-) -> node_messages.ManifestReply:
+    manifest: fleet.Manifest | None, is_reading: bool, request: piece_messages.ManifestRequest
+) -> piece_messages.ManifestReply:
     """Return a reply with `manifest` if it is the requested one, otherwise one without.
 
     `is_reading` tells whether the requested one is being read from the origin.
     """
     if manifest is None or manifest.model != request.model:
-        return node_messages.ManifestReply(None, is_reading)
+        return piece_messages.ManifestReply(None, is_reading)
     if request.version not in (0, manifest.version):
-        return node_messages.ManifestReply(None, is_reading)
-    return node_messages.ManifestReply(manifest)
+        return piece_messages.ManifestReply(None, is_reading)
+    return piece_messages.ManifestReply(manifest)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -28,7 +28,7 @@
     piece_verifier,
     weights_view,
 )
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import piece_messages
 from merlinthread.transport import node_bus
 
 POLL_INTERVAL_S = 0.1
@@ -427,26 +427,28 @@
 
     # Messages from peers
 
-    async def serve_piece(self, request: node_messages.PieceRequest) -> node_messages.PieceReply:
+    async def serve_piece(self, request: piece_messages.PieceRequest) -> piece_messages.PieceReply:
         """Return the reply to a peer's request for a piece."""
         if self.plan is None or self.manifest is None:
             return piece_server.EMPTY_REPLY
         self.server.set_serving(self.is_serving())
         return await self.server.serve(self.plan, self.manifest, request)
 
-    def serve_manifest(self, request: node_messages.ManifestRequest) -> node_messages.ManifestReply:
+    def serve_manifest(
+        self, request: piece_messages.ManifestRequest
+    ) -> piece_messages.ManifestReply:
         """Return the reply to a peer's request for a manifest."""
         is_reading = self.finder.is_reading(request.model, request.version)
         return piece_server.serve_manifest(self.manifest, is_reading, request)
 
-    def record_notice(self, notice: node_messages.PieceNotice | node_messages.PieceClaim) -> None:
+    def record_notice(self, notice: piece_messages.PieceNotice | piece_messages.PieceClaim) -> None:
         """Record a peer's notice that it has received a piece or is reading it from the origin."""
         manifest = self.manifest
         if manifest is None or self.plan is None:
             return
         if (manifest.model, manifest.version) != (notice.model, notice.version):
             return
-        if isinstance(notice, node_messages.PieceClaim):
+        if isinstance(notice, piece_messages.PieceClaim):
             self.plan.on_claim(notice.index, self.clock())
         else:
             self.plan.on_announcement(notice.sender, notice.index)
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -16,7 +16,7 @@
 from merlinthread.nodes import control_node, entry_node, fleet_watcher, node_settings
 from merlinthread.platform import dialect
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import connection_pool, http_messages, node_bus, stream_client
 from stand_ins import fleet_worker
 
@@ -54,7 +54,9 @@
 
 def make_codec() -> codecs.Codec:
     """Return the codec for messages between nodes."""
-    return codecs.Codec([raft_messages.MESSAGES, node_messages.MESSAGES], [])
+    return codecs.Codec(
+        [raft_messages.MESSAGES, node_messages.MESSAGES, piece_messages.MESSAGES], []
+    )
 
 
 def make_watcher(settings: node_settings.NodeSettings) -> fleet_watcher.FleetWatcher:
--- a/tests/test_load_feed.py
+++ b/tests/test_load_feed.py
@@ -8,7 +8,7 @@
 import pytest
 
 from merlinthread.coordination import backend_record, dispatch, fleet, load_feed, load_tracker
-from merlinthread.protocol import codec, node_messages
+from merlinthread.protocol import codec, node_messages, piece_messages
 
 # Link of an engine's VM in bytes per second.
 LINK_BYTES_PER_S = 3.65e6 / 8
@@ -80,7 +80,7 @@
     message = node_messages.LoadUpdate(
         "10.128.0.90:8080", 100000, report, load_tracker.Outstanding(11, 4, 4123.0)
     )
-    frame = codec.Codec([node_messages.MESSAGES], []).encode(message)
+    frame = codec.Codec([node_messages.MESSAGES, piece_messages.MESSAGES], []).encode(message)
     assert len(frame) + UDP_AND_IP_BYTES <= load_feed.LOAD_DATAGRAM_BYTES
 
 
--- a/tests/test_manifest_finder.py
+++ b/tests/test_manifest_finder.py
@@ -11,7 +11,7 @@
 from merlinthread import errors
 from merlinthread.coordination import fetch, fleet
 from merlinthread.nodes import manifest_finder
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import piece_messages
 
 AGENTS = 30
 ZONES = 3
@@ -39,7 +39,7 @@
     async def call(self, address, request, timeout_s):
         await asyncio.sleep(0)
         manifest = MANIFEST if address in self.holders else None
-        return node_messages.ManifestReply(manifest)
+        return piece_messages.ManifestReply(manifest)
 
     def peers(self, name: str) -> list[fetch.Peer]:
         zone = name.split(".")[1]
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -15,7 +15,7 @@
 from merlinthread.coordination import fleet, instances
 from merlinthread.nodes import node_settings
 from merlinthread.platform import bodies, dialect
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import http_messages
 from tests import fleet_nodes
 
@@ -139,7 +139,7 @@
         codec.encode(node_messages.LoadUpdate("10.0.0.1:1", 1, report))
     with contextlib.suppress(errors.MerlinthreadError):
         manifest = bodies.parse_manifest(json.dumps(MANIFEST | manifest_changes).encode())
-        codec.encode(node_messages.ManifestReply(manifest))
+        codec.encode(piece_messages.ManifestReply(manifest))
 
 
 # Control VMs of a former build accept and tell such a heartbeat.
--- a/tests/test_parser_properties.py
+++ b/tests/test_parser_properties.py
@@ -17,7 +17,7 @@
 from merlinthread import errors
 from merlinthread.coordination import cold_limits, expected_cost, fleet, route_table
 from merlinthread.platform import bodies, dialect, settings_file
-from merlinthread.protocol import event_stream, node_messages
+from merlinthread.protocol import event_stream, node_messages, piece_messages
 from merlinthread.transport import http_messages
 from tests import fleet_nodes
 
@@ -31,7 +31,11 @@
     max_leaves=6,
 )
 CODEC = fleet_nodes.make_codec()
-MESSAGES = [*node_messages.MESSAGES.entries, "node.of_tomorrow"]
+MESSAGES = [
+    *node_messages.MESSAGES.entries,
+    *piece_messages.MESSAGES.entries,
+    "node.of_tomorrow",
+]
 
 
 def refused_or_read(read, *arguments) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -18,7 +18,7 @@
 )
 from merlinthread.nodes import permit_server, permits
 from merlinthread.protocol import codec as codecs
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 
 
 class Member:
@@ -60,7 +60,7 @@
     sent_query = query(1)
     limit = sent_query.permit.limits[0]
     limit.per_s, limit.heard_age_s = per_s, age_s
-    codec = codecs.Codec([node_messages.MESSAGES], [])
+    codec = codecs.Codec([node_messages.MESSAGES, piece_messages.MESSAGES], [])
     with pytest.raises(errors.ProtocolError, match="per_s|heard_age_s"):
         codec.decode(codec.encode(sent_query))
 
--- a/tests/test_stream_connections.py
+++ b/tests/test_stream_connections.py
@@ -9,7 +9,7 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import (
     connection_pool,
     http_messages,
@@ -363,7 +363,7 @@
 def test_long_reply_is_sent_in_paced_chunks(monkeypatch):
     async def scenario():
         # Random bytes, since a compressible payload would fit into one chunk.
-        reply = node_messages.PieceReply(3, random.Random(1).randbytes(24_576), b"")
+        reply = piece_messages.PieceReply(3, random.Random(1).randbytes(24_576), b"")
 
         async def handler(message):
             return reply
@@ -381,7 +381,7 @@
             write(connection, event)
 
         monkeypatch.setattr(stream_server.ServerConnection, "write", record_write)
-        request = node_messages.PieceRequest("m", 1, b"\xff")
+        request = piece_messages.PieceRequest("m", 1, b"\xff")
         received = await node_bus.RpcClient(codec).call(f"127.0.0.1:{port}", request, 5.0)
         assert received == reply
         assert max(size for _, size in sent) <= node_bus.SEND_CHUNK_BYTES
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,5 +1,6 @@
 """This build works together with earlier ones, in stored data and during a rolling upgrade."""
 
+import json
 import os
 import pathlib
 import subprocess
@@ -9,8 +10,17 @@
 import pytest
 
 from bench import release_bytes, soak_nodes, upgrade, upgrade_builds
-from merlinthread.coordination import crash_tracker, fingerprints, fleet_state, levels
-from merlinthread.protocol import node_messages
+from merlinthread.coordination import (
+    crash_tracker,
+    fingerprints,
+    fleet_state,
+    levels,
+    raft_messages,
+)
+from merlinthread.nodes import node_roles
+from merlinthread.platform import dialect
+from merlinthread.protocol import node_messages, piece_messages
+from tests import fleet_nodes
 
 # A build with records of whole requests only.
 WHOLE_REQUESTS_COMMIT = "b3a75c218baaba0fef9623c118b8af7020052d67"
@@ -48,6 +58,27 @@
     assert reader.returncode == (1 if newer else 0), reader.stderr
 
 
+# Guards against a message that is lost or renamed when it moves to another module, and against a
+# node whose codec lacks a registry. A new name must not be sent to earlier builds.
+@pytest.mark.parametrize("role", ["agent", "control", "entry"])
+def test_names_of_messages_are_those_of_the_previous_build(tmp_path, role):
+    recorded = json.loads((RECORDED / "c365c90.json").read_text())["messages"]
+    settings = fleet_nodes.make_settings(role, data_folder=str(tmp_path))
+    node = node_roles.factory_for(role)(settings, dialect.PlatformDialect())
+    # Only control VMs exchange messages of the replicated log.
+    expected = {name for name in recorded if role == "control" or not name.startswith("log.")}
+    assert set(node.rpc_client.codec.types) == expected
+
+
+# Guards against a message that is in two registries, of which the codecs would use one.
+def test_all_codecs_have_each_message_once():
+    registries = [raft_messages.MESSAGES, node_messages.MESSAGES, piece_messages.MESSAGES]
+    names = [name for registry in registries for name in registry.entries]
+    assert len(names) == len(set(names))
+    for codec in (release_bytes.CODEC, fleet_nodes.make_codec()):
+        assert sorted(codec.types) == sorted(names)
+
+
 # Requires nearly all requests to succeed, which other tests on the machine could prevent.
 @pytest.mark.timed
 def test_rolling_upgrade_and_rollback_fail_no_request(tmp_path):
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -18,7 +18,7 @@
     weights_task,
 )
 from merlinthread.platform import dialect
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import node_messages, piece_messages
 from merlinthread.transport import stream_server
 from stand_ins import fleet_worker
 from tests import fleet_nodes
@@ -458,7 +458,7 @@
         await fleet_nodes.until(lambda: weights.plan is not None and weights.plan.is_complete())
         assert len(weights.store.buffered) == PIECES and not engine.staged
         # Buffered pieces are served to peers.
-        request = node_messages.PieceRequest("m", 1, b"\x01")
+        request = piece_messages.PieceRequest("m", 1, b"\x01")
         assert (await weights.serve_piece(request)).data == make_pieces(1)[0]
         await engine.server.listen("127.0.0.1", port)
         await fleet.wait_until_loaded(1)
@@ -541,7 +541,7 @@
         weights = fleet.agents[0].weights
         link = weights.fetcher.link_bytes_per_s
         await fleet_nodes.until(weights.is_serving)
-        await weights.serve_piece(node_messages.PieceRequest("m", 1, b"\xff"))
+        await weights.serve_piece(piece_messages.PieceRequest("m", 1, b"\xff"))
         assert weights.server.upload_pacer.bytes_per_s == pytest.approx(
             piece_server.UPLOAD_SHARE * link
         )
@@ -549,7 +549,7 @@
         watcher = weights.view.watcher
         watcher.published_versions.named_at["m"] = {2: asyncio.get_running_loop().time() - 60.0}
         assert not weights.is_serving()
-        await weights.serve_piece(node_messages.PieceRequest("m", 1, b"\xff"))
+        await weights.serve_piece(piece_messages.PieceRequest("m", 1, b"\xff"))
         alone = piece_server.IDLE_UPLOAD_SHARE * link
         assert weights.server.upload_pacer.bytes_per_s == pytest.approx(alone)
 
