Move the loads of weights out of weights_task to weights_loader

Cause: `nodes/weights_task.py` both kept the engine on the newest version (manifest, plan, pieces, peers) and decided when the engine loads staged pieces and whether a load is proven. Change: `WeightsLoader` in `nodes/weights_loader.py` has the engine's last report, the order to load, the waits before and after it, and the proof. `WeightsTask.loader` is one. No change of behaviour.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -203,7 +203,7 @@
         report.ready_in_s = self.weights.ready_in_s()
         self.account_meter.update()
         self.load_tracker.apply_report(report.running + report.queued, self.clock())
-        self.weights.send_report(report)
+        self.weights.loader.send_report(report)
 
     def record_engine_lost(self, reason: str) -> None:
         """Discard the engine's last report."""
--- a/tests/test_load_proof.py
+++ b/tests/test_load_proof.py
@@ -13,7 +13,7 @@
 from merlinthread import errors
 from merlinthread.coordination import fleet as fleet_types
 from merlinthread.coordination import layer_ranges, load_proof, piece_readings
-from merlinthread.nodes import piece_verifier, weights_task
+from merlinthread.nodes import piece_verifier, weights_loader
 from tests import fleet_nodes
 from tests.test_weights_task import PIECES, make_pieces, run
 
@@ -31,7 +31,7 @@
         self.send_load = self.agent.send_load
         # Whether the engine had loaded right pieces, for each report that it can serve version 2.
         self.told_right: list[bool] = []
-        self.agent.send_load = self.agent.weights.on_report_changed = self.record
+        self.agent.send_load = self.agent.weights.loader.on_report_changed = self.record
 
     def record(self, report: fleet_types.EngineReport) -> None:
         if not report.is_busy and any(weights.version == 2 for weights in report.weights):
@@ -46,7 +46,9 @@
         """Let the agent's clock advance as if its VM had stood still."""
         loop = asyncio.get_running_loop()
         weights = self.agent.weights
-        weights.clock = weights.verifier.clock = lambda: loop.time() + PAUSE_S
+        weights.clock = weights.loader.clock = weights.verifier.clock = (
+            lambda: loop.time() + PAUSE_S
+        )
 
     async def wait_until_told(self) -> None:
         await fleet_nodes.until(lambda: self.told_right, 20)
@@ -116,7 +118,7 @@
 def test_spoilt_load_that_cannot_be_repeated_is_not_used(first_load):
     async def scenario(watched):
         watched.engine.behaviour.keeps_all_layers = True
-        await fleet_nodes.until(lambda: watched.agent.weights.spoilt_loads >= 3, 20)
+        await fleet_nodes.until(lambda: watched.agent.weights.loader.spoilt_loads >= 3, 20)
         assert not watched.told_right
         # Neither reports nor replies to probes offer the engine.
         assert watched.agent.last_report.is_busy and not watched.agent.last_report.weights
@@ -141,7 +143,7 @@
 @pytest.mark.parametrize("turns_bad", [False, True])
 def test_engine_too_slow_for_recent_readings_loads_and_is_proven_afterwards(monkeypatch, turns_bad):
     monkeypatch.setattr(piece_verifier, "READERS_MAX", 1)
-    monkeypatch.setattr(weights_task, "VERIFICATION_TTL_S", 0.1)
+    monkeypatch.setattr(weights_loader, "VERIFICATION_TTL_S", 0.1)
     monkeypatch.setattr(load_proof, "PROOF_AGE_MAX_S", 0.3)
 
     async def load(watched, *arguments):
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -41,7 +41,9 @@
         """Wait until the agent knows that the engine has loaded a version."""
         await super().wait_until_loaded(version)
         weights = self.agent.weights
-        await fleet_nodes.until(lambda: weights.manifest and weights.has_loaded(weights.manifest))
+        await fleet_nodes.until(
+            lambda: weights.manifest and weights.loader.has_loaded(weights.manifest)
+        )
 
     async def fall_silent(self) -> asyncio.Future:
         """Let the engine stand still; return a future that is done when it goes on."""
@@ -74,7 +76,7 @@
         await fleet_nodes.until(lambda: fleet.engine.orders, 20)
         await (await fleet.fall_silent())
         await fleet.wait_until_loaded(1)
-        assert fleet.agent.weights.load_crashes == 0
+        assert fleet.agent.weights.loader.load_crashes == 0
         assert len(fleet.engine.orders) == 1
 
     run(scenario)
@@ -126,7 +128,7 @@
         silence = await fleet.fall_silent()
         was_serving = []
         while not silence.done():
-            was_serving.append(weights.is_serving())
+            was_serving.append(weights.loader.is_serving())
             await asyncio.sleep(0.02)
         assert all(was_serving)
 
@@ -195,11 +197,11 @@
         await fleet.wait_until_loaded(1)
         agent = fleet.agent
         fleet.silent.crash()
-        await fleet_nodes.until(lambda: agent.weights.report is None, 1.0)
+        await fleet_nodes.until(lambda: agent.weights.loader.report is None, 1.0)
         await fleet.silent.listen_again()
-        await fleet_nodes.until(lambda: agent.weights.report is not None, 1.0)
+        await fleet_nodes.until(lambda: agent.weights.loader.report is not None, 1.0)
         fleet.silent.fall_silent(5.0)
-        await fleet_nodes.until(lambda: agent.weights.report is None, 5.0)
+        await fleet_nodes.until(lambda: agent.weights.loader.report is None, 5.0)
 
     run(scenario)
 
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -15,7 +15,7 @@
     manifest_finder,
     piece_server,
     piece_store,
-    weights_task,
+    weights_loader,
 )
 from merlinthread.platform import dialect
 from merlinthread.protocol import node_messages, piece_messages
@@ -294,7 +294,7 @@
 # Guards against the load of pieces that turned bad after their verification, during a wait.
 @pytest.mark.parametrize("wait", ["reload time", "after crashes"])
 def test_piece_that_turns_bad_during_a_wait_is_not_loaded(monkeypatch, wait):
-    wait_s = 1.5 * weights_task.VERIFICATION_TTL_S
+    wait_s = 1.5 * weights_loader.VERIFICATION_TTL_S
     corrupted = []
 
     async def scenario(fleet):
@@ -342,7 +342,7 @@
             if not corrupted:
                 corrupted.append(7)
                 engine.staged[7] = b"rotten"
-                time.sleep(1.5 * weights_task.VERIFICATION_TTL_S)
+                time.sleep(1.5 * weights_loader.VERIFICATION_TTL_S)
             return held
 
         monkeypatch.setattr(verifier, "verify", pause_after_first)
@@ -540,7 +540,7 @@
         await fleet.wait_until_loaded(1)
         weights = fleet.agents[0].weights
         link = weights.fetcher.link_bytes_per_s
-        await fleet_nodes.until(weights.is_serving)
+        await fleet_nodes.until(weights.loader.is_serving)
         await weights.serve_piece(piece_messages.PieceRequest("m", 1, b"\xff"))
         assert weights.server.upload_pacer.bytes_per_s == pytest.approx(
             piece_server.UPLOAD_SHARE * link
@@ -548,7 +548,7 @@
         # A newer version was published so long ago that the old one has expired.
         watcher = weights.view.watcher
         watcher.published_versions.named_at["m"] = {2: asyncio.get_running_loop().time() - 60.0}
-        assert not weights.is_serving()
+        assert not weights.loader.is_serving()
         await weights.serve_piece(piece_messages.PieceRequest("m", 1, b"\xff"))
         alone = piece_server.IDLE_UPLOAD_SHARE * link
         assert weights.server.upload_pacer.bytes_per_s == pytest.approx(alone)
@@ -606,7 +606,7 @@
 
         tasks = []
         engine.execute_order = crash
-        await fleet_nodes.until(lambda: agent.weights.load_crashes == crashes, 20)
+        await fleet_nodes.until(lambda: agent.weights.loader.load_crashes == crashes, 20)
         # The engine is back and all pieces are staged, so a load without a delay would start now.
         await fleet_nodes.until(lambda: agent.last_report is not None)
         sent_at = agent.last_sent_at
@@ -617,7 +617,7 @@
         fleet.publish(2)
         await fleet.wait_until_loaded(2)
         assert len(engine.orders) == crashes + 1
-        assert agent.weights.load_crashes == 0
+        assert agent.weights.loader.load_crashes == 0
 
     run(1, scenario)
 
