Move what a member knows of its leader out of log_member to leader_tracker

Cause: `nodes/log_member.py` ran Raft, kept the log on disk and applied it, and also tracked the leader and the age of the applied state. Change: `LeaderTracker` in `nodes/leader_tracker.py` has the age, its log lines and those about the leader. The heartbeat interval and the lease come from the member's Raft instance, which has the same `TIMING`. No change of behaviour.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -18,6 +18,7 @@
 from merlinthread.nodes import (
     control_api,
     crash_registry,
+    leader_tracker,
     limit_registry,
     log_member,
     node_roles,
@@ -136,7 +137,7 @@
         for instance, state in self.member.state.departed.items():
             self.mark_departed(instance, state)
         for model, version in self.member.state.named.items():
-            self.versions.restore(model, version, self.clock() - log_member.UNKNOWN_AGE_S)
+            self.versions.restore(model, version, self.clock() - leader_tracker.UNKNOWN_AGE_S)
         self.crashes.apply_holds()
         self.apply_evacuations()
         self.notify_watchers()
@@ -313,7 +314,7 @@
             state.version,
             state.body if is_newer else b"",
             self.member.member_addresses(),
-            self.member.staleness_s(now),
+            self.member.leader_tracker.staleness_s(now),
             suspicions,
             self.crashes.tracker.reported_revision,
             self.limits.changes_since(limits_from),
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -14,7 +14,7 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, levels, raft, raft_members, raft_messages
-from merlinthread.nodes import log_sender, member_changes, membership, node_settings
+from merlinthread.nodes import leader_tracker, log_sender, member_changes, membership, node_settings
 from merlinthread.protocol import codec as codecs
 from merlinthread.state import journal
 from merlinthread.transport import node_bus
@@ -27,13 +27,6 @@
 # The commit index is saved once nothing was saved for this long, so that a burst of changes shares
 # one sync.
 COMMIT_SAVE_DELAY_S = 0.2
-# A follower with at most this staleness has caught up; the entries that it applies were committed
-# just now.
-CAUGHT_UP_S = 2 * TIMING.heartbeat_s
-# Reported in place of an unknown age; finite, so that it can be encoded and compared.
-UNKNOWN_AGE_S = 1e6
-# How often a member without a known leader logs a warning.
-NO_LEADER_LOG_INTERVAL_S = 2.0
 
 
 class SnapshotLevel(msgspec.Struct):
@@ -90,9 +83,7 @@
         self.disk_retry_at = float("-inf")
         self.saved_at = float("-inf")
         self.was_leader = False
-        self.last_leader = ""
-        self.leaderless_since = clock()
-        self.leaderless_logged_at = clock()
+        self.leader_tracker = leader_tracker.LeaderTracker(clock, lambda: self.raft)
         self.open(settings.is_first_start)
 
     # Files
@@ -114,9 +105,7 @@
         self.blocked_at = 0
         self.write_gate = levels.WriteGate(self.levels, self.membership.first_level)
         metrics.log_blocked.set(0)
-        self.current_at = float("-inf")
-        # The leader and term under which `log_current` was logged last.
-        self.logged_current = ("", 0)
+        self.leader_tracker.reset()
         self.restore(self.journal.snapshot)
         logs.event(
             "log_opened",
@@ -187,12 +176,12 @@
             # Its state is outdated, so it must not lead; it remains a voter.
             self.raft.resign(now)
         self.update_leadership()
-        self.update_current_at()
+        self.leader_tracker.update_current_at(self.applied, self.state.version)
         if now >= self.maintenance_at:
             self.maintenance_at = now + MAINTENANCE_INTERVAL_S
             self.save_commit_index(now)
             self.write_gate.update(self.other_addresses(), now)
-            self.log_missing_leader(now)
+            self.leader_tracker.log_missing_leader(now)
             self.member_changes.repair(now)
 
     def receive(self, frames: list[bytes]) -> None:
@@ -292,7 +281,7 @@
                 return
             is_changed = self.state.apply(command)
             metrics.log_level.set(self.state.level)
-            self.on_applied(command, self.commit_age_max_s(entry, self.clock()))
+            self.on_applied(command, self.leader_tracker.commit_age_max_s(entry, self.clock()))
         self.applied = entry.index
         metrics.log_index.set(entry.index)
         term, future = self.pending.pop(entry.index, (0, None))
@@ -304,17 +293,6 @@
         else:
             fail_future(future, leadership_lost_error())
 
-    def commit_age_max_s(self, entry: journal.Entry, now: float) -> float:
-        """Return the maximum age of the commit of an entry that is applied now, in seconds.
-
-        It was committed after this member was last known to be up to date, and just now if this
-        member is the leader that proposed it.
-        """
-        if self.raft.is_leader() and entry.term == self.raft.hard_state.term:
-            return 0.0
-        age_s = self.staleness_s(now)
-        return age_s if age_s > CAUGHT_UP_S else 0.0
-
     def decode_or_block(self, entry: journal.Entry) -> fleet_state.Command | None:
         """Return the command of an entry; block the log and return None if it can't be decoded."""
         try:
@@ -384,45 +362,6 @@
         """Return whether this member holds the leader's lease."""
         return self.raft.holds_lease(self.clock())
 
-    def staleness_s(self, now: float) -> float:
-        """Return the seconds since this member was last known to be up to date with a majority."""
-        return min(UNKNOWN_AGE_S, max(0.0, now - self.current_at))
-
-    def update_current_at(self) -> None:
-        """Update the time at which this member was last known to be up to date with a majority.
-
-        A leader is up to date while a majority replies to it, once it has committed an entry of its
-        term. A follower is up to date when it has applied all entries that such a leader reported
-        as committed. It is outdated until it has heard from one, while it catches up or waits for a
-        snapshot, and while its disk is full.
-        """
-        if self.raft.is_leader():
-            if self.raft.commit >= self.raft.term_start_index:
-                lease_s = TIMING.election_min_s * TIMING.lease_fraction
-                self.current_at = self.raft.lease_until() - lease_s
-        elif self.applied >= self.raft.leader_commit and self.raft.is_of_current_term(
-            self.raft.leader_commit
-        ):
-            self.current_at = self.raft.leader_commit_at
-        self.log_current()
-
-    def log_current(self) -> None:
-        """Log once per leader that this member is up to date, and with what."""
-        state = (self.raft.leader, self.raft.hard_state.term)
-        is_current = self.staleness_s(self.clock()) <= CAUGHT_UP_S
-        if not self.raft.leader or not is_current or state == self.logged_current:
-            return
-        self.logged_current = state
-        logs.event(
-            "log_current",
-            leader=self.raft.leader,
-            term=self.raft.hard_state.term,
-            applied=self.applied,
-            applied_term=self.raft.log.term_at(self.applied),
-            leader_commit=self.raft.leader_commit,
-            version=self.state.version,
-        )
-
     def leader_address(self) -> str:
         """Return the address of the leader, or "" if it is unknown."""
         return raft_members.address_of(self.raft.leader)
@@ -460,12 +399,8 @@
 
     def update_leadership(self) -> None:
         """Log a change of leader; fail the pending proposals when this member steps down."""
+        self.leader_tracker.log_change()
         is_leader = self.raft.is_leader()
-        if self.raft.leader != self.last_leader:
-            self.last_leader = self.raft.leader
-            self.leaderless_since = self.leaderless_logged_at = self.clock()
-            metrics.leader_changes_total.inc()
-            logs.event("leader", leader=self.raft.leader, term=self.raft.hard_state.term)
         if is_leader == self.was_leader:
             return
         self.was_leader = is_leader
@@ -473,23 +408,6 @@
         if not is_leader:
             self.fail_pending("the leader changed")
 
-    def log_missing_leader(self, now: float) -> None:
-        """Log periodically that no leader is known, with the votes granted so far."""
-        is_due = now - self.leaderless_logged_at >= NO_LEADER_LOG_INTERVAL_S
-        if self.raft.leader or not is_due or not self.raft.is_voter():
-            return
-        self.leaderless_logged_at = now
-        membership = self.raft.log.membership
-        logs.warning(
-            "no_leader",
-            since_s=round(now - self.leaderless_since, 3),
-            term=self.raft.hard_state.term,
-            last_index=self.raft.log.last_index(),
-            majority=membership.majority(),
-            granted=sorted(self.raft.votes),
-            voters=membership.voters,
-        )
-
     def fail_pending(self, reason: str) -> None:
         """Fail all pending proposals with OUTCOME_UNKNOWN."""
         pending, self.pending = self.pending, {}
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -330,12 +330,11 @@
     async def scenario(controls):
         await put_configuration(controls, 1)
         follower = next(ip for ip in controls.ips if ip != controls.leader())
-        await fleet_nodes.until(
-            lambda: controls.nodes[follower].member.staleness_s(time.monotonic()) < 0.5
-        )
+        tracker = controls.nodes[follower].member.leader_tracker
+        await fleet_nodes.until(lambda: tracker.staleness_s(time.monotonic()) < 0.5)
         assert version_age_after_apply(controls, 1) < 0.5
         # A version published during a partition may be as old as the partition.
-        controls.nodes[follower].member.current_at = time.monotonic() - 7.0
+        tracker.current_at = time.monotonic() - 7.0
         assert version_age_after_apply(controls, 2) >= 7.0
 
     run(tmp_path, scenario)
@@ -345,7 +344,7 @@
     async def scenario(controls):
         await put_configuration(controls, 1)
         leader = controls.nodes[controls.leader()]
-        leader.member.current_at = float("-inf")
+        leader.member.leader_tracker.current_at = float("-inf")
         await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
         versions = leader.changes_for(node_messages.WatchRequest("entry", "", 0, 0, 0.0)).named
         assert versions[0].age_s < 3.0
@@ -466,7 +465,7 @@
         await put_configuration(controls, 7)
         assert (old.state.version, old.state.named) == (5, {})
         assert old.applied == old.blocked_at - 1
-        assert old.staleness_s(old.clock()) > 0
+        assert old.leader_tracker.staleness_s(old.clock()) > 0
         await fleet_nodes.until(lambda: old.raft.log.last_index() > old.blocked_at)
         # It makes no snapshots and never becomes leader.
         assert not old.is_due_for_compaction()
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -5,7 +5,7 @@
 
 from merlinthread import errors
 from merlinthread.coordination import levels, raft_members
-from merlinthread.nodes import fleet_watcher, log_member
+from merlinthread.nodes import fleet_watcher, leader_tracker, log_member
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
 from tests.test_control_nodes import put_configuration, read_version, run
@@ -223,12 +223,12 @@
         member = controls.nodes[controls.leader()].member
         # Until it commits an entry of its own term, a leader may not know the last commits.
         member.raft.term_start_index = member.raft.commit + 1
-        member.current_at = float("-inf")
-        member.update_current_at()
-        assert member.staleness_s(time.monotonic()) == log_member.UNKNOWN_AGE_S
+        member.leader_tracker.current_at = float("-inf")
+        member.leader_tracker.update_current_at(member.applied, member.state.version)
+        assert member.leader_tracker.staleness_s(time.monotonic()) == leader_tracker.UNKNOWN_AGE_S
         member.raft.term_start_index = member.raft.commit
-        member.update_current_at()
-        assert member.staleness_s(time.monotonic()) < fleet_watcher.STALE_AFTER_S
+        member.leader_tracker.update_current_at(member.applied, member.state.version)
+        assert member.leader_tracker.staleness_s(time.monotonic()) < fleet_watcher.STALE_AFTER_S
 
     run(tmp_path, scenario)
 
