Move the pending proposals of a member out of log_member to pending_proposals

Cause: the futures of proposed commands were added, completed and failed at five places of `nodes/log_member.py`. Change: `PendingProposals` in `nodes/pending_proposals.py` owns them. No change of behaviour.

--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -14,7 +14,14 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fleet_state, levels, raft, raft_members, raft_messages
-from merlinthread.nodes import leader_tracker, log_sender, member_changes, membership, node_settings
+from merlinthread.nodes import (
+    leader_tracker,
+    log_sender,
+    member_changes,
+    membership,
+    node_settings,
+    pending_proposals,
+)
 from merlinthread.protocol import codec as codecs
 from merlinthread.state import journal
 from merlinthread.transport import node_bus
@@ -65,7 +72,7 @@
         }
         self.command_names = {kind: name for name, kind in fleet_state.COMMANDS.entries.items()}
         self.envelope_decoder = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
-        self.pending: dict[int, tuple[int, asyncio.Future]] = {}
+        self.proposals = pending_proposals.PendingProposals()
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
         self.levels = levels.MemberLevels()
@@ -125,7 +132,7 @@
                 shutil.rmtree(path)
             else:
                 path.unlink()
-        self.fail_pending("this member was removed")
+        self.proposals.fail_all("this member was removed")
         self.open(is_first_start=False)
         self.on_restored()
 
@@ -244,10 +251,7 @@
             logs.warning("disk_full", message=error.message)
         self.disk_retry_at = now + DISK_RETRY_DELAY_S
         self.raft.discard_unsaved(now)
-        for index, (_, future) in list(self.pending.items()):
-            if index > self.raft.log.saved_index:
-                del self.pending[index]
-                fail_future(future, error)
+        self.proposals.fail_after(self.raft.log.saved_index, error)
 
     def is_due_for_compaction(self) -> bool:
         """Return whether the log has grown enough since the last snapshot."""
@@ -284,14 +288,7 @@
             self.on_applied(command, self.leader_tracker.commit_age_max_s(entry, self.clock()))
         self.applied = entry.index
         metrics.log_index.set(entry.index)
-        term, future = self.pending.pop(entry.index, (0, None))
-        if future is None:
-            return
-        if term == entry.term:
-            if not future.done():
-                future.set_result(is_changed)
-        else:
-            fail_future(future, leadership_lost_error())
+        self.proposals.complete(entry, is_changed)
 
     def decode_or_block(self, entry: journal.Entry) -> fleet_state.Command | None:
         """Return the command of an entry; block the log and return None if it can't be decoded."""
@@ -345,8 +342,7 @@
         if now < self.disk_retry_at:
             raise errors.DiskFullError(f"{self.folder}: the disk is full; free some space")
         index = self.raft.propose(command, now)
-        future = asyncio.get_running_loop().create_future()
-        self.pending[index] = (self.raft.hard_state.term, future)
+        future = self.proposals.add(index, self.raft.hard_state.term)
         self.wakeup.set()
         return future
 
@@ -406,30 +402,8 @@
         self.was_leader = is_leader
         self.member_changes.clear_requests()
         if not is_leader:
-            self.fail_pending("the leader changed")
-
-    def fail_pending(self, reason: str) -> None:
-        """Fail all pending proposals with OUTCOME_UNKNOWN."""
-        pending, self.pending = self.pending, {}
-        for _, future in pending.values():
-            fail_future(future, leadership_lost_error())
-        if pending:
-            logs.event("commands_unknown", count=len(pending), reason=reason)
+            self.proposals.fail_all("the leader changed")
 
     def close(self) -> None:
         """Close the journal."""
         self.journal.close()
-
-
-def fail_future(future: asyncio.Future, error: Exception) -> None:
-    """Set an exception on a future that is not done."""
-    if not future.done():
-        future.set_exception(error)
-
-
-def leadership_lost_error() -> errors.ControlError:
-    """Return the error for a command whose leader stepped down before it was committed."""
-    return errors.ControlError(
-        "the leader changed before the command was committed; send it again",
-        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
-    )
