Control VMs: a repeated publication does not make a version younger

Cause: a call that names a version may be committed twice, when it is repeated at another control VM while the first one is in progress. The second commit replaced the time of the first. Nodes take a time that is over 2 s later than theirs for a correction, and required the version that much later. A repeat of the version before the newest one was told in the same way. Change: a version that is not newer than all known ones keeps its time. Before: the three new tests fail (age 0.0 s for 0.3 s). After: they pass.

--- a/src/merlinthread/coordination/version_history.py
+++ b/src/merlinthread/coordination/version_history.py
@@ -20,12 +20,15 @@
         """Record that a version was published at a time, or not long after it.
 
         An earlier version that seems to have been published later is dropped: this one is required
-        first, and more than the earlier one.
+        first, and more than the earlier one. A version that is not newer than all known ones is
+        published again, since a call was repeated, and keeps its first time.
         """
         known = self.published_at.get(model, {})
-        self.published_at[model] = {
-            other: time for other, time in known.items() if time < at or other > version
-        } | {version: at}
+        if version <= max(known, default=0):
+            return
+        self.published_at[model] = {other: time for other, time in known.items() if time < at} | {
+            version: at
+        }
 
     def restore(self, model: str, version: int, at: float) -> None:
         """Record a version that was learned without its time, published at or after `at`.
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -376,6 +376,18 @@
     run(tmp_path, scenario)
 
 
+# Guards against entries that take a version for younger than it is, and begin requests on the one
+# before it, since its publication was committed twice (repeated at another control VM).
+def test_publication_that_is_committed_twice_does_not_make_its_version_younger(tmp_path):
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        assert version_age_after_apply(controls, 2) < 0.2
+        await asyncio.sleep(0.3)
+        assert version_age_after_apply(controls, 2) >= 0.3
+
+    run(tmp_path, scenario)
+
+
 def test_watcher_keeps_smallest_age_reported_for_version():
     watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -36,3 +36,17 @@
     history.restore("other", 1, -1e6)
     assert history.ages("m", 3, 105.0) == [(3, 5.0)]
     assert history.ages("other", 1, 0.0) == [(1, 1e6)]
+
+
+def test_repeated_publication_does_not_make_a_version_younger():
+    history = make_history((2, 100.0), (3, 102.0))
+    history.record("m", 3, 107.0)
+    assert history.ages("m", 3, 108.0) == [(2, 8.0), (3, 6.0)]
+    history.record("m", 2, 107.0)
+    assert history.ages("m", 3, 108.0) == [(2, 8.0), (3, 6.0)]
+
+
+def test_earlier_version_that_is_published_again_is_not_told():
+    history = make_history((3, 102.0))
+    history.record("m", 2, 107.0)
+    assert history.ages("m", 3, 108.0) == [(3, 6.0)]
