Entry: unchanged heartbeats count again some time after an agent's report

Cause: control VMs do not tell a heartbeat again that differs in nothing but its time. Since, a heartbeat from before the last report was never applied. A report that was behind it (polled before a load, or while a load was not proven) stayed in force once reports ended, and the engine got no requests until its weights changed again. Change: a report takes precedence for 3 s, in which a change of the heartbeats must have become known. Before: the new test fails (version 1 for 2). After: it passes.

--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -11,6 +11,9 @@
 SOUND_SILENCE_S = 1.4
 # Age up to which a load report counts as current.
 REPORT_FRESH_S = 1.0
+# A change of an engine's weights is known from its heartbeats within this time: they are 1.2 s apart,
+# are forwarded within 0.1 s, and a poll of a control VM ends within 1.1 s.
+HEARTBEAT_CHANGE_S = 3.0
 # Response time assumed before any back end of the service has responded.
 DEFAULT_RESPONSE_S = 0.1
 # Weight of one response in the moving average of the response time; the first ones weigh more.
@@ -281,8 +284,12 @@
         """Apply the weights in a heartbeat that a control VM received at `heard_at`.
 
         An agent's report is newer than the heartbeats before it, also once it is no longer fresh.
+        Control VMs do not tell an unchanged heartbeat again, so that its weights count again after
+        HEARTBEAT_CHANGE_S.
         """
-        if now - self.reported_at <= REPORT_FRESH_S or heard_at < self.weights_at:
+        if now - self.reported_at <= REPORT_FRESH_S:
+            return
+        if heard_at < self.weights_at and now - self.weights_at <= HEARTBEAT_CHANGE_S:
             return
         self.weights = weights
         self.weights_at = heard_at
--- a/tests/test_load_feed.py
+++ b/tests/test_load_feed.py
@@ -137,3 +137,19 @@
     engine.apply_report(fleet.EngineReport(weights=new), 20.0)
     engine.apply_heartbeat_weights(old, 20.5, 20.6)
     assert engine.weights == new
+
+
+def test_unchanged_heartbeat_replaces_the_weights_of_a_report_once_it_must_have_changed():
+    """Guards against an engine without requests whose last report was behind its heartbeat.
+
+    Control VMs do not tell heartbeats again that differ in nothing but their time.
+    """
+    old, new = ([fleet.Weights("m", version)] for version in (1, 2))
+    engine = engines(1, 1, 0)[0]
+    # The agent had polled its engine before the load; no report has arrived since.
+    engine.apply_report(fleet.EngineReport(weights=old), 10.0)
+    changed_by = 10.0 + backend_record.HEARTBEAT_CHANGE_S
+    engine.apply_heartbeat_weights(new, 9.9, changed_by - 0.1)
+    assert engine.weights == old
+    engine.apply_heartbeat_weights(new, 9.9, changed_by + 0.1)
+    assert engine.weights == new
