Agents: loaded weights expire by the first newer version

Cause: an agent took the time of the version that it fetches for the expiry of the loaded weights. If that version superseded another one before its load, the loaded weights expire earlier: the agent did not reply busy on a slow link in time, and the engines of the last reload group got no requests until their reload (1.7 s before the later time). Change: both use the time of the first version newer than the loaded one. Before: the new test fails (the agent does not reply busy). After: it passes, as do test_weights_task, test_reload_schedule and test_load_proof (-n 2).

--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -86,6 +86,18 @@
             for weights in loaded
         )
 
+    def loaded_version(self, model: str) -> int:
+        """Return the newest version of which the engine has loaded all layers, or 0."""
+        loaded = self.proof.proven_weights(self.report) if self.report is not None else []
+        return max(
+            (
+                weights.version
+                for weights in loaded
+                if weights.model == model and weights.is_whole(self.view.layers())
+            ),
+            default=0,
+        )
+
     def is_serving(self) -> bool:
         """Return whether the engine has loaded all layers of a version that has not expired."""
         return self.report is not None and any(
@@ -176,8 +188,9 @@
         """Wait for the reload time of this engine's group, unless the engine does not serve."""
         if not self.is_serving():
             return
-        group, expires_at = self.view.reload_group(), self.view.expires_at(manifest)
-        reload_at = reload_schedule.reload_time(group, self.clock(), expires_at)
+        loaded = self.loaded_version(manifest.model)
+        expires_at = self.view.loaded_until(manifest.model, loaded)
+        reload_at = reload_schedule.reload_time(self.view.reload_group(), self.clock(), expires_at)
         await asyncio.sleep(max(0.0, reload_at - self.clock()))
 
     async def await_load_retry(self, manifest: fleet.Manifest) -> None:
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -87,7 +87,8 @@
         if self.plan is None or self.manifest is None or self.plan.is_complete():
             return False
         transfer_s = self.fetcher.window.last_duration_s
-        expires_at = self.view.expires_at(self.manifest)
+        model = self.manifest.model
+        expires_at = self.view.loaded_until(model, self.loader.loaded_version(model))
         return reload_schedule.is_too_slow_to_start(expires_at, transfer_s, self.clock())
 
     # Update loop
--- a/src/merlinthread/nodes/weights_view.py
+++ b/src/merlinthread/nodes/weights_view.py
@@ -95,6 +95,15 @@
             model, version, validity_s
         )
 
+    def loaded_until(self, model: str, version: int) -> float:
+        """Return when a loaded version expires: by the first newer one, which may be superseded.
+
+        If the control VMs have told of none, a newer one is taken for published just now.
+        """
+        validity_s = self.settings.bounds.version_s
+        until = self.watcher.published_versions.usable_until(model, version, validity_s)
+        return min(until, self.clock() + validity_s)
+
     def expires_at(self, manifest: fleet.Manifest) -> float:
         """Return when versions older than the manifest's expire."""
         named_at = self.watcher.published_versions.named_at.get(manifest.model, {})
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -665,7 +665,6 @@
         await fleet_nodes.until(lambda: agent.last_report and not agent.last_report.is_busy)
         agent.reply_to_query(query)
         fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
-        fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
         fleet.publish(2)
         await fleet_nodes.until(lambda: agent.weights.manifest.version == 2)
         agent.weights.fetcher.window.last_duration_s = 0.35
@@ -681,7 +680,7 @@
     async def scenario(fleet):
         fleet.publish(1)
         await fleet.wait_until_loaded(1)
-        agent, peer = fleet.agents
+        agent = fleet.agents[0]
         window = agent.weights.fetcher.window
 
         async def time_out(address, message, timeout_s):
@@ -696,3 +695,38 @@
         assert agent.weights.is_too_slow_to_start()
 
     run(2, scenario)
+
+
+# Guards against requests that begin late on a slow link, and against a reload after the weights have
+# expired: version 2, which replaces the loaded one, is superseded by version 3 before its load.
+def test_loaded_weights_expire_by_the_first_newer_version(monkeypatch):
+    expiries = []
+
+    def reload_time(group: int, complete_at: float, expires_at: float) -> float:
+        expiries.append(expires_at)
+        return complete_at
+
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        (agent,) = fleet.agents
+        await fleet_nodes.until(lambda: agent.last_report and not agent.last_report.is_busy)
+        monkeypatch.setattr(reload_schedule, "reload_time", reload_time)
+        bound_s = agent.weights.view.settings.bounds.version_s = 60.0
+        fleet.origin.pieces[3] = make_pieces(3)
+        fleet.origin.unavailable_pieces = {(3, index) for index in range(PIECES)}
+        fleet.publish(3)
+        now = asyncio.get_running_loop().time()
+        margin_s = reload_schedule.EXPIRY_MARGIN_S + reload_schedule.EXPIRES_SOON_S
+        first_at = now - bound_s + margin_s - 0.1
+        agent.watcher.published_versions.named_at["m"] = {2: first_at, 3: now}
+        await fleet_nodes.until(lambda: agent.weights.manifest.version == 3)
+        agent.weights.fetcher.window.last_duration_s = 0.35
+        replies = []
+        agent.datagrams.send = lambda address, reply: replies.append(reply.is_busy)
+        agent.reply_to_query(node_messages.LoadQuery("entry:1", 1))
+        assert replies == [True]
+        fleet.origin.unavailable_pieces.clear()
+        await fleet.wait_until_loaded(3)
+        assert expiries == [first_at + bound_s]
+
+    run(1, scenario)
