Load queries: read replies that arrived during a pause of the entry

Cause: an entry whose process was paused for over 15 ms took the agent whose reply it had not read yet for lost. Change: the wait for replies is extended after a pause, as other waits are (`timeouts.wait_for`).

--- a/src/merlinthread/nodes/load_prober.py
+++ b/src/merlinthread/nodes/load_prober.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from merlinthread.coordination import backend_record, load_tracker, rate_limits
 from merlinthread.protocol import node_messages
+from merlinthread.transport import timeouts
 
 Send = Callable[[str, Any], None]
 # Applies the load that an agent replied to its back end, None if it did not reply.
@@ -75,7 +77,8 @@
     ) -> dict[str, node_messages.LoadReply | None]:
         """Query agents; return their replies, None for those that do not reply in `wait_s`.
 
-        `make_query` returns the query with a given number.
+        `make_query` returns the query with a given number. Replies that arrive while this process
+        is paused are not read in time, so the wait is extended after a pause.
         """
         loop = asyncio.get_running_loop()
         numbers = {agent: next(self.query_numbers) for agent in agents}
@@ -84,7 +87,8 @@
             self.pending_queries[number] = futures[agent]
             self.send(agent, make_query(number))
         if futures:
-            await asyncio.wait(futures.values(), timeout=wait_s)
+            with contextlib.suppress(TimeoutError):
+                await timeouts.wait_for(lambda: asyncio.wait(futures.values()), wait_s)
         for number in numbers.values():
             self.pending_queries.pop(number, None)
         return {
--- a/tests/test_load_prober.py
+++ b/tests/test_load_prober.py
@@ -1,6 +1,7 @@
 """Load queries to agents: replies in time, late and lost."""
 
 import asyncio
+import time
 
 import msgspec
 
@@ -51,6 +52,25 @@
     run(scenario)
 
 
+# Guards against an entry that was paused, and takes the agents whose replies it has not yet read
+# for lost: it would refuse requests to cold engines until it asks these agents again.
+def test_replies_that_arrived_during_a_pause_are_used():
+    async def scenario(prober, sent):
+        task = asyncio.ensure_future(prober.query(["a", "b"], 0.01))
+        while len(sent) < 2:
+            await asyncio.sleep(0)
+        time.sleep(0.05)
+        # A socket is read once in each iteration of the event loop.
+        for _, query in sent:
+            for _ in range(5):
+                await asyncio.sleep(0)
+            prober.receive(make_reply(query, 10.0))
+        assert await task == {"a": make_load(10.0), "b": make_load(10.0)}
+        assert not prober.pending_queries
+
+    run(scenario)
+
+
 # Guards against counting a request in full at each agent that is asked about it.
 def test_tokens_asked_for_are_divided_among_agents():
     async def scenario(prober, sent):
