Streams: bound the number of repeated events

Cause: a back end that repeats events which the client has was given up after 4 MiB of them. With events of 15 bytes these are 280,000, which take the entry about a second. Change: a back end is also given up after 65,536 events without a new one.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -29,6 +29,10 @@
 # Bytes of a stream without an event that the client does not have yet. A back end that ignores
 # Last-Event-ID repeats the events before it, which is more than one event.
 SKIPPED_BYTES_MAX = 4 * event_stream.EVENT_BYTES_MAX
+# Events of a stream that the client already has. A stream has about one event for each token, and
+# few have this many. Without this bound, 280,000 events of 15 bytes fit the one above, which took
+# an entry a second to read.
+SKIPPED_EVENTS_MAX = 64 * 1024
 
 
 class UnavailableError(errors.UnreachableError):
@@ -368,22 +372,26 @@
         """Relay complete events of a stream as they arrive.
 
         Partial events are dropped, so that another attempt can resume a broken stream. Raises
-        ProtocolError after SKIPPED_BYTES_MAX bytes without a new event.
+        ProtocolError after SKIPPED_BYTES_MAX bytes or SKIPPED_EVENTS_MAX events without a new one.
         """
         splitter = event_stream.EventSplitter()
-        skipped_bytes = 0
+        skipped_bytes = skipped_events = 0
         while isinstance(event := await self.reader.stream_event(connection), h11.Data):
             skipped_bytes += len(event.data)
             for item in splitter.feed(bytes(event.data)):
                 self.pool.reservations.record_prompt_read(self.reservation)
+                skipped_events += 1
                 if self.relay.is_new(item):
-                    skipped_bytes = 0
+                    skipped_bytes = skipped_events = 0
                     self.on_data()
                     await self.relay.send_event(item, head)
             if splitter.buffer or self.reader.held_bytes:
                 self.reader.hold(len(splitter.buffer))
-            if skipped_bytes > SKIPPED_BYTES_MAX:
-                raise errors.ProtocolError(f"the stream has no new event in {skipped_bytes} bytes")
+            if skipped_bytes > SKIPPED_BYTES_MAX or skipped_events > SKIPPED_EVENTS_MAX:
+                raise errors.ProtocolError(
+                    f"the stream has no new event in {skipped_bytes} bytes"
+                    f" and {skipped_events} events"
+                )
         if splitter.buffer.strip():
             raise errors.ProtocolError("the stream ended inside an event")
         self.on_data()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,7 +10,7 @@
 import pytest
 
 from merlinthread import errors
-from merlinthread.nodes import engine_client
+from merlinthread.nodes import attempts, engine_client, response_relay
 from merlinthread.platform import dialect
 from merlinthread.protocol import event_stream
 from merlinthread.transport import connection_pool, http_messages, stream_client
@@ -234,6 +234,28 @@
         assert fleet.workers[0].flood_bytes < 64 * 1024 * KIB
 
 
+# Guards against an entry that reads hundreds of thousands of small events which the client has, so
+# that a busy entry reaches the request's deadline before the bound and can't repeat the request.
+async def test_events_that_the_client_has_are_bounded_in_number(monkeypatch):
+    is_new = response_relay.ResponseRelay.is_new
+    old_events = 0
+
+    def count_old_events(relay, item):
+        nonlocal old_events
+        found = is_new(relay, item)
+        old_events += not found
+        return found
+
+    monkeypatch.setattr(response_relay.ResponseRelay, "is_new", count_old_events)
+    async with single_entry_fleet.SingleEntryFleet("model") as fleet:
+        first, repeated = STREAM_FLOODS["same event"]
+        _, flooding, _ = await request_from_flooding(fleet, (first, repeated))
+        assert flooding.failures == 1
+        # The bound, and one read of the socket.
+        one_read = 256 * KIB // len(repeated)
+        assert attempts.SKIPPED_EVENTS_MAX < old_events <= attempts.SKIPPED_EVENTS_MAX + one_read
+
+
 @pytest.mark.parametrize("name", WORKER_FLOODS)
 async def test_request_that_may_run_only_once_has_an_unknown_outcome(name):
     async with single_entry_fleet.SingleEntryFleet("unsafe") as fleet:
