--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -697,8 +697,8 @@
     run(2, scenario)
 
 
-# Guards against requests that begin late on a slow link, and against a reload after the weights have
-# expired: version 2, which replaces the loaded one, is superseded by version 3 before its load.
+# Guards against requests that begin late on a slow link, and against a reload after the weights
+# have expired: version 2, which replaces the loaded one, is superseded by 3 before its load.
 def test_loaded_weights_expire_by_the_first_newer_version(monkeypatch):
     expiries = []
 
