--- a/src/merlinthread/coordination/backend_record.py
+++ b/src/merlinthread/coordination/backend_record.py
@@ -11,8 +11,8 @@
 SOUND_SILENCE_S = 1.4
 # Age up to which a load report counts as current.
 REPORT_FRESH_S = 1.0
-# A change of an engine's weights is known from its heartbeats within this time: they are 1.2 s apart,
-# are forwarded within 0.1 s, and a poll of a control VM ends within 1.1 s.
+# A change of an engine's weights is known from its heartbeats within this time: they are 1.2 s
+# apart, are forwarded within 0.1 s, and a poll of a control VM ends within 1.1 s.
 HEARTBEAT_CHANGE_S = 3.0
 # Response time assumed before any back end of the service has responded.
 DEFAULT_RESPONSE_S = 0.1
