Move the encoding of log commands out of log_member to command_codec

Cause: `nodes/log_member.py` also encoded and decoded the commands of the log, and its users read the decoders and names from it. Change: `CommandCodec` in `coordination/command_codec.py` encodes and decodes them and tells the format level that they require.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -128,7 +128,7 @@
             self.crashes.apply_holds()
         elif isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
             self.apply_evacuations()
-        name = self.member.command_names[type(command)]
+        name = self.member.commands.names[type(command)]
         logs.event("applied", command=name, **log_fields(command))
         self.notify_watchers()
 
@@ -175,7 +175,7 @@
         acknowledged before this call. Raises NotLeaderError, UnreachableError, ControlError or
         TimeoutError if the command is not known to be committed.
         """
-        encoded = self.member.encode_command(command)
+        encoded = self.member.commands.encode(command)
         if isinstance(command, fleet_state.EvacuateZone | fleet_state.WithdrawEvacuation):
             return await self.commit(encoded)
         commit = self.pending_commits.get(encoded)
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -13,7 +13,14 @@
 import msgspec
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import fleet_state, levels, raft, raft_members, raft_messages
+from merlinthread.coordination import (
+    command_codec,
+    fleet_state,
+    levels,
+    raft,
+    raft_members,
+    raft_messages,
+)
 from merlinthread.nodes import (
     leader_tracker,
     log_sender,
@@ -66,12 +73,7 @@
         self.on_restored = on_restored
         self.address = f"{settings.ip}:{settings.control_port}"
         self.folder = pathlib.Path(settings.data_folder)
-        self.command_decoders = {
-            name: msgspec.msgpack.Decoder(kind)
-            for name, kind in fleet_state.COMMANDS.entries.items()
-        }
-        self.command_names = {kind: name for name, kind in fleet_state.COMMANDS.entries.items()}
-        self.envelope_decoder = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+        self.commands = command_codec.CommandCodec()
         self.proposals = pending_proposals.PendingProposals()
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
@@ -293,7 +295,7 @@
     def decode_or_block(self, entry: journal.Entry) -> fleet_state.Command | None:
         """Return the command of an entry; block the log and return None if it can't be decoded."""
         try:
-            return self.decode_command(entry.data)
+            return self.commands.decode(entry.data)
         except (KeyError, msgspec.DecodeError) as error:
             self.block(entry.index, repr(error))
             return None
@@ -315,15 +317,6 @@
             remedy="run a newer build on this VM; until then, this member votes but does not lead",
         )
 
-    def decode_command(self, data: bytes) -> fleet_state.Command:
-        """Decode the command of an entry; raise KeyError or msgspec.DecodeError."""
-        name, raw = self.envelope_decoder.decode(data)
-        return self.command_decoders[name].decode(raw)
-
-    def encode_command(self, command: fleet_state.Command) -> bytes:
-        """Encode a command for an entry."""
-        return msgspec.msgpack.encode((self.command_names[type(command)], command))
-
     # Proposals and leadership
 
     def propose(self, command: bytes) -> asyncio.Future:
@@ -335,7 +328,7 @@
         now = self.clock()
         others = self.other_addresses()
         reason = self.write_gate.reason_not_writable(
-            self.level_of(command), others, self.state.level, now
+            self.commands.level_of(command), others, self.state.level, now
         )
         if reason:
             raise errors.ControlError(reason)
@@ -348,9 +341,8 @@
 
     def has_unapplied(self, *kinds: type) -> bool:
         """Return whether the log has commands of these kinds that are not applied here yet."""
-        names = [self.command_names[kind] for kind in kinds]
         return any(
-            entry.kind == "command" and self.envelope_decoder.decode(entry.data)[0] in names
+            entry.kind == "command" and self.commands.is_of(entry.data, kinds)
             for entry in self.raft.log.entries_between(self.applied, self.raft.log.last_index())
         )
 
@@ -370,26 +362,12 @@
         """Return the addresses of the other members."""
         return [address for address in self.member_addresses() if address != self.address]
 
-    def level_of(self, command: bytes) -> levels.FormatLevel:
-        """Return the format level that an encoded command requires.
-
-        Raises ControlError if this build can't decode it: an entry can't be withdrawn, and builds
-        that can't read it stop applying the log there.
-        """
-        try:
-            return levels.level_of(type(self.decode_command(command)))
-        except (KeyError, msgspec.DecodeError) as error:
-            raise errors.ControlError(
-                f"this build reads up to level {levels.NEWEST} and can't read the command: "
-                f"{error!r}; send it to a newer one"
-            )
-
     def check_leader_reads(self, command: bytes, leader: str) -> None:
         """Raise ControlError if the leader is not known to read a command.
 
         A leader of an older build would append an entry that it can't read itself.
         """
-        level = self.level_of(command)
+        level = self.commands.level_of(command)
         if self.levels.below([leader], level):
             raise errors.ControlError(f"the leader {leader} is not known to read level {level}")
 
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -134,7 +134,7 @@
 
     async def scenario(controls):
         leader = controls.nodes[controls.leader()]
-        command = leader.member.encode_command(fleet_state.Depart("i-1", fleet.DRAINING))
+        command = leader.member.commands.encode(fleet_state.Depart("i-1", fleet.DRAINING))
         leader.member.propose = lambda command: asyncio.get_running_loop().create_future()
         with pytest.raises(errors.ControlError) as raised:
             await leader.dispatch_request(node_messages.CommandRequest(command))
@@ -320,7 +320,7 @@
     follower = next(ip for ip in controls.ips if ip != controls.leader())
     node = controls.nodes[follower]
     member = node.member
-    command = member.encode_command(fleet_state.NameVersion("m", version))
+    command = member.commands.encode(fleet_state.NameVersion("m", version))
     member.apply(journal.Entry(member.applied + 1, member.raft.hard_state.term, "command", command))
     versions = node.changes_for(node_messages.WatchRequest("entry", "", 0, 0, 0.0)).named
     return next(named.age_s for named in versions if named.model == "m")
@@ -458,7 +458,7 @@
 
 def make_unable_to_read_versions(node):
     """Make a control VM unable to read published versions, like an older build."""
-    del node.member.command_decoders["fleet.name_version"]
+    del node.member.commands.decoders["fleet.name_version"]
 
 
 def test_member_stops_at_unreadable_log_entry_while_others_continue(
@@ -517,7 +517,7 @@
         # One member runs an older build, whose replies report no level.
         node.member.levels.reported[others[0]] = 0
         with pytest.raises(errors.ControlError, match=f"level 2.*{others[0]}.*newer builds"):
-            node.member.propose(node.member.encode_command(command))
+            node.member.propose(node.member.commands.encode(command))
         # Its next reply reports a level, as after an update to a newer build.
         await fleet_nodes.until(lambda: not node.member.levels.below(others, levels.NEWEST))
         assert await node.submit(command)
--- a/tests/test_control_staleness.py
+++ b/tests/test_control_staleness.py
@@ -48,7 +48,7 @@
         leader = f"{controls.ips[0]}:{controls.port}"
         command = fleet_state.Configure(2, zlib.compress(b"{}"))
         entries = [
-            journal.Entry(last + 1, last_term, "command", member.encode_command(command)),
+            journal.Entry(last + 1, last_term, "command", member.commands.encode(command)),
             journal.Entry(last + 2, term, "empty"),
         ]
 
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -204,7 +204,7 @@
             await evacuate(controls)
             opposite, command = command, opposite
         node = controls.nodes[await controls.until_leader()]
-        uncommitted = node.member.propose(node.member.encode_command(opposite))
+        uncommitted = node.member.propose(node.member.commands.encode(opposite))
         await node.api.change_evacuation(command)
         await uncommitted
         assert await read_zones(controls) == (["zone-a"] if is_evacuated else [])
