Agents: load updates say what replies to queries say before the old weights expire

Cause: an agent with a slow link replies busy to queries shortly before its old weights expire. Its load updates still said that the engine is not busy, so that one that arrived within 50 ms of the reply undid it, and the entry could choose the engine. Change: load updates say so too. Before: test_load_updates_of_an_agent_with_a_slow_link_say_what_its_replies_say fails. After: it passes.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -1,6 +1,7 @@
 """The agent node: reports the load of one local engine to entries and installs its weights."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any
@@ -161,8 +162,13 @@
             self.load_tracker.record_end(notice.entry, notice.number)
 
     def build_load_update(self, report: fleet.EngineReport, entry: str) -> node_messages.LoadUpdate:
-        """Return a load update for `entry`, without the outstanding work of `entry` itself."""
+        """Return a load update for `entry`, without the outstanding work of `entry` itself.
+
+        It says as replies to queries do that a request might start late, which it would undo.
+        """
         self.sequence += 1
+        if self.weights.is_too_slow_to_start():
+            report = dataclasses.replace(report, is_busy=True)
         outstanding = self.load_tracker.outstanding(entry, self.clock())
         return node_messages.LoadUpdate(self.settings.engine, self.sequence, report, outstanding)
 
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -730,3 +730,21 @@
         assert expiries == [first_at + bound_s]
 
     run(1, scenario)
+
+
+# Guards against an entry that sends requests to an engine whose link is slow, since a load update
+# that arrives just after the reply to its query says that the engine is not busy.
+def test_load_updates_of_an_agent_with_a_slow_link_say_what_its_replies_say():
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        (agent,) = fleet.agents
+        await fleet_nodes.until(lambda: agent.last_report and not agent.last_report.is_busy)
+        assert not agent.build_load_update(agent.last_report, "entry:1").report.is_busy
+        fleet.origin.unavailable_pieces = {(2, index) for index in range(PIECES)}
+        fleet.publish(2)
+        await fleet_nodes.until(lambda: agent.weights.manifest.version == 2)
+        agent.weights.fetcher.window.last_duration_s = 0.35
+        assert agent.build_load_update(agent.last_report, "entry:1").report.is_busy
+        assert not agent.last_report.is_busy
+
+    run(1, scenario)
