Versions of weights: their ages count from when a reply was sent

Cause: nodes counted the age in a control VM's reply from its arrival, up to 1.1 s after it was sent. Change: WatchReply gets the optional field `held_s`, how long the control VM held the reply. Ages count from when the request was sent plus that, and never from later than the arrival. A full reply of a build that does not tell counts from when the request was sent, since it is not held. A plain time of sending would require a version up to 0.6 s early, the wait of a long poll. Before: test_first_reply_that_is_long_on_its_way_does_not_make_a_version_younger fails (98.0 for 97.0). After: it passes.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -257,7 +257,8 @@
 
     async def reply_to_watch(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
         """Reply with the changes that the node lacks; wait for some until the request times out."""
-        deadline = self.clock() + min(watch.wait_s, WATCH_WAIT_MAX_S)
+        received_at = self.clock()
+        deadline = received_at + min(watch.wait_s, WATCH_WAIT_MAX_S)
         while not self.has_changes_for(watch):
             remaining_s = deadline - self.clock()
             if remaining_s <= 0:
@@ -265,7 +266,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining_s):
                     await self.changed.wait()
-        return self.changes_for(watch)
+        return self.changes_for(watch, received_at)
 
     def has_changes_for(self, watch: node_messages.WatchRequest) -> bool:
         """Return whether anything changed since the positions in a watch request."""
@@ -279,8 +280,13 @@
             return True
         return watch.configuration < self.member.state.version
 
-    def changes_for(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
-        """Return the changes since the positions in a watch request."""
+    def changes_for(
+        self, watch: node_messages.WatchRequest, received_at: float | None = None
+    ) -> node_messages.WatchReply:
+        """Return the changes since the positions in a watch request that came at `received_at`.
+
+        That is now if it is None.
+        """
         now = self.clock()
         position = watch.position if watch.feed == self.feed else 0
         is_full, changed, gone = self.registry.changes_since(position, now)
@@ -320,6 +326,7 @@
             self.limits.changes_since(limits_from),
             self.limits.table.revision,
             evacuations,
+            0.0 if received_at is None else now - received_at,
         )
 
     # Heartbeats
--- a/src/merlinthread/nodes/fleet_watcher.py
+++ b/src/merlinthread/nodes/fleet_watcher.py
@@ -123,6 +123,7 @@
         """
         loop = asyncio.get_running_loop()
         asked = {address: self.position_of(address) for address in self.other_control_vms()}
+        sent_at = self.clock()
         addresses_by_task = {
             loop.create_task(
                 self.request_changes(address, position, 0.0, SEARCH_TIMEOUT_S)
@@ -138,7 +139,7 @@
                 if reply is None:
                     continue
                 address = addresses_by_task[task]
-                self.apply(reply, address, asked[address])
+                self.apply(reply, address, asked[address], sent_at)
                 if reply.leader_age_s < STALE_AFTER_S:
                     for other in pending:
                         other.cancel()
@@ -181,13 +182,14 @@
         """Poll the current control VM once and apply its reply."""
         wait_s = WATCH_WAIT_S if self.is_fresh else STALE_WAIT_S
         position = self.position_of(self.current_control_vm)
+        sent_at = self.clock()
         reply = await self.request_changes(
             self.current_control_vm, position, wait_s, WATCH_TIMEOUT_S
         )
         if reply is None:
             self.disconnect("no reply")
             return
-        self.apply(reply, self.current_control_vm, position)
+        self.apply(reply, self.current_control_vm, position, sent_at)
         if reply.leader_age_s > STALE_AFTER_S:
             self.mark_stale("no contact with a majority")
             await asyncio.sleep(RETRY_DELAY_S)
@@ -228,10 +230,12 @@
         reply: node_messages.WatchReply,
         address: str = "",
         asked_from: FeedPosition | None = None,
+        sent_at: float | None = None,
     ) -> None:
         """Apply a reply of the control VM at `address`; outdated parts have no effect.
 
-        `asked_from` is the position in the request, or None if it is the current one.
+        `asked_from` is the position in the request, or None if it is the current one. `sent_at` is
+        when the request was sent, or None if the reply was not on its way.
         """
         now = self.clock()
         if reply.leader_age_s <= STALE_AFTER_S:
@@ -254,7 +258,7 @@
                 reply.feed, reply.position, reply.suspicion_revision, reply.limit_revision
             )
         self.apply_configuration(reply, address)
-        self.published_versions.apply(reply.named, now)
+        self.published_versions.apply(reply.named, earliest_reply_time(reply, sent_at, now))
         self.apply_evacuations(reply, address)
         self.apply_instances(reply, address, now)
         if self.suspect_tracker is not None:
@@ -332,6 +336,21 @@
             self.positions = {}
 
 
+def earliest_reply_time(
+    reply: node_messages.WatchReply, sent_at: float | None, now: float
+) -> float:
+    """Return the earliest time at which a control VM may have sent a reply that arrived by `now`.
+
+    It sent it `held_s` after the request arrived there. Former builds do not tell that; they send
+    a full reply at once, and how long they held another one is not known.
+    """
+    if sent_at is None:
+        return now
+    if reply.held_s is not None:
+        return min(now, sent_at + max(0.0, reply.held_s))
+    return sent_at if reply.is_full else now
+
+
 def describe_engines(table: route_table.RouteTable) -> dict[str, dict[str, float]]:
     """Return the figures of each service's engines by which `merlinthread losses` judges a load."""
     return {
--- a/src/merlinthread/protocol/node_messages.py
+++ b/src/merlinthread/protocol/node_messages.py
@@ -91,7 +91,8 @@
     the time since this control VM was last known to be up to date with a majority.
     `configuration` is empty if the receiver's is up to date. `suspicions` and `limits` are those
     that changed, up to `suspicion_revision` and `limit_revision`. `evacuations` is None if the
-    receiver's revision is up to date, or newer.
+    receiver's revision is up to date, or newer. `held_s` is how long the control VM waited for
+    changes before it replied, None from builds that do not tell.
     """
 
     feed: str
@@ -109,6 +110,7 @@
     limits: list[limit_table.LimitReport] = dataclasses.field(default_factory=list)
     limit_revision: int = 0
     evacuations: Evacuations | None = None
+    held_s: float | None = None
 
 
 @MESSAGES.add("node.beats")
