Move one run of the upgrade test out of bench.upgrade to upgrade_run

Cause: `bench/upgrade.py` had the run of an upgrade as well as the command line and the comparison with runs without an upgrade. Change: the plan, the result, the routes and the run itself are in `bench/upgrade_run.py`.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
     "soak_signals",
     "swarm",
     "upgrade_overload",
+    "upgrade_run",
     "significance",
     "virtual_loop",
 )
--- a/tests/test_evacuation_upgrade.py
+++ b/tests/test_evacuation_upgrade.py
@@ -18,6 +18,7 @@
     upgrade,
     upgrade_builds,
     upgrade_overload,
+    upgrade_run,
 )
 from merlinthread.transport import connection_pool, http_messages
 from stand_ins import fleet_worker
@@ -177,7 +178,7 @@
 # both builds refuse part of the requests.
 @pytest.mark.timed
 def test_evacuations_are_obeyed_during_a_rolling_upgrade_in_an_overload(tmp_path):
-    plan = upgrade.Plan("forward", "controls", 1, troubles=("evacuations",), is_overloaded=True)
+    plan = upgrade_run.Plan("forward", "controls", 1, troubles=("evacuations",), is_overloaded=True)
     try:
         with upgrade_builds.checkout_build(upgrade_builds.RELEASED_COMMITS[0]) as old:
             result = upgrade.run(plan, old, tmp_path)
@@ -192,8 +193,8 @@
 
 # Guards against an upgrade in an overload that passes since other runs refuse many requests too.
 def test_served_requests_are_compared_in_an_overload():
-    plan = upgrade.Plan("forward", "controls", 1, is_overloaded=True)
-    result = upgrade.UpgradeResult(plan, asked=2000, answered=989, refused=1011)
+    plan = upgrade_run.Plan("forward", "controls", 1, is_overloaded=True)
+    result = upgrade_run.UpgradeResult(plan, asked=2000, answered=989, refused=1011)
     assert upgrade.find_violations(result, 0.0, 1000) == ["989 served, without upgrade 1000"]
     result.answered = 990
     assert upgrade.find_violations(result, 0.9, 1000) == []
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from bench import release_bytes, soak_nodes, upgrade, upgrade_builds
+from bench import release_bytes, soak_nodes, upgrade, upgrade_builds, upgrade_run
 from merlinthread.coordination import (
     crash_tracker,
     fingerprints,
@@ -82,7 +82,7 @@
 # Requires nearly all requests to succeed, which other tests on the machine could prevent.
 @pytest.mark.timed
 def test_rolling_upgrade_and_rollback_fail_no_request(tmp_path):
-    plan = upgrade.Plan("forward-back", "controls", 1, troubles=("revoke",))
+    plan = upgrade_run.Plan("forward-back", "controls", 1, troubles=("revoke",))
     try:
         with upgrade_builds.checkout_build(upgrade_builds.RELEASED_COMMITS[0]) as old:
             result = upgrade.run(plan, old, tmp_path)
