Move the replies to watch requests out of control_node to watch_server

Change: `nodes/watch_server.py` replies to watch requests; nothing else changes. The tests of control VMs pass.

--- a/bench/control_simulation.py
+++ b/bench/control_simulation.py
@@ -205,7 +205,7 @@
             self.check_removals(member.raft.log.membership)
         if member.holds_lease():
             self.check_lease(vm)
-        reply = vm.node.changes_for(WATCH)
+        reply = vm.node.watches.changes_for(WATCH)
         if self.shape.checks_age and reply.leader_age_s <= fleet_watcher.STALE_AFTER_S:
             since = now - reply.leader_age_s - LEADER_STEP_DOWN_S
             due = max((version for at, version in self.acknowledged if at < since), default=0)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -24,6 +23,7 @@
     node_roles,
     node_settings,
     permit_server,
+    watch_server,
 )
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
@@ -31,7 +31,6 @@
 from merlinthread.transport import http_messages, node_bus, stream_server
 
 HEARTBEAT_FORWARD_INTERVAL_S = 0.1
-WATCH_WAIT_MAX_S = 1.0
 # Instances expire after this many heartbeat intervals without a heartbeat.
 EXPIRY_HEARTBEATS = 8
 EXPIRE_INTERVAL_S = 1.0
@@ -56,9 +55,6 @@
         self.rpc_client = node_bus.RpcClient(codec)
         self.registry = instances.InstanceRegistry(settings.heartbeat_s)
         self.versions = version_history.VersionHistory(settings.bounds.version_s)
-        # Identifies this process; nodes discard the positions that an earlier one has sent.
-        self.feed = secrets.token_hex(8)
-        self.changed = asyncio.Event()
         self.outgoing_heartbeats: list[fleet.Heartbeat] = []
         self.limits = limit_registry.LimitRegistry(clock, self.notify_watchers)
         self.evacuated: set[str] = set()
@@ -68,6 +64,9 @@
         self.crashes = crash_registry.CrashRegistry(
             settings, clock, self.rpc_client, self.member, self.submit, self.notify_watchers
         )
+        self.watches = watch_server.WatchServer(
+            clock, self.member, self.registry, self.versions, self.crashes, self.limits
+        )
         self.rpc_server = node_bus.RpcServer(codec, self.dispatch_request)
         self.datagrams = node_bus.DatagramEndpoint(codec, self.dispatch_datagram)
         self.permits = permit_server.PermitServer(self.member, clock)
@@ -164,8 +163,7 @@
 
     def notify_watchers(self) -> None:
         """Wake the pending watch requests."""
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.watches.notify()
 
     async def submit(self, command: fleet_state.Command) -> bool:
         """Commit a command here or at the leader; return whether it changed the state.
@@ -221,7 +219,7 @@
             self.member.receive(message.frames)
             return node_messages.Acknowledgement(levels.NEWEST)
         if isinstance(message, node_messages.WatchRequest):
-            return await self.reply_to_watch(message)
+            return await self.watches.reply_to(message)
         if isinstance(message, node_messages.HeartbeatBatch):
             for heartbeat in message.heartbeats:
                 self.record_heartbeat(heartbeat)
@@ -255,80 +253,6 @@
             raise control_api.not_committed_in_time()
         return node_messages.CommandReply(is_changed, self.member.state.version)
 
-    async def reply_to_watch(self, watch: node_messages.WatchRequest) -> node_messages.WatchReply:
-        """Reply with the changes that the node lacks; wait for some until the request times out."""
-        received_at = self.clock()
-        deadline = received_at + min(watch.wait_s, WATCH_WAIT_MAX_S)
-        while not self.has_changes_for(watch):
-            remaining_s = deadline - self.clock()
-            if remaining_s <= 0:
-                break
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(remaining_s):
-                    await self.changed.wait()
-        return self.changes_for(watch, received_at)
-
-    def has_changes_for(self, watch: node_messages.WatchRequest) -> bool:
-        """Return whether anything changed since the positions in a watch request."""
-        if watch.feed != self.feed or watch.position < self.registry.position:
-            return True
-        if 0 <= watch.suspicions < self.crashes.tracker.reported_revision:
-            return True
-        if 0 <= watch.limits < self.limits.table.revision:
-            return True
-        if 0 <= watch.evacuations < self.member.state.evacuation_revision:
-            return True
-        return watch.configuration < self.member.state.version
-
-    def changes_for(
-        self, watch: node_messages.WatchRequest, received_at: float | None = None
-    ) -> node_messages.WatchReply:
-        """Return the changes since the positions in a watch request that came at `received_at`.
-
-        That is now if it is None.
-        """
-        now = self.clock()
-        position = watch.position if watch.feed == self.feed else 0
-        is_full, changed, gone = self.registry.changes_since(position, now)
-        state = self.member.state
-        is_newer = state.version > watch.configuration
-        suspicions_from = watch.suspicions if watch.feed == self.feed else min(0, watch.suspicions)
-        suspicions = (
-            self.crashes.tracker.changes_since(suspicions_from, now) if suspicions_from >= 0 else []
-        )
-        evacuations = None
-        if watch.evacuations < 0 and self.evacuated:
-            # Draining is final there, so after the withdrawal an entry of an older build uses these
-            # back ends again only once it is restarted, as its upgrade does.
-            changed = instances.with_zones_draining(changed, self.evacuated)
-        if 0 <= watch.evacuations < state.evacuation_revision:
-            evacuations = node_messages.Evacuations(
-                state.evacuation_revision, list(state.evacuated)
-            )
-        limits_from = watch.limits if watch.feed == self.feed else min(0, watch.limits)
-        return node_messages.WatchReply(
-            self.feed,
-            self.registry.position,
-            is_full,
-            changed,
-            gone,
-            [
-                node_messages.NamedVersion(model, version, age_s)
-                for model, newest in state.named.items()
-                for version, age_s in self.versions.ages(model, newest, now)
-            ],
-            state.version,
-            state.body if is_newer else b"",
-            self.member.member_addresses(),
-            self.member.leader_tracker.staleness_s(now),
-            suspicions,
-            self.crashes.tracker.reported_revision,
-            self.limits.changes_since(limits_from),
-            self.limits.table.revision,
-            evacuations,
-            0.0 if received_at is None else now - received_at,
-        )
-
     # Heartbeats
 
     def record_heartbeat(self, heartbeat: fleet.Heartbeat) -> None:
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -86,7 +86,7 @@
         await controls.start(alone)
         watch = node_messages.WatchRequest("entry", "", 0, 0, 0.5)
         await fleet_nodes.until(
-            lambda: controls.nodes[alone].changes_for(watch).configuration_version >= 4, 3.0
+            lambda: controls.nodes[alone].watches.changes_for(watch).configuration_version >= 4, 3.0
         )
         assert not controls.leader()
         response = await controls.call(alone, "GET", "/config")
@@ -322,7 +322,7 @@
     member = node.member
     command = member.commands.encode(fleet_state.NameVersion("m", version))
     member.apply(journal.Entry(member.applied + 1, member.raft.hard_state.term, "command", command))
-    versions = node.changes_for(node_messages.WatchRequest("entry", "", 0, 0, 0.0)).named
+    versions = node.watches.changes_for(node_messages.WatchRequest("entry", "", 0, 0, 0.0)).named
     return next(named.age_s for named in versions if named.model == "m")
 
 
@@ -346,7 +346,9 @@
         leader = controls.nodes[controls.leader()]
         leader.member.leader_tracker.current_at = float("-inf")
         await controls.until_acknowledged("POST", "/version-put", {"model": "m", "version": 2})
-        versions = leader.changes_for(node_messages.WatchRequest("entry", "", 0, 0, 0.0)).named
+        versions = leader.watches.changes_for(
+            node_messages.WatchRequest("entry", "", 0, 0, 0.0)
+        ).named
         assert versions[0].age_s < 3.0
 
     run(tmp_path, scenario)
@@ -366,7 +368,7 @@
         request = node_messages.WatchRequest("entry", "", 0, 0, 0.0)
         watcher = fleet_nodes.make_watcher(fleet_nodes.make_settings("entry"))
         now = leader.clock()
-        watcher.published_versions.apply(leader.changes_for(request).named, now)
+        watcher.published_versions.apply(leader.watches.changes_for(request).named, now)
         times = watcher.published_versions.named_at["m"]
         assert sorted(times) == [2, 3] and times[3] - times[2] >= 0.1
         between = now + leader.settings.bounds.version_s - (now - times[2])
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -49,10 +49,10 @@
             controls.kill(ip)
         await controls.start(controls.ips[0])
         restarted = controls.nodes[controls.ips[0]]
-        assert restarted.changes_for(WATCH).leader_age_s > fleet_watcher.STALE_AFTER_S
+        assert restarted.watches.changes_for(WATCH).leader_age_s > fleet_watcher.STALE_AFTER_S
         await controls.start(controls.ips[1])
         await fleet_nodes.until(
-            lambda: restarted.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
+            lambda: restarted.watches.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
         )
 
     run(tmp_path, scenario)
@@ -64,7 +64,7 @@
         follower = next(ip for ip in controls.ips if ip != controls.leader())
         node = controls.nodes[follower]
         await fleet_nodes.until(
-            lambda: node.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
+            lambda: node.watches.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
         )
 
         def raise_disk_full(hard_state, entries, commit):
@@ -73,12 +73,12 @@
         monkeypatch.setattr(node.member.journal, "save", raise_disk_full)
         await put_configuration(controls, 2)
         await fleet_nodes.until(
-            lambda: node.changes_for(WATCH).leader_age_s > fleet_watcher.STALE_AFTER_S
+            lambda: node.watches.changes_for(WATCH).leader_age_s > fleet_watcher.STALE_AFTER_S
         )
         assert node.member.state.version == 1
         monkeypatch.undo()
         await fleet_nodes.until(
-            lambda: node.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
+            lambda: node.watches.changes_for(WATCH).leader_age_s < fleet_watcher.STALE_AFTER_S
         )
         assert node.member.state.version == 2
 
@@ -95,7 +95,9 @@
             controls.kill(ip)
         await controls.start(controls.ips[0])
         restarted = controls.nodes[controls.ips[0]]
-        await fleet_nodes.until(lambda: restarted.changes_for(WATCH).configuration_version == 7)
+        await fleet_nodes.until(
+            lambda: restarted.watches.changes_for(WATCH).configuration_version == 7
+        )
 
     run(tmp_path, scenario)
 
--- a/tests/test_control_staleness.py
+++ b/tests/test_control_staleness.py
@@ -19,7 +19,7 @@
 
 
 def reported_age_s(node: control_node.ControlNode) -> float:
-    return node.changes_for(WATCH).leader_age_s
+    return node.watches.changes_for(WATCH).leader_age_s
 
 
 def receive(member: log_member.LogMember, message: raft_messages.Message) -> None:
--- a/tests/test_evacuation_calls.py
+++ b/tests/test_evacuation_calls.py
@@ -328,8 +328,10 @@
 
 def watched_states(node, evacuations: int, position: int = 0) -> dict[str, str]:
     """Return the states of back ends in a reply to a node that has received up to `position`."""
-    watch = node_messages.WatchRequest("entry", node.feed, position, 0, 0.0, 0, 0, evacuations)
-    reported = node.changes_for(watch).instances
+    watch = node_messages.WatchRequest(
+        "entry", node.watches.feed, position, 0, 0.0, 0, 0, evacuations
+    )
+    reported = node.watches.changes_for(watch).instances
     return {record.heartbeat.instance: record.heartbeat.state for record in reported}
 
 
