A change that is not committed in time is answered as one of unknown outcome

Cause: `control_api.not_committed_in_time` raised NO_MAJORITY, whose answer has `ran` "no". The leader may commit the change later, for example after it or its followers were suspended for over 0.9 s. Change: the kind is UNREACHABLE: 503 as before, `ran` "unknown", retry after 1 s for 2 s. It is the kind that a control VM already gives if its call to the leader times out. Before: both cases of test_change_committed_after_the_timeout_was_not_answered_as_not_run fail.

--- a/src/merlinthread/nodes/control_api.py
+++ b/src/merlinthread/nodes/control_api.py
@@ -203,7 +203,11 @@
 
 def not_committed_in_time() -> errors.ControlError:
     """Return the error for a command that may or may not be committed later."""
-    return errors.ControlError("no majority replied in time; send the request again")
+    return errors.ControlError(
+        "no majority replied in time; send the request again",
+        # NO_MAJORITY would promise that it has no effect.
+        kind=errors.ErrorKind.UNREACHABLE,
+    )
 
 
 def error_response(error: errors.MerlinthreadError) -> http_messages.Response:
--- a/tests/test_control_nodes.py
+++ b/tests/test_control_nodes.py
@@ -13,9 +13,9 @@
 
 from merlinthread import errors
 from merlinthread.coordination import fleet, fleet_state, instances, levels
-from merlinthread.nodes import fleet_watcher
+from merlinthread.nodes import control_api, fleet_watcher
 from merlinthread.platform import dialect
-from merlinthread.protocol import node_messages
+from merlinthread.protocol import error_responses, node_messages
 from merlinthread.state import journal
 from merlinthread.transport import node_bus
 from tests import fleet_nodes
@@ -138,7 +138,39 @@
         leader.member.propose = lambda command: asyncio.get_running_loop().create_future()
         with pytest.raises(errors.ControlError) as raised:
             await leader.dispatch_request(node_messages.CommandRequest(command))
-        assert raised.value.kind is errors.ErrorKind.NO_MAJORITY
+        assert raised.value.kind is errors.ErrorKind.UNREACHABLE
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+def test_change_committed_after_the_timeout_was_not_answered_as_not_run(tmp_path, is_forwarded):
+    """Guards against an operator being told that a change had no effect that is in force later.
+
+    Cause: the error of a change that is not committed in time had a kind with `ran` "no".
+    """
+
+    async def scenario(controls):
+        await put_configuration(controls, 1)
+        leader = controls.leader()
+        member = controls.nodes[leader].member
+        propose = member.propose
+
+        async def propose_late(command: bytes) -> bool:
+            # The request timeout must not cancel it, as it can't withdraw an entry.
+            return await asyncio.shield(asyncio.create_task(propose_after_timeout(command)))
+
+        async def propose_after_timeout(command: bytes) -> bool:
+            await asyncio.sleep(control_api.FORWARD_TIMEOUT_S + 0.2)
+            return await propose(command)
+
+        member.propose = propose_late
+        ip = next(ip for ip in controls.ips if (ip != leader) == is_forwarded)
+        body = fleet_nodes.configuration(2, ["safe"])
+        response = await controls.call(ip, "PUT", "/config", body)
+        assert response.status == 503
+        assert json.loads(response.body)["ran"] == error_responses.UNKNOWN
+        await fleet_nodes.until(lambda: member.state.version == 2)
 
     run(tmp_path, scenario)
 
