Soak: a second fault does not shorten the time for which a worker is cold

Cause: `return_cold` of a zone could begin while `become_cold` held for one of its workers. It replaced the end of the cold time by an earlier one, which the worker reported, so that entries sent without permits from then on. Change: `ColdChecker.begin` never brings the end forward, and checks the later end in both episodes. No check is weakened: no episode ends earlier than before, and the second one may end later.

--- a/bench/soak_cold.py
+++ b/bench/soak_cold.py
@@ -54,10 +54,14 @@
                 self.stalls.append((began_at, now()))
 
     def begin(self, worker: fleet_worker.Worker, now: float, duration_s: float) -> Episode:
-        """Let a worker be cold for `duration_s`."""
-        self.cold_until[worker] = now + duration_s
+        """Let a worker be cold for `duration_s`, or longer if it already is.
+
+        A report of an earlier end would lift the bound while an earlier episode is still checked.
+        """
+        until = max(now + duration_s, self.cold_until.get(worker, -math.inf))
+        self.cold_until[worker] = until
         self.update(worker, now)
-        episode = Episode(worker, now + KNOWN_S, now + duration_s)
+        episode = Episode(worker, now + KNOWN_S, until)
         self.episodes.append(episode)
         return episode
 
