Tests: free_port returns no port twice

Cause: the system may choose the same port for two calls, and nodes that listen on two ports of one address then fail to start with "address already in use". It also looked at 127.0.0.1 only, while the nodes of most tests listen on other addresses. Change: a port is free on all addresses and differs from the last 1,000 returned. Before: 8 of 100,000 pairs of calls return the same port twice. That this caused the failure of test_first_crash_holds_request_of_account_with_held_requests is not shown; its line in KNOWN-RED.txt stays and says so.

--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -1,6 +1,7 @@
 """Helpers that run control VMs and entries on loopback, in the event loop of the test."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import pathlib
@@ -22,6 +23,8 @@
 
 # Parallel test processes use separate loopback addresses.
 NETWORK = soak_nodes.NETWORK
+# The ports that `free_port` returned last; a test uses far fewer.
+recent_ports: collections.deque[int] = collections.deque(maxlen=1000)
 
 
 class SuspendableClock:
@@ -36,10 +39,18 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is currently free on all addresses, and not one returned recently.
+
+    The system may choose the same port again before the first one is used (8 of 100,000 pairs of
+    calls), and a node that listens on two ports of one address would fail to start.
+    """
+    while True:
+        with socket.socket() as sock:
+            sock.bind(("", 0))
+            port = sock.getsockname()[1]
+        if port not in recent_ports:
+            recent_ports.append(port)
+            return port
 
 
 def is_udp_port_free(ip: str, port: int) -> bool:
