Soak of placement: back ends that answer without end, clients that do not read

Change: the kinds `flood` and `slow_readers` (bench/soak_floods.py), in KINDS, and one short run. Every run of soak_placement also checks that no node ends by itself, that no request that ran gets 503, and that no entry has more resident memory than the default of `memory_bytes` (256 MiB). Ordinary requests never get the long responses, so that the existing checks of answers are the same. Runs that name no kinds draw other faults than before.

--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -43,6 +43,8 @@
     extra_settings: dict = dataclasses.field(default_factory=dict)
     # Monotonic times of starts and signals.
     interruptions: list[float] = dataclasses.field(default_factory=list)
+    # Ids of the processes that were told to end.
+    ended_pids: set[int] = dataclasses.field(default_factory=set)
 
     def start(self) -> None:
         """Start or restart the process."""
@@ -92,6 +94,8 @@
         if self.process is not None and self.process.poll() is None:
             if number != signal.SIGCONT:
                 self.interruptions.append(time.monotonic())
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self.ended_pids.add(self.process.pid)
             self.process.send_signal(number)
 
 
--- a/bench/soak_placement.py
+++ b/bench/soak_placement.py
@@ -6,10 +6,20 @@
 """
 
 import asyncio
+import functools
 import math
 import pathlib
 
-from bench import soak, soak_cold, soak_evacuations, soak_faults, soak_fleet, soak_nodes
+from bench import (
+    soak,
+    soak_cold,
+    soak_evacuations,
+    soak_faults,
+    soak_fleet,
+    soak_floods,
+    soak_nodes,
+)
+from merlinthread.transport import http_messages
 from stand_ins import fleet_worker
 
 REGIONS = {"zone-a": "home", "zone-b": "home", "zone-c": "away", "zone-d": "home"}
@@ -43,6 +53,8 @@
     "kill_controls",
     "replace_control",
     "misbehave",
+    "flood",
+    "slow_readers",
 )
 
 
@@ -55,7 +67,7 @@
         engine_ips = iter(ENGINE_IPS)
         self.engine_ips: dict[fleet_worker.Worker, str] = {}
         for service, zone in PLACES:
-            worker = fleet_worker.Worker(f"{service}-{zone}", "m" if service == "model" else "")
+            worker = soak_floods.Worker(f"{service}-{zone}", "m" if service == "model" else "")
             worker.zone = zone
             self.workers[worker] = service
             if service == "model":
@@ -110,11 +122,13 @@
         return self.round.pop()
 
     async def inject(self, kind: str) -> None:
-        """Inject one fault; those of placement are healed in the background."""
+        """Inject one fault; those of placement and floods are healed in the background."""
         own = {
             "evacuate": self.evacuate,
             "become_cold": self.become_cold,
             "return_cold": self.return_cold,
+            "flood": functools.partial(soak_floods.flood, self.run_of_faults),
+            "slow_readers": functools.partial(soak_floods.send_without_reading, self.run_of_faults),
         }
         if kind not in own:
             await super().inject(kind)
@@ -171,6 +185,7 @@
         super().__init__(seed, seconds, folder, kinds)
         self.cold_checker = soak_cold.ColdChecker()
         self.evacuation_checker = soak_evacuations.EvacuationChecker(self.signal_checker)
+        self.flood_checker = soak_floods.FloodChecker(self.fleet)
         self.zone_operator = soak_evacuations.ZoneOperator(self, self.evacuation_checker)
         # The regions in which each restricted request may run.
         self.allowed: dict[str, frozenset[str]] = {}
@@ -209,6 +224,20 @@
         if sets:
             self.allowed[request_id] = frozenset.intersection(*sets)
 
+    def check_response(
+        self, service: str, request_id: str, response: http_messages.Response
+    ) -> bool:
+        """Record and check a response; return whether it is a success."""
+        self.record_status(service, request_id, response.status)
+        return super().check_response(service, request_id, response)
+
+    def record_status(self, service: str, request_id: str, status: int) -> None:
+        """Record whether a response says that its request did not run."""
+        if status == 503:
+            self.flood_checker.unavailable.add(request_id)
+        if service == "unsafe" and status in soak.NOT_RUN_STATUSES:
+            self.refused_unsafe.add(request_id)
+
     async def run_clients(self) -> None:
         """Send concurrent client requests until cancelled."""
         services = ("safe", "safe", "unsafe", "model", "model", "away-only")
@@ -223,6 +252,7 @@
             asyncio.create_task(self.zone_operator.run_reads()),
             asyncio.create_task(self.evacuate_lastingly()),
             asyncio.create_task(self.cold_checker.watch_stalls()),
+            asyncio.create_task(self.flood_checker.watch()),
         ]
         try:
             await super().run_scenario()
@@ -241,6 +271,9 @@
             "cold windows": self.cold_checker.counted_windows,
             "skipped cold windows": self.cold_checker.skipped_windows,
             "fullest cold window": self.cold_checker.largest,
+            "floods": sum(worker.flood_count for worker in self.fleet.workers),
+            "responses not read": dict(self.flood_checker.slow_statuses),
+            "largest entry in MiB": self.flood_checker.largest_bytes // 2**20,
         }
         return result
 
@@ -261,6 +294,7 @@
         for text in [
             *self.evacuation_checker.violations(workers),
             *self.cold_checker.violations(),
+            *self.flood_checker.violations(),
             *self.requests_outside_regions(),
             *self.unexpected_errors(),
         ]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,3 +48,15 @@
     assert result.violations == [], f"logs are in {tmp_path}"
     assert result.answered > 100 and result.figures["restricted requests"] > 100
     assert result.figures["acknowledged"] > 1 and result.faults.keys() & {"kill", "kill_controls"}
+
+
+# Guards against an entry that ends, fills its memory or serves nobody, and against requests that
+# are answered as not run although a worker began them, while back ends answer without end, clients
+# do not read and nodes are lost.
+def test_floods_and_clients_that_do_not_read_harm_no_other_request(tmp_path):
+    kinds = ("flood", "slow_readers", "kill", "freeze")
+    result = soak.run_seed(7101, 12.0, tmp_path, kinds, soak_placement.PlacementSoak)
+    assert result.violations == [], f"logs are in {tmp_path}"
+    assert result.answered > 100 and result.figures["floods"] > 0
+    assert sum(result.figures["responses not read"].values()) > 0
+    assert result.faults.keys() >= {"flood", "slow_readers"}
