Tests of slow readers: the bounds are of wall time again

Cause: replaced bounds of 2.0 and 2.8 s of wall time by bounds of processor time, with a wait of up to 30 s and a deadline of 60 s. An entry that waits idly would no longer be noticed. Change: is reverted.

--- a/tests/single_entry_fleet.py
+++ b/tests/single_entry_fleet.py
@@ -22,7 +22,6 @@
         self.set_behaviour(work_s=work_s)
         self.request_count = 0
         self.timeout_ms = 3000
-        self.objective_ms = 400
 
     async def start(self) -> Self:
         """Start the entry and the workers, and announce all workers to the entry."""
@@ -53,7 +52,6 @@
         body = fleet_nodes.configuration(1, services, self.service if self.model else "")
         for route in body["routes"]:
             route["timeout_ms"] = self.timeout_ms
-            route["target_latency_ms"] = self.objective_ms
         self.entry.apply_update(body, {worker: self.service for worker in workers})
 
     async def request(self, body: bytes = b"", **headers) -> http_messages.Response:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import socket
-import time
 
 import pytest
 
@@ -240,17 +239,14 @@
         assert sum(len(worker.runs) for worker in fleet.workers) == 1
 
 
-# Guards against an entry that ends, or serves nobody, since some clients do not read. The deadline
-# is far off and the time that of this process, since 8 MiB take a busy machine over 2.8 s.
+# Guards against an entry that ends, or serves nobody, since some clients do not read. Marked, since
+# 8 MiB must be read within the deadline of 2.8 s.
+@pytest.mark.timed
 async def test_clients_that_do_not_read_are_closed_above_the_sum_and_others_are_served(shed):
-    fleet = SlowFleet("model")
-    # A slow entry refuses requests that it does not expect to serve within their objective.
-    fleet.timeout_ms = fleet.objective_ms = 60_000
-    async with fleet:
+    async with SlowFleet("model") as fleet:
         fleet.server.held.bytes_max = 3 * MIB
         fleet.set_behaviour(events=1024, event_padding=8 * KIB)
-        began = time.process_time()
-        slow = [await fleet.client(60.0) for _ in range(8)]
+        slow = [await fleet.client(2.8) for _ in range(8)]
         largest = 0
 
         async def observe():
@@ -260,12 +256,9 @@
                 await asyncio.sleep(0.005)
 
         observer = asyncio.ensure_future(observe())
-        await fleet_nodes.until(lambda: shed, 30.0)
-        assert time.process_time() - began < 2.0
-        began = time.process_time()
-        reading = await fleet.client(60.0)
+        await fleet_nodes.until(lambda: shed, 2.0)
+        reading = await fleet.client(2.8)
         assert await read_events(reading) == 1024
-        assert time.process_time() - began < 2.8
         observer.cancel()
         assert largest <= 3 * MIB
         assert set(shed) == {"memory"}
