--- a/review/4/case.py
+++ b/review/4/case.py
@@ -97,7 +97,9 @@
             raise kit.CannotRunError("fewer than 100 requests were served")
         bad = [id_ for worker in workers for id_ in worker.bad_tokens]
         if bad:
-            return [f"WHOLE: {len(bad)} requests got tokens of layers that took pieces of another version"]
+            return [
+                f"WHOLE: {len(bad)} requests got tokens of layers that took pieces of another version"
+            ]
         return []
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -39,7 +39,8 @@
         await kit.until_ready(fleet)
         zones = list(kit.ZONES)
         first = [
-            kit.PlainWorker(record, f"{kit.NETWORK}.{21 + i}", "gridhall", zones[i % 3]) for i in range(4)
+            kit.PlainWorker(record, f"{kit.NETWORK}.{21 + i}", "gridhall", zones[i % 3])
+            for i in range(4)
         ]
         tasks = []
         for worker in first:
@@ -51,15 +52,17 @@
         # on its way, and it crashes behind the cut.
         worker = kit.PlainWorker(record, f"{kit.NETWORK}.31", "backoffice", zones[1])
         await worker.start()
-        link = kit_link = HeldLink()
+        link = HeldLink()
         await link.open(fleet.seeds[0])
         path, body = worker.heartbeat()
         late = kit.encode(f"PUT {path} HTTP/1.1", {"Host": fleet.seeds[0],
                           "Content-Type": "application/json"}, json.dumps(body).encode())  # fmt: skip
         if kit.IS_DISTURBED:
-            record.write(f"the cut begins; it holds heartbeat {body['sequence']} of {worker.instance}")
+            record.write(
+                f"the cut begins; it holds heartbeat {body['sequence']} of {worker.instance}"
+            )
         else:
-            kit_link.deliver(late)
+            link.deliver(late)
             record.write(f"heartbeat {body['sequence']} of {worker.instance} is sent")
         await asyncio.sleep(1.0)
         worker.crash()
@@ -91,8 +94,10 @@
             await asyncio.sleep(0.2)
         for task in tasks:
             task.cancel()
-        record.write(f"{worker.instance} sent {worker.beats - beats_before} acknowledged heartbeats meanwhile, "
-                     f"ran {len(worker.runs)} requests and rejected {len(worker.rejected)}")
+        record.write(
+            f"{worker.instance} sent {worker.beats - beats_before} acknowledged heartbeats meanwhile, "
+            f"ran {len(worker.runs)} requests and rejected {len(worker.rejected)}"
+        )
         for service, (sent, served) in counts.items():
             record.write(f"{service}: {served} of {sent} requests served")
         sent, served = counts["backoffice"]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -52,16 +52,22 @@
         # The model is added: its worker starts without weights, as later ones do.
         if kit.IS_DISTURBED:
             origin.spoil_manifest = spoil
-            record.write(f"the origin's next answer has one spoilt byte, in the digest of piece {SPOILT_PIECE}")
+            record.write(
+                f"the origin's next answer has one spoilt byte, in the digest of piece {SPOILT_PIECE}"
+            )
         await operator.send("PUT", "/config", configuration(2, origin.address))
-        engine = engines.Engine(record, f"{kit.NETWORK}.31:8080", "hintsmith", "kgl-a", "i-7f3a91c2")
+        engine = engines.Engine(
+            record, f"{kit.NETWORK}.31:8080", "hintsmith", "kgl-a", "i-7f3a91c2"
+        )
         await engine.listen()
         fleet.add_agent(1, engine.address, "hintsmith").start()
         tasks.append(asyncio.create_task(engine.beat_forever(fleet.seeds)))
         until = record.now() + LOAD_WAIT_S
         while record.now() < until and not engine.is_whole():
             await asyncio.sleep(0.1)
-        record.write(f"the worker holds {len(engine.layers)} layers, {len(engine.staged)} pieces are staged")
+        record.write(
+            f"the worker holds {len(engine.layers)} layers, {len(engine.staged)} pieces are staged"
+        )
 
         # Calm since the only spoilt answer; what is counted starts after contact_ms.
         await asyncio.sleep(kit.BOUNDS["contact_ms"] / 1000 + 1.0)
@@ -80,7 +86,9 @@
         for task in tasks:
             task.cancel()
         reads = origin.pieces_sent.get((1, SPOILT_PIECE), 0)
-        record.write(f"origin: {len(origin.manifests)} manifests sent, piece {SPOILT_PIECE} sent {reads} times")
+        record.write(
+            f"origin: {len(origin.manifests)} manifests sent, piece {SPOILT_PIECE} sent {reads} times"
+        )
         record.write(f"the worker holds {len(engine.layers)} layers, bad {engine.bad_layers()}")
         for service, (sent, served) in counts.items():
             record.write(f"{service}: {served} of {sent} requests served")
--- a/review/engine2.py
+++ b/review/engine2.py
@@ -96,8 +96,10 @@
             if spoil is not None:
                 body = spoil(body)
             self.manifests.append((self.record.now(), version, spoil is not None))
-            self.record.write(f"origin: manifest of version {version} to {writer.get_extra_info('peername')[0]}"
-                              f"{', spoilt' if spoil is not None else ''}")
+            self.record.write(
+                f"origin: manifest of version {version} to {writer.get_extra_info('peername')[0]}"
+                f"{', spoilt' if spoil is not None else ''}"
+            )
             return answer(200, {"Content-Type": "application/json"}, body)
         if path == f"/piece/{MODEL}":
             index = int(fields["sample_count"])
@@ -150,7 +152,9 @@
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         if path == "/report":
-            return answer(200, {"Content-Type": "application/json"}, json.dumps(self.report()).encode())
+            return answer(
+                200, {"Content-Type": "application/json"}, json.dumps(self.report()).encode()
+            )
         if path.startswith("/stage-"):
             await asyncio.sleep(STAGE_S * self.slow_x)
         if path == f"/stage-put/{MODEL}":
@@ -201,7 +205,9 @@
         self.take(version, layers)
         self.staged = staged
         self.busy = False
-        self.record.write(f"{self.instance} holds version {version}, bad layers {self.bad_layers()}")
+        self.record.write(
+            f"{self.instance} holds version {version}, bad layers {self.bad_layers()}"
+        )
 
     async def run(self, request, writer):
         headers = request.headers
@@ -226,8 +232,10 @@
         self.runs.append((self.record.now(), id_, self.version(), bad))
         if bad:
             self.bad_tokens.append(id_)
-            self.record.write(f"{self.instance} makes tokens of {id_} with version {self.version()}, "
-                              f"whose layers {bad} took wrong pieces")
+            self.record.write(
+                f"{self.instance} makes tokens of {id_} with version {self.version()}, "
+                f"whose layers {bad} took wrong pieces"
+            )
         try:
             head = {**common, "X-Merlinthread-Response-Stamp": f"{self.instance}.{id_}",
                     "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}  # fmt: skip
@@ -254,7 +262,9 @@
                         "stage": "both", "models": report["models"], "layers": report["layers"],
                         "sequence": self.beat_sequence}  # fmt: skip
                 try:
-                    if (await kit.call(address, "PUT", f"/instances/{self.instance}", body)).status == 200:
+                    if (
+                        await kit.call(address, "PUT", f"/instances/{self.instance}", body)
+                    ).status == 200:
                         break
                 except (OSError, EOFError, TimeoutError):
                     continue
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -90,10 +90,14 @@
         if self.role == "control":
             (self.fleet.folder / f"data-{self.name}").mkdir(exist_ok=True)
         command = self.fleet.commands[self.role].split()
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {"MERLINTHREAD_CONFIG": str(path), "PYTHONPATH": str(ROOT / "target/deps")}
         with open(self.fleet.folder / f"{self.name}.log", "ab") as log:
-            self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
         self.is_first_start = False
         self.fleet.record.write(f"{self.name} starts, pid {self.process.pid}")
 
@@ -349,7 +353,9 @@
             try:
                 response = await call(address, "PUT", path, body)
             except (OSError, EOFError, TimeoutError) as error:
-                self.record.write(f"{self.instance}: beat {body['sequence']} to {address}: {error!r}")
+                self.record.write(
+                    f"{self.instance}: beat {body['sequence']} to {address}: {error!r}"
+                )
                 continue
             if response.status == 200:
                 self.beats += 1
