--- a/review/6/case.py
+++ b/review/6/case.py
@@ -46,7 +46,16 @@
 
 async def send(record, entry, number, rate):
     """Send one large request at `rate` bytes a second; return its status."""
-    head = {"Host": kit.HOST, "X-Merlinthread-Request-Id": f"{number:016x}",
+    id_ = f"{number:016x}"
+    record.write(f"client: {id_} is sent to {entry.name}")
+    status = await send_body(entry, id_, rate)
+    record.write(f"client: {id_} by {entry.name}: {status}")
+    return status
+
+
+async def send_body(entry, id_, rate):
+    """Send one large request and return its status, or the name of the error."""
+    head = {"Host": kit.HOST, "X-Merlinthread-Request-Id": id_,
             "X-Merlinthread-Deadline-Ms": "4000", "Api-Key": kit.KEY}  # fmt: skip
     data = kit.encode("POST /gridhall/x HTTP/1.1", head, BODY)
     writer = None
--- a/review/engine2.py
+++ b/review/engine2.py
@@ -230,6 +230,7 @@
         self.running.add(id_)
         bad = self.bad_layers()
         self.runs.append((self.record.now(), id_, self.version(), bad))
+        self.record.write(f"{self.instance} runs {id_} with version {self.version()}")
         if bad:
             self.bad_tokens.append(id_)
             self.record.write(
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -334,6 +334,7 @@
             return encode("HTTP/1.1 421 Misdirected Request", {
                 "X-Merlinthread-Request-Id": id_, "X-Merlinthread-Not-Run": "1"})  # fmt: skip
         self.runs.append(id_)
+        self.record.write(f"{self.instance} runs {id_}")
         await asyncio.sleep(0.01)
         return encode("HTTP/1.1 200 OK", {
             "X-Merlinthread-Request-Id": id_,
@@ -369,6 +370,7 @@
 
 
 async def request(record, entry, service, id_, method="GET", extra=None):
+    record.write(f"client: {id_} for {service} is sent to {entry.name}")
     headers = {"Host": HOST, "X-Merlinthread-Request-Id": id_,
                "X-Merlinthread-Deadline-Ms": "4000", "Api-Key": KEY, **(extra or {})}  # fmt: skip
     try:
