--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,11 +9,12 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness2 as kit  # noqa: E402
 
-# Of the site file: the clients of zone dub-b and the memory and link of its two fronts.
-ZONE, CLIENTS, MEMORY_MB, LINK_BYTES_PER_S = "dub-b", 39, 300, 125e6
+# Of the site file: the 39 clients of zone dub-b at its share of 0.5 (`thin`), and the memory and link
+# of the zone's two fronts.
+ZONE, CLIENTS, MEMORY_MB, LINK_BYTES_PER_S = "dub-b", 20, 300, 125e6
 BODY = b"x" * (4194304 - 1024)
 PART_BYTES = 64 * 1024
-WAVES, WAVE_S = 14, 4.0
+WAVES, WAVE_S = 28, 2.0
 WATCH_S, RESTART_S = 0.05, 0.5
 
 
