Leaders log how far members are behind while too few losses are tolerated

Callers saw no leader at all after a loss; the logs said which changes of members were made, not why one was not. Three causes give the same log: a joiner that gets no entries, one that is a few entries behind at each check, and a leader without its lease.

tolerance_reduced (each second, at the leader) tells them apart: behind and unacknowledged entries, sent bytes, failed sends, rejected messages and the round trip of each member, and whether the lease is held; tolerance_restored tells how long it lasted. merlinthread_log_losses_bearable is set all the time, no longer only at a change of members, since losses come between changes.

No logic of the log is changed.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -354,6 +354,7 @@
         progress.identity = reply.identity
         progress.acked_at = max(progress.acked_at, reply.sent_at)
         if not reply.is_accepted:
+            progress.rejected += 1
             before = progress.next
             progress.next = max(progress.match + 1, min(reply.match + 1, before - 1))
             is_in_log = self.log.term_at(progress.next - 1) is not None
--- a/src/merlinthread/coordination/raft_messages.py
+++ b/src/merlinthread/coordination/raft_messages.py
@@ -172,7 +172,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Progress:
-    """The leader's view of one other member; times are on the leader's clock."""
+    """The leader's view of one other member; times are on the leader's clock.
+
+    `rejected` counts the messages whose preceding entry the member did not have.
+    """
 
     match: int = 0
     next: int = 1
@@ -180,3 +183,4 @@
     heard_at: float = float("-inf")
     sent_at: float = float("-inf")
     identity: str = ""
+    rejected: int = 0
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -122,8 +122,7 @@
 )
 losses_bearable = prometheus_client.Gauge(
     "merlinthread_log_losses_bearable",
-    "Number of further member failures that the replicated log tolerates; set by the leader at "
-    "each membership change.",
+    "Number of further member failures that the replicated log tolerates; set by the leader.",
 )
 membership_changes_total = prometheus_client.Counter(
     "merlinthread_membership_changes_total",
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -28,6 +28,7 @@
     membership,
     node_settings,
     pending_proposals,
+    repair_monitor,
 )
 from merlinthread.protocol import codec as codecs
 from merlinthread.state import journal
@@ -88,6 +89,9 @@
             self.rejoin_as_new_member,
             lambda: self.state.level,
         )
+        self.repair_monitor = repair_monitor.RepairMonitor(
+            lambda: self.raft, self.sender, settings.members_lost_max
+        )
         self.maintenance_at = 0.0
         self.disk_retry_at = float("-inf")
         self.saved_at = float("-inf")
@@ -192,6 +196,13 @@
             self.write_gate.update(self.other_addresses(), now)
             self.leader_tracker.log_missing_leader(now)
             self.member_changes.repair(now)
+            self.report_repair(now)
+
+    def report_repair(self, now: float) -> None:
+        """Report at the leader whether the group tolerates enough failures."""
+        if self.raft.is_leader():
+            group = self.member_changes.group_status(self.raft, now)
+            self.repair_monitor.update(group, now)
 
     def receive(self, frames: list[bytes]) -> None:
         """Queue encoded messages of another member."""
@@ -380,6 +391,7 @@
         self.was_leader = is_leader
         self.member_changes.clear_requests()
         if not is_leader:
+            self.repair_monitor.reset()
             self.proposals.fail_all("the leader changed")
 
     def close(self) -> None:
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -1,6 +1,7 @@
 """Sends Raft messages to the other members of the replicated log, in order and in batches."""
 
 import asyncio
+import dataclasses
 from typing import Any
 
 from merlinthread import errors, logs
@@ -13,10 +14,20 @@
 QUEUED_MESSAGES_MAX = 64
 
 
+@dataclasses.dataclass(slots=True)
+class SendStatistics:
+    """What was sent to one member: bytes, failed calls, and the duration of the last good call."""
+
+    sent_bytes: int = 0
+    failed_sends: int = 0
+    round_trip_s: float = 0.0
+
+
 class SendQueue:
     """The messages queued for one member."""
 
     def __init__(self) -> None:
+        self.sent = SendStatistics()
         self.messages: list[raft_messages.Message] = []
         self.not_empty = asyncio.Event()
         self.task: asyncio.Task | None = None
@@ -52,19 +63,29 @@
             queue.not_empty.clear()
             messages, queue.messages = queue.messages, []
             frames = [self.codec.encode(message) for message in messages]
-            await self.send_frames(
-                raft_members.address_of(receiver), node_messages.RaftFrames(frames)
-            )
+            await self.send_frames(raft_members.address_of(receiver), frames, queue.sent)
 
-    async def send_frames(self, address: str, message: node_messages.RaftFrames) -> None:
+    async def send_frames(self, address: str, frames: list[bytes], sent: SendStatistics) -> None:
         """Send encoded messages to a member, and record the format level in its reply."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        sent.sent_bytes += sum(map(len, frames))
         try:
-            reply = await self.rpc_client.call(address, message, SEND_TIMEOUT_S)
+            reply = await self.rpc_client.call(
+                address, node_messages.RaftFrames(frames), SEND_TIMEOUT_S
+            )
         except errors.MerlinthreadError:
+            sent.failed_sends += 1
             self.levels.record_unreachable(address)
             return
+        sent.round_trip_s = loop.time() - started
         self.record_reply(address, reply)
 
+    def statistics(self, receiver: str) -> SendStatistics:
+        """Return what was sent to a member so far."""
+        queue = self.queues.get(receiver)
+        return queue.sent if queue else SendStatistics()
+
     def record_reply(self, address: str, reply: Any) -> None:
         """Record the format level in a member's reply."""
         if not isinstance(reply, node_messages.Acknowledgement):
--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -269,7 +269,6 @@
         silence_s = member.timing.election_max_s
         silent = membership_repair.silent_voters(self.group_status(member, now), silence_s, now)
         tolerated = raft_members.failures_tolerated(len(membership.voters), len(silent))
-        metrics.losses_bearable.set(tolerated)
         logs.event(
             "members_change",
             kind=kind,
