A joiner is promoted while entries are committed all the time

The lost voter stayed a member, and the next loss, more than catch_up_s after the joiner had started, left one voter of three.

Cause: is_caught_up compared the joiner with the commit index of the same instant, which a member behind a slow link reaches only while nothing changes.

Change: a joiner has caught up if it has all entries of earlier terms and what was committed one election timeout ago. What a voter may lack then is as little as what one round of catching up may leave (dissertation, 4.2.1); a majority still holds each committed entry. Both kinds of control VM ask raft.Raft.replication_status. Nothing on the wire or disk changes.

--- a/src/merlinthread/coordination/membership_repair.py
+++ b/src/merlinthread/coordination/membership_repair.py
@@ -45,14 +45,15 @@
 class GroupStatus:
     """The leader's view of the group.
 
-    `matches` and `heard_at` hold the match index of each member but the leader, and the time of its
-    last reply. `joiners` holds the time of the last request of each member that asks to join;
-    `leaving` are about to shut down; `unheard` have not replied since the leader's election.
+    A member that has the entries up to `settled` has caught up. `matches` and `heard_at` hold the
+    match index of each member but the leader, and the time of its last reply. `joiners` holds the
+    time of the last request of each member that asks to join; `leaving` are about to shut down;
+    `unheard` have not replied since the leader's election.
     """
 
     membership: raft_messages.Voters
     leader: str
-    commit: int
+    settled: int
     matches: dict[str, int]
     heard_at: dict[str, float]
     joiners: dict[str, float]
@@ -170,8 +171,8 @@
 
 
 def is_caught_up(group: GroupStatus, name: str) -> bool:
-    """Return whether a learner has all committed entries."""
-    return name in group.membership.learners and group.matches.get(name, 0) >= group.commit
+    """Return whether a learner has the entries that a voter must have."""
+    return name in group.membership.learners and group.matches.get(name, 0) >= group.settled
 
 
 def admit_joiner(
@@ -183,7 +184,7 @@
     would raise the majority, so that losing the joiner too could end it. Once the voter is heard
     again or removed, the joiner is promoted. A VM has one member at a time.
     """
-    status = raft_members.ReplicationStatus(group.leader, group.commit, group.matches)
+    status = raft_members.ReplicationStatus(group.leader, group.settled, group.matches)
     is_promotion_due = len(group.membership.voters) < policy.voters_needed() or not (
         may_be_lost(group, now)
     )
--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import raft_log, raft_members, raft_messages
+from merlinthread.coordination import commit_history, raft_log, raft_members, raft_messages
 from merlinthread.state import journal
 
 FOLLOWER = "follower"
@@ -65,6 +65,7 @@
         self.votes: set[str] = set()
         self.is_pre_vote = False
         self.progress: dict[str, raft_messages.Progress] = {}
+        self.commit_history = commit_history.CommitHistory(self.timing.election_max_s)
         self.outbox: list[tuple[str, raft_messages.Message]] = []
         self.hard_state_changed = False
         self.installed_snapshot: journal.Snapshot | None = None
@@ -108,6 +109,19 @@
             and now < self.lease_until()
         )
 
+    def replication_status(self, now: float) -> raft_members.ReplicationStatus:
+        """Return this leader's view of the replication, for membership changes.
+
+        A new voter may lack what was committed within the last election timeout (section 4.2.1 of
+        the dissertation), but no entry of an earlier term: while entries are committed all the
+        time, a member never has them all.
+        """
+        settled = self.commit_history.index_before(now - self.timing.election_max_s)
+        matches = {name: progress.match for name, progress in self.progress.items()}
+        return raft_members.ReplicationStatus(
+            self.name, max(self.term_start_index, settled), matches
+        )
+
     def is_of_current_term(self, index: int) -> bool:
         """Return whether the entry at `index` is of the current term.
 
@@ -145,6 +159,7 @@
         if now < self.heartbeat_at:
             return
         self.heartbeat_at = now + self.timing.heartbeat_s
+        self.commit_history.record(self.commit, now)
         reachable = [
             name
             for name in self.without_self(self.log.membership.voters)
@@ -194,6 +209,7 @@
             return
         self.role = LEADER
         self.leader = self.name
+        self.commit_history.clear()
         first = self.log.last_index() + 1
         self.progress = {
             name: raft_messages.Progress(next=first, heard_at=now)
@@ -483,11 +499,8 @@
             raise raft_members.change_refused(
                 "another membership change is not committed yet; try again"
             )
-        matches = {name: progress.match for name, progress in self.progress.items()}
         members = raft_members.apply_change(
-            self.log.membership,
-            change,
-            raft_members.ReplicationStatus(self.name, self.commit, matches),
+            self.log.membership, change, self.replication_status(now)
         )
         if change.add:
             first = self.log.last_index() + 1
--- a/src/merlinthread/coordination/raft_members.py
+++ b/src/merlinthread/coordination/raft_members.py
@@ -24,10 +24,13 @@
 
 @dataclasses.dataclass(slots=True)
 class ReplicationStatus:
-    """The leader's name, its commit index, and the match index of each other member."""
+    """The leader's name, and the match index of each other member.
+
+    A member that has the entries up to `settled` has caught up.
+    """
 
     leader: str
-    commit: int
+    settled: int
     matches: dict[str, int]
 
 
@@ -74,10 +77,10 @@
 
 
 def promote_learner(members: raft_messages.Voters, name: str, status: ReplicationStatus) -> None:
-    """Promote a learner to voter once it has every committed entry."""
+    """Promote a learner to voter once it has caught up."""
     if name not in members.learners:
         raise change_refused(f"{name!r} is not a learner; add it first")
-    behind = status.commit - status.matches.get(name, 0)
+    behind = status.settled - status.matches.get(name, 0)
     if behind > 0:
         raise change_refused(f"{name!r} is {behind} entries behind; wait until it has caught up")
     members.learners.remove(name)
@@ -133,7 +136,7 @@
     if joiner.name not in members.members():
         return MembershipChange(add=joiner.name, identity=joiner.identity, address=joiner.address)
     if joiner.name in members.learners:
-        is_caught_up = status.matches.get(joiner.name, 0) >= status.commit
+        is_caught_up = status.matches.get(joiner.name, 0) >= status.settled
         return MembershipChange(promote=joiner.name) if is_caught_up else None
     if joiner.replaces in members.members() and is_replaced_unresponsive:
         return (
--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -242,11 +242,12 @@
         for name, requested_at in list(self.leave_requested_at.items()):
             if now - requested_at > REQUEST_EXPIRY_S:
                 del self.leave_requested_at[name]
+        status = member.replication_status(now)
         return membership_repair.GroupStatus(
             member.log.membership,
             member.name,
-            member.commit,
-            {name: progress.match for name, progress in member.progress.items()},
+            status.settled,
+            status.matches,
             {name: progress.heard_at for name, progress in member.progress.items()},
             self.join_requests.pending(member.log.membership.retired, now),
             list(self.leave_requested_at),
--- a/src/merlinthread/roles/leader_duties.py
+++ b/src/merlinthread/roles/leader_duties.py
@@ -41,8 +41,7 @@
         if unknown:
             self.change_membership(raft_members.MembershipChange(identities=unknown), now)
             return
-        matches = {name: progress.match for name, progress in self.task.raft.progress.items()}
-        status = raft_members.ReplicationStatus(self.task.name, self.task.raft.commit, matches)
+        status = self.task.raft.replication_status(now)
         for name, (join, received_at) in list(self.join_requests.items()):
             if now - received_at > JOIN_REQUEST_EXPIRY_S:
                 del self.join_requests[name]
