A new member gets the state in place of the log, and each entry once

Cause: how much a joiner needs grew with the number of changes, not with the state; it was sent in messages of up to 512 KiB, each given up after 0.6 s, so that none arrives below 7 Mbit/s; and each message that had been on its way when one was lost made the leader send everything again.

A message has 64 KiB of entries at most. While a long one is on its way no further entries are sent, and heartbeats name the last acknowledged entry, so that they are not rejected. Of several replies to messages before a gap only the first rewinds (AppendReply tells when the message was sent). A joiner is sent entries from the first on, without a round trip to find that out.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 import msgspec
@@ -66,6 +67,8 @@
         self.is_pre_vote = False
         self.progress: dict[str, raft_messages.Progress] = {}
         self.commit_history = commit_history.CommitHistory(self.timing.election_max_s)
+        # Sent to learners in place of the entries that it contains.
+        self.prepared_snapshot: journal.Snapshot | None = None
         self.outbox: list[tuple[str, raft_messages.Message]] = []
         self.hard_state_changed = False
         self.installed_snapshot: journal.Snapshot | None = None
@@ -210,6 +213,7 @@
         self.role = LEADER
         self.leader = self.name
         self.commit_history.clear()
+        self.prepared_snapshot = None
         first = self.log.last_index() + 1
         self.progress = {
             name: raft_messages.Progress(next=first, heard_at=now)
@@ -370,17 +374,33 @@
         progress.identity = reply.identity
         progress.acked_at = max(progress.acked_at, reply.sent_at)
         if not reply.is_accepted:
-            progress.rejected += 1
-            before = progress.next
-            progress.next = max(progress.match + 1, min(reply.match + 1, before - 1))
-            is_in_log = self.log.term_at(progress.next - 1) is not None
-            if progress.next < before and is_in_log:
-                self.send_append(reply.sender, now)
+            self.on_gap(reply, progress, now)
             return
         progress.match = max(progress.match, reply.match)
         progress.next = max(progress.next, progress.match + 1)
         self.advance_commit()
 
+    def on_gap(
+        self, reply: raft_messages.AppendReply, progress: raft_messages.Progress, now: float
+    ) -> None:
+        """Send earlier entries to a member that lacks the one before those it got.
+
+        Several messages may be on their way when the first of them is rejected. They are all
+        rejected, and only one of the replies must make the entries be sent again.
+        """
+        progress.rejected += 1
+        if reply.sent_at < progress.rewound_at:
+            return
+        before = progress.next
+        progress.next = max(progress.match + 1, min(reply.match + 1, before - 1))
+        if progress.next == before:
+            return
+        # Later than the messages sent at this moment, which are rejected as well.
+        progress.rewound_at = math.nextafter(now, math.inf)
+        progress.long_until = float("-inf")
+        if self.log.term_at(progress.next - 1) is not None:
+            self.send_append(reply.sender, now)
+
     def on_install_snapshot(self, install: raft_messages.InstallSnapshot, now: float) -> None:
         """Install the leader's snapshot if it is ahead of the commit index."""
         if not self.follow_leader(install.sender, install.term, now):
@@ -413,42 +433,102 @@
         return True
 
     def send_append(self, name: str, now: float) -> None:
-        """Send `name` its next entries, a heartbeat if there are none, or the snapshot."""
+        """Send `name` its next entries, a heartbeat if there are none, or a snapshot.
+
+        While a long message is on its way, send a heartbeat that does not depend on it.
+        """
         progress = self.progress[name]
-        previous = progress.next - 1
-        previous_term = self.log.term_at(previous)
-        if previous_term is None:
-            self.send_snapshot(name, progress, now)
+        if progress.has_long_message(now):
+            self.send_entries(name, progress.match, [], now)
             return
-        entries = self.log.entries_from(progress.next, self.limits)
-        append = raft_messages.AppendEntries(
-            self.name,
-            self.hard_state.term,
-            previous,
-            previous_term,
-            self.commit,
-            now,
-            entries,
-        )
-        progress.next += len(entries)
-        progress.sent_at = now
-        self.outbox.append((name, append))
-
-    def send_snapshot(self, name: str, progress: raft_messages.Progress, now: float) -> None:
-        """Send the snapshot at most every `snapshot_resend_s`, and a heartbeat otherwise."""
-        if now - progress.sent_at < self.timing.snapshot_resend_s:
+        snapshot = self.snapshot_for(name)
+        if snapshot is not None:
             self.outbox.append(
                 (
                     name,
-                    raft_messages.AppendEntries(self.name, self.hard_state.term, 0, 0, 0, now, []),
+                    raft_messages.InstallSnapshot(self.name, self.hard_state.term, now, snapshot),
                 )
             )
+            self.expect_long_message(progress, snapshot.index, len(snapshot.state), now)
+            return
+        entries = []
+        if self.may_send_entries(progress, now):
+            entries = self.log.entries_from(progress.next, self.limits)
+        self.send_entries(name, progress.next - 1, entries, now)
+        progress.next += len(entries)
+        size_bytes = sum(len(entry.data) for entry in entries)
+        if size_bytes > self.limits.long_bytes:
+            self.expect_long_message(progress, progress.next - 1, size_bytes, now)
+
+    def send_entries(
+        self, name: str, previous: int, entries: list[journal.Entry], now: float
+    ) -> None:
+        """Send entries that follow entry `previous`, or none as a heartbeat.
+
+        If the entry is compacted, the heartbeat names none before it.
+        """
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            previous, previous_term = 0, 0
+        sent_at = max(now, self.progress[name].rewound_at)
+        append = raft_messages.AppendEntries(
+            self.name, self.hard_state.term, previous, previous_term, self.commit, sent_at, entries
+        )
+        self.outbox.append((name, append))
+
+    def expect_long_message(
+        self, progress: raft_messages.Progress, end: int, size_bytes: int, now: float
+    ) -> None:
+        """Record that a long message with the entries up to `end` is on its way."""
+        progress.long_end = end
+        resend_s = self.timing.resend_s + size_bytes / self.timing.bytes_per_s_min
+        progress.long_until = now + resend_s
+
+    def on_long_message_sent(self, name: str, is_delivered: bool, now: float) -> None:
+        """Handle the end of the transfer of a long message, if the owner knows of it.
+
+        A lost one is sent again after a heartbeat, unless its entries have arrived.
+        """
+        progress = self.progress.get(name)
+        if self.role != LEADER or progress is None or not progress.has_long_message(now):
+            return
+        if is_delivered:
+            progress.long_until = min(progress.long_until, now + self.timing.resend_s)
             return
-        progress.sent_at = now
-        install = raft_messages.InstallSnapshot(
-            self.name, self.hard_state.term, now, self.log.snapshot
+        progress.next = min(progress.next, progress.match + 1)
+        progress.rewound_at = now
+        progress.long_until = now + self.timing.heartbeat_s
+
+    # Snapshots for other members
+
+    def snapshot_for(self, name: str) -> journal.Snapshot | None:
+        """Return the snapshot that a member needs before its next entries, or None."""
+        following = self.progress[name].next
+        prepared = self.prepared_snapshot_for(name)
+        if prepared is not None and following <= prepared.index:
+            return prepared
+        return self.log.snapshot if self.log.term_at(following - 1) is None else None
+
+    def prepared_snapshot_for(self, name: str) -> journal.Snapshot | None:
+        """Return the snapshot that was prepared for learners if `name` is one, or None."""
+        return self.prepared_snapshot if name in self.log.membership.learners else None
+
+    def bytes_to_send(self, name: str) -> int:
+        """Return the bytes of the delivered entries that a member lacks, after its snapshot."""
+        first = max(self.progress[name].match, self.log.snapshot.index)
+        prepared = self.prepared_snapshot_for(name)
+        if prepared is not None:
+            first = max(first, prepared.index)
+        return sum(
+            len(entry.data) for entry in self.log.entries_between(first, self.delivered_index)
         )
-        self.outbox.append((name, install))
+
+    def prepare_snapshot(self, state: bytes) -> None:
+        """Send `state`, that of the delivered entries, to learners in place of these entries.
+
+        The entries are kept for the voters, which need only the last ones.
+        """
+        self.prepared_snapshot = self.log.make_snapshot(self.delivered_index, state)
 
     # Leader
 
@@ -474,11 +554,19 @@
         if self.role != LEADER:
             return
         for name in self.without_self(self.log.membership.members()):
-            next_index = self.progress[name].next
-            is_in_log = self.log.term_at(next_index - 1) is not None
-            if is_in_log and next_index <= self.log.last_index():
+            progress = self.progress[name]
+            if progress.next <= self.log.last_index() and self.may_send_entries(progress, now):
                 self.send_append(name, now)
 
+    def may_send_entries(self, progress: raft_messages.Progress, now: float) -> bool:
+        """Return whether few enough entries are on their way to a member to send further ones."""
+        if progress.has_long_message(now):
+            return False
+        unacknowledged = self.log.entries_between(
+            max(progress.match, self.log.snapshot.index), progress.next - 1
+        )
+        return sum(len(entry.data) for entry in unacknowledged) <= self.limits.bytes_per_append
+
     def require_leader(self) -> None:
         """Raise NotLeaderError unless this member is the leader."""
         if self.role != LEADER:
@@ -503,8 +591,7 @@
             self.log.membership, change, self.replication_status(now)
         )
         if change.add:
-            first = self.log.last_index() + 1
-            self.progress[change.add] = raft_messages.Progress(next=first, heard_at=now)
+            self.progress[change.add] = raft_messages.Progress(heard_at=now)
         return self.append_entry("voters", msgspec.msgpack.encode(members)).index
 
     def advance_commit(self) -> None:
@@ -567,4 +654,5 @@
         """
         if index > self.delivered_index:
             raise ValueError(f"index {index} is not in the delivered part of the log")
+        self.prepared_snapshot = None
         return self.log.compact(index, state)
--- a/src/merlinthread/coordination/raft_log.py
+++ b/src/merlinthread/coordination/raft_log.py
@@ -122,13 +122,20 @@
     def compact(self, index: int, state: bytes) -> journal.Snapshot:
         """Replace the entries up to `index` by a snapshot with `state`, and return it.
 
+        Raises ValueError if the entry at `index` is compacted or missing.
+        """
+        snapshot = self.make_snapshot(index, state)
+        self.entries = self.entries[index - self.snapshot.index :]
+        self.snapshot = snapshot
+        return snapshot
+
+    def make_snapshot(self, index: int, state: bytes) -> journal.Snapshot:
+        """Return a snapshot of `state` at `index`.
+
         Raises ValueError if the entry at `index` is compacted or missing.
         """
         term = self.term_at(index)
         if term is None:
             raise ValueError(f"index {index} is not in the log")
         voters = msgspec.msgpack.encode(self.membership_at(index))
-        snapshot = journal.Snapshot(index, term, voters, state)
-        self.entries = self.entries[index - self.snapshot.index :]
-        self.snapshot = snapshot
-        return snapshot
+        return journal.Snapshot(index, term, voters, state)
--- a/src/merlinthread/coordination/raft_messages.py
+++ b/src/merlinthread/coordination/raft_messages.py
@@ -135,21 +135,31 @@
 
 @dataclasses.dataclass(slots=True)
 class Timing:
-    """Timeouts in seconds; a lease lasts `lease_fraction` of `election_min_s`."""
+    """Timeouts in seconds; a lease lasts `lease_fraction` of `election_min_s`.
+
+    A long message is sent again after `resend_s`, and as much longer as it takes at
+    `bytes_per_s_min`, unless it is known to be lost earlier.
+    """
 
     heartbeat_s: float = 0.1
     election_min_s: float = 0.6
     election_max_s: float = 1.2
     lease_fraction: float = 0.8
-    snapshot_resend_s: float = 0.5
+    resend_s: float = 0.5
+    bytes_per_s_min: float = 50_000.0
 
 
 @dataclasses.dataclass(slots=True)
 class Limits:
-    """Limits of one AppendEntries message and of the number of uncommitted entries."""
+    """Limits of one AppendEntries message and of the number of uncommitted entries.
+
+    A message with more than `long_bytes` of entries is long: no further entries are sent to the
+    member before it is acknowledged.
+    """
 
     entries_per_append: int = 256
-    bytes_per_append: int = 512 * 1024
+    bytes_per_append: int = 64 * 1024
+    long_bytes: int = 16 * 1024
     uncommitted_max: int = 4096
 
 
@@ -174,13 +184,21 @@
 class Progress:
     """The leader's view of one other member; times are on the leader's clock.
 
-    `rejected` counts the messages whose preceding entry the member did not have.
+    A long message up to entry `long_end` is on its way until it is acknowledged, at most until
+    `long_until`. Messages sent before `rewound_at` say nothing of those sent since. `rejected`
+    counts the messages whose preceding entry the member did not have.
     """
 
     match: int = 0
     next: int = 1
     acked_at: float = float("-inf")
     heard_at: float = float("-inf")
-    sent_at: float = float("-inf")
+    long_end: int = 0
+    long_until: float = float("-inf")
+    rewound_at: float = float("-inf")
     identity: str = ""
     rejected: int = 0
+
+    def has_long_message(self, now: float) -> bool:
+        """Return whether a long message is on its way to the member."""
+        return self.match < self.long_end and now < self.long_until
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -37,6 +37,8 @@
 TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
 COMPACT_AFTER_ENTRIES = 1500
 COMPACT_AFTER_BYTES = 16 * 1024 * 1024
+# A learner that lacks more of the log than this gets a snapshot, if that is shorter.
+SNAPSHOT_ABOVE_BYTES = 64 * 1024
 MAINTENANCE_INTERVAL_S = 0.2
 DISK_RETRY_DELAY_S = 0.5
 # The commit index is saved once nothing was saved for this long, so that a burst of changes shares
@@ -197,6 +199,7 @@
             self.leader_tracker.log_missing_leader(now)
             self.member_changes.repair(now)
             self.report_repair(now)
+            self.prepare_snapshot()
 
     def report_repair(self, now: float) -> None:
         """Report at the leader whether the group tolerates enough failures."""
@@ -284,6 +287,23 @@
             return
         logs.event("compacted", index=snapshot.index)
 
+    def prepare_snapshot(self) -> None:
+        """Let a learner have the state in place of the log if that is shorter.
+
+        The log has each earlier configuration, and a learner that gets all of them over a slow link
+        is not promoted before the next failure.
+        """
+        learners = self.raft.log.membership.learners
+        if not self.raft.is_leader() or self.applied != self.raft.delivered_index:
+            return
+        log_bytes = max((self.raft.bytes_to_send(name) for name in learners), default=0)
+        if log_bytes <= SNAPSHOT_ABOVE_BYTES:
+            return
+        state = msgspec.msgpack.encode(self.state)
+        if len(state) < log_bytes:
+            self.raft.prepare_snapshot(state)
+            logs.event("snapshot_prepared", log_bytes=log_bytes, state_bytes=len(state))
+
     def apply(self, entry: journal.Entry) -> None:
         """Apply a committed entry and complete the proposal that waits for it.
 
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -1,10 +1,11 @@
 """Control VMs that fail permanently and are replaced: the group tolerates the next failure."""
 
 import asyncio
+import random
 import time
 
 from merlinthread import errors
-from merlinthread.coordination import levels, raft_members
+from merlinthread.coordination import fleet_state, levels, raft_members
 from merlinthread.nodes import fleet_watcher, leader_tracker, log_member
 from merlinthread.protocol import node_messages
 from tests import fleet_nodes
@@ -137,6 +138,26 @@
     run(tmp_path, scenario)
 
 
+# Guards against a new member that gets each earlier configuration, over a link that is too slow.
+def test_new_member_gets_the_state_in_place_of_a_long_log(tmp_path):
+    async def scenario(controls):
+        await controls.until_leader()
+        leader = controls.nodes[controls.leader()]
+        body_bytes = 4096
+        for version in range(1, 41):
+            body = random.Random(version).randbytes(body_bytes)
+            await leader.submit(fleet_state.Configure(version, body))
+        await controls.start(REPLACEMENT)
+        new = controls.nodes[REPLACEMENT].member
+        await fleet_nodes.until(lambda: new.name in new.raft.log.membership.voters)
+        await fleet_nodes.until(lambda: new.state.version == 40)
+        assert leader.member.sender.statistics(new.name).sent_bytes < 10 * body_bytes
+        # The others may need only its last entries.
+        assert not leader.member.raft.log.snapshot.index
+
+    run(tmp_path, scenario)
+
+
 def test_replaced_voter_leaves_the_group_before_it_stops(tmp_path):
     async def scenario(controls):
         await put_configuration(controls, 1)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -261,9 +261,13 @@
 
 def run_with_distant_member(
     cluster: raft_cluster.Cluster, name: str, delay_s: float, seconds: float
-) -> None:
-    """Propose a command in each step; messages from and to one member take `delay_s`."""
+) -> int:
+    """Propose a command in each step; messages from and to one member take `delay_s`.
+
+    Return the number of entries that were sent to that member.
+    """
     delayed: list[tuple[float, tuple]] = []
+    sent = 0
     stop_at = cluster.now + seconds
     while cluster.now < stop_at:
         cluster.advance(raft_cluster.STEP_S)
@@ -276,10 +280,13 @@
             cluster.network.append(item)
             cluster.deliver(len(cluster.network) - 1)
         while cluster.network:
-            if name in (cluster.network[0][0], cluster.network[0][1].sender):
+            receiver, message = cluster.network[0]
+            if name in (receiver, message.sender):
                 delayed.append((cluster.now + delay_s, cluster.network.pop(0)))
+                sent += len(getattr(message, "entries", []))
             else:
                 cluster.deliver(0)
+    return sent
 
 
 # Guards against a joiner that is never promoted while changes come faster than its replies.
@@ -304,6 +311,47 @@
     assert not cluster.change(raft_members.MembershipChange(promote="n0"))
 
 
+# Guards against entries that are sent again for each message that was on its way when one was lost.
+def test_entries_are_sent_again_once_after_a_gap():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    leader = cluster.leader()
+    follower = next(name for name in cluster.names if name != leader.name)
+    before = leader.raft.log.last_index()
+    sent = run_with_distant_member(cluster, follower, delay_s=0.4, seconds=1.0)
+    sent += run_with_distant_member(cluster, follower, delay_s=0.4, seconds=3.0)
+    assert leader.raft.progress[follower].rejected > 1
+    # Those that were lost, and those of the round trip after them, are sent twice.
+    assert sent <= leader.raft.log.last_index() - before + 4 * 0.4 / raft_cluster.STEP_S
+
+
+# Guards against a log that takes longer to send than until it is sent again.
+def test_long_message_is_neither_repeated_nor_overtaken_while_it_is_on_its_way():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    leader = cluster.leader().raft
+    follower = next(name for name in cluster.names if name != leader.name)
+    leader.propose(b"x" * 2 * leader.limits.long_bytes, cluster.now)
+    leader.flush(cluster.now)
+    leader.propose(b"y", cluster.now)
+    for _ in range(5):
+        cluster.advance(leader.timing.heartbeat_s)
+        leader.progress[next(n for n in cluster.names if n not in (follower, leader.name))] = (
+            raft_messages.Progress(heard_at=cluster.now, next=leader.log.last_index() + 1)
+        )
+        leader.tick(cluster.now)
+        leader.flush(cluster.now)
+    appends = [m for receiver, m in leader.outbox if receiver == follower]
+    assert [len(append.entries) for append in appends] == [1, 0, 0, 0, 0, 0]
+    match = leader.progress[follower].match
+    assert {append.previous_index for append in appends[1:]} == {match}
+    # It is sent again if it was lost, and once its time is over.
+    leader.on_long_message_sent(follower, False, cluster.now)
+    cluster.advance(leader.timing.heartbeat_s)
+    leader.flush(cluster.now)
+    assert [len(m.entries) for r, m in leader.outbox if r == follower][6:] == [2]
+
+
 def test_too_many_uncommitted_commands_are_refused():
     cluster = raft_cluster.Cluster(3)
     cluster.run(2.0)
