Raft messages do not wait for the reply to earlier ones on a slow link

Cause: LogSender sent one batch at a time and waited for its reply, so that an acknowledgement took up to three round trips, while a lease lasts 0.6 s from when the message was sent; votes and heartbeats queued behind the log; and a call was given up after 0.6 s whatever its size and the round trip.

Change: short messages are sent beside a call that takes longer than 50 ms (16 calls at most); long ones have a queue of their own, one at a time, and Raft is told whether each arrived; a timeout is four times the last reply time, 0.6 to 2.4 s, doubles after a timeout, and grows with the message's size. Connections to another control VM are bounded by the timeout of the call. Nothing on the wire changes.

Evidence: test_heartbeats_do_not_wait_for_the_reply_to_an_earlier_one failed before (waits of 0.35 s and more for 0.05), as did test_heartbeats_do_not_wait_for_a_long_message; both pass now.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -15,6 +15,7 @@
     version_history,
 )
 from merlinthread.nodes import (
+    call_timeouts,
     control_api,
     crash_registry,
     leader_tracker,
@@ -52,7 +53,8 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.rpc_client = node_bus.RpcClient(codec)
+        # Bounded by the timeout of each call, which follows the round trip.
+        self.rpc_client = node_bus.RpcClient(codec, call_timeouts.TIMEOUT_MAX_S)
         self.registry = instances.InstanceRegistry(settings.heartbeat_s)
         self.versions = version_history.VersionHistory(settings.bounds.version_s)
         self.outgoing_heartbeats: list[fleet.Heartbeat] = []
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -81,7 +81,7 @@
         self.inbox: list[raft_messages.Message] = []
         self.wakeup = asyncio.Event()
         self.levels = levels.MemberLevels()
-        self.sender = log_sender.LogSender(codec, rpc_client, self.levels)
+        self.sender = log_sender.LogSender(codec, rpc_client, self.levels, self.handle_long_message)
         self.member_changes = member_changes.MemberChanges(
             settings,
             rpc_client,
@@ -213,6 +213,11 @@
             self.inbox.append(self.codec.decode(frame))
         self.wakeup.set()
 
+    def handle_long_message(self, receiver: str, is_delivered: bool) -> None:
+        """Tell Raft whether a long message was delivered."""
+        self.raft.on_long_message_sent(receiver, is_delivered, self.clock())
+        self.wakeup.set()
+
     # Durability
 
     def process_ready(self, now: float) -> None:
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -27,12 +27,15 @@
 
 
 class RpcClient:
-    """A client for calls to other nodes over pooled connections."""
+    """A client for calls to other nodes over pooled connections.
 
-    def __init__(self, codec: codecs.Codec) -> None:
+    A connection is given up if it is not established within `connect_timeout_s`.
+    """
+
+    def __init__(self, codec: codecs.Codec, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         self.codec = codec
         self.pool = connection_pool.ConnectionPool(
-            KEEP_ALIVE_S, CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S
+            KEEP_ALIVE_S, connect_timeout_s, TCP_USER_TIMEOUT_S
         )
 
     async def call(self, address: str, message: Any, timeout_s: float) -> Any:
