The votes of an election have an election timeout of their own

Cause: the election timer ran on from the pre-votes to the votes, so that both round trips had to fit into one timeout; a candidate began anew, with another term, while the votes for it were on their way.

Change: the timer is restarted once the pre-votes are won. Evidence: test_votes_may_take_as_long_as_pre_votes failed before (no leader with round trips of 0.9 of the shortest timeout), passes now.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -208,6 +208,8 @@
     def on_vote_quorum(self, now: float, is_pre_vote: bool) -> None:
         """Start the election after a won pre-vote, or become leader after a won election."""
         if is_pre_vote:
+            # The votes take a round trip of their own.
+            self.reset_election(now)
             self.campaign(now, is_pre_vote=False)
             return
         self.role = LEADER
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -352,6 +352,23 @@
     assert [len(m.entries) for r, m in leader.outbox if r == follower][6:] == [2]
 
 
+# Guards against candidates on a slow link that begin anew while the votes for them are on their way.
+def test_votes_may_take_as_long_as_pre_votes():
+    cluster = raft_cluster.Cluster(3)
+    candidate = cluster.members["c0"].raft
+    cluster.now = candidate.election_at
+    candidate.tick(cluster.now)
+    for _ in ("pre-vote", "vote"):
+        requests = candidate.ready()
+        candidate.mark_saved(requests)
+        cluster.advance(0.9 * candidate.timing.election_min_s)
+        candidate.tick(cluster.now)
+        for receiver, request in requests.messages:
+            reply = raft_messages.VoteReply(receiver, request.term, True, request.is_trial)
+            candidate.step(reply, cluster.now)
+    assert candidate.is_leader()
+
+
 def test_too_many_uncommitted_commands_are_refused():
     cluster = raft_cluster.Cluster(3)
     cluster.run(2.0)
