A member that granted a pre-vote lets that candidate request its votes first

Cause: two voters that begin an election within one round trip deny each other's votes; with a spread of the timeouts of 0.75 s and round trips of 0.4 s that is the usual case, and not an accident.

Nothing is promised by it: a vote is still decided by term and log alone.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -293,9 +293,10 @@
         # The sender's term is one less than the term for which it requests a pre-vote.
         if request.term - 1 > self.hard_state.term:
             self.become_follower(request.term - 1, "", now)
-        reply = raft_messages.VoteReply(
-            self.name, request.term, self.is_up_to_date(request), True, self.identity
-        )
+        is_granted = self.is_up_to_date(request)
+        reply = raft_messages.VoteReply(self.name, request.term, is_granted, True, self.identity)
+        if is_granted and self.hard_state.term < request.term:
+            self.defer_election(request, now)
         if self.hard_state.term >= request.term:
             # A denied vote of a higher term makes the sender adopt that term, a pre-vote does not.
             reply = raft_messages.VoteReply(
@@ -303,6 +304,19 @@
             )
         self.outbox.append((request.sender, reply))
 
+    def defer_election(self, request: raft_messages.VoteRequest, now: float) -> None:
+        """Let a candidate that got this member's pre-vote request its votes first.
+
+        Otherwise members that begin within one round trip deny each other's votes, again and again
+        on a slow link. Of two equal candidates for pre-votes, one continues.
+        """
+        if self.role == CANDIDATE:
+            is_equal = request.last_index == self.log.last_index()
+            if not self.is_pre_vote or (is_equal and request.sender < self.name):
+                return
+            self.role = FOLLOWER
+        self.reset_election(now)
+
     def is_up_to_date(self, request: raft_messages.VoteRequest) -> bool:
         """Return whether the log of a candidate is at least as up to date as this member's."""
         return (request.last_term, request.last_index) >= (
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -369,6 +369,24 @@
     assert candidate.is_leader()
 
 
+# Guards against two candidates on a slow link that deny each other's votes again and again.
+@pytest.mark.parametrize("seed", range(10))
+def test_two_voters_on_a_slow_link_elect_a_leader_in_time(seed):
+    cluster = raft_cluster.Cluster(3, seed)
+    cluster.run(2.0)
+    lost = cluster.leader()
+    survivor = next(name for name in cluster.names if name != lost.name)
+    cluster.crash(lost.name)
+    timing = lost.raft.timing
+    round_trip_s = 0.4
+    # The timeout, two round trips, and a step of this test for each message.
+    seconds = timing.election_max_s + 2 * round_trip_s + 4 * raft_cluster.STEP_S
+    # One of them may have deferred its election for the other one once.
+    seconds += timing.election_max_s
+    run_with_distant_member(cluster, survivor, delay_s=round_trip_s / 2, seconds=seconds)
+    assert cluster.leader() is not None
+
+
 def test_too_many_uncommitted_commands_are_refused():
     cluster = raft_cluster.Cluster(3)
     cluster.run(2.0)
