A repair continues as soon as a change of members is committed

The steps of a repair, add, remove and promote, waited up to 0.2 s each for the next check, and a leader on a slow link, which lacks its lease for moments, refused requests to join meanwhile.

Change: a committed change of members makes the next check due at once, and a leader records requests to join without a lease; the change itself still needs it.

--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -324,6 +324,9 @@
             is_changed = self.state.apply(command)
             metrics.log_level.set(self.state.level)
             self.on_applied(command, self.leader_tracker.commit_age_max_s(entry, self.clock()))
+        elif entry.kind == "voters":
+            # The next change of a repair may be due.
+            self.maintenance_at = float("-inf")
         self.applied = entry.index
         metrics.log_index.set(entry.index)
         self.proposals.complete(entry, is_changed)
--- a/src/merlinthread/nodes/member_changes.py
+++ b/src/merlinthread/nodes/member_changes.py
@@ -117,10 +117,13 @@
             self.on_removed()
 
     async def reply_to_join(self, join: node_messages.JoinRequest) -> node_messages.JoinReply:
-        """Record a request to join if this member leads; otherwise forward it to the leader."""
+        """Record a request to join if this member leads; otherwise forward it to the leader.
+
+        A leader may lack its lease for a moment on a slow link; it needs it for the change itself.
+        """
         member = self.get_raft()
         now = self.clock()
-        if member.holds_lease(now):
+        if member.is_leader():
             if join.name in member.log.membership.retired:
                 # The sender deletes its data, which is needed if the removal is not committed.
                 is_committed = not member.log.has_membership_change_after(member.commit)
