--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -539,6 +539,11 @@
             len(entry.data) for entry in self.log.entries_between(first, self.delivered_index)
         )
 
+    def needs_log_snapshot(self, name: str) -> bool:
+        """Return whether a member's next entries are only in the snapshot that begins the log."""
+        is_compacted = self.progress[name].next <= self.log.snapshot.index
+        return is_compacted and self.prepared_snapshot_for(name) is None
+
     def prepare_snapshot(self, state: bytes) -> None:
         """Send `state`, that of the delivered entries, to learners in place of these entries.
 
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -302,10 +302,12 @@
         if not self.raft.is_leader() or self.applied != self.raft.delivered_index:
             return
         log_bytes = max((self.raft.bytes_to_send(name) for name in learners), default=0)
-        if log_bytes <= SNAPSHOT_ABOVE_BYTES:
+        # An older snapshot and the entries after it take two round trips.
+        needs_snapshot = log_bytes > 0 and any(map(self.raft.needs_log_snapshot, learners))
+        if log_bytes <= SNAPSHOT_ABOVE_BYTES and not needs_snapshot:
             return
         state = msgspec.msgpack.encode(self.state)
-        if len(state) < log_bytes:
+        if needs_snapshot or len(state) < log_bytes:
             self.raft.prepare_snapshot(state)
             logs.event("snapshot_prepared", log_bytes=log_bytes, state_bytes=len(state))
 
