Up to three long messages of 32 KiB are on their way to a member

Change: three may be on their way, so that the reply to a later one shows within a round trip that an earlier one was lost; a heartbeat has a call of its own as before. Messages are 32 KiB at most, and have time for 100 KB/s.

Evidence: test_lost_long_message_is_sent_again_after_one_round_trip.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -172,7 +172,7 @@
             self.become_follower(self.hard_state.term, "", now)
             return
         for name in self.without_self(self.log.membership.members()):
-            self.send_append(name, now)
+            self.send_heartbeat(name, now)
 
     def resign(self, now: float) -> None:
         """Step down, and start no election until the process restarts; for a planned shutdown."""
@@ -413,7 +413,7 @@
             return
         # Later than the messages sent at this moment, which are rejected as well.
         progress.rewound_at = math.nextafter(now, math.inf)
-        progress.long_until = float("-inf")
+        progress.long_messages.clear()
         if self.log.term_at(progress.next - 1) is not None:
             self.send_append(reply.sender, now)
 
@@ -448,15 +448,20 @@
         self.outbox.append((name, raft_messages.IdentityMismatch(self.name, name, registered)))
         return True
 
-    def send_append(self, name: str, now: float) -> None:
-        """Send `name` its next entries, a heartbeat if there are none, or a snapshot.
+    def send_heartbeat(self, name: str, now: float) -> None:
+        """Send `name` a heartbeat, with its next entries if no long message is on its way.
 
-        While a long message is on its way, send a heartbeat that does not depend on it.
+        Otherwise it names the last acknowledged entry, which does not depend on that message.
         """
         progress = self.progress[name]
-        if progress.has_long_message(now):
+        if progress.long_messages_at(now):
             self.send_entries(name, progress.match, [], now)
-            return
+        else:
+            self.send_append(name, now)
+
+    def send_append(self, name: str, now: float) -> None:
+        """Send `name` the snapshot that it needs, or its next entries, or none as a heartbeat."""
+        progress = self.progress[name]
         snapshot = self.snapshot_for(name)
         if snapshot is not None:
             self.outbox.append(
@@ -467,12 +472,10 @@
             )
             self.expect_long_message(progress, snapshot.index, len(snapshot.state), now)
             return
-        entries = []
-        if self.may_send_entries(progress, now):
-            entries = self.log.entries_from(progress.next, self.limits)
+        entries = self.entries_to_send(name, now)
         self.send_entries(name, progress.next - 1, entries, now)
         progress.next += len(entries)
-        size_bytes = sum(len(entry.data) for entry in entries)
+        size_bytes = raft_messages.entry_bytes(entries)
         if size_bytes > self.limits.long_bytes:
             self.expect_long_message(progress, progress.next - 1, size_bytes, now)
 
@@ -496,24 +499,33 @@
         self, progress: raft_messages.Progress, end: int, size_bytes: int, now: float
     ) -> None:
         """Record that a long message with the entries up to `end` is on its way."""
-        progress.long_end = end
-        resend_s = self.timing.resend_s + size_bytes / self.timing.bytes_per_s_min
-        progress.long_until = now + resend_s
+        until = now + self.timing.resend_s + size_bytes / self.timing.bytes_per_s_min
+        progress.long_messages = progress.long_messages_at(now)
+        progress.long_messages.append(
+            raft_messages.LongMessage(end, max(now, progress.rewound_at), until)
+        )
 
-    def on_long_message_sent(self, name: str, is_delivered: bool, now: float) -> None:
-        """Handle the end of the transfer of a long message, if the owner knows of it.
+    def on_long_message_sent(
+        self, name: str, sent_at: float, is_delivered: bool, now: float
+    ) -> None:
+        """Handle the end of the transfer of the long message of `sent_at`, if the owner knows it.
 
         A lost one is sent again after a heartbeat, unless its entries have arrived.
         """
         progress = self.progress.get(name)
-        if self.role != LEADER or progress is None or not progress.has_long_message(now):
+        if self.role != LEADER or progress is None or sent_at < progress.rewound_at:
             return
-        if is_delivered:
-            progress.long_until = min(progress.long_until, now + self.timing.resend_s)
+        for sent in progress.long_messages_at(now):
+            if sent.sent_at != sent_at:
+                continue
+            if is_delivered:
+                sent.until = min(sent.until, now + self.timing.resend_s)
+                return
+            progress.next = min(progress.next, progress.match + 1)
+            progress.rewound_at = math.nextafter(now, math.inf)
+            sent.until = now + self.timing.heartbeat_s
+            progress.long_messages = [sent]
             return
-        progress.next = min(progress.next, progress.match + 1)
-        progress.rewound_at = now
-        progress.long_until = now + self.timing.heartbeat_s
 
     # Snapshots for other members
 
@@ -575,18 +587,29 @@
         if self.role != LEADER:
             return
         for name in self.without_self(self.log.membership.members()):
-            progress = self.progress[name]
-            if progress.next <= self.log.last_index() and self.may_send_entries(progress, now):
+            if self.entries_to_send(name, now) or self.may_send_snapshot(name, now):
                 self.send_append(name, now)
 
-    def may_send_entries(self, progress: raft_messages.Progress, now: float) -> bool:
-        """Return whether few enough entries are on their way to a member to send further ones."""
-        if progress.has_long_message(now):
-            return False
-        unacknowledged = self.log.entries_between(
-            max(progress.match, self.log.snapshot.index), progress.next - 1
-        )
-        return sum(len(entry.data) for entry in unacknowledged) <= self.limits.bytes_per_append
+    def may_send_snapshot(self, name: str, now: float) -> bool:
+        """Return whether a member needs a snapshot that is not on its way."""
+        needs_entries = self.progress[name].next <= self.log.last_index()
+        is_idle = not self.progress[name].long_messages_at(now)
+        return needs_entries and is_idle and self.snapshot_for(name) is not None
+
+    def entries_to_send(self, name: str, now: float) -> list[journal.Entry]:
+        """Return the next entries of a member, or none while as much as allowed is on its way."""
+        progress = self.progress[name]
+        if progress.next > self.log.last_index() or self.snapshot_for(name) is not None:
+            return []
+        entries = self.log.entries_from(progress.next, self.limits)
+        on_their_way = progress.long_messages_at(now)
+        if on_their_way:
+            is_long = raft_messages.entry_bytes(entries) > self.limits.long_bytes
+            return entries if is_long and len(on_their_way) < self.limits.long_messages else []
+        first = max(progress.match, self.log.snapshot.index)
+        unacknowledged = self.log.entries_between(first, progress.next - 1)
+        is_window_full = raft_messages.entry_bytes(unacknowledged) > self.limits.bytes_per_append
+        return [] if is_window_full else entries
 
     def require_leader(self) -> None:
         """Raise NotLeaderError unless this member is the leader."""
--- a/src/merlinthread/coordination/raft_messages.py
+++ b/src/merlinthread/coordination/raft_messages.py
@@ -146,20 +146,21 @@
     election_max_s: float = 1.2
     lease_fraction: float = 0.8
     resend_s: float = 0.5
-    bytes_per_s_min: float = 50_000.0
+    bytes_per_s_min: float = 100_000.0
 
 
 @dataclasses.dataclass(slots=True)
 class Limits:
     """Limits of one AppendEntries message and of the number of uncommitted entries.
 
-    A message with more than `long_bytes` of entries is long: no further entries are sent to the
-    member before it is acknowledged.
+    A message with more than `long_bytes` of entries is long. While long messages are on their way,
+    at most `long_messages`, only further long ones are sent, since short ones would overtake them.
     """
 
     entries_per_append: int = 256
-    bytes_per_append: int = 64 * 1024
+    bytes_per_append: int = 32 * 1024
     long_bytes: int = 16 * 1024
+    long_messages: int = 3
     uncommitted_max: int = 4096
 
 
@@ -180,25 +181,44 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class LongMessage:
+    """A long message with the entries up to `end`; it counts as lost at `until`."""
+
+    end: int
+    sent_at: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """The leader's view of one other member; times are on the leader's clock.
 
-    A long message up to entry `long_end` is on its way until it is acknowledged, at most until
-    `long_until`. Messages sent before `rewound_at` say nothing of those sent since. `rejected`
-    counts the messages whose preceding entry the member did not have.
+    `long_messages` are on their way. Messages sent before `rewound_at` say nothing of those sent
+    since. `rejected` counts the messages whose preceding entry the member did not have.
     """
 
     match: int = 0
     next: int = 1
     acked_at: float = float("-inf")
     heard_at: float = float("-inf")
-    long_end: int = 0
-    long_until: float = float("-inf")
+    long_messages: list[LongMessage] = dataclasses.field(default_factory=list)
     rewound_at: float = float("-inf")
     identity: str = ""
     rejected: int = 0
 
-    def has_long_message(self, now: float) -> bool:
-        """Return whether a long message is on its way to the member."""
-        return self.match < self.long_end and now < self.long_until
+    def long_messages_at(self, now: float) -> list[LongMessage]:
+        """Return the long messages that are still on their way."""
+        return [sent for sent in self.long_messages if sent.end > self.match and now < sent.until]
+
+
+def is_long(message: Message, limits: Limits) -> bool:
+    """Return whether a message takes long to send; a snapshot always counts as long."""
+    if isinstance(message, AppendEntries):
+        return entry_bytes(message.entries) > limits.long_bytes
+    return isinstance(message, InstallSnapshot)
+
+
+def entry_bytes(entries: list[journal.Entry]) -> int:
+    """Return the bytes of data in entries."""
+    return sum(len(entry.data) for entry in entries)
--- a/src/merlinthread/nodes/call_timeouts.py
+++ b/src/merlinthread/nodes/call_timeouts.py
@@ -6,7 +6,7 @@
 # A reply may take this many times as long as the last one.
 VARIATION = 4.0
 # The slowest rate at which a long message still makes progress.
-BYTES_PER_S_MIN = 50_000.0
+BYTES_PER_S_MIN = 100_000.0
 
 
 class CallTimeouts:
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -213,9 +213,9 @@
             self.inbox.append(self.codec.decode(frame))
         self.wakeup.set()
 
-    def handle_long_message(self, receiver: str, is_delivered: bool) -> None:
+    def handle_long_message(self, receiver: str, sent_at: float, is_delivered: bool) -> None:
         """Tell Raft whether a long message was delivered."""
-        self.raft.on_long_message_sent(receiver, is_delivered, self.clock())
+        self.raft.on_long_message_sent(receiver, sent_at, is_delivered, self.clock())
         self.wakeup.set()
 
     # Durability
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -1,7 +1,7 @@
 """Sends Raft messages to the other members of the replicated log.
 
-Each member has two queues. Long messages are sent one at a time. Short ones are sent beside them,
-in batches, and do not wait for a reply that takes long, so that a heartbeat, a vote or an
+Each member has two queues. Long messages have a call each. Short ones are sent beside them, in
+batches, and do not wait for a reply that takes long, so that a heartbeat, a vote or an
 acknowledgement takes one round trip on a slow link as well.
 """
 
@@ -17,17 +17,14 @@
 from merlinthread.protocol import node_messages
 from merlinthread.transport import node_bus
 
-# Encoded size above which a message has a call of its own in the queue of long messages.
-LONG_MESSAGE_BYTES = 20 * 1024
+LIMITS = raft_messages.Limits()
 QUEUED_MESSAGES_MAX = 64
-# A later message replaces a long one that still waits, since both begin at the same entry.
-QUEUED_LONG_MESSAGES_MAX = 1
 # While a call takes longer than this, the next batch is sent beside it.
 OVERLAP_AFTER_S = 0.05
 CALLS_MAX = 16
 
-# Called with a member's name, and whether a long message was delivered to it.
-OnLongMessage = Callable[[str, bool], None]
+# Called with a member's name, when a long message was sent, and whether it was delivered.
+OnLongMessage = Callable[[str, float, bool], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,21 +36,19 @@
     round_trip_s: float = 0.0
 
 
-class SendQueue:
-    """The messages of one kind, short or long, that are queued for one member."""
+class ShortQueue:
+    """The short messages that are queued for one member, encoded."""
 
-    def __init__(self, length_max: int) -> None:
-        self.length_max = length_max
-        self.timeouts = call_timeouts.CallTimeouts()
+    def __init__(self) -> None:
         self.frames: list[bytes] = []
         self.not_empty = asyncio.Event()
         self.task: asyncio.Task | None = None
         self.calls: set[asyncio.Task] = set()
 
     def put(self, frame: bytes) -> None:
-        """Queue an encoded message; drop the oldest ones above `length_max`."""
+        """Queue an encoded message; drop the oldest ones above QUEUED_MESSAGES_MAX."""
         self.frames.append(frame)
-        del self.frames[: -self.length_max]
+        del self.frames[:-QUEUED_MESSAGES_MAX]
         self.not_empty.set()
 
     async def take(self) -> list[bytes]:
@@ -65,17 +60,19 @@
 
 
 class MemberChannel:
-    """The queues of one member, and what was sent to it."""
+    """The messages that are queued for one member or on their way, and what was sent to it."""
 
     def __init__(self) -> None:
-        self.short = SendQueue(QUEUED_MESSAGES_MAX)
-        self.long = SendQueue(QUEUED_LONG_MESSAGES_MAX)
+        self.short = ShortQueue()
+        self.long_calls: set[asyncio.Task] = set()
+        self.short_timeouts = call_timeouts.CallTimeouts()
+        self.long_timeouts = call_timeouts.CallTimeouts()
         self.sent = SendStatistics()
 
     def tasks(self) -> list[asyncio.Task]:
         """Return the running tasks."""
-        loops = [queue.task for queue in (self.short, self.long) if queue.task is not None]
-        return [*loops, *self.short.calls, *self.long.calls]
+        loops = [self.short.task] if self.short.task is not None else []
+        return [*loops, *self.short.calls, *self.long_calls]
 
 
 class LogSender:
@@ -89,7 +86,7 @@
         codec: codecs.Codec,
         rpc_client: node_bus.RpcClient,
         member_levels: levels.MemberLevels,
-        on_long_message: OnLongMessage = lambda receiver, is_delivered: None,
+        on_long_message: OnLongMessage = lambda receiver, sent_at, is_delivered: None,
     ) -> None:
         self.codec = codec
         self.rpc_client = rpc_client
@@ -98,15 +95,18 @@
         self.channels: dict[str, MemberChannel] = {}
 
     def send(self, receiver: str, message: raft_messages.Message) -> None:
-        """Queue a message for a member."""
+        """Send a long message to a member, or queue a short one."""
+        loop = asyncio.get_running_loop()
         channel = self.channels.setdefault(receiver, MemberChannel())
         frame = self.codec.encode(message)
-        is_long = len(frame) > LONG_MESSAGE_BYTES
-        queue = channel.long if is_long else channel.short
-        if queue.task is None or queue.task.done():
-            run = self.run_long if is_long else self.run_short
-            queue.task = asyncio.get_running_loop().create_task(run(receiver, channel))
-        queue.put(frame)
+        if raft_messages.is_long(message, LIMITS):
+            call = loop.create_task(self.call_long(receiver, channel, frame, message.sent_at))
+            channel.long_calls.add(call)
+            call.add_done_callback(channel.long_calls.discard)
+            return
+        if channel.short.task is None or channel.short.task.done():
+            channel.short.task = loop.create_task(self.run_short(receiver, channel))
+        channel.short.put(frame)
 
     async def run_short(self, receiver: str, channel: MemberChannel) -> None:
         """Send the short messages for a member until the task is cancelled."""
@@ -114,7 +114,7 @@
         while True:
             frames = await queue.take()
             call = asyncio.get_running_loop().create_task(
-                self.call(receiver, queue, frames, channel.sent)
+                self.call(receiver, channel.short_timeouts, frames, channel.sent)
             )
             queue.calls.add(call)
             call.add_done_callback(queue.calls.discard)
@@ -122,15 +122,20 @@
             while len(queue.calls) >= CALLS_MAX:
                 await asyncio.wait(queue.calls, return_when=asyncio.FIRST_COMPLETED)
 
-    async def run_long(self, receiver: str, channel: MemberChannel) -> None:
-        """Send the long messages for a member, one at a time, until the task is cancelled."""
-        while True:
-            for frame in await channel.long.take():
-                is_delivered = await self.call(receiver, channel.long, [frame], channel.sent)
-                self.on_long_message(receiver, is_delivered)
+    async def call_long(
+        self, receiver: str, channel: MemberChannel, frame: bytes, sent_at: float
+    ) -> None:
+        """Send a long message to a member, and report whether it was delivered."""
+        timeouts = channel.long_timeouts
+        is_delivered = await self.call(receiver, timeouts, [frame], channel.sent)
+        self.on_long_message(receiver, sent_at, is_delivered)
 
     async def call(
-        self, receiver: str, queue: SendQueue, frames: list[bytes], sent: SendStatistics
+        self,
+        receiver: str,
+        timeouts: call_timeouts.CallTimeouts,
+        frames: list[bytes],
+        sent: SendStatistics,
     ) -> bool:
         """Send encoded messages to a member in one call; return whether it confirmed them.
 
@@ -139,18 +144,18 @@
         address = raft_members.address_of(receiver)
         size_bytes = sum(map(len, frames))
         sent.sent_bytes += size_bytes
-        timeout_s = queue.timeouts.timeout_s(size_bytes)
+        timeout_s = timeouts.timeout_s(size_bytes)
         loop = asyncio.get_running_loop()
         started = loop.time()
         try:
             reply = await self.rpc_client.call(address, node_messages.RaftFrames(frames), timeout_s)
         except errors.MerlinthreadError:
             sent.failed_sends += 1
-            queue.timeouts.record_failure(loop.time() - started)
+            timeouts.record_failure(loop.time() - started)
             self.levels.record_unreachable(address)
             return False
         sent.round_trip_s = loop.time() - started
-        queue.timeouts.record_reply(sent.round_trip_s)
+        timeouts.record_reply(sent.round_trip_s)
         self.record_reply(address, reply)
         return True
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -331,7 +331,7 @@
     cluster.run(2.0)
     leader = cluster.leader().raft
     follower = next(name for name in cluster.names if name != leader.name)
-    leader.propose(b"x" * 2 * leader.limits.long_bytes, cluster.now)
+    leader.propose(bytes(leader.limits.long_bytes + 1), cluster.now)
     leader.flush(cluster.now)
     leader.propose(b"y", cluster.now)
     for _ in range(5):
@@ -346,13 +346,35 @@
     match = leader.progress[follower].match
     assert {append.previous_index for append in appends[1:]} == {match}
     # It is sent again if it was lost, and once its time is over.
-    leader.on_long_message_sent(follower, False, cluster.now)
+    leader.on_long_message_sent(follower, appends[0].sent_at, False, cluster.now)
     cluster.advance(leader.timing.heartbeat_s)
     leader.flush(cluster.now)
     assert [len(m.entries) for r, m in leader.outbox if r == follower][6:] == [2]
 
 
-# Guards against candidates on a slow link that begin anew while the votes for them are on their way.
+# Guards against a log that waits for a timeout whenever one message of many is lost.
+def test_lost_long_message_is_sent_again_after_one_round_trip():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    leader = cluster.leader().raft
+    follower = next(name for name in cluster.names if name != leader.name)
+    for _ in range(leader.limits.long_messages + 1):
+        leader.propose(bytes(leader.limits.long_bytes + 1), cluster.now)
+        leader.flush(cluster.now)
+        cluster.advance(0.01)
+    sent = [message for receiver, message in leader.outbox if receiver == follower]
+    assert len(sent) == leader.limits.long_messages
+    first = sent[0].entries[0].index
+    for append in sent[1:]:
+        cluster.advance(0.01)
+        cluster.members[follower].raft.step(append, cluster.now)
+        for _, reply in cluster.members[follower].raft.ready().messages:
+            leader.step(reply, cluster.now)
+    again = [m for r, m in leader.outbox if r == follower][len(sent) :]
+    assert [append.entries[0].index for append in again if append.entries] == [first]
+
+
+# Guards against candidates on a slow link that begin anew while votes for them are on their way.
 def test_votes_may_take_as_long_as_pre_votes():
     cluster = raft_cluster.Cluster(3)
     candidate = cluster.members["c0"].raft
