Simulation: the final power loss gives a replacement its whole time again

The new check of tolerance called that a broken promise, though each other power loss extends that time.

--- a/bench/control_simulation.py
+++ b/bench/control_simulation.py
@@ -208,6 +208,7 @@
         await asyncio.sleep(1.0)
         for vm in vms:
             self.group.start(vm)
+        self.faults.extend_catching_up()
 
     # Operator
 
@@ -434,6 +435,7 @@
     parser.add_argument("--mbps", type=float, default=math.inf, help="of each link, one way")
     parser.add_argument("--cross", type=float, default=0.0, help="share of other traffic")
     parser.add_argument("--cross-bytes", type=int, nargs=2, help="sizes of its bursts")
+    parser.add_argument("--cross-queue", type=int, help="bytes above which it waits")
     parser.add_argument("--far-regions", type=int, default=0, help="with these links; 0 for all")
     parser.add_argument("--changes", type=float, nargs=2, default=CHANGE_INTERVAL_S)
     parser.add_argument("--body-bytes", type=int, nargs=2, help="sizes of configurations")
@@ -452,6 +454,7 @@
             options.mbps,
             options.cross,
             tuple(options.cross_bytes or simulated_links.UNLIMITED.cross_bytes),
+            options.cross_queue or simulated_links.UNLIMITED.cross_queue_bytes,
         ),
         far_regions=options.far_regions,
         change_interval_s=tuple(options.changes),
