A manifest that readings of a piece contradict is read again

The agent read the piece in question 175 times in 54 s, each time the right bytes, and the manifest once. Cause: nothing vouches for a manifest, but every piece was judged by it, and a piece that differed counted as spoilt however often the readings agreed. The version before one is published and the number of layers were taken on trust as well. Change: two readings that agree, from the origin or different peers, dispute the manifest. The agent asks peers for their copies, then the origin once. A copy replaces the digests if it agrees with these readings and with all held pieces. Otherwise the manifest stays, the next check is 1 to 16 s later, and the pieces in question are not read from the origin until then. A manifest that can't be the requested one counts as a failed read; one whose unpublished version the origin denies twice is discarded; the number of layers is the configuration's. Pieces are staged only if they agree with the manifest, as before. Messages are as before. `Fleet.start` and `run` in tests/test_weights_task.py got an optional version; the tests there are unchanged.

--- a/src/merlinthread/coordination/fetch.py
+++ b/src/merlinthread/coordination/fetch.py
@@ -121,6 +121,8 @@
         self.all_chunks = (1 << chunk_count) - 1
         self.held = held
         self.in_flight = 0
+        # Chunks that are not read from the origin, set by the owner.
+        self.suspended = 0
         self.origin_slots = origin_slots
         self.origin_reads = 0
         self.origin_not_before = float("-inf")
@@ -326,6 +328,10 @@
         """Return the chunks that are neither held nor in flight."""
         return self.all_chunks & ~self.held & ~self.in_flight
 
+    def readable(self) -> int:
+        """Return the needed chunks that may be read from the origin."""
+        return self.needed() & ~self.suspended
+
     def next_action(self, now: float) -> Action | None:
         """Return the next action, or None if none can start now."""
         raise NotImplementedError
--- a/src/merlinthread/coordination/fetch_baselines.py
+++ b/src/merlinthread/coordination/fetch_baselines.py
@@ -31,9 +31,10 @@
             return None
         name = self.parent(now)
         if not name:
-            if not self.may_read_origin(now):
+            readable = self.readable()
+            if not readable or not self.may_read_origin(now):
                 return None
-            return fetch.OriginRead(fetch.bit_positions(needed)[0])
+            return fetch.OriginRead(fetch.bit_positions(readable)[0])
         peer = self.peers[name]
         if peer.not_before > now or self.open_requests[name]:
             return None
@@ -46,7 +47,7 @@
 
     def next_action(self, now: float) -> fetch.Action | None:
         """Read the first needed chunk from the origin."""
-        needed = self.needed()
-        if not needed or not self.may_read_origin(now):
+        readable = self.readable()
+        if not readable or not self.may_read_origin(now):
             return None
-        return fetch.OriginRead(fetch.bit_positions(needed)[0])
+        return fetch.OriginRead(fetch.bit_positions(readable)[0])
--- a/src/merlinthread/coordination/fetch_claimed.py
+++ b/src/merlinthread/coordination/fetch_claimed.py
@@ -65,7 +65,7 @@
 
     def unread_chunks(self, now: float) -> int:
         """Return the needed chunks that no available VM holds or has claimed."""
-        unread = self.needed()
+        unread = self.readable()
         for peer in self.peers.values():
             if peer.unavailable_until < now:
                 unread &= ~peer.held
@@ -130,7 +130,7 @@
 
     def repeat_read(self) -> fetch.OriginRead | None:
         """Return a read of a needed chunk that no peer of this zone is known to hold, or None."""
-        missing = self.needed()
+        missing = self.readable()
         for peer in self.peers.values():
             if peer.distance == fetch.SAME_ZONE:
                 missing &= ~peer.held
--- a/src/merlinthread/coordination/fetch_policies.py
+++ b/src/merlinthread/coordination/fetch_policies.py
@@ -45,7 +45,7 @@
         needed = self.needed()
         if not needed:
             return None
-        own = needed & self.owned
+        own = self.readable() & self.owned
         if own and self.may_read_origin(now):
             return fetch.OriginRead(self.rng.choice(fetch.bit_positions(own)))
         for peer in self.available_peers(now):
@@ -77,6 +77,7 @@
         waited = now - self.last_progress_at
         if waited < self.origin_grace_s or not self.may_read_origin(now):
             return None
+        needed &= ~self.suspended
         for peer in self.peers.values():
             if peer.unavailable_until < now:
                 needed &= ~peer.held
@@ -119,9 +120,9 @@
 
     def next_action(self, now: float) -> fetch.Action | None:
         """Read any needed chunk, owned ones first, if late; otherwise act like `Spread`."""
-        needed = self.needed()
-        if self.is_late and self.is_reader and needed and self.may_read_origin(now):
-            return fetch.OriginRead(self.scarcest_in_zone(needed & self.owned or needed))
+        readable = self.readable()
+        if self.is_late and self.is_reader and readable and self.may_read_origin(now):
+            return fetch.OriginRead(self.scarcest_in_zone(readable & self.owned or readable))
         return super().next_action(now)
 
     def fallback_read(self, needed: int, now: float) -> fetch.OriginRead | None:
@@ -132,10 +133,11 @@
         """Read a chunk of another owner, at most one per `extra_read_interval_s`."""
         if not self.is_reader or now < self.next_extra_read_at or not self.may_read_origin(now):
             return None
-        if self.extra_read_interval_s == math.inf:
+        readable = needed & ~self.suspended
+        if self.extra_read_interval_s == math.inf or not readable:
             return None
         self.next_extra_read_at = now + self.extra_read_interval_s
-        return fetch.OriginRead(self.scarcest_in_zone(needed))
+        return fetch.OriginRead(self.scarcest_in_zone(readable))
 
     def scarcest_in_zone(self, needed: int) -> int:
         """Return a chunk of `needed`, preferably one that no VM of this zone is known to hold.
--- a/src/merlinthread/errors.py
+++ b/src/merlinthread/errors.py
@@ -136,6 +136,14 @@
     kind = ErrorKind.CHUNK_CORRUPT
 
 
+class WrongDigestError(WeightsError):
+    """A piece differs from its manifest; `digest` is the one of the received bytes."""
+
+    def __init__(self, message: str, digest: str) -> None:
+        super().__init__(message)
+        self.digest = digest
+
+
 class UnreachableError(MerlinthreadError):
     """A peer did not reply in time; whether it acted on the request is unknown."""
 
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -145,6 +145,11 @@
     "only after, or never.",
     ["proof"],
 )
+manifest_checks_total = prometheus_client.Counter(
+    "merlinthread_manifest_checks_total",
+    "Checks of a manifest that readings of a piece contradict, by result: kept or corrected.",
+    ["result"],
+)
 refusals_total = prometheus_client.Counter(
     "merlinthread_refusals_total", "Requests that this entry rejected, by kind of error.", ["kind"]
 )
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -25,6 +25,7 @@
 ORIGIN_RETRY_DELAY_MAX_S = 30.0
 
 STATUS_ACCEPTED = 202
+STATUS_NOT_FOUND = 404
 STATUS_GONE = 410
 
 
@@ -92,18 +93,22 @@
     async def fetch_piece(self, origin: str, manifest: fleet.Manifest, index: int) -> bytes:
         """Return a piece from the origin.
 
-        Raises WeightsError if its digest is wrong or the origin no longer has the version.
+        Raises WrongDigestError if it differs from the manifest, and WeightsError if the origin does
+        not have the version.
         """
         request = self.dialect.piece_request(origin, manifest.model, manifest.version, index)
         response = await self.pool.request(origin, request, PIECE_TIMEOUT_S, self.piece_bytes_max())
-        if response.status == STATUS_GONE:
+        if response.status in (STATUS_NOT_FOUND, STATUS_GONE):
             raise errors.WeightsError(
-                f"{manifest.model} version {manifest.version} is no longer at the origin",
+                f"{manifest.model} version {manifest.version} is not at the origin",
                 kind=errors.ErrorKind.ORIGIN_CHANGED,
             )
         body = require_success(response).body
-        if sha256_hex(body) != manifest.digests[index]:
-            raise errors.WeightsError(f"piece {index} from the origin has a wrong digest")
+        digest = sha256_hex(body)
+        if digest != manifest.digests[index]:
+            raise errors.WrongDigestError(
+                f"piece {index} from the origin has a wrong digest", digest
+            )
         return body
 
     async def stage_piece(self, model: str, index: int, data: bytes) -> None:
--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -32,6 +32,8 @@
 # 6.5 KB take 0.12 s of 4.38 Mbit/s that ten readers share.
 ORIGIN_TIMEOUT_S = 0.5
 FIND_TIMEOUT_S = 2.0
+DISTRUST_DELAY_S = 2.0
+DISTRUST_DELAY_MAX_S = 16.0
 
 
 class ManifestFinder:
@@ -54,6 +56,10 @@
         self.last_failed = ("", 0)
         # Model and version that is being read from the origin.
         self.reading = ("", 0)
+        # Model and version of a manifest that is accepted from the origin only, and how often the
+        # origin has sent it again.
+        self.distrusted = ("", 0)
+        self.distrust_count = 0
         # Time of the next read that the origin allows (Retry-After).
         self.origin_not_before = float("-inf")
 
@@ -96,22 +102,72 @@
             )
         raise reason
 
+    def distrust(self, manifest: fleet.Manifest) -> None:
+        """Accept this manifest from the origin only, after a delay that grows if it comes again."""
+        name = (manifest.model, manifest.version)
+        self.distrust_count = self.distrust_count + 1 if name == self.distrusted else 0
+        self.distrusted = name
+        delay_s = min(DISTRUST_DELAY_MAX_S, DISTRUST_DELAY_S * self.distrust_count)
+        self.origin_not_before = max(self.origin_not_before, self.clock() + delay_s)
+
+    async def find_better_copy(
+        self,
+        origin: str,
+        manifest: fleet.Manifest,
+        peers: Sequence[fetch.Peer],
+        first_peers: Sequence[str],
+        is_better: Callable[[fleet.Manifest], bool],
+    ) -> fleet.Manifest | None:
+        """Return a copy of a manifest that `is_better` accepts, or None if there is none.
+
+        The origin is read only if neither `first_peers` nor other random peers have one.
+        """
+        model, version = manifest.model, manifest.version
+        others = [peer.bus for peer in peers if peer.bus not in first_peers]
+        queried = [
+            *first_peers[:PEERS_QUERIED],
+            *self.rng.sample(others, min(PEERS_QUERIED, len(others))),
+        ]
+        replies = await asyncio.gather(*(self.query_peer(peer, model, version) for peer in queried))
+        for reply in replies:
+            if reply.manifest is not None and is_better(reply.manifest):
+                return reply.manifest
+        if self.clock() < self.origin_not_before:
+            return None
+        try:
+            copy = await self.read_from_origin(origin, model, version)
+        except errors.MerlinthreadError as error:
+            self.origin_not_before = self.clock() + engine_client.origin_retry_delay_s(error)
+            return None
+        return copy if is_better(copy) else None
+
     async def read_from_origin(self, origin: str, model: str, version: int) -> fleet.Manifest:
         """Read the manifest from the origin.
 
         Raises UnreachableError after ORIGIN_TIMEOUT_S: an origin that has just recovered is busy
-        with pieces, and a peer is likely to respond sooner.
+        with pieces, and a peer is likely to respond sooner. Raises ProtocolError if it is not the
+        requested one.
         """
         self.reading = (model, version)
         try:
             async with asyncio.timeout(ORIGIN_TIMEOUT_S):
-                return await self.engine.fetch_manifest(origin, model, version)
+                manifest = await self.engine.fetch_manifest(origin, model, version)
         except TimeoutError:
             raise errors.UnreachableError(
                 f"{origin}: no manifest received within {ORIGIN_TIMEOUT_S} s"
             )
         finally:
             self.reading = ("", 0)
+        if not is_requested(manifest, model, version):
+            raise errors.ProtocolError(
+                f"{origin}: manifest of {manifest.model} version {manifest.version} for {model} "
+                f"version {version}"
+            )
+        return manifest
+
+    def is_distrusted(self, manifest: fleet.Manifest, version: int) -> bool:
+        """Return whether a peer's manifest is not accepted for `version`, 0 being any."""
+        return not version and (manifest.model, manifest.version) == self.distrusted
 
     def is_reading(self, model: str, version: int) -> bool:
         """Return whether a version is being read from the origin; version 0 is any version."""
@@ -158,16 +214,25 @@
         return piece_messages.ManifestReply(manifest, any(reply.is_reading for reply in replies))
 
     async def query_peer(self, peer: str, model: str, version: int) -> piece_messages.ManifestReply:
-        """Return a peer's reply; one without a manifest if the call fails."""
+        """Return a peer's reply; one without a manifest if the call fails or it is another one."""
         request = piece_messages.ManifestRequest(model, version)
         with contextlib.suppress(errors.MerlinthreadError):
             reply = await self.rpc_client.call(peer, request, PEER_TIMEOUT_S)
-            if reply.manifest is not None:
+            if reply.manifest is None:
+                return reply
+            if is_requested(reply.manifest, model, version) and not self.is_distrusted(
+                reply.manifest, version
+            ):
                 logs.event("manifest_from_peer", version=version, peer=peer)
-            return reply
+                return reply
         return piece_messages.ManifestReply(None)
 
 
+def is_requested(manifest: fleet.Manifest, model: str, version: int) -> bool:
+    """Return whether a manifest is of the model and version; version 0 is any version."""
+    return manifest.model == model and version in (0, manifest.version)
+
+
 def zone_predecessors(own_address: str, manifest: str, peers: Sequence[fetch.Peer]) -> list[str]:
     """Return the agents of this zone that precede `own_address` in rendezvous order."""
     zone_agents = [peer.name for peer in peers if peer.distance == fetch.SAME_ZONE] + [own_address]
--- a/src/merlinthread/nodes/piece_fetcher.py
+++ b/src/merlinthread/nodes/piece_fetcher.py
@@ -10,7 +10,7 @@
 
 from merlinthread import errors, logs, metrics
 from merlinthread.coordination import fetch, fetch_policies, fleet, pacing, reload_schedule
-from merlinthread.nodes import engine_client, piece_store, weights_view
+from merlinthread.nodes import engine_client, manifest_checker, piece_store, weights_view
 from merlinthread.protocol import piece_messages
 from merlinthread.transport import node_bus
 
@@ -49,6 +49,7 @@
         view: weights_view.WeightsView,
         engine: engine_client.EngineClient,
         store: piece_store.PieceStore,
+        checker: manifest_checker.ManifestChecker,
         rpc_client: node_bus.RpcClient,
         clock: Callable[[], float],
         send: SendNotice,
@@ -56,6 +57,7 @@
         self.view = view
         self.engine = engine
         self.store = store
+        self.checker = checker
         self.rpc_client = rpc_client
         self.clock = clock
         self.send = send
@@ -72,7 +74,7 @@
         manifest: fleet.Manifest,
         is_serving: Callable[[], bool],
     ) -> None:
-        """Fetch the missing pieces, until the plan is complete or a newer version is published.
+        """Fetch the missing pieces, until the plan is complete or another version is wanted.
 
         `is_serving` returns whether the engine serves requests, with an older version.
         """
@@ -82,8 +84,9 @@
         self.engine.piece_bytes = self.view.piece_bytes()
         running: set[asyncio.Task] = set()
         try:
-            while not plan.is_complete() and not self.view.is_superseded(manifest):
+            while not self.is_over(plan, manifest):
                 self.update_plan(plan, manifest, started, is_serving())
+                self.checker.update(plan, manifest)
                 if self.clock() >= logged_at + PROGRESS_LOG_INTERVAL_S:
                     logged_at = self.clock()
                     self.log_progress("weights_progress", plan, manifest, logged_at - started)
@@ -99,9 +102,18 @@
         finally:
             for task in running:
                 task.cancel()
+            self.checker.cancel()
             self.engine.close_idle_origin_connections(self.view.origin())
         self.log_progress("weights_fetched", plan, manifest, self.clock() - started)
 
+    def is_over(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> bool:
+        """Return whether no further pieces of this version are to be fetched."""
+        return (
+            plan.is_complete()
+            or self.view.is_superseded(manifest)
+            or self.checker.is_version_doubtful(plan, manifest)
+        )
+
     def update_plan(
         self, plan: fetch_policies.Zoned, manifest: fleet.Manifest, started: float, is_serving: bool
     ) -> None:
@@ -193,6 +205,7 @@
             data = await self.engine.fetch_piece(self.view.origin(), manifest, action.index)
             await self.store.put(manifest.model, action.index, data)
         except errors.MerlinthreadError as error:
+            self.checker.record_failure(action.index, error)
             wait_s = max(ORIGIN_RETRY_DELAY_S, engine_client.origin_retry_delay_s(error))
             plan.on_origin_failed(self.clock(), wait_s, action.index)
             logs.debug(
@@ -219,7 +232,9 @@
         if reply.index < 0:
             plan.on_peer_empty(action.peer, now)
             return -1
-        if engine_client.sha256_hex(reply.data) != manifest.digests[reply.index]:
+        digest = engine_client.sha256_hex(reply.data)
+        if digest != manifest.digests[reply.index]:
+            self.checker.evidence.record(reply.index, digest, action.peer)
             plan.on_corrupt_chunk(action.peer, now)
             return -1
         try:
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -19,6 +19,7 @@
 from merlinthread.nodes import (
     engine_client,
     fleet_watcher,
+    manifest_checker,
     manifest_finder,
     node_settings,
     piece_fetcher,
@@ -57,8 +58,9 @@
             self.view.own_address, engine, rpc_client, clock, rng
         )
         self.store = piece_store.PieceStore(engine)
+        self.checker = manifest_checker.ManifestChecker(self.view, self.finder, clock)
         self.fetcher = piece_fetcher.PieceFetcher(
-            self.view, engine, self.store, rpc_client, clock, send
+            self.view, engine, self.store, self.checker, rpc_client, clock, send
         )
         self.server = piece_server.PieceServer(self.store, clock, rng, settings.link_bytes_per_s)
         self.manifest: fleet.Manifest | None = None
@@ -119,9 +121,18 @@
         if self.loader.has_loaded(self.manifest):
             return
         await self.fetcher.run(self.plan, self.manifest, self.loader.is_serving)
+        if self.checker.is_version_doubtful(self.plan, self.manifest):
+            self.discard_manifest(self.manifest)
+            return
         if self.loader.report is not None:
             await self.loader.load_weights(self.plan, self.manifest)
 
+    def discard_manifest(self, manifest: fleet.Manifest) -> None:
+        """Discard a manifest whose version the origin does not have, to look for another one."""
+        logs.warning("manifest_discarded", model=manifest.model, version=manifest.version)
+        self.finder.distrust(manifest)
+        self.manifest = self.plan = None
+
     async def start_version(self, model: str, version: int) -> None:
         """Get the manifest of a version and create the plan for its pieces."""
         is_first = self.manifest is None
@@ -129,9 +140,11 @@
         manifest = await self.finder.find(
             origin, model, version, peers, lambda: self.view.newest_version(model) in (0, version)
         )
+        manifest.layers = self.view.layers() or manifest.layers
         plan = self.make_plan(manifest)
         self.store.clear()
         self.verifier.start_version(manifest)
+        self.checker.start_version()
         # After a restart of the agent, staged pieces may be of this version; later they are not.
         if is_first and self.store.is_engine_seen:
             await self.loader.verify_pieces(plan, manifest, range(plan.chunk_count))
--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -14,6 +14,7 @@
 # Larger numbers can't be encoded in messages between nodes and in entries of the log.
 INT64_MAX = 2**63 - 1
 Count = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
+Sha256 = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$", max_length=64)]
 # The year 2100 as Unix time; later start times are rejected.
 BORN_MS_MAX = 4_102_444_800_000
 # The end of a `msgspec` error, which names the field, such as "at `$.routes[0].name`".
@@ -168,7 +169,7 @@
 
     model: str
     version: Count
-    digests: list[str]
+    digests: list[Sha256]
     layers: Count = 1
 
 
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -397,6 +397,11 @@
         return 0.0
 
 
+def spoil_digit(digest: str) -> str:
+    """Return a digest with another first digit."""
+    return ("1" if digest[0] == "0" else "0") + digest[1:]
+
+
 class WeightOrigin:
     """A stand-in for the origin of weights."""
 
@@ -406,6 +411,8 @@
         self.manifests_served = 0
         # Time that the transfer of a manifest takes.
         self.manifest_delay_s = 0.0
+        # For each of the next manifests, the piece whose digest has one wrong digit.
+        self.spoilt_digests: list[int] = []
         self.corrupt: set[int] = set()
         # Versions and indices of the pieces that get a 503 response.
         self.unavailable_pieces: set[tuple[int, int]] = set()
@@ -448,12 +455,7 @@
         if path.startswith("/manifest/"):
             self.manifests_served += 1
             await asyncio.sleep(self.manifest_delay_s)
-            body = {
-                "model": path.split("/")[-1],
-                "version": version,
-                "layers": LAYERS,
-                "digests": [hashlib.sha256(piece).hexdigest() for piece in pieces],
-            }
+            body = self.manifest_body(path.split("/")[-1], version)
             await exchange.respond(http_messages.Response(200, [], json.dumps(body).encode()))
             return
         index = int(fields["sample_count"])
@@ -463,3 +465,11 @@
         self.served_pieces.append((version, index))
         data = b"x" * len(pieces[index]) if index in self.corrupt else pieces[index]
         await exchange.respond(http_messages.Response(200, [], data))
+
+    def manifest_body(self, model: str, version: int) -> dict:
+        """Return the manifest of a version, with a wrong digest if that is set."""
+        digests = [hashlib.sha256(piece).hexdigest() for piece in self.pieces[version]]
+        if self.spoilt_digests:
+            index = self.spoilt_digests.pop(0)
+            digests[index] = spoil_digit(digests[index])
+        return {"model": model, "version": version, "layers": LAYERS, "digests": digests}
--- a/tests/test_weights_task.py
+++ b/tests/test_weights_task.py
@@ -41,12 +41,13 @@
         self.agents: list[agent_node.AgentNode] = []
         self.sequence = 0
 
-    async def start(self) -> None:
+    async def start(self, version: int = 1) -> None:
         await self.origin.start()
         for number, engine in enumerate(self.engines):
             await engine.start()
             await self.start_agent(number)
-        self.publish(1)
+        if version:
+            self.publish(version)
 
     async def start_agent(self, number: int) -> None:
         engine = self.engines[number]
@@ -116,10 +117,12 @@
             assert [engine.staged[index] for index in range(PIECES)] == make_pieces(version)
 
 
-def run(count: int, scenario) -> None:
+def run(count: int, scenario, version: int = 1) -> None:
+    """Run a scenario with agents that have been told of a version, or of nothing if it is 0."""
+
     async def main():
         fleet = Fleet(count)
-        await fleet.start()
+        await fleet.start(version)
         await scenario(fleet)
         for number in reversed(range(len(fleet.agents))):
             fleet.stop_agent(number)
