Registry: a late heartbeat does not end the live incarnation

Cause: what conflicted with a heartbeat of a low sequence or a later start time was marked as gone, for good, in the registry of each control VM and in each entry. A heartbeat that a cut held until its sender had crashed and another incarnation had registered says nothing about the order of the two. Change: only departures end an incarnation for good. One that conflicts with another claims its place, and has it once it goes on sending while the other is silent (coordination/incarnation_claims.py); one that has lost its place returns the same way. The first heartbeats of a new incarnation still take the place at once, unless the other one has just started itself and was heard within 0.75 of an interval, or has a later start time. A back end that moves to the address of another one needs a proof too. Nodes are told again of an incarnation that has displaced another, since `gone` no longer tells them. No message and no log entry has changed.

--- a/src/merlinthread/coordination/incarnations.py
+++ b/src/merlinthread/coordination/incarnations.py
@@ -4,8 +4,8 @@
 a back end is therefore keyed by incarnation, so that a delayed message from the previous process
 does not affect the new one.
 
-The start time comes from a clock that may have been set back between two starts. A later start time
-proves a newer incarnation; an earlier one alone proves nothing (see `coordination.instances`).
+The start time comes from a clock that may have been set between two starts, so a later one makes
+a newer incarnation likely and proves nothing (see `coordination.instances`).
 """
 
 import dataclasses
@@ -25,8 +25,12 @@
         return f"{self.id}{SEPARATOR}{self.born_ms}" if self.born_ms else self.id
 
     def is_newer(self, other: "Incarnation") -> bool:
-        """Return whether this is known to be a later incarnation of the same back end."""
-        return self.id == other.id and self.born_ms > other.born_ms > 0
+        """Return whether this is a later incarnation of the same back end by its start time."""
+        return self.id == other.id and self.starts_after(other)
+
+    def starts_after(self, other: "Incarnation") -> bool:
+        """Return whether both start times are known and this one is later."""
+        return self.born_ms > other.born_ms > 0
 
 
 def parse(name: str) -> Incarnation:
--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -2,12 +2,16 @@
 
 Heartbeats are not persisted: any control VM accepts one and forwards it to the others. Departures
 are acknowledged only once they are in the replicated log (`coordination.fleet_state`).
+
+Only a departure ends an incarnation for good. A heartbeat says nothing final about another one,
+since it may be late: an incarnation that has lost its place to another one gets it back if it
+continues to send (`coordination.incarnation_claims`).
 """
 
 import collections
 import dataclasses
 
-from merlinthread.coordination import conflict_index, fleet, incarnations
+from merlinthread.coordination import conflict_index, fleet, incarnation_claims, incarnations
 
 GONE_MAX = 4096
 # The number of latest departures in a full update, for a node that may have missed them while it
@@ -15,6 +19,10 @@
 GONE_IN_FULL_UPDATE_MAX = 256
 # An instance with a sequence up to this counts as just started, since its first calls may be lost.
 INITIAL_SEQUENCE_MAX = 3
+# Heartbeats that were sent before an instance started rarely arrive after this sequence of it.
+RECENT_SEQUENCE_MAX = 5
+# A process does not end and start again within this many heartbeat intervals of a heartbeat.
+RESTART_HEARTBEATS = 0.75
 # The end of a cold start that a heartbeat moves by more than this is sent to the nodes. Heartbeats
 # may be late by less.
 COLD_END_TOLERANCE_S = 1.0
@@ -32,11 +40,15 @@
 
 @dataclasses.dataclass(slots=True)
 class InstanceRecord:
-    """One instance, when it was last heard from, and the position of its last change."""
+    """One instance, when it was last heard from, and the position of its last change.
+
+    `has_displaced` is set until its next heartbeat if it has taken the place of another one.
+    """
 
     heartbeat: fleet.Heartbeat
     heard_at: float
     position: int
+    has_displaced: bool = False
 
 
 class InstanceRegistry:
@@ -49,6 +61,7 @@
     def __init__(self, heartbeat_s: float) -> None:
         self.heartbeat_s = heartbeat_s
         self.known: dict[str, InstanceRecord] = {}
+        self.claims = incarnation_claims.ClaimTable(heartbeat_s)
         self.index = conflict_index.ConflictIndex()
         self.gone: collections.OrderedDict[str, int] = collections.OrderedDict()
         self.compacted_position = 0
@@ -67,33 +80,56 @@
             return self.record_new(heartbeat, now)
         if heartbeat.sequence <= known.heartbeat.sequence:
             return False
+        has_moved = heartbeat.address != known.heartbeat.address
+        if has_moved and not self.take_place(heartbeat, now):
+            return False
         if known.heartbeat.state == fleet.DRAINING:
             heartbeat = dataclasses.replace(heartbeat, state=fleet.DRAINING)
-        is_changed = affects_routing(known.heartbeat, heartbeat) or moves_cold_end(
-            known, heartbeat, now
+        # A node may have received the last heartbeat of the displaced instance after the first one
+        # of this instance, and kept that one.
+        is_changed = (
+            known.has_displaced
+            or affects_routing(known.heartbeat, heartbeat)
+            or moves_cold_end(known, heartbeat, now)
         )
         known.heartbeat = heartbeat
         known.heard_at = now
+        known.has_displaced = has_moved
         self.index.put(heartbeat)
         if is_changed:
             known.position = self.advance()
         return is_changed
 
     def record_new(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
-        """Record the heartbeat of an unknown incarnation, unless it is stale."""
-        if self.is_stale(heartbeat, now):
+        """Record the heartbeat of an unknown incarnation, unless it may have ended."""
+        has_displaced = bool(self.conflicts(heartbeat))
+        if not self.take_place(heartbeat, now):
             return False
-        for conflicting in self.conflicts(heartbeat):
-            if has_ended(conflicting.heartbeat, heartbeat):
-                self.mark_gone(conflicting.heartbeat.instance)
-            else:
-                # A delayed heartbeat may have caused this; the incarnation may be heard from again.
-                self.discard(conflicting.heartbeat.instance)
-                self.compacted_position = self.advance()
-        self.known[heartbeat.instance] = InstanceRecord(heartbeat, now, self.advance())
+        record = InstanceRecord(heartbeat, now, self.advance(), has_displaced)
+        self.known[heartbeat.instance] = record
         self.index.put(heartbeat)
         return True
 
+    def take_place(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+        """Give the sender of a heartbeat the place of the incarnations that conflict with it.
+
+        Return whether it has it; if it may have ended, its heartbeat only adds to its claim.
+        """
+        if self.is_of_departed(heartbeat):
+            return False
+        holders = self.conflicts(heartbeat)
+        if self.is_in_doubt(heartbeat, holders, now):
+            heard_at = max((one.heard_at for one in holders), default=float("-inf"))
+            if not self.claims.record(heartbeat, heard_at, now):
+                return False
+        self.claims.withdraw(heartbeat.instance)
+        for holder in holders:
+            self.discard(holder.heartbeat.instance)
+            self.claims.displace(holder.heartbeat)
+            if not is_successor(heartbeat, holder.heartbeat):
+                self.compacted_position = self.advance()
+        return True
+
     def discard(self, instance: str) -> None:
         """Remove an instance if it is known, without marking it as gone."""
         self.known.pop(instance, None)
@@ -103,28 +139,37 @@
         """Return the known incarnations with the same id or address."""
         return [self.known[name] for name in self.index.conflicts(heartbeat)]
 
-    def is_stale(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
-        """Return whether a heartbeat of an unknown incarnation may have been sent before its end.
+    def is_of_departed(self, heartbeat: fleet.Heartbeat) -> bool:
+        """Return whether a heartbeat may be of an incarnation that departed by its id alone.
 
-        A network partition can delay it until another incarnation has taken its place. The first
-        heartbeats of an incarnation and those of a later one of the same back end are not stale.
-        Others, including those with an earlier start time, are stale while the conflicting
-        incarnation is alive; an earlier start time may also be due to a clock that was set back.
+        Only the first heartbeats show that their sender is another one.
         """
-        alive_s = ALIVE_HEARTBEATS * self.heartbeat_s
-        is_past_start = heartbeat.sequence > INITIAL_SEQUENCE_MAX
-        for known in self.conflicts(heartbeat):
-            if is_newer(heartbeat, known.heartbeat):
-                continue
-            may_be_stale = is_past_start or is_newer(known.heartbeat, heartbeat)
-            is_alive = known.heartbeat.state == fleet.READY and now - known.heard_at <= alive_s
-            if may_be_stale and is_alive:
-                return True
         id_ = incarnations.parse(heartbeat.instance).id
-        # After the departure of an incarnation whose start was not known, only the first heartbeats
-        # show that this is another one.
+        is_past_start = heartbeat.sequence > INITIAL_SEQUENCE_MAX
         return is_past_start and id_ != heartbeat.instance and id_ in self.gone
 
+    def is_in_doubt(
+        self, heartbeat: fleet.Heartbeat, holders: list[InstanceRecord], now: float
+    ) -> bool:
+        """Return whether one of the conflicting `holders` may be running, not the sender.
+
+        A network partition can delay a heartbeat until another incarnation has taken the place of
+        its sender. An incarnation that has lost its place is in doubt without a holder too.
+        """
+        if not holders:
+            return self.claims.is_displaced(heartbeat.instance)
+        return any(self.may_have_ended(heartbeat, holder, now) for holder in holders)
+
+    def may_have_ended(
+        self, heartbeat: fleet.Heartbeat, holder: InstanceRecord, now: float
+    ) -> bool:
+        """Return whether a heartbeat may have been sent before `holder` took its sender's place."""
+        is_displaced = self.claims.is_displaced(heartbeat.instance)
+        silent = (now - holder.heard_at) / self.heartbeat_s
+        if holder.heartbeat.state == fleet.READY and silent <= ALIVE_HEARTBEATS:
+            return is_displaced or may_precede(heartbeat, holder.heartbeat, silent)
+        return is_displaced and not is_newer(heartbeat, holder.heartbeat)
+
     def incarnations_of(self, name: str) -> list[str]:
         """Return the incarnations that a departure refers to; `name` may be an id alone."""
         return [name, *(known for known in self.index.with_id(name) if known != name)]
@@ -152,6 +197,7 @@
     def mark_gone(self, instance: str) -> None:
         """Mark an instance as permanently gone."""
         self.discard(instance)
+        self.claims.withdraw(instance)
         if instance in self.gone:
             return
         self.gone[instance] = self.advance()
@@ -225,15 +271,33 @@
 
 
 def is_newer(heartbeat: fleet.Heartbeat, other: fleet.Heartbeat) -> bool:
-    """Return whether `heartbeat` is known to be from a later incarnation of `other`'s back end."""
+    """Return whether `heartbeat` is from a later incarnation of `other`'s back end."""
     return incarnations.parse(heartbeat.instance).is_newer(incarnations.parse(other.instance))
 
 
-def has_ended(former: fleet.Heartbeat, heartbeat: fleet.Heartbeat) -> bool:
-    """Return whether a heartbeat shows that a conflicting incarnation has ended.
+def may_precede(
+    heartbeat: fleet.Heartbeat, holder: fleet.Heartbeat, silent_heartbeats: float
+) -> bool:
+    """Return whether a heartbeat may have been sent before a conflicting instance started.
+
+    If start times do not show the order, only the first heartbeats of an instance show that it is
+    new. They do not while `holder` has just started itself and may not have ended since its last
+    heartbeat, which arrived `silent_heartbeats` intervals ago.
+    """
+    incarnation = incarnations.parse(heartbeat.instance)
+    other = incarnations.parse(holder.instance)
+    if incarnation.id == other.id:
+        return not incarnation.is_newer(other)
+    if other.starts_after(incarnation) or heartbeat.sequence > INITIAL_SEQUENCE_MAX:
+        return True
+    is_recent = holder.sequence <= RECENT_SEQUENCE_MAX and silent_heartbeats < RESTART_HEARTBEATS
+    return is_recent and not incarnation.starts_after(other)
+
+
+def is_successor(heartbeat: fleet.Heartbeat, former: fleet.Heartbeat) -> bool:
+    """Return whether a heartbeat is one of the first of the instance that followed `former`.
 
-    A later incarnation of the same back end shows that, and one that has just started. Any other
-    heartbeat may be late.
+    Nodes that receive such an instance remove `former`.
     """
     if is_newer(heartbeat, former):
         return True
