Platform: control calls with fields of another type are refused with field and remedy

Cause: a `born` of another type counted as missing, so that the heartbeat was that of another incarnation of the id, without a start time. An id such as i@ was the name of one. Change: both are refused, as is an id that is empty or not ASCII. The errors of heartbeats, named versions and configurations name the field, a missing one too, and what to do. Test replaced: test_invalid_start_time_is_logged_and_ignored held that such a heartbeat counts as one without a start time, which is the fault. Its values must be refused with the field and be logged now, and, in reports, be logged and ignored as before.

--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -18,6 +18,7 @@
 BORN_MS_MAX = 4_102_444_800_000
 # The end of a `msgspec` error, which names the field, such as "at `$.routes[0].name`".
 FIELD_PATH = re.compile(r"at `\$\.?(.+)`$")
+MISSING_FIELD = re.compile(r"missing required field `([^`]+)`")
 # `msgspec` raises RecursionError for values that are nested too deeply, also in unknown fields.
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 HEARTBEAT_STATES = {"ready": fleet.READY, "draining": fleet.DRAINING}
@@ -192,9 +193,8 @@
     try:
         decoded = CONFIGURATION_DECODER.decode(body)
     except DECODE_ERRORS as error:
-        field = field_of(error)
         raise errors.ConfigurationError(
-            f"invalid configuration: {error}; {remedy_for(field)}", field=field
+            f"invalid configuration: {error}; {remedy_for(error)}", field=field_of(error)
         )
     limits = fleet.ClientLimits(
         decoded.limits.max_header_bytes,
@@ -213,13 +213,16 @@
 
 def field_of(error: Exception) -> str:
     """Return the path of the field that a decoding error names, or an empty string."""
-    match = FIELD_PATH.search(str(error))
-    return match[1] if match is not None else ""
+    found = FIELD_PATH.search(str(error)), MISSING_FIELD.search(str(error))
+    return ".".join(match[1] for match in found if match is not None)
 
 
-def remedy_for(field: str) -> str:
-    """Return what to do about a decoding error, which names `field` if it is not empty."""
-    return f"correct {field}" if field else "send valid JSON in UTF-8"
+def remedy_for(error: Exception) -> str:
+    """Return what to do about a decoding error."""
+    field = field_of(error)
+    if not field:
+        return "send a JSON object in UTF-8"
+    return f"add {field}" if MISSING_FIELD.search(str(error)) else f"correct {field}"
 
 
 def convert_route(body: RouteBody) -> fleet.Route:
@@ -299,13 +302,31 @@
 
 
 def parse_born_ms(value: object) -> int:
-    """Return the start time of a back end in Unix milliseconds, or 0 if missing or invalid."""
+    """Return the start time of a back end in Unix milliseconds, or 0 if it is missing.
+
+    Raises ProtocolError if it is invalid.
+    """
     if value is None:
         return 0
     if isinstance(value, int) and not isinstance(value, bool) and 0 < value <= BORN_MS_MAX:
         return value
-    record_unreadable("born", value, "not a Unix time in milliseconds; treated as missing")
-    return 0
+    record_unreadable("born", value, "not a Unix time in milliseconds")
+    raise errors.ProtocolError(
+        f"born: {repr(value)[:80]} is not a Unix time in whole milliseconds, such as 1767000000000;"
+        " correct or omit it",
+        field="born",
+    )
+
+
+def parse_report_born_ms(value: object) -> int:
+    """Return the start time in an engine's report in Unix milliseconds, or 0 if not usable.
+
+    The rest of the report is of the engine that was asked, whatever its start time is.
+    """
+    try:
+        return parse_born_ms(value)
+    except errors.ProtocolError:
+        return 0
 
 
 def record_unreadable(field: str, value: object, reason: str) -> None:
@@ -320,11 +341,29 @@
         return
     record_unreadable("address", address, "not an IP address and a port")
     raise errors.ProtocolError(
-        f"address: {address[:80]!r} is not an IP address and a port, such as '10.128.0.9:8080'",
+        f"address: {address[:80]!r} is not an IP address and a port, such as '10.128.0.9:8080';"
+        " correct it",
         field="address",
     )
 
 
+def check_instance_id(instance_id: str) -> None:
+    """Raise ProtocolError unless a text is the id of a back end.
+
+    An id that looks like the name of an incarnation would be taken for that incarnation.
+    """
+    is_readable = bool(instance_id) and instance_id.isascii()
+    if is_readable and incarnations.parse(instance_id).id == instance_id:
+        return
+    record_unreadable("instance", instance_id, "not an id")
+    separator = incarnations.SEPARATOR
+    raise errors.ProtocolError(
+        f"instance: {instance_id[:80]!r} is not an id; use ASCII characters that do not end in"
+        f" {separator!r} and digits",
+        field="instance",
+    )
+
+
 def parse_heartbeat(instance_id: str, body: bytes) -> fleet.Heartbeat:
     """Parse the heartbeat of the back end `instance_id`; raise ProtocolError if it is invalid."""
     decoded = decode(HEARTBEAT_DECODER, body)
@@ -332,9 +371,11 @@
     if state is None:
         record_unreadable("state", decoded.state, "unknown state")
         raise errors.ProtocolError(
-            f"state: {decoded.state!r} is neither 'ready' nor 'draining'", field="state"
+            f"state: {decoded.state[:80]!r} is neither 'ready' nor 'draining'; send one of these",
+            field="state",
         )
     check_address(decoded.address)
+    check_instance_id(instance_id)
     return fleet.Heartbeat(
         incarnations.Incarnation(instance_id, parse_born_ms(decoded.born)).name(),
         decoded.service,
@@ -361,7 +402,7 @@
         decoded.kv_total,
         decoded.pace,
         parse_weights(decoded.models, decoded.layers),
-        born_ms=parse_born_ms(decoded.born),
+        born_ms=parse_report_born_ms(decoded.born),
     )
 
 
@@ -372,8 +413,10 @@
 
 
 def decode(decoder: msgspec.json.Decoder, body: bytes) -> msgspec.Struct:
-    """Decode a JSON body; raise ProtocolError if it is invalid."""
+    """Decode a JSON body; raise ProtocolError, which names the field, if it is invalid."""
     try:
         return decoder.decode(body)
     except DECODE_ERRORS as error:
-        raise errors.ProtocolError(f"invalid body: {error}")
+        raise errors.ProtocolError(
+            f"invalid body: {error}; {remedy_for(error)}", field=field_of(error)
+        )
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -51,6 +51,7 @@
             if request.method == b"PUT":
                 return dialects.ReceiveHeartbeat(bodies.parse_heartbeat(instance, request.body))
             if request.method == b"DELETE":
+                bodies.check_instance_id(instance)
                 return dialects.RemoveInstance(instance)
         if path == EVACUATIONS_PATH and request.method == b"GET":
             return dialects.GetEvacuations()
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -233,11 +233,20 @@
 
 
 @pytest.mark.parametrize("born", [-5, 0, 1.5, "1767000000000", True, 10**16, [1]])
-def test_invalid_start_time_is_logged_and_ignored(born, monkeypatch):
+def test_heartbeat_with_invalid_start_time_is_logged_and_refused(born, monkeypatch):
     lines = []
     monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append(fields))
-    heartbeat = bodies.parse_heartbeat("i", json.dumps(BODY | {"born": born}).encode())
-    assert heartbeat.instance == "i"
+    with pytest.raises(errors.ProtocolError, match="correct or omit it") as raised:
+        bodies.parse_heartbeat("i", json.dumps(BODY | {"born": born}).encode())
+    assert raised.value.field == "born"
+    assert [(line["field"], line["value"]) for line in lines] == [("born", repr(born))]
+
+
+@pytest.mark.parametrize("born", [-5, 0, 1.5, "1767000000000", True, 10**16, [1]])
+def test_invalid_start_time_in_a_report_is_logged_and_ignored(born, monkeypatch):
+    lines = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: lines.append(fields))
+    assert bodies.parse_report(json.dumps({"born": born}).encode()).born_ms == 0
     assert [(line["field"], line["value"]) for line in lines] == [("born", repr(born))]
 
 
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -4,6 +4,7 @@
 that nodes can't encode for other nodes.
 """
 
+import asyncio
 import contextlib
 import json
 
@@ -74,6 +75,102 @@
     assert raised.value.field == "address"
 
 
+VALUES = ["2026-12-04T16:45:00Z", 1.5, True, [], {"a": 1}]
+VALID_VALUES = {
+    "service": VALUES[:1],
+    "zone": VALUES[:1],
+    "cold_remaining_ms": [1.5],
+    "models": [[]],
+    "layers": [{"a": 1}],
+}
+WRONG_TYPES = [
+    (field, value)
+    for field in [*BODY, "born", "cold_remaining_ms"]
+    for value in VALUES
+    if value not in VALID_VALUES.get(field, [])
+]
+
+
+# Guards against a field of another type that counts as missing, so that the heartbeat is taken for
+# that of another incarnation.
+@pytest.mark.parametrize(("field", "value"), WRONG_TYPES)
+def test_heartbeat_with_a_field_of_another_type_is_refused_with_field_and_remedy(field, value):
+    with pytest.raises(errors.ProtocolError, match="; (correct|send)") as raised:
+        parse(**{field: value})
+    assert raised.value.field == field
+
+
+# Guards against an error that asks for valid JSON where a field is missing.
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state", "sequence"])
+def test_heartbeat_without_a_field_is_refused_with_field_and_remedy(field):
+    body = {key: value for key, value in BODY.items() if key != field}
+    with pytest.raises(errors.ProtocolError, match=f"add {field}") as raised:
+        bodies.parse_heartbeat("i", json.dumps(body).encode())
+    assert raised.value.field == field
+
+
+# Guards against errors without a remedy.
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'"x"', b"\xff", b"7", b"null"])
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [(b"PUT", b"/instances/i"), (b"PUT", b"/config"), (b"POST", b"/version-put")],
+)
+def test_control_call_with_an_unreadable_body_is_refused_with_a_remedy(method, path, body):
+    request = http_messages.Request(method, path, [], body)
+    with pytest.raises(errors.MerlinthreadError, match="send a JSON object in UTF-8"):
+        dialect.PlatformDialect().parse_control_call(request)
+
+
+# Guards against errors that do not name the field.
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [({"model": 5}, "model"), ({"version": "2"}, "version"), ({"version": None}, "version")],
+)
+def test_named_version_with_a_field_of_another_type_is_refused(changes, field):
+    body = json.dumps({"model": "m", "version": 1} | changes).encode()
+    request = http_messages.Request(b"POST", b"/version-put", [], body)
+    with pytest.raises(errors.ProtocolError, match=f"correct {field}") as raised:
+        dialect.PlatformDialect().parse_control_call(request)
+    assert raised.value.field == field
+
+
+# Guards against an id that is taken for the name of another back end's incarnation.
+@pytest.mark.parametrize("method", [b"PUT", b"DELETE"])
+@pytest.mark.parametrize("instance", [b"", b"i@1767000000000", b"i@7", b"i-\xff"])
+def test_call_with_an_id_that_names_an_incarnation_or_nothing_is_refused(method, instance):
+    body = json.dumps(BODY).encode()
+    request = http_messages.Request(method, b"/instances/" + instance, [], body)
+    with pytest.raises(errors.ProtocolError, match="is not an id; use") as raised:
+        dialect.PlatformDialect().parse_control_call(request)
+    assert raised.value.field == "instance"
+
+
+# Guards against an error that loses what is known: the refused heartbeat changes nothing.
+def test_refused_heartbeat_does_not_end_the_live_incarnation(tmp_path):
+    async def scenario():
+        async with fleet_nodes.running_controls(tmp_path) as controls:
+            live = BODY | {"born": 1767000000000}
+            await controls.until_acknowledged("PUT", "/instances/i", live | {"sequence": 40})
+            nodes = controls.nodes.values()
+            await fleet_nodes.until(lambda: all(node.registry.known for node in nodes))
+            for changes in ({"born": "2026-12-04T16:45:00Z"}, {"state": 5}, {"slots": None}):
+                body = live | {"sequence": 1, "state": "draining"} | changes
+                response = await controls.call(controls.ips[0], "PUT", "/instances/i", body)
+                assert response.status == 400
+                assert json.loads(response.body)["field"] == next(iter(changes))
+            last = live | {"sequence": 41, "slots": 5}
+            await controls.until_acknowledged("PUT", "/instances/i", last)
+            for node in nodes:
+                await fleet_nodes.until(
+                    lambda known=node.registry.known: known["i@1767000000000"].heartbeat.slots == 5
+                )
+                (known,) = node.registry.known.values()
+                assert known.heartbeat.state == fleet.READY
+                assert not node.registry.gone
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("number", HUGE)
 @pytest.mark.parametrize("field", ["sequence", "slots"])
 def test_heartbeat_with_number_beyond_64_bits_is_refused(field, number):
