Control VM: a draining heartbeat drains the incarnation that it names only

A heartbeat in state `draining` without a start time made every incarnation of its id drain, which is final. Cause: a departure in the log was applied to all incarnations of an id. That is meant for removals, which name an id alone. Change: a drain applies to the incarnation in the command. The command is as it was. Evidence: test_draining_heartbeat_without_start_time_does_not_drain_the_incarnation_with_one fails with the former control_node.py and passes now.

--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -117,9 +117,7 @@
     def on_applied(self, command: fleet_state.Command, age_s: float) -> None:
         """Handle an applied command, which was committed at most `age_s` seconds ago."""
         if isinstance(command, fleet_state.Depart):
-            # The VM that proposed it may not have known the incarnation of the back end.
-            for instance in self.registry.incarnations_of(command.instance):
-                self.mark_departed(instance, command.state)
+            self.apply_departure(command)
         elif isinstance(command, fleet_state.NameVersion):
             self.versions.record(command.model, command.version, self.clock() - age_s)
             self.registry.advance()
@@ -154,6 +152,18 @@
         self.evacuated = zones
         metrics.evacuated_zones.set(len(zones))
 
+    def apply_departure(self, command: fleet_state.Depart) -> None:
+        """Mark an incarnation as draining or gone.
+
+        A heartbeat in state `draining` names its sender. A removal names an id, whose incarnation
+        the VM that proposed it may not have known.
+        """
+        names = [command.instance]
+        if command.state == fleet.GONE:
+            names = self.registry.incarnations_of(command.instance)
+        for instance in names:
+            self.mark_departed(instance, command.state)
+
     def mark_departed(self, instance: str, state: str) -> None:
         """Mark an instance as draining or gone in the registry."""
         if state == fleet.GONE:
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -171,6 +171,27 @@
     asyncio.run(scenario())
 
 
+# Guards against a heartbeat without a start time that makes another incarnation drain for good.
+def test_draining_heartbeat_without_start_time_does_not_drain_the_incarnation_with_one(tmp_path):
+    async def scenario():
+        async with fleet_nodes.running_controls(tmp_path) as controls:
+            live = BODY | {"born": 1767000000000}
+            await controls.until_acknowledged("PUT", "/instances/i", live | {"sequence": 40})
+            nodes = controls.nodes.values()
+            await fleet_nodes.until(lambda: all(node.registry.known for node in nodes))
+            draining = BODY | {"state": "draining"}
+            await controls.until_acknowledged("PUT", "/instances/i", draining)
+            for node in nodes:
+                await fleet_nodes.until(lambda node=node: node.member.state.departed)
+                (known,) = node.registry.known.values()
+                assert (known.heartbeat.instance, known.heartbeat.state) == (
+                    "i@1767000000000",
+                    fleet.READY,
+                )
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("number", HUGE)
 @pytest.mark.parametrize("field", ["sequence", "slots"])
 def test_heartbeat_with_number_beyond_64_bits_is_refused(field, number):
