Agent: a report without a start time is not taken for a restart of the engine

A report whose start time is missing or can't be read made the agent discard the load and the weights that it knew. Cause: an unknown start time was compared with the known one. Change: the last known start time is kept. A lower number of orders still shows a restart. Evidence: test_agent_detects_engine_restart_by_start_time, extended by such a report, fails with the former agent_node.py and passes now.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -225,11 +225,12 @@
     def detect_restart(self, report: fleet.EngineReport) -> None:
         """Discard the recorded load if the engine has restarted.
 
-        Its start time or the number of orders that it has taken shows that.
+        Its start time or the number of orders that it has taken shows that. A report without a
+        start time does not show another one.
         """
-        previous_ms, self.born_ms = self.born_ms, report.born_ms
+        previous_ms, self.born_ms = self.born_ms, report.born_ms or self.born_ms
         orders_before = self.last_report.sequence if self.last_report is not None else 0
-        if previous_ms in (0, report.born_ms) and report.sequence >= orders_before:
+        if previous_ms in (0, self.born_ms) and report.sequence >= orders_before:
             return
         logs.event(
             "engine_reborn",
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -218,6 +218,10 @@
     agent.detect_restart(fleet.EngineReport(born_ms=STARTED_MS))
     agent.detect_restart(fleet.EngineReport(born_ms=STARTED_MS))
     assert agent.weights.reports == []
+    # A report without a start time, or with one that can't be read, is not of another engine.
+    agent.detect_restart(fleet.EngineReport())
+    agent.detect_restart(fleet.EngineReport(born_ms=STARTED_MS))
+    assert agent.weights.reports == []
     agent.detect_restart(fleet.EngineReport(born_ms=STARTED_MS + 1))
     assert (agent.weights.reports, agent.last_report, agent.load_tracker.open) == ([None], None, {})
 
