A new leader sends its first entry without waiting for an acknowledgement

What a member has acknowledged to former leaders is not known to a new one, so that the whole log counted as sent and not acknowledged: its first entry waited for the reply to a heartbeat, and a long message that was lost would have been sent again from the first entry on. Found by reading.

Change: only what this leader has sent counts (Progress.first). A long message that nobody reports counts as lost after 1 s and its time at 100 KB/s, since gaps and failed calls are seen earlier.

Evidence: test_new_leader_sends_its_first_entry_at_once failed before, passes now.

--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -218,7 +218,7 @@
         self.prepared_snapshot = None
         first = self.log.last_index() + 1
         self.progress = {
-            name: raft_messages.Progress(next=first, heard_at=now)
+            name: raft_messages.Progress(next=first, first=first, heard_at=now)
             for name in self.without_self(self.log.membership.members())
         }
         # A former leader that voted for this member has just been heard.
@@ -411,6 +411,7 @@
         progress.next = max(progress.match + 1, min(reply.match + 1, before - 1))
         if progress.next == before:
             return
+        progress.first = min(progress.first, progress.next)
         # Later than the messages sent at this moment, which are rejected as well.
         progress.rewound_at = math.nextafter(now, math.inf)
         progress.long_messages.clear()
@@ -464,12 +465,11 @@
         progress = self.progress[name]
         snapshot = self.snapshot_for(name)
         if snapshot is not None:
-            self.outbox.append(
-                (
-                    name,
-                    raft_messages.InstallSnapshot(self.name, self.hard_state.term, now, snapshot),
-                )
+            sent_at = max(now, progress.rewound_at)
+            install = raft_messages.InstallSnapshot(
+                self.name, self.hard_state.term, sent_at, snapshot
             )
+            self.outbox.append((name, install))
             self.expect_long_message(progress, snapshot.index, len(snapshot.state), now)
             return
         entries = self.entries_to_send(name, now)
@@ -521,7 +521,7 @@
             if is_delivered:
                 sent.until = min(sent.until, now + self.timing.resend_s)
                 return
-            progress.next = min(progress.next, progress.match + 1)
+            progress.next = min(progress.next, max(progress.match + 1, progress.first))
             progress.rewound_at = math.nextafter(now, math.inf)
             sent.until = now + self.timing.heartbeat_s
             progress.long_messages = [sent]
@@ -601,15 +601,19 @@
         progress = self.progress[name]
         if progress.next > self.log.last_index() or self.snapshot_for(name) is not None:
             return []
-        entries = self.log.entries_from(progress.next, self.limits)
         on_their_way = progress.long_messages_at(now)
-        if on_their_way:
-            is_long = raft_messages.entry_bytes(entries) > self.limits.long_bytes
-            return entries if is_long and len(on_their_way) < self.limits.long_messages else []
-        first = max(progress.match, self.log.snapshot.index)
-        unacknowledged = self.log.entries_between(first, progress.next - 1)
-        is_window_full = raft_messages.entry_bytes(unacknowledged) > self.limits.bytes_per_append
-        return [] if is_window_full else entries
+        if len(on_their_way) >= self.limits.long_messages:
+            return []
+        if not on_their_way and self.unacknowledged_bytes(progress) > self.limits.bytes_per_append:
+            return []
+        entries = self.log.entries_from(progress.next, self.limits)
+        is_long = raft_messages.entry_bytes(entries) > self.limits.long_bytes
+        return entries if is_long or not on_their_way else []
+
+    def unacknowledged_bytes(self, progress: raft_messages.Progress) -> int:
+        """Return the bytes of the entries that this leader has sent without an acknowledgement."""
+        after = max(progress.match, progress.first - 1, self.log.snapshot.index)
+        return raft_messages.entry_bytes(self.log.entries_between(after, progress.next - 1))
 
     def require_leader(self) -> None:
         """Raise NotLeaderError unless this member is the leader."""
--- a/src/merlinthread/coordination/raft_messages.py
+++ b/src/merlinthread/coordination/raft_messages.py
@@ -145,7 +145,7 @@
     election_min_s: float = 0.6
     election_max_s: float = 1.2
     lease_fraction: float = 0.8
-    resend_s: float = 0.5
+    resend_s: float = 1.0
     bytes_per_s_min: float = 100_000.0
 
 
@@ -194,12 +194,14 @@
 class Progress:
     """The leader's view of one other member; times are on the leader's clock.
 
-    `long_messages` are on their way. Messages sent before `rewound_at` say nothing of those sent
-    since. `rejected` counts the messages whose preceding entry the member did not have.
+    `first` is the lowest entry that this leader has sent. `long_messages` are on their way.
+    Messages sent before `rewound_at` say nothing of those sent since. `rejected` counts the
+    messages whose preceding entry the member did not have.
     """
 
     match: int = 0
     next: int = 1
+    first: int = 1
     acked_at: float = float("-inf")
     heard_at: float = float("-inf")
     long_messages: list[LongMessage] = dataclasses.field(default_factory=list)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -374,6 +374,28 @@
     assert [append.entries[0].index for append in again if append.entries] == [first]
 
 
+# Guards against an election that takes one more round trip, as what former leaders sent counts.
+def test_new_leader_sends_its_first_entry_at_once():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    for _ in range(4):
+        cluster.leader().raft.propose(bytes(20_000), cluster.now)
+        cluster.run(0.5)
+    cluster.crash(cluster.leader().name)
+    while cluster.leader() is None:
+        cluster.advance(raft_cluster.STEP_S)
+        for member in cluster.up():
+            cluster.tick(member.name)
+        sent = list(cluster.network)
+        cluster.deliver_all(rounds=1)
+    leader = cluster.leader().raft
+    sent += cluster.network
+    appends = [message for _, message in sent if getattr(message, "entries", None) is not None]
+    assert {len(append.entries) for append in appends if append.term == leader.hard_state.term} == {
+        1
+    }
+
+
 # Guards against candidates on a slow link that begin anew while votes for them are on their way.
 def test_votes_may_take_as_long_as_pre_votes():
     cluster = raft_cluster.Cluster(3)
