--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -56,8 +56,10 @@
         self.role = FOLLOWER
         self.leader = ""
         self.last_known_leader = ""
-        # The commit index in the last AppendEntries of a leader, and when it arrived.
+        # The highest commit index in an AppendEntries of the last leader, when the last one with it
+        # arrived, and its term.
         self.leader_commit = 0
+        self.leader_commit_term = 0
         self.leader_commit_at = float("-inf")
         self.is_resigned = False
         # A restarted member may have extended a lease just before it stopped, so it assumes that it
@@ -65,6 +67,8 @@
         self.heard_leader_at = now if self.hard_state.term > 0 else float("-inf")
         self.votes: set[str] = set()
         self.is_pre_vote = False
+        # Candidates for which this member has deferred its election since it last heard a leader.
+        self.deferred_to: set[str] = set()
         self.progress: dict[str, raft_messages.Progress] = {}
         self.commit_history = commit_history.CommitHistory(self.timing.election_max_s)
         # Sent to learners in place of the entries that it contains.
@@ -214,6 +218,7 @@
             return
         self.role = LEADER
         self.leader = self.name
+        self.deferred_to.clear()
         self.commit_history.clear()
         self.prepared_snapshot = None
         first = self.log.last_index() + 1
@@ -277,6 +282,7 @@
         is_granted = is_up_to_date and may_vote and request.term == self.hard_state.term
         if is_granted:
             self.role = FOLLOWER
+            self.deferred_to.clear()
             self.set_hard_state(request.term, request.sender)
             self.reset_election(now)
         reply = raft_messages.VoteReply(
@@ -308,13 +314,17 @@
         """Let a candidate that got this member's pre-vote request its votes first.
 
         Otherwise members that begin within one round trip deny each other's votes, again and again
-        on a slow link. Of two equal candidates for pre-votes, one continues.
+        on a slow link. Of two equal candidates for pre-votes, one continues. A candidate gets one
+        chance, as it may not receive the replies.
         """
+        if request.sender in self.deferred_to:
+            return
         if self.role == CANDIDATE:
             is_equal = request.last_index == self.log.last_index()
             if not self.is_pre_vote or (is_equal and request.sender < self.name):
                 return
             self.role = FOLLOWER
+        self.deferred_to.add(request.sender)
         self.reset_election(now)
 
     def is_up_to_date(self, request: raft_messages.VoteRequest) -> bool:
@@ -346,8 +356,7 @@
         if not self.follow_leader(append.sender, append.term, now):
             self.reply_append(append.sender, False, self.log.last_index(), append.sent_at)
             return
-        self.leader_commit = append.commit
-        self.leader_commit_at = now
+        self.record_leader_commit(append, now)
         previous = append.previous_index
         local_term = self.log.term_at(previous)
         if previous > self.log.snapshot.index and local_term != append.previous_term:
@@ -360,6 +369,13 @@
         self.commit = max(self.commit, min(append.commit, match))
         self.reply_append(append.sender, True, match, append.sent_at)
 
+    def record_leader_commit(self, append: raft_messages.AppendEntries, now: float) -> None:
+        """Record the leader's commit index, unless a later message with a higher one was here."""
+        if (append.term, append.commit) >= (self.leader_commit_term, self.leader_commit):
+            self.leader_commit_term = append.term
+            self.leader_commit = append.commit
+            self.leader_commit_at = now
+
     def reply_append(self, leader: str, is_accepted: bool, match: int, sent_at: float) -> None:
         """Reply to an AppendEntries or InstallSnapshot message."""
         reply = raft_messages.AppendReply(
@@ -372,6 +388,7 @@
         if term < self.hard_state.term:
             return False
         self.become_follower(term, sender, now)
+        self.deferred_to.clear()
         self.heard_leader_at = now
         self.last_known_leader = sender
         return True
@@ -519,7 +536,8 @@
             if sent.sent_at != sent_at:
                 continue
             if is_delivered:
-                sent.until = min(sent.until, now + self.timing.resend_s)
+                # The acknowledgement may be lost.
+                sent.until = min(sent.until, now + self.timing.election_min_s)
                 return
             progress.next = min(progress.next, max(progress.match + 1, progress.first))
             progress.rewound_at = math.nextafter(now, math.inf)
--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -34,7 +34,11 @@
 from merlinthread.state import journal
 from merlinthread.transport import node_bus
 
-TIMING = raft_messages.Timing(heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5)
+# The sender reports the end of each long message, so that `resend_s` only guards against a bug:
+# copies that share a slow link would delay each other beyond their timeouts.
+TIMING = raft_messages.Timing(
+    heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5, resend_s=30.0
+)
 COMPACT_AFTER_ENTRIES = 1500
 COMPACT_AFTER_BYTES = 16 * 1024 * 1024
 # A learner that lacks more of the log than this gets a snapshot, if that is shorter.
--- a/tests/test_log_sender.py
+++ b/tests/test_log_sender.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from bench import virtual_loop
 from merlinthread import errors
 from merlinthread.coordination import levels, raft_messages
-from merlinthread.nodes import call_timeouts, log_sender
+from merlinthread.nodes import call_timeouts, log_member, log_sender
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages
 from merlinthread.state import journal
@@ -97,7 +99,18 @@
     assert timeouts.timeout_s(0) == call_timeouts.TIMEOUT_MIN_S
 
 
-def test_long_message_has_time_in_proportion_to_its_size():
+# Guards against a message that is given up again and again on a link that needs longer for it.
+@pytest.mark.parametrize("bytes_per_s", [150_000, 60_000, 25_000])
+def test_long_message_gets_the_time_that_its_link_needs(bytes_per_s):
     timeouts = call_timeouts.CallTimeouts()
-    at_min_rate_s = 300_000 / call_timeouts.BYTES_PER_S_MIN
-    assert timeouts.timeout_s(300_000) >= at_min_rate_s
+    size_bytes = 300_000
+    for _ in range(4):
+        if timeouts.timeout_s(size_bytes) >= size_bytes / bytes_per_s:
+            break
+        timeouts.record_failure(timeouts.timeout_s(size_bytes))
+    assert timeouts.timeout_s(size_bytes) >= size_bytes / bytes_per_s
+
+
+def test_several_copies_of_a_long_message_are_not_on_their_way_at_once():
+    longest_s = call_timeouts.TIMEOUT_MAX_S + 64 * 1024 / call_timeouts.BYTES_PER_S_MIN
+    assert log_member.TIMING.resend_s > longest_s
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -431,6 +431,38 @@
     assert cluster.leader() is not None
 
 
+# Guards against a voter that receives nothing and keeps the others from electing a leader.
+def test_election_is_deferred_once_for_a_candidate_that_does_not_hear_the_replies():
+    cluster = raft_cluster.Cluster(3)
+    deaf = cluster.members[cluster.names[-1]].raft
+    election_max_s = deaf.timing.election_max_s
+    deaf.step = lambda message, now: None
+    deaf.timing = raft_messages.Timing(election_min_s=0.3, election_max_s=0.35)
+    deaf.reset_election(cluster.now)
+    # Each of the others defers its election once to the deaf one and once to the other one.
+    cluster.run(3 * election_max_s)
+    assert cluster.leader() is not None
+
+
+# Guards against a follower that calls itself up to date by a message that took long.
+def test_late_message_does_not_make_a_follower_look_up_to_date():
+    cluster = raft_cluster.Cluster(3)
+    cluster.run(2.0)
+    leader = cluster.leader().raft
+    follower = cluster.members[next(n for n in cluster.names if n != leader.name)].raft
+    commit = follower.leader_commit
+    term = leader.hard_state.term
+
+    def append(of_commit: int) -> raft_messages.AppendEntries:
+        return raft_messages.AppendEntries(leader.name, term, 0, 0, of_commit, cluster.now, [])
+
+    follower.step(append(commit + 2), cluster.now)
+    known_at = cluster.now
+    cluster.advance(0.3)
+    follower.step(append(commit), cluster.now)
+    assert (follower.leader_commit, follower.leader_commit_at) == (commit + 2, known_at)
+
+
 def test_too_many_uncommitted_commands_are_refused():
     cluster = raft_cluster.Cluster(3)
     cluster.run(2.0)
