--- a/src/merlinthread/platform/bodies.py
+++ b/src/merlinthread/platform/bodies.py
@@ -222,7 +222,7 @@
     """Return what to do about a decoding error."""
     field = field_of(error)
     if not field:
-        return "send a JSON object in UTF-8"
+        return "send valid JSON, an object, in UTF-8"
     return f"add {field}" if MISSING_FIELD.search(str(error)) else f"correct {field}"
 
 
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -4,7 +4,7 @@
 import json
 import random
 
-from merlinthread.coordination import instances
+from merlinthread.coordination import incarnations, instances
 from merlinthread.nodes import agent_node, node_settings
 from merlinthread.platform import bodies, dialect
 from stand_ins import fleet_worker
@@ -115,7 +115,10 @@
                     "cold_remaining_ms": 1000 * self.cold_s[number],
                     "models": [{"name": "m", "version": 1}],
                 }
-                heartbeat = bodies.parse_heartbeat(engine.instance, json.dumps(body).encode())
+                incarnation = incarnations.parse(engine.instance)
+                if incarnation.born_ms:
+                    body["born"] = incarnation.born_ms
+                heartbeat = bodies.parse_heartbeat(incarnation.id, json.dumps(body).encode())
                 watcher = entry.node.watcher
                 watcher.instance_table.apply_instance(
                     instances.Instance(heartbeat), entry.node.clock()
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -117,7 +117,7 @@
 )
 def test_control_call_with_an_unreadable_body_is_refused_with_a_remedy(method, path, body):
     request = http_messages.Request(method, path, [], body)
-    with pytest.raises(errors.MerlinthreadError, match="send a JSON object in UTF-8"):
+    with pytest.raises(errors.MerlinthreadError, match="send valid JSON, an object, in UTF-8"):
         dialect.PlatformDialect().parse_control_call(request)
 
 
--- a/tests/test_parser_properties.py
+++ b/tests/test_parser_properties.py
@@ -215,7 +215,8 @@
         return
     assert is_valid
     service = found.services[0]
-    assert getattr(service, name) == (value or 0)
+    # Integers above 2**53 have no float of their own.
+    assert getattr(service, name) == float(value or 0)
     limit = cold_limits.make_limit(service.cold_per_s, overage, slack)
     assert (limit is None) == (service.cold_per_s <= 0)
     if limit is not None:
