--- a/src/merlinthread/nodes/log_member.py
+++ b/src/merlinthread/nodes/log_member.py
@@ -34,8 +34,8 @@
 from merlinthread.state import journal
 from merlinthread.transport import node_bus
 
-# The sender reports the end of each long message, so that `resend_s` only guards against a bug:
-# copies that share a slow link would delay each other beyond their timeouts.
+# The sender reports the end of each long message. `resend_s` is longer than any call, since copies
+# of a message that share a slow link delay each other beyond their timeouts.
 TIMING = raft_messages.Timing(
     heartbeat_s=0.15, election_min_s=0.75, election_max_s=1.5, resend_s=30.0
 )
