--- a/src/merlinthread/coordination/raft.py
+++ b/src/merlinthread/coordination/raft.py
@@ -13,7 +13,13 @@
 import msgspec
 
 from merlinthread import errors
-from merlinthread.coordination import commit_history, raft_log, raft_members, raft_messages
+from merlinthread.coordination import (
+    commit_history,
+    raft_log,
+    raft_members,
+    raft_messages,
+    raft_progress,
+)
 from merlinthread.state import journal
 
 FOLLOWER = "follower"
@@ -69,7 +75,7 @@
         self.is_pre_vote = False
         # Candidates for which this member has deferred its election since it last heard a leader.
         self.deferred_to: set[str] = set()
-        self.progress: dict[str, raft_messages.Progress] = {}
+        self.progress: dict[str, raft_progress.Progress] = {}
         self.commit_history = commit_history.CommitHistory(self.timing.election_max_s)
         # Sent to learners in place of the entries that it contains.
         self.prepared_snapshot: journal.Snapshot | None = None
@@ -223,7 +229,7 @@
         self.prepared_snapshot = None
         first = self.log.last_index() + 1
         self.progress = {
-            name: raft_messages.Progress(next=first, first=first, heard_at=now)
+            name: raft_progress.Progress(next=first, first=first, heard_at=now)
             for name in self.without_self(self.log.membership.members())
         }
         # A former leader that voted for this member has just been heard.
@@ -414,7 +420,7 @@
         self.advance_commit()
 
     def on_gap(
-        self, reply: raft_messages.AppendReply, progress: raft_messages.Progress, now: float
+        self, reply: raft_messages.AppendReply, progress: raft_progress.Progress, now: float
     ) -> None:
         """Send earlier entries to a member that lacks the one before those it got.
 
@@ -513,13 +519,13 @@
         self.outbox.append((name, append))
 
     def expect_long_message(
-        self, progress: raft_messages.Progress, end: int, size_bytes: int, now: float
+        self, progress: raft_progress.Progress, end: int, size_bytes: int, now: float
     ) -> None:
         """Record that a long message with the entries up to `end` is on its way."""
         until = now + self.timing.resend_s + size_bytes / self.timing.bytes_per_s_min
         progress.long_messages = progress.long_messages_at(now)
         progress.long_messages.append(
-            raft_messages.LongMessage(end, max(now, progress.rewound_at), until)
+            raft_progress.LongMessage(end, max(now, progress.rewound_at), until)
         )
 
     def on_long_message_sent(
@@ -628,7 +634,7 @@
         is_long = raft_messages.entry_bytes(entries) > self.limits.long_bytes
         return entries if is_long or not on_their_way else []
 
-    def unacknowledged_bytes(self, progress: raft_messages.Progress) -> int:
+    def unacknowledged_bytes(self, progress: raft_progress.Progress) -> int:
         """Return the bytes of the entries that this leader has sent without an acknowledgement."""
         after = max(progress.match, progress.first - 1, self.log.snapshot.index)
         return raft_messages.entry_bytes(self.log.entries_between(after, progress.next - 1))
@@ -657,7 +663,7 @@
             self.log.membership, change, self.replication_status(now)
         )
         if change.add:
-            self.progress[change.add] = raft_messages.Progress(heard_at=now)
+            self.progress[change.add] = raft_progress.Progress(heard_at=now)
         return self.append_entry("voters", msgspec.msgpack.encode(members)).index
 
     def advance_commit(self) -> None:
--- a/src/merlinthread/nodes/log_sender.py
+++ b/src/merlinthread/nodes/log_sender.py
@@ -1,8 +1,8 @@
 """Sends Raft messages to the other members of the replicated log.
 
-Each member has two queues. Long messages have a call each. Short ones are sent beside them, in
-batches, and do not wait for a reply that takes long, so that a heartbeat, a vote or an
-acknowledgement takes one round trip on a slow link as well.
+A long message has a call of its own. Short ones are sent beside it, in batches, and do not wait for
+a reply that takes long, so that a heartbeat, a vote or an acknowledgement takes one round trip on a
+slow link as well.
 """
 
 import asyncio
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from merlinthread import errors
-from merlinthread.coordination import raft, raft_members, raft_messages
+from merlinthread.coordination import raft, raft_members, raft_messages, raft_progress
 from merlinthread.state import journal
 from tests import raft_cluster
 
@@ -337,7 +337,7 @@
     for _ in range(5):
         cluster.advance(leader.timing.heartbeat_s)
         leader.progress[next(n for n in cluster.names if n not in (follower, leader.name))] = (
-            raft_messages.Progress(heard_at=cluster.now, next=leader.log.last_index() + 1)
+            raft_progress.Progress(heard_at=cluster.now, next=leader.log.last_index() + 1)
         )
         leader.tick(cluster.now)
         leader.flush(cluster.now)
