Stage no pieces while an order to load weights may still be taken

Cause: an order that got no answer within 1 s counted as over. The agent staged the next version over the pieces that the slow engine took 2 s later, and forgot that the load was unproven once it ordered the next one.

Change: an order names the engine's revision and is sent again until its fate is known; meanwhile newer pieces are buffered, none is staged. What a late order took is read back first. Unproven loads are kept by version. Weights that no order of this process loaded are unproven until read back. The stand-in honours expected_revision and counts only orders that began.

Two doubles in tests take the new arguments, and LoadProof.discard names its version: the checks are the same.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -196,6 +196,8 @@
             is_silent = isinstance(error, errors.UnreachableError) and not isinstance(
                 error, errors.NotListeningError
             )
+            if isinstance(error, errors.NotListeningError):
+                self.weights.record_engine_end()
             if not is_silent or self.clock() - self.answered_at > ENGINE_SILENCE_MAX_S:
                 self.record_engine_lost(error.message)
             return
@@ -241,6 +243,7 @@
         )
         self.load_tracker = load_tracker.LoadTracker()
         self.last_report = None
+        self.weights.record_engine_end()
         self.weights.record_engine_report(None)
 
     def set_engine_reachable(self, is_reachable: bool, reason: str) -> None:
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -143,5 +143,9 @@
         version: int,
         truncates_streams: bool,
         layers: range | None = None,
+        revision: int | None = None,
     ) -> http_messages.Request:
-        """Return the request that makes an engine load `layers` of the staged weights, or all."""
+        """Return the request that makes an engine load `layers` of the staged weights, or all.
+
+        The engine refuses it if it has not taken exactly `revision` orders, unless that is None.
+        """
--- a/src/merlinthread/nodes/engine_client.py
+++ b/src/merlinthread/nodes/engine_client.py
@@ -125,13 +125,21 @@
         return response.body
 
     async def load_staged_weights(
-        self, model: str, version: int, truncates_streams: bool, layers: range | None = None
+        self,
+        model: str,
+        version: int,
+        truncates_streams: bool,
+        layers: range | None = None,
+        revision: int | None = None,
     ) -> int:
         """Make the engine hold `layers` of the staged weights, or all; return the HTTP status.
 
-        It loads the layers of this version that it does not hold, and gives up the others.
+        It loads the layers of this version that it does not hold, and gives up the others. It
+        refuses if it has not taken exactly `revision` orders.
         """
-        request = self.dialect.load_request(self.engine, model, version, truncates_streams, layers)
+        request = self.dialect.load_request(
+            self.engine, model, version, truncates_streams, layers, revision
+        )
         response = await self.request_engine(request, REPORT_BYTES_MAX)
         return response.status
 
--- a/src/merlinthread/nodes/piece_store.py
+++ b/src/merlinthread/nodes/piece_store.py
@@ -14,32 +14,72 @@
 class PieceStore:
     """Stores the pieces of one version.
 
-    `is_engine_seen` is set by the owner once the engine has responded for the first time.
+    `is_engine_seen` is set by the owner once the engine has responded for the first time. While
+    staging is suspended, pieces are buffered. `staged` are the pieces of this version that may have
+    been staged by this process. `unanswered` are those of earlier versions whose upload got no
+    response, so that it may still overwrite a piece of this version.
     """
 
     def __init__(self, engine: engine_client.EngineClient) -> None:
         self.engine = engine
         self.is_engine_seen = False
+        self.is_suspended = False
         self.buffered: dict[int, bytes] = {}
+        self.staged: set[int] = set()
+        self.unanswered: set[int] = set()
+        self.unanswered_now: set[int] = set()
 
-    def clear(self) -> None:
-        """Discard the buffered pieces, for example because another version is wanted."""
+    def start_version(self) -> None:
+        """Discard the buffered pieces, which are of another version than the one that is wanted."""
         self.buffered.clear()
+        self.staged.clear()
+        self.unanswered |= self.unanswered_now
+        self.unanswered_now.clear()
+
+    def record_engine_end(self) -> None:
+        """Record that the engine's process has ended, and with it all uploads to it."""
+        self.unanswered.clear()
+        self.unanswered_now.clear()
 
     def is_full(self) -> bool:
         """Return whether the buffer has reached its size limit."""
         return sum(map(len, self.buffered.values())) >= BUFFER_BYTES_MAX
 
+    def can_flush(self) -> bool:
+        """Return whether there are buffered pieces and staging is allowed."""
+        return bool(self.buffered) and not self.is_suspended
+
+    # Staging
+
+    def suspend(self) -> None:
+        """Stage no further pieces: the engine may be about to take those that it has."""
+        self.is_suspended = True
+
+    def resume(self) -> None:
+        """Allow pieces to be staged again."""
+        self.is_suspended = False
+
+    async def stage(self, model: str, index: int, data: bytes) -> None:
+        """Upload a piece to the engine; raise UnreachableError or ProtocolError if that fails."""
+        self.staged.add(index)
+        is_answered = False
+        try:
+            await self.engine.stage_piece(model, index, data)
+            is_answered = True
+        finally:
+            if not is_answered:
+                self.unanswered_now.add(index)
+
     async def put(self, model: str, index: int, data: bytes) -> None:
-        """Stage a piece, or buffer it if the engine is silent or has not responded yet.
+        """Stage a piece, or buffer it if the engine is silent or can't be used at the moment.
 
         Raises NotListeningError or ProtocolError if staging fails.
         """
-        if not self.is_engine_seen:
+        if not self.is_engine_seen or self.is_suspended:
             self.buffered[index] = data
             return
         try:
-            await self.engine.stage_piece(model, index, data)
+            await self.stage(model, index, data)
         except errors.NotListeningError:
             raise
         except errors.UnreachableError:
@@ -51,10 +91,16 @@
         return data if data is not None else await self.engine.read_staged_piece(manifest, index)
 
     async def flush(self, model: str) -> None:
-        """Stage all buffered pieces; raise UnreachableError or ProtocolError if that fails."""
+        """Stage all buffered pieces, unless staging is suspended.
+
+        Raises UnreachableError or ProtocolError if that fails.
+        """
         for index in sorted(self.buffered):
             data = self.buffered.get(index)
             if data is None:
                 continue
-            await self.engine.stage_piece(model, index, data)
-            self.buffered.pop(index, None)
+            if self.is_suspended:
+                return
+            await self.stage(model, index, data)
+            if self.buffered.get(index) is data:
+                del self.buffered[index]
--- a/src/merlinthread/nodes/piece_verifier.py
+++ b/src/merlinthread/nodes/piece_verifier.py
@@ -20,23 +20,48 @@
         self.engine = engine
         self.clock = clock
         self.readings = piece_readings.PieceReadings(0)
+        self.manifest: fleet.Manifest | None = None
         # The median duration of a reading in the last verification, 0 if it is not known.
         self.reading_s = 0.0
 
     def start_version(self, manifest: fleet.Manifest) -> None:
         """Discard the readings of another version, whose pieces may have another size."""
         self.readings = piece_readings.PieceReadings(len(manifest.digests))
+        self.manifest = manifest
         self.reading_s = 0.0
 
+    def record_bad(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> None:
+        """Record that staged pieces were found bad, unless they are of another version."""
+        if manifest is self.manifest:
+            for index in indexes:
+                self.readings.record(index, self.clock(), False)
+
     async def verify(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> int:
         """Read pieces back; return the bit set of those that match the manifest.
 
         Raises UnreachableError if the engine does not respond.
         """
+        right = await self.read_all(manifest, indexes, self.readings)
+        return sum(1 << index for index in right)
+
+    async def find_right(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> set[int]:
+        """Read pieces of any version back; return those that match its manifest.
+
+        Raises UnreachableError if the engine does not respond.
+        """
+        readings = piece_readings.PieceReadings(len(manifest.digests))
+        return await self.read_all(manifest, indexes, readings)
+
+    async def read_all(
+        self,
+        manifest: fleet.Manifest,
+        indexes: Sequence[int],
+        readings: piece_readings.PieceReadings,
+    ) -> set[int]:
+        """Read pieces, several at once if that takes long; return those that are right."""
         waiting = iter(indexes)
         right: set[int] = set()
         durations: list[float] = []
-        readings = self.readings
         readers = [
             asyncio.create_task(self.read(manifest, waiting, readings, right, durations))
             for _ in range(self.reader_count(len(indexes)))
@@ -48,7 +73,7 @@
                 reader.cancel()
         if durations:
             self.reading_s = statistics.median(durations)
-        return sum(1 << index for index in right)
+        return right
 
     async def read(
         self,
--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -1,13 +1,21 @@
 """Loads of staged weights by the local engine: when it loads them, and whether that is proven.
 
 Entries are told of a load once it is proven that its pieces were right (`coordination.load_proof`).
+No piece is staged while the fate of an order is open or what it took has not been read back.
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 
 from merlinthread import errors, logs, metrics
-from merlinthread.coordination import fetch_policies, fleet, load_proof, reload_schedule
+from merlinthread.coordination import (
+    fetch_policies,
+    fleet,
+    load_orders,
+    load_proof,
+    reload_schedule,
+)
 from merlinthread.nodes import engine_client, piece_store, piece_verifier, weights_view
 
 POLL_INTERVAL_S = 0.1
@@ -21,6 +29,9 @@
 # Verifications before one load. A second one reads what became too old in the first, as in that of
 # a paused process; a slow engine must load too, and its load is proven afterwards.
 VERIFICATIONS_MAX = 2
+# Reports without a change of the revision after which an unanswered order is sent again. The first
+# one may have been requested before the order.
+REPORTS_BEFORE_RESEND = 2
 
 
 class WeightsLoader:
@@ -46,12 +57,17 @@
         self.on_report_changed = on_report_changed
         self.report: fleet.EngineReport | None = None
         self.proof = load_proof.LoadProof()
+        # The last order, until what the engine took by it is known; the task that finds that out.
+        self.order: load_orders.LoadOrder | None = None
+        self.settling: asyncio.Task | None = None
+        self.report_count = 0
         # Crashes of the engine while it loaded the current manifest's version, and loads of it in
         # which it took a bad piece.
         self.load_crashes = 0
         self.spoilt_loads = 0
-        # How often the engine was lost.
+        # How often the engine was lost, and how often its process has ended.
         self.loss_count = 0
+        self.end_count = 0
 
     def start_version(self) -> None:
         """Reset the counts of failed loads, which were of another version."""
@@ -66,6 +82,19 @@
         self.loss_count += report is None
         if report is None:
             self.verifier.readings.forget()
+            return
+        self.report_count += 1
+        if self.order is not None:
+            self.order.record_revision(report.sequence)
+        for model, version in self.proof.observe(report, self.view.model()):
+            logs.warning("load_foreign", model=model, version=version, revision=report.sequence)
+
+    def record_engine_end(self) -> None:
+        """Record that the engine's process has ended: it takes no order any more."""
+        self.end_count += 1
+        self.proof.record_engine_end()
+        if self.order is not None:
+            self.order.record_engine_end()
 
     def holds(self, manifest: fleet.Manifest) -> bool:
         """Return whether the engine reports all layers of the manifest's version."""
@@ -114,6 +143,7 @@
 
         They are verified before the wait, so that bad ones are replaced meanwhile, and after it.
         """
+        await self.wait_until_settled()
         if not plan.is_complete() or self.view.is_superseded(manifest):
             return
         await self.store.flush(manifest.model)
@@ -161,29 +191,122 @@
     async def order_load(self, manifest: fleet.Manifest) -> None:
         """Make the engine load the staged weights.
 
-        An order without a response may have been accepted, so that it counts as accepted until the
-        engine's next report. Raises NotListeningError if the engine can't have received it.
+        Raises NotListeningError if the engine can't have received the order.
         """
-        self.proof.begin(manifest, self.report.weights if self.report is not None else [])
-        is_answered = True
+        if self.report is None:
+            return
+        self.proof.begin(manifest, self.report.weights)
+        order = load_orders.LoadOrder(manifest, self.report.sequence)
+        await self.start_order(order)
+        if order.is_open():
+            self.report_busy()
+
+    # Orders
+
+    async def start_order(self, order: load_orders.LoadOrder) -> None:
+        """Send an order; go on until its fate is known in a task if there is no response."""
+        self.order = order
+        self.store.suspend()
         try:
-            status = await self.engine.load_staged_weights(manifest.model, manifest.version, False)
+            await self.send_order(order)
         except errors.NotListeningError:
-            self.proof.cancel()
+            self.end_order(order)
+            raise
+        if order.is_open() or not self.end_order(order):
+            self.settling = asyncio.get_running_loop().create_task(self.settle(order))
+
+    def cancel(self) -> None:
+        """Stop sending orders, since the task that owns the loader ends."""
+        if self.settling is not None:
+            self.settling.cancel()
+
+    async def send_order(self, order: load_orders.LoadOrder) -> None:
+        """Send a copy of an order, and record its response or that there is none.
+
+        Raises NotListeningError if the engine can't have received it.
+        """
+        manifest = order.manifest
+        arguments = (manifest.model, manifest.version, False, order.layers, order.revision)
+        order.unanswered += 1
+        try:
+            status = await self.engine.load_staged_weights(*arguments)
+        except errors.NotListeningError:
+            order.record_engine_end()
             raise
-        except errors.UnreachableError as error:
-            logs.event("order_unanswered", version=manifest.version, reason=error.message)
-            status = engine_client.STATUS_ACCEPTED
-            is_answered = False
+        except errors.MerlinthreadError as error:
+            logs.event(
+                "order_unanswered",
+                version=manifest.version,
+                revision=order.revision,
+                copies=order.unanswered,
+                reason=error.message,
+            )
+            return
+        order.unanswered -= 1
+        order.record_status(status)
         logs.event("engine_ordered", version=manifest.version, status=status)
-        if status != engine_client.STATUS_ACCEPTED:
+
+    async def settle(self, order: load_orders.LoadOrder) -> None:
+        """Send an order again until its fate is known, and then read back what it took."""
+        while order.is_open():
+            count = self.report_count
+            while order.is_open() and self.report_count < count + REPORTS_BEFORE_RESEND:
+                await asyncio.sleep(LOAD_POLL_INTERVAL_S)
+            if order.is_open():
+                with contextlib.suppress(errors.NotListeningError):
+                    await self.send_order(order)
+            if not order.is_open():
+                logs.event(
+                    "order_settled",
+                    version=order.manifest.version,
+                    revision=order.revision,
+                    fate=order.fate.value,
+                )
+                self.end_order(order)
+        if order.layers is None and self.proof.pieces_to_verify(order.manifest):
+            await self.read_back(order.manifest)
+        self.order = None
+        self.store.resume()
+
+    def end_order(self, order: load_orders.LoadOrder) -> bool:
+        """Record the fate of an order; return whether pieces may be staged again.
+
+        Otherwise those that the engine has taken must be read back first.
+        """
+        manifest = order.manifest
+        if order.layers is not None:
+            if order.fate is load_orders.Fate.TAKEN:
+                self.proof.discard(manifest, order.layers)
+        elif order.fate is load_orders.Fate.REFUSED:
             self.proof.cancel()
-            return
-        self.record_accepted_load(manifest, is_answered)
+        else:
+            self.record_accepted_load(order)
+            self.report_busy()
+            if self.proof.pieces_to_verify(manifest):
+                return False
+        self.order = None
+        self.store.resume()
+        return True
+
+    def report_busy(self) -> None:
+        """Tell entries that the engine is changing its weights, ahead of its next report."""
         if self.report is not None:
             self.report.is_busy = True
             self.send_report(self.report)
 
+    def is_settling(self) -> bool:
+        """Return whether the fate of an order is open, or what it took is being read back."""
+        return self.settling is not None and not self.settling.done()
+
+    async def wait_until_settled(self) -> None:
+        """Wait until the fate of the last order is known and what it took has been read back."""
+        if self.settling is None:
+            return
+        settling = self.settling
+        await asyncio.shield(settling)
+        if self.settling is settling:
+            self.settling = None
+
     async def await_reload_time(self, manifest: fleet.Manifest) -> None:
         """Wait for the reload time of this engine's group, unless the engine does not serve."""
         if not self.is_serving():
@@ -221,34 +344,61 @@
 
     # Proof of a load
 
-    def record_accepted_load(self, manifest: fleet.Manifest, is_answered: bool) -> None:
-        """Record an accepted load; without a response, the engine may take the pieces later."""
+    def record_accepted_load(self, order: load_orders.LoadOrder) -> None:
+        """Record an accepted load; without a response, the engine took the pieces later."""
+        manifest = order.manifest
         old: Sequence[int] = range(len(manifest.digests))
-        if is_answered:
-            old = self.verifier.readings.older_than(load_proof.PROOF_AGE_MAX_S, self.clock())
+        if order.is_answered:
+            overdue = self.verifier.readings.older_than(load_proof.PROOF_AGE_MAX_S, self.clock())
+            old = sorted(self.store.unanswered.intersection(old).union(overdue))
         self.proof.accept(old)
         if self.proof.unproven is None:
             metrics.loads_total.labels("before").inc()
             return
         logs.event(
-            "load_unproven", version=manifest.version, is_answered=is_answered, pieces=len(old)
+            "load_unproven",
+            version=manifest.version,
+            is_answered=order.is_answered,
+            pieces=len(old),
         )
 
-    async def prove_load(self, plan: fetch_policies.Zoned, manifest: fleet.Manifest) -> None:
-        """Read pieces back once an unproven load has finished, and tell entries if it is proven.
+    async def prove_load(self, manifest: fleet.Manifest) -> None:
+        """Read pieces back if a load that the engine has finished is unproven.
 
-        They are as they were when the engine took them, unless they are bad now: only this agent
-        stages pieces, and it stages none of this version after it ordered the load.
+        Raises UnreachableError if the engine does not respond.
         """
-        if not self.holds(manifest):
+        if self.is_settling() or not self.holds(manifest):
             return
         pieces = self.proof.pieces_to_verify(manifest)
-        if not pieces:
-            return
-        await self.verify_pieces(plan, manifest, pieces)
-        bad = [index for index in pieces if not plan.held >> index & 1]
+        if pieces:
+            await self.verify_load(manifest, pieces)
+
+    async def read_back(self, manifest: fleet.Manifest) -> None:
+        """Read back what the engine took by an order, before other pieces are staged.
+
+        It is repeated until the engine responds, or has ended and with it what it took.
+        """
+        end_count = self.end_count
+        while self.end_count == end_count and (pieces := self.proof.pieces_to_verify(manifest)):
+            try:
+                await self.verify_load(manifest, pieces)
+            except errors.MerlinthreadError as error:
+                logs.event("load_unverified", version=manifest.version, reason=error.message)
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def verify_load(self, manifest: fleet.Manifest, pieces: Sequence[int]) -> None:
+        """Read `pieces` back after a load, and tell entries if that proves it.
+
+        They are as they were when the engine took them, unless they are bad now: only this agent
+        stages pieces, and it stages none between the order and this.
+        """
+        right = await self.verifier.find_right(manifest, pieces)
+        if self.proof.is_foreign(manifest):
+            right -= self.store.staged
+        bad = [index for index in pieces if index not in right]
         self.proof.record_verified(manifest, bad)
         if bad:
+            self.verifier.record_bad(manifest, bad)
             self.spoilt_loads += 1
             metrics.loads_total.labels("never").inc()
             logs.warning("load_spoilt", version=manifest.version, pieces=bad)
@@ -264,21 +414,20 @@
         Otherwise it would answer an order to load the version that it has done so.
         """
         kept = self.proof.layers_to_keep(manifest)
-        if kept is None:
+        if kept is None or self.report is None:
             return False
-        status = await self.engine.load_staged_weights(
-            manifest.model, manifest.version, False, kept
-        )
+        order = load_orders.LoadOrder(manifest, self.report.sequence, kept)
+        await self.start_order(order)
+        await self.wait_until_settled()
         logs.event(
             "layers_discarded",
             version=manifest.version,
             kept=[kept.start, kept.stop],
-            status=status,
+            fate=order.fate.value,
         )
-        if status != engine_client.STATUS_ACCEPTED:
+        if order.fate is not load_orders.Fate.TAKEN:
             self.spoilt_loads += 1
             return False
-        self.proof.discard(kept)
         deadline = self.clock() + DISCARD_TIMEOUT_S
         while self.holds(manifest) and self.clock() < deadline:
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -97,13 +97,20 @@
 
     async def run(self) -> None:
         """Keep the engine on the newest published version, until cancelled."""
-        while True:
-            try:
-                await self.run_once()
-            except errors.MerlinthreadError as error:
-                logs.event("weights_delayed", reason=error.message)
-                await asyncio.sleep(RETRY_DELAY_S)
-            await asyncio.sleep(POLL_INTERVAL_S)
+        try:
+            while True:
+                await self.run_step()
+                await asyncio.sleep(POLL_INTERVAL_S)
+        finally:
+            self.loader.cancel()
+
+    async def run_step(self) -> None:
+        """Run one step of the loop; wait after an error, which is logged."""
+        try:
+            await self.run_once()
+        except errors.MerlinthreadError as error:
+            logs.event("weights_delayed", reason=error.message)
+            await asyncio.sleep(RETRY_DELAY_S)
 
     async def run_once(self) -> None:
         """Fetch and load the newest version unless the engine has already loaded it."""
@@ -112,8 +119,8 @@
             return
         if self.loader.report is None and self.store.is_engine_seen:
             return
-        if self.plan is not None and self.manifest is not None:
-            await self.loader.prove_load(self.plan, self.manifest)
+        if self.manifest is not None:
+            await self.loader.prove_load(self.manifest)
         wanted = self.view.newest_version(model) or (self.manifest.version if self.manifest else 0)
         if self.manifest is None or (wanted and self.manifest.version != wanted):
             await self.start_version(model, wanted)
@@ -142,7 +149,7 @@
         )
         manifest.layers = self.view.layers() or manifest.layers
         plan = self.make_plan(manifest)
-        self.store.clear()
+        self.store.start_version()
         self.verifier.start_version(manifest)
         self.checker.start_version()
         # After a restart of the agent, staged pieces may be of this version; later they are not.
@@ -186,9 +193,14 @@
         if not self.store.is_engine_seen:
             self.store.is_engine_seen = True
             self.sync_task = loop.create_task(self.sync_with_engine())
-        elif self.store.buffered and (self.sync_task is None or self.sync_task.done()):
+        elif self.store.can_flush() and (self.sync_task is None or self.sync_task.done()):
             self.sync_task = loop.create_task(self.flush_pieces())
 
+    def record_engine_end(self) -> None:
+        """Record that the engine's process has ended; another one may be at its address."""
+        self.loader.record_engine_end()
+        self.store.record_engine_end()
+
     async def flush_pieces(self) -> None:
         """Stage the pieces that were buffered while the engine was silent."""
         if self.manifest is None:
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -214,11 +214,12 @@
         version: int,
         truncates_streams: bool,
         layers: range | None = None,
+        revision: int | None = None,
     ) -> http_messages.Request:
         """Return the request that makes an engine load `layers` of the staged weights, or all.
 
         With `truncates_streams`, the engine truncates running responses; otherwise it queues the
-        load.
+        load. It refuses if it has not taken exactly `revision` orders.
         """
         load_order: dict[str, str | int] = {
             "operation": "start",
@@ -228,6 +229,8 @@
         }
         if layers is not None:
             load_order |= {"from": layers.start, "target_version": layers.stop}
+        if revision is not None:
+            load_order["expected_revision"] = revision
         body = msgspec.json.encode(load_order)
         headers = [*body_headers(address, body), JSON_TYPE]
         return http_messages.Request(b"POST", names.ORDER_PATH, headers, body)
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -105,6 +105,8 @@
         self.flood_bytes = 0
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict] = []
+        # The number of orders that began something.
+        self.revision = 0
         # The pieces that each layer took, and whether an order is in progress.
         self.layer_pieces: dict[int, dict[int, bytes]] = {}
         self.is_busy = False
@@ -323,7 +325,7 @@
                 "version": self.version,
             },
             "busy": self.is_busy,
-            "sequence": len(self.orders),
+            "sequence": self.revision,
             "queued": 0,
             "running": self.running,
         }
@@ -349,9 +351,12 @@
         order = json.loads(exchange.request.body)
         self.orders.append(order)
         status = self.behaviour.order_status
-        if status == 202 and self.holds(order):
+        if status == 202 and order.get("expected_revision", self.revision) != self.revision:
+            status = 409
+        elif status == 202 and self.holds(order):
             status = 200
         elif status == 202:
+            self.revision += 1
             self.is_busy = True
             self.take_pieces(order)
             delay_s = self.behaviour.order_delay_s
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -213,6 +213,9 @@
         def record_engine_report(self, report):
             self.reports.append(report)
 
+        def record_engine_end(self):
+            pass
+
     agent = agent_node.AgentNode.__new__(agent_node.AgentNode)
     agent.born_ms, agent.last_report, agent.weights = 0, fleet.EngineReport(), FakeWeights()
     agent.detect_restart(fleet.EngineReport(born_ms=STARTED_MS))
--- a/tests/test_load_proof.py
+++ b/tests/test_load_proof.py
@@ -258,7 +258,7 @@
     while (kept := proof.layers_to_keep(MANIFEST)) is not None:
         steps += 1
         bad &= set(kept)
-        proof.discard(kept)
+        proof.discard(MANIFEST, kept)
         proof.begin(MANIFEST, [fleet_types.Weights("m", 2, len(kept))])
         assert proof.proven_weights(fleet_types.EngineReport(weights=[WHOLE])) == []
         proof.accept([])
--- /dev/null
+++ b/tests/test_open_orders.py
@@ -0,0 +1,259 @@
+"""Pieces of another version are not staged while an order to load weights may still be taken.
+
+Guards against tokens of layers that took pieces of two versions: an engine that is slow takes an
+order after its agent has stopped waiting for the response.
+"""
+
+import asyncio
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from merlinthread import errors
+from merlinthread.coordination import fleet as fleet_types
+from merlinthread.coordination import load_orders, load_proof
+from merlinthread.nodes import engine_client, piece_store
+from tests import fleet_nodes
+from tests.test_weights_task import PIECES, make_pieces, run
+
+MANIFEST = fleet_types.Manifest("m", 2, 16, [""] * 16)
+# An engine answers an order after this long, so that its agent doesn't wait for the response.
+SLOW_ORDER_S = 0.8
+
+
+class TakenLoads:
+    """Records whether each load took the pieces of its own version, and what entries are told."""
+
+    def __init__(self, engine) -> None:
+        self.engine = engine
+        self.are_right: dict[int, bool] = {}
+        self.take_pieces = engine.take_pieces
+        engine.take_pieces = self.record
+        self.told: set[int] = set()
+
+    def record(self, order: dict) -> None:
+        self.take_pieces(order)
+        loaded = self.engine.loaded_pieces
+        version = order["version"]
+        pieces = [loaded.get(index) for index in range(PIECES)]
+        self.are_right[version] = pieces == make_pieces(version)
+
+    def watch(self, agent) -> None:
+        send_load = agent.send_load
+
+        def record_report(report):
+            if not report.is_busy:
+                self.told |= {weights.version for weights in report.weights}
+            send_load(report)
+
+        agent.send_load = agent.weights.loader.on_report_changed = record_report
+
+
+async def publish_slowly(fleet, monkeypatch) -> TakenLoads:
+    """Publish version 2 to a slow engine, and version 3 once it has received the order."""
+    fleet.origin.pieces[3] = make_pieces(3)
+    monkeypatch.setattr(engine_client, "LOCAL_TIMEOUT_S", 0.3)
+    await fleet.wait_until_loaded(1)
+    engine = fleet.engines[0]
+    loads = TakenLoads(engine)
+    loads.watch(fleet.agents[0])
+    received = []
+    serve = engine.order
+
+    async def receive(exchange):
+        received.append(exchange)
+        # The engine goes on when its caller has closed the connection.
+        await asyncio.shield(asyncio.create_task(serve(exchange)))
+
+    engine.order = receive
+    engine.behaviour.order_wait_s = SLOW_ORDER_S
+    fleet.publish(2)
+    await fleet_nodes.until(lambda: received)
+    fleet.publish(3)
+    return loads
+
+
+async def restart_agent(fleet) -> None:
+    """Replace the agent by another process, which knows nothing of its orders."""
+    ip = fleet.agents[0].settings.ip
+    fleet.stop_agent(0)
+    await fleet_nodes.until(lambda: fleet_nodes.is_udp_port_free(ip, fleet.port))
+    await fleet.start_agent(0)
+
+
+def test_order_that_is_taken_late_takes_pieces_of_its_own_version(monkeypatch):
+    async def scenario(fleet):
+        loads = await publish_slowly(fleet, monkeypatch)
+        await fleet.wait_until_loaded(3)
+        assert loads.are_right == {2: True, 3: True}
+
+    run(1, scenario)
+
+
+# Guards against an engine that stays on old weights since pieces wait for the fate of an order.
+def test_newer_pieces_are_downloaded_while_an_order_is_open(monkeypatch):
+    async def scenario(fleet):
+        await publish_slowly(fleet, monkeypatch)
+        weights = fleet.agents[0].weights
+        await fleet_nodes.until(lambda: len(weights.store.buffered) == PIECES)
+        assert not fleet.engines[0].revision > 1
+        await fleet.wait_until_loaded(3)
+        assert not weights.store.buffered
+
+    run(1, scenario)
+
+
+# Guards against two loads by copies of one order.
+def test_copies_of_an_order_are_taken_once(monkeypatch):
+    async def scenario(fleet):
+        await publish_slowly(fleet, monkeypatch)
+        await fleet.wait_until_loaded(3)
+        assert fleet.engines[0].revision == 3
+
+    run(1, scenario)
+
+
+# Guards against an agent that does not know of the order of the process before it.
+def test_load_ordered_by_an_ended_agent_is_not_used_unless_its_pieces_are_right(monkeypatch):
+    async def scenario(fleet):
+        loads = await publish_slowly(fleet, monkeypatch)
+        await restart_agent(fleet)
+        loads.watch(fleet.agents[0])
+        fleet.publish(3)
+        await fleet.wait_until_loaded(3)
+        await fleet_nodes.until(lambda: 3 in loads.told)
+        assert loads.are_right[3]
+        assert loads.are_right.get(2, True) or 2 not in loads.told
+
+    run(1, scenario)
+
+
+def test_sound_load_ordered_by_an_ended_agent_is_used(monkeypatch):
+    async def scenario(fleet):
+        monkeypatch.setattr(engine_client, "LOCAL_TIMEOUT_S", 0.3)
+        await fleet.wait_until_loaded(1)
+        engine = fleet.engines[0]
+        engine.behaviour.order_delay_s = 0.5
+        fleet.publish(2)
+        await fleet_nodes.until(lambda: engine.revision == 2)
+        await restart_agent(fleet)
+        fleet.publish(2)
+        loads = TakenLoads(engine)
+        loads.watch(fleet.agents[0])
+        await fleet_nodes.until(lambda: 2 in loads.told)
+        assert engine.revision == 2
+
+    run(1, scenario)
+
+
+# Guards against an upload of an earlier version that arrives after the newer piece.
+def test_piece_whose_upload_of_an_earlier_version_was_not_answered_is_read_back():
+    class SilentEngine:
+        async def stage_piece(self, model, index, data):
+            raise errors.UnreachableError("no response in time")
+
+    async def scenario():
+        store = piece_store.PieceStore(SilentEngine())
+        store.is_engine_seen = True
+        await store.put("m", 3, b"piece")
+        assert store.buffered == {3: b"piece"} and not store.unanswered
+        store.start_version()
+        assert store.unanswered == {3} and not store.buffered
+        store.record_engine_end()
+        assert not store.unanswered
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+@pytest.mark.parametrize("status", [200, 202, 409, 503])
+def test_refusal_of_one_copy_leaves_the_others_open(status, is_first):
+    order = load_orders.LoadOrder(MANIFEST, 4, unanswered=0 if is_first else 1)
+    order.record_status(status)
+    if status == 202 or (status == 200 and not is_first):
+        assert order.fate is load_orders.Fate.TAKEN
+    else:
+        assert order.is_open() is (status != 200 and not is_first)
+
+
+class SimulatedEngine:
+    """An engine that takes copies of orders in any order, at any time."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.staged = 1
+        self.taken: list[tuple[int, int]] = []
+        self.copies: list[load_orders.LoadOrder] = []
+
+    def take(self, order: load_orders.LoadOrder) -> int:
+        if order.revision != self.revision:
+            return 409
+        self.revision += 1
+        self.taken.append((order.manifest.version, self.staged))
+        return load_orders.STATUS_ACCEPTED
+
+
+# Whatever is lost or late, an order never takes pieces of another version.
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from(["send", "lose", "take", "report", "next"]))
+)
+def test_order_never_takes_pieces_of_another_version(steps):
+    engine = SimulatedEngine()
+    order = None
+    for step in steps:
+        if order is not None and not order.is_open():
+            order = None
+        if step == "next" and order is None:
+            engine.staged += 1
+        elif step in ("send", "lose"):
+            if order is None:
+                manifest = fleet_types.Manifest("m", engine.staged, 16, [])
+                order = load_orders.LoadOrder(manifest, engine.revision)
+            if step == "lose":
+                order.unanswered += 1
+                engine.copies.append(order)
+            else:
+                order.record_status(engine.take(order))
+        elif step == "take" and engine.copies:
+            engine.take(engine.copies.pop(0))
+        elif step == "report" and order is not None:
+            order.record_revision(engine.revision)
+    assert all(version == staged for version, staged in engine.taken)
+
+
+def test_weights_that_appear_without_an_order_are_unproven():
+    proof = load_proof.LoadProof()
+    reports = [
+        fleet_types.EngineReport(weights=[fleet_types.Weights("m", version, 16)])
+        for version in (1, 2)
+    ]
+    assert proof.observe(reports[0], "m") == []
+    assert proof.report_for_entries(reports[0]) is reports[0]
+    assert proof.observe(reports[1], "m") == [("m", 2)]
+    assert proof.report_for_entries(reports[1]).is_busy
+    assert proof.pieces_to_verify(MANIFEST) == range(16)
+    proof.record_verified(MANIFEST, [])
+    assert proof.report_for_entries(reports[1]) is reports[1]
+
+
+def test_weights_of_an_unmanaged_model_are_used_as_reported():
+    proof = load_proof.LoadProof()
+    proof.observe(fleet_types.EngineReport(), "")
+    report = fleet_types.EngineReport(weights=[fleet_types.Weights("other", 2, 16)])
+    assert proof.observe(report, "m") == []
+    assert proof.report_for_entries(report) is report
+
+
+# Guards against entries that are told of an unproven load once the next version is ordered.
+def test_unproven_load_stays_unproven_when_the_next_version_is_ordered():
+    proof = load_proof.LoadProof()
+    proof.observe(fleet_types.EngineReport(weights=[fleet_types.Weights("m", 1, 16)]), "m")
+    proof.begin(MANIFEST, [])
+    proof.accept(range(16))
+    proof.begin(fleet_types.Manifest("m", 3, 16, [""] * 16), [])
+    report = fleet_types.EngineReport(weights=[fleet_types.Weights("m", 2, 16)])
+    assert proof.report_for_entries(report).is_busy
+    proof.accept([])
+    proof.observe(fleet_types.EngineReport(weights=[fleet_types.Weights("m", 3, 16)]), "m")
+    assert not proof.loads
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -88,10 +88,10 @@
         fleet.engine.behaviour.order_delay_s = 0.6
         load_staged_weights = fleet.agent.engine.load_staged_weights
 
-        async def fall_silent_and_load(model, version, truncates_streams):
+        async def fall_silent_and_load(*arguments):
             if not fleet.engine.orders:
                 await fleet.fall_silent()
-            return await load_staged_weights(model, version, truncates_streams)
+            return await load_staged_weights(*arguments)
 
         fleet.agent.engine.load_staged_weights = fall_silent_and_load
         await fleet.wait_until_loaded(1)
