Keep the place of an incarnation that is heard from, and ask who is there

Cause: a heartbeat with a sequence of up to 3 counted as the start of a process and displaced a holder that is heard from every 1.2 s.

Change: such a holder keeps its place. The control VM asks the process at the address with a health check that expects the claimant; its answer confirms or refutes the claim, and without one heartbeats during the holder's silence decide.

--- a/src/merlinthread/coordination/incarnation_claims.py
+++ b/src/merlinthread/coordination/incarnation_claims.py
@@ -15,6 +15,8 @@
 # A claim is proven by heartbeats that arrive over this many heartbeat intervals. It is below 1,
 # since intervals vary.
 PROOF_HEARTBEATS = 0.75
+# A holder that was heard from this many heartbeat intervals ago may still be running.
+HOLDER_SILENCE_HEARTBEATS = 1.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,8 +67,16 @@
         if claim.since is None or holder_heard_at > claim.since:
             claim.since = now
             return False
+        if now - holder_heard_at < HOLDER_SILENCE_HEARTBEATS * self.heartbeat_s:
+            return False
         return now - claim.since >= PROOF_HEARTBEATS * self.heartbeat_s
 
+    def refute(self, instance: str) -> None:
+        """Begin the proof of a claim anew, since another process is at the claimant's address."""
+        claim = self.claims.get(instance)
+        if claim is not None:
+            claim.since = None
+
     def put(self, instance: str, claim: Claim) -> None:
         """Set the claim of an incarnation, and drop the oldest claims above the limit."""
         self.claims.pop(instance, None)
--- a/src/merlinthread/coordination/instances.py
+++ b/src/merlinthread/coordination/instances.py
@@ -5,7 +5,8 @@
 
 Only a departure ends an incarnation for good. A heartbeat says nothing final about another one,
 since it may be late: an incarnation that has lost its place to another one gets it back if it
-continues to send (`coordination.incarnation_claims`).
+continues to send (`coordination.incarnation_claims`). One that is heard from keeps its place until
+it falls silent, or until the process at its address says that it is another one.
 """
 
 import collections
@@ -19,10 +20,6 @@
 GONE_IN_FULL_UPDATE_MAX = 256
 # An instance with a sequence up to this counts as just started, since its first calls may be lost.
 INITIAL_SEQUENCE_MAX = 3
-# Heartbeats that were sent before an instance started rarely arrive after this sequence of it.
-RECENT_SEQUENCE_MAX = 5
-# A process does not end and start again within this many heartbeat intervals of a heartbeat.
-RESTART_HEARTBEATS = 0.75
 # The end of a cold start that a heartbeat moves by more than this is sent to the nodes. Heartbeats
 # may be late by less.
 COLD_END_TOLERANCE_S = 1.0
@@ -64,24 +61,29 @@
         self.claims = incarnation_claims.ClaimTable(heartbeat_s)
         self.index = conflict_index.ConflictIndex()
         self.gone: collections.OrderedDict[str, int] = collections.OrderedDict()
+        # The last heartbeats of claimants to the place of an incarnation that is heard from.
+        self.contested: list[fleet.Heartbeat] = []
         self.compacted_position = 0
         self.position = 0
 
-    def record_heartbeat(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+    def record_heartbeat(
+        self, heartbeat: fleet.Heartbeat, now: float, is_confirmed: bool = False
+    ) -> bool:
         """Record a heartbeat; return whether anything but its age has changed.
 
         Heartbeats with an older `sequence` and those of departed incarnations are ignored. A
-        draining incarnation never becomes ready again.
+        draining incarnation never becomes ready again. `is_confirmed` is set if the process at the
+        address has said that it is the sender.
         """
         if heartbeat.instance in self.gone:
             return False
         known = self.known.get(heartbeat.instance)
         if known is None:
-            return self.record_new(heartbeat, now)
+            return self.record_new(heartbeat, now, is_confirmed)
         if heartbeat.sequence <= known.heartbeat.sequence:
             return False
         has_moved = heartbeat.address != known.heartbeat.address
-        if has_moved and not self.take_place(heartbeat, now):
+        if has_moved and not self.take_place(heartbeat, now, is_confirmed):
             return False
         if known.heartbeat.state == fleet.DRAINING:
             heartbeat = dataclasses.replace(heartbeat, state=fleet.DRAINING)
@@ -100,17 +102,17 @@
             known.position = self.advance()
         return is_changed
 
-    def record_new(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+    def record_new(self, heartbeat: fleet.Heartbeat, now: float, is_confirmed: bool) -> bool:
         """Record the heartbeat of an unknown incarnation, unless it may have ended."""
         has_displaced = bool(self.conflicts(heartbeat))
-        if not self.take_place(heartbeat, now):
+        if not self.take_place(heartbeat, now, is_confirmed):
             return False
         record = InstanceRecord(heartbeat, now, self.advance(), has_displaced)
         self.known[heartbeat.instance] = record
         self.index.put(heartbeat)
         return True
 
-    def take_place(self, heartbeat: fleet.Heartbeat, now: float) -> bool:
+    def take_place(self, heartbeat: fleet.Heartbeat, now: float, is_confirmed: bool) -> bool:
         """Give the sender of a heartbeat the place of the incarnations that conflict with it.
 
         Return whether it has it; if it may have ended, its heartbeat only adds to its claim.
@@ -118,9 +120,11 @@
         if self.is_of_departed(heartbeat):
             return False
         holders = self.conflicts(heartbeat)
-        if self.is_in_doubt(heartbeat, holders, now):
+        if not is_confirmed and self.is_in_doubt(heartbeat, holders, now):
             heard_at = max((one.heard_at for one in holders), default=float("-inf"))
             if not self.claims.record(heartbeat, heard_at, now):
+                if holders:
+                    self.contested.append(heartbeat)
                 return False
         self.claims.withdraw(heartbeat.instance)
         for holder in holders:
@@ -130,6 +134,15 @@
                 self.compacted_position = self.advance()
         return True
 
+    def pop_contested(self) -> list[fleet.Heartbeat]:
+        """Return and forget the last heartbeats of claimants, whose addresses may be asked."""
+        contested, self.contested = self.contested, []
+        return contested
+
+    def refute(self, instance: str) -> None:
+        """Record that another process is at the address of a claimant."""
+        self.claims.refute(instance)
+
     def discard(self, instance: str) -> None:
         """Remove an instance if it is known, without marking it as gone."""
         self.known.pop(instance, None)
@@ -167,7 +180,7 @@
         is_displaced = self.claims.is_displaced(heartbeat.instance)
         silent = (now - holder.heard_at) / self.heartbeat_s
         if holder.heartbeat.state == fleet.READY and silent <= ALIVE_HEARTBEATS:
-            return is_displaced or may_precede(heartbeat, holder.heartbeat, silent)
+            return is_displaced or may_precede(heartbeat, holder.heartbeat)
         return is_displaced and not is_newer(heartbeat, holder.heartbeat)
 
     def incarnations_of(self, name: str) -> list[str]:
@@ -275,23 +288,18 @@
     return incarnations.parse(heartbeat.instance).is_newer(incarnations.parse(other.instance))
 
 
-def may_precede(
-    heartbeat: fleet.Heartbeat, holder: fleet.Heartbeat, silent_heartbeats: float
-) -> bool:
+def may_precede(heartbeat: fleet.Heartbeat, holder: fleet.Heartbeat) -> bool:
     """Return whether a heartbeat may have been sent before a conflicting instance started.
 
-    If start times do not show the order, only the first heartbeats of an instance show that it is
-    new. They do not while `holder` has just started itself and may not have ended since its last
-    heartbeat, which arrived `silent_heartbeats` intervals ago.
+    Start times show the order of two processes of one id. At one address, they do so only in the
+    first heartbeats of the later one.
     """
     incarnation = incarnations.parse(heartbeat.instance)
     other = incarnations.parse(holder.instance)
     if incarnation.id == other.id:
         return not incarnation.is_newer(other)
-    if other.starts_after(incarnation) or heartbeat.sequence > INITIAL_SEQUENCE_MAX:
-        return True
-    is_recent = holder.sequence <= RECENT_SEQUENCE_MAX and silent_heartbeats < RESTART_HEARTBEATS
-    return is_recent and not incarnation.starts_after(other)
+    is_first = heartbeat.sequence <= INITIAL_SEQUENCE_MAX
+    return not (is_first and incarnation.starts_after(other))
 
 
 def is_successor(heartbeat: fleet.Heartbeat, former: fleet.Heartbeat) -> bool:
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -16,8 +16,10 @@
 )
 from merlinthread.nodes import (
     call_timeouts,
+    configured_services,
     control_api,
     crash_registry,
+    identity_checker,
     leader_tracker,
     limit_registry,
     log_member,
@@ -82,6 +84,10 @@
             self.record_local_heartbeat,
         )
         self.server = stream_server.Server(self.api.serve, limits)
+        self.services = configured_services.ConfiguredServices(dialect, self.member)
+        self.identities = identity_checker.IdentityChecker(
+            dialect, self.services.find, self.apply_identity
+        )
         self.pending_commits: dict[bytes, asyncio.Task] = {}
         self.tasks: list[asyncio.Task] = []
 
@@ -107,6 +113,7 @@
     async def stop(self) -> None:
         """Shut down gracefully: wait for active requests, then resign from the replicated log."""
         self.server.stop_accepting()
+        self.identities.stop()
         for _ in range(20):
             if not self.server.count_active_requests():
                 break
@@ -267,13 +274,16 @@
 
     # Heartbeats
 
-    def record_heartbeat(self, heartbeat: fleet.Heartbeat) -> None:
+    def record_heartbeat(self, heartbeat: fleet.Heartbeat, is_confirmed: bool = False) -> None:
         """Record a heartbeat; a departed instance stays draining or gone."""
         state = self.member.state.departed.get(heartbeat.instance)
         if state == fleet.GONE:
             return
         is_new = heartbeat.instance not in self.registry.known
-        if self.registry.record_heartbeat(heartbeat, self.clock()):
+        is_changed = self.registry.record_heartbeat(heartbeat, self.clock(), is_confirmed)
+        for claimant in self.registry.pop_contested():
+            self.identities.check(claimant)
+        if is_changed:
             if state == fleet.DRAINING:
                 self.registry.mark_draining(heartbeat.instance)
             if is_new:
@@ -285,6 +295,13 @@
                 )
             self.notify_watchers()
 
+    def apply_identity(self, heartbeat: fleet.Heartbeat, is_sender: bool) -> None:
+        """Apply what the process at the address of a claimant has said of itself."""
+        if is_sender:
+            self.record_heartbeat(heartbeat, is_confirmed=True)
+        else:
+            self.registry.refute(heartbeat.instance)
+
     def record_local_heartbeat(self, heartbeat: fleet.Heartbeat) -> None:
         """Record a heartbeat that a back end sent to this VM, and queue it for the other VMs."""
         self.record_heartbeat(heartbeat)
--- a/src/merlinthread/nodes/dialect.py
+++ b/src/merlinthread/nodes/dialect.py
@@ -108,6 +108,9 @@
         The time is None if the headers do not say.
         """
 
+    def identity_request(self, address: str, path: str, expected_id: str) -> http_messages.Request:
+        """Return the health check of a back end that only the one with `expected_id` accepts."""
+
     def error_headers(self, call: fleet.RequestHead | None) -> http_messages.Headers:
         """Return the headers of an error response that the node itself sends."""
 
--- a/src/merlinthread/platform/dialect.py
+++ b/src/merlinthread/platform/dialect.py
@@ -165,6 +165,11 @@
             return None, "not a whole number of milliseconds"
         return int(text) / bodies.MS_PER_S, ""
 
+    def identity_request(self, address: str, path: str, expected_id: str) -> http_messages.Request:
+        """Return the health check of a back end that only the one with `expected_id` accepts."""
+        headers = [*host_header(address), (names.EXPECT_INSTANCE, expected_id.encode("latin-1"))]
+        return http_messages.Request(b"GET", path.encode("latin-1"), headers)
+
     # Engine and origin
 
     def report_request(self, address: str) -> http_messages.Request:
