Free requests and their bodies when their exchange ends

Cause: each exchange left its objects and the body in reference cycles, which only a full garbage collection frees: callbacks that are bound methods of their owner, holders of connections, errors whose tracebacks refer to frames that refer to the error.

Change: callbacks are dropped at the end of the request, attempt or connection; frames let go of errors and of the tasks that keep them.

--- a/src/merlinthread/coordination/held_bytes.py
+++ b/src/merlinthread/coordination/held_bytes.py
@@ -9,6 +9,10 @@
 INFINITE = float("inf")
 
 
+def do_nothing(now: float) -> None:
+    """Take the place of the callbacks of a holder that is released."""
+
+
 class Holder:
     """The bytes held for one client.
 
@@ -42,9 +46,13 @@
             self.budget.shed()
 
     def release(self) -> None:
-        """Release all bytes; further ones are not counted, since the connection is closed."""
+        """Release all bytes; further ones are not counted, since the connection is closed.
+
+        The callbacks refer to the connection, which would be freed late in a reference cycle.
+        """
         if self.is_open:
             self.is_open = False
+            self.close = self.refresh = do_nothing
             self.budget.byte_count -= self.byte_count
             self.budget.holders.discard(self)
 
--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -60,6 +60,10 @@
     response: http_messages.Response | None = None
 
 
+def do_nothing() -> None:
+    """Take the place of a callback that is not set."""
+
+
 def always() -> bool:
     """Return True."""
     return True
@@ -104,7 +108,7 @@
         self.is_sent = False
         self.sent_at = float("-inf")
         self.may_send: Callable[[], bool] = always
-        self.on_data: Callable[[], None] = lambda: None
+        self.on_data: Callable[[], None] = do_nothing
         self.reader = response_reader.ResponseReader(
             context, pool, self.reservation, relay.exchange.holder
         )
@@ -172,8 +176,14 @@
         return Outcome(State.UNKNOWN, "the client did not take its data before the deadline")
 
     def release(self) -> None:
-        """Remove the attempt, which has ended, from its back end's load."""
+        """Remove the attempt, which has ended, from its back end's load, and drop its callbacks.
+
+        They refer to the attempt itself and to the request, whose body would be freed late in a
+        reference cycle.
+        """
         self.pool.release(self.reservation)
+        self.may_send = always
+        self.on_data = self.reader.on_silence = do_nothing
 
     def give_up(self) -> None:
         """Record that another attempt has sent data, or the client has left.
--- a/src/merlinthread/nodes/open_attempts.py
+++ b/src/merlinthread/nodes/open_attempts.py
@@ -47,6 +47,11 @@
         """Return whether the back ends of all open attempts are silent."""
         return bool(self.tasks) and all(attempt.reader.is_silent for attempt in self.tasks)
 
+    def close(self) -> None:
+        """Give up all open attempts, and drop the callback, which refers to the owner."""
+        self.keep_only(None)
+        self.on_continued = attempts.do_nothing
+
     def keep_only(self, kept: attempts.Attempt | None) -> None:
         """Give up all open attempts except `kept`."""
         for attempt, task in list(self.tasks.items()):
--- a/src/merlinthread/nodes/request_task.py
+++ b/src/merlinthread/nodes/request_task.py
@@ -81,7 +81,8 @@
                 self.log_outcome("left", 0)
             raise
         finally:
-            self.open.keep_only(None)
+            self.open.close()
+            self.relay.disconnect()
             self.cancel_retry()
 
     def prepare(self) -> None:
--- a/src/merlinthread/nodes/response_relay.py
+++ b/src/merlinthread/nodes/response_relay.py
@@ -7,6 +7,10 @@
 from merlinthread.transport import http_messages, stream_server
 
 
+def ignore_status(status: int) -> None:
+    """Take the place of the callback of a relay whose request has ended."""
+
+
 class ResponseRelay:
     """Relays responses of back ends to one client.
 
@@ -27,6 +31,10 @@
         self.last_event_id = ""
         self.first_event_at: float | None = None
 
+    def disconnect(self) -> None:
+        """Drop the callback, which refers to the owner of the relay."""
+        self.on_response = ignore_status
+
     async def send_response(self, response: http_messages.Response) -> None:
         """Send a complete response."""
         headers = without_length(http_messages.end_to_end_headers(response.headers))
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -140,6 +140,8 @@
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
+                # A frame of `h11` in the traceback refers to the error.
+                error.__traceback__ = None
                 raise errors.ProtocolError(f"malformed or incomplete response: {error}")
             if event is h11.PAUSED:
                 raise errors.ProtocolError("read past the end of the response")
@@ -283,6 +285,7 @@
     Raises NotListeningError if the server refuses the connection, and UnreachableError for other
     errors and after `timeout_s`.
     """
+    attempt: asyncio.Task[ClientConnection] | None
     attempt = asyncio.get_running_loop().create_task(open_connection(address))
     connection: ClientConnection | None = None
     try:
@@ -293,6 +296,8 @@
         raise errors.UnreachableError(f"{address}: {error!r}")
     finally:
         cancel_or_close(attempt, connection)
+        # An error refers to this frame, and the task to the error.
+        attempt = None
     sockets.set_socket_options(connection.transport, user_timeout_s)
     return connection
 
@@ -326,17 +331,27 @@
     finally:
         for task in tasks:
             cancel_or_close(task, chosen)
+        # An error refers to this frame, and the tasks to the error.
+        tasks.clear()
+        del task
 
 
 async def first_connected(tasks: list[asyncio.Task[ClientConnection]]) -> ClientConnection:
     """Return the connection of the first task to succeed; raise UnreachableError if all fail."""
-    last_error = errors.UnreachableError("no connection attempt was made")
-    for task in asyncio.as_completed(tasks):
-        try:
-            return await task
-        except errors.UnreachableError as error:
-            last_error = error
-    raise last_error
+    pending: set[asyncio.Task[ClientConnection]] | None = set(tasks)
+    done: set[asyncio.Task[ClientConnection]] | None = None
+    error: BaseException | None = None
+    try:
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                error = task.exception()
+                if error is None:
+                    return task.result()
+        raise error or errors.UnreachableError("no connection attempt was made")
+    finally:
+        # The error refers to this frame.
+        tasks = pending = done = task = error = None  # type: ignore[assignment]
 
 
 def cancel_or_close(task: asyncio.Task[ClientConnection], chosen: ClientConnection | None) -> None:
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -254,6 +254,8 @@
             while self.task is None and self.handle_event(self.parser.next_event()):
                 pass
         except h11.RemoteProtocolError as error:
+            # A frame of `h11` in the traceback refers to the error.
+            error.__traceback__ = None
             self.send_error(error.error_status_hint or 400)
 
     def handle_event(self, event: object) -> bool:
--- a/src/merlinthread/transport/timeouts.py
+++ b/src/merlinthread/transport/timeouts.py
@@ -40,3 +40,6 @@
                 raise
             metrics.pauses_total.inc()
             wait_s = min(late_s, timeout_s)
+        finally:
+            # It refers to the task, which may refer to an error and so to this frame.
+            del timeout
