Send long bodies in parts, as fast as the back end takes them

Change: a body of over 64 KiB is sent in parts once the transport has room, by its callbacks, as views of the one that was received. A server that responds before it has read the body gets the rest; then the connection is closed.

--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -22,6 +22,8 @@
 # Each chunk takes processor time, and a single read can contain 40,000 chunks of one byte.
 SMALL_CHUNKS_MAX = 8192
 CHUNK_BYTES_MIN = 8
+# A longer body is sent in parts of this size, the next one once the transport has room.
+PART_BYTES = 64 * 1024
 # Received bytes that wait for their reader, above which the socket is not read.
 UNREAD_BYTES_MAX = 1024 * 1024
 
@@ -46,6 +48,10 @@
         self.unread_bytes = 0
         self.unread_bytes_max = UNREAD_BYTES_MAX
         self.is_paused = False
+        # The rest of a request's body, and whether the transport has no room for it.
+        self.unsent = memoryview(b"")
+        self.is_write_paused = False
+        self.closes_when_sent = False
         # The count of the bytes held for the client for whom the response is read, if any.
         self.holder: held_bytes.Holder | None = None
         # The head and body of the response that `receive` has read so far.
@@ -103,8 +109,19 @@
         """Record that the connection is closed, and the error that caused it."""
         self.is_lost = True
         self.error = error
+        self.unsent = memoryview(b"")
         self.wake_reader()
 
+    def pause_writing(self) -> None:
+        """Send no further part of a body until the transport has room."""
+        self.is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Send the next parts of a body."""
+        self.is_write_paused = False
+        if self.unsent:
+            self.send_parts()
+
     def wake_reader(self) -> None:
         """Wake up the task that waits in `feed_parser`."""
         if self.waiter is not None and not self.waiter.done():
@@ -113,16 +130,38 @@
     # Requests and responses
 
     def send(self, request: http_messages.Request, body_bytes_max: int = BODY_BYTES_MAX) -> None:
-        """Send a request whose response may have a body of `body_bytes_max` bytes."""
+        """Send a request whose response may have a body of `body_bytes_max` bytes.
+
+        A long body is sent in the background, as fast as the server takes it.
+        """
         self.is_idle = False
         self.body_bytes_max = body_bytes_max
         self.body_bytes = self.wire_bytes = self.chunks = self.interim_responses = 0
         head = h11.Request(method=request.method, target=request.target, headers=request.headers)
-        data = self.parser.send(head)
+        data = self.parser.send(head) or b""
+        if len(request.body) > PART_BYTES:
+            self.write(data)
+            self.unsent = memoryview(request.body)
+            self.send_parts()
+            return
         if request.body:
             data += self.parser.send(h11.Data(data=request.body)) or b""
-        data += self.parser.send(h11.EndOfMessage()) or b""
-        if self.transport is not None:
+        self.write(data + (self.parser.send(h11.EndOfMessage()) or b""))
+
+    def send_parts(self) -> None:
+        """Send the rest of a body while the transport has room."""
+        while self.unsent and not self.is_write_paused and not self.is_lost:
+            part, self.unsent = self.unsent[:PART_BYTES], self.unsent[PART_BYTES:]
+            self.write(self.parser.send(h11.Data(data=part)))
+        if self.unsent:
+            return
+        self.write(self.parser.send(h11.EndOfMessage()))
+        if self.closes_when_sent and self.transport is not None:
+            self.transport.close()
+
+    def write(self, data: bytes | None) -> None:
+        """Pass data to the transport."""
+        if data and self.transport is not None:
             self.transport.write(data)
 
     def hold_for(self, holder: held_bytes.Holder, unread_bytes_max: int) -> None:
@@ -237,8 +276,13 @@
     def prepare_reuse(self, now: float, keep_alive_s: float) -> bool:
         """Prepare the connection for another request after a complete response.
 
-        Return False, and close the connection, if it can't be reused.
+        Return False, and close the connection, if it can't be reused. A server that has responded
+        before it has read the whole body still gets the rest of it.
         """
+        if self.unsent and not self.is_lost:
+            self.closes_when_sent = True
+            self.release_holder()
+            return False
         is_reusable = (
             not self.is_lost
             and not self.has_eof
@@ -263,15 +307,20 @@
             not (self.is_lost or self.has_eof or self.has_unexpected_data) and now < self.expires_at
         )
 
+    def release_holder(self) -> None:
+        """Count unread data no more as held for a client."""
+        if self.holder is not None:
+            self.holder.add(-self.unread_bytes)
+            self.holder = None
+
     def close(self) -> None:
         """Close the connection without waiting.
 
         If a request is in progress, the connection is reset, which discards request data that is
         still buffered.
         """
-        if self.holder is not None:
-            self.holder.add(-self.unread_bytes)
-            self.holder = None
+        self.release_holder()
+        self.unsent = memoryview(b"")
         if self.transport is None:
             return
         if not self.is_idle:
