Refuse a request whose body has no room, before the body is read

A request that a back end worked on counted as one without progress, so that it was given up for new ones, and clients got no response.

Change: a client that waits for its response makes progress. If what is held for such clients and an announced body exceed the bound, the request gets 503 with Retry-After before its body is read; so does one that is given up while it is received. The body is discarded for up to 5 s, since closing with unread data would reset the connection and lose the response.

--- a/src/merlinthread/coordination/held_bytes.py
+++ b/src/merlinthread/coordination/held_bytes.py
@@ -16,8 +16,9 @@
 class Holder:
     """The bytes held for one client.
 
-    `progress_at` is when the client last sent or took data. `close` is called with the time to
-    close its connection; `refresh` is called before that to update `progress_at`.
+    `progress_at` is when the client last sent or took data, or the present while it waits for its
+    response. `close` is called with the time to close its connection; `refresh` is called before
+    that to update `progress_at`.
     """
 
     __slots__ = ("budget", "byte_count", "close", "is_open", "progress_at", "refresh")
@@ -75,14 +76,35 @@
     def shed(self) -> None:
         """Close connections until the sum is within the bound."""
         now = self.clock()
+        self.refresh(now)
+        while self.byte_count > self.bytes_max and self.holders:
+            self.close(choose_victim(self.holders, now), now)
+
+    def has_room(self, byte_count: int) -> bool:
+        """Return whether `byte_count` more bytes may be received.
+
+        Those held for clients who must send or take data first may be given up for them.
+        """
+        if self.byte_count + byte_count <= self.bytes_max:
+            return True
+        now = self.clock()
+        self.refresh(now)
+        kept = sum(holder.byte_count for holder in self.holders if holder.progress_at >= now)
+        return kept + byte_count <= self.bytes_max
+
+    def refresh(self, now: float) -> None:
+        """Update when each client last sent or took data."""
         for holder in self.holders:
             holder.refresh(now)
-        while self.byte_count > self.bytes_max and self.holders:
-            victim = choose_victim(self.holders, now)
-            # Its memory is freed when its task has been cancelled, which takes a few more steps of
-            # the event loop; it no longer counts, so that no other connection is closed instead.
-            victim.close(now)
-            victim.release()
+
+    def close(self, victim: Holder, now: float) -> None:
+        """Close a client's connection.
+
+        Its memory is freed when its task has been cancelled, which takes a few more steps of the
+        event loop; it no longer counts, so that no other connection is closed instead.
+        """
+        victim.close(now)
+        victim.release()
 
 
 def choose_victim(holders: set[Holder], now: float) -> Holder:
--- a/src/merlinthread/metrics.py
+++ b/src/merlinthread/metrics.py
@@ -165,7 +165,7 @@
 connections_shed_total = prometheus_client.Counter(
     "merlinthread_connections_shed_total",
     "Connections of clients that this entry closed, by reason: the memory for all clients was used "
-    "up, or the client took no data after its request's deadline.",
+    "up, or would be by an announced body, or the client took no data after its deadline.",
     ["reason"],
 )
 retries_total = prometheus_client.Counter(
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -21,6 +21,10 @@
 
 READ_AHEAD_BYTES_MAX = 256 * 1024
 LISTEN_BACKLOG = 1024
+# Most bodies that fill the memory have been sent after this time.
+NO_ROOM_RETRY_DELAY_S = 0.5
+# How long the body of a refused request is read.
+DISCARD_TIMEOUT_S = 5.0
 
 
 class Exchange:
@@ -138,6 +142,8 @@
         # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
         self.request_bytes = 0
         self.write_bytes = 0
+        # Whether a refused body is read without being kept.
+        self.is_discarding = False
         self.timer: asyncio.TimerHandle | None = None
         self.is_head_pending = False
         self.is_reading = True
@@ -194,8 +200,10 @@
             self.holder.add(added)
 
     def update_progress(self, now: float) -> None:
-        """Record whether the client has taken data since the last call."""
+        """Record whether the client has taken data since the last call, or waits for a response."""
         if not self.flow.is_paused or self.transport is None:
+            if self.task is not None:
+                self.holder.progress_at = now
             return
         if self.transport.get_write_buffer_size() < self.write_bytes:
             self.holder.progress_at = now
@@ -206,7 +214,10 @@
         return self.task is None and now - self.holder.progress_at > slow_clients.STALL_TIMEOUT_S
 
     def shed(self, reason: str, now: float) -> None:
-        """Close the connection of a client that holds too much memory or takes no data."""
+        """Close the connection of a client that holds too much memory or takes no data.
+
+        A request that has not been received whole is refused.
+        """
         metrics.connections_shed_total.labels(reason).inc()
         logs.warning(
             "connection_shed",
@@ -215,7 +226,10 @@
             all_held_bytes=self.server.held.byte_count,
             stalled_s=round(now - self.holder.progress_at, 3),
         )
-        self.abort()
+        if self.task is None and self.request is not None:
+            self.refuse_body()
+        else:
+            self.abort()
 
     def eof_received(self) -> bool:
         """Handle the close of the client's sending side like a disconnect.
@@ -234,10 +248,14 @@
         While a request is being handled, data is only buffered. Reading is paused if there is more
         than `READ_AHEAD_BYTES_MAX`.
         """
+        if self.is_discarding:
+            return
         self.parser.receive_data(data)
         self.request_bytes += len(data)
         self.holder.progress_at = clocks.now()
         self.holder.add(len(data))
+        if self.is_discarding:
+            return
         if self.task is not None:
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > READ_AHEAD_BYTES_MAX and self.transport is not None:
@@ -297,11 +315,36 @@
         if length is not None and int(length) > self.server.limits.body_bytes:
             self.send_error(413)
             return False
+        if length is not None and not self.server.held.has_room(int(length)):
+            metrics.connections_shed_total.labels("no_room").inc()
+            self.refuse_body()
+            return False
         self.set_timer(self.server.limits.idle_timeout_s, lambda: self.send_error(408))
         if self.parser.they_are_waiting_for_100_continue:
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
+    def refuse_body(self) -> None:
+        """Refuse a request whose body has no room, and discard the body.
+
+        Closing a connection with unread data resets it, so that the client might not get the
+        response.
+        """
+        headers = [
+            (b"content-length", b"0"),
+            (b"connection", b"close"),
+            (b"retry-after", b"%g" % NO_ROOM_RETRY_DELAY_S),
+        ]
+        self.write(h11.Response(status_code=503, headers=headers))
+        self.write(h11.EndOfMessage())
+        self.is_discarding = True
+        self.request = None
+        self.body = request_body.RequestBody()
+        self.holder.release()
+        self.set_timer(DISCARD_TIMEOUT_S, self.abort)
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+
     def start_handler(self) -> None:
         """Start a task that runs the handler for the complete request."""
         self.set_timer(None, None)
