Refuse a manifest that has no digest for some configured piece

Cause: the number of digests was never held against the configuration.

Change: the finder refuses such a manifest from the origin and from peers; one that was taken before the number changed is read anew.

Evidence: tests/test_manifest_checks.py, 10 new cases fail on the former code (engines took layers without a piece, or never loaded).

--- a/src/merlinthread/nodes/manifest_finder.py
+++ b/src/merlinthread/nodes/manifest_finder.py
@@ -37,7 +37,10 @@
 
 
 class ManifestFinder:
-    """Finds manifests for the agent at `own_address` ("IP:port")."""
+    """Finds manifests for the agent at `own_address` ("IP:port").
+
+    `piece_count` returns the configured number of pieces, or 0 if it is not known.
+    """
 
     def __init__(
         self,
@@ -46,8 +49,10 @@
         rpc_client: node_bus.RpcClient,
         clock: Callable[[], float],
         rng: random.Random,
+        piece_count: Callable[[], int] = lambda: 0,
     ) -> None:
         self.own_address = own_address
+        self.piece_count = piece_count
         self.engine = engine
         self.rpc_client = rpc_client
         self.clock = clock
@@ -163,8 +168,27 @@
                 f"{origin}: manifest of {manifest.model} version {manifest.version} for {model} "
                 f"version {version}"
             )
+        if not self.has_piece_count(manifest):
+            logs.warning(
+                "manifest_refused",
+                model=model,
+                version=manifest.version,
+                pieces=len(manifest.digests),
+                configured=self.piece_count(),
+                remedy="correct the manifest, or `chunks` in the configuration",
+            )
+            raise errors.ProtocolError(
+                f"{origin}: manifest of {len(manifest.digests)} pieces for {self.piece_count()}"
+            )
         return manifest
 
+    def has_piece_count(self, manifest: fleet.Manifest) -> bool:
+        """Return whether a manifest has a digest for each configured piece.
+
+        The engine's layers need as many, so that without one some layer would lack a piece.
+        """
+        return self.piece_count() in (0, len(manifest.digests))
+
     def is_distrusted(self, manifest: fleet.Manifest, version: int) -> bool:
         """Return whether a peer's manifest is not accepted for `version`, 0 being any."""
         return not version and (manifest.model, manifest.version) == self.distrusted
@@ -220,9 +244,10 @@
             reply = await self.rpc_client.call(peer, request, PEER_TIMEOUT_S)
             if reply.manifest is None:
                 return reply
-            if is_requested(reply.manifest, model, version) and not self.is_distrusted(
-                reply.manifest, version
-            ):
+            is_usable = self.has_piece_count(reply.manifest) and is_requested(
+                reply.manifest, model, version
+            )
+            if is_usable and not self.is_distrusted(reply.manifest, version):
                 logs.event("manifest_from_peer", version=version, peer=peer)
                 return reply
         return piece_messages.ManifestReply(None)
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -55,7 +55,7 @@
         self.rng = rng
         self.view = weights_view.WeightsView(settings, watcher, clock)
         self.finder = manifest_finder.ManifestFinder(
-            self.view.own_address, engine, rpc_client, clock, rng
+            self.view.own_address, engine, rpc_client, clock, rng, self.view.piece_count
         )
         self.store = piece_store.PieceStore(engine)
         self.checker = manifest_checker.ManifestChecker(self.view, self.finder, clock)
@@ -122,7 +122,7 @@
         if self.manifest is not None:
             await self.loader.prove_load(self.manifest)
         wanted = self.view.newest_version(model) or (self.manifest.version if self.manifest else 0)
-        if self.manifest is None or (wanted and self.manifest.version != wanted):
+        if self.manifest is None or not self.is_current(self.manifest, wanted):
             await self.start_version(model, wanted)
         assert self.manifest is not None and self.plan is not None
         if self.loader.has_loaded(self.manifest):
@@ -134,6 +134,10 @@
         if self.loader.report is not None:
             await self.loader.load_weights(self.plan, self.manifest)
 
+    def is_current(self, manifest: fleet.Manifest, wanted: int) -> bool:
+        """Return whether a manifest is of the wanted version, 0 being any, and as configured."""
+        return wanted in (0, manifest.version) and self.finder.has_piece_count(manifest)
+
     def discard_manifest(self, manifest: fleet.Manifest) -> None:
         """Discard a manifest whose version the origin does not have, to look for another one."""
         logs.warning("manifest_discarded", model=manifest.model, version=manifest.version)
--- a/src/merlinthread/nodes/weights_view.py
+++ b/src/merlinthread/nodes/weights_view.py
@@ -36,6 +36,11 @@
         service = self.service()
         return service.engine.layers if service is not None and service.engine else 0
 
+    def piece_count(self) -> int:
+        """Return the number of pieces of the model's weights, or 0 if it is not known."""
+        service = self.service()
+        return service.engine.chunks if service is not None and service.engine else 0
+
     def piece_bytes(self) -> int:
         """Return the size of a piece in bytes, or 0 if it is not known."""
         service = self.service()
--- a/stand_ins/fleet_worker.py
+++ b/stand_ins/fleet_worker.py
@@ -418,6 +418,8 @@
         self.manifest_delay_s = 0.0
         # For each of the next manifests, the piece whose digest has one wrong digit.
         self.spoilt_digests: list[int] = []
+        # For each of the next manifests, what else it has in place of the right fields.
+        self.spoilt_fields: list[dict] = []
         self.corrupt: set[int] = set()
         # Versions and indices of the pieces that get a 503 response.
         self.unavailable_pieces: set[tuple[int, int]] = set()
@@ -477,4 +479,5 @@
         if self.spoilt_digests:
             index = self.spoilt_digests.pop(0)
             digests[index] = spoil_digit(digests[index])
-        return {"model": model, "version": version, "layers": LAYERS, "digests": digests}
+        body = {"model": model, "version": version, "layers": LAYERS, "digests": digests}
+        return body | (self.spoilt_fields.pop(0) if self.spoilt_fields else {})
--- a/tests/test_manifest_checks.py
+++ b/tests/test_manifest_checks.py
@@ -51,6 +51,80 @@
     test_weights_task.run(count, scenario)
 
 
+def digests_of(version: int) -> list[str]:
+    return [hashlib.sha256(piece).hexdigest() for piece in test_weights_task.make_pieces(version)]
+
+
+def make_short_manifest(version: int) -> fleet.Manifest:
+    return fleet.Manifest("m", version, 16, digests_of(version)[:-1])
+
+
+# Guards against layers without a piece: the engine takes an order whatever pieces are staged.
+@pytest.mark.parametrize("count", [1, 4])
+@pytest.mark.parametrize(
+    "digests",
+    [
+        digests_of(2)[:-1],
+        digests_of(2)[:5] + digests_of(2)[6:],
+        [*digests_of(2), digests_of(2)[0]],
+        [],
+    ],
+    ids=["last missing", "one missing", "one too many", "none"],
+)
+def test_manifest_with_another_number_of_digests_is_refused(count, digests):
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        fleet.origin.manifests_served = 0
+        fleet.origin.spoilt_fields = [{"digests": digests}]
+        fleet.publish(2)
+        await fleet.wait_until_loaded(2)
+        for engine in fleet.engines:
+            loaded = engine.loaded_pieces
+            assert [loaded.get(index) for index in range(PIECES)] == test_weights_task.make_pieces(
+                2
+            )
+            # One order for each version: no load took an incomplete set of pieces.
+            assert len(engine.orders) == 2
+        assert fleet.origin.manifests_served >= 2
+
+    test_weights_task.run(count, scenario)
+
+
+# Guards against a peer of an older build, which takes and passes on any number of digests.
+def test_manifest_of_a_peer_with_another_number_of_digests_is_not_taken():
+    manifest = make_short_manifest(2)
+
+    class Client:
+        async def call(self, peer, request, timeout_s):
+            return piece_messages.ManifestReply(manifest)
+
+    def make_finder(piece_count):
+        return manifest_finder.ManifestFinder(
+            "own", None, Client(), lambda: 0.0, random.Random(1), lambda: piece_count
+        )
+
+    async def scenario():
+        for count, is_taken in ((PIECES, False), (PIECES - 1, True), (0, True)):
+            reply = await make_finder(count).query_peer("peer", "m", 2)
+            assert (reply.manifest is not None) is is_taken
+
+    asyncio.run(scenario())
+
+
+# Guards against pieces of a manifest that was taken before the configuration named their number.
+def test_manifest_is_read_again_when_the_configured_number_of_pieces_changes():
+    async def scenario(fleet):
+        await fleet.wait_until_loaded(1)
+        task = fleet.agents[0].weights
+        short = make_short_manifest(1)
+        assert task.is_current(task.manifest, 1) and task.is_current(task.manifest, 0)
+        assert not task.is_current(task.manifest, 2) and not task.is_current(short, 1)
+        task.manifest = short
+        await fleet_nodes.until(lambda: len(task.manifest.digests) == PIECES)
+
+    test_weights_task.run(1, scenario)
+
+
 # Guards against a copy that is spoilt elsewhere, which must not replace what pieces have proven.
 def test_manifest_that_is_spoilt_again_is_corrected_in_the_end():
     async def scenario(fleet):
