Take no response that is cut off or whose end is not clear for a whole one

Callers of the product's own entries would get 200 with an empty body after a back end that closed within the head of its response (reported by operators of other systems; MIXED, ORDER).

Cause: http.client takes the end of the connection for the end of the head, and then for that of a body without a length.

Change: lines of heads, chunk headers and trailers must be complete; contradictory framing is an error; so is a body that only the end of the connection ends. Nodes on the platform read with h11 and had no such fault.

--- a/src/merlinthread/transport/bounded_responses.py
+++ b/src/merlinthread/transport/bounded_responses.py
@@ -1,7 +1,9 @@
-"""Responses of `http.client` with a bound on the bytes and the time in which they are read.
+"""Responses of `http.client` that are whole, with a bound on the bytes and the time of reading.
 
 The bounds apply to all that is read from the socket: `http.client` itself bounds neither
 informational responses, which it skips, nor the time of a response whose bytes arrive one by one.
+It also takes the end of the connection for the end of the head or of the last chunk, and accepts
+contradictory framing (RFC 9112, section 6.3), so that a response that was cut off looks whole.
 """
 
 import http
@@ -26,6 +28,32 @@
     """A response is longer than its bound."""
 
 
+class IncompleteError(OSError):
+    """A response has ended inside a line of its head or of its chunks."""
+
+
+class FramingError(http.client.HTTPException):
+    """The head of a response does not say clearly where its body ends."""
+
+
+class LineReader(io.BufferedReader):
+    """Reads lines that must be complete, but for the first one of a response.
+
+    `http.client` recognises by an empty first line that the server has closed the connection.
+    """
+
+    has_read = False
+
+    def readline(self, size: int | None = -1) -> bytes:  # type: ignore[override]
+        """Return a line of up to `size` bytes; raise IncompleteError if it is cut off."""
+        line = super().readline(size)
+        is_first, self.has_read = not self.has_read, True
+        is_full = size is not None and 0 <= size <= len(line)
+        if line.endswith(b"\n") or is_full or (is_first and not line):
+            return line
+        raise IncompleteError(f"the response ended inside a line: {line[:80]!r}")
+
+
 class BoundedReader(io.RawIOBase):
     """Reads from a connection's file, up to `bytes_left` bytes and until `deadline`."""
 
@@ -80,12 +108,23 @@
 
 
 class BoundedResponse(http.client.HTTPResponse):
-    """A response that is read through a `BoundedReader`."""
+    """A response that is read through a `BoundedReader`.
+
+    `ends_with_connection` is set if nothing but the end of the connection ends its body, so that
+    nobody can tell whether that is whole.
+    """
 
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
         super().__init__(sock, *args, **options)
         self.reader = BoundedReader(self.fp.detach(), sock)  # type: ignore[attr-defined]
-        self.fp = io.BufferedReader(self.reader)
+        self.fp = LineReader(self.reader)
+        self.ends_with_connection = False
+
+    def begin(self) -> None:
+        """Read the head; raise FramingError if it contradicts itself."""
+        super().begin()
+        check_framing(self.headers)
+        self.ends_with_connection = self.length is None and not self.chunked
 
     def _read_status(self) -> tuple[str, int, str]:
         """Read the status line; return any informational one as that of a 100 response.
@@ -123,10 +162,22 @@
     ConnectionCls = BoundedTlsConnection
 
 
+def check_framing(headers: http.client.HTTPMessage) -> None:
+    """Raise FramingError unless at most one header says where the body ends."""
+    encodings = [value.strip().lower() for value in headers.get_all("transfer-encoding", [])]
+    lengths = {value.strip() for value in headers.get_all("content-length", [])}
+    if encodings not in ([], ["chunked"]):
+        raise FramingError(f"unknown transfer encoding: {encodings}")
+    if encodings and lengths:
+        raise FramingError("the response has chunks and a length")
+    if len(lengths) > 1 or not all(value.isascii() and value.isdigit() for value in lengths):
+        raise FramingError(f"invalid content length: {sorted(lengths)}")
+
+
 POOL_CLASSES = {"http": BoundedConnectionPool, "https": BoundedTlsConnectionPool}
 
 
-def reader_of(response: urllib3.BaseHTTPResponse) -> BoundedReader | None:
-    """Return the reader of a response, or None if it was received without one."""
+def original_of(response: urllib3.BaseHTTPResponse) -> BoundedResponse | None:
+    """Return what a response is read from, or None if it was received otherwise."""
     original = getattr(response, "_original_response", None)
-    return original.reader if isinstance(original, BoundedResponse) else None
+    return original if isinstance(original, BoundedResponse) else None
--- a/src/merlinthread/transport/http_client.py
+++ b/src/merlinthread/transport/http_client.py
@@ -54,7 +54,9 @@
 
     def __init__(self, response: urllib3.BaseHTTPResponse, url: str, timeout_s: float) -> None:
         self.response = response
-        self.reader = bounded_responses.reader_of(response)
+        original = bounded_responses.original_of(response)
+        self.reader = original.reader if original is not None else None
+        self.ends_with_connection = original is not None and original.ends_with_connection
         self.deadline = clocks.now() + max(BODY_TIMEOUT_MIN_S, BODY_TIMEOUT_FACTOR * timeout_s)
         self.allow(STREAM_BYTES_MAX)
         self.url = url
@@ -69,7 +71,8 @@
     def iter_chunks(self) -> Iterator[bytes]:
         """Yield chunks of the body as they arrive.
 
-        Raises UnreachableError if it ends early, and ResponseBoundError if it is over its bound.
+        Raises UnreachableError if it ends early or may have, and ResponseBoundError if it is over
+        its bound.
         """
         try:
             while chunk := self.response.read1(READ_CHUNK_BYTES):
@@ -79,6 +82,11 @@
             if self.reader is not None and self.reader.is_exceeded:
                 raise ResponseBoundError(f"{self.url}: response without end: {error!r}")
             raise errors.UnreachableError(f"{self.url}: response body ended early: {error!r}")
+        if self.ends_with_connection:
+            self.close()
+            raise errors.UnreachableError(
+                f"{self.url}: a response without a length or chunks may have ended early"
+            )
 
     def iter_lines(self) -> Iterator[bytes]:
         """Yield lines of the body without line endings.
