Move the sending of orders from the weights loader to a module of its own

No change of behaviour: nodes/order_sender.py sends an order until its fate is known; the loader records the fate and reads back what the engine took.

--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Sequence
 
 from merlinthread import errors, logs, metrics
@@ -16,7 +15,13 @@
     load_proof,
     reload_schedule,
 )
-from merlinthread.nodes import engine_client, piece_store, piece_verifier, weights_view
+from merlinthread.nodes import (
+    engine_client,
+    order_sender,
+    piece_store,
+    piece_verifier,
+    weights_view,
+)
 
 POLL_INTERVAL_S = 0.1
 LOAD_START_TIMEOUT_S = 0.2
@@ -29,9 +34,6 @@
 # Verifications before one load. A second one reads what became too old in the first, as in that of
 # a paused process; a slow engine must load too, and its load is proven afterwards.
 VERIFICATIONS_MAX = 2
-# Reports without a change of the revision after which an unanswered order is sent again. The first
-# one may have been requested before the order.
-REPORTS_BEFORE_RESEND = 2
 
 
 class WeightsLoader:
@@ -57,10 +59,9 @@
         self.on_report_changed = on_report_changed
         self.report: fleet.EngineReport | None = None
         self.proof = load_proof.LoadProof()
-        # The last order, until what the engine took by it is known; the task that finds that out.
-        self.order: load_orders.LoadOrder | None = None
+        self.orders = order_sender.OrderSender(engine)
+        # Finds out the fate of the last order, and whether what the engine took by it was right.
         self.settling: asyncio.Task | None = None
-        self.report_count = 0
         # Crashes of the engine while it loaded the current manifest's version, and loads of it in
         # which it took a bad piece.
         self.load_crashes = 0
@@ -83,9 +84,7 @@
         if report is None:
             self.verifier.readings.forget()
             return
-        self.report_count += 1
-        if self.order is not None:
-            self.order.record_revision(report.sequence)
+        self.orders.record_revision(report.sequence)
         for model, version in self.proof.observe(report, self.view.model()):
             logs.warning("load_foreign", model=model, version=version, revision=report.sequence)
 
@@ -93,8 +92,7 @@
         """Record that the engine's process has ended: it takes no order any more."""
         self.end_count += 1
         self.proof.record_engine_end()
-        if self.order is not None:
-            self.order.record_engine_end()
+        self.orders.record_engine_end()
 
     def holds(self, manifest: fleet.Manifest) -> bool:
         """Return whether the engine reports all layers of the manifest's version."""
@@ -204,89 +202,55 @@
     # Orders
 
     async def start_order(self, order: load_orders.LoadOrder) -> None:
-        """Send an order; go on until its fate is known in a task if there is no response."""
-        self.order = order
-        self.store.suspend()
-        try:
-            await self.send_order(order)
-        except errors.NotListeningError:
-            self.end_order(order)
-            raise
-        if order.is_open() or not self.end_order(order):
-            self.settling = asyncio.get_running_loop().create_task(self.settle(order))
-
-    def cancel(self) -> None:
-        """Stop sending orders, since the task that owns the loader ends."""
-        if self.settling is not None:
-            self.settling.cancel()
-
-    async def send_order(self, order: load_orders.LoadOrder) -> None:
-        """Send a copy of an order, and record its response or that there is none.
+        """Send an order, and stage no pieces until what the engine took by it is known.
 
-        Raises NotListeningError if the engine can't have received it.
+        If that takes longer, a task goes on. Raises NotListeningError if the engine can't have
+        received the order.
         """
-        manifest = order.manifest
-        arguments = (manifest.model, manifest.version, False, order.layers, order.revision)
-        order.unanswered += 1
+        self.store.suspend()
         try:
-            status = await self.engine.load_staged_weights(*arguments)
+            await self.orders.send(order)
         except errors.NotListeningError:
-            order.record_engine_end()
+            self.record_fate(order)
+            self.store.resume()
             raise
-        except errors.MerlinthreadError as error:
-            logs.event(
-                "order_unanswered",
-                version=manifest.version,
-                revision=order.revision,
-                copies=order.unanswered,
-                reason=error.message,
-            )
-            return
-        order.unanswered -= 1
-        order.record_status(status)
-        logs.event("engine_ordered", version=manifest.version, status=status)
+        if not order.is_open():
+            self.record_fate(order)
+        if order.is_open() or self.must_read_back(order):
+            self.settling = asyncio.get_running_loop().create_task(self.settle(order))
+        else:
+            self.store.resume()
 
     async def settle(self, order: load_orders.LoadOrder) -> None:
-        """Send an order again until its fate is known, and then read back what it took."""
-        while order.is_open():
-            count = self.report_count
-            while order.is_open() and self.report_count < count + REPORTS_BEFORE_RESEND:
-                await asyncio.sleep(LOAD_POLL_INTERVAL_S)
-            if order.is_open():
-                with contextlib.suppress(errors.NotListeningError):
-                    await self.send_order(order)
-            if not order.is_open():
-                logs.event(
-                    "order_settled",
-                    version=order.manifest.version,
-                    revision=order.revision,
-                    fate=order.fate.value,
-                )
-                self.end_order(order)
-        if order.layers is None and self.proof.pieces_to_verify(order.manifest):
+        """Wait until the fate of an order is known, and read back what the engine took by it."""
+        if order.is_open():
+            await self.orders.settle(order)
+            self.record_fate(order)
+        if self.must_read_back(order):
             await self.read_back(order.manifest)
-        self.order = None
         self.store.resume()
 
-    def end_order(self, order: load_orders.LoadOrder) -> bool:
-        """Record the fate of an order; return whether pieces may be staged again.
-
-        Otherwise those that the engine has taken must be read back first.
-        """
-        manifest = order.manifest
+    def record_fate(self, order: load_orders.LoadOrder) -> None:
+        """Record whether the engine has taken an order."""
+        is_taken = order.fate is load_orders.Fate.TAKEN
         if order.layers is not None:
-            if order.fate is load_orders.Fate.TAKEN:
-                self.proof.discard(manifest, order.layers)
-        elif order.fate is load_orders.Fate.REFUSED:
-            self.proof.cancel()
-        else:
+            if is_taken:
+                self.proof.discard(order.manifest, order.layers)
+        elif is_taken:
             self.record_accepted_load(order)
             self.report_busy()
-            if self.proof.pieces_to_verify(manifest):
-                return False
-        self.order = None
-        self.store.resume()
-        return True
+        else:
+            self.proof.cancel()
+
+    def must_read_back(self, order: load_orders.LoadOrder) -> bool:
+        """Return whether the engine may have taken bad pieces by an order."""
+        is_load = order.layers is None and order.fate is load_orders.Fate.TAKEN
+        return is_load and bool(self.proof.pieces_to_verify(order.manifest))
+
+    def cancel(self) -> None:
+        """Stop sending orders, since the task that owns the loader ends."""
+        if self.settling is not None:
+            self.settling.cancel()
 
     def report_busy(self) -> None:
         """Tell entries that the engine is changing its weights, ahead of its next report."""
