Stage no pieces until an accepted order is carried out

Change: staging stays suspended until the engine's report shows the order done. A load is proven by pieces found right at most 2 s before that, not before the response; the others are read back.

--- a/src/merlinthread/coordination/load_proof.py
+++ b/src/merlinthread/coordination/load_proof.py
@@ -11,8 +11,8 @@
 
 from merlinthread.coordination import fleet, layer_ranges
 
-# A load is proven by pieces that were found right at most this long before the engine's response.
-# Weights that turned bad within 3 s before they are taken are tolerated; the rest is a margin.
+# A load is proven by pieces that were found right at most this long before its end. Weights that
+# turned bad within 3 s before they are taken are tolerated; the rest is a margin.
 PROOF_AGE_MAX_S = 2.0
 
 
@@ -133,7 +133,7 @@
             self.loads[self.last] = self.before
 
     def accept(self, old_pieces: Sequence[int]) -> None:
-        """Record that the engine took the pieces; `old_pieces` were not found right just before."""
+        """Record that the engine has taken the order; `old_pieces` may have been bad then."""
         if self.known is not None:
             self.known.add(self.last)
         load = self.unproven
@@ -157,6 +157,10 @@
         load = self.loads.get(key_of(manifest))
         return load is not None and not load.is_own
 
+    def is_proven(self, manifest: fleet.Manifest) -> bool:
+        """Return whether no load of the manifest's version is unproven."""
+        return key_of(manifest) not in self.loads
+
     def record_verified(self, manifest: fleet.Manifest, bad: Sequence[int]) -> None:
         """Record a verification of `pieces_to_verify` after the load, which found `bad` pieces."""
         load = self.loads.get(key_of(manifest))
--- a/src/merlinthread/nodes/piece_verifier.py
+++ b/src/merlinthread/nodes/piece_verifier.py
@@ -30,9 +30,13 @@
         self.manifest = manifest
         self.reading_s = 0.0
 
+    def is_of(self, manifest: fleet.Manifest) -> bool:
+        """Return whether the readings are of pieces of this manifest."""
+        return manifest is self.manifest
+
     def record_bad(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> None:
         """Record that staged pieces were found bad, unless they are of another version."""
-        if manifest is self.manifest:
+        if self.is_of(manifest):
             for index in indexes:
                 self.readings.record(index, self.clock(), False)
 
--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -1,7 +1,8 @@
 """Loads of staged weights by the local engine: when it loads them, and whether that is proven.
 
 Entries are told of a load once it is proven that its pieces were right (`coordination.load_proof`).
-No piece is staged while the fate of an order is open or what it took has not been read back.
+No piece is staged while the fate of an order is open, nor until the engine has carried it out: it
+takes the pieces once it is free, and they may have to be read back.
 """
 
 import asyncio
@@ -202,10 +203,9 @@
     # Orders
 
     async def start_order(self, order: load_orders.LoadOrder) -> None:
-        """Send an order, and stage no pieces until what the engine took by it is known.
+        """Send an order, and stage no pieces until it is settled, for which a task goes on.
 
-        If that takes longer, a task goes on. Raises NotListeningError if the engine can't have
-        received the order.
+        Raises NotListeningError if the engine can't have received the order.
         """
         self.store.suspend()
         try:
@@ -216,20 +216,27 @@
             raise
         if not order.is_open():
             self.record_fate(order)
-        if order.is_open() or self.must_read_back(order):
-            self.settling = asyncio.get_running_loop().create_task(self.settle(order))
-        else:
-            self.store.resume()
+        self.settling = asyncio.get_running_loop().create_task(self.settle(order))
 
     async def settle(self, order: load_orders.LoadOrder) -> None:
-        """Wait until the fate of an order is known, and read back what the engine took by it."""
+        """Wait until an order is refused or carried out, and prove what the engine took by it."""
+        end_count = self.end_count
         if order.is_open():
             await self.orders.settle(order)
             self.record_fate(order)
-        if self.must_read_back(order):
-            await self.read_back(order.manifest)
+        if order.layers is None and order.fate is load_orders.Fate.TAKEN:
+            while not self.is_carried_out(order) and self.end_count == end_count:
+                await asyncio.sleep(LOAD_POLL_INTERVAL_S)
+            if self.end_count == end_count:
+                self.record_load(order)
+                await self.read_back(order.manifest)
         self.store.resume()
 
+    def is_carried_out(self, order: load_orders.LoadOrder) -> bool:
+        """Return whether the engine has finished what it began by an order."""
+        report = self.report
+        return report is not None and report.sequence != order.revision and not report.is_busy
+
     def record_fate(self, order: load_orders.LoadOrder) -> None:
         """Record whether the engine has taken an order."""
         is_taken = order.fate is load_orders.Fate.TAKEN
@@ -237,16 +244,11 @@
             if is_taken:
                 self.proof.discard(order.manifest, order.layers)
         elif is_taken:
-            self.record_accepted_load(order)
+            self.proof.accept(range(len(order.manifest.digests)))
             self.report_busy()
         else:
             self.proof.cancel()
 
-    def must_read_back(self, order: load_orders.LoadOrder) -> bool:
-        """Return whether the engine may have taken bad pieces by an order."""
-        is_load = order.layers is None and order.fate is load_orders.Fate.TAKEN
-        return is_load and bool(self.proof.pieces_to_verify(order.manifest))
-
     def cancel(self) -> None:
         """Stop sending orders, since the task that owns the loader ends."""
         if self.settling is not None:
@@ -308,22 +310,27 @@
 
     # Proof of a load
 
-    def record_accepted_load(self, order: load_orders.LoadOrder) -> None:
-        """Record an accepted load; without a response, the engine took the pieces later."""
-        manifest = order.manifest
-        old: Sequence[int] = range(len(manifest.digests))
-        if order.is_answered:
-            overdue = self.verifier.readings.older_than(load_proof.PROOF_AGE_MAX_S, self.clock())
-            old = sorted(self.store.unanswered.intersection(old).union(overdue))
-        self.proof.accept(old)
-        if self.proof.unproven is None:
+    def record_load(self, order: load_orders.LoadOrder) -> None:
+        """Record that the engine has carried out an order to load, and taken the pieces for it.
+
+        Those that were found right shortly before need not be read back.
+        """
+        pieces: Sequence[int] = range(len(order.manifest.digests))
+        if order.is_answered and self.verifier.is_of(order.manifest):
+            max_age_s = load_proof.PROOF_AGE_MAX_S
+            overdue = self.verifier.readings.older_than(max_age_s, self.clock())
+            pieces = sorted(self.store.unanswered.intersection(pieces).union(overdue))
+        self.proof.accept(pieces)
+        if self.proof.is_proven(order.manifest):
             metrics.loads_total.labels("before").inc()
+            if self.report is not None:
+                self.send_report(self.report)
             return
         logs.event(
             "load_unproven",
-            version=manifest.version,
+            version=order.manifest.version,
             is_answered=order.is_answered,
-            pieces=len(old),
+            pieces=len(pieces),
         )
 
     async def prove_load(self, manifest: fleet.Manifest) -> None:
--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -25,12 +25,21 @@
 class TakenLoads:
     """Records whether each load took the pieces of its own version, and what entries are told."""
 
-    def __init__(self, engine) -> None:
+    def __init__(self, engine, takes_late: bool = False) -> None:
         self.engine = engine
         self.are_right: dict[int, bool] = {}
         self.take_pieces = engine.take_pieces
+        self.execute_order = engine.execute_order
         engine.take_pieces = self.record
         self.told: set[int] = set()
+        if takes_late:
+            # The engine takes the pieces once it is free.
+            engine.take_pieces = lambda order: None
+            engine.execute_order = self.execute
+
+    def execute(self, order: dict) -> None:
+        self.record(order)
+        self.execute_order(order)
 
     def record(self, order: dict) -> None:
         self.take_pieces(order)
@@ -91,6 +100,28 @@
     run(1, scenario)
 
 
+# Guards against newer pieces that are staged before an engine that has accepted an order is free to
+# take the older ones.
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_no_piece_is_staged_until_an_accepted_order_is_carried_out(monkeypatch, is_answered):
+    async def scenario(fleet):
+        loads = TakenLoads(fleet.engines[0], takes_late=True)
+        if is_answered:
+            await fleet.wait_until_loaded(1)
+            fleet.origin.pieces[3] = make_pieces(3)
+            fleet.engines[0].behaviour.order_delay_s = SLOW_ORDER_S
+            fleet.publish(2)
+            await fleet_nodes.until(lambda: fleet.engines[0].revision == 2)
+            fleet.publish(3)
+        else:
+            fleet.engines[0].behaviour.order_delay_s = SLOW_ORDER_S
+            await publish_slowly(fleet, monkeypatch)
+        await fleet.wait_until_loaded(3)
+        assert loads.are_right == {1: True, 2: True, 3: True}
+
+    run(1, scenario)
+
+
 # Guards against an engine that stays on old weights since pieces wait for the fate of an order.
 def test_newer_pieces_are_downloaded_while_an_order_is_open(monkeypatch):
     async def scenario(fleet):
