Test that calls between nodes are freed, and orders of a lost engine

Both pass on the code as it is: three ends of node calls with the collector off, and an engine that is lost and found while an order is open (its order takes pieces of its own version).

--- a/tests/test_memory_of_exchanges.py
+++ b/tests/test_memory_of_exchanges.py
@@ -13,7 +13,14 @@
 
 from merlinthread import errors
 from merlinthread.nodes import attempts, request_context, request_task
-from merlinthread.transport import connection_pool, http_messages, stream_client, stream_server
+from merlinthread.protocol import piece_messages
+from merlinthread.transport import (
+    connection_pool,
+    http_messages,
+    node_bus,
+    stream_client,
+    stream_server,
+)
 from tests import fleet_nodes, single_entry_fleet
 
 BODY = bytes(200_000)
@@ -169,6 +176,35 @@
     asyncio.run(scenario())
 
 
+# Nodes send each other pieces, snapshots and configurations in this way.
+@pytest.mark.parametrize("end", ["answered", "error", "no reply"])
+def test_call_between_nodes_is_freed_without_a_collection(end):
+    async def handle(message):
+        if end == "error":
+            raise errors.WeightsError("no such piece")
+        if end == "no reply":
+            await asyncio.Event().wait()
+        return piece_messages.PieceReply(0, BODY, b"")
+
+    async def scenario():
+        codec = fleet_nodes.make_codec()
+        server = node_bus.RpcServer(codec, handle)
+        port = fleet_nodes.free_port()
+        await server.listen("127.0.0.1", port)
+        client = node_bus.RpcClient(codec)
+        message = piece_messages.PieceRequest("m", 1, BODY)
+
+        async def call(fleet):
+            try:
+                await client.call(f"127.0.0.1:{port}", message, 0.2)
+            except errors.MerlinthreadError:
+                pass
+
+        await check_freed(call, None)
+
+    asyncio.run(scenario())
+
+
 # Agents and control VMs call engines, the origin and back ends in this way.
 @pytest.mark.parametrize("behaviour", [{}, {"closes_without_response": True}, {"status": 500}])
 def test_call_of_a_pool_is_freed_without_a_collection(behaviour):
--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -13,7 +13,7 @@
 from merlinthread import errors
 from merlinthread.coordination import fleet as fleet_types
 from merlinthread.coordination import load_orders, load_proof
-from merlinthread.nodes import engine_client, piece_store
+from merlinthread.nodes import agent_node, engine_client, piece_store
 from tests import fleet_nodes
 from tests.test_weights_task import PIECES, make_pieces, run
 
@@ -100,6 +100,26 @@
     run(1, scenario)
 
 
+# Guards against an order that is forgotten when the engine is silent for so long that it is lost.
+def test_order_of_an_engine_that_was_lost_and_found_takes_pieces_of_its_own_version(monkeypatch):
+    async def scenario(fleet):
+        monkeypatch.setattr(agent_node, "ENGINE_SILENCE_MAX_S", 0.1)
+        loads = await publish_slowly(fleet, monkeypatch)
+        engine, loader = fleet.engines[0], fleet.agents[0].weights.loader
+        report, losses = engine.report, loader.loss_count
+
+        async def report_late(exchange):
+            await asyncio.sleep(0.0 if loader.loss_count > losses else 0.6)
+            await report(exchange)
+
+        engine.report = report_late
+        await fleet.wait_until_loaded(3)
+        assert loader.loss_count > losses
+        assert loads.are_right == {2: True, 3: True}
+
+    run(1, scenario)
+
+
 # Guards against newer pieces that are staged before an engine that has accepted an order is free to
 # take the older ones.
 @pytest.mark.parametrize("is_answered", [True, False])
