End the wait for an order once the engine holds its version

An engine that does not count its orders would keep staging suspended for good: the report's revision alone told that an order is carried out. Now the version that it holds does too. test_order_of_an_engine_whose_revision_does_not_change_ends_with_its_load times out before, passes now.

--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -235,7 +235,9 @@
     def is_carried_out(self, order: load_orders.LoadOrder) -> bool:
         """Return whether the engine has finished what it began by an order."""
         report = self.report
-        return report is not None and report.sequence != order.revision and not report.is_busy
+        if report is None or report.is_busy:
+            return False
+        return report.sequence != order.revision or self.holds(order.manifest)
 
     def record_fate(self, order: load_orders.LoadOrder) -> None:
         """Record whether the engine has taken an order."""
--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -100,6 +100,26 @@
     run(1, scenario)
 
 
+# Guards against an agent that waits without end for an engine that does not count its orders.
+def test_order_of_an_engine_whose_revision_does_not_change_ends_with_its_load():
+    async def scenario(fleet):
+        fleet.origin.pieces[3] = make_pieces(3)
+        engine = fleet.engines[0]
+        take_pieces = engine.take_pieces
+
+        def take_uncounted(order):
+            engine.revision = 0
+            take_pieces(order)
+
+        engine.take_pieces = take_uncounted
+        for version in (1, 2, 3):
+            fleet.publish(version)
+            await fleet.wait_until_loaded(version)
+        await fleet_nodes.until(lambda: not fleet.agents[0].weights.store.is_suspended)
+
+    run(1, scenario)
+
+
 # Guards against an order that is forgotten when the engine is silent for so long that it is lost.
 def test_order_of_an_engine_that_was_lost_and_found_takes_pieces_of_its_own_version(monkeypatch):
     async def scenario(fleet):
