--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -18,8 +18,8 @@
 from tests.test_weights_task import PIECES, make_pieces, run
 
 MANIFEST = fleet_types.Manifest("m", 2, 16, [""] * 16)
-# An engine answers an order after this long, so that its agent doesn't wait for the response.
-SLOW_ORDER_S = 0.8
+# How long an engine is busy with an order that it has taken.
+LOAD_S = 0.8
 
 
 class TakenLoads:
@@ -32,6 +32,9 @@
         self.execute_order = engine.execute_order
         engine.take_pieces = self.record
         self.told: set[int] = set()
+        # Set once the engine goes on with the orders that it has received.
+        self.release = asyncio.Event()
+        self.received = 0
         if takes_late:
             # The engine takes the pieces once it is free.
             engine.take_pieces = lambda order: None
@@ -60,29 +63,39 @@
 
 
 async def publish_slowly(fleet, monkeypatch) -> TakenLoads:
-    """Publish version 2 to a slow engine, and version 3 once it has received the order."""
+    """Publish version 3 once an engine has received the order for version 2.
+
+    It takes orders, whether or not their sender still waits, once `release` of the result is set.
+    """
     fleet.origin.pieces[3] = make_pieces(3)
     monkeypatch.setattr(engine_client, "LOCAL_TIMEOUT_S", 0.3)
     await fleet.wait_until_loaded(1)
     engine = fleet.engines[0]
     loads = TakenLoads(engine)
     loads.watch(fleet.agents[0])
-    received = []
     serve = engine.order
 
     async def receive(exchange):
-        received.append(exchange)
-        # The engine goes on when its caller has closed the connection.
-        await asyncio.shield(asyncio.create_task(serve(exchange)))
+        loads.received += 1
+        await asyncio.shield(asyncio.create_task(take(exchange)))
+
+    async def take(exchange):
+        await loads.release.wait()
+        await serve(exchange)
 
     engine.order = receive
-    engine.behaviour.order_wait_s = SLOW_ORDER_S
     fleet.publish(2)
-    await fleet_nodes.until(lambda: received)
+    await fleet_nodes.until(lambda: loads.received)
     fleet.publish(3)
     return loads
 
 
+async def until_unanswered(fleet) -> None:
+    """Wait until the agent has given up waiting for the response to its order."""
+    orders = fleet.agents[0].weights.loader.orders
+    await fleet_nodes.until(lambda: orders.order is not None and orders.order.unanswered > 1)
+
+
 async def restart_agent(fleet) -> None:
     """Replace the agent by another process, which knows nothing of its orders."""
     ip = fleet.agents[0].settings.ip
@@ -94,6 +107,8 @@
 def test_order_that_is_taken_late_takes_pieces_of_its_own_version(monkeypatch):
     async def scenario(fleet):
         loads = await publish_slowly(fleet, monkeypatch)
+        await until_unanswered(fleet)
+        loads.release.set()
         await fleet.wait_until_loaded(3)
         assert loads.are_right == {2: True, 3: True}
 
@@ -133,8 +148,9 @@
             await report(exchange)
 
         engine.report = report_late
+        await fleet_nodes.until(lambda: loader.loss_count > losses)
+        loads.release.set()
         await fleet.wait_until_loaded(3)
-        assert loader.loss_count > losses
         assert loads.are_right == {2: True, 3: True}
 
     run(1, scenario)
@@ -149,13 +165,15 @@
         if is_answered:
             await fleet.wait_until_loaded(1)
             fleet.origin.pieces[3] = make_pieces(3)
-            fleet.engines[0].behaviour.order_delay_s = SLOW_ORDER_S
+            fleet.engines[0].behaviour.order_delay_s = LOAD_S
             fleet.publish(2)
             await fleet_nodes.until(lambda: fleet.engines[0].revision == 2)
             fleet.publish(3)
         else:
-            fleet.engines[0].behaviour.order_delay_s = SLOW_ORDER_S
-            await publish_slowly(fleet, monkeypatch)
+            fleet.engines[0].behaviour.order_delay_s = LOAD_S
+            slow_loads = await publish_slowly(fleet, monkeypatch)
+            await until_unanswered(fleet)
+            slow_loads.release.set()
         await fleet.wait_until_loaded(3)
         assert loads.are_right == {1: True, 2: True, 3: True}
 
@@ -165,10 +183,11 @@
 # Guards against an engine that stays on old weights since pieces wait for the fate of an order.
 def test_newer_pieces_are_downloaded_while_an_order_is_open(monkeypatch):
     async def scenario(fleet):
-        await publish_slowly(fleet, monkeypatch)
+        loads = await publish_slowly(fleet, monkeypatch)
         weights = fleet.agents[0].weights
         await fleet_nodes.until(lambda: len(weights.store.buffered) == PIECES)
-        assert not fleet.engines[0].revision > 1
+        assert fleet.engines[0].revision == 1
+        loads.release.set()
         await fleet.wait_until_loaded(3)
         assert not weights.store.buffered
 
@@ -178,7 +197,9 @@
 # Guards against two loads by copies of one order.
 def test_copies_of_an_order_are_taken_once(monkeypatch):
     async def scenario(fleet):
-        await publish_slowly(fleet, monkeypatch)
+        loads = await publish_slowly(fleet, monkeypatch)
+        await until_unanswered(fleet)
+        loads.release.set()
         await fleet.wait_until_loaded(3)
         assert fleet.engines[0].revision == 3
 
@@ -192,10 +213,14 @@
         await restart_agent(fleet)
         loads.watch(fleet.agents[0])
         fleet.publish(3)
+        received = loads.received
+        await fleet_nodes.until(lambda: loads.received > received)
+        # The order of the ended agent is taken first, with the pieces of version 3.
+        loads.release.set()
         await fleet.wait_until_loaded(3)
         await fleet_nodes.until(lambda: 3 in loads.told)
-        assert loads.are_right[3]
-        assert loads.are_right.get(2, True) or 2 not in loads.told
+        assert loads.are_right == {2: False, 3: True}
+        assert 2 not in loads.told
 
     run(1, scenario)
 
