--- a/src/merlinthread/nodes/piece_store.py
+++ b/src/merlinthread/nodes/piece_store.py
@@ -9,6 +9,8 @@
 
 # More than an agent can download while an engine starts.
 BUFFER_BYTES_MAX = 8 * 1024 * 1024
+# How long after the start of an agent uploads of the process before it may still arrive.
+EARLIER_UPLOADS_S = 10.0
 
 
 class PieceStore:
@@ -17,11 +19,16 @@
     `is_engine_seen` is set by the owner once the engine has responded for the first time. While
     staging is suspended, pieces are buffered. `staged` are the pieces of this version that may have
     been staged by this process. `unanswered` are those of earlier versions whose upload got no
-    response, so that it may still overwrite a piece of this version.
+    response, so that it may still overwrite a piece of this version. The agent started at
+    `started_at`.
     """
 
-    def __init__(self, engine: engine_client.EngineClient) -> None:
+    def __init__(
+        self, engine: engine_client.EngineClient, started_at: float = float("-inf")
+    ) -> None:
         self.engine = engine
+        # Until when uploads of an earlier process of the agent may arrive.
+        self.earlier_uploads_until = started_at + EARLIER_UPLOADS_S
         self.is_engine_seen = False
         self.is_suspended = False
         self.buffered: dict[int, bytes] = {}
@@ -40,6 +47,12 @@
         """Record that the engine's process has ended, and with it all uploads to it."""
         self.unanswered.clear()
         self.unanswered_now.clear()
+        self.earlier_uploads_until = float("-inf")
+
+    def overwritable(self, piece_count: int, now: float) -> set[int]:
+        """Return the pieces that a late upload of another version may have overwritten."""
+        pieces = set(range(piece_count))
+        return pieces if now < self.earlier_uploads_until else self.unanswered & pieces
 
     def is_full(self) -> bool:
         """Return whether the buffer has reached its size limit."""
--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -319,9 +319,9 @@
         """
         pieces: Sequence[int] = range(len(order.manifest.digests))
         if order.is_answered and self.verifier.is_of(order.manifest):
-            max_age_s = load_proof.PROOF_AGE_MAX_S
-            overdue = self.verifier.readings.older_than(max_age_s, self.clock())
-            pieces = sorted(self.store.unanswered.intersection(pieces).union(overdue))
+            now = self.clock()
+            overdue = self.verifier.readings.older_than(load_proof.PROOF_AGE_MAX_S, now)
+            pieces = sorted(self.store.overwritable(len(pieces), now).union(overdue))
         self.proof.accept(pieces)
         if self.proof.is_proven(order.manifest):
             metrics.loads_total.labels("before").inc()
--- a/src/merlinthread/nodes/weights_task.py
+++ b/src/merlinthread/nodes/weights_task.py
@@ -57,7 +57,7 @@
         self.finder = manifest_finder.ManifestFinder(
             self.view.own_address, engine, rpc_client, clock, rng, self.view.piece_count
         )
-        self.store = piece_store.PieceStore(engine)
+        self.store = piece_store.PieceStore(engine, clock())
         self.checker = manifest_checker.ManifestChecker(self.view, self.finder, clock)
         self.fetcher = piece_fetcher.PieceFetcher(
             self.view, engine, self.store, self.checker, rpc_client, clock, send
--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -250,14 +250,18 @@
             raise errors.UnreachableError("no response in time")
 
     async def scenario():
-        store = piece_store.PieceStore(SilentEngine())
+        store = piece_store.PieceStore(SilentEngine(), 0.0)
         store.is_engine_seen = True
         await store.put("m", 3, b"piece")
         assert store.buffered == {3: b"piece"} and not store.unanswered
         store.start_version()
         assert store.unanswered == {3} and not store.buffered
+        # An earlier process may have uploaded any piece.
+        assert store.overwritable(5, piece_store.EARLIER_UPLOADS_S - 0.1) == set(range(5))
+        assert store.overwritable(5, piece_store.EARLIER_UPLOADS_S) == {3}
+        assert store.overwritable(3, piece_store.EARLIER_UPLOADS_S) == set()
         store.record_engine_end()
-        assert not store.unanswered
+        assert not store.overwritable(5, 0.0)
 
     asyncio.run(scenario())
 
