--- a/src/merlinthread/nodes/piece_store.py
+++ b/src/merlinthread/nodes/piece_store.py
@@ -3,12 +3,17 @@
 On a new VM the agent is ready before the engine; the buffer lets it start the download at once.
 """
 
+import asyncio
+from collections.abc import Iterator
+
 from merlinthread import errors
 from merlinthread.coordination import fleet
 from merlinthread.nodes import engine_client
 
 # More than an agent can download while an engine starts.
 BUFFER_BYTES_MAX = 8 * 1024 * 1024
+# Uploads of buffered pieces at once: a slow engine that is to load them serves nothing meanwhile.
+UPLOADS_MAX = 8
 # How long after the start of an agent uploads of the process before it may still arrive.
 EARLIER_UPLOADS_S = 10.0
 
@@ -108,7 +113,20 @@
 
         Raises UnreachableError or ProtocolError if that fails.
         """
-        for index in sorted(self.buffered):
+        waiting = iter(sorted(self.buffered))
+        uploads = [
+            asyncio.create_task(self.flush_waiting(model, waiting))
+            for _ in range(min(UPLOADS_MAX, len(self.buffered)))
+        ]
+        try:
+            await asyncio.gather(*uploads)
+        finally:
+            for upload in uploads:
+                upload.cancel()
+
+    async def flush_waiting(self, model: str, waiting: Iterator[int]) -> None:
+        """Stage the waiting pieces one after the other."""
+        for index in waiting:
             data = self.buffered.get(index)
             if data is None:
                 continue
--- a/src/merlinthread/nodes/piece_verifier.py
+++ b/src/merlinthread/nodes/piece_verifier.py
@@ -45,30 +45,32 @@
 
         Raises UnreachableError if the engine does not respond.
         """
-        right = await self.read_all(manifest, indexes, self.readings)
+        reader_count = self.reader_count(len(indexes))
+        right = await self.read_all(manifest, indexes, self.readings, reader_count)
         return sum(1 << index for index in right)
 
     async def find_right(self, manifest: fleet.Manifest, indexes: Sequence[int]) -> set[int]:
-        """Read pieces of any version back; return those that match its manifest.
+        """Read pieces of any version back at once; return those that match its manifest.
 
         Raises UnreachableError if the engine does not respond.
         """
         readings = piece_readings.PieceReadings(len(manifest.digests))
-        return await self.read_all(manifest, indexes, readings)
+        return await self.read_all(manifest, indexes, readings, READERS_MAX)
 
     async def read_all(
         self,
         manifest: fleet.Manifest,
         indexes: Sequence[int],
         readings: piece_readings.PieceReadings,
+        reader_count: int,
     ) -> set[int]:
-        """Read pieces, several at once if that takes long; return those that are right."""
+        """Read pieces, `reader_count` at once; return those that are right."""
         waiting = iter(indexes)
         right: set[int] = set()
         durations: list[float] = []
         readers = [
             asyncio.create_task(self.read(manifest, waiting, readings, right, durations))
-            for _ in range(self.reader_count(len(indexes)))
+            for _ in range(reader_count)
         ]
         try:
             await asyncio.gather(*readers)
