Do not wait for the reload time of a load that has ended meanwhile

Since load_weights waits for an order to settle, the version could be loaded by then; the agent still waited for the reload time of its group, up to 6 s, and began the download of the next version late.

test_agent_does_not_wait_for_the_reload_time_of_a_finished_load fails before.

--- a/src/merlinthread/nodes/weights_loader.py
+++ b/src/merlinthread/nodes/weights_loader.py
@@ -143,6 +143,8 @@
         They are verified before the wait, so that bad ones are replaced meanwhile, and after it.
         """
         await self.wait_until_settled()
+        if self.has_loaded(manifest):
+            return
         if not plan.is_complete() or self.view.is_superseded(manifest):
             return
         await self.store.flush(manifest.model)
--- a/tests/test_open_orders.py
+++ b/tests/test_open_orders.py
@@ -135,6 +135,37 @@
     run(1, scenario)
 
 
+# Guards against a wait that delays the download of the next version.
+def test_agent_does_not_wait_for_the_reload_time_of_a_finished_load(monkeypatch):
+    async def scenario(fleet):
+        monkeypatch.setattr(engine_client, "LOCAL_TIMEOUT_S", 0.3)
+        await fleet.wait_until_loaded(1)
+        loader, engine = fleet.agents[0].weights.loader, fleet.engines[0]
+        wait_for_reload, serve = loader.await_reload_time, engine.order
+        release = asyncio.Event()
+        are_loaded = []
+
+        async def record_wait(manifest):
+            are_loaded.append(loader.has_loaded(manifest))
+            await wait_for_reload(manifest)
+
+        async def take(exchange):
+            await release.wait()
+            await serve(exchange)
+
+        loader.await_reload_time = record_wait
+        engine.order = lambda exchange: asyncio.shield(asyncio.create_task(take(exchange)))
+        fleet.publish(2)
+        await until_unanswered(fleet)
+        release.set()
+        await fleet.wait_until_loaded(2)
+        await fleet_nodes.until(lambda: loader.has_loaded(fleet.agents[0].weights.manifest))
+        await asyncio.sleep(0.3)
+        assert are_loaded == [False]
+
+    run(1, scenario)
+
+
 # Guards against an order that is forgotten when the engine is silent for so long that it is lost.
 def test_order_of_an_engine_that_was_lost_and_found_takes_pieces_of_its_own_version(monkeypatch):
     async def scenario(fleet):
