Log the bytes counted for clients beside the resident memory

No log told whether another build ran there, or whether bytes were held that are not counted.

Change: an entry logs each new peak of the counted bytes by steps of a sixteenth of the bound (memory_peak), the end of that peak (memory_peak_over), and refusals for lack of room once a second (memory_refused), each with the bytes counted, their bound, the resident memory without mapped files and the kernel's peak. The start of a node names the digest of its sources, which the build writes, its Python and its machine. Nothing is read while no new peak is reached.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,6 +15,9 @@
     rm -rf target/app.new target/app.old
     mkdir -p target/app.new
     cp -r src/merlinthread target/app.new/merlinthread
+    # The log of a process names the digest, which tells an old build from a new one.
+    find src/merlinthread -name '*.py' -print0 | LC_ALL=C sort -z | xargs -0 sha256sum \
+        | sha256sum | cut -c 1-12 > target/app.new/build.txt
     python3 -m compileall -q target/app.new
     if [ -e target/app ]; then
         mv target/app target/app.old
--- a/src/merlinthread/coordination/held_bytes.py
+++ b/src/merlinthread/coordination/held_bytes.py
@@ -4,15 +4,28 @@
 yet, and for data of back ends that waits to be sent to it.
 """
 
+import typing
 from collections.abc import Callable
 
 INFINITE = float("inf")
+# The share of the bound by which the sum rises between two reports of its peak.
+PEAK_STEP_SHARE = 1 / 16
 
 
 def do_nothing(now: float) -> None:
     """Take the place of the callbacks of a holder that is released."""
 
 
+class Observer(typing.Protocol):
+    """Observes the sum of a budget."""
+
+    def record_peak(self) -> None:
+        """Record that the sum has risen by a step above the last peak."""
+
+    def record_fall(self) -> None:
+        """Record that the sum has fallen to half of a new peak."""
+
+
 class Holder:
     """The bytes held for one client.
 
@@ -42,9 +55,7 @@
         if not self.is_open:
             return
         self.byte_count += byte_count
-        self.budget.byte_count += byte_count
-        if self.budget.byte_count > self.budget.bytes_max and byte_count > 0:
-            self.budget.shed()
+        self.budget.add(byte_count)
 
     def release(self) -> None:
         """Release all bytes; further ones are not counted, since the connection is closed.
@@ -54,18 +65,39 @@
         if self.is_open:
             self.is_open = False
             self.close = self.refresh = do_nothing
-            self.budget.byte_count -= self.byte_count
             self.budget.holders.discard(self)
+            self.budget.add(-self.byte_count)
 
 
 class Budget:
-    """The sum over all holders and its bound."""
+    """The sum over all holders and its bound; `observer` is told of new peaks."""
 
     def __init__(self, clock: Callable[[], float], bytes_max: float = INFINITE) -> None:
         self.clock = clock
         self.bytes_max = bytes_max
         self.byte_count = 0
         self.holders: set[Holder] = set()
+        self.peak_bytes = 0.0
+        self.is_peak_over = True
+        self.observer: Observer | None = None
+
+    def add(self, byte_count: int) -> None:
+        """Add bytes to the sum, or subtract them if negative; close connections above the bound."""
+        self.byte_count += byte_count
+        if byte_count > 0 and self.byte_count > self.bytes_max:
+            self.shed()
+        if self.observer is not None:
+            self.observe(self.observer)
+
+    def observe(self, observer: Observer) -> None:
+        """Report a new peak by steps, and then its end."""
+        if self.byte_count >= self.peak_bytes + self.bytes_max * PEAK_STEP_SHARE:
+            self.peak_bytes = self.byte_count
+            self.is_peak_over = False
+            observer.record_peak()
+        elif not self.is_peak_over and self.byte_count <= self.peak_bytes / 2:
+            self.is_peak_over = True
+            observer.record_fall()
 
     def open(self, close: Callable[[float], None], refresh: Callable[[float], None]) -> Holder:
         """Return a new holder."""
--- a/src/merlinthread/nodes/node_daemon.py
+++ b/src/merlinthread/nodes/node_daemon.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import sys
 from collections.abc import Callable
 
 from merlinthread import __version__, clocks, errors, logs, metrics
@@ -14,6 +15,7 @@
 
 SETTINGS_POLL_INTERVAL_S = 1.0
 METRICS_PATH = b"/metrics"
+BUILD_FILE = "build.txt"
 
 SettingsLoader = Callable[[pathlib.Path], node_settings.NodeSettings]
 
@@ -57,7 +59,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.node.start()
         await self.start_metrics_server()
-        logs.event("started", role=self.role, version=__version__, ip=self.settings.ip)
+        logs.event("started", role=self.role, ip=self.settings.ip, **describe_build())
         await self.supervise()
         logs.event("stopping", role=self.role)
         await self.node.stop()
@@ -97,6 +99,24 @@
         logs.event("reloaded", controls=settings.control_ips)
 
 
+def describe_build() -> dict[str, str]:
+    """Return what tells this program from others: its version and build, Python and the machine.
+
+    The build is the digest of the sources that `deploy/build.sh` writes beside the package.
+    """
+    path = pathlib.Path(__file__).resolve().parents[2] / BUILD_FILE
+    try:
+        build = path.read_text(encoding="ascii").strip()
+    except (OSError, ValueError):
+        build = "unknown"
+    return {
+        "version": __version__,
+        "build": build,
+        "python": sys.version.split()[0],
+        "machine": os.uname().machine,
+    }
+
+
 async def serve_metrics(exchange: stream_server.Exchange) -> None:
     """Serve the metrics in the Prometheus text format."""
     if exchange.request.target != METRICS_PATH:
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -14,6 +14,7 @@
 from merlinthread.transport import (
     flow_control,
     http_messages,
+    process_memory,
     request_body,
     slow_clients,
     sockets,
@@ -97,6 +98,7 @@
         self.is_shutting_down = False
         self.listener: asyncio.Server | None = None
         self.held = held_bytes.Budget(clocks.now)
+        self.memory_log: process_memory.MemoryLog | None = None
         self.slow_clients = slow_clients.SlowClients()
 
     async def listen(self, host: str, port: int) -> None:
@@ -106,6 +108,12 @@
             lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG, reuse_address=True
         )
 
+    def limit_memory(self, memory_bytes: int, held_bytes_max: int) -> None:
+        """Bound the bytes held for clients, in a process that has `memory_bytes` of memory."""
+        self.held.bytes_max = held_bytes_max
+        self.memory_log = process_memory.MemoryLog(self.held, memory_bytes, clocks.now)
+        self.held.observer = self.memory_log
+
     def begin_draining(self) -> None:
         """Send `Connection: close` with each response from now on."""
         self.is_draining = True
@@ -317,6 +325,8 @@
             return False
         if length is not None and not self.server.held.has_room(int(length)):
             metrics.connections_shed_total.labels("no_room").inc()
+            if self.server.memory_log is not None:
+                self.server.memory_log.record_refusal(int(length))
             self.refuse_body()
             return False
         self.set_timer(self.server.limits.idle_timeout_s, lambda: self.send_error(408))
