Pass the bodies of requests on as blocks, without joining or copying them

Cause: a body was received in blocks, joined when it was complete, and serialised part by part for the back end. The joined objects do not fit into the gaps that the freed blocks leave, so that each counted byte was resident three times and more: 96 MiB resident for a bound of 24 MiB.

Change: a body stays in the blocks of 64 KiB in which it was received. They are handed to the transport as they are, and the fingerprint is computed over them. Handlers that parse a body still get it as one object (Server.joins_bodies).

--- a/src/merlinthread/coordination/fingerprints.py
+++ b/src/merlinthread/coordination/fingerprints.py
@@ -14,15 +14,19 @@
 PART_PREFIX = "part-"
 
 
-def fingerprint(head: fleet.RequestHead, account: str, body: bytes) -> str:
-    """Return the hex digest of a request's identifying parts.
+def fingerprint(head: fleet.RequestHead, account: str, *body: bytes | memoryview) -> str:
+    """Return the hex digest of a request's identifying parts; `body` may be in several parts.
 
-    Each part is prefixed with its length, so that different splits of the same bytes differ.
+    Each part but those of the body is prefixed with its length, and so is the body, so that
+    different splits of the same bytes differ.
     """
     digest = blake3.blake3()
-    for part in (head.method, head.host.encode(), head.path, account.encode(), body):
+    for part in (head.method, head.host.encode(), head.path, account.encode()):
         digest.update(b"%d:" % len(part))
         digest.update(part)
+    digest.update(b"%d:" % sum(map(len, body)))
+    for body_part in body:
+        digest.update(body_part)
     return digest.digest(DIGEST_BYTES).hex()
 
 
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -78,7 +78,7 @@
             self.reporter,
         )
         self.chooser = backend_chooser.BackendChooser(self.pool)
-        self.server = stream_server.Server(self.serve)
+        self.server = stream_server.Server(self.serve, joins_bodies=False)
         self.server.limit_memory(settings.memory_bytes, self.pool.memory_limits.total_bytes)
         metrics.held_bytes.set_function(lambda: self.server.held.byte_count)
         self.ready_server = stream_server.Server(self.serve_ready)
--- a/src/merlinthread/nodes/request_context.py
+++ b/src/merlinthread/nodes/request_context.py
@@ -4,6 +4,7 @@
 import functools
 
 from merlinthread.coordination import allowed_regions, fingerprints, fleet
+from merlinthread.transport import body_blocks
 
 LABEL_CHARACTERS_MAX = 120
 # Bounds the work and the records for a request; the parts of a prompt beyond these are ignored.
@@ -31,7 +32,7 @@
     route: fleet.Route
     account: fleet.Account | None
     deadline: float
-    body: bytes = b""
+    body: body_blocks.Body = b""
     cached_fingerprint: str = ""
     cached_parts: tuple[PromptPart, ...] | None = None
     cost_tokens: float = 0.0
@@ -45,7 +46,9 @@
         """Return the request's fingerprint, computed on first use."""
         if not self.cached_fingerprint:
             account = self.account.name if self.account is not None else ""
-            self.cached_fingerprint = fingerprints.fingerprint(self.call, account, self.body)
+            self.cached_fingerprint = fingerprints.fingerprint(
+                self.call, account, *body_blocks.split(self.body)
+            )
         return self.cached_fingerprint
 
     def parts(self) -> tuple[PromptPart, ...]:
--- a/src/merlinthread/transport/http_messages.py
+++ b/src/merlinthread/transport/http_messages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from merlinthread.transport import body_blocks
+
 Headers = list[tuple[bytes, bytes]]
 
 HEADER_BYTES_DEFAULT = 16 * 1024
@@ -39,7 +41,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: body_blocks.Body = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -10,7 +10,7 @@
 
 from merlinthread import errors
 from merlinthread.coordination import held_bytes
-from merlinthread.transport import http_messages, sockets, timeouts
+from merlinthread.transport import body_blocks, http_messages, sockets, timeouts
 
 # Bounds of a response. `h11` bounds only an incomplete head, chunk header or trailer (16 KiB).
 BODY_BYTES_MAX = 64 * 1024 * 1024
@@ -22,8 +22,6 @@
 # Each chunk takes processor time, and a single read can contain 40,000 chunks of one byte.
 SMALL_CHUNKS_MAX = 8192
 CHUNK_BYTES_MIN = 8
-# A longer body is sent in parts of this size, the next one once the transport has room.
-PART_BYTES = 64 * 1024
 # Received bytes that wait for their reader, above which the socket is not read.
 UNREAD_BYTES_MAX = 1024 * 1024
 
@@ -48,8 +46,8 @@
         self.unread_bytes = 0
         self.unread_bytes_max = UNREAD_BYTES_MAX
         self.is_paused = False
-        # The rest of a request's body, and whether the transport has no room for it.
-        self.unsent = memoryview(b"")
+        # The parts of a request's body that are not sent, and whether the transport has no room.
+        self.unsent: collections.deque[memoryview] = collections.deque()
         self.is_write_paused = False
         self.closes_when_sent = False
         # The count of the bytes held for the client for whom the response is read, if any.
@@ -109,7 +107,7 @@
         """Record that the connection is closed, and the error that caused it."""
         self.is_lost = True
         self.error = error
-        self.unsent = memoryview(b"")
+        self.unsent.clear()
         self.wake_reader()
 
     def pause_writing(self) -> None:
@@ -139,27 +137,28 @@
         self.body_bytes = self.wire_bytes = self.chunks = self.interim_responses = 0
         head = h11.Request(method=request.method, target=request.target, headers=request.headers)
         data = self.parser.send(head) or b""
-        if len(request.body) > PART_BYTES:
+        if len(request.body) > body_blocks.BLOCK_BYTES:
             self.write(data)
-            self.unsent = memoryview(request.body)
+            self.unsent.extend(body_blocks.split(request.body))
             self.send_parts()
             return
-        if request.body:
-            data += self.parser.send(h11.Data(data=request.body)) or b""
+        for part in body_blocks.split(request.body):
+            data += self.parser.send(h11.Data(data=part)) or b""
         self.write(data + (self.parser.send(h11.EndOfMessage()) or b""))
 
     def send_parts(self) -> None:
         """Send the rest of a body while the transport has room."""
         while self.unsent and not self.is_write_paused and not self.is_lost:
-            part, self.unsent = self.unsent[:PART_BYTES], self.unsent[PART_BYTES:]
-            self.write(self.parser.send(h11.Data(data=part)))
+            event = h11.Data(data=self.unsent.popleft())
+            for data in self.parser.send_with_data_passthrough(event) or ():
+                self.write(data)
         if self.unsent:
             return
         self.write(self.parser.send(h11.EndOfMessage()))
         if self.closes_when_sent and self.transport is not None:
             self.transport.close()
 
-    def write(self, data: bytes | None) -> None:
+    def write(self, data: bytes | memoryview | None) -> None:
         """Pass data to the transport."""
         if data and self.transport is not None:
             self.transport.write(data)
@@ -320,7 +319,7 @@
         still buffered.
         """
         self.release_holder()
-        self.unsent = memoryview(b"")
+        self.unsent.clear()
         if self.transport is None:
             return
         if not self.is_idle:
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -12,10 +12,10 @@
 from merlinthread import clocks, logs, metrics
 from merlinthread.coordination import held_bytes
 from merlinthread.transport import (
+    body_blocks,
     flow_control,
     http_messages,
     process_memory,
-    request_body,
     slow_clients,
     sockets,
 )
@@ -88,10 +88,19 @@
 
 
 class Server:
-    """An HTTP server that passes complete requests to `handler`."""
+    """An HTTP server that passes complete requests to `handler`.
 
-    def __init__(self, handler: Handler, limits: http_messages.Limits | None = None) -> None:
+    With `joins_bodies`, the body of a request is `bytes`, otherwise `BodyBlocks`.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: http_messages.Limits | None = None,
+        joins_bodies: bool = True,
+    ) -> None:
         self.handler = handler
+        self.joins_bodies = joins_bodies
         self.limits = limits or http_messages.Limits()
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
@@ -145,7 +154,7 @@
         self.flow = flow_control.FlowControl()
         self.task: asyncio.Task | None = None
         self.request: http_messages.Request | None = None
-        self.body = request_body.RequestBody()
+        self.body = body_blocks.BodyBlocks()
         self.holder = server.held.open(lambda now: self.shed("memory", now), self.update_progress)
         # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
         self.request_bytes = 0
@@ -318,7 +327,7 @@
         self.request = http_messages.Request(
             event.method, event.target, list(event.headers.raw_items())
         )
-        self.body = request_body.RequestBody()
+        self.body = body_blocks.BodyBlocks()
         length = http_messages.get_header(self.request.headers, b"content-length")
         if length is not None and int(length) > self.server.limits.body_bytes:
             self.send_error(413)
@@ -349,7 +358,7 @@
         self.write(h11.EndOfMessage())
         self.is_discarding = True
         self.request = None
-        self.body = request_body.RequestBody()
+        self.body = body_blocks.BodyBlocks()
         self.holder.release()
         self.set_timer(DISCARD_TIMEOUT_S, self.abort)
         if self.transport is not None and self.transport.can_write_eof():
@@ -359,10 +368,10 @@
         """Start a task that runs the handler for the complete request."""
         self.set_timer(None, None)
         assert self.request is not None
-        self.request.body = self.body.join()
+        self.request.body = self.body.join() if self.server.joins_bodies else self.body
         exchange = Exchange(self, self.request)
         self.request = None
-        self.body = request_body.RequestBody()
+        self.body = body_blocks.BodyBlocks()
         self.task = asyncio.get_running_loop().create_task(self.run_handler(exchange))
 
     async def run_handler(self, exchange: Exchange) -> None:
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from merlinthread.transport import http_messages, stream_client
+from merlinthread.coordination import fingerprints, fleet
+from merlinthread.transport import body_blocks, http_messages, stream_client
 
 MIB = 1024 * 1024
 BODY = bytes(range(256)) * (4 * MIB // 256 - 4)
@@ -26,7 +27,7 @@
 
 
 @pytest.mark.parametrize(
-    "size", [0, 1, stream_client.PART_BYTES, stream_client.PART_BYTES + 1, len(BODY)]
+    "size", [0, 1, body_blocks.BLOCK_BYTES, body_blocks.BLOCK_BYTES + 1, len(BODY)]
 )
 def test_server_that_reads_slowly_gets_the_whole_body(size):
     received = []
@@ -101,6 +102,22 @@
     asyncio.run(scenario())
 
 
+# Guards against requests that crash back ends and are not recognised when they are repeated.
+@pytest.mark.parametrize("size", [0, 1, 100_000, len(BODY)])
+@pytest.mark.parametrize("received", [1_000, 65_536, 262_144])
+def test_body_in_blocks_is_the_same_body(size, received):
+    blocks = body_blocks.BodyBlocks()
+    for offset in range(0, size, received):
+        blocks.add(BODY[offset : min(size, offset + received)])
+    parts = list(body_blocks.split(blocks))
+    assert len(blocks) == size and blocks.join() == b"".join(parts) == BODY[:size]
+    assert all(len(part) == body_blocks.BLOCK_BYTES for part in parts[:-1])
+    head = fleet.RequestHead("id", b"POST", b"/x", "h")
+    assert fingerprints.fingerprint(head, "a", *parts) == fingerprints.fingerprint(
+        head, "a", BODY[:size]
+    )
+
+
 def test_body_that_waits_for_its_server_is_not_copied():
     async def scenario():
         async def serve(reader, writer):
--- /dev/null
+++ b/tests/test_resident_memory.py
@@ -0,0 +1,234 @@
+"""The resident memory of an entry process under large bodies, for each path and size of VM.
+
+Guards against an entry that is killed over its memory although the bytes that it counts are within
+their bound: bytes that are copied, and memory that the allocator keeps, count as resident too.
+"""
+
+import asyncio
+import collections
+import contextlib
+import json
+import pathlib
+import sys
+
+import pytest
+
+from merlinthread.nodes import memory_limits
+
+MIB = 1024 * 1024
+BODY = bytes(4 * MIB - 1024)
+PART_BYTES = 64 * 1024
+BODY_BYTES_MAX = 4 * MIB
+# A process over its memory is killed; a tenth of it is kept in reserve.
+MEMORY_SHARE_MAX = 0.9
+TIMEOUT_S = 25.0
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class Worker:
+    """A back end that discards the bodies of requests and answers after `work_s`."""
+
+    def __init__(self, work_s: float, answer: bytes = b"ok") -> None:
+        self.work_s = work_s
+        self.answer = answer
+        self.bodies = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Start listening; return the address."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer) -> None:
+        """Answer the requests of one connection."""
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                left = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
+                request_id = head.partition(b"request-id: ")[2].split(b"\r\n")[0]
+                while left:
+                    left -= len(await reader.readexactly(min(left, PART_BYTES)))
+                self.bodies += 1
+                await asyncio.sleep(self.work_s)
+                lines = [
+                    b"HTTP/1.1 200 OK",
+                    b"X-Merlinthread-Request-Id: " + request_id,
+                    b"X-Merlinthread-Response-Stamp: s." + request_id,
+                    b"Content-Length: %d" % len(self.answer),
+                ]
+                writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + self.answer)
+                await writer.drain()
+        writer.close()
+
+
+class EntryProcess:
+    """An entry with `memory_mib` of memory as a process, and two workers."""
+
+    def __init__(self, memory_mib: int, workers: list[Worker]) -> None:
+        self.memory_mib = memory_mib
+        self.workers = workers
+        self.events: list[dict] = []
+        self.number = 0
+
+    async def __aenter__(self):
+        """Start the process; wait for its address."""
+        addresses = [await worker.start() for worker in self.workers]
+        arguments = ["-m", "tests.memory_entry", str(self.memory_mib * MIB), str(BODY_BYTES_MAX)]
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            *addresses,
+            cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=MIB,
+        )
+        address = asyncio.get_running_loop().create_future()
+        self.log_task = asyncio.create_task(self.read_log(address))
+        self.host, _, self.port = (await asyncio.wait_for(address, 30.0)).rpartition(":")
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        """End the process and the workers."""
+        self.process.stdin.close()
+        try:
+            await asyncio.wait_for(self.process.wait(), 10.0)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+        await self.log_task
+        for worker in self.workers:
+            worker.server.close()
+
+    async def read_log(self, address: asyncio.Future) -> None:
+        """Set the entry's address once it is known, and collect the events of its log."""
+        while line := (await self.process.stdout.readline()).decode():
+            if line.startswith("address "):
+                address.set_result(line.split()[1])
+            elif line.startswith("{"):
+                self.events.append(json.loads(line))
+
+    def peak_mib(self) -> float:
+        """Return the largest resident memory of the process so far, without mapped files."""
+        fields = {}
+        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            name, _, value = line.partition(":")
+            fields[name] = value.split()[:1]
+        in_kib = {name: int(fields[name][0]) for name in ("VmHWM", "RssFile", "RssShmem")}
+        return (in_kib["VmHWM"] - in_kib["RssFile"] - in_kib["RssShmem"]) / 1024
+
+    async def request(self, parts, framing: str) -> int | str:
+        """Send a request whose body is `parts`; return its status or the name of the error."""
+        self.number += 1
+        head = (
+            f"POST /safe/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: key-1\r\n"
+            f"X-Merlinthread-Request-Id: id-{self.number}\r\n"
+            f"X-Merlinthread-Deadline-Ms: 20000\r\n{framing}\r\n\r\n"
+        ).encode()
+        writer = None
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(self.host, int(self.port))
+                response = asyncio.create_task(read_response(reader))
+                writer.write(head)
+                with contextlib.suppress(ConnectionError):
+                    for part in parts:
+                        if response.done():
+                            break
+                        writer.write(part)
+                        await writer.drain()
+                        await asyncio.sleep(0)
+                return await response
+        except (OSError, EOFError, TimeoutError) as error:
+            return type(error).__name__
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+
+async def read_response(reader: asyncio.StreamReader) -> int:
+    """Read a response with a length; return its status."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    left = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
+    while left:
+        left -= len(await reader.readexactly(min(left, PART_BYTES)))
+    return int(head.split()[1])
+
+
+def plain_parts() -> list[bytes]:
+    """Return the parts of a body with a length."""
+    view = memoryview(BODY)
+    return [view[offset : offset + PART_BYTES] for offset in range(0, len(BODY), PART_BYTES)]
+
+
+def chunked_parts() -> list[bytes]:
+    """Return the parts of a body in chunks."""
+    chunks = [b"%x\r\n%b\r\n" % (len(part), part) for part in plain_parts()]
+    return [*chunks, b"0\r\n\r\n"]
+
+
+LENGTH = f"Content-Length: {len(BODY)}"
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+async def send_with_length(entry: EntryProcess):
+    return await entry.request(plain_parts(), LENGTH)
+
+
+async def send_in_chunks(entry: EntryProcess):
+    return await entry.request(chunked_parts(), CHUNKED)
+
+
+async def fetch(entry: EntryProcess):
+    return await entry.request([], "Content-Length: 0")
+
+
+async def stop_inside_body(entry: EntryProcess):
+    """Send most of a body and leave."""
+
+    async def parts():
+        for part in plain_parts()[:-1]:
+            yield part
+        await asyncio.sleep(0.3)
+
+    head = f"POST /safe/x HTTP/1.1\r\nHost: h.example\r\n{LENGTH}\r\n\r\n".encode()
+    reader, writer = await asyncio.open_connection(entry.host, int(entry.port))
+    try:
+        writer.write(head)
+        async for part in parts():
+            writer.write(part)
+            await writer.drain()
+    except ConnectionError:
+        pass
+    finally:
+        writer.transport.abort()
+    return "left"
+
+
+# Each path of a body through an entry: how clients send and what back ends answer.
+PATHS = {
+    "with a length": (send_with_length, b"ok"),
+    "in chunks": (send_in_chunks, b"ok"),
+    "client stops": (stop_inside_body, b"ok"),
+}
+WAVES = 3
+
+
+@pytest.mark.parametrize("memory_mib", [96, 112, 152, 200, 300, 1024])
+@pytest.mark.parametrize("path", PATHS)
+def test_entry_stays_within_its_memory(path, memory_mib):
+    async def scenario():
+        client, answer = PATHS[path]
+        workers = [Worker(0.2, answer) for _ in range(2)]
+        clients = 2 * memory_limits.derive(memory_mib * MIB).total_bytes // len(BODY) + 8
+        async with EntryProcess(memory_mib, workers) as entry:
+            statuses = collections.Counter()
+            for _ in range(WAVES):
+                statuses.update(await asyncio.gather(*(client(entry) for _ in range(clients))))
+            peak_mib = entry.peak_mib()
+        print(f"RESULT {path} {memory_mib} clients={clients} peak={peak_mib:.0f} {dict(statuses)}")
+        assert peak_mib <= MEMORY_SHARE_MAX * memory_mib, (peak_mib, statuses)
+        if path != "client stops":
+            assert set(statuses) <= {200, 503} and statuses[200], statuses
+
+    asyncio.run(scenario())
