Read large responses only when there is room for them, and send them in blocks

Cause: responses were read as they came, joined, and copied into the transport's buffer. When all of them had exceeded the bound, clients were closed to get below it, the one with the most bytes first: requests that had run, for the bytes of others that could still be refused.

Change: a response over 64 KiB gets room for its length (ResponseRoom), in the order of arrival, and its back end is not read before. One of the longest size allowed fits beyond the bound, since requests that fill it end only once they are answered. Its blocks are sent as the client takes them, also after its handler has ended, and each is freed when it is sent. Requests that are served are not closed for a few bytes of others.

--- a/src/merlinthread/nodes/attempts.py
+++ b/src/merlinthread/nodes/attempts.py
@@ -110,8 +110,14 @@
         self.may_send: Callable[[], bool] = always
         self.on_data: Callable[[], None] = do_nothing
         self.reader = response_reader.ResponseReader(
-            context, pool, self.reservation, relay.exchange.holder
+            context,
+            pool,
+            self.reservation,
+            relay.exchange.holder,
+            relay.exchange.response_room,
         )
+        # Whether the response is sent to the client, or may be if no other attempt succeeds.
+        self.keeps_response = False
         # The choice of the back end, the result and the availability signals, for the log.
         self.description = ""
         self.result_text = ""
@@ -145,6 +151,8 @@
         except TimeoutError:
             if not self.relay.exchange.is_client_reading():
                 return self.end_slow_read()
+            if self.reader.is_waiting_for_room:
+                return Outcome(State.UNKNOWN, "no room for the response before the deadline")
             if connection is not None:
                 self.pool.connections.handle_timeout(self.backend.instance, connection)
             if not self.relay.exchange.is_started:
@@ -162,6 +170,8 @@
             if self.reader.is_silent:
                 self.reader.end_silence("ended")
             self.reader.hold(0)
+            if not self.keeps_response:
+                self.reader.return_room(self.reader.room_bytes)
             if connection is not None:
                 connection.close()
 
@@ -331,8 +341,9 @@
         if is_success and self.context.route.kind == fleet.STREAMING:
             response = http_messages.Response(head.status_code, headers)
             return await self.relay_stream(connection, response), headers
-        body = await self.reader.read_body(connection)
+        body = await self.reader.read_body(connection, headers)
         response = http_messages.Response(head.status_code, headers, body)
+        self.keeps_response = not response_head.is_not_run
         if response_head.is_not_run:
             return Outcome(State.NOT_RUN, f"{head.status_code} not run", response), headers
         if not is_success:
--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -79,7 +79,8 @@
         )
         self.chooser = backend_chooser.BackendChooser(self.pool)
         self.server = stream_server.Server(self.serve, joins_bodies=False)
-        self.server.limit_memory(settings.memory_bytes, self.pool.memory_limits.total_bytes)
+        limits = self.pool.memory_limits
+        self.server.limit_memory(settings.memory_bytes, limits.total_bytes, limits.response_bytes)
         metrics.held_bytes.set_function(lambda: self.server.held.byte_count)
         self.ready_server = stream_server.Server(self.serve_ready)
         self.is_leaving = False
--- a/src/merlinthread/nodes/response_reader.py
+++ b/src/merlinthread/nodes/response_reader.py
@@ -4,15 +4,16 @@
 response has begun. It counts what is held of the response for the client.
 """
 
+import asyncio
 import math
 from collections.abc import Callable
 
 import h11
 
 from merlinthread import errors, metrics
-from merlinthread.coordination import backend_health, fleet, held_bytes
+from merlinthread.coordination import backend_health, fleet, held_bytes, response_room
 from merlinthread.nodes import backend_pool, request_context, reservations
-from merlinthread.transport import stream_client, timeouts
+from merlinthread.transport import body_blocks, http_messages, stream_client, timeouts
 
 # Time without data after which a back end counts as silent: before the first event and between
 # events, as multiples of the route's values.
@@ -20,6 +21,10 @@
 FIRST_EVENT_MIN_S = 0.8
 GAP_FACTOR = 2.0
 GAP_MIN_S = 0.6
+# A longer body of unknown length gets room for this one.
+UNKNOWN_LENGTH_BYTES = 4 * 1024 * 1024
+# How often clients that are stalled are looked for while a response waits for room.
+ROOM_CHECK_INTERVAL_S = 0.2
 
 
 class VersionExpiredError(errors.UnreachableError):
@@ -35,7 +40,8 @@
     """Reads the response to one attempt; `reservation` is the attempt's.
 
     `on_silence` is called each time the back end has sent nothing for the time after which it
-    counts as silent. `holder` counts the bytes that are held for the client.
+    counts as silent. `holder` counts the bytes that are held for the client; those of a response
+    that is read as a whole have their room in `room`.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         pool: backend_pool.BackendPool,
         reservation: reservations.Reservation,
         holder: held_bytes.Holder,
+        room: response_room.ResponseRoom,
     ) -> None:
         self.context = context
         self.pool = pool
@@ -51,12 +58,16 @@
         self.reservation = reservation
         self.backend = reservation.backend
         self.holder = holder
+        self.room = room
         self.on_silence: Callable[[], None] = lambda: None
         # The time of the last data before the current silence, or None.
         self.silent_since: float | None = None
         self.longest_silence_s = 0.0
         # The bytes of the response that are kept until it continues or is complete.
         self.held_bytes = 0
+        # The room reserved for the whole response, and whether it is waited for.
+        self.room_bytes = 0
+        self.is_waiting_for_room = False
 
     @property
     def is_silent(self) -> bool:
@@ -147,14 +158,54 @@
         self.silent_since = None
         metrics.silences_total.labels(outcome).inc()
 
-    async def read_body(self, connection: stream_client.ClientConnection) -> bytes:
-        """Return the complete body; raise ProtocolError if it is over the bound for one."""
-        connection.body_bytes_max = self.pool.memory_limits.response_bytes
-        body = bytearray()
+    async def read_body(
+        self, connection: stream_client.ClientConnection, headers: http_messages.Headers
+    ) -> body_blocks.BodyBlocks:
+        """Return the complete body; raise ProtocolError if it is over the bound for one.
+
+        The back end is not read while there is no room for the body.
+        """
+        body_bytes_max = self.pool.memory_limits.response_bytes
+        connection.body_bytes_max = body_bytes_max
+        length = int(http_messages.get_header(headers, b"content-length") or 0)
+        body = body_blocks.BodyBlocks()
+        if length > body_blocks.BLOCK_BYTES:
+            await self.reserve_room(connection, min(length, body_bytes_max))
         while isinstance(event := await connection.next_event(), h11.Data):
-            body += event.data
-            self.hold(len(body))
-        return bytes(body)
+            body.add(event.data)
+            if not self.room_bytes and body.size > body_blocks.BLOCK_BYTES:
+                await self.reserve_room(connection, min(UNKNOWN_LENGTH_BYTES, body_bytes_max))
+            self.hold(max(0, body.size - self.room_bytes))
+        self.return_room(max(0, self.room_bytes - body.size))
+        return body
+
+    async def reserve_room(
+        self, connection: stream_client.ClientConnection, byte_count: int
+    ) -> None:
+        """Wait until there is room for `byte_count` bytes of the response."""
+        loop = asyncio.get_running_loop()
+        has_room: asyncio.Future[None] = loop.create_future()
+        waiter = self.room.request(
+            self.holder, byte_count, lambda: has_room.done() or has_room.set_result(None)
+        )
+        self.is_waiting_for_room = True
+        try:
+            if not has_room.done():
+                connection.pause_reading()
+            while not has_room.done():
+                self.room.close_stalled(self.room.budget.clock())
+                await asyncio.wait([has_room], timeout=ROOM_CHECK_INTERVAL_S)
+            self.is_waiting_for_room = False
+        finally:
+            self.room.cancel(waiter)
+            if has_room.done():
+                self.room_bytes = byte_count
+        connection.read_into_room()
+
+    def return_room(self, byte_count: int) -> None:
+        """Return some of the reserved room."""
+        self.room_bytes -= byte_count
+        self.holder.return_reserved(byte_count)
 
     def hold(self, byte_count: int) -> None:
         """Count `byte_count` bytes of the response as held for the client."""
--- a/src/merlinthread/transport/body_blocks.py
+++ b/src/merlinthread/transport/body_blocks.py
@@ -36,6 +36,11 @@
         """Return the body received so far as one object."""
         return b"".join(self.chunks)
 
+    def take(self) -> list[bytearray]:
+        """Return the blocks and keep none, so that each is freed once it is not used."""
+        taken, self.chunks, self.size = self.chunks, [], 0
+        return taken
+
 
 Body = bytes | BodyBlocks
 
--- a/src/merlinthread/transport/http_messages.py
+++ b/src/merlinthread/transport/http_messages.py
@@ -50,7 +50,7 @@
 
     status: int
     headers: Headers
-    body: bytes = b""
+    body: body_blocks.Body = b""
 
 
 def get_header(headers: Headers, name: bytes) -> bytes | None:
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import threading
 
 import h11
 
@@ -24,9 +25,22 @@
 CHUNK_BYTES_MIN = 8
 # Received bytes that wait for their reader, above which the socket is not read.
 UNREAD_BYTES_MAX = 1024 * 1024
+# The longest read of a socket, and of one whose response is held for a client and has no room yet.
+READ_BYTES_MAX = 64 * 1024
+HELD_READ_BYTES_MAX = 16 * 1024
 
 
-class ClientConnection(asyncio.Protocol):
+class ReadBuffer(threading.local):
+    """The buffer of one thread, whose event loop reads one socket at a time."""
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(READ_BYTES_MAX))
+
+
+READ_BUFFER = ReadBuffer()
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """A connection to a server; handles one request at a time."""
 
     def __init__(self) -> None:
@@ -45,6 +59,7 @@
         # The bytes in `received`, and whether the socket is not read because there are too many.
         self.unread_bytes = 0
         self.unread_bytes_max = UNREAD_BYTES_MAX
+        self.read_bytes_max = READ_BYTES_MAX
         self.is_paused = False
         # The parts of a request's body that are not sent, and whether the transport has no room.
         self.unsent: collections.deque[memoryview] = collections.deque()
@@ -68,7 +83,15 @@
         """Store the transport."""
         self.transport = transport  # type: ignore[assignment]
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read of the socket."""
+        return READ_BUFFER.view[: self.read_bytes_max]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the data that was read into the buffer."""
+        self.data_received(READ_BUFFER.view[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Buffer received data; close the connection if no request is in progress.
 
         Data goes straight to the parser if the reader waits for it. Above `unread_bytes_max`, the
@@ -80,10 +103,10 @@
             return
         if self.waiter is not None and not self.waiter.done() and not self.received:
             self.wire_bytes += len(data)
-            self.parser.receive_data(data)
+            self.parser.receive_data(data)  # type: ignore[arg-type]
             self.waiter.set_result(None)
             return
-        self.received.append(data)
+        self.received.append(bytes(data))
         self.unread_bytes += len(data)
         if self.holder is not None:
             self.holder.add(len(data))
@@ -167,6 +190,14 @@
         """Count unread data as held for a client, and bound it, until the response is complete."""
         self.holder = holder
         self.unread_bytes_max = unread_bytes_max
+        self.read_bytes_max = HELD_READ_BYTES_MAX
+
+    def read_into_room(self) -> None:
+        """Read the rest of a response for which room is reserved; it counts no more by itself."""
+        self.release_holder()
+        self.read_bytes_max = READ_BYTES_MAX
+        if self.is_paused and self.unread_bytes <= self.unread_bytes_max:
+            self.resume_reading()
 
     async def next_event(self) -> h11.Event:
         """Return the next event of the response.
@@ -243,11 +274,15 @@
         if self.holder is not None:
             self.holder.add(-len(data))
         if self.is_paused and self.unread_bytes <= self.unread_bytes_max:
-            self.is_paused = False
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
+            self.resume_reading()
         return data
 
+    def resume_reading(self) -> None:
+        """Read the socket again."""
+        self.is_paused = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     async def receive(self) -> http_messages.Response:
         """Return the complete response; raise the same errors as `next_event`.
 
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 
 import h11
 
 from merlinthread import clocks, logs, metrics
-from merlinthread.coordination import held_bytes
+from merlinthread.coordination import held_bytes, response_room
 from merlinthread.transport import (
     body_blocks,
     flow_control,
@@ -45,16 +46,25 @@
         """Return the count of the bytes held for this client."""
         return self.connection.holder
 
+    @property
+    def response_room(self) -> response_room.ResponseRoom:
+        """Return the room for responses that are read as a whole before they are sent."""
+        return self.connection.server.response_room
+
     def is_client_reading(self) -> bool:
         """Return whether there is room to write."""
         return not self.connection.flow.is_paused
 
     async def respond(self, response: http_messages.Response) -> None:
-        """Send a complete response with a Content-Length header."""
+        """Send a complete response with a Content-Length header.
+
+        The body is sent as fast as the client takes it, also after a cancellation.
+        """
         headers = [*response.headers, (b"content-length", b"%d" % len(response.body))]
         self.start_response(response.status, headers)
+        self.holder.is_answered = True
         if response.body and self.request.method != b"HEAD":
-            self.connection.write(h11.Data(data=response.body))
+            self.connection.send_body(response.body)
         await self.finish()
 
     def start_response(self, status: int, headers: http_messages.Headers) -> None:
@@ -74,7 +84,7 @@
 
     async def finish(self) -> None:
         """Mark the response as complete."""
-        self.connection.write(h11.EndOfMessage())
+        self.connection.end_response()
         self.is_finished = True
         await self.connection.flow.wait_writable()
 
@@ -107,6 +117,7 @@
         self.is_shutting_down = False
         self.listener: asyncio.Server | None = None
         self.held = held_bytes.Budget(clocks.now)
+        self.response_room = response_room.ResponseRoom(self.held)
         self.memory_log: process_memory.MemoryLog | None = None
         self.slow_clients = slow_clients.SlowClients()
 
@@ -117,9 +128,13 @@
             lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG, reuse_address=True
         )
 
-    def limit_memory(self, memory_bytes: int, held_bytes_max: int) -> None:
-        """Bound the bytes held for clients, in a process that has `memory_bytes` of memory."""
+    def limit_memory(self, memory_bytes: int, held_bytes_max: int, response_bytes_max: int) -> None:
+        """Bound the bytes held for clients, in a process that has `memory_bytes` of memory.
+
+        One response of `response_bytes_max` fits beyond `held_bytes_max`.
+        """
         self.held.bytes_max = held_bytes_max
+        self.held.extra_bytes = response_bytes_max
         self.memory_log = process_memory.MemoryLog(self.held, memory_bytes, clocks.now)
         self.held.observer = self.memory_log
 
@@ -159,6 +174,10 @@
         # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
         self.request_bytes = 0
         self.write_bytes = 0
+        # The parts of a response's body that are not sent, and what follows them.
+        self.unsent: collections.deque[memoryview] = collections.deque()
+        self.ends_when_sent = False
+        self.closes_when_sent = False
         # Whether a refused body is read without being kept.
         self.is_discarding = False
         self.timer: asyncio.TimerHandle | None = None
@@ -173,7 +192,8 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
-        return self.task is None and self.request is None and not self.is_head_pending
+        is_receiving = self.request is not None or self.is_head_pending
+        return self.task is None and not is_receiving and not self.unsent
 
     # asyncio.Protocol callbacks
 
@@ -188,6 +208,7 @@
         """Unregister the connection and cancel its handler task."""
         self.server.connections.discard(self)
         self.server.slow_clients.discard(self)
+        self.unsent.clear()
         self.holder.release()
         self.set_timer(None, None)
         self.flow.resume()
@@ -208,6 +229,8 @@
         self.write_bytes = 0
         self.holder.progress_at = clocks.now()
         self.flow.resume()
+        if self.unsent:
+            self.send_parts()
 
     def update_write_bytes(self) -> None:
         """Update the count of the bytes in the transport's buffer while it is full."""
@@ -254,6 +277,9 @@
         An incomplete response is aborted, so that a client that no longer reads can't block its
         handler. A complete response is still sent.
         """
+        if self.ends_when_sent:
+            self.closes_when_sent = True
+            return True
         is_responding = self.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
         if self.task is not None and is_responding:
             self.abort()
@@ -401,10 +427,19 @@
         if not exchange.is_finished:
             self.abort()
             return
+        if not self.unsent:
+            self.begin_next_request()
+
+    def begin_next_request(self) -> None:
+        """Continue with the next request once a response has been sent, or close."""
+        self.holder.return_reserved(self.holder.reserved_bytes)
+        self.holder.is_answered = False
         if self.transport is None or self.transport.is_closing():
             return
         must_close = (
-            self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE
+            self.closes_when_sent
+            or self.parser.our_state is not h11.DONE
+            or self.parser.their_state is not h11.DONE
         )
         if must_close or self.server.is_shutting_down:
             self.close()
@@ -434,6 +469,39 @@
             if self.flow.is_paused:
                 self.update_write_bytes()
 
+    def send_body(self, body: body_blocks.Body) -> None:
+        """Send a body as fast as the client takes it; its blocks are taken and freed when sent."""
+        if isinstance(body, body_blocks.BodyBlocks):
+            self.unsent.extend(memoryview(block) for block in body.take())
+        else:
+            self.unsent.extend(body_blocks.split(body))
+        self.send_parts()
+
+    def send_parts(self) -> None:
+        """Send the rest of a body, and the end of the response, while the transport has room."""
+        while self.unsent and not self.flow.is_paused:
+            if self.transport is None or self.transport.is_closing():
+                self.unsent.clear()
+                return
+            part = self.unsent.popleft()
+            for data in self.parser.send_with_data_passthrough(h11.Data(data=part)) or ():
+                self.transport.write(data)
+            self.holder.return_reserved(len(part))
+            if self.flow.is_paused:
+                self.update_write_bytes()
+        if not self.unsent and self.ends_when_sent:
+            self.ends_when_sent = False
+            self.write(h11.EndOfMessage())
+            if self.task is None:
+                self.begin_next_request()
+
+    def end_response(self) -> None:
+        """Send the end of the response once its body is sent."""
+        if self.unsent:
+            self.ends_when_sent = True
+        else:
+            self.write(h11.EndOfMessage())
+
     def write_raw(self, data: bytes) -> None:
         """Send bytes without `h11`; used by stand-ins to send malformed responses."""
         if self.transport is not None:
--- a/tests/test_resident_memory.py
+++ b/tests/test_resident_memory.py
@@ -210,6 +210,8 @@
     "with a length": (send_with_length, b"ok"),
     "in chunks": (send_in_chunks, b"ok"),
     "client stops": (stop_inside_body, b"ok"),
+    "large answers": (fetch, BODY),
+    "both ways": (send_with_length, BODY),
 }
 WAVES = 3
 
@@ -232,3 +234,18 @@
             assert set(statuses) <= {200, 503} and statuses[200], statuses
 
     asyncio.run(scenario())
+
+
+# Guards against responses that are cut off, and an entry over its memory, when back ends send
+# several times as much as the entry can hold.
+def test_large_answers_of_many_clients_are_all_delivered():
+    async def scenario():
+        async with EntryProcess(96, [Worker(0.2, BODY) for _ in range(2)]) as entry:
+            statuses = collections.Counter(
+                await asyncio.gather(*(fetch(entry) for _ in range(150)))
+            )
+            peak_mib = entry.peak_mib()
+        assert statuses == {200: 150}, (statuses, peak_mib)
+        assert peak_mib <= MEMORY_SHARE_MAX * 96, peak_mib
+
+    asyncio.run(scenario())
