Bound the bytes of calls to control VMs and of messages between nodes

Cause: only the clients' server of entries had a bound. Those of control VMs and agents held whatever arrived.

Change: calls of operators and back ends may take a sixteenth of the memory, since a configuration takes several times its size once it is parsed, and messages of nodes an eighth, each at least more than one of the longest allowed. What has no room is refused with 503 and Retry-After, and logged with the resident memory.

--- a/src/merlinthread/nodes/agent_node.py
+++ b/src/merlinthread/nodes/agent_node.py
@@ -13,6 +13,7 @@
     cold_grants,
     engine_client,
     fleet_watcher,
+    memory_limits,
     node_roles,
     node_settings,
     weights_task,
@@ -65,6 +66,8 @@
         self.rpc_server = node_bus.RpcServer(
             codec, self.dispatch_request, lambda: self.weights.server.upload_pacer.bytes_per_s
         )
+        memory = memory_limits.derive(settings.memory_bytes)
+        self.rpc_server.limit_memory(settings.memory_bytes, memory.messages_bytes)
         self.load_tracker = load_tracker.LoadTracker()
         self.account_meter = account_meter.AccountMeter(clock)
         self.grants = cold_grants.ColdGrants(settings, self.watcher, clock)
--- a/src/merlinthread/nodes/control_node.py
+++ b/src/merlinthread/nodes/control_node.py
@@ -23,6 +23,7 @@
     leader_tracker,
     limit_registry,
     log_member,
+    memory_limits,
     node_roles,
     node_settings,
     permit_server,
@@ -84,6 +85,9 @@
             self.record_local_heartbeat,
         )
         self.server = stream_server.Server(self.api.serve, limits)
+        memory = memory_limits.derive(settings.memory_bytes)
+        self.server.limit_memory(settings.memory_bytes, memory.calls_bytes)
+        self.rpc_server.limit_memory(settings.memory_bytes, memory.messages_bytes)
         self.services = configured_services.ConfiguredServices(dialect, self.member)
         self.identities = identity_checker.IdentityChecker(
             dialect, self.services.find, self.apply_identity
--- a/src/merlinthread/transport/node_bus.py
+++ b/src/merlinthread/transport/node_bus.py
@@ -90,6 +90,10 @@
         limits = http_messages.Limits(body_bytes=MESSAGE_BYTES_MAX, idle_timeout_s=2 * KEEP_ALIVE_S)
         self.server = stream_server.Server(self.serve, limits)
 
+    def limit_memory(self, memory_bytes: int, held_bytes_max: int) -> None:
+        """Bound the bytes of calls in progress, in a process that has `memory_bytes` of memory."""
+        self.server.limit_memory(memory_bytes, held_bytes_max)
+
     async def listen(self, host: str, port: int) -> None:
         """Start listening on `host`:`port`."""
         await self.server.listen(host, port)
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -128,7 +128,9 @@
             lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG, reuse_address=True
         )
 
-    def limit_memory(self, memory_bytes: int, held_bytes_max: int, response_bytes_max: int) -> None:
+    def limit_memory(
+        self, memory_bytes: int, held_bytes_max: int, response_bytes_max: int = 0
+    ) -> None:
         """Bound the bytes held for clients, in a process that has `memory_bytes` of memory.
 
         One response of `response_bytes_max` fits beyond `held_bytes_max`.
--- a/tests/test_resident_memory.py
+++ b/tests/test_resident_memory.py
@@ -26,13 +26,17 @@
 
 
 class Worker:
-    """A back end that discards the bodies of requests and answers after `work_s`."""
+    """A back end that discards the bodies of requests and answers after `work_s`.
 
-    def __init__(self, work_s: float, answer: bytes = b"ok") -> None:
+    One that `crashes` closes the connection in place of its answer.
+    """
+
+    def __init__(self, work_s: float, answer: bytes = b"ok", crashes: bool = False) -> None:
         self.work_s = work_s
         self.answer = answer
-        self.bodies = 0
+        self.crashes = crashes
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> str:
         """Start listening; return the address."""
@@ -41,6 +45,7 @@
 
     async def serve(self, reader, writer) -> None:
         """Answer the requests of one connection."""
+        self.writers.add(writer)
         with contextlib.suppress(OSError, EOFError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).lower()
@@ -48,8 +53,9 @@
                 request_id = head.partition(b"request-id: ")[2].split(b"\r\n")[0]
                 while left:
                     left -= len(await reader.readexactly(min(left, PART_BYTES)))
-                self.bodies += 1
                 await asyncio.sleep(self.work_s)
+                if self.crashes:
+                    break
                 lines = [
                     b"HTTP/1.1 200 OK",
                     b"X-Merlinthread-Request-Id: " + request_id,
@@ -58,7 +64,25 @@
                 ]
                 writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + self.answer)
                 await writer.drain()
-        writer.close()
+        await self.close(writer)
+
+    async def close(self, writer: asyncio.StreamWriter) -> None:
+        """Close a connection."""
+        self.writers.discard(writer)
+        await close(writer)
+
+    async def stop(self) -> None:
+        """Stop listening, and close the connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            await self.close(writer)
+
+
+async def close(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once, and wait until that is done."""
+    writer.transport.abort()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
 
 
 class EntryProcess:
@@ -98,7 +122,7 @@
             await self.process.wait()
         await self.log_task
         for worker in self.workers:
-            worker.server.close()
+            await worker.stop()
 
     async def read_log(self, address: asyncio.Future) -> None:
         """Set the entry's address once it is known, and collect the events of its log."""
@@ -109,13 +133,8 @@
                 self.events.append(json.loads(line))
 
     def peak_mib(self) -> float:
-        """Return the largest resident memory of the process so far, without mapped files."""
-        fields = {}
-        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            name, _, value = line.partition(":")
-            fields[name] = value.split()[:1]
-        in_kib = {name: int(fields[name][0]) for name in ("VmHWM", "RssFile", "RssShmem")}
-        return (in_kib["VmHWM"] - in_kib["RssFile"] - in_kib["RssShmem"]) / 1024
+        """Return the largest resident memory of the process so far."""
+        return peak_mib(self.process.pid)
 
     async def request(self, parts, framing: str) -> int | str:
         """Send a request whose body is `parts`; return its status or the name of the error."""
@@ -143,7 +162,17 @@
             return type(error).__name__
         finally:
             if writer is not None:
-                writer.transport.abort()
+                await close(writer)
+
+
+def peak_mib(pid: int) -> float:
+    """Return the largest resident memory of a process so far, without mapped files, in MiB."""
+    fields = {}
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        fields[name] = value.split()[:1]
+    in_kib = {name: int(fields[name][0]) for name in ("VmHWM", "RssFile", "RssShmem")}
+    return (in_kib["VmHWM"] - in_kib["RssFile"] - in_kib["RssShmem"]) / 1024
 
 
 async def read_response(reader: asyncio.StreamReader) -> int:
@@ -185,23 +214,19 @@
 
 async def stop_inside_body(entry: EntryProcess):
     """Send most of a body and leave."""
-
-    async def parts():
-        for part in plain_parts()[:-1]:
-            yield part
-        await asyncio.sleep(0.3)
-
     head = f"POST /safe/x HTTP/1.1\r\nHost: h.example\r\n{LENGTH}\r\n\r\n".encode()
-    reader, writer = await asyncio.open_connection(entry.host, int(entry.port))
+    _, writer = await asyncio.open_connection(entry.host, int(entry.port))
     try:
         writer.write(head)
-        async for part in parts():
+        for part in plain_parts()[:-1]:
             writer.write(part)
             await writer.drain()
+        # The entry has read most of the body when the client leaves.
+        await asyncio.sleep(0.3)
     except ConnectionError:
         pass
     finally:
-        writer.transport.abort()
+        await close(writer)
     return "left"
 
 
@@ -236,6 +261,22 @@
     asyncio.run(scenario())
 
 
+# Guards against bodies that are kept for each of the back ends that they are sent to.
+@pytest.mark.parametrize("memory_mib", [96, 300])
+def test_entry_stays_within_its_memory_while_requests_are_repeated(memory_mib):
+    async def scenario():
+        workers = [Worker(0.1, crashes=True), Worker(0.2)]
+        async with EntryProcess(memory_mib, workers) as entry:
+            clients = (send_with_length(entry) for _ in range(memory_mib // 4))
+            statuses = collections.Counter(await asyncio.gather(*clients))
+            peak_mib = entry.peak_mib()
+        print(f"RESULT repeated {memory_mib} peak={peak_mib:.0f} {dict(statuses)}")
+        assert peak_mib <= MEMORY_SHARE_MAX * memory_mib, (peak_mib, statuses)
+        assert set(statuses) <= {200, 502, 503} and statuses[200], statuses
+
+    asyncio.run(scenario())
+
+
 # Guards against responses that are cut off, and an entry over its memory, when back ends send
 # several times as much as the entry can hold.
 def test_large_answers_of_many_clients_are_all_delivered():
