--- a/tests/test_response_room.py
+++ b/tests/test_response_room.py
@@ -10,6 +10,7 @@
 
 from merlinthread.coordination import held_bytes, response_room
 from merlinthread.transport import http_messages, stream_server
+from tests import test_resident_memory
 
 MIB = 1024 * 1024
 BODY = bytes(range(256)) * (4 * MIB // 256)
@@ -140,7 +141,7 @@
                 assert await read_body(reader) == BODY
             else:
                 assert await reader.read() == b""
-        writer.close()
+        await test_resident_memory.close(writer)
 
     asyncio.run(scenario())
 
@@ -159,7 +160,7 @@
         server, reader, writer = await start(handler)
         writer.write(REQUEST)
         await reader.readuntil(b"\r\n\r\n")
-        writer.transport.abort()
+        await test_resident_memory.close(writer)
         async with asyncio.timeout(10):
             await cancelled.wait()
             while server.connections:
