Parse sources and format test failures without a garbage collection

Each time: SystemError, AST constructor recursion depth mismatch.

Cause: the parser of Python 3.11 keeps its depth in a place that a second call overwrites. A collection inside ast.parse runs destructors; one that raises (an open StreamWriter after its loop is closed) has its traceback formatted, which parses source lines.

Change: the checks of layers parse, and pytest formats the failure of a test, with the collector disabled.

--- a/bench/layers.py
+++ b/bench/layers.py
@@ -1,8 +1,11 @@
 """Check that layers import only lower layers, and that modules with timeouts use one clock."""
 
 import ast
+import contextlib
+import gc
 import pathlib
 import sys
+from collections.abc import Iterator
 
 PACKAGE = "merlinthread"
 LAYERS = ("transport", "protocol", "coordination", "state")
@@ -14,10 +17,32 @@
 ONE_CLOCK = ("coordination", "state", "protocol", "nodes", "platform")
 
 
+@contextlib.contextmanager
+def collector_disabled() -> Iterator[None]:
+    """Run no garbage collection, and so no destructors, inside the block.
+
+    The parser of Python 3.11 raises SystemError if a destructor enters it again, as it does to
+    format a traceback.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
+def parse(path: pathlib.Path) -> ast.Module:
+    """Return the syntax tree of a module."""
+    with collector_disabled():
+        return ast.parse(path.read_text(encoding="utf-8"))
+
+
 def imported_names(path: pathlib.Path) -> list[str]:
     """Return the layers and root modules of this package that a module imports."""
     found = []
-    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+    for node in ast.walk(parse(path)):
         if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(PACKAGE):
             rest = (node.module or "").split(".")[1:]
             found.extend([rest[0]] if rest else [alias.name for alias in node.names])
@@ -42,7 +67,7 @@
 def find_clock_problems(path: pathlib.Path) -> list[str]:
     """Return the imports of the standard library's `time` in a module."""
     found = []
-    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+    for node in ast.walk(parse(path)):
         names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
         if isinstance(node, ast.ImportFrom):
             names = [node.module or ""]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench import fleet as fleets
+from bench import layers
 
 # Deterministic examples, and no deadline, so that a busy machine does not fail a test.
 hypothesis.settings.register_profile("ci", deadline=None, derandomize=True, database=None)
@@ -47,6 +48,13 @@
 CHUNK_BYTES = 64 * 1024
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport():
+    """Format the traceback of a failed test without a collection that may format another one."""
+    with layers.collector_disabled():
+        return (yield)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark and sort the collected tests.
 
