Move the sending of responses to a module of its own, and count all that waits

The parts of a response that wait to be sent are counted whether or not they have reserved room, as for replies to other nodes, and a client that sends further requests while its response is sent is not read without bound: the handler may have ended by then (test_requests_sent_ahead_of_a_response_are_not_read_without_bound).

--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -17,6 +16,7 @@
     flow_control,
     http_messages,
     process_memory,
+    response_sender,
     slow_clients,
     sockets,
 )
@@ -64,7 +64,7 @@
         self.start_response(response.status, headers)
         self.holder.is_answered = True
         if response.body and self.request.method != b"HEAD":
-            self.connection.send_body(response.body)
+            self.connection.sender.send_body(response.body)
         await self.finish()
 
     def start_response(self, status: int, headers: http_messages.Headers) -> None:
@@ -84,7 +84,7 @@
 
     async def finish(self) -> None:
         """Mark the response as complete."""
-        self.connection.end_response()
+        self.connection.sender.end()
         self.is_finished = True
         await self.connection.flow.wait_writable()
 
@@ -173,12 +173,12 @@
         self.request: http_messages.Request | None = None
         self.body = body_blocks.BodyBlocks()
         self.holder = server.held.open(lambda now: self.shed("memory", now), self.update_progress)
-        # The parts of the held bytes: of requests, and of the transport's buffer while it is full.
+        # The part of the held bytes that is of requests.
         self.request_bytes = 0
-        self.write_bytes = 0
-        # The parts of a response's body that are not sent, and what follows them.
-        self.unsent: collections.deque[memoryview] = collections.deque()
-        self.ends_when_sent = False
+        self.sender = response_sender.ResponseSender(
+            self.parser, self.holder, self.flow, self.handle_response_end
+        )
+        # Whether the client has closed its sending side while its response is sent.
         self.closes_when_sent = False
         # Whether a refused body is read without being kept.
         self.is_discarding = False
@@ -195,13 +195,17 @@
     def is_idle(self) -> bool:
         """Return whether no request is being received or handled."""
         is_receiving = self.request is not None or self.is_head_pending
-        return self.task is None and not is_receiving and not self.unsent
+        return not self.is_responding() and not is_receiving
+
+    def is_responding(self) -> bool:
+        """Return whether a request is being handled, or its response sent."""
+        return self.task is not None or self.sender.is_end_pending
 
     # asyncio.Protocol callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
-        self.transport = transport  # type: ignore[assignment]
+        self.transport = self.sender.transport = transport  # type: ignore[assignment]
         sockets.set_socket_options(transport, self.server.limits.idle_timeout_s)
         self.server.connections.add(self)
         self.set_timer(self.server.limits.idle_timeout_s, self.close)
@@ -210,7 +214,7 @@
         """Unregister the connection and cancel its handler task."""
         self.server.connections.discard(self)
         self.server.slow_clients.discard(self)
-        self.unsent.clear()
+        self.sender.discard()
         self.holder.release()
         self.set_timer(None, None)
         self.flow.resume()
@@ -219,27 +223,15 @@
 
     def pause_writing(self) -> None:
         """Make tasks that write wait until the transport's buffer has room."""
-        self.flow.pause()
-        self.update_write_bytes()
+        self.sender.pause()
         self.holder.progress_at = clocks.now()
         self.server.slow_clients.watch(self)
 
     def resume_writing(self) -> None:
         """Let tasks that write continue."""
         self.server.slow_clients.discard(self)
-        self.holder.add(-self.write_bytes)
-        self.write_bytes = 0
         self.holder.progress_at = clocks.now()
-        self.flow.resume()
-        if self.unsent:
-            self.send_parts()
-
-    def update_write_bytes(self) -> None:
-        """Update the count of the bytes in the transport's buffer while it is full."""
-        if self.transport is not None:
-            byte_count = self.transport.get_write_buffer_size()
-            added, self.write_bytes = byte_count - self.write_bytes, byte_count
-            self.holder.add(added)
+        self.sender.resume()
 
     def update_progress(self, now: float) -> None:
         """Record whether the client has taken data since the last call, or waits for a response."""
@@ -247,9 +239,8 @@
             if self.task is not None:
                 self.holder.progress_at = now
             return
-        if self.transport.get_write_buffer_size() < self.write_bytes:
+        if self.sender.has_progressed():
             self.holder.progress_at = now
-            self.update_write_bytes()
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the client takes no data although its request's handler has ended."""
@@ -279,7 +270,7 @@
         An incomplete response is aborted, so that a client that no longer reads can't block its
         handler. A complete response is still sent.
         """
-        if self.ends_when_sent:
+        if self.sender.is_end_pending:
             self.closes_when_sent = True
             return True
         is_responding = self.parser.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
@@ -301,7 +292,7 @@
         self.holder.add(len(data))
         if self.is_discarding:
             return
-        if self.task is not None:
+        if self.is_responding():
             self.read_ahead_bytes += len(data)
             if self.read_ahead_bytes > READ_AHEAD_BYTES_MAX and self.transport is not None:
                 self.transport.pause_reading()
@@ -429,7 +420,12 @@
         if not exchange.is_finished:
             self.abort()
             return
-        if not self.unsent:
+        if not self.sender.is_end_pending:
+            self.begin_next_request()
+
+    def handle_response_end(self) -> None:
+        """Continue once the end of a response has been sent, unless its handler still runs."""
+        if self.task is None:
             self.begin_next_request()
 
     def begin_next_request(self) -> None:
@@ -465,44 +461,7 @@
 
     def write(self, event: h11.Event) -> None:
         """Serialise one event of the response and send it."""
-        data = self.parser.send(event)
-        if data and self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
-            if self.flow.is_paused:
-                self.update_write_bytes()
-
-    def send_body(self, body: body_blocks.Body) -> None:
-        """Send a body as fast as the client takes it; its blocks are taken and freed when sent."""
-        if isinstance(body, body_blocks.BodyBlocks):
-            self.unsent.extend(memoryview(block) for block in body.take())
-        else:
-            self.unsent.extend(body_blocks.split(body))
-        self.send_parts()
-
-    def send_parts(self) -> None:
-        """Send the rest of a body, and the end of the response, while the transport has room."""
-        while self.unsent and not self.flow.is_paused:
-            if self.transport is None or self.transport.is_closing():
-                self.unsent.clear()
-                return
-            part = self.unsent.popleft()
-            for data in self.parser.send_with_data_passthrough(h11.Data(data=part)) or ():
-                self.transport.write(data)
-            self.holder.return_reserved(len(part))
-            if self.flow.is_paused:
-                self.update_write_bytes()
-        if not self.unsent and self.ends_when_sent:
-            self.ends_when_sent = False
-            self.write(h11.EndOfMessage())
-            if self.task is None:
-                self.begin_next_request()
-
-    def end_response(self) -> None:
-        """Send the end of the response once its body is sent."""
-        if self.unsent:
-            self.ends_when_sent = True
-        else:
-            self.write(h11.EndOfMessage())
+        self.sender.write(event)
 
     def write_raw(self, data: bytes) -> None:
         """Send bytes without `h11`; used by stand-ins to send malformed responses."""
--- a/tests/test_response_room.py
+++ b/tests/test_response_room.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -168,3 +169,26 @@
         assert server.held.byte_count == 0
 
     asyncio.run(scenario())
+
+
+# Guards against a client that fills the memory with further requests while it reads no response.
+def test_requests_sent_ahead_of_a_response_are_not_read_without_bound():
+    async def scenario():
+        async def handler(exchange):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await exchange.respond(http_messages.Response(200, [], BODY))
+
+        server, reader, writer = await start(handler)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n")
+        (connection,) = server.connections
+        writer.write(REQUEST * 100_000)
+        async with asyncio.timeout(10):
+            while connection.is_reading:
+                await asyncio.sleep(0.01)
+        received = len(connection.parser.trailing_data[0])
+        assert received < 3 * stream_server.READ_AHEAD_BYTES_MAX
+        await test_resident_memory.close(writer)
+
+    asyncio.run(scenario())
