Allocate the blocks of a body whole

Cause: a block grew with each part received. The parts of a client that sends 64 KiB at a time do not line up with the blocks, so that each block was moved once, and its former place stayed as a gap.

Change: a block has its full size from the start, known from Content-Length, and what is not filled yet counts as held. Only the first block of a body of unknown length grows.

--- a/src/merlinthread/nodes/response_reader.py
+++ b/src/merlinthread/nodes/response_reader.py
@@ -167,15 +167,17 @@
         """
         body_bytes_max = self.pool.memory_limits.response_bytes
         connection.body_bytes_max = body_bytes_max
-        length = int(http_messages.get_header(headers, b"content-length") or 0)
-        body = body_blocks.BodyBlocks()
-        if length > body_blocks.BLOCK_BYTES:
-            await self.reserve_room(connection, min(length, body_bytes_max))
+        value = http_messages.get_header(headers, b"content-length")
+        length = None if value is None else min(int(value), body_bytes_max)
+        body = body_blocks.BodyBlocks(length)
+        if length is not None and length > body_blocks.BLOCK_BYTES:
+            await self.reserve_room(connection, length)
         while isinstance(event := await connection.next_event(), h11.Data):
             body.add(event.data)
             if not self.room_bytes and body.size > body_blocks.BLOCK_BYTES:
                 await self.reserve_room(connection, min(UNKNOWN_LENGTH_BYTES, body_bytes_max))
             self.hold(max(0, body.size - self.room_bytes))
+        body.finish()
         self.return_room(max(0, self.room_bytes - body.size))
         return body
 
--- a/src/merlinthread/transport/response_sender.py
+++ b/src/merlinthread/transport/response_sender.py
@@ -55,7 +55,7 @@
         """Send a body; its blocks are taken, and each is freed when it is sent."""
         self.unsent_bytes += len(body)
         if isinstance(body, body_blocks.BodyBlocks):
-            self.unsent.extend(map(memoryview, body.take()))
+            self.unsent.extend(body.take())
         else:
             self.unsent.extend(body_blocks.split(body))
         self.send_parts()
--- a/src/merlinthread/transport/stream_server.py
+++ b/src/merlinthread/transport/stream_server.py
@@ -173,8 +173,9 @@
         self.request: http_messages.Request | None = None
         self.body = body_blocks.BodyBlocks()
         self.holder = server.held.open(lambda now: self.shed("memory", now), self.update_progress)
-        # The part of the held bytes that is of requests.
+        # The parts of the held bytes: of requests, and allocated for a body that is received.
         self.request_bytes = 0
+        self.unused_bytes = 0
         self.sender = response_sender.ResponseSender(
             self.parser, self.holder, self.flow, self.handle_response_end
         )
@@ -289,7 +290,10 @@
         self.parser.receive_data(data)
         self.request_bytes += len(data)
         self.holder.progress_at = clocks.now()
-        self.holder.add(len(data))
+        # What fills a block has been counted with it.
+        filled_bytes = min(len(data), self.unused_bytes)
+        self.unused_bytes -= filled_bytes
+        self.holder.add(len(data) - filled_bytes)
         if self.is_discarding:
             return
         if self.is_responding():
@@ -299,6 +303,17 @@
                 self.is_reading = False
             return
         self.process_events()
+        self.count_unused()
+
+    def count_unused(self) -> None:
+        """Update the count of the bytes that are allocated for a body and not received yet.
+
+        Those of a body of unknown length may never be, and are not counted.
+        """
+        unused_bytes = self.body.unused_bytes if self.body.length is not None else 0
+        added = unused_bytes - self.unused_bytes
+        self.unused_bytes += added
+        self.holder.add(added)
 
     # Requests
 
@@ -346,15 +361,16 @@
         self.request = http_messages.Request(
             event.method, event.target, list(event.headers.raw_items())
         )
-        self.body = body_blocks.BodyBlocks()
-        length = http_messages.get_header(self.request.headers, b"content-length")
-        if length is not None and int(length) > self.server.limits.body_bytes:
+        value = http_messages.get_header(self.request.headers, b"content-length")
+        length = None if value is None else int(value)
+        if length is not None and length > self.server.limits.body_bytes:
             self.send_error(413)
             return False
-        if length is not None and not self.server.held.has_room(int(length)):
+        self.body = body_blocks.BodyBlocks(length)
+        if length is not None and not self.server.held.has_room(length):
             metrics.connections_shed_total.labels("no_room").inc()
             if self.server.memory_log is not None:
-                self.server.memory_log.record_refusal(int(length))
+                self.server.memory_log.record_refusal(length)
             self.refuse_body()
             return False
         self.set_timer(self.server.limits.idle_timeout_s, lambda: self.send_error(408))
@@ -387,6 +403,7 @@
         """Start a task that runs the handler for the complete request."""
         self.set_timer(None, None)
         assert self.request is not None
+        self.body.finish()
         self.request.body = self.body.join() if self.server.joins_bodies else self.body
         exchange = Exchange(self, self.request)
         self.request = None
