--- a/tests/test_control_memory.py
+++ b/tests/test_control_memory.py
@@ -12,10 +12,12 @@
 
 import pytest
 
-from tests import fleet_nodes, test_resident_memory
+from tests import entry_process, fleet_nodes
 
 MIB = 1024 * 1024
 CALLS = 50
+# A process over its memory is killed; a tenth of it is kept in reserve.
+MEMORY_SHARE_MAX = 0.9
 # Valid JSON takes longer to refuse; what is measured is the body.
 BODY = b"[" * (4 * MIB - 1024)
 
@@ -70,9 +72,9 @@
                 )
                 writer.write(body)
                 try:
-                    return await test_resident_memory.read_response(reader)
+                    return await entry_process.read_response(reader)
                 finally:
-                    await test_resident_memory.close(writer)
+                    await entry_process.close(writer)
         except (OSError, EOFError, TimeoutError) as error:
             return type(error).__name__
 
@@ -85,9 +87,9 @@
             for _ in range(3):
                 calls = (control.call(BODY) for _ in range(CALLS))
                 statuses.update(await asyncio.gather(*calls))
-            peak_mib = test_resident_memory.peak_mib(control.process.pid)
+            peak_mib = entry_process.peak_mib(control.process.pid)
         print(f"RESULT control {memory_mib} peak={peak_mib:.0f} {dict(statuses)}")
-        assert peak_mib <= test_resident_memory.MEMORY_SHARE_MAX * memory_mib, statuses
+        assert peak_mib <= MEMORY_SHARE_MAX * memory_mib, statuses
         assert statuses[400] and set(statuses) <= {400, 503}, statuses
 
     asyncio.run(scenario())
--- a/tests/test_resident_memory.py
+++ b/tests/test_resident_memory.py
@@ -6,185 +6,18 @@
 
 import asyncio
 import collections
-import contextlib
-import json
-import pathlib
-import sys
 
 import pytest
 
 from merlinthread.nodes import memory_limits
+from tests import entry_process
 
-MIB = 1024 * 1024
-BODY = bytes(4 * MIB - 1024)
-PART_BYTES = 64 * 1024
-BODY_BYTES_MAX = 4 * MIB
+BODY = entry_process.BODY
 # A process over its memory is killed; a tenth of it is kept in reserve.
 MEMORY_SHARE_MAX = 0.9
-TIMEOUT_S = 110.0
-ROOT = pathlib.Path(__file__).parent.parent
-
-
-class Worker:
-    """A back end that discards the bodies of requests and answers after `work_s`.
-
-    One that `crashes` closes the connection in place of its answer.
-    """
-
-    def __init__(self, work_s: float, answer: bytes = b"ok", crashes: bool = False) -> None:
-        self.work_s = work_s
-        self.answer = answer
-        self.crashes = crashes
-        self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> str:
-        """Start listening; return the address."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-
-    async def serve(self, reader, writer) -> None:
-        """Answer the requests of one connection."""
-        self.writers.add(writer)
-        with contextlib.suppress(OSError, EOFError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).lower()
-                left = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
-                request_id = head.partition(b"request-id: ")[2].split(b"\r\n")[0]
-                while left:
-                    left -= len(await reader.readexactly(min(left, PART_BYTES)))
-                await asyncio.sleep(self.work_s)
-                if self.crashes:
-                    break
-                lines = [
-                    b"HTTP/1.1 200 OK",
-                    b"X-Merlinthread-Request-Id: " + request_id,
-                    b"X-Merlinthread-Response-Stamp: s." + request_id,
-                    b"Content-Length: %d" % len(self.answer),
-                ]
-                writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + self.answer)
-                await writer.drain()
-        await self.close(writer)
-
-    async def close(self, writer: asyncio.StreamWriter) -> None:
-        """Close a connection."""
-        self.writers.discard(writer)
-        await close(writer)
-
-    async def stop(self) -> None:
-        """Stop listening, and close the connections."""
-        self.server.close()
-        for writer in list(self.writers):
-            await self.close(writer)
-
-
-async def close(writer: asyncio.StreamWriter) -> None:
-    """Close a connection at once, and wait until that is done."""
-    writer.transport.abort()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-
-
-class EntryProcess:
-    """An entry with `memory_mib` of memory as a process, and two workers."""
-
-    def __init__(self, memory_mib: int, workers: list[Worker]) -> None:
-        self.memory_mib = memory_mib
-        self.workers = workers
-        self.events: list[dict] = []
-        self.number = 0
-
-    async def __aenter__(self):
-        """Start the process; wait for its address."""
-        addresses = [await worker.start() for worker in self.workers]
-        arguments = ["-m", "tests.memory_entry", str(self.memory_mib * MIB), str(BODY_BYTES_MAX)]
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *arguments,
-            *addresses,
-            cwd=ROOT,
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            limit=MIB,
-        )
-        address = asyncio.get_running_loop().create_future()
-        self.log_task = asyncio.create_task(self.read_log(address))
-        self.host, _, self.port = (await asyncio.wait_for(address, 30.0)).rpartition(":")
-        return self
-
-    async def __aexit__(self, *_) -> None:
-        """End the process and the workers."""
-        self.process.stdin.close()
-        try:
-            await asyncio.wait_for(self.process.wait(), 10.0)
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
-        await self.log_task
-        for worker in self.workers:
-            await worker.stop()
-
-    async def read_log(self, address: asyncio.Future) -> None:
-        """Set the entry's address once it is known, and collect the events of its log."""
-        while line := (await self.process.stdout.readline()).decode():
-            if line.startswith("address "):
-                address.set_result(line.split()[1])
-            elif line.startswith("{"):
-                self.events.append(json.loads(line))
-
-    def peak_mib(self) -> float:
-        """Return the largest resident memory of the process so far."""
-        return peak_mib(self.process.pid)
-
-    async def request(self, parts, framing: str, pause_s: float = 0.0) -> int | str:
-        """Send a request whose body is `parts`; return its status or the name of the error."""
-        self.number += 1
-        head = (
-            f"POST /safe/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: key-1\r\n"
-            f"X-Merlinthread-Request-Id: id-{self.number}\r\n"
-            f"X-Merlinthread-Deadline-Ms: 110000\r\n{framing}\r\n\r\n"
-        ).encode()
-        writer = None
-        try:
-            async with asyncio.timeout(TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(self.host, int(self.port))
-                response = asyncio.create_task(read_response(reader))
-                writer.write(head)
-                with contextlib.suppress(ConnectionError):
-                    for part in parts:
-                        if response.done():
-                            break
-                        writer.write(part)
-                        await writer.drain()
-                        await asyncio.sleep(pause_s)
-                return await response
-        except (OSError, EOFError, TimeoutError) as error:
-            return type(error).__name__
-        finally:
-            if writer is not None:
-                await close(writer)
-
-
-def peak_mib(pid: int) -> float:
-    """Return the largest resident memory of a process so far, without mapped files, in MiB."""
-    fields = {}
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        name, _, value = line.partition(":")
-        fields[name] = value.split()[:1]
-    in_kib = {name: int(fields[name][0]) for name in ("VmHWM", "RssFile", "RssShmem")}
-    return (in_kib["VmHWM"] - in_kib["RssFile"] - in_kib["RssShmem"]) / 1024
-
-
-async def read_response(reader: asyncio.StreamReader) -> int:
-    """Read a response with a length; return its status."""
-    head = (await reader.readuntil(b"\r\n\r\n")).lower()
-    left = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
-    while left:
-        left -= len(await reader.readexactly(min(left, PART_BYTES)))
-    return int(head.split()[1])
-
-
-def plain_parts(size: int = PART_BYTES) -> list[memoryview]:
+
+
+def plain_parts(size: int = entry_process.PART_BYTES) -> list[memoryview]:
     """Return the parts of a body with a length."""
     view = memoryview(BODY)
     return [view[offset : offset + size] for offset in range(0, len(BODY), size)]
@@ -200,29 +33,29 @@
 CHUNKED = "Transfer-Encoding: chunked"
 
 
-async def send_with_length(entry: EntryProcess):
+async def send_with_length(entry: entry_process.EntryProcess):
     return await entry.request(plain_parts(), LENGTH)
 
 
-async def send_at_link_rate(entry: EntryProcess):
+async def send_at_link_rate(entry: entry_process.EntryProcess):
     """Send a body in parts that an entry receives one by one, beside those of other clients."""
     return await entry.request(plain_parts(), LENGTH, 0.005)
 
 
-async def send_small_parts(entry: EntryProcess):
+async def send_small_parts(entry: entry_process.EntryProcess):
     """Send a body in parts that fill the entry's blocks in many steps."""
     return await entry.request(plain_parts(20_000), LENGTH, 0.001)
 
 
-async def send_in_chunks(entry: EntryProcess):
+async def send_in_chunks(entry: entry_process.EntryProcess):
     return await entry.request(chunked_parts(), CHUNKED)
 
 
-async def fetch(entry: EntryProcess):
+async def fetch(entry: entry_process.EntryProcess):
     return await entry.request([], "Content-Length: 0")
 
 
-async def stop_inside_body(entry: EntryProcess):
+async def stop_inside_body(entry: entry_process.EntryProcess):
     """Send most of a body and leave."""
     head = f"POST /safe/x HTTP/1.1\r\nHost: h.example\r\n{LENGTH}\r\n\r\n".encode()
     _, writer = await asyncio.open_connection(entry.host, int(entry.port))
@@ -236,7 +69,7 @@
     except ConnectionError:
         pass
     finally:
-        await close(writer)
+        await entry_process.close(writer)
     return "left"
 
 
@@ -259,9 +92,11 @@
 def test_entry_stays_within_its_memory(path, memory_mib):
     async def scenario():
         client, answer = PATHS[path]
-        workers = [Worker(0.2, answer) for _ in range(2)]
-        clients = 2 * memory_limits.derive(memory_mib * MIB).total_bytes // len(BODY) + 8
-        async with EntryProcess(memory_mib, workers) as entry:
+        workers = [entry_process.Worker(0.2, answer) for _ in range(2)]
+        clients = (
+            2 * memory_limits.derive(memory_mib * entry_process.MIB).total_bytes // len(BODY) + 8
+        )
+        async with entry_process.EntryProcess(memory_mib, workers) as entry:
             statuses = collections.Counter()
             for _ in range(WAVES if memory_mib <= 300 else 1):
                 statuses.update(await asyncio.gather(*(client(entry) for _ in range(clients))))
@@ -280,8 +115,8 @@
 @pytest.mark.parametrize("memory_mib", [96, 300])
 def test_entry_stays_within_its_memory_while_requests_are_repeated(memory_mib):
     async def scenario():
-        workers = [Worker(0.1, crashes=True), Worker(0.2)]
-        async with EntryProcess(memory_mib, workers) as entry:
+        workers = [entry_process.Worker(0.1, crashes=True), entry_process.Worker(0.2)]
+        async with entry_process.EntryProcess(memory_mib, workers) as entry:
             clients = (send_with_length(entry) for _ in range(memory_mib // 4))
             statuses = collections.Counter(await asyncio.gather(*clients))
             peak_mib = entry.peak_mib()
@@ -296,7 +131,9 @@
 # several times as much as the entry can hold.
 def test_large_answers_of_many_clients_are_all_delivered():
     async def scenario():
-        async with EntryProcess(96, [Worker(0.2, BODY) for _ in range(2)]) as entry:
+        async with entry_process.EntryProcess(
+            96, [entry_process.Worker(0.2, BODY) for _ in range(2)]
+        ) as entry:
             statuses = collections.Counter(
                 await asyncio.gather(*(fetch(entry) for _ in range(100)))
             )
--- a/tests/test_response_room.py
+++ b/tests/test_response_room.py
@@ -11,7 +11,7 @@
 
 from merlinthread.coordination import held_bytes, response_room
 from merlinthread.transport import http_messages, stream_server
-from tests import test_resident_memory
+from tests import entry_process
 
 MIB = 1024 * 1024
 BODY = bytes(range(256)) * (4 * MIB // 256)
@@ -142,7 +142,7 @@
                 assert await read_body(reader) == BODY
             else:
                 assert await reader.read() == b""
-        await test_resident_memory.close(writer)
+        await entry_process.close(writer)
 
     asyncio.run(scenario())
 
@@ -161,7 +161,7 @@
         server, reader, writer = await start(handler)
         writer.write(REQUEST)
         await reader.readuntil(b"\r\n\r\n")
-        await test_resident_memory.close(writer)
+        await entry_process.close(writer)
         async with asyncio.timeout(10):
             await cancelled.wait()
             while server.connections:
@@ -189,6 +189,6 @@
                 await asyncio.sleep(0.01)
         received = len(connection.parser.trailing_data[0])
         assert received < 3 * stream_server.READ_AHEAD_BYTES_MAX
-        await test_resident_memory.close(writer)
+        await entry_process.close(writer)
 
     asyncio.run(scenario())
