Frame a whole body by one event, and read and keep memory in larger pieces

Change: one h11 event stands for all blocks of a body, which h11 passes on unchanged; responses that have room are read in pieces of 256 KiB; an entry frees one object of 4 MiB at its start, after which glibc keeps up to 8 MiB that were freed.

New test: test_whole_body_is_framed_by_one_event.

--- a/src/merlinthread/nodes/entry_node.py
+++ b/src/merlinthread/nodes/entry_node.py
@@ -22,12 +22,14 @@
 from merlinthread.nodes import dialect as dialects
 from merlinthread.protocol import codec as codecs
 from merlinthread.protocol import node_messages, piece_messages
-from merlinthread.transport import http_messages, node_bus, stream_server
+from merlinthread.transport import http_messages, node_bus, process_memory, stream_server
 
 SUBSCRIBE_INTERVAL_S = 1.0
 # Time for the platform to notice failed readiness checks before the server stops accepting.
 UNREADY_PERIOD_S = 2.6
 SHUTDOWN_MARGIN_S = 0.6
+# More than the reads and copies of one step of the event loop.
+KEPT_MEMORY_BYTES = 4 * 1024 * 1024
 
 
 class EntryNode:
@@ -81,6 +83,7 @@
         self.server = stream_server.Server(self.serve, joins_bodies=False)
         limits = self.pool.memory_limits
         self.server.limit_memory(settings.memory_bytes, limits.total_bytes, limits.response_bytes)
+        process_memory.keep_freed_memory(KEPT_MEMORY_BYTES)
         metrics.held_bytes.set_function(lambda: self.server.held.byte_count)
         self.ready_server = stream_server.Server(self.serve_ready)
         self.is_leaving = False
--- a/src/merlinthread/transport/body_blocks.py
+++ b/src/merlinthread/transport/body_blocks.py
@@ -4,7 +4,9 @@
 stay resident; blocks of one size can take each other's place.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+
+import h11
 
 # A part of two bytes as an object of its own takes over 40 bytes.
 BLOCK_BYTES = 64 * 1024
@@ -78,11 +80,9 @@
         """Return the body received so far as one object."""
         return b"".join(self.chunks)
 
-    def take(self) -> list[memoryview]:
-        """Return the parts and keep none, so that each is freed once it is not used."""
-        taken = self.chunks
+    def clear(self) -> None:
+        """Keep no part, so that each is freed once nothing else refers to it."""
         self.size, self.blocks, self.unused_bytes = 0, [], 0
-        return taken
 
 
 Body = bytes | BodyBlocks
@@ -94,3 +94,14 @@
     for view in views:
         for offset in range(0, len(view), BLOCK_BYTES):
             yield view[offset : offset + BLOCK_BYTES]
+
+
+def frame(parser: h11.Connection, body: Body) -> Iterator[bytes | memoryview]:
+    """Iterate over the bytes to send for a whole body: its parts, and the framing of `parser`.
+
+    `h11` passes on any object that has a length, so that one event stands for all parts.
+    """
+    event = h11.Data(data=body)  # type: ignore[arg-type]
+    pieces: Iterable[Body] = parser.send_with_data_passthrough(event) or ()  # type: ignore[assignment]
+    for piece in pieces:
+        yield from split(piece)
--- a/src/merlinthread/transport/process_memory.py
+++ b/src/merlinthread/transport/process_memory.py
@@ -39,6 +39,15 @@
         return parse_status(file.read())
 
 
+def keep_freed_memory(byte_count: int) -> None:
+    """Let the C library keep freed memory, up to twice `byte_count`, for further objects.
+
+    Otherwise each read of a socket is a mapping, whose pages the kernel clears. glibc raises its
+    thresholds to the largest mapping freed so far (mallopt(3)).
+    """
+    bytes(byte_count)
+
+
 class MemoryLog:
     """Logs the bytes that a budget counts beside the resident memory of the process.
 
--- a/src/merlinthread/transport/response_sender.py
+++ b/src/merlinthread/transport/response_sender.py
@@ -53,11 +53,10 @@
 
     def send_body(self, body: body_blocks.Body) -> None:
         """Send a body; its blocks are taken, and each is freed when it is sent."""
-        self.unsent_bytes += len(body)
+        self.unsent.extend(body_blocks.frame(self.parser, body))
+        self.unsent_bytes = sum(map(len, self.unsent))
         if isinstance(body, body_blocks.BodyBlocks):
-            self.unsent.extend(body.take())
-        else:
-            self.unsent.extend(body_blocks.split(body))
+            body.clear()
         self.send_parts()
 
     def send_parts(self) -> None:
@@ -65,8 +64,7 @@
         while self.unsent and not self.flow.is_paused:
             part = self.unsent.popleft()
             self.unsent_bytes -= len(part)
-            for data in self.parser.send_with_data_passthrough(h11.Data(data=part)) or ():
-                self.write_data(data)
+            self.write_data(part)
             self.holder.return_reserved(len(part))
         if self.flow.is_paused:
             self.count()
--- a/src/merlinthread/transport/stream_client.py
+++ b/src/merlinthread/transport/stream_client.py
@@ -26,7 +26,7 @@
 # Received bytes that wait for their reader, above which the socket is not read.
 UNREAD_BYTES_MAX = 1024 * 1024
 # The longest read of a socket, and of one whose response is held for a client and has no room yet.
-READ_BYTES_MAX = 64 * 1024
+READ_BYTES_MAX = 256 * 1024
 HELD_READ_BYTES_MAX = 16 * 1024
 
 
@@ -162,7 +162,7 @@
         data = self.parser.send(head) or b""
         if len(request.body) > body_blocks.BLOCK_BYTES:
             self.write(data)
-            self.unsent.extend(body_blocks.split(request.body))
+            self.unsent.extend(body_blocks.frame(self.parser, request.body))
             self.send_parts()
             return
         for part in body_blocks.split(request.body):
@@ -172,9 +172,7 @@
     def send_parts(self) -> None:
         """Send the rest of a body while the transport has room."""
         while self.unsent and not self.is_write_paused and not self.is_lost:
-            event = h11.Data(data=self.unsent.popleft())
-            for data in self.parser.send_with_data_passthrough(event) or ():
-                self.write(data)
+            self.write(self.unsent.popleft())
         if self.unsent:
             return
         self.write(self.parser.send(h11.EndOfMessage()))
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -6,6 +6,7 @@
 import asyncio
 import tracemalloc
 
+import h11
 import pytest
 
 from merlinthread.coordination import fingerprints, fleet
@@ -119,6 +120,25 @@
     )
 
 
+# Guards against the processor time of one event of the parser for each block.
+@pytest.mark.parametrize("framing", [b"content-length: 4193280", b"transfer-encoding: chunked"])
+def test_whole_body_is_framed_by_one_event(framing):
+    name, _, value = framing.partition(b": ")
+    parser = h11.Connection(h11.CLIENT)
+    head = h11.Request(method=b"POST", target=b"/x", headers=[(b"host", b"h"), (name, value)])
+    data = parser.send(head)
+    blocks = body_blocks.BodyBlocks()
+    blocks.add(BODY)
+    parts = list(body_blocks.frame(parser, blocks))
+    assert len(parts) <= len(BODY) // body_blocks.BLOCK_BYTES + 4
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(data + b"".join(parts) + parser.send(h11.EndOfMessage()))
+    received = b""
+    while type(event := server.next_event()) is not h11.EndOfMessage:
+        received += bytes(event.data) if isinstance(event, h11.Data) else b""
+    assert received == BODY
+
+
 def test_body_that_waits_for_its_server_is_not_copied():
     async def scenario():
         async def serve(reader, writer):
